Lay out modules, checks and the interfaces between the parts

Cause: the project starts empty; parts are to be written side by side, so the interfaces must stand first. Conclusion: parts can be written against these interfaces.

--- /dev/null
+++ b/coordination/src/main/java/org/hornbeampass/coordination/platform/MemoryPlatform.java
@@ -0,0 +1,177 @@
+package org.hornbeampass.coordination.platform;
+
+import org.hornbeampass.coordination.platform.PlatformReply.Change;
+import org.hornbeampass.coordination.platform.PlatformReply.StoredObject;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.function.BiConsumer;
+
+/**
+ * A platform held in memory, for embedding, stand-ins and tests.
+ *
+ * <p>Invariants: versions grow by one with each write; at most {@value #MAX_HISTORY} changes are
+ * kept for watches. A watch is answered at once, or held until a write below its prefix or until
+ * {@link #expireWatches} finds it overdue. Thread-safe: one lock guards all state, and replies are
+ * run after it is released.
+ */
+public final class MemoryPlatform implements Platform {
+    private static final int MAX_HISTORY = 100_000;
+
+    private final Object mLock = new Object();
+    private final TreeMap<String, StoredObject> mObjects = new TreeMap<>();
+    private final Deque<Change> mHistory = new ArrayDeque<>();
+    private final List<PendingWatch> mWatches = new ArrayList<>();
+    private long mVersion;
+    private long mForgottenUpTo;
+
+    /** A watch that waits for its first change. */
+    private record PendingWatch(
+            PlatformCall.Watch call, long deadlineMs, BiConsumer<Long, PlatformReply> done) {}
+
+    /** A reply that is ready to be run once the lock is released. */
+    private record Ready(BiConsumer<Long, PlatformReply> done, PlatformReply reply) {}
+
+    @Override
+    public void submit(long nowMs, PlatformCall call, BiConsumer<Long, PlatformReply> done) {
+        List<Ready> ready = new ArrayList<>();
+        synchronized (mLock) {
+            if (call instanceof PlatformCall.Watch watch) {
+                startWatch(nowMs, watch, done, ready);
+            } else {
+                ready.add(new Ready(done, apply(call)));
+                collectWatches(ready);
+            }
+        }
+        ready.forEach(r -> r.done().accept(nowMs, r.reply()));
+    }
+
+    /**
+     * Answers each watch that has waited for its whole time, with no changes.
+     *
+     * @param nowMs the present time in milliseconds
+     */
+    public void expireWatches(long nowMs) {
+        List<Ready> ready = new ArrayList<>();
+        synchronized (mLock) {
+            Iterator<PendingWatch> each = mWatches.iterator();
+            while (each.hasNext()) {
+                PendingWatch watch = each.next();
+                if (watch.deadlineMs() <= nowMs) {
+                    each.remove();
+                    ready.add(
+                            new Ready(
+                                    watch.done(), new PlatformReply.Changed(List.of(), mVersion)));
+                }
+            }
+        }
+        ready.forEach(r -> r.done().accept(nowMs, r.reply()));
+    }
+
+    private PlatformReply apply(PlatformCall call) {
+        if (call instanceof PlatformCall.Get get) {
+            StoredObject object = mObjects.get(get.key());
+            return object == null ? new PlatformReply.Missing() : new PlatformReply.Found(object);
+        }
+        if (call instanceof PlatformCall.ListObjects list) {
+            return list(list);
+        }
+        if (call instanceof PlatformCall.Create create) {
+            return write(create.key(), Optional.of(create.value()), 0);
+        }
+        if (call instanceof PlatformCall.Update update) {
+            return write(update.key(), Optional.of(update.value()), update.expectedVersion());
+        }
+        PlatformCall.Delete delete = (PlatformCall.Delete) call;
+        return write(delete.key(), Optional.empty(), delete.expectedVersion());
+    }
+
+    private PlatformReply list(PlatformCall.ListObjects call) {
+        String from = call.afterKey().compareTo(call.prefix()) > 0 ? call.afterKey() : "";
+        Map<String, StoredObject> tail =
+                from.isEmpty()
+                        ? mObjects.tailMap(call.prefix(), true)
+                        : mObjects.tailMap(from, false);
+        List<StoredObject> page = new ArrayList<>();
+        for (StoredObject object : tail.values()) {
+            if (!object.key().startsWith(call.prefix())) {
+                break;
+            }
+            if (page.size() == call.limit()) {
+                return new PlatformReply.Listed(page, true, mVersion);
+            }
+            page.add(object);
+        }
+        return new PlatformReply.Listed(page, false, mVersion);
+    }
+
+    private PlatformReply write(String key, Optional<String> value, long expectedVersion) {
+        StoredObject current = mObjects.get(key);
+        long currentVersion = current == null ? 0 : current.version();
+        if (currentVersion != expectedVersion) {
+            return new PlatformReply.Conflict(Optional.ofNullable(current));
+        }
+        mVersion++;
+        if (value.isPresent()) {
+            mObjects.put(key, new StoredObject(key, value.get(), mVersion));
+        } else {
+            mObjects.remove(key);
+        }
+        mHistory.addLast(new Change(key, value, mVersion));
+        if (mHistory.size() > MAX_HISTORY) {
+            mForgottenUpTo = mHistory.removeFirst().version();
+        }
+        return new PlatformReply.Written(mVersion);
+    }
+
+    private void startWatch(
+            long nowMs,
+            PlatformCall.Watch watch,
+            BiConsumer<Long, PlatformReply> done,
+            List<Ready> ready) {
+        Optional<PlatformReply> reply = changesSince(watch);
+        if (reply.isPresent()) {
+            ready.add(new Ready(done, reply.get()));
+            return;
+        }
+        mWatches.add(new PendingWatch(watch, nowMs + watch.atMost().toMillis(), done));
+    }
+
+    private void collectWatches(List<Ready> ready) {
+        Iterator<PendingWatch> each = mWatches.iterator();
+        while (each.hasNext()) {
+            PendingWatch watch = each.next();
+            Optional<PlatformReply> reply = changesSince(watch.call());
+            if (reply.isPresent()) {
+                each.remove();
+                ready.add(new Ready(watch.done(), reply.get()));
+            }
+        }
+    }
+
+    private Optional<PlatformReply> changesSince(PlatformCall.Watch watch) {
+        if (watch.afterVersion() < mForgottenUpTo) {
+            return Optional.of(new PlatformReply.WatchGap());
+        }
+        List<Change> changes = new ArrayList<>();
+        Iterator<Change> newestFirst = mHistory.descendingIterator();
+        while (newestFirst.hasNext()) {
+            Change change = newestFirst.next();
+            if (change.version() <= watch.afterVersion()) {
+                break;
+            }
+            if (change.key().startsWith(watch.prefix())) {
+                changes.add(0, change);
+            }
+        }
+        return changes.isEmpty()
+                ? Optional.empty()
+                : Optional.of(new PlatformReply.Changed(changes, mVersion));
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/hornbeampass/coordination/platform/Platform.java
@@ -0,0 +1,21 @@
+package org.hornbeampass.coordination.platform;
+
+import java.util.function.BiConsumer;
+
+/**
+ * The platform's object API: versions, conditional updates and watches, each call counted.
+ *
+ * <p>Implementations are thread-safe. A write that is answered {@link PlatformReply.Unavailable}
+ * may or may not have taken effect; no other reply leaves that open.
+ */
+public interface Platform {
+    /**
+     * Starts a call.
+     *
+     * @param nowMs the present time in milliseconds
+     * @param call what to do
+     * @param done run exactly once with the time of the reply in milliseconds and the reply; on any
+     *     thread, also before this method returns, and with no lock of the platform held
+     */
+    void submit(long nowMs, PlatformCall call, BiConsumer<Long, PlatformReply> done);
+}
--- /dev/null
+++ b/coordination/src/main/java/org/hornbeampass/coordination/platform/PlatformReply.java
@@ -0,0 +1,95 @@
+package org.hornbeampass.coordination.platform;
+
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * The platform's reply to one {@link PlatformCall}.
+ *
+ * <p>Versions are positive, grow with each write and are unique across the platform's store.
+ * Immutable; safe for use by any thread.
+ */
+public sealed interface PlatformReply {
+    /**
+     * One stored object.
+     *
+     * @param key its key
+     * @param value its JSON text
+     * @param version the version of its last write
+     */
+    record StoredObject(String key, String value, long version) {}
+
+    /**
+     * One change that a watch reports.
+     *
+     * @param key the changed object's key
+     * @param value its new JSON text; empty where it was deleted
+     * @param version the version of the change
+     */
+    record Change(String key, Optional<String> value, long version) {}
+
+    /**
+     * The object exists.
+     *
+     * @param object the object
+     */
+    record Found(StoredObject object) implements PlatformReply {}
+
+    /** The object does not exist. */
+    record Missing() implements PlatformReply {}
+
+    /**
+     * One page of a listing.
+     *
+     * @param objects the objects in the order of their keys
+     * @param more whether further objects follow the last one
+     * @param storeVersion the store's version at the time of the listing, from which to watch
+     */
+    record Listed(List<StoredObject> objects, boolean more, long storeVersion)
+            implements PlatformReply {
+        /** Copies the list. */
+        public Listed {
+            objects = List.copyOf(objects);
+        }
+    }
+
+    /**
+     * The write took effect.
+     *
+     * @param version the object's new version
+     */
+    record Written(long version) implements PlatformReply {}
+
+    /**
+     * The write did not take effect, since the object was not as expected.
+     *
+     * @param current the object as it is; empty where it does not exist
+     */
+    record Conflict(Optional<StoredObject> current) implements PlatformReply {}
+
+    /**
+     * Changes in the order of their versions, possibly none.
+     *
+     * @param changes the changes
+     * @param upToVersion the version from which to watch next
+     */
+    record Changed(List<Change> changes, long upToVersion) implements PlatformReply {
+        /** Copies the list. */
+        public Changed {
+            changes = List.copyOf(changes);
+        }
+    }
+
+    /** The changes asked for are gone; list anew. */
+    record WatchGap() implements PlatformReply {}
+
+    /** The platform refused the call for its rate limit; it had no effect. */
+    record Throttled() implements PlatformReply {}
+
+    /**
+     * No reply came; a write may have taken effect.
+     *
+     * @param reason what happened, for logs
+     */
+    record Unavailable(String reason) implements PlatformReply {}
+}
--- /dev/null
+++ b/coordination/src/main/java/org/hornbeampass/state/BudgetId.java
@@ -0,0 +1,30 @@
+package org.hornbeampass.state;
+
+import java.util.Objects;
+
+/**
+ * Names a prepaid budget within one organisation.
+ *
+ * <p>Invariant: the value is never blank. Immutable; safe for use by any thread.
+ *
+ * @param value the identifier's text
+ */
+public record BudgetId(String value) implements Comparable<BudgetId> {
+    /** Checks that the identifier is not blank. */
+    public BudgetId {
+        Objects.requireNonNull(value, "value");
+        if (value.isBlank()) {
+            throw new IllegalArgumentException("BudgetId must not be blank");
+        }
+    }
+
+    @Override
+    public int compareTo(BudgetId other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/hornbeampass/state/ErrorKind.java
@@ -0,0 +1,88 @@
+package org.hornbeampass.state;
+
+import static org.hornbeampass.state.RunState.NOT_RUN;
+import static org.hornbeampass.state.RunState.RAN;
+import static org.hornbeampass.state.RunState.UNKNOWN;
+
+/**
+ * The closed list of error kinds, each with its answer: HTTP status, body type, whether a retry can
+ * help, and whether the request ran.
+ *
+ * <p>Invariant: a kind whose {@link #runState()} is {@code NOT_RUN} is only answered before the
+ * first byte goes to an upstream. Immutable; safe for use by any thread. Documented kind by kind in
+ * docs/ERRORS.md.
+ */
+public enum ErrorKind {
+    MALFORMED_REQUEST(400, "invalid_request_error", false, NOT_RUN, 3),
+    FIELD_INVALID(400, "invalid_request_error", false, NOT_RUN, 3),
+    REQUEST_TOO_LARGE(413, "invalid_request_error", false, NOT_RUN, 3),
+    KEY_MISSING_OR_UNKNOWN(401, "authentication_error", false, NOT_RUN, 4),
+    NOT_PERMITTED(403, "permission_error", false, NOT_RUN, 4),
+    MODEL_UNKNOWN(404, "not_found_error", false, NOT_RUN, 5),
+    NOT_FOUND(404, "not_found_error", false, NOT_RUN, 5),
+    METHOD_NOT_ALLOWED(405, "invalid_request_error", false, NOT_RUN, 3),
+    REVISION_CONFLICT(409, "conflict_error", true, NOT_RUN, 6),
+    ALREADY_EXISTS(409, "conflict_error", false, NOT_RUN, 6),
+    IDEMPOTENCY_KEY_REUSED(409, "conflict_error", false, NOT_RUN, 6),
+    IDEMPOTENCY_KEY_EXPIRED(409, "conflict_error", false, NOT_RUN, 6),
+    ALREADY_RUNNING(409, "conflict_error", true, UNKNOWN, 6),
+    BUDGET_EXHAUSTED(402, "budget_error", false, NOT_RUN, 7),
+    BUDGET_UNREACHABLE(503, "budget_error", true, NOT_RUN, 8),
+    RATE_LIMITED(429, "rate_limit_error", true, NOT_RUN, 8),
+    OVERLOADED(503, "overloaded_error", true, NOT_RUN, 8),
+    BILLING_BACKLOG(503, "overloaded_error", true, NOT_RUN, 8),
+    NO_UPSTREAM(503, "overloaded_error", true, NOT_RUN, 8),
+    SHUTTING_DOWN(503, "overloaded_error", true, NOT_RUN, 8),
+    NOT_READY(503, "overloaded_error", true, NOT_RUN, 8),
+    PLATFORM_UNAVAILABLE(503, "overloaded_error", true, NOT_RUN, 8),
+    DEADLINE_EXCEEDED_NOT_RUN(504, "timeout_error", true, NOT_RUN, 9),
+    DEADLINE_EXCEEDED(504, "timeout_error", true, UNKNOWN, 9),
+    UPSTREAM_FAILED(502, "upstream_error", true, RAN, 9),
+    OUTCOME_UNKNOWN(502, "upstream_error", false, UNKNOWN, 10),
+    STREAM_BROKEN(502, "upstream_error", true, RAN, 9),
+    INTERNAL(500, "internal_error", false, UNKNOWN, 1);
+
+    private final int mHttpStatus;
+    private final String mType;
+    private final boolean mRetryable;
+    private final RunState mRunState;
+    private final int mExitCode;
+
+    ErrorKind(int httpStatus, String type, boolean retryable, RunState runState, int exitCode) {
+        mHttpStatus = httpStatus;
+        mType = type;
+        mRetryable = retryable;
+        mRunState = runState;
+        mExitCode = exitCode;
+    }
+
+    /** Returns the HTTP status of the answer. */
+    public int httpStatus() {
+        return mHttpStatus;
+    }
+
+    /** Returns the {@code error.type} of the answer's body. */
+    public String type() {
+        return mType;
+    }
+
+    /** Returns the {@code error.code} of the answer's body, such as {@code budget_exhausted}. */
+    public String code() {
+        return name().toLowerCase(java.util.Locale.ROOT);
+    }
+
+    /** Returns whether the same request may succeed when it is sent again. */
+    public boolean retryable() {
+        return mRetryable;
+    }
+
+    /** Returns whether the request ran. */
+    public RunState runState() {
+        return mRunState;
+    }
+
+    /** Returns the exit code with which the command line reports this kind. */
+    public int exitCode() {
+        return mExitCode;
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/hornbeampass/state/Failure.java
@@ -0,0 +1,32 @@
+package org.hornbeampass.state;
+
+import java.util.Objects;
+import java.util.OptionalLong;
+
+/**
+ * An error kind with a message that says what is wrong and how to mend it.
+ *
+ * <p>Immutable; safe for use by any thread.
+ *
+ * @param kind the kind, from the closed list
+ * @param message what is wrong and what mends it, for the caller; carries no key and no body
+ * @param retryAfterMs when a retry may help, in milliseconds from now, where that is known
+ */
+public record Failure(ErrorKind kind, String message, OptionalLong retryAfterMs) {
+    /** Checks that no part is missing. */
+    public Failure {
+        Objects.requireNonNull(kind, "kind");
+        Objects.requireNonNull(message, "message");
+        Objects.requireNonNull(retryAfterMs, "retryAfterMs");
+    }
+
+    /** Returns a failure without a hint of when to retry. */
+    public static Failure of(ErrorKind kind, String message) {
+        return new Failure(kind, message, OptionalLong.empty());
+    }
+
+    /** Returns a failure that tells the caller when to come back. */
+    public static Failure retryAfter(ErrorKind kind, String message, long retryAfterMs) {
+        return new Failure(kind, message, OptionalLong.of(retryAfterMs));
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/hornbeampass/state/ModelId.java
@@ -0,0 +1,30 @@
+package org.hornbeampass.state;
+
+import java.util.Objects;
+
+/**
+ * Names a model that callers ask for.
+ *
+ * <p>Invariant: the value is never blank. Immutable; safe for use by any thread.
+ *
+ * @param value the identifier's text
+ */
+public record ModelId(String value) implements Comparable<ModelId> {
+    /** Checks that the identifier is not blank. */
+    public ModelId {
+        Objects.requireNonNull(value, "value");
+        if (value.isBlank()) {
+            throw new IllegalArgumentException("ModelId must not be blank");
+        }
+    }
+
+    @Override
+    public int compareTo(ModelId other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/hornbeampass/state/OrganisationId.java
@@ -0,0 +1,30 @@
+package org.hornbeampass.state;
+
+import java.util.Objects;
+
+/**
+ * Names an organisation.
+ *
+ * <p>Invariant: the value is never blank. Immutable; safe for use by any thread.
+ *
+ * @param value the identifier's text
+ */
+public record OrganisationId(String value) implements Comparable<OrganisationId> {
+    /** Checks that the identifier is not blank. */
+    public OrganisationId {
+        Objects.requireNonNull(value, "value");
+        if (value.isBlank()) {
+            throw new IllegalArgumentException("OrganisationId must not be blank");
+        }
+    }
+
+    @Override
+    public int compareTo(OrganisationId other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/hornbeampass/state/Region.java
@@ -0,0 +1,30 @@
+package org.hornbeampass.state;
+
+import java.util.Objects;
+
+/**
+ * Names a region, which holds one or more failure domains.
+ *
+ * <p>Invariant: the value is never blank. Immutable; safe for use by any thread.
+ *
+ * @param value the identifier's text
+ */
+public record Region(String value) implements Comparable<Region> {
+    /** Checks that the identifier is not blank. */
+    public Region {
+        Objects.requireNonNull(value, "value");
+        if (value.isBlank()) {
+            throw new IllegalArgumentException("Region must not be blank");
+        }
+    }
+
+    @Override
+    public int compareTo(Region other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/hornbeampass/state/UpstreamId.java
@@ -0,0 +1,30 @@
+package org.hornbeampass.state;
+
+import java.util.Objects;
+
+/**
+ * Names an upstream: one runner of a model or one instance of a plain service.
+ *
+ * <p>Invariant: the value is never blank. Immutable; safe for use by any thread.
+ *
+ * @param value the identifier's text
+ */
+public record UpstreamId(String value) implements Comparable<UpstreamId> {
+    /** Checks that the identifier is not blank. */
+    public UpstreamId {
+        Objects.requireNonNull(value, "value");
+        if (value.isBlank()) {
+            throw new IllegalArgumentException("UpstreamId must not be blank");
+        }
+    }
+
+    @Override
+    public int compareTo(UpstreamId other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/hornbeampass/state/VmId.java
@@ -0,0 +1,43 @@
+package org.hornbeampass.state;
+
+import java.util.Objects;
+
+/**
+ * One life of one router VM: its configured name and its incarnation.
+ *
+ * <p>Invariant: two processes never share a value, since each start takes a new incarnation. The
+ * order is by name, then by incarnation. Immutable; safe for use by any thread.
+ *
+ * @param name the VM's name, from its settings
+ * @param incarnation a number that grows with each start of the VM
+ */
+public record VmId(String name, long incarnation) implements Comparable<VmId> {
+    /** Checks that the name can stand in a platform key. */
+    public VmId {
+        Objects.requireNonNull(name, "name");
+        if (name.isBlank() || name.indexOf('~') >= 0 || name.indexOf('/') >= 0) {
+            throw new IllegalArgumentException(
+                    "VM name \"" + name + "\" must not be blank or contain '~' or '/'");
+        }
+    }
+
+    /** Parses the form {@code name~incarnation} that {@link #toString()} gives. */
+    public static VmId parse(String text) {
+        int cut = text.lastIndexOf('~');
+        if (cut < 0) {
+            throw new IllegalArgumentException("VM id \"" + text + "\" lacks '~incarnation'");
+        }
+        return new VmId(text.substring(0, cut), Long.parseLong(text.substring(cut + 1)));
+    }
+
+    @Override
+    public int compareTo(VmId other) {
+        int byName = name.compareTo(other.name);
+        return byName != 0 ? byName : Long.compare(incarnation, other.incarnation);
+    }
+
+    @Override
+    public String toString() {
+        return name + "~" + incarnation;
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/hornbeampass/state/config/package-info.java
@@ -0,0 +1,2 @@
+/** The accepted configuration as immutable values. */
+package org.hornbeampass.state.config;
