Give identifiers a plain JSON form and add the record codec

Cause: every part keeps JSON records on the platform and needs one codec. Change: Json with sorted keys and tolerant reading; identifiers written as text. Conclusion: records round-trip, including maps keyed by identifiers.

--- /dev/null
+++ b/coordination/src/main/java/org/hornbeampass/state/Json.java
@@ -0,0 +1,51 @@
+package org.hornbeampass.state;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.SerializationFeature;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.datatype.jdk8.Jdk8Module;
+
+import io.vavr.control.Either;
+
+/**
+ * Reads and writes the JSON texts of records kept on the platform.
+ *
+ * <p>Unknown fields are ignored, so that an older VM reads what a newer one wrote; map entries are
+ * written in the order of their keys, so that equal values have equal texts. Thread-safe.
+ */
+public final class Json {
+    private static final ObjectMapper MAPPER =
+            JsonMapper.builder()
+                    .addModule(new Jdk8Module())
+                    .disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
+                    .enable(SerializationFeature.ORDER_MAP_ENTRIES_BY_KEYS)
+                    .build();
+
+    private Json() {}
+
+    /** Returns a value's JSON text. */
+    public static String encode(Object value) {
+        try {
+            return MAPPER.writeValueAsString(value);
+        } catch (JsonProcessingException e) {
+            throw new IllegalArgumentException("not a JSON value: " + value.getClass(), e);
+        }
+    }
+
+    /** Returns the value of a JSON text, or {@code INTERNAL} with what does not fit. */
+    public static <T> Either<Failure, T> decode(String text, Class<T> type) {
+        try {
+            return Either.right(MAPPER.readValue(text, type));
+        } catch (JsonProcessingException e) {
+            return Either.left(
+                    Failure.of(
+                            ErrorKind.INTERNAL,
+                            "stored record is not a "
+                                    + type.getSimpleName()
+                                    + ": "
+                                    + e.getOriginalMessage()));
+        }
+    }
+}
--- a/coordination/src/main/java/org/hornbeampass/state/ModelId.java
+++ b/coordination/src/main/java/org/hornbeampass/state/ModelId.java
@@ -1,5 +1,8 @@
 package org.hornbeampass.state;
 
+import com.fasterxml.jackson.annotation.JsonCreator;
+import com.fasterxml.jackson.annotation.JsonValue;
+
 import java.util.Objects;
 
 /**
@@ -9,8 +12,9 @@
  *
  * @param value the identifier's text
  */
-public record ModelId(String value) implements Comparable<ModelId> {
+public record ModelId(@JsonValue String value) implements Comparable<ModelId> {
     /** Checks that the identifier is not blank. */
+    @JsonCreator(mode = JsonCreator.Mode.DELEGATING)
     public ModelId {
         Objects.requireNonNull(value, "value");
         if (value.isBlank()) {
--- a/coordination/src/main/java/org/hornbeampass/state/OrganisationId.java
+++ b/coordination/src/main/java/org/hornbeampass/state/OrganisationId.java
@@ -1,5 +1,8 @@
 package org.hornbeampass.state;
 
+import com.fasterxml.jackson.annotation.JsonCreator;
+import com.fasterxml.jackson.annotation.JsonValue;
+
 import java.util.Objects;
 
 /**
@@ -9,8 +12,9 @@
  *
  * @param value the identifier's text
  */
-public record OrganisationId(String value) implements Comparable<OrganisationId> {
+public record OrganisationId(@JsonValue String value) implements Comparable<OrganisationId> {
     /** Checks that the identifier is not blank. */
+    @JsonCreator(mode = JsonCreator.Mode.DELEGATING)
     public OrganisationId {
         Objects.requireNonNull(value, "value");
         if (value.isBlank()) {
--- a/coordination/src/main/java/org/hornbeampass/state/Region.java
+++ b/coordination/src/main/java/org/hornbeampass/state/Region.java
@@ -1,5 +1,8 @@
 package org.hornbeampass.state;
 
+import com.fasterxml.jackson.annotation.JsonCreator;
+import com.fasterxml.jackson.annotation.JsonValue;
+
 import java.util.Objects;
 
 /**
@@ -9,8 +12,9 @@
  *
  * @param value the identifier's text
  */
-public record Region(String value) implements Comparable<Region> {
+public record Region(@JsonValue String value) implements Comparable<Region> {
     /** Checks that the identifier is not blank. */
+    @JsonCreator(mode = JsonCreator.Mode.DELEGATING)
     public Region {
         Objects.requireNonNull(value, "value");
         if (value.isBlank()) {
--- a/coordination/src/main/java/org/hornbeampass/state/VmId.java
+++ b/coordination/src/main/java/org/hornbeampass/state/VmId.java
@@ -1,5 +1,8 @@
 package org.hornbeampass.state;
 
+import com.fasterxml.jackson.annotation.JsonCreator;
+import com.fasterxml.jackson.annotation.JsonValue;
+
 import java.util.Objects;
 
 /**
@@ -22,6 +25,7 @@
     }
 
     /** Parses the form {@code name~incarnation} that {@link #toString()} gives. */
+    @JsonCreator(mode = JsonCreator.Mode.DELEGATING)
     public static VmId parse(String text) {
         int cut = text.lastIndexOf('~');
         if (cut < 0) {
@@ -36,6 +40,7 @@
         return byName != 0 ? byName : Long.compare(incarnation, other.incarnation);
     }
 
+    @JsonValue
     @Override
     public String toString() {
         return name + "~" + incarnation;
