--- /dev/null
+++ b/transport/src/main/java/org/hornbeampass/protocol/http/package-info.java
@@ -0,0 +1,2 @@
+/** HTTP shapes that all listeners share. */
+package org.hornbeampass.protocol.http;
--- /dev/null
+++ b/transport/src/main/java/org/hornbeampass/transport/EventLoops.java
@@ -0,0 +1,68 @@
+package org.hornbeampass.transport;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.concurrent.DefaultThreadFactory;
+
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Owns the event loop threads that servers and clients share.
+ *
+ * <p>Invariant: the loops use NIO selectors only, and their threads are daemon threads.
+ * Thread-safe.
+ */
+public final class EventLoops implements AutoCloseable {
+    private static final long QUIET_MS = 0;
+    private static final long CLOSE_TIMEOUT_MS = 2_000;
+    private static final int MIN_THREADS = 2;
+    private static final int MAX_THREADS = 8;
+
+    private final EventLoopGroup mGroup;
+
+    /** Holds the process-wide loops, which are made at their first use. */
+    private static final class Shared {
+        static final EventLoops LOOPS =
+                create(
+                        Math.max(
+                                MIN_THREADS,
+                                Math.min(MAX_THREADS, Runtime.getRuntime().availableProcessors())),
+                        "shared-loop");
+    }
+
+    private EventLoops(EventLoopGroup group) {
+        mGroup = group;
+    }
+
+    /**
+     * Starts loops of their own.
+     *
+     * @param threads the number of threads
+     * @param name the prefix of the threads' names
+     */
+    public static EventLoops create(int threads, String name) {
+        return new EventLoops(
+                new MultiThreadIoEventLoopGroup(
+                        threads, new DefaultThreadFactory(name, true), NioIoHandler.newFactory()));
+    }
+
+    /** Returns the process-wide loops; closing them has no effect. */
+    public static EventLoops shared() {
+        return Shared.LOOPS;
+    }
+
+    /** Returns Netty's group. */
+    public EventLoopGroup group() {
+        return mGroup;
+    }
+
+    /** Starts closing the loops; returns without waiting, so that a loop may call it. */
+    @Override
+    public void close() {
+        if (this == Shared.LOOPS) {
+            return;
+        }
+        var unused = mGroup.shutdownGracefully(QUIET_MS, CLOSE_TIMEOUT_MS, TimeUnit.MILLISECONDS);
+    }
+}
--- /dev/null
+++ b/transport/src/main/java/org/hornbeampass/transport/package-info.java
@@ -0,0 +1,2 @@
+/** Sockets, threads and the clock: what carries the protocol layer. */
+package org.hornbeampass.transport;
--- /dev/null
+++ b/transport/src/main/java/org/hornbeampass/transport/tls/TlsContexts.java
@@ -0,0 +1,66 @@
+package org.hornbeampass.transport.tls;
+
+import io.netty.handler.ssl.ClientAuth;
+import io.netty.handler.ssl.SslContext;
+import io.netty.handler.ssl.SslContextBuilder;
+
+import java.util.Optional;
+
+import javax.net.ssl.SSLException;
+
+/**
+ * Makes TLS contexts from PEM files.
+ *
+ * <p>Stateless; safe for use by any thread.
+ */
+public final class TlsContexts {
+    private TlsContexts() {}
+
+    /**
+     * Returns the context of a listener.
+     *
+     * @throws IllegalArgumentException if a file is missing or does not fit
+     */
+    public static SslContext forListener(TlsFiles files) {
+        try {
+            SslContextBuilder builder =
+                    SslContextBuilder.forServer(
+                            files.certificate().orElseThrow(() -> missing("certificate")).toFile(),
+                            files.key().orElseThrow(() -> missing("key")).toFile());
+            if (files.trusted().isPresent()) {
+                builder.trustManager(files.trusted().get().toFile());
+                builder.clientAuth(ClientAuth.REQUIRE);
+            }
+            return builder.build();
+        } catch (SSLException e) {
+            throw new IllegalArgumentException("TLS files do not fit: " + e.getMessage(), e);
+        }
+    }
+
+    /**
+     * Returns the context of a client; the other side's name is checked.
+     *
+     * @param files this client's files; empty for the Java runtime's own trust
+     * @throws IllegalArgumentException if a file is missing or does not fit
+     */
+    public static SslContext forClient(Optional<TlsFiles> files) {
+        try {
+            SslContextBuilder builder = SslContextBuilder.forClient();
+            if (files.isPresent() && files.get().trusted().isPresent()) {
+                builder.trustManager(files.get().trusted().get().toFile());
+            }
+            if (files.isPresent() && files.get().certificate().isPresent()) {
+                builder.keyManager(
+                        files.get().certificate().get().toFile(),
+                        files.get().key().orElseThrow(() -> missing("key")).toFile());
+            }
+            return builder.build();
+        } catch (SSLException e) {
+            throw new IllegalArgumentException("TLS files do not fit: " + e.getMessage(), e);
+        }
+    }
+
+    private static IllegalArgumentException missing(String what) {
+        return new IllegalArgumentException("TLS needs a PEM file for the " + what);
+    }
+}
--- /dev/null
+++ b/transport/src/main/java/org/hornbeampass/transport/tls/package-info.java
@@ -0,0 +1,2 @@
+/** TLS contexts made from PEM files. */
+package org.hornbeampass.transport.tls;
