--- /dev/null
+++ b/transport/src/main/java/org/hornbeampass/protocol/platform/PlatformPaths.java
@@ -0,0 +1,93 @@
+package org.hornbeampass.protocol.platform;
+
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+
+/**
+ * The paths, query parameters and statuses of the platform's object API.
+ *
+ * <p>{@code GET /v1/objects/{key}} answers 200 or 404; {@code GET
+ * /v1/objects?prefix=&after=&limit=} answers 200; {@code POST /v1/objects/{key}} creates, {@code
+ * PUT} and {@code DELETE /v1/objects/{key}?version=} change the object at that version, and each
+ * answers 200 or 409; {@code GET /v1/watch?prefix=&after=&wait_ms=} answers 200 or 410. Any call
+ * may be answered 429, with no effect. Bodies are the records of {@link PlatformBodies}, but for
+ * the body of POST and PUT, which is the value itself. Stateless; safe for use by any thread.
+ */
+public final class PlatformPaths {
+    /** The listing's path, and with a slash and a key, one object's. */
+    public static final String OBJECTS = "/v1/objects";
+
+    /** The watch's path. */
+    public static final String WATCH = "/v1/watch";
+
+    /** The query parameter of the keys' common prefix. */
+    public static final String PREFIX = "prefix";
+
+    /** The query parameter of the key, or of the version, after which the answer starts. */
+    public static final String AFTER = "after";
+
+    /** The query parameter of the largest number of objects. */
+    public static final String LIMIT = "limit";
+
+    /** The query parameter of the version that a changed object must have. */
+    public static final String VERSION = "version";
+
+    /** The query parameter of the longest wait in milliseconds. */
+    public static final String WAIT_MS = "wait_ms";
+
+    /** The status of a call that was carried out. */
+    public static final int STATUS_OK = 200;
+
+    /** The status of a read of an object that does not exist. */
+    public static final int STATUS_MISSING = 404;
+
+    /** The status of a write whose object has another version. */
+    public static final int STATUS_CONFLICT = 409;
+
+    /** The status of a watch whose changes are no longer held. */
+    public static final int STATUS_GAP = 410;
+
+    /** The status of a call refused for the rate limit. */
+    public static final int STATUS_THROTTLED = 429;
+
+    private PlatformPaths() {}
+
+    /** Returns the path of an object, with its key's slashes kept and all else escaped. */
+    public static String object(String key) {
+        return OBJECTS + "/" + escape(key).replace("%2F", "/");
+    }
+
+    /** Returns the path of an object at a version. */
+    public static String objectAt(String key, long version) {
+        return object(key) + "?" + VERSION + "=" + version;
+    }
+
+    /** Returns the path of a listing. */
+    public static String list(String prefix, String afterKey, int limit) {
+        return OBJECTS + query(PREFIX, prefix, AFTER, afterKey) + ("&" + LIMIT + "=" + limit);
+    }
+
+    /** Returns the path of a watch. */
+    public static String watch(String prefix, long afterVersion, long waitMs) {
+        return WATCH
+                + query(PREFIX, prefix, AFTER, Long.toString(afterVersion))
+                + ("&" + WAIT_MS + "=" + waitMs);
+    }
+
+    /** Returns the key in a decoded path; empty where it names no object. */
+    public static Optional<String> key(String path) {
+        String start = OBJECTS + "/";
+        return path.startsWith(start) && path.length() > start.length()
+                ? Optional.of(path.substring(start.length()))
+                : Optional.empty();
+    }
+
+    private static String query(String name, String value, String otherName, String otherValue) {
+        return "?" + name + "=" + escape(value) + "&" + otherName + "=" + escape(otherValue);
+    }
+
+    private static String escape(String text) {
+        return URLEncoder.encode(text, StandardCharsets.UTF_8).replace("+", "%20");
+    }
+}
