--- /dev/null
+++ b/transport/src/main/java/org/hornbeampass/protocol/settings/Secret.java
@@ -0,0 +1,50 @@
+package org.hornbeampass.protocol.settings;
+
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.util.Objects;
+
+/**
+ * A key that is compared in constant time and never shown.
+ *
+ * <p>Invariant: {@link #toString()} does not contain the key. Immutable; safe for use by any
+ * thread.
+ */
+public final class Secret {
+    private final byte[] mBytes;
+
+    private Secret(byte[] bytes) {
+        mBytes = bytes;
+    }
+
+    /** Returns the secret of a text, in UTF-8. */
+    public static Secret of(String text) {
+        Objects.requireNonNull(text, "text");
+        return new Secret(text.getBytes(StandardCharsets.UTF_8));
+    }
+
+    /** Returns the key's text, to be sent and for nothing else. */
+    public String reveal() {
+        return new String(mBytes, StandardCharsets.UTF_8);
+    }
+
+    /** Returns a copy of the key's bytes, to be used in a computation and for nothing else. */
+    public byte[] revealBytes() {
+        return mBytes.clone();
+    }
+
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof Secret secret && MessageDigest.isEqual(mBytes, secret.mBytes);
+    }
+
+    @Override
+    public int hashCode() {
+        return Secret.class.hashCode();
+    }
+
+    @Override
+    public String toString() {
+        return "(secret)";
+    }
+}
--- /dev/null
+++ b/transport/src/main/java/org/hornbeampass/transport/platform/package-info.java
@@ -0,0 +1,2 @@
+/** The platform's object API over HTTP. */
+package org.hornbeampass.transport.platform;
