--- /dev/null
+++ b/coordination/src/main/java/org/hornbeampass/coordination/platform/WatchedView.java
@@ -0,0 +1,227 @@
+package org.hornbeampass.coordination.platform;
+
+import org.hornbeampass.coordination.platform.PlatformReply.Change;
+import org.hornbeampass.coordination.platform.PlatformReply.StoredObject;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.function.BiConsumer;
+
+/**
+ * A view of the objects below a prefix that never goes back: lists, then watches, and lists anew
+ * after a gap.
+ *
+ * <p>Invariants: for each key the versions shown only grow, a deletion counting as a version; a
+ * listing that is older than what was already shown is discarded and asked for again. Until the
+ * first listing is whole, the view is empty and {@link #ready} is false. In an outage the view
+ * stays as it was. At most one call is open, a waiting watch included.
+ *
+ * <p>Thread-safe: one lock guards the state; calls and the listener run without it. {@link #tick}
+ * restarts what failed, with backoff.
+ */
+public final class WatchedView {
+    private static final int PAGE_SIZE = 500;
+    private static final RetryPolicy BACKOFF = new RetryPolicy(100, 10_000, Integer.MAX_VALUE);
+
+    private final Platform mPlatform;
+    private final String mPrefix;
+    private final Duration mWatchTime;
+    private final BiConsumer<Long, Change> mListener;
+    private final Object mLock = new Object();
+    private final SplittableRandom mRandom;
+    private final TreeMap<String, StoredObject> mObjects = new TreeMap<>();
+    private final Map<String, Long> mDeleted = new HashMap<>();
+    private final List<StoredObject> mListing = new ArrayList<>();
+
+    private boolean mReady;
+    private boolean mOpen;
+    private boolean mStopped;
+    private boolean mListNext = true;
+    private long mListedFrom;
+    private long mUpToVersion;
+    private long mRetryAtMs = Long.MIN_VALUE;
+    private int mFailures;
+
+    /**
+     * Creates a view that starts with the first {@link #tick}.
+     *
+     * @param platform the platform that is watched
+     * @param prefix the prefix that the keys share
+     * @param watchTime how long one watch waits
+     * @param seed seeds the jitter of the backoff
+     * @param listener takes the time in milliseconds and each change of the view, in order
+     */
+    public WatchedView(
+            Platform platform,
+            String prefix,
+            Duration watchTime,
+            long seed,
+            BiConsumer<Long, Change> listener) {
+        mPlatform = platform;
+        mPrefix = prefix;
+        mWatchTime = watchTime;
+        mRandom = new SplittableRandom(seed);
+        mListener = listener;
+    }
+
+    /** Returns whether a whole listing has been seen. */
+    public boolean ready() {
+        synchronized (mLock) {
+            return mReady;
+        }
+    }
+
+    /** Returns one object as last seen. */
+    public Optional<StoredObject> get(String key) {
+        synchronized (mLock) {
+            return Optional.ofNullable(mObjects.get(key));
+        }
+    }
+
+    /** Returns all objects as last seen, in the order of their keys. */
+    public List<StoredObject> all() {
+        synchronized (mLock) {
+            return List.copyOf(mObjects.values());
+        }
+    }
+
+    /** Stops: no further call is made, and replies still to come are ignored. */
+    public void stop() {
+        synchronized (mLock) {
+            mStopped = true;
+        }
+    }
+
+    /**
+     * Starts the next call where none is open and no backoff is due to end later.
+     *
+     * @param nowMs the present time in milliseconds
+     */
+    public void tick(long nowMs) {
+        PlatformCall call;
+        synchronized (mLock) {
+            if (mStopped || mOpen || nowMs < mRetryAtMs) {
+                return;
+            }
+            mOpen = true;
+            call = nextCall();
+        }
+        mPlatform.submit(nowMs, call, this::replied);
+    }
+
+    private PlatformCall nextCall() {
+        if (!mListNext) {
+            return new PlatformCall.Watch(mPrefix, mUpToVersion, mWatchTime);
+        }
+        String after = mListing.isEmpty() ? "" : mListing.get(mListing.size() - 1).key();
+        return new PlatformCall.ListObjects(mPrefix, after, PAGE_SIZE);
+    }
+
+    private void replied(long nowMs, PlatformReply reply) {
+        List<Change> shown = new ArrayList<>();
+        boolean again;
+        synchronized (mLock) {
+            mOpen = false;
+            if (mStopped) {
+                return;
+            }
+            again = accept(nowMs, reply, shown);
+        }
+        shown.forEach(c -> mListener.accept(nowMs, c));
+        if (again) {
+            tick(nowMs);
+        }
+    }
+
+    /** Takes a reply in; returns whether the next call may be made at once. */
+    private boolean accept(long nowMs, PlatformReply reply, List<Change> shown) {
+        if (reply instanceof PlatformReply.Listed listed && mListNext) {
+            mFailures = 0;
+            return listed(nowMs, listed, shown);
+        }
+        if (reply instanceof PlatformReply.Changed changed) {
+            mFailures = 0;
+            changed.changes().forEach(c -> apply(c, shown));
+            mUpToVersion = Math.max(mUpToVersion, changed.upToVersion());
+            mDeleted.values().removeIf(v -> v <= mUpToVersion);
+            return true;
+        }
+        if (reply instanceof PlatformReply.WatchGap) {
+            listAnew();
+            return true;
+        }
+        mFailures++;
+        mRetryAtMs = nowMs + BACKOFF.waitMs(mFailures, mRandom);
+        return false;
+    }
+
+    private boolean listed(long nowMs, PlatformReply.Listed page, List<Change> shown) {
+        if (page.storeVersion() < mUpToVersion) {
+            listAnew();
+            mRetryAtMs = nowMs + BACKOFF.waitMs(1, mRandom);
+            return false;
+        }
+        if (mListing.isEmpty()) {
+            mListedFrom = page.storeVersion();
+        }
+        mListing.addAll(page.objects());
+        if (page.more()) {
+            return true;
+        }
+        removeUnlisted(shown);
+        mListing.forEach(
+                o -> apply(new Change(o.key(), Optional.of(o.value()), o.version()), shown));
+        mUpToVersion = Math.max(mUpToVersion, mListedFrom);
+        mReady = true;
+        mListNext = false;
+        mListing.clear();
+        return true;
+    }
+
+    private void listAnew() {
+        mListNext = true;
+        mListing.clear();
+    }
+
+    /** Shows as deleted what a whole listing lacks; the deletion counts as its first version. */
+    private void removeUnlisted(List<Change> shown) {
+        Map<String, StoredObject> gone = new HashMap<>(mObjects);
+        mListing.forEach(o -> gone.remove(o.key()));
+        for (StoredObject object : gone.values()) {
+            if (object.version() <= mListedFrom) {
+                apply(new Change(object.key(), Optional.empty(), mListedFrom), shown);
+            }
+        }
+    }
+
+    private void apply(Change change, List<Change> shown) {
+        StoredObject known = mObjects.get(change.key());
+        long knownVersion =
+                known != null ? known.version() : mDeleted.getOrDefault(change.key(), 0L);
+        if (change.version() <= knownVersion && !deletesAt(known, change)) {
+            return;
+        }
+        if (change.value().isPresent()) {
+            mDeleted.remove(change.key());
+            mObjects.put(
+                    change.key(),
+                    new StoredObject(change.key(), change.value().get(), change.version()));
+        } else if (mObjects.remove(change.key()) == null) {
+            return;
+        } else {
+            mDeleted.put(change.key(), change.version());
+        }
+        shown.add(change);
+    }
+
+    /** A listing that lacks an object of its own version shows that it was deleted since. */
+    private static boolean deletesAt(StoredObject known, Change change) {
+        return known != null && change.value().isEmpty() && change.version() == known.version();
+    }
+}
