--- /dev/null
+++ b/coordination/src/test/java/org/hornbeampass/coordination/platform/CallBudgetTest.java
@@ -0,0 +1,102 @@
+package org.hornbeampass.coordination.platform;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.hornbeampass.coordination.platform.CallPriority.BACKGROUND;
+import static org.hornbeampass.coordination.platform.CallPriority.NORMAL;
+import static org.hornbeampass.coordination.platform.CallPriority.URGENT;
+
+import org.junit.jupiter.api.Test;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** Checks limits, order and the bound of the queue. */
+class CallBudgetTest {
+    private static final CallLimits ONE_PER_SECOND = new CallLimits(1, 1, 1, 1, 2);
+
+    private final List<String> mSent = new ArrayList<>();
+    private final List<PlatformReply> mReplies = new ArrayList<>();
+    private final Platform mPlatform =
+            (nowMs, call, done) -> {
+                mSent.add(((PlatformCall.Get) call).key());
+                done.accept(nowMs, new PlatformReply.Missing());
+            };
+    private final CallBudget mBudget = new CallBudget(mPlatform, ONE_PER_SECOND, 0);
+
+    @Test
+    void calls_above_the_rate_wait_and_the_urgent_goes_first() {
+        get(0, URGENT, "first");
+        get(0, NORMAL, "normal");
+        get(0, URGENT, "urgent");
+        assertThat(mSent).containsExactly("first");
+
+        mBudget.tick(999);
+        assertThat(mSent).hasSize(1);
+        mBudget.tick(1_000);
+        assertThat(mSent).containsExactly("first", "urgent");
+        mBudget.tick(2_000);
+        assertThat(mSent).containsExactly("first", "urgent", "normal");
+        assertThat(mBudget.sent(PlatformCall.Kind.READ, URGENT)).isEqualTo(2);
+        assertThat(mBudget.sent(PlatformCall.Kind.READ, NORMAL)).isEqualTo(1);
+    }
+
+    @Test
+    void full_queue_refuses_at_once() {
+        get(0, URGENT, "sent");
+        get(0, URGENT, "waits 1");
+        get(0, URGENT, "waits 2");
+        mReplies.clear();
+
+        get(0, URGENT, "refused");
+
+        assertThat(mReplies).containsExactly(new PlatformReply.Throttled());
+        assertThat(mBudget.refused(PlatformCall.Kind.READ, URGENT)).isEqualTo(1);
+        assertThat(mBudget.queued(PlatformCall.Kind.READ)).isEqualTo(2);
+    }
+
+    @Test
+    void full_queue_gives_the_place_of_a_less_urgent_call_to_an_urgent_one() {
+        get(0, URGENT, "sent");
+        get(0, BACKGROUND, "background");
+        get(0, NORMAL, "normal");
+        mReplies.clear();
+
+        get(0, URGENT, "urgent");
+
+        assertThat(mReplies).containsExactly(new PlatformReply.Throttled());
+        assertThat(mBudget.refused(PlatformCall.Kind.READ, BACKGROUND)).isEqualTo(1);
+        mBudget.tick(1_000);
+        mBudget.tick(2_000);
+        mBudget.tick(9_000);
+        assertThat(mSent).containsExactly("sent", "urgent", "normal");
+    }
+
+    @Test
+    void background_calls_leave_part_of_the_burst_to_urgent_ones() {
+        CallBudget budget = new CallBudget(mPlatform, new CallLimits(10, 10, 10, 1, 100), 0);
+        for (int i = 0; i < 10; i++) {
+            budget.lane(BACKGROUND).submit(0, new PlatformCall.Get("b" + i), (t, r) -> {});
+        }
+        assertThat(mSent).hasSize(7);
+
+        budget.lane(URGENT).submit(0, new PlatformCall.Get("urgent"), (t, r) -> {});
+
+        assertThat(mSent).hasSize(8).endsWith("urgent");
+    }
+
+    @Test
+    void clock_that_goes_back_adds_no_tokens() {
+        get(5_000, URGENT, "sent");
+        get(5_000, URGENT, "waits");
+
+        mBudget.tick(1_000);
+        mBudget.tick(5_500);
+
+        assertThat(mSent).containsExactly("sent");
+    }
+
+    private void get(long nowMs, CallPriority priority, String key) {
+        mBudget.lane(priority)
+                .submit(nowMs, new PlatformCall.Get(key), (atMs, reply) -> mReplies.add(reply));
+    }
+}
--- /dev/null
+++ b/coordination/src/test/java/org/hornbeampass/coordination/platform/WatchedViewTest.java
@@ -0,0 +1,133 @@
+package org.hornbeampass.coordination.platform;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.hornbeampass.coordination.platform.PlatformReply.Change;
+import org.hornbeampass.coordination.platform.PlatformReply.StoredObject;
+import org.junit.jupiter.api.Test;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.BiConsumer;
+
+/** Checks that the view follows changes, survives gaps and never goes back. */
+class WatchedViewTest {
+    private final Deque<PlatformCall> mCalls = new ArrayDeque<>();
+    private final Deque<BiConsumer<Long, PlatformReply>> mWaiting = new ArrayDeque<>();
+    private final List<Change> mShown = new ArrayList<>();
+    private final WatchedView mView =
+            new WatchedView(
+                    (nowMs, call, done) -> {
+                        mCalls.add(call);
+                        mWaiting.add(done);
+                    },
+                    "vms/",
+                    Duration.ofSeconds(30),
+                    1,
+                    (atMs, change) -> mShown.add(change));
+
+    @Test
+    void lists_then_watches_from_the_listing() {
+        mView.tick(0);
+        assertThat(mView.ready()).isFalse();
+        reply(listed(10, false, object("vms/a", "1", 4)));
+
+        assertThat(mView.ready()).isTrue();
+        assertThat(mView.get("vms/a")).isPresent();
+        assertThat(lastCall())
+                .isEqualTo(new PlatformCall.Watch("vms/", 10, Duration.ofSeconds(30)));
+
+        reply(changed(12, set("vms/b", "1", 11), deleted("vms/a", 12)));
+        assertThat(mView.all()).extracting(StoredObject::key).containsExactly("vms/b");
+        assertThat(lastCall())
+                .isEqualTo(new PlatformCall.Watch("vms/", 12, Duration.ofSeconds(30)));
+    }
+
+    @Test
+    void pages_are_watched_from_the_first_page() {
+        mView.tick(0);
+        reply(listed(10, true, object("vms/a", "1", 4)));
+        assertThat(mView.ready()).isFalse();
+        reply(listed(15, false, object("vms/b", "1", 14)));
+
+        assertThat(lastCall())
+                .isEqualTo(new PlatformCall.Watch("vms/", 10, Duration.ofSeconds(30)));
+        reply(changed(15, set("vms/b", "0", 12), set("vms/b", "1", 14)));
+        assertThat(mView.get("vms/b").orElseThrow().value()).isEqualTo("1");
+        assertThat(mShown).hasSize(2);
+    }
+
+    @Test
+    void gap_leads_to_a_new_listing_and_shows_what_was_deleted_meanwhile() {
+        start(listed(10, false, object("vms/a", "1", 4), object("vms/b", "1", 5)));
+        reply(new PlatformReply.WatchGap());
+        reply(listed(90, false, object("vms/b", "2", 50)));
+
+        assertThat(mView.all()).containsExactly(object("vms/b", "2", 50));
+        assertThat(mShown).contains(deleted("vms/a", 90));
+    }
+
+    @Test
+    void listing_older_than_what_was_shown_is_discarded() {
+        start(listed(10, false, object("vms/a", "1", 4)));
+        reply(changed(20, set("vms/a", "2", 20)));
+        reply(new PlatformReply.WatchGap());
+        reply(listed(10, false, object("vms/a", "1", 4)));
+
+        assertThat(mView.get("vms/a").orElseThrow().value()).isEqualTo("2");
+        mView.tick(60_000);
+        reply(listed(30, false, object("vms/a", "3", 25)));
+        assertThat(mView.get("vms/a").orElseThrow().value()).isEqualTo("3");
+    }
+
+    @Test
+    void outage_keeps_the_view_and_is_retried_with_backoff() {
+        start(listed(10, false, object("vms/a", "1", 4)));
+        int before = mCalls.size();
+        reply(new PlatformReply.Unavailable("outage"));
+        mView.tick(0);
+        assertThat(mCalls).hasSize(before);
+
+        mView.tick(60_000);
+
+        assertThat(mCalls).hasSize(before + 1);
+        assertThat(mView.get("vms/a")).isPresent();
+    }
+
+    private void start(PlatformReply first) {
+        mView.tick(0);
+        reply(first);
+    }
+
+    private void reply(PlatformReply reply) {
+        mWaiting.removeFirst().accept(0L, reply);
+    }
+
+    private PlatformCall lastCall() {
+        return mCalls.getLast();
+    }
+
+    private static StoredObject object(String key, String value, long version) {
+        return new StoredObject(key, value, version);
+    }
+
+    private static Change set(String key, String value, long version) {
+        return new Change(key, Optional.of(value), version);
+    }
+
+    private static Change deleted(String key, long version) {
+        return new Change(key, Optional.empty(), version);
+    }
+
+    private static PlatformReply changed(long upTo, Change... changes) {
+        return new PlatformReply.Changed(List.of(changes), upTo);
+    }
+
+    private static PlatformReply listed(long version, boolean more, StoredObject... objects) {
+        return new PlatformReply.Listed(List.of(objects), more, version);
+    }
+}
