--- /dev/null
+++ b/standins/src/main/java/org/hornbeampass/standin/service/package-info.java
@@ -0,0 +1,2 @@
+/** A plain service stand-in whose writes may not be repeated. */
+package org.hornbeampass.standin.service;
