Decide membership, addresses and configuration between routers

Cause: routers need to know who is up, tell callers which addresses to use, and hold one configuration in one order, without a watch per VM. Change: membership by probes on hashed rings with relays, refutable suspicion and bounded gossip; the platform's list as slow truth; proof that an incarnation is gone kept apart from suspicion.

--- /dev/null
+++ b/coordination/src/main/java/org/hornbeampass/coordination/membership/GoneEvidence.java
@@ -0,0 +1,78 @@
+package org.hornbeampass.coordination.membership;
+
+import org.hornbeampass.state.VmId;
+import org.hornbeampass.state.member.ListedVm;
+
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/**
+ * Decides whether an incarnation can't be running any more, which suspicion alone never proves.
+ *
+ * <p>Proof is a newer incarnation of the same name, or that the platform's lists lack the name for
+ * the whole of {@link MembershipSettings#silenceMs} while nothing is heard of it for as long; a VM
+ * that has just started has heard nothing for no longer than it runs. Lists that are older than one
+ * seen before count for nothing. Not thread-safe: guarded by the lock of {@link Membership}.
+ */
+final class GoneEvidence {
+    private final MemberTable mTable;
+    private final long mSilenceMs;
+    private final Map<String, ListedVm> mListed = new TreeMap<>();
+    private final Map<String, Long> mAbsentSinceMs = new TreeMap<>();
+    private long mVersion = Long.MIN_VALUE;
+    private long mFirstListMs = Long.MAX_VALUE;
+    private long mLastListMs = Long.MIN_VALUE;
+
+    GoneEvidence(MemberTable table, long silenceMs) {
+        mTable = table;
+        mSilenceMs = silenceMs;
+    }
+
+    /** Takes a list; returns whether it is newer than those seen before. */
+    boolean take(long nowMs, long version, List<ListedVm> list) {
+        if (version < mVersion) {
+            return false;
+        }
+        mVersion = version;
+        mFirstListMs = Math.min(mFirstListMs, nowMs);
+        mLastListMs = Math.max(mLastListMs, nowMs);
+        Map<String, ListedVm> now = new TreeMap<>();
+        list.forEach(vm -> now.merge(vm.vm().name(), vm, (a, b) -> newer(a, b) ? a : b));
+        mListed.keySet().stream()
+                .filter(name -> !now.containsKey(name))
+                .forEach(name -> mAbsentSinceMs.put(name, nowMs));
+        mAbsentSinceMs.keySet().removeAll(now.keySet());
+        mListed.clear();
+        mListed.putAll(now);
+        return true;
+    }
+
+    private static boolean newer(ListedVm a, ListedVm b) {
+        return a.vm().incarnation() > b.vm().incarnation();
+    }
+
+    Collection<ListedVm> listed() {
+        return mListed.values();
+    }
+
+    boolean provedGone(VmId vm) {
+        if (mTable.knowsNewerThan(vm)) {
+            return true;
+        }
+        ListedVm listed = mListed.get(vm.name());
+        if (listed != null) {
+            return listed.vm().incarnation() > vm.incarnation();
+        }
+        if (mLastListMs == Long.MIN_VALUE || vm.name().equals(mTable.selfId().name())) {
+            return false;
+        }
+        long absentSinceMs = mAbsentSinceMs.getOrDefault(vm.name(), mFirstListMs);
+        long quietSinceMs =
+                mTable.entry(vm.name())
+                        .map(e -> e.health() == Health.GONE ? e.heardMs() : mLastListMs)
+                        .orElse(mFirstListMs);
+        return mLastListMs - Math.max(absentSinceMs, quietSinceMs) >= mSilenceMs;
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/hornbeampass/coordination/membership/MemberEntry.java
@@ -0,0 +1,134 @@
+package org.hornbeampass.coordination.membership;
+
+import org.hornbeampass.state.FailureDomain;
+import org.hornbeampass.state.Region;
+import org.hornbeampass.state.VmId;
+import org.hornbeampass.state.member.Member;
+import org.hornbeampass.state.member.MemberState;
+
+import java.util.Optional;
+
+/**
+ * The newest incarnation known of one VM name, with what is rumoured of it.
+ *
+ * <p>Invariant: {@code leaving} is never taken back. Not thread-safe: guarded by the lock of {@link
+ * Membership}.
+ */
+final class MemberEntry {
+    private final VmId mVm;
+    private final MemberDetails mDetails;
+    private long mCounter;
+    private Health mHealth;
+    private boolean mLeaving;
+    private long mSinceMs;
+    private long mHeardMs;
+
+    MemberEntry(long nowMs, MemberUpdate update, MemberDetails details) {
+        mVm = update.vm();
+        mDetails = details;
+        mHeardMs = nowMs;
+        set(nowMs, update.counter(), update.health());
+        mLeaving = update.leaving();
+    }
+
+    VmId vm() {
+        return mVm;
+    }
+
+    String name() {
+        return mVm.name();
+    }
+
+    MemberDetails details() {
+        return mDetails;
+    }
+
+    Region region() {
+        return mDetails.region();
+    }
+
+    FailureDomain domain() {
+        return mDetails.domain();
+    }
+
+    long counter() {
+        return mCounter;
+    }
+
+    Health health() {
+        return mHealth;
+    }
+
+    boolean leaving() {
+        return mLeaving;
+    }
+
+    /** Returns the time of the last change of health or counter, in milliseconds. */
+    long sinceMs() {
+        return mSinceMs;
+    }
+
+    /** Returns when a message from the VM itself, or a rumour that it is live, last came. */
+    long heardMs() {
+        return mHeardMs;
+    }
+
+    void heard(long nowMs) {
+        mHeardMs = Math.max(mHeardMs, nowMs);
+    }
+
+    void set(long nowMs, long counter, Health health) {
+        mCounter = counter;
+        mHealth = health;
+        mSinceMs = nowMs;
+    }
+
+    void postpone(long byMs) {
+        mSinceMs += byMs;
+    }
+
+    void markLeaving() {
+        mLeaving = true;
+    }
+
+    MemberUpdate update(boolean withDetails) {
+        Optional<MemberDetails> details = withDetails ? Optional.of(mDetails) : Optional.empty();
+        return MemberUpdate.of(mVm, mCounter, mHealth, mLeaving, details);
+    }
+
+    /** Returns a hash of what two tables have to agree on; 0 for a VM that is gone. */
+    long digest() {
+        if (mHealth == Health.GONE) {
+            return 0;
+        }
+        long hash = mVm.name().hashCode() * 0x9E3779B97F4A7C15L;
+        hash = mix(hash ^ mVm.incarnation());
+        hash = mix(hash ^ mCounter);
+        return mix(hash ^ (mHealth.code() * 2L + (mLeaving ? 1 : 0)));
+    }
+
+    private static long mix(long value) {
+        long mixed = (value ^ (value >>> 33)) * 0xFF51AFD7ED558CCDL;
+        return mixed ^ (mixed >>> 29);
+    }
+
+    Member toMember() {
+        return new Member(
+                mVm,
+                mDetails.httpAddress(),
+                mDetails.peerAddress(),
+                mDetails.region(),
+                mDetails.domain(),
+                state());
+    }
+
+    private MemberState state() {
+        if (mHealth == Health.GONE) {
+            return MemberState.GONE;
+        }
+        if (mLeaving) {
+            return MemberState.LEAVING;
+        }
+        return mHealth == Health.SUSPECT ? MemberState.SUSPECT : MemberState.LIVE;
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/hornbeampass/coordination/membership/MemberTable.java
@@ -0,0 +1,181 @@
+package org.hornbeampass.coordination.membership;
+
+import org.hornbeampass.state.Region;
+import org.hornbeampass.state.VmId;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Optional;
+import java.util.TreeMap;
+
+/**
+ * Merges updates into one entry per VM name.
+ *
+ * <p>Invariants: an entry's incarnation never falls, its counter never falls within an incarnation,
+ * and {@code leaving} is never taken back; so the order in which updates come does not matter. A
+ * rumour that a live VM is gone makes it a suspect first, so that it has time to refute. Not
+ * thread-safe: guarded by the lock of {@link Membership}.
+ */
+final class MemberTable {
+    /** The number of buckets in which tables are compared; one bit each in an int. */
+    static final int BUCKETS = 32;
+
+    private final VmId mSelf;
+    private final Region mSelfRegion;
+    private final TreeMap<String, MemberEntry> mEntries = new TreeMap<>();
+    private final TreeMap<String, Long> mForgotten = new TreeMap<>();
+
+    MemberTable(long nowMs, MemberUpdate self, MemberDetails details) {
+        mSelf = self.vm();
+        mSelfRegion = details.region();
+        mEntries.put(self.name(), new MemberEntry(nowMs, self, details));
+    }
+
+    VmId selfId() {
+        return mSelf;
+    }
+
+    MemberEntry self() {
+        return mEntries.get(mSelf.name());
+    }
+
+    Optional<MemberEntry> entry(String name) {
+        return Optional.ofNullable(mEntries.get(name));
+    }
+
+    Collection<MemberEntry> entries() {
+        return mEntries.values();
+    }
+
+    /** Returns the region of a VM by name, where it is known. */
+    Optional<Region> regionOf(String name) {
+        return entry(name).map(MemberEntry::region);
+    }
+
+    /** Returns whether a newer incarnation of the name is or was known. */
+    boolean knowsNewerThan(VmId vm) {
+        long newest = entry(vm.name()).map(e -> e.vm().incarnation()).orElse(Long.MIN_VALUE);
+        long forgotten = mForgotten.getOrDefault(vm.name(), Long.MIN_VALUE);
+        return Math.max(newest, forgotten) > vm.incarnation();
+    }
+
+    /**
+     * Merges one update.
+     *
+     * @param nowMs the present time in milliseconds
+     * @param update the update
+     * @param senderRegion the region of the VM that sent it, where that is known
+     */
+    MergeResult merge(long nowMs, MemberUpdate update, Optional<Region> senderRegion) {
+        if (update.name().equals(mSelf.name())) {
+            return mergeSelf(update);
+        }
+        MemberEntry entry = mEntries.get(update.name());
+        if (entry == null || update.incarnation() > entry.vm().incarnation()) {
+            return mergeNewIncarnation(nowMs, update);
+        }
+        if (update.incarnation() < entry.vm().incarnation()) {
+            return MergeResult.KNOWN;
+        }
+        boolean leaves = update.leaving() && !entry.leaving();
+        if (leaves) {
+            entry.markLeaving();
+        }
+        MergeResult result = mergeHealth(nowMs, entry, update, senderRegion);
+        return leaves && result == MergeResult.KNOWN ? MergeResult.CHANGED : result;
+    }
+
+    private MergeResult mergeSelf(MemberUpdate update) {
+        if (update.incarnation() > mSelf.incarnation()) {
+            return MergeResult.SUPERSEDES_SELF;
+        }
+        MemberEntry self = self();
+        if (update.incarnation() < mSelf.incarnation() || update.counter() < self.counter()) {
+            return MergeResult.KNOWN;
+        }
+        boolean news = update.health() != Health.LIVE || update.counter() > self.counter();
+        boolean leaves = update.leaving() && !self.leaving();
+        return news || leaves ? MergeResult.ACCUSES_SELF : MergeResult.KNOWN;
+    }
+
+    private MergeResult mergeNewIncarnation(long nowMs, MemberUpdate update) {
+        boolean forgotten =
+                mForgotten.getOrDefault(update.name(), Long.MIN_VALUE) >= update.incarnation();
+        if (update.health() == Health.GONE || forgotten) {
+            return MergeResult.KNOWN;
+        }
+        if (update.details().isEmpty()) {
+            return MergeResult.LACKS_DETAILS;
+        }
+        mEntries.put(update.name(), new MemberEntry(nowMs, update, update.details().get()));
+        return MergeResult.CHANGED;
+    }
+
+    private MergeResult mergeHealth(
+            long nowMs, MemberEntry entry, MemberUpdate update, Optional<Region> senderRegion) {
+        boolean newer = update.counter() > entry.counter();
+        boolean stronger =
+                update.counter() == entry.counter() && update.health().strongerThan(entry.health());
+        if (!newer && !stronger) {
+            return MergeResult.KNOWN;
+        }
+        if (update.health() == Health.LIVE) {
+            entry.heard(nowMs);
+            entry.set(nowMs, update.counter(), Health.LIVE);
+            return MergeResult.CHANGED;
+        }
+        if (!countsAgainst(entry, senderRegion)) {
+            return MergeResult.REFUSED;
+        }
+        boolean mayRefute = entry.health() == Health.LIVE && !entry.leaving();
+        entry.set(nowMs, update.counter(), mayRefute ? Health.SUSPECT : update.health());
+        return MergeResult.CHANGED;
+    }
+
+    /**
+     * Returns whether a sender's accusation counts: only that of a VM in the accused VM's region or
+     * in our own, so that two regions that lost each other don't accuse each other to a third.
+     */
+    private boolean countsAgainst(MemberEntry accused, Optional<Region> senderRegion) {
+        return senderRegion
+                .filter(r -> r.equals(accused.region()) || r.equals(mSelfRegion))
+                .isPresent();
+    }
+
+    /** Drops an entry for good; older or equal incarnations of the name are never taken again. */
+    void forget(MemberEntry entry) {
+        mEntries.remove(entry.name());
+        mForgotten.merge(entry.name(), entry.vm().incarnation(), Math::max);
+    }
+
+    /** Returns a hash that two tables share where they hold the same entries that are not gone. */
+    long digest() {
+        long sum = 0;
+        for (MemberEntry entry : mEntries.values()) {
+            sum += entry.digest();
+        }
+        return sum;
+    }
+
+    List<Long> bucketDigests() {
+        long[] sums = new long[BUCKETS];
+        for (MemberEntry entry : mEntries.values()) {
+            sums[bucket(entry.name())] += entry.digest();
+        }
+        List<Long> digests = new ArrayList<>(BUCKETS);
+        for (long sum : sums) {
+            digests.add(sum);
+        }
+        return digests;
+    }
+
+    List<MemberEntry> inBucket(int bucket) {
+        return mEntries.values().stream().filter(e -> bucket(e.name()) == bucket).toList();
+    }
+
+    static int bucket(String name) {
+        int hash = name.hashCode() * 0x9E3779B9;
+        return hash >>> 27;
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/hornbeampass/coordination/membership/SyncReply.java
@@ -0,0 +1,25 @@
+package org.hornbeampass.coordination.membership;
+
+import com.fasterxml.jackson.annotation.JsonFormat;
+
+import org.hornbeampass.coordination.peer.PeerMessage;
+
+import java.util.List;
+
+/**
+ * Gives the entries of buckets that differ, as many as its bounded size takes.
+ *
+ * <p>Immutable; safe for use by any thread.
+ *
+ * @param covered a bit for each bucket whose entries are all here
+ * @param more whether further buckets differ
+ * @param entries the entries, with details
+ */
+@JsonFormat(shape = JsonFormat.Shape.ARRAY)
+public record SyncReply(int covered, boolean more, List<MemberUpdate> entries)
+        implements PeerMessage {
+    /** Copies the list. */
+    public SyncReply {
+        entries = List.copyOf(entries);
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/hornbeampass/coordination/membership/UpdateQueue.java
@@ -0,0 +1,98 @@
+package org.hornbeampass.coordination.membership;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Function;
+
+/**
+ * Chooses the news that the next message carries: what was sent least often first, within a size.
+ *
+ * <p>Invariant: each piece of news is sent a number of times that grows with the logarithm of the
+ * fleet, and then dropped. Not thread-safe: guarded by the lock of {@link Membership}.
+ */
+final class UpdateQueue {
+    private static final int SENDS_PER_DOUBLING = 2;
+
+    private final Map<String, News> mNews = new HashMap<>();
+    private final int mMaxBytes;
+    private long mNextOrder;
+
+    /** One VM of which there is news. */
+    private static final class News {
+        private final String mName;
+        private final boolean mWithDetails;
+        private final long mOrder;
+        private int mSends;
+
+        News(String name, boolean withDetails, long order) {
+            mName = name;
+            mWithDetails = withDetails;
+            mOrder = order;
+        }
+
+        int sends() {
+            return mSends;
+        }
+
+        long order() {
+            return mOrder;
+        }
+    }
+
+    UpdateQueue(int maxBytes) {
+        mMaxBytes = maxBytes;
+    }
+
+    /** Adds news of a VM, in place of older news of it. */
+    void add(String name, boolean withDetails) {
+        News old = mNews.get(name);
+        boolean details = withDetails || (old != null && old.mWithDetails);
+        mNews.put(name, new News(name, details, mNextOrder++));
+    }
+
+    boolean isEmpty() {
+        return mNews.isEmpty();
+    }
+
+    /**
+     * Takes the updates for one message.
+     *
+     * @param first updates that go first in any case
+     * @param fleetSize the number of members
+     * @param lookUp finds an entry by name
+     */
+    List<MemberUpdate> take(
+            List<MemberUpdate> first,
+            int fleetSize,
+            Function<String, Optional<MemberEntry>> lookUp) {
+        List<MemberUpdate> taken = new ArrayList<>(first);
+        if (mNews.isEmpty()) {
+            return taken;
+        }
+        int bytes = first.stream().mapToInt(MemberUpdate::encodedBytes).sum();
+        int maxSends = SENDS_PER_DOUBLING * (32 - Integer.numberOfLeadingZeros(fleetSize));
+        List<News> ordered = new ArrayList<>(mNews.values());
+        ordered.sort(Comparator.comparingInt(News::sends).thenComparingLong(News::order));
+        for (News news : ordered) {
+            Optional<MemberEntry> entry = lookUp.apply(news.mName);
+            if (entry.isEmpty()) {
+                mNews.remove(news.mName);
+                continue;
+            }
+            MemberUpdate update = entry.get().update(news.mWithDetails);
+            bytes += update.encodedBytes();
+            if (bytes > mMaxBytes) {
+                break;
+            }
+            taken.add(update);
+            if (++news.mSends >= maxSends) {
+                mNews.remove(news.mName);
+            }
+        }
+        return taken;
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/hornbeampass/state/config/ConfigChange.java
@@ -0,0 +1,139 @@
+package org.hornbeampass.state.config;
+
+import com.fasterxml.jackson.annotation.JsonSubTypes;
+import com.fasterxml.jackson.annotation.JsonTypeInfo;
+
+import org.hornbeampass.state.OrganisationId;
+import org.hornbeampass.state.UpstreamId;
+
+import java.util.Objects;
+
+/**
+ * One change of the configuration: an object that is set as a whole, or deleted.
+ *
+ * <p>Immutable; safe for use by any thread.
+ */
+@JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "type")
+@JsonSubTypes({
+    @JsonSubTypes.Type(value = ConfigChange.PutTemplate.class, name = "put-template"),
+    @JsonSubTypes.Type(value = ConfigChange.DeleteTemplate.class, name = "delete-template"),
+    @JsonSubTypes.Type(value = ConfigChange.PutOrganisation.class, name = "put-organisation"),
+    @JsonSubTypes.Type(value = ConfigChange.DeleteOrganisation.class, name = "delete-organisation"),
+    @JsonSubTypes.Type(value = ConfigChange.PutUpstream.class, name = "put-upstream"),
+    @JsonSubTypes.Type(value = ConfigChange.DeleteUpstream.class, name = "delete-upstream"),
+    @JsonSubTypes.Type(value = ConfigChange.PutOperatorKey.class, name = "put-operator-key"),
+    @JsonSubTypes.Type(value = ConfigChange.DeleteOperatorKey.class, name = "delete-operator-key"),
+})
+public sealed interface ConfigChange {
+    /** Returns the object that is changed, such as {@code template/desk}. */
+    ObjectKey object();
+
+    /** Returns whether the object is deleted. */
+    default boolean deletes() {
+        return false;
+    }
+
+    /** Sets a template. */
+    record PutTemplate(Template template) implements ConfigChange {
+        /** Checks that no part is missing. */
+        public PutTemplate {
+            Objects.requireNonNull(template, "template");
+        }
+
+        @Override
+        public ObjectKey object() {
+            return ObjectKey.template(template.name());
+        }
+    }
+
+    /** Deletes a template. */
+    record DeleteTemplate(String name) implements ConfigChange {
+        @Override
+        public ObjectKey object() {
+            return ObjectKey.template(name);
+        }
+
+        @Override
+        public boolean deletes() {
+            return true;
+        }
+    }
+
+    /** Sets an organisation. */
+    record PutOrganisation(OrganisationSpec organisation) implements ConfigChange {
+        /** Checks that no part is missing. */
+        public PutOrganisation {
+            Objects.requireNonNull(organisation, "organisation");
+        }
+
+        @Override
+        public ObjectKey object() {
+            return ObjectKey.organisation(organisation.id());
+        }
+    }
+
+    /** Deletes an organisation. */
+    record DeleteOrganisation(OrganisationId id) implements ConfigChange {
+        @Override
+        public ObjectKey object() {
+            return ObjectKey.organisation(id);
+        }
+
+        @Override
+        public boolean deletes() {
+            return true;
+        }
+    }
+
+    /** Sets an upstream. */
+    record PutUpstream(UpstreamSpec upstream) implements ConfigChange {
+        /** Checks that no part is missing. */
+        public PutUpstream {
+            Objects.requireNonNull(upstream, "upstream");
+        }
+
+        @Override
+        public ObjectKey object() {
+            return ObjectKey.upstream(upstream.id());
+        }
+    }
+
+    /** Deletes an upstream. */
+    record DeleteUpstream(UpstreamId id) implements ConfigChange {
+        @Override
+        public ObjectKey object() {
+            return ObjectKey.upstream(id);
+        }
+
+        @Override
+        public boolean deletes() {
+            return true;
+        }
+    }
+
+    /**
+     * Sets an operator's key.
+     *
+     * @param name the key's name
+     * @param hash the SHA-256 of the key, in lower-case hex
+     */
+    record PutOperatorKey(String name, String hash) implements ConfigChange {
+        @Override
+        public ObjectKey object() {
+            return ObjectKey.operatorKey(name);
+        }
+    }
+
+    /** Deletes an operator's key. */
+    record DeleteOperatorKey(String name) implements ConfigChange {
+        @Override
+        public ObjectKey object() {
+            return ObjectKey.operatorKey(name);
+        }
+
+        @Override
+        public boolean deletes() {
+            return true;
+        }
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/hornbeampass/state/member/MembershipView.java
@@ -0,0 +1,99 @@
+package org.hornbeampass.state.member;
+
+import org.hornbeampass.state.FailureDomain;
+import org.hornbeampass.state.Region;
+import org.hornbeampass.state.VmId;
+
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.function.Predicate;
+import java.util.stream.Collectors;
+
+/**
+ * All router VMs that one VM knows of at one moment, itself included.
+ *
+ * <p>Invariants: one entry per VM name, the newest incarnation heard of; lists are in the order of
+ * names, so that two VMs with the same knowledge see the same view. Immutable; safe for use by any
+ * thread.
+ */
+public final class MembershipView {
+    private final VmId mSelf;
+    private final TreeMap<String, Member> mByName = new TreeMap<>();
+    private final Map<MemberState, List<Member>> mByState;
+
+    /**
+     * Makes a view.
+     *
+     * @param self the VM whose view it is; must be among the members
+     * @param members the members, one per name
+     */
+    public MembershipView(VmId self, Collection<Member> members) {
+        mSelf = self;
+        members.forEach(m -> mByName.put(m.name(), m));
+        if (!mByName.containsKey(self.name())) {
+            throw new IllegalArgumentException("the view lacks its own VM " + self);
+        }
+        mByState =
+                mByName.values().stream()
+                        .collect(
+                                Collectors.groupingBy(
+                                        Member::state, Collectors.toUnmodifiableList()));
+    }
+
+    /** Returns the VM whose view this is. */
+    public Member self() {
+        return mByName.get(mSelf.name());
+    }
+
+    /** Returns all members in the order of their names. */
+    public List<Member> members() {
+        return List.copyOf(mByName.values());
+    }
+
+    /** Returns the newest incarnation known of a VM. */
+    public Optional<Member> member(String name) {
+        return Optional.ofNullable(mByName.get(name));
+    }
+
+    /** Returns the members that are live and not suspected. */
+    public List<Member> live() {
+        return in(MemberState.LIVE);
+    }
+
+    /** Returns the members that are suspected to be gone. */
+    public List<Member> suspect() {
+        return in(MemberState.SUSPECT);
+    }
+
+    /** Returns the members that shut down. */
+    public List<Member> leaving() {
+        return in(MemberState.LEAVING);
+    }
+
+    /** Returns the members that were silent for the whole suspicion timeout. */
+    public List<Member> gone() {
+        return in(MemberState.GONE);
+    }
+
+    /** Returns the members in one state, in the order of their names. */
+    public List<Member> in(MemberState state) {
+        return mByState.getOrDefault(state, List.of());
+    }
+
+    /** Returns the members of one region, in any state. */
+    public List<Member> inRegion(Region region) {
+        return matching(m -> m.region().equals(region));
+    }
+
+    /** Returns the members of one failure domain, in any state. */
+    public List<Member> inDomain(FailureDomain domain) {
+        return matching(m -> m.domain().equals(domain));
+    }
+
+    private List<Member> matching(Predicate<Member> wanted) {
+        return mByName.values().stream().filter(wanted).toList();
+    }
+}
