--- /dev/null
+++ b/coordination/src/main/java/org/hornbeampass/coordination/budget/Account.java
@@ -0,0 +1,64 @@
+package org.hornbeampass.coordination.budget;
+
+import org.hornbeampass.state.BudgetKey;
+import org.hornbeampass.state.VmId;
+import org.hornbeampass.state.budget.HolderId;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+
+/**
+ * One budget on this VM: what it holds, who waits, and its dealings with peers.
+ *
+ * <p>Not thread-safe; guarded by its organisation's lock.
+ */
+final class Account {
+    private final Holding mHolding;
+    private final PeerMoves mMoves;
+    private final Deque<Waiter> mWaiters = new ArrayDeque<>();
+    private final AskRound mAsks = new AskRound();
+    private long mPeersWant;
+
+    Account(BudgetKey key, VmId self) {
+        mHolding = new Holding(key, new HolderId(self, 0));
+        mMoves = new PeerMoves(key, self);
+    }
+
+    BudgetKey key() {
+        return mHolding.key();
+    }
+
+    Holding holding() {
+        return mHolding;
+    }
+
+    PeerMoves moves() {
+        return mMoves;
+    }
+
+    Deque<Waiter> waiters() {
+        return mWaiters;
+    }
+
+    AskRound asks() {
+        return mAsks;
+    }
+
+    /** Returns the tokens that requests here wait for. */
+    long waitingTokens() {
+        long sum = 0;
+        for (Waiter waiter : mWaiters) {
+            sum += waiter.tokens();
+        }
+        return sum;
+    }
+
+    /** Returns the tokens that peers asked for in vain since the last grant. */
+    long peersWant() {
+        return mPeersWant;
+    }
+
+    void peersWant(long tokens) {
+        mPeersWant = tokens;
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/hornbeampass/coordination/budget/Admission.java
@@ -0,0 +1,112 @@
+package org.hornbeampass.coordination.budget;
+
+import io.vavr.control.Either;
+
+import org.hornbeampass.state.Failure;
+import org.hornbeampass.state.RequestId;
+import org.hornbeampass.state.budget.BudgetRecord;
+import org.hornbeampass.state.budget.HolderRecord;
+import org.hornbeampass.state.budget.Reservation;
+
+import java.util.Iterator;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicLong;
+
+/**
+ * Decides which requests are admitted, which wait on, and with what the others are refused.
+ *
+ * <p>Invariant: a request is admitted only out of what is held, and refused as exhausted only on a
+ * fresh record that holds too little for it anywhere. Not thread-safe; guarded by its
+ * organisation's lock.
+ */
+final class Admission {
+    private final BudgetSettings mSettings;
+    private final LedgerSync mSync;
+    private final AtomicLong mNumbers;
+
+    Admission(BudgetSettings settings, LedgerSync sync, AtomicLong numbers) {
+        mSettings = settings;
+        mSync = sync;
+        mNumbers = numbers;
+    }
+
+    /** Reserves where enough is free. */
+    Optional<Reservation> take(Account account, RequestId request, long tokens) {
+        if (account.holding().free() < tokens) {
+            return Optional.empty();
+        }
+        return account.holding().reserve(request, tokens, mNumbers.incrementAndGet());
+    }
+
+    /** Gives waiters what is free, in their order; a large one does not hold up smaller ones. */
+    void serve(long nowMs, Account account, Effects effects) {
+        if (account.waiters().isEmpty()) {
+            return;
+        }
+        Iterator<Waiter> each = account.waiters().iterator();
+        while (each.hasNext()) {
+            Waiter waiter = each.next();
+            Optional<Reservation> made = take(account, waiter.request(), waiter.tokens());
+            if (made.isPresent()) {
+                each.remove();
+                effects.add(() -> waiter.done().accept(nowMs, Either.right(made.get())));
+            }
+        }
+    }
+
+    /** Refuses waiters whose time is over, or whom waiting can't help. */
+    void expire(long nowMs, Account account, Effects effects) {
+        Iterator<Waiter> each = account.waiters().iterator();
+        while (each.hasNext()) {
+            Waiter waiter = each.next();
+            if (nowMs >= waiter.deadlineMs() || hopeless(nowMs, account, waiter)) {
+                each.remove();
+                refuse(nowMs, account, waiter, effects);
+            }
+        }
+    }
+
+    private boolean hopeless(long nowMs, Account account, Waiter waiter) {
+        if (knownExhausted(nowMs, account, waiter.tokens())) {
+            return true;
+        }
+        if (mSync.inFlight() || account.asks().running() || !account.asks().failed()) {
+            return false;
+        }
+        boolean platformLater = mSync.unreachable() && mSync.nextMs() > waiter.deadlineMs();
+        boolean nothingThere =
+                mSync.freshWithin(nowMs, mSettings.freshMs())
+                        && mSync.base().get().budget(account.key().budget()).available() <= 0;
+        return platformLater || nothingThere;
+    }
+
+    void refuse(long nowMs, Account account, Waiter waiter, Effects effects) {
+        Failure failure = refusal(nowMs, account, waiter.tokens());
+        effects.add(() -> waiter.done().accept(nowMs, Either.left(failure)));
+    }
+
+    void refuseAll(long nowMs, Account account, Failure failure, Effects effects) {
+        for (Waiter waiter : account.waiters()) {
+            effects.add(() -> waiter.done().accept(nowMs, Either.left(failure)));
+        }
+        account.waiters().clear();
+    }
+
+    Failure refusal(long nowMs, Account account, long tokens) {
+        if (knownExhausted(nowMs, account, tokens)) {
+            return BudgetFailures.exhausted(account.key(), tokens);
+        }
+        long wait = Math.max(mSettings.freshMs(), mSync.nextMs() - nowMs);
+        return BudgetFailures.unreachable(account.key(), wait);
+    }
+
+    boolean knownExhausted(long nowMs, Account account, long tokens) {
+        if (!mSync.freshWithin(nowMs, mSettings.freshMs())) {
+            return false;
+        }
+        BudgetRecord record = mSync.base().get().budget(account.key().budget());
+        HolderRecord own =
+                record.holders().getOrDefault(account.holding().holder(), HolderRecord.NONE);
+        return record.unspent() - account.holding().unreportedSpent(own) < tokens;
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/hornbeampass/coordination/budget/BudgetContext.java
@@ -0,0 +1,31 @@
+package org.hornbeampass.coordination.budget;
+
+import org.hornbeampass.coordination.peer.PeerNetwork;
+import org.hornbeampass.coordination.platform.Platform;
+import org.hornbeampass.state.OrganisationId;
+import org.hornbeampass.state.VmId;
+
+/**
+ * What all organisations' budgets on one VM share.
+ *
+ * <p>Immutable; its parts are thread-safe.
+ *
+ * @param self this VM
+ * @param platform the platform
+ * @param peers the other routers
+ * @param homes who is live, and who draws for whom
+ * @param settings times and bounds
+ * @param policy how much is drawn
+ */
+record BudgetContext(
+        VmId self,
+        Platform platform,
+        PeerNetwork peers,
+        BudgetHomes homes,
+        BudgetSettings settings,
+        GrantPolicy policy) {
+    /** Returns whether this VM draws from the platform for an organisation in the usual case. */
+    boolean isHome(OrganisationId organisation) {
+        return homes.homes(organisation).contains(self);
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/hornbeampass/coordination/budget/Drawing.java
@@ -0,0 +1,58 @@
+package org.hornbeampass.coordination.budget;
+
+import org.hornbeampass.state.budget.BudgetRecord;
+import org.hornbeampass.state.config.BudgetPreference;
+
+/**
+ * Applies a {@link GrantPolicy} to one account and the record of its budget.
+ *
+ * <p>Immutable; used under the organisation's lock.
+ *
+ * @param policy the policy
+ * @param preference what the organisation weighs more
+ * @param sharers the number of VMs that draw on its budgets
+ * @param chunkTokens the settings' fixed grant
+ * @param maySplit whether this VM may draw more than its requests wait for
+ */
+record Drawing(
+        GrantPolicy policy,
+        BudgetPreference preference,
+        int sharers,
+        long chunkTokens,
+        boolean maySplit) {
+    /** Returns the tokens to draw, at most what is available. */
+    long draw(long nowMs, Account account, BudgetRecord budget) {
+        long available = Math.max(0, budget.available());
+        long wanted = policy.draw(need(nowMs, account, budget));
+        if (!maySplit) {
+            wanted = Math.min(wanted, account.waitingTokens() - account.holding().free());
+        }
+        return Math.max(0, Math.min(wanted, available));
+    }
+
+    /** Returns the free tokens to give back. */
+    long giveBack(long nowMs, Account account, BudgetRecord budget) {
+        return Math.max(0, policy.giveBack(need(nowMs, account, budget)));
+    }
+
+    /** Returns whether what is not needed goes back with no wait for the next report. */
+    boolean returnsAtOnce() {
+        return policy == GrantPolicy.WRITE_PER_REQUEST;
+    }
+
+    private GrantNeed need(long nowMs, Account account, BudgetRecord budget) {
+        Holding holding = account.holding();
+        return new GrantNeed(
+                budget.paid(),
+                Math.max(0, budget.available()),
+                holding.drawn(),
+                holding.free(),
+                account.waitingTokens() + account.peersWant(),
+                holding.demand().largest(),
+                holding.demand().perMs(nowMs),
+                Math.max(1, sharers),
+                preference.demandHorizonMs(),
+                preference.grantableShare(),
+                chunkTokens);
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/hornbeampass/coordination/budget/GrantExchange.java
@@ -0,0 +1,179 @@
+package org.hornbeampass.coordination.budget;
+
+import org.hornbeampass.coordination.peer.PeerMessage;
+import org.hornbeampass.state.OrganisationId;
+import org.hornbeampass.state.VmId;
+import org.hornbeampass.state.budget.HolderId;
+import org.hornbeampass.state.config.BudgetPreference;
+
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * Moves tokens between this VM and its peers: asks, gives, and passes spending on to a home.
+ *
+ * <p>Invariant: the giver subtracts before it sends, and sends the same move until it is
+ * acknowledged. Stateless but for its context; called under the organisation's lock.
+ */
+final class GrantExchange {
+    private static final double PEER_HORIZON_SHARE = 0.5;
+    private static final double REFILL_BELOW = 0.5;
+    private static final long KEEP_MS = 30_000;
+
+    private final OrganisationId mOrganisation;
+    private final BudgetContext mContext;
+
+    GrantExchange(OrganisationId organisation, BudgetContext context) {
+        mOrganisation = organisation;
+        mContext = context;
+    }
+
+    /** Sends moves again that lack their acknowledgement, and passes spending on to a home. */
+    void pass(
+            long nowMs,
+            Account account,
+            boolean direct,
+            Effects effects,
+            OrganisationBudgets budgets) {
+        PeerMoves moves = account.moves();
+        long timeoutMs = mContext.settings().askTimeoutMs();
+        boolean idle = account.holding().spent() == 0 && account.holding().free() == 0;
+        if (!direct && !account.holding().registered() && !idle) {
+            if (moves.passDue(nowMs, mContext.settings().reportIntervalMs())) {
+                passToHome(nowMs, account);
+            }
+        }
+        for (MoveGrant move : moves.due(nowMs, timeoutMs)) {
+            String receiver = move.receiver().name();
+            effects.add(
+                    () ->
+                            mContext.peers()
+                                    .request(
+                                            nowMs,
+                                            receiver,
+                                            move,
+                                            timeoutMs,
+                                            (at, reply) -> budgets.onMoveReply(reply)));
+        }
+    }
+
+    private void passToHome(long nowMs, Account account) {
+        Holding holding = account.holding();
+        for (VmId home : mContext.homes().homes(mOrganisation)) {
+            if (home.equals(mContext.self()) || account.moves().pending(home).isPresent()) {
+                continue;
+            }
+            boolean idle = holding.demand().perMs(nowMs) <= 0 && account.waiters().isEmpty();
+            long free = idle ? holding.free() : 0;
+            Optional<Parcel> parcel = holding.take(new HolderId(home, 0), free, holding.spent());
+            parcel.ifPresent(p -> account.moves().start(home, p));
+            return;
+        }
+    }
+
+    /** Asks the next peer, where requests wait or little is left. */
+    void ask(
+            long nowMs,
+            Account account,
+            BudgetPreference preference,
+            List<VmId> candidates,
+            Effects effects,
+            OrganisationBudgets budgets) {
+        AskRound round = account.asks();
+        Holding holding = account.holding();
+        long waiting = account.waitingTokens();
+        double horizonMs = preference.demandHorizonMs() * PEER_HORIZON_SHARE;
+        long target = Math.max(waiting, (long) (holding.demand().perMs(nowMs) * horizonMs));
+        boolean enough = holding.free() >= Math.max(waiting, (long) (target * REFILL_BELOW));
+        if (round.inFlight()) {
+            return;
+        }
+        if (target == 0 || enough) {
+            if (round.running()) {
+                round.end(nowMs, false);
+            }
+            return;
+        }
+        if (!round.running()) {
+            if (!round.mayStart(nowMs)) {
+                return;
+            }
+            round.start(candidates);
+        }
+        Optional<VmId> peer = round.next();
+        if (peer.isEmpty()) {
+            round.end(nowMs + mContext.settings().askTimeoutMs(), waiting > 0);
+            return;
+        }
+        AskGrant ask =
+                new AskGrant(
+                        mOrganisation,
+                        account.key().budget(),
+                        mContext.self(),
+                        Math.max(0, waiting - holding.free()),
+                        target - holding.free());
+        send(nowMs, account, peer.get(), ask, effects, budgets);
+    }
+
+    private void send(
+            long nowMs,
+            Account account,
+            VmId peer,
+            AskGrant ask,
+            Effects effects,
+            OrganisationBudgets budgets) {
+        effects.add(
+                () ->
+                        mContext.peers()
+                                .request(
+                                        nowMs,
+                                        peer.name(),
+                                        ask,
+                                        mContext.settings().askTimeoutMs(),
+                                        (at, reply) ->
+                                                budgets.onAskReply(at, account.key(), reply)));
+    }
+
+    /** Answers a peer that asks: by the move it has not acknowledged, a new one, or a refusal. */
+    PeerMessage answer(long nowMs, Account account, AskGrant ask, boolean closing) {
+        Optional<MoveGrant> pending = account.moves().pending(ask.asker());
+        if (pending.isPresent()) {
+            return pending.get();
+        }
+        long give = closing ? 0 : give(nowMs, account, ask);
+        if (give < ask.atLeast()) {
+            account.peersWant(Math.max(account.peersWant(), ask.atLeast()));
+        }
+        Optional<Parcel> parcel = account.holding().take(new HolderId(ask.asker(), 0), give, 0);
+        if (parcel.isEmpty()) {
+            return new AskRefused(ask.organisation(), ask.budget());
+        }
+        MoveGrant move = account.moves().start(ask.asker(), parcel.get());
+        account.moves().sent(ask.asker(), nowMs + mContext.settings().askTimeoutMs());
+        return move;
+    }
+
+    private long give(long nowMs, Account account, AskGrant ask) {
+        if (!account.waiters().isEmpty()) {
+            return 0;
+        }
+        Holding holding = account.holding();
+        long keep = (long) (holding.demand().perMs(nowMs) * KEEP_MS);
+        long spare = Math.max(holding.free() / 2, holding.free() - keep);
+        long wanted = Math.min(Math.max(ask.wanted(), ask.atLeast()), spare);
+        return Math.max(wanted, Math.min(ask.atLeast(), holding.free()));
+    }
+
+    /** Adds a move once, where it is addressed to this incarnation. */
+    MoveAck receive(long nowMs, Account account, MoveGrant move) {
+        boolean mine = move.receiver().equals(mContext.self());
+        if (mine && account.moves().receive(move)) {
+            Holding holding = account.holding();
+            holding.put(move.parcel());
+            holding.noteLost(-account.moves().found(move));
+            holding.demand().addFlow(nowMs, move.spent());
+        }
+        return new MoveAck(
+                move.organisation(), move.budget(), move.receiver(), move.sequence(), mine);
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/hornbeampass/coordination/budget/GrantNeed.java
@@ -0,0 +1,36 @@
+package org.hornbeampass.coordination.budget;
+
+/**
+ * What a {@link GrantPolicy} decides on, all of it in tokens and milliseconds.
+ *
+ * <p>Immutable; safe for use by any thread.
+ *
+ * @param paid the budget's paid tokens
+ * @param available what the platform may still grant
+ * @param granted what this VM drew and did not return
+ * @param free what this VM holds and has not reserved
+ * @param waiting what requests wait for
+ * @param largest the largest reservation seen lately
+ * @param demandPerMs the rate at which reservations are asked for
+ * @param sharers the number of VMs that draw on the budget, at least 1
+ * @param horizonMs the time for which a grant should last
+ * @param share the largest share of what is left that may lie on VMs
+ * @param chunk the settings' fixed grant
+ */
+public record GrantNeed(
+        long paid,
+        long available,
+        long granted,
+        long free,
+        long waiting,
+        long largest,
+        double demandPerMs,
+        int sharers,
+        long horizonMs,
+        double share,
+        long chunk) {
+    /** Returns the tokens that last for the horizon at the present demand. */
+    long horizonTokens() {
+        return (long) (demandPerMs * horizonMs);
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/hornbeampass/coordination/budget/MoveAck.java
@@ -0,0 +1,22 @@
+package org.hornbeampass.coordination.budget;
+
+import com.fasterxml.jackson.annotation.JsonFormat;
+
+import org.hornbeampass.coordination.peer.PeerMessage;
+import org.hornbeampass.state.BudgetId;
+import org.hornbeampass.state.OrganisationId;
+import org.hornbeampass.state.VmId;
+
+/**
+ * Says that a move was added once, or that its receiver's incarnation runs no more.
+ *
+ * @param organisation the organisation
+ * @param budget its budget
+ * @param receiver the VM to which the move was addressed
+ * @param sequence the move's sequence
+ * @param added false where the VM that answers is another incarnation than the receiver
+ */
+@JsonFormat(shape = JsonFormat.Shape.ARRAY)
+public record MoveAck(
+        OrganisationId organisation, BudgetId budget, VmId receiver, long sequence, boolean added)
+        implements PeerMessage {}
--- /dev/null
+++ b/coordination/src/main/java/org/hornbeampass/coordination/budget/OrganisationBudgets.java
@@ -0,0 +1,467 @@
+package org.hornbeampass.coordination.budget;
+
+import io.vavr.control.Either;
+
+import org.agrona.collections.Object2ObjectHashMap;
+import org.hornbeampass.coordination.peer.PeerMessage;
+import org.hornbeampass.coordination.platform.PlatformCall;
+import org.hornbeampass.coordination.platform.PlatformReply;
+import org.hornbeampass.state.BudgetId;
+import org.hornbeampass.state.BudgetKey;
+import org.hornbeampass.state.ErrorKind;
+import org.hornbeampass.state.Failure;
+import org.hornbeampass.state.OrganisationId;
+import org.hornbeampass.state.RequestId;
+import org.hornbeampass.state.VmId;
+import org.hornbeampass.state.budget.HolderId;
+import org.hornbeampass.state.budget.HolderRecord;
+import org.hornbeampass.state.budget.LedgerRecord;
+import org.hornbeampass.state.budget.Reservation;
+import org.hornbeampass.state.config.BudgetPreference;
+
+import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+
+/**
+ * All budgets of one organisation on this VM.
+ *
+ * <p>Invariant: at most one platform call is in flight, and each write carries the changes of all
+ * budgets. Thread-safe: one lock guards all state; it is the only lock that is ever held, and calls
+ * and callbacks run after it is released.
+ */
+final class OrganisationBudgets {
+    private final Object mLock = new Object();
+    private final OrganisationId mOrganisation;
+    private final BudgetContext mContext;
+    private final Admission mAdmission;
+    private final Object2ObjectHashMap<BudgetId, Account> mAccounts = new Object2ObjectHashMap<>();
+    private final Set<VmId> mGone = new HashSet<>();
+    private final LedgerSync mSync;
+    private final GrantExchange mExchange;
+    private BudgetPreference mPreference = BudgetPreference.AVOID_STRANDING;
+    private boolean mClosing;
+    private long mReportedMs = Long.MIN_VALUE / 2;
+
+    OrganisationBudgets(OrganisationId organisation, BudgetContext context, AtomicLong numbers) {
+        mOrganisation = organisation;
+        mContext = context;
+        int seed = 31 * context.self().hashCode() + organisation.hashCode();
+        mSync = new LedgerSync(organisation, context.settings(), seed);
+        mExchange = new GrantExchange(organisation, context);
+        mAdmission = new Admission(context.settings(), mSync, numbers);
+    }
+
+    Either<Failure, Reservation> tryReserve(
+            long nowMs, BudgetKey key, RequestId request, long tokens) {
+        synchronized (mLock) {
+            if (mClosing) {
+                return Either.left(BudgetFailures.shuttingDown());
+            }
+            Account account = account(key);
+            account.holding().demand().add(nowMs, tokens);
+            Optional<Reservation> made = mAdmission.take(account, request, tokens);
+            if (made.isPresent()) {
+                return Either.right(made.get());
+            }
+            return Either.left(mAdmission.refusal(nowMs, account, tokens));
+        }
+    }
+
+    void reserve(
+            long nowMs,
+            BudgetKey key,
+            RequestId request,
+            long tokens,
+            long waitMs,
+            BiConsumer<Long, Either<Failure, Reservation>> done) {
+        Either<Failure, Reservation> now = tryReserve(nowMs, key, request, tokens);
+        if (now.isRight() || now.getLeft().kind() == ErrorKind.SHUTTING_DOWN) {
+            done.accept(nowMs, now);
+            return;
+        }
+        Effects effects = new Effects();
+        synchronized (mLock) {
+            enqueue(
+                    nowMs,
+                    account(key),
+                    new Waiter(request, tokens, nowMs + waitMs, done),
+                    effects);
+        }
+        effects.run();
+    }
+
+    private void enqueue(long nowMs, Account account, Waiter waiter, Effects effects) {
+        if (mAdmission.knownExhausted(nowMs, account, waiter.tokens())) {
+            mAdmission.refuse(nowMs, account, waiter, effects);
+            return;
+        }
+        if (account.waiters().size() >= mContext.settings().maxWaiters()) {
+            Failure full =
+                    BudgetFailures.tooManyWait(account.key(), mContext.settings().backoffMaxMs());
+            effects.add(() -> waiter.done().accept(nowMs, Either.left(full)));
+            return;
+        }
+        account.waiters().add(waiter);
+        advance(nowMs, effects);
+    }
+
+    void settle(long nowMs, Reservation reservation, long usedTokens) {
+        change(
+                nowMs,
+                reservation.key(),
+                holding -> holding.settle(reservation.number(), usedTokens));
+    }
+
+    void refund(long nowMs, BudgetKey key, long tokens) {
+        change(nowMs, key, holding -> holding.refund(tokens));
+    }
+
+    private void change(long nowMs, BudgetKey key, Consumer<Holding> action) {
+        Effects effects = new Effects();
+        synchronized (mLock) {
+            Account account = account(key);
+            action.accept(account.holding());
+            mAdmission.serve(nowMs, account, effects);
+            if (mContext.policy() == GrantPolicy.WRITE_PER_REQUEST) {
+                advance(nowMs, effects);
+            }
+        }
+        effects.run();
+    }
+
+    void tick(long nowMs) {
+        Effects effects = new Effects();
+        synchronized (mLock) {
+            advance(nowMs, effects);
+        }
+        effects.run();
+    }
+
+    void close(long nowMs) {
+        Effects effects = new Effects();
+        synchronized (mLock) {
+            mClosing = true;
+            for (Account account : mAccounts.values()) {
+                mAdmission.refuseAll(nowMs, account, BudgetFailures.shuttingDown(), effects);
+            }
+            advance(nowMs, effects);
+        }
+        effects.run();
+    }
+
+    /** Refuses all from the start; for an organisation first met during a shutdown. */
+    void startClosing() {
+        synchronized (mLock) {
+            mClosing = true;
+        }
+    }
+
+    /** Returns whether nothing is held, reserved or unreported here. */
+    boolean handedOver() {
+        synchronized (mLock) {
+            for (Account account : mAccounts.values()) {
+                Holding holding = account.holding();
+                boolean empty = holding.free() == 0 && holding.reserved() == 0;
+                boolean moving = account.moves().anyPending();
+                if (!empty
+                        || moving
+                        || holding.registered()
+                        || holding.unreported(HolderRecord.NONE)) {
+                    return false;
+                }
+            }
+            return !mSync.inFlight();
+        }
+    }
+
+    void onVmGone(long nowMs, VmId vm) {
+        Effects effects = new Effects();
+        synchronized (mLock) {
+            mGone.add(vm);
+            for (Account account : mAccounts.values()) {
+                account.holding().noteLost(account.moves().forget(vm));
+            }
+            mSync.expire();
+            advance(nowMs, effects);
+        }
+        effects.run();
+    }
+
+    void onPreference(BudgetPreference preference) {
+        synchronized (mLock) {
+            mPreference = preference;
+        }
+    }
+
+    void onAsk(long nowMs, AskGrant ask, Consumer<PeerMessage> reply) {
+        Effects effects = new Effects();
+        synchronized (mLock) {
+            Account account = account(new BudgetKey(ask.organisation(), ask.budget()));
+            PeerMessage answer = mExchange.answer(nowMs, account, ask, mClosing);
+            effects.add(() -> reply.accept(answer));
+            advance(nowMs, effects);
+        }
+        effects.run();
+    }
+
+    void onMove(long nowMs, MoveGrant move, Consumer<PeerMessage> reply) {
+        Effects effects = new Effects();
+        synchronized (mLock) {
+            Account account = account(new BudgetKey(move.organisation(), move.budget()));
+            MoveAck ack = mExchange.receive(nowMs, account, move);
+            effects.add(() -> reply.accept(ack));
+            mAdmission.serve(nowMs, account, effects);
+            advance(nowMs, effects);
+        }
+        effects.run();
+    }
+
+    void onAck(MoveAck ack) {
+        synchronized (mLock) {
+            account(new BudgetKey(ack.organisation(), ack.budget())).moves().acknowledge(ack);
+        }
+    }
+
+    Optional<HoldingView> view(BudgetKey key) {
+        synchronized (mLock) {
+            return Optional.ofNullable(mAccounts.get(key.budget()))
+                    .map(a -> HoldingView.of(a.holding(), a.waiters().size()));
+        }
+    }
+
+    long platformCalls() {
+        synchronized (mLock) {
+            return mSync.calls();
+        }
+    }
+
+    private Account account(BudgetKey key) {
+        Account account = mAccounts.get(key.budget());
+        if (account == null) {
+            account = new Account(key, mContext.self());
+            mAccounts.put(key.budget(), account);
+        }
+        return account;
+    }
+
+    /** Does whatever is due: serves and refuses waiters, calls the platform, asks peers. */
+    private void advance(long nowMs, Effects effects) {
+        for (Account account : mAccounts.values()) {
+            mAdmission.serve(nowMs, account, effects);
+        }
+        syncIfDue(nowMs, effects);
+        boolean direct = mClosing || mContext.isHome(mOrganisation);
+        for (Account account : mAccounts.values()) {
+            mExchange.pass(nowMs, account, direct, effects, this);
+            askIfNeeded(nowMs, account, direct, effects);
+            mAdmission.expire(nowMs, account, effects);
+        }
+    }
+
+    private void askIfNeeded(long nowMs, Account account, boolean direct, Effects effects) {
+        long waiting = account.waitingTokens();
+        if (direct && (waiting == 0 || !platformCannotHelp(nowMs, account, waiting))) {
+            return;
+        }
+        mExchange.ask(nowMs, account, mPreference, candidates(account, direct), effects, this);
+    }
+
+    private boolean platformCannotHelp(long nowMs, Account account, long waiting) {
+        if (mSync.unreachable()) {
+            return true;
+        }
+        long missing = waiting - account.holding().free();
+        return mSync.freshWithin(nowMs, mContext.settings().freshMs())
+                && mSync.base().get().budget(account.key().budget()).available() < missing;
+    }
+
+    /** Returns whom to ask: homes, then holders with most unspent by the record, then the rest. */
+    private List<VmId> candidates(Account account, boolean direct) {
+        List<VmId> live = mContext.homes().live();
+        Set<VmId> order = new LinkedHashSet<>();
+        if (!direct) {
+            order.addAll(mContext.homes().homes(mOrganisation));
+        }
+        if (mSync.base().isPresent()) {
+            mSync.base().get().budget(account.key().budget()).holders().entrySet().stream()
+                    .filter(e -> e.getValue().free() > 0)
+                    .sorted((a, b) -> Long.compare(b.getValue().free(), a.getValue().free()))
+                    .forEach(e -> order.add(e.getKey().vm()));
+        } else {
+            order.addAll(live);
+        }
+        order.remove(mContext.self());
+        order.retainAll(live);
+        return List.copyOf(order);
+    }
+
+    void onAskReply(long nowMs, BudgetKey key, Either<Failure, PeerMessage> reply) {
+        Effects effects = new Effects();
+        synchronized (mLock) {
+            Account account = account(key);
+            account.asks().answered();
+            if (reply.isRight() && reply.get() instanceof MoveGrant move) {
+                MoveAck ack = mExchange.receive(nowMs, account, move);
+                String giver = move.giver().name();
+                effects.add(() -> mContext.peers().send(giver, ack));
+            }
+            advance(nowMs, effects);
+        }
+        effects.run();
+    }
+
+    void onMoveReply(Either<Failure, PeerMessage> reply) {
+        if (reply.isRight() && reply.get() instanceof MoveAck ack) {
+            onAck(ack);
+        }
+    }
+
+    private void syncIfDue(long nowMs, Effects effects) {
+        if (!mSync.mayCall(nowMs)) {
+            return;
+        }
+        boolean due = nowMs - mReportedMs >= mContext.settings().reportIntervalMs();
+        if (mSync.base().isEmpty()) {
+            if (wantsPlatform(nowMs)) {
+                submit(nowMs, mSync.read(), effects);
+            }
+            return;
+        }
+        LedgerPlan plan = plan(nowMs, mSync.base().get(), due);
+        Optional<LedgerRecord> next = plan.result();
+        if (next.isPresent()) {
+            if (due) {
+                mReportedMs = nowMs;
+                mAccounts.values().forEach(a -> a.peersWant(0));
+            }
+            submitWrite(nowMs, plan, next.get(), effects);
+            return;
+        }
+        if (staleFor(nowMs)) {
+            submit(nowMs, mSync.read(), effects);
+        }
+    }
+
+    private LedgerPlan plan(long nowMs, LedgerRecord base, boolean due) {
+        boolean home = mContext.isHome(mOrganisation);
+        int sharers = mContext.homes().homes(mOrganisation).size();
+        Drawing drawing =
+                new Drawing(
+                        mContext.policy(),
+                        mPreference,
+                        sharers,
+                        mContext.settings().chunkTokens(),
+                        home);
+        LedgerPlan plan = new LedgerPlan(base, drawing, due, mClosing);
+        plan.closeGone(this::isGone);
+        for (Account account : mAccounts.values()) {
+            if (usesPlatform(account, home)) {
+                plan.add(nowMs, account);
+            }
+        }
+        return plan;
+    }
+
+    private boolean isGone(HolderId holder) {
+        VmId vm = holder.vm();
+        VmId self = mContext.self();
+        boolean ownPast = vm.name().equals(self.name()) && vm.incarnation() < self.incarnation();
+        return ownPast || mGone.contains(vm);
+    }
+
+    private boolean usesPlatform(Account account, boolean home) {
+        return home
+                || mClosing
+                || account.holding().registered()
+                || (!account.waiters().isEmpty() && account.asks().failed());
+    }
+
+    private boolean wantsPlatform(long nowMs) {
+        boolean home = mContext.isHome(mOrganisation);
+        for (Account account : mAccounts.values()) {
+            boolean wants =
+                    !account.waiters().isEmpty()
+                            || account.peersWant() > 0
+                            || account.holding().free() > 0
+                            || account.holding().unreported(HolderRecord.NONE)
+                            || account.holding().demand().perMs(nowMs) > 0;
+            if (wants && usesPlatform(account, home)) {
+                return true;
+            }
+        }
+        return home && !mGone.isEmpty();
+    }
+
+    private boolean staleFor(long nowMs) {
+        boolean waiting = false;
+        boolean holding = false;
+        for (Account account : mAccounts.values()) {
+            waiting |= !account.waiters().isEmpty() || account.peersWant() > 0;
+            holding |= account.holding().registered();
+        }
+        if (waiting && !mSync.freshWithin(nowMs, mContext.settings().freshMs())) {
+            return wantsPlatform(nowMs);
+        }
+        return holding && !mSync.freshWithin(nowMs, mContext.settings().refreshIntervalMs());
+    }
+
+    private void submit(long nowMs, PlatformCall call, Effects effects) {
+        effects.add(() -> mContext.platform().submit(nowMs, call, (at, r) -> onRead(nowMs, at, r)));
+    }
+
+    private void submitWrite(long nowMs, LedgerPlan plan, LedgerRecord next, Effects effects) {
+        PlatformCall call = mSync.write(next);
+        effects.add(
+                () ->
+                        mContext.platform()
+                                .submit(nowMs, call, (at, r) -> onWrite(nowMs, at, plan, next, r)));
+    }
+
+    private void onRead(long submittedMs, long nowMs, PlatformReply reply) {
+        Effects effects = new Effects();
+        synchronized (mLock) {
+            if (mSync.readDone(submittedMs, nowMs, reply)) {
+                see();
+            }
+            advance(nowMs, effects);
+        }
+        effects.run();
+    }
+
+    private void onWrite(
+            long submittedMs,
+            long nowMs,
+            LedgerPlan plan,
+            LedgerRecord written,
+            PlatformReply reply) {
+        Effects effects = new Effects();
+        synchronized (mLock) {
+            if (reply instanceof PlatformReply.Unavailable) {
+                plan.written().forEach(Holding::noteAmbiguous);
+            }
+            if (mSync.writeDone(submittedMs, nowMs, written, reply)) {
+                see();
+            }
+            advance(nowMs, effects);
+        }
+        effects.run();
+    }
+
+    private void see() {
+        LedgerRecord record = mSync.base().orElseThrow();
+        for (Account account : mAccounts.values()) {
+            account.holding().see(record.budget(account.key().budget()));
+        }
+        mGone.removeIf(
+                vm ->
+                        record.budgets().values().stream()
+                                .flatMap(b -> b.holders().keySet().stream())
+                                .noneMatch(h -> h.vm().equals(vm)));
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/hornbeampass/coordination/budget/PeerMoves.java
@@ -0,0 +1,129 @@
+package org.hornbeampass.coordination.budget;
+
+import org.hornbeampass.state.BudgetKey;
+import org.hornbeampass.state.VmId;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * The moves of one budget between this VM and its peers, each applied at most once.
+ *
+ * <p>Invariant: at most one move to a receiver is unacknowledged; a receiver adds a giver's moves
+ * in the order of their sequence and each once. Not thread-safe; guarded by its organisation's
+ * lock.
+ */
+final class PeerMoves {
+    private final BudgetKey mKey;
+    private final VmId mSelf;
+    private final Map<VmId, MoveGrant> mPending = new HashMap<>();
+    private final Map<VmId, Long> mRetryAtMs = new HashMap<>();
+    private final Map<VmId, Long> mSent = new HashMap<>();
+    private final Map<VmId, Long> mReceived = new HashMap<>();
+    private final Map<VmId, Long> mLent = new HashMap<>();
+    private final Map<VmId, Long> mLost = new HashMap<>();
+    private long mNextPassMs = Long.MIN_VALUE;
+
+    PeerMoves(BudgetKey key, VmId self) {
+        mKey = key;
+        mSelf = self;
+    }
+
+    /** Returns the move to a receiver that is not acknowledged yet. */
+    Optional<MoveGrant> pending(VmId receiver) {
+        return Optional.ofNullable(mPending.get(receiver));
+    }
+
+    /** Returns whether any move is not acknowledged yet. */
+    boolean anyPending() {
+        return !mPending.isEmpty();
+    }
+
+    /** Starts a move of tokens that the caller has subtracted. */
+    MoveGrant start(VmId receiver, Parcel parcel) {
+        long sequence = mSent.merge(receiver, 1L, Long::sum);
+        MoveGrant move =
+                new MoveGrant(
+                        mKey.organisation(),
+                        mKey.budget(),
+                        mSelf,
+                        receiver,
+                        sequence,
+                        parcel.charge(),
+                        parcel.free(),
+                        parcel.spent());
+        mPending.put(receiver, move);
+        mLent.merge(receiver, parcel.free() + parcel.spent(), Long::sum);
+        return move;
+    }
+
+    /** Returns the unacknowledged moves whose next sending is due, and puts it off. */
+    List<MoveGrant> due(long nowMs, long retryMs) {
+        List<MoveGrant> due = new ArrayList<>();
+        for (MoveGrant move : mPending.values()) {
+            if (mRetryAtMs.getOrDefault(move.receiver(), Long.MIN_VALUE) <= nowMs) {
+                mRetryAtMs.put(move.receiver(), nowMs + retryMs);
+                due.add(move);
+            }
+        }
+        return due;
+    }
+
+    /** Puts off the next sending of a move that was sent just now. */
+    void sent(VmId receiver, long nextMs) {
+        mRetryAtMs.put(receiver, nextMs);
+    }
+
+    /** Ends a move that was added, or whose receiver runs no more. */
+    void acknowledge(MoveAck ack) {
+        MoveGrant move = mPending.get(ack.receiver());
+        if (move != null && move.sequence() == ack.sequence()) {
+            mPending.remove(ack.receiver());
+            mRetryAtMs.remove(ack.receiver());
+        }
+    }
+
+    /** Returns whether a move that came in is to be added; true once for each. */
+    boolean receive(MoveGrant move) {
+        if (move.sequence() <= mReceived.getOrDefault(move.giver(), 0L)) {
+            return false;
+        }
+        mReceived.put(move.giver(), move.sequence());
+        mLent.merge(move.giver(), -move.free() - move.spent(), Long::sum);
+        return true;
+    }
+
+    /** Forgets a VM that is proved gone and returns what was lent to it and not given back. */
+    long forget(VmId gone) {
+        mPending.remove(gone);
+        mRetryAtMs.remove(gone);
+        Long lent = mLent.remove(gone);
+        if (lent == null || lent <= 0) {
+            return 0;
+        }
+        mLost.put(gone, lent);
+        return lent;
+    }
+
+    /** Returns how much of a move that came in had been counted as lost with its giver. */
+    long found(MoveGrant move) {
+        long lost = mLost.getOrDefault(move.giver(), 0L);
+        long found = Math.min(lost, move.free() + move.spent());
+        if (found > 0) {
+            mLost.put(move.giver(), lost - found);
+        }
+        return found;
+    }
+
+    /** Returns whether it is time to pass spending on, and puts the next time off. */
+    boolean passDue(long nowMs, long intervalMs) {
+        if (nowMs < mNextPassMs) {
+            return false;
+        }
+        mNextPassMs = nowMs + intervalMs;
+        return true;
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/hornbeampass/coordination/budget/TopUp.java
@@ -0,0 +1,242 @@
+package org.hornbeampass.coordination.budget;
+
+import io.vavr.control.Either;
+
+import org.hornbeampass.coordination.platform.Platform;
+import org.hornbeampass.coordination.platform.PlatformCall;
+import org.hornbeampass.coordination.platform.PlatformReply;
+import org.hornbeampass.coordination.platform.PlatformReply.StoredObject;
+import org.hornbeampass.state.BudgetKey;
+import org.hornbeampass.state.ErrorKind;
+import org.hornbeampass.state.Failure;
+import org.hornbeampass.state.Json;
+import org.hornbeampass.state.budget.BudgetRecord;
+import org.hornbeampass.state.budget.LedgerRecord;
+
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.BiConsumer;
+
+/**
+ * Adds one top-up to a budget exactly once, whoever repeats it and whatever reply is lost.
+ *
+ * <p>Invariants: the top-up's own object is created first and kept for ever; the record holds the
+ * id from the write that adds the tokens until the object is known to say {@code added}. The record
+ * is read before the object: if the object then does not say {@code added}, and the record does not
+ * hold the id, no write before that version added it, and the conditional write finds any later
+ * one. Used once; its callbacks may run on any thread, one after the other.
+ */
+final class TopUp {
+    private static final int MAX_ATTEMPTS = 12;
+    private static final int MAX_OPEN = 256;
+
+    private final Platform mPlatform;
+    private final BudgetKey mKey;
+    private final String mId;
+    private final long mTokens;
+    private final String mObjectKey;
+    private final BiConsumer<Long, Either<Failure, Boolean>> mDone;
+    private int mAttempts;
+
+    /**
+     * Creates a top-up.
+     *
+     * @param done takes whether this run added the tokens (false: an earlier one had); or a failure
+     */
+    TopUp(
+            Platform platform,
+            BudgetKey key,
+            String id,
+            long tokens,
+            BiConsumer<Long, Either<Failure, Boolean>> done) {
+        mPlatform = platform;
+        mKey = key;
+        mId = id;
+        mTokens = tokens;
+        mObjectKey = TopUpRecord.key(key, id);
+        mDone = done;
+    }
+
+    /** Creates the top-up's object, or finds it. */
+    void start(long nowMs) {
+        if (exhausted(nowMs)) {
+            return;
+        }
+        String value = Json.encode(new TopUpRecord(mTokens, false));
+        mPlatform.submit(nowMs, new PlatformCall.Create(mObjectKey, value), this::onCreated);
+    }
+
+    private boolean exhausted(long nowMs) {
+        if (++mAttempts <= MAX_ATTEMPTS) {
+            return false;
+        }
+        fail(nowMs, LedgerEdit.unavailable());
+        return true;
+    }
+
+    private void fail(long nowMs, Failure failure) {
+        mDone.accept(nowMs, Either.left(failure));
+    }
+
+    private void onCreated(long nowMs, PlatformReply reply) {
+        if (reply instanceof PlatformReply.Written) {
+            readLedger(nowMs);
+            return;
+        }
+        if (reply instanceof PlatformReply.Conflict conflict && conflict.current().isPresent()) {
+            onObject(nowMs, conflict.current().get(), Optional.empty());
+            return;
+        }
+        start(nowMs);
+    }
+
+    private void readLedger(long nowMs) {
+        if (exhausted(nowMs)) {
+            return;
+        }
+        PlatformCall get = new PlatformCall.Get(LedgerSync.key(mKey.organisation()));
+        mPlatform.submit(nowMs, get, this::onLedger);
+    }
+
+    private void onLedger(long nowMs, PlatformReply reply) {
+        boolean known =
+                reply instanceof PlatformReply.Found || reply instanceof PlatformReply.Missing;
+        if (!known) {
+            readLedger(nowMs);
+            return;
+        }
+        PlatformCall get = new PlatformCall.Get(mObjectKey);
+        mPlatform.submit(
+                nowMs,
+                get,
+                (at, object) -> {
+                    if (object instanceof PlatformReply.Found found) {
+                        onObject(at, found.object(), Optional.of(reply));
+                    } else {
+                        readLedger(at);
+                    }
+                });
+    }
+
+    private void onObject(long nowMs, StoredObject object, Optional<PlatformReply> ledger) {
+        Either<Failure, TopUpRecord> decoded = Json.decode(object.value(), TopUpRecord.class);
+        if (decoded.isLeft()) {
+            fail(nowMs, decoded.getLeft());
+            return;
+        }
+        if (decoded.get().tokens() != mTokens) {
+            fail(
+                    nowMs,
+                    Failure.of(
+                            ErrorKind.IDEMPOTENCY_KEY_REUSED,
+                            "top-up "
+                                    + mId
+                                    + " of budget "
+                                    + mKey
+                                    + " was made with "
+                                    + decoded.get().tokens()
+                                    + " tokens; use a new id for another top-up"));
+            return;
+        }
+        if (decoded.get().added()) {
+            mDone.accept(nowMs, Either.right(false));
+            return;
+        }
+        if (ledger.isEmpty()) {
+            readLedger(nowMs);
+            return;
+        }
+        add(nowMs, object, ledger.get());
+    }
+
+    private void add(long nowMs, StoredObject object, PlatformReply ledger) {
+        Either<Failure, LedgerRecord> decoded =
+                ledger instanceof PlatformReply.Found found
+                        ? Json.decode(found.object().value(), LedgerRecord.class)
+                        : Either.right(LedgerRecord.empty());
+        if (decoded.isLeft()) {
+            fail(nowMs, decoded.getLeft());
+            return;
+        }
+        BudgetRecord budget = decoded.get().budget(mKey.budget());
+        if (budget.openTopUps().contains(mId)) {
+            markAdded(nowMs, object, false);
+            return;
+        }
+        Optional<Failure> wrong = check(budget);
+        if (wrong.isPresent()) {
+            fail(nowMs, wrong.get());
+            return;
+        }
+        LedgerRecord next = decoded.get().with(mKey.budget(), budget.withTopUp(mId, mTokens));
+        String ledgerKey = LedgerSync.key(mKey.organisation());
+        String value = Json.encode(next);
+        PlatformCall call =
+                ledger instanceof PlatformReply.Found found
+                        ? new PlatformCall.Update(ledgerKey, value, found.object().version())
+                        : new PlatformCall.Create(ledgerKey, value);
+        mPlatform.submit(
+                nowMs,
+                call,
+                (at, reply) -> {
+                    if (reply instanceof PlatformReply.Written) {
+                        markAdded(at, object, true);
+                    } else {
+                        readLedger(at);
+                    }
+                });
+    }
+
+    private Optional<Failure> check(BudgetRecord budget) {
+        if (budget.paid() > BudgetRecord.MAX_TOKENS - mTokens) {
+            return Optional.of(
+                    Failure.of(
+                            ErrorKind.FIELD_INVALID,
+                            "budget "
+                                    + mKey
+                                    + " would exceed "
+                                    + BudgetRecord.MAX_TOKENS
+                                    + " tokens; top up by less"));
+        }
+        if (budget.openTopUps().size() >= MAX_OPEN) {
+            return Optional.of(
+                    Failure.retryAfter(
+                            ErrorKind.OVERLOADED,
+                            "too many top-ups of budget " + mKey + " are under way; retry later",
+                            1_000));
+        }
+        return Optional.empty();
+    }
+
+    /** Notes in the object that the tokens are added; from here on the top-up can't be lost. */
+    private void markAdded(long nowMs, StoredObject object, boolean byThisRun) {
+        String value = Json.encode(new TopUpRecord(mTokens, true));
+        mPlatform.submit(
+                nowMs,
+                new PlatformCall.Update(mObjectKey, value, object.version()),
+                (at, reply) -> {
+                    if (reply instanceof PlatformReply.Written) {
+                        forgetId(at, byThisRun);
+                    } else {
+                        mDone.accept(at, Either.right(byThisRun));
+                    }
+                });
+    }
+
+    private void forgetId(long nowMs, boolean byThisRun) {
+        new LedgerEdit(
+                        mPlatform,
+                        mKey.organisation(),
+                        record -> Either.right(without(record)),
+                        (at, ignored) -> mDone.accept(at, Either.right(byThisRun)))
+                .start(nowMs);
+    }
+
+    private Optional<LedgerRecord> without(LedgerRecord record) {
+        BudgetRecord budget = record.budget(mKey.budget());
+        if (!budget.openTopUps().contains(mId)) {
+            return Optional.empty();
+        }
+        return Optional.of(record.with(mKey.budget(), budget.withoutTopUps(Set.of(mId))));
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/hornbeampass/state/budget/BudgetRecord.java
@@ -0,0 +1,125 @@
+package org.hornbeampass.state.budget;
+
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+
+/**
+ * The platform's record of one budget.
+ *
+ * <p>Invariant: {@code drawn() <= paid}, where {@code drawn()} is what holders, open or closed,
+ * ever drew and did not return. Immutable; safe for use by any thread.
+ *
+ * @param paid the tokens paid for and not taken back
+ * @param target what the operator wants {@code paid} lowered to, while holders still hold more
+ * @param holders open holders
+ * @param closed the sum of all closed holders
+ * @param openTopUps ids of top-ups added to {@code paid} whose own objects may not say so yet
+ * @param changes the newest operators' changes, as {@code writer:sequence}, oldest first
+ */
+public record BudgetRecord(
+        long paid,
+        OptionalLong target,
+        Map<HolderId, HolderRecord> holders,
+        HolderRecord closed,
+        Set<String> openTopUps,
+        List<String> changes) {
+    /** The largest number of tokens that any sum may reach. */
+    public static final long MAX_TOKENS = 1_000_000_000_000_000L;
+
+    private static final int MAX_CHANGES = 32;
+
+    /** Copies the collections. */
+    public BudgetRecord {
+        holders = java.util.Collections.unmodifiableMap(new TreeMap<>(holders));
+        openTopUps = java.util.Collections.unmodifiableSet(new TreeSet<>(openTopUps));
+        changes = List.copyOf(changes);
+    }
+
+    /** Returns a budget for which nothing was paid. */
+    public static BudgetRecord empty() {
+        return new BudgetRecord(
+                0, OptionalLong.empty(), Map.of(), HolderRecord.NONE, Set.of(), List.of());
+    }
+
+    /** Returns what counts against the paid tokens. */
+    public long drawn() {
+        long sum = closed.drawn();
+        for (HolderRecord holder : holders.values()) {
+            sum += holder.drawn();
+        }
+        return sum;
+    }
+
+    /** Returns what may be granted. */
+    public long available() {
+        return paid - drawn();
+    }
+
+    /** Returns what is settled, as far as holders have reported. */
+    public long settled() {
+        long sum = closed.spent();
+        for (HolderRecord holder : holders.values()) {
+            sum += holder.spent();
+        }
+        return sum;
+    }
+
+    /** Returns what counts as spent though no holder reported it. */
+    public long writtenOff() {
+        long sum = closed.outstanding();
+        for (HolderRecord holder : holders.values()) {
+            sum += holder.lost();
+        }
+        return sum;
+    }
+
+    /** Returns what may still be spent somewhere. */
+    public long unspent() {
+        return paid - settled() - writtenOff();
+    }
+
+    /** Returns the record with other holders, {@code paid} lowered as far as the target allows. */
+    public BudgetRecord withHolders(Map<HolderId, HolderRecord> changed, HolderRecord nowClosed) {
+        return new BudgetRecord(paid, target, changed, nowClosed, openTopUps, changes)
+                .settleTarget();
+    }
+
+    /** Returns the record with a top-up added, its id noted. */
+    public BudgetRecord withTopUp(String topUpId, long tokens) {
+        Set<String> ids = new TreeSet<>(openTopUps);
+        ids.add(topUpId);
+        OptionalLong raised =
+                target.isPresent() ? OptionalLong.of(target.getAsLong() + tokens) : target;
+        return new BudgetRecord(paid + tokens, raised, holders, closed, ids, changes)
+                .settleTarget();
+    }
+
+    /** Returns the record without the ids of top-ups whose own objects say that they are added. */
+    public BudgetRecord withoutTopUps(Set<String> folded) {
+        Set<String> ids = new TreeSet<>(openTopUps);
+        ids.removeAll(folded);
+        return new BudgetRecord(paid, target, holders, closed, ids, changes);
+    }
+
+    /** Returns the record with {@code paid} set, or lowered as far as what is drawn allows. */
+    public BudgetRecord withPaid(long newPaid, String change) {
+        List<String> noted = new java.util.ArrayList<>(changes);
+        noted.add(change);
+        List<String> kept = noted.subList(Math.max(0, noted.size() - MAX_CHANGES), noted.size());
+        return new BudgetRecord(paid, OptionalLong.of(newPaid), holders, closed, openTopUps, kept)
+                .settleTarget();
+    }
+
+    private BudgetRecord settleTarget() {
+        if (target.isEmpty()) {
+            return this;
+        }
+        long now = Math.max(target.getAsLong(), drawn());
+        OptionalLong left = now == target.getAsLong() ? OptionalLong.empty() : target;
+        return new BudgetRecord(now, left, holders, closed, openTopUps, changes);
+    }
+}
--- /dev/null
+++ b/coordination/src/test/java/org/hornbeampass/coordination/budget/BudgetWorld.java
@@ -0,0 +1,363 @@
+package org.hornbeampass.coordination.budget;
+
+import io.vavr.control.Either;
+
+import org.hornbeampass.coordination.peer.PeerMessage;
+import org.hornbeampass.coordination.peer.PeerNetwork;
+import org.hornbeampass.coordination.platform.MemoryPlatform;
+import org.hornbeampass.coordination.platform.Platform;
+import org.hornbeampass.coordination.platform.PlatformCall;
+import org.hornbeampass.coordination.platform.PlatformReply;
+import org.hornbeampass.state.BudgetId;
+import org.hornbeampass.state.BudgetKey;
+import org.hornbeampass.state.ErrorKind;
+import org.hornbeampass.state.Failure;
+import org.hornbeampass.state.OrganisationId;
+import org.hornbeampass.state.RequestId;
+import org.hornbeampass.state.VmId;
+import org.hornbeampass.state.budget.BudgetStatement;
+import org.hornbeampass.state.budget.LedgerRecord;
+import org.hornbeampass.state.budget.Reservation;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.PriorityQueue;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+
+/**
+ * A few VMs, a platform and a network in virtual time, with faults that a test sets.
+ *
+ * <p>Everything that happens is an event in one queue, run in the order of time; so a run depends
+ * on nothing but what the test does. Not thread-safe.
+ */
+final class BudgetWorld implements BudgetHomes {
+    static final OrganisationId ORGANISATION = new OrganisationId("flights");
+    static final BudgetKey KEY = new BudgetKey(ORGANISATION, new BudgetId("main"));
+
+    private static final long CALL_MS = 2;
+    private static final long TIMEOUT_MS = 500;
+    private static final long TICK_MS = 100;
+
+    private final MemoryPlatform mStore = new MemoryPlatform();
+    private final PriorityQueue<Event> mEvents = new PriorityQueue<>();
+    private final List<Node> mNodes = new ArrayList<>();
+    private final GrantPolicy mPolicy;
+    private final int mHomes;
+    private BudgetAccounts mAccounts;
+    private long mNowMs;
+    private long mOrder;
+    private long mRequests;
+
+    /** Something that happens at a time; events of one time keep their order. */
+    private record Event(long atMs, long order, Runnable action) implements Comparable<Event> {
+        @Override
+        public int compareTo(Event other) {
+            int byTime = Long.compare(atMs, other.atMs);
+            return byTime != 0 ? byTime : Long.compare(order, other.order);
+        }
+    }
+
+    /** What the next platform call of a VM meets. */
+    enum PlatformFault {
+        NONE,
+        /** The call never arrives. */
+        LOST,
+        /** The call takes effect and its reply is lost. */
+        REPLY_LOST,
+        /** The call takes effect long after its sender gave up. */
+        LATE
+    }
+
+    /** One VM: its ledger and its links. */
+    static final class Node {
+        final BudgetLedger mLedger;
+        final VmId mId;
+        PlatformFault mFault = PlatformFault.NONE;
+        boolean mCutFromPlatform;
+        boolean mCutFromPeers;
+        boolean mPaused;
+        boolean mDead;
+        final List<Runnable> mHeld = new ArrayList<>();
+
+        Node(VmId id, BudgetLedger ledger) {
+            mId = id;
+            mLedger = ledger;
+        }
+    }
+
+    BudgetWorld(int vms, GrantPolicy policy, int homes) {
+        mPolicy = policy;
+        mHomes = homes;
+        mAccounts = new BudgetAccounts(new VmId("operator", 1), mStore);
+        for (int i = 0; i < vms; i++) {
+            start("vm" + i, 1);
+        }
+    }
+
+    /** Starts a VM, or its next incarnation. */
+    int start(String name, long incarnation) {
+        VmId id = new VmId(name, incarnation);
+        int index = mNodes.size();
+        BudgetLedger ledger =
+                new BudgetLedger(
+                        id,
+                        platformOf(index),
+                        peersOf(index),
+                        this,
+                        BudgetSettings.defaults(),
+                        mPolicy);
+        mNodes.add(new Node(id, ledger));
+        scheduleTick(index);
+        return index;
+    }
+
+    /** Lets the operators' side see the store through another platform. */
+    void operatorsUse(java.util.function.UnaryOperator<Platform> faults) {
+        mAccounts = new BudgetAccounts(new VmId("operator", 2), faults.apply(mStore));
+    }
+
+    Node node(int vm) {
+        return mNodes.get(vm);
+    }
+
+    BudgetLedger ledger(int vm) {
+        return mNodes.get(vm).mLedger;
+    }
+
+    long nowMs() {
+        return mNowMs;
+    }
+
+    int size() {
+        return mNodes.size();
+    }
+
+    BudgetAccounts accounts() {
+        return mAccounts;
+    }
+
+    @Override
+    public List<VmId> live() {
+        return mNodes.stream().filter(n -> !n.mDead).map(n -> n.mId).toList();
+    }
+
+    @Override
+    public List<VmId> homes(OrganisationId organisation) {
+        return live().stream().limit(mHomes).toList();
+    }
+
+    private void scheduleTick(int vm) {
+        at(
+                mNowMs + TICK_MS,
+                () -> {
+                    if (mNodes.get(vm).mDead) {
+                        return;
+                    }
+                    at(vm, () -> ledger(vm).tick(mNowMs));
+                    scheduleTick(vm);
+                });
+    }
+
+    private void at(long atMs, Runnable action) {
+        mEvents.add(new Event(atMs, mOrder++, action));
+    }
+
+    /** Runs an action on a VM: now, once it wakes, or never. */
+    void at(int vm, Runnable action) {
+        Node node = mNodes.get(vm);
+        if (node.mDead) {
+            return;
+        }
+        if (node.mPaused) {
+            node.mHeld.add(action);
+            return;
+        }
+        action.run();
+    }
+
+    void wake(int vm) {
+        Node node = mNodes.get(vm);
+        node.mPaused = false;
+        List<Runnable> held = List.copyOf(node.mHeld);
+        node.mHeld.clear();
+        held.forEach(Runnable::run);
+    }
+
+    /** Runs all events of a span of time. */
+    void run(long forMs) {
+        long untilMs = mNowMs + forMs;
+        while (!mEvents.isEmpty() && mEvents.peek().atMs() <= untilMs) {
+            Event event = mEvents.remove();
+            mNowMs = event.atMs();
+            event.action().run();
+        }
+        mNowMs = untilMs;
+    }
+
+    /** Runs a span of time and returns the statement after it. */
+    BudgetStatement settle(long forMs) {
+        run(forMs);
+        return statement();
+    }
+
+    BudgetStatement statement() {
+        return BudgetStatement.of(KEY, record().budget(KEY.budget()));
+    }
+
+    LedgerRecord record() {
+        AtomicReference<LedgerRecord> record = new AtomicReference<>(LedgerRecord.empty());
+        mStore.submit(
+                mNowMs,
+                new PlatformCall.Get("budgets/" + ORGANISATION),
+                (at, reply) -> {
+                    if (reply instanceof PlatformReply.Found found) {
+                        record.set(
+                                org.hornbeampass.state.Json.decode(
+                                                found.object().value(), LedgerRecord.class)
+                                        .get());
+                    }
+                });
+        return record.get();
+    }
+
+    Either<Failure, BudgetStatement> topUp(String id, long tokens) {
+        AtomicReference<Either<Failure, BudgetStatement>> result = new AtomicReference<>();
+        mAccounts.topUp(mNowMs, KEY, id, tokens, (at, r) -> result.set(r));
+        return result.get();
+    }
+
+    Either<Failure, BudgetStatement> setPaid(long tokens) {
+        AtomicReference<Either<Failure, BudgetStatement>> result = new AtomicReference<>();
+        mAccounts.setPaid(mNowMs, KEY, tokens, (at, r) -> result.set(r));
+        return result.get();
+    }
+
+    /** Reserves with a wait of two seconds and runs until the outcome is there. */
+    Either<Failure, Reservation> reserve(int vm, long tokens) {
+        AtomicReference<Either<Failure, Reservation>> result = new AtomicReference<>();
+        RequestId id = new RequestId("r" + mRequests++);
+        ledger(vm).reserve(mNowMs, KEY, id, tokens, 2_000, (at, r) -> result.set(r));
+        for (int i = 0; i < 300 && result.get() == null; i++) {
+            run(10);
+        }
+        return result.get();
+    }
+
+    boolean handOver(int vm) {
+        AtomicBoolean done = new AtomicBoolean();
+        ledger(vm).handOver(mNowMs, at -> done.set(true));
+        run(5_000);
+        return done.get();
+    }
+
+    private Platform platformOf(int vm) {
+        return (nowMs, call, done) -> {
+            Node node = mNodes.get(vm);
+            PlatformFault fault = node.mCutFromPlatform ? PlatformFault.LOST : node.mFault;
+            node.mFault = PlatformFault.NONE;
+            BiConsumer<Long, PlatformReply> reply = (at, r) -> at(vm, () -> done.accept(mNowMs, r));
+            boolean lost = fault != PlatformFault.NONE;
+            if (lost) {
+                at(
+                        mNowMs + TIMEOUT_MS,
+                        () -> reply.accept(mNowMs, new PlatformReply.Unavailable("timeout")));
+            }
+            if (fault == PlatformFault.LOST) {
+                return;
+            }
+            long arrivesMs = fault == PlatformFault.LATE ? 3 * TIMEOUT_MS : CALL_MS;
+            at(mNowMs + arrivesMs, () -> apply(call, lost, reply));
+        };
+    }
+
+    private void apply(PlatformCall call, boolean lost, BiConsumer<Long, PlatformReply> reply) {
+        mStore.submit(
+                mNowMs,
+                call,
+                (at, r) -> {
+                    if (!lost) {
+                        at(mNowMs + CALL_MS, () -> reply.accept(mNowMs, r));
+                    }
+                });
+    }
+
+    private int find(String name) {
+        for (int i = mNodes.size() - 1; i >= 0; i--) {
+            if (mNodes.get(i).mId.name().equals(name)) {
+                return i;
+            }
+        }
+        return -1;
+    }
+
+    private boolean linked(int from, int to) {
+        return to >= 0 && !mNodes.get(from).mCutFromPeers && !mNodes.get(to).mCutFromPeers;
+    }
+
+    private PeerNetwork peersOf(int vm) {
+        return new PeerNetwork() {
+            @Override
+            public void send(String vmName, PeerMessage message) {
+                deliver(vm, find(vmName), message, reply -> {});
+            }
+
+            @Override
+            public void request(
+                    long nowMs,
+                    String vmName,
+                    PeerMessage request,
+                    long timeoutMs,
+                    BiConsumer<Long, Either<Failure, PeerMessage>> done) {
+                ask(vm, find(vmName), request, timeoutMs, done);
+            }
+        };
+    }
+
+    private void ask(
+            int from,
+            int to,
+            PeerMessage request,
+            long timeoutMs,
+            BiConsumer<Long, Either<Failure, PeerMessage>> done) {
+        AtomicBoolean answered = new AtomicBoolean();
+        Consumer<Either<Failure, PeerMessage>> once =
+                r -> {
+                    if (answered.compareAndSet(false, true)) {
+                        at(from, () -> done.accept(mNowMs, r));
+                    }
+                };
+        Failure late = Failure.of(ErrorKind.DEADLINE_EXCEEDED, "no reply");
+        at(mNowMs + timeoutMs, () -> once.accept(Either.left(late)));
+        deliver(
+                from,
+                to,
+                request,
+                reply -> {
+                    if (linked(from, to)) {
+                        at(mNowMs + CALL_MS, () -> once.accept(Either.right(reply)));
+                    }
+                });
+    }
+
+    private void deliver(int from, int to, PeerMessage message, Consumer<PeerMessage> reply) {
+        if (!linked(from, to)) {
+            return;
+        }
+        VmId sender = mNodes.get(from).mId;
+        at(mNowMs + CALL_MS, () -> at(to, () -> handle(to, sender, message, reply)));
+    }
+
+    private void handle(int to, VmId from, PeerMessage message, Consumer<PeerMessage> reply) {
+        BudgetLedger ledger = ledger(to);
+        if (message instanceof AskGrant ask) {
+            ledger.onAsk(mNowMs, from, ask, reply);
+        } else if (message instanceof MoveGrant move) {
+            ledger.onMove(mNowMs, from, move, reply);
+        } else if (message instanceof MoveAck ack) {
+            ledger.onMoveAck(mNowMs, from, ack, reply);
+        }
+    }
+}
