--- /dev/null
+++ b/coordination/src/main/java/org/hornbeampass/coordination/limit/AdmissionQueue.java
@@ -0,0 +1,201 @@
+package org.hornbeampass.coordination.limit;
+
+import org.agrona.collections.Long2ObjectHashMap;
+import org.hornbeampass.coordination.limit.WaitingRequests.Waiting;
+import org.hornbeampass.state.ErrorKind;
+import org.hornbeampass.state.Failure;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.function.BiConsumer;
+
+/**
+ * Admits requests up to a capacity and lets a bounded number wait; one queue for each target.
+ *
+ * <p>Invariants: at most {@code capacity} requests are admitted and not released; at most {@code
+ * maxWaiting} wait; each request is answered exactly once, and one that is shed, abandoned or past
+ * its deadline leaves the queue at once. A request that can't be served before its deadline at the
+ * present rate is refused when it comes. Thread-safe: one lock guards the state, and answers are
+ * run after it is released.
+ */
+public final class AdmissionQueue {
+    private static final long MIN_RETRY_MS = 1_000;
+    private static final long MAX_RETRY_MS = 30_000;
+    private static final long RETRY_SPREAD = 1_000;
+
+    private final Object mLock = new Object();
+    private final int mMaxWaiting;
+    private final WaitingRequests mWaiting = new WaitingRequests();
+    private final Long2ObjectHashMap<Entry> mEntries = new Long2ObjectHashMap<>();
+    private final ServiceRate mRate = new ServiceRate();
+    private int mCapacity;
+    private int mAdmitted;
+    private long mLastNumber;
+
+    /** A request that waits, with its answer. */
+    private record Entry(Waiting waiting, BiConsumer<Long, Optional<Failure>> done) {}
+
+    /** An answer that is run once the lock is released. */
+    private record Answer(BiConsumer<Long, Optional<Failure>> done, Optional<Failure> failure) {}
+
+    /**
+     * Creates an empty queue.
+     *
+     * @param capacity how many may be in progress at once
+     * @param maxWaiting how many may wait
+     */
+    public AdmissionQueue(int capacity, int maxWaiting) {
+        mCapacity = capacity;
+        mMaxWaiting = maxWaiting;
+    }
+
+    /**
+     * Asks to be admitted.
+     *
+     * @param done run exactly once, now or later, with the time in milliseconds and with nothing
+     *     where the request is admitted, which must then be released once, or with {@code
+     *     OVERLOADED} or {@code DEADLINE_EXCEEDED_NOT_RUN}; not run where the request is abandoned
+     * @return the number by which the request may be abandoned
+     */
+    public long submit(
+            long nowMs, AdmissionRequest request, BiConsumer<Long, Optional<Failure>> done) {
+        List<Answer> answers = new ArrayList<>();
+        long number;
+        synchronized (mLock) {
+            number = ++mLastNumber;
+            submit(nowMs, new Entry(new Waiting(number, request), done), answers);
+        }
+        run(nowMs, answers);
+        return number;
+    }
+
+    /** Gives one admitted request's place back and admits the next. */
+    public void release(long nowMs) {
+        List<Answer> answers = new ArrayList<>();
+        synchronized (mLock) {
+            if (mAdmitted == 0) {
+                throw new IllegalStateException("released more often than admitted");
+            }
+            mAdmitted--;
+            mRate.completed(nowMs);
+            admitNext(nowMs, answers);
+        }
+        run(nowMs, answers);
+    }
+
+    /** Sets how many may be in progress; those above it finish, and none is admitted meanwhile. */
+    public void setCapacity(long nowMs, int capacity) {
+        List<Answer> answers = new ArrayList<>();
+        synchronized (mLock) {
+            mCapacity = capacity;
+            admitNext(nowMs, answers);
+        }
+        run(nowMs, answers);
+    }
+
+    /**
+     * Takes out a request whose caller gave up.
+     *
+     * @return whether it still waited; otherwise it was answered before
+     */
+    public boolean abandon(long number) {
+        synchronized (mLock) {
+            Entry entry = mEntries.remove(number);
+            return entry != null && mWaiting.remove(entry.waiting());
+        }
+    }
+
+    /** Answers those whose deadline has passed; to be called a few times a second. */
+    public void expire(long nowMs) {
+        List<Answer> answers = new ArrayList<>();
+        synchronized (mLock) {
+            expireLocked(nowMs, answers);
+        }
+        run(nowMs, answers);
+    }
+
+    /** Returns how many wait. */
+    public int waiting() {
+        synchronized (mLock) {
+            return mWaiting.size();
+        }
+    }
+
+    /** Returns how many are admitted and not released. */
+    public int admitted() {
+        synchronized (mLock) {
+            return mAdmitted;
+        }
+    }
+
+    private void submit(long nowMs, Entry entry, List<Answer> answers) {
+        AdmissionRequest request = entry.waiting().request();
+        if (request.deadline().passed(nowMs)) {
+            answers.add(new Answer(entry.done(), Optional.of(tooLate())));
+            return;
+        }
+        if (mAdmitted < mCapacity && mWaiting.size() == 0) {
+            mAdmitted++;
+            mWaiting.served(request);
+            answers.add(new Answer(entry.done(), Optional.empty()));
+            return;
+        }
+        OptionalLong waitMs = mRate.waitMs(nowMs, mWaiting.sizeFrom(request.priority()) + 1);
+        if (waitMs.isPresent() && waitMs.getAsLong() > request.deadline().remainingMs(nowMs)) {
+            answers.add(shed(nowMs, entry));
+            return;
+        }
+        mWaiting.add(entry.waiting());
+        mEntries.put(entry.waiting().number(), entry);
+        if (mWaiting.size() > mMaxWaiting) {
+            Waiting victim = mWaiting.firstToShed().orElseThrow();
+            mWaiting.remove(victim);
+            answers.add(shed(nowMs, mEntries.remove(victim.number())));
+        }
+    }
+
+    private void admitNext(long nowMs, List<Answer> answers) {
+        expireLocked(nowMs, answers);
+        while (mAdmitted < mCapacity) {
+            Optional<Waiting> next = mWaiting.takeNext();
+            if (next.isEmpty()) {
+                return;
+            }
+            mAdmitted++;
+            Entry entry = mEntries.remove(next.get().number());
+            answers.add(new Answer(entry.done(), Optional.empty()));
+        }
+    }
+
+    private void expireLocked(long nowMs, List<Answer> answers) {
+        for (Waiting late : mWaiting.late(nowMs)) {
+            mWaiting.remove(late);
+            Entry entry = mEntries.remove(late.number());
+            answers.add(new Answer(entry.done(), Optional.of(tooLate())));
+        }
+    }
+
+    private Answer shed(long nowMs, Entry entry) {
+        long waitMs = mRate.waitMs(nowMs, mWaiting.size() + 1).orElse(MIN_RETRY_MS);
+        long bounded = Math.max(MIN_RETRY_MS, Math.min(MAX_RETRY_MS, waitMs));
+        long spread = Math.floorMod(entry.waiting().number() * 0x9E3779B1L, RETRY_SPREAD);
+        Failure failure =
+                Failure.retryAfter(
+                        ErrorKind.OVERLOADED,
+                        "too many requests wait; one of the lowest priority was refused",
+                        bounded + spread);
+        return new Answer(entry.done(), Optional.of(failure));
+    }
+
+    private static Failure tooLate() {
+        return Failure.of(
+                ErrorKind.DEADLINE_EXCEEDED_NOT_RUN,
+                "the deadline passed while the request waited to be admitted");
+    }
+
+    private static void run(long nowMs, List<Answer> answers) {
+        answers.forEach(a -> a.done().accept(nowMs, a.failure()));
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/hornbeampass/coordination/limit/AttemptOutcome.java
@@ -0,0 +1,72 @@
+package org.hornbeampass.coordination.limit;
+
+/**
+ * The closed list of ways in which one attempt at an upstream ends.
+ *
+ * <p>Each says whether a byte may have reached the upstream and whether it speaks against the
+ * upstream. Immutable; safe for use by any thread.
+ */
+public enum AttemptOutcome {
+    /** The whole answer came. */
+    SUCCEEDED(true, Blame.NONE),
+    /** The upstream answered that the request itself is wrong. */
+    REJECTED(true, Blame.NONE),
+    /** The attempt was given up before anything was sent. */
+    NOT_SENT(false, Blame.NONE),
+    /** No connection could be made, so nothing was sent. */
+    CONNECT_FAILED(false, Blame.UNREACHABLE),
+    /** The upstream refused for overload and says that it did not run the request. */
+    REFUSED_OVERLOADED(true, Blame.OVERLOAD),
+    /** The upstream refused since it is leaving and says that it did not run the request. */
+    REFUSED_LEAVING(true, Blame.NONE),
+    /** The upstream answered with a fault of its own. */
+    UPSTREAM_ERROR(true, Blame.FAULT),
+    /** The connection broke after something was sent and before the answer began. */
+    BROKEN_BEFORE_ANSWER(true, Blame.FAULT),
+    /** The connection broke in the middle of the answer. */
+    BROKEN_IN_ANSWER(true, Blame.FAULT),
+    /** The attempt's time was up; it was cancelled. */
+    TIMED_OUT(true, Blame.FAULT),
+    /** The caller went away or a hedge won; the attempt was cancelled. */
+    CANCELLED(true, Blame.NONE);
+
+    /** What an outcome says about the upstream. */
+    public enum Blame {
+        /** Nothing. */
+        NONE,
+        /** It has too much to do. */
+        OVERLOAD,
+        /** It may be faulty. */
+        FAULT,
+        /** It can't be reached. */
+        UNREACHABLE
+    }
+
+    private final boolean mMayHaveSent;
+    private final Blame mBlame;
+
+    AttemptOutcome(boolean mayHaveSent, Blame blame) {
+        mMayHaveSent = mayHaveSent;
+        mBlame = blame;
+    }
+
+    /** Returns whether a byte of the request may have reached the upstream. */
+    public boolean mayHaveSent() {
+        return mMayHaveSent;
+    }
+
+    /** Returns what the outcome says about the upstream. */
+    public Blame blame() {
+        return mBlame;
+    }
+
+    /** Returns whether it counts as a failure of the upstream. */
+    public boolean upstreamFailed() {
+        return mBlame == Blame.FAULT || mBlame == Blame.UNREACHABLE;
+    }
+
+    /** Returns whether it shows that the upstream does its work. */
+    public boolean showsHealth() {
+        return this == SUCCEEDED || this == REJECTED;
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/hornbeampass/coordination/limit/ConcurrencyLimit.java
@@ -0,0 +1,81 @@
+package org.hornbeampass.coordination.limit;
+
+/**
+ * Decides how many requests one VM may have in progress at one upstream.
+ *
+ * <p>The limit follows the latency gradient: while recent times to first token stay near the
+ * long-run ones it grows, when they rise it shrinks in proportion. Invariants: the limit is at
+ * least {@value #MIN_LIMIT} and never above the configured maximum; it only grows while it is in
+ * use. Not thread-safe: guarded by the owner's lock.
+ */
+public final class ConcurrencyLimit {
+    private static final int MIN_LIMIT = 1;
+    private static final double FAST = 0.2;
+    private static final double SLOW = 0.005;
+    private static final double TOLERANCE = 2.0;
+    private static final double MIN_GRADIENT = 0.5;
+    private static final double LIMIT_SMOOTHING = 0.2;
+    private static final double REFUSAL_FACTOR = 0.9;
+
+    private final boolean mAdaptive;
+    private int mMax;
+    private double mLimit;
+    private double mFastMs;
+    private double mSlowMs;
+
+    /**
+     * Creates a limit that starts at its maximum.
+     *
+     * @param max the configured maximum
+     * @param adaptive whether it follows the latency gradient
+     */
+    public ConcurrencyLimit(int max, boolean adaptive) {
+        mMax = Math.max(MIN_LIMIT, max);
+        mLimit = mMax;
+        mAdaptive = adaptive;
+    }
+
+    /** Returns the present limit. */
+    public int limit() {
+        return (int) mLimit;
+    }
+
+    /** Takes a changed maximum; a limit that stood at the old one moves to the new one. */
+    public void setMax(int max) {
+        int newMax = Math.max(MIN_LIMIT, max);
+        mLimit = mLimit >= mMax ? newMax : Math.min(mLimit, newMax);
+        mMax = newMax;
+    }
+
+    /**
+     * Learns from a first token.
+     *
+     * @param firstTokenMs the time to first token in milliseconds
+     * @param inFlight requests in progress when the request was sent
+     */
+    public void firstToken(double firstTokenMs, int inFlight) {
+        if (!mAdaptive) {
+            return;
+        }
+        double sample = Math.max(1, firstTokenMs);
+        mFastMs = mFastMs == 0 ? sample : mFastMs + FAST * (sample - mFastMs);
+        mSlowMs = mSlowMs == 0 ? sample : Math.min(mFastMs, mSlowMs + SLOW * (sample - mSlowMs));
+        double gradient = Math.max(MIN_GRADIENT, Math.min(1, TOLERANCE * mSlowMs / mFastMs));
+        double target = mLimit * gradient + Math.sqrt(mLimit);
+        if (target > mLimit && inFlight * 2 < mLimit) {
+            return;
+        }
+        set(mLimit + LIMIT_SMOOTHING * (target - mLimit));
+    }
+
+    /** Learns that the upstream refused a request for overload. */
+    public void refused() {
+        if (mAdaptive) {
+            set(mLimit * REFUSAL_FACTOR);
+        }
+    }
+
+    private void set(double limit) {
+        mLimit = Math.max(MIN_LIMIT, Math.min(mMax, limit));
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/hornbeampass/coordination/limit/OrganisationLimits.java
@@ -0,0 +1,173 @@
+package org.hornbeampass.coordination.limit;
+
+import org.agrona.collections.Object2ObjectHashMap;
+import org.hornbeampass.coordination.upstream.Rendezvous;
+import org.hornbeampass.state.ErrorKind;
+import org.hornbeampass.state.Failure;
+import org.hornbeampass.state.OrganisationId;
+import org.hornbeampass.state.config.ConfigSnapshot;
+import org.hornbeampass.state.config.OrganisationTerms;
+
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * Holds each organisation to this VM's share of its limits on concurrency and rate.
+ *
+ * <p>The settings are over all VMs. Each VM takes an equal share: the rate in fractions, the places
+ * in whole ones, where the remainder goes to the VMs that rank first for the organisation by
+ * rendezvous hashing. Invariant: VMs that see the same set of VMs have shares that sum to exactly
+ * the setting. When the set shrinks the share grows only after {@value #GROW_DELAY_MS} ms, so that
+ * a VM that is slow to be heard of is not counted out at once. Thread-safe: one lock, a leaf.
+ */
+public final class OrganisationLimits {
+    private static final long GROW_DELAY_MS = 10_000;
+
+    private final Object mLock = new Object();
+    private final String mVmName;
+    private final Object2ObjectHashMap<OrganisationId, Usage> mUsages =
+            new Object2ObjectHashMap<>();
+    private ConfigSnapshot mConfig = ConfigSnapshot.empty();
+    private Set<String> mVms;
+    private Set<String> mSmallerVms;
+    private long mSmallerSinceMs;
+    private long mEpoch;
+
+    /** What one organisation uses on this VM. */
+    private static final class Usage {
+        private int mInProgress;
+        private double mCredit = 1;
+        private long mCreditAtMs = Long.MIN_VALUE;
+        private long mRankEpoch = -1;
+        private int mRank;
+    }
+
+    /** Creates limits for a fleet of which only this VM is known. */
+    public OrganisationLimits(String vmName) {
+        mVmName = vmName;
+        mVms = Set.of(vmName);
+        mSmallerVms = mVms;
+    }
+
+    /** Takes a configuration; one that is not newer than the last is ignored. */
+    public void applyConfig(long nowMs, ConfigSnapshot config) {
+        synchronized (mLock) {
+            if (config.revision() > mConfig.revision()) {
+                mConfig = config;
+            }
+        }
+    }
+
+    /** Takes the names of the VMs that are believed to be alive; this VM always counts. */
+    public void onVms(long nowMs, Set<String> vmNames) {
+        synchronized (mLock) {
+            Set<String> vms = new HashSet<>(vmNames);
+            vms.add(mVmName);
+            settle(nowMs);
+            if (vms.containsAll(mVms)) {
+                setVms(vms);
+                mSmallerVms = mVms;
+                return;
+            }
+            if (!vms.equals(mSmallerVms)) {
+                mSmallerVms = Set.copyOf(vms);
+                mSmallerSinceMs = nowMs;
+                vms.addAll(mVms);
+                setVms(vms);
+            }
+        }
+    }
+
+    /**
+     * Starts a request of an organisation.
+     *
+     * @return empty where it may start, and must then be ended once; otherwise {@code RATE_LIMITED}
+     */
+    public Optional<Failure> start(long nowMs, OrganisationId organisation) {
+        synchronized (mLock) {
+            settle(nowMs);
+            Optional<OrganisationTerms> terms = mConfig.terms(organisation);
+            if (terms.isEmpty()) {
+                return Optional.of(
+                        Failure.of(
+                                ErrorKind.NOT_PERMITTED,
+                                "organisation " + organisation + " is not configured"));
+            }
+            Usage usage = mUsages.computeIfAbsent(organisation, o -> new Usage());
+            if (usage.mInProgress >= places(organisation, usage, terms.get().maxConcurrent())) {
+                return Optional.of(limited("requests in progress", 1_000));
+            }
+            double perMs = terms.get().requestsPerSecond() / 1_000.0 / mVms.size();
+            refill(nowMs, usage, perMs);
+            if (usage.mCredit < 1) {
+                double missing = 1 - usage.mCredit;
+                long waitMs = perMs > 0 ? (long) Math.ceil(missing / perMs) : 60_000;
+                return Optional.of(limited("requests per second", waitMs));
+            }
+            usage.mCredit--;
+            usage.mInProgress++;
+            return Optional.empty();
+        }
+    }
+
+    /** Ends a request that was started. */
+    public void ended(OrganisationId organisation) {
+        synchronized (mLock) {
+            Usage usage = mUsages.get(organisation);
+            if (usage == null || usage.mInProgress == 0) {
+                throw new IllegalStateException(organisation + " ended more often than started");
+            }
+            usage.mInProgress--;
+        }
+    }
+
+    private int places(OrganisationId organisation, Usage usage, int total) {
+        if (usage.mRankEpoch != mEpoch) {
+            usage.mRank = rank(organisation);
+            usage.mRankEpoch = mEpoch;
+        }
+        int vms = mVms.size();
+        return total / vms + (usage.mRank < total % vms ? 1 : 0);
+    }
+
+    private int rank(OrganisationId organisation) {
+        long key = Rendezvous.hash(organisation.value());
+        long own = Rendezvous.score(key, Rendezvous.hash(mVmName));
+        int before = 0;
+        for (String vm : mVms) {
+            long score = Rendezvous.score(key, Rendezvous.hash(vm));
+            before += score > own || (score == own && vm.compareTo(mVmName) < 0) ? 1 : 0;
+        }
+        return before;
+    }
+
+    private void setVms(Set<String> vms) {
+        mVms = Set.copyOf(vms);
+        mEpoch++;
+    }
+
+    private void settle(long nowMs) {
+        if (mSmallerVms.size() < mVms.size() && nowMs - mSmallerSinceMs >= GROW_DELAY_MS) {
+            setVms(mSmallerVms);
+        }
+    }
+
+    private static void refill(long nowMs, Usage usage, double perMs) {
+        double most = Math.max(1, perMs * 1_000);
+        if (usage.mCreditAtMs == Long.MIN_VALUE) {
+            usage.mCredit = most;
+        } else {
+            double credit = usage.mCredit + Math.max(0, nowMs - usage.mCreditAtMs) * perMs;
+            usage.mCredit = Math.min(most, credit);
+        }
+        usage.mCreditAtMs = nowMs;
+    }
+
+    private static Failure limited(String what, long retryAfterMs) {
+        return Failure.retryAfter(
+                ErrorKind.RATE_LIMITED,
+                "the organisation's limit on " + what + " is reached on this VM",
+                retryAfterMs);
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/hornbeampass/coordination/routing/Candidates.java
@@ -0,0 +1,119 @@
+package org.hornbeampass.coordination.routing;
+
+import org.hornbeampass.coordination.upstream.LoadEstimate;
+import org.hornbeampass.coordination.upstream.UpstreamGroup;
+import org.hornbeampass.coordination.upstream.UpstreamState;
+import org.hornbeampass.state.upstream.PrefixDigests;
+
+/**
+ * The upstreams that one attempt may go to, gathered anew for each choice in reused arrays.
+ *
+ * <p>Upstreams pass a sieve whose findings are counted, so that a refusal can say why none is left.
+ * Guarded by the table's lock.
+ */
+final class Candidates {
+    private static final double STALL_RATIO = 8;
+    private static final double MIN_STALL_MS = 1_000;
+
+    private UpstreamState[] mStates = new UpstreamState[0];
+    private long[] mHashes = new long[0];
+    private int mSize;
+    private int mBusy;
+    private int mUnhealthy;
+    private PrefixDigests mPrefix = PrefixDigests.none();
+
+    /** How strictly upstreams are sieved. */
+    enum Sieve {
+        /** Healthy ones only. */
+        HEALTHY,
+        /** Stalled ones too, where no other is left. */
+        STALLED_TOO,
+        /** Ejected ones too, where no other is left. */
+        EJECTED_TOO
+    }
+
+    /** Gathers the upstreams of a group that an attempt may go to. */
+    void gather(long nowMs, UpstreamGroup group, RoutingQuery query, Sieve sieve) {
+        if (mStates.length < group.size()) {
+            mStates = new UpstreamState[group.size()];
+            mHashes = new long[group.size()];
+        }
+        mSize = 0;
+        mBusy = 0;
+        mUnhealthy = 0;
+        mPrefix = query.prefix();
+        double stallMs = stallMs(group);
+        for (int i = 0; i < group.size(); i++) {
+            UpstreamState state = group.member(i);
+            if (suitable(state, query) && admitted(nowMs, state, sieve, stallMs)) {
+                mStates[mSize] = state;
+                mHashes[mSize] = group.hash(i);
+                mSize++;
+            }
+        }
+    }
+
+    /** Returns the number of upstreams that are left. */
+    int size() {
+        return mSize;
+    }
+
+    /** Returns an upstream. */
+    UpstreamState state(int index) {
+        return mStates[index];
+    }
+
+    /** Returns the hash of an upstream's name. */
+    long hash(int index) {
+        return mHashes[index];
+    }
+
+    /** Returns the prompt's digests. */
+    PrefixDigests prefix() {
+        return mPrefix;
+    }
+
+    /** Returns how many suitable upstreams had no place left. */
+    int busy() {
+        return mBusy;
+    }
+
+    /** Returns how many suitable upstreams were left out as ejected or stalled. */
+    int unhealthy() {
+        return mUnhealthy;
+    }
+
+    private static boolean suitable(UpstreamState state, RoutingQuery query) {
+        return state.live()
+                && state.serves(query.target())
+                && (query.excluded().isEmpty() || !query.excluded().contains(state.id()));
+    }
+
+    private boolean admitted(long nowMs, UpstreamState state, Sieve sieve, double stallMs) {
+        LoadEstimate load = state.load();
+        if (sieve != Sieve.EJECTED_TOO && !state.health().admits(nowMs, load.inFlight())) {
+            mUnhealthy++;
+            return false;
+        }
+        if (sieve == Sieve.HEALTHY && load.silentMs(nowMs) >= stallMs) {
+            mUnhealthy++;
+            return false;
+        }
+        if (load.inFlight() >= state.limit().limit()) {
+            mBusy++;
+            return false;
+        }
+        return true;
+    }
+
+    private static double stallMs(UpstreamGroup group) {
+        double sum = 0;
+        int known = 0;
+        for (int i = 0; i < group.size(); i++) {
+            double ms = group.member(i).load().firstTokenMs();
+            sum += ms;
+            known += ms > 0 ? 1 : 0;
+        }
+        return known == 0 ? MIN_STALL_MS : Math.max(MIN_STALL_MS, STALL_RATIO * sum / known);
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/hornbeampass/coordination/routing/PredictedWait.java
@@ -0,0 +1,134 @@
+package org.hornbeampass.coordination.routing;
+
+import org.hornbeampass.coordination.upstream.LoadEstimate;
+import org.hornbeampass.coordination.upstream.Rendezvous;
+import org.hornbeampass.coordination.upstream.UpstreamState;
+import org.hornbeampass.state.upstream.PrefixDigests;
+
+import java.util.SplittableRandom;
+
+/**
+ * Predicts the time to first token at each candidate and chooses among the best.
+ *
+ * <p>The prediction is the round trip plus the upstream's smoothed time per unit of load, times the
+ * estimated load, less what a cached prefix saves. The load is this VM's own, at once, plus that of
+ * others by the last report; as the report ages, the others' load moves to the group's mean. Among
+ * candidates whose predictions are too close to tell apart, chance decides, so that VMs with the
+ * same news don't all choose the same one. Stateless; runs under the table's lock.
+ */
+final class PredictedWait {
+    private static final double DEFAULT_UNIT_MS = 10;
+    private static final double CACHED_SAVING = 0.6;
+    private static final double HOME_SAVING = 0.15;
+    private static final int HOME_BLOCKS = 4;
+    private static final double CLOSE_RATIO = 1.1;
+    private static final double ERROR_PENALTY = 8;
+
+    private PredictedWait() {}
+
+    static int pick(long nowMs, Candidates candidates, SplittableRandom random) {
+        double meanOthers = meanOthers(candidates);
+        double groupUnitMs = groupUnitMs(candidates);
+        double fullWeight = fullWeight(nowMs, candidates);
+        int home = home(candidates);
+        double best = Double.MAX_VALUE;
+        int chosen = 0;
+        int close = 0;
+        for (int i = 0; i < candidates.size(); i++) {
+            double saving = saving(candidates, i, i == home);
+            UpstreamState state = candidates.state(i);
+            double weight = state.slowStartWeight(nowMs) / fullWeight;
+            double ms =
+                    predictMs(nowMs, state, meanOthers, groupUnitMs) * (1 - saving) / weight
+                            + state.distance().roundTripMs();
+            if (ms * CLOSE_RATIO < best) {
+                best = ms;
+                chosen = i;
+                close = 1;
+            } else if (ms <= best * CLOSE_RATIO) {
+                close++;
+                best = Math.min(best, ms);
+                chosen = random.nextInt(close) == 0 ? i : chosen;
+            }
+        }
+        return chosen;
+    }
+
+    /** Returns the estimated load of an upstream, in requests. */
+    static double load(long nowMs, LoadEstimate load, double meanOthers) {
+        double weight = load.reportWeight(nowMs);
+        return load.inFlight() + weight * load.others() + (1 - weight) * meanOthers;
+    }
+
+    /** Returns the mean load by others over the candidates that reported; 0 without any report. */
+    static double meanOthers(Candidates candidates) {
+        double sum = 0;
+        int known = 0;
+        for (int i = 0; i < candidates.size(); i++) {
+            LoadEstimate load = candidates.state(i).load();
+            if (load.hasReport()) {
+                sum += load.others();
+                known++;
+            }
+        }
+        return known == 0 ? 0 : sum / known;
+    }
+
+    private static double predictMs(
+            long nowMs, UpstreamState state, double meanOthers, double groupUnitMs) {
+        LoadEstimate load = state.load();
+        double unitMs = load.unitMs() == 0 ? groupUnitMs : load.unitMs();
+        double waitMs = unitMs * (load(nowMs, load, meanOthers) + 1);
+        double penalty = 1 + ERROR_PENALTY * state.health().errorShare();
+        return Math.max(waitMs, (double) load.silentMs(nowMs)) * penalty;
+    }
+
+    /** Returns the greatest slow-start weight: where all are new, none is held back. */
+    private static double fullWeight(long nowMs, Candidates candidates) {
+        double most = 0;
+        for (int i = 0; i < candidates.size(); i++) {
+            most = Math.max(most, candidates.state(i).slowStartWeight(nowMs));
+        }
+        return most;
+    }
+
+    private static double groupUnitMs(Candidates candidates) {
+        double sum = 0;
+        int known = 0;
+        for (int i = 0; i < candidates.size(); i++) {
+            double unitMs = candidates.state(i).load().unitMs();
+            sum += unitMs;
+            known += unitMs > 0 ? 1 : 0;
+        }
+        return known == 0 ? DEFAULT_UNIT_MS : sum / known;
+    }
+
+    private static double saving(Candidates candidates, int index, boolean home) {
+        PrefixDigests prefix = candidates.prefix();
+        if (prefix.size() == 0) {
+            return 0;
+        }
+        int matching = candidates.state(index).matchingBlocks(prefix);
+        double share = (double) matching / prefix.size();
+        return CACHED_SAVING * share + (home ? HOME_SAVING * (1 - share) : 0);
+    }
+
+    /** Returns the candidate to which all VMs send a prompt that no one is known to hold. */
+    private static int home(Candidates candidates) {
+        PrefixDigests prefix = candidates.prefix();
+        if (prefix.size() == 0) {
+            return -1;
+        }
+        long head = prefix.at(Math.min(HOME_BLOCKS, prefix.size()) - 1);
+        int home = 0;
+        long best = Long.MIN_VALUE;
+        for (int i = 0; i < candidates.size(); i++) {
+            long score = Rendezvous.score(head, candidates.hash(i));
+            if (score > best) {
+                best = score;
+                home = i;
+            }
+        }
+        return home;
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/hornbeampass/coordination/routing/UpstreamChooser.java
@@ -0,0 +1,177 @@
+package org.hornbeampass.coordination.routing;
+
+import io.vavr.control.Either;
+
+import org.agrona.collections.Long2ObjectHashMap;
+import org.hornbeampass.coordination.limit.AttemptOutcome;
+import org.hornbeampass.coordination.upstream.LoadEstimate;
+import org.hornbeampass.coordination.upstream.OutlierDetector;
+import org.hornbeampass.coordination.upstream.UpstreamGroup;
+import org.hornbeampass.coordination.upstream.UpstreamState;
+import org.hornbeampass.coordination.upstream.UpstreamTable;
+import org.hornbeampass.state.ErrorKind;
+import org.hornbeampass.state.Failure;
+import org.hornbeampass.state.upstream.PrefixDigests;
+
+import java.util.Optional;
+import java.util.SplittableRandom;
+
+/**
+ * Chooses the upstream of each attempt and learns from how attempts go.
+ *
+ * <p>Invariants: an upstream whose life ended is never chosen; an upstream never has more attempts
+ * of this VM in progress than its limit; each choice counts from {@link #choose} to the first
+ * {@link #onEnded}, and later calls for it have no effect. Thread-safe: all state is guarded by the
+ * table's lock.
+ */
+public final class UpstreamChooser {
+    private static final Candidates.Sieve[] SIEVES = Candidates.Sieve.values();
+    private static final long OVERLOADED_RETRY_MS = 1_000;
+    private static final long NO_UPSTREAM_RETRY_MS = 2_000;
+
+    private final UpstreamTable mTable;
+    private final RoutingPolicy mPolicy;
+    private final SplittableRandom mRandom;
+    private final OutlierDetector mDetector = new OutlierDetector();
+    private final Candidates mCandidates = new Candidates();
+    private final Long2ObjectHashMap<Attempt> mAttempts = new Long2ObjectHashMap<>();
+    private long mLastAttempt;
+
+    /** An attempt in progress. */
+    private static final class Attempt {
+        private final UpstreamState mState;
+        private final UpstreamGroup mGroup;
+        private final RoutingQuery mQuery;
+        private final double mLoadAtStart;
+        private long mSentAtMs;
+        private boolean mAwaitsFirst = true;
+
+        private Attempt(long nowMs, UpstreamState state, UpstreamGroup group, RoutingQuery query) {
+            mState = state;
+            mGroup = group;
+            mQuery = query;
+            LoadEstimate load = state.load();
+            mLoadAtStart = load.inFlight() + load.reportWeight(nowMs) * load.others();
+            mSentAtMs = nowMs;
+        }
+    }
+
+    /**
+     * Creates a chooser.
+     *
+     * @param table what is known of upstreams
+     * @param policy how to choose among those that are left
+     * @param seed seeds the random source; VMs must differ
+     */
+    public UpstreamChooser(UpstreamTable table, RoutingPolicy policy, long seed) {
+        mTable = table;
+        mPolicy = policy;
+        mRandom = new SplittableRandom(seed);
+    }
+
+    /**
+     * Chooses an upstream and holds a place there.
+     *
+     * @return the choice, or {@code OVERLOADED} where each suitable upstream is at its limit,
+     *     {@code NO_UPSTREAM} where none is suitable, {@code DEADLINE_EXCEEDED_NOT_RUN} where it is
+     *     too late; in each failure nothing was sent
+     */
+    public Either<Failure, UpstreamChoice> choose(long nowMs, RoutingQuery query) {
+        if (query.deadline().passed(nowMs)) {
+            return Either.left(
+                    Failure.of(
+                            ErrorKind.DEADLINE_EXCEEDED_NOT_RUN,
+                            "the deadline passed before an upstream was chosen"));
+        }
+        synchronized (mTable.lock()) {
+            Optional<UpstreamGroup> group = mTable.group(query.target());
+            if (group.isEmpty()) {
+                return Either.left(noUpstream(query));
+            }
+            gather(nowMs, group.get(), query);
+            if (mCandidates.size() == 0) {
+                return Either.left(mCandidates.busy() > 0 ? overloaded(query) : noUpstream(query));
+            }
+            int index = mPolicy.pick(nowMs, mCandidates, mRandom);
+            return Either.right(start(nowMs, mCandidates.state(index), group.get(), query));
+        }
+    }
+
+    /** Notes that an attempt's first byte is being sent. */
+    public void onStarted(long nowMs, UpstreamChoice choice) {
+        synchronized (mTable.lock()) {
+            Attempt attempt = mAttempts.get(choice.attempt());
+            if (attempt != null) {
+                attempt.mSentAtMs = nowMs;
+            }
+        }
+    }
+
+    /** Learns from an attempt's first token; for a plain service, from the start of its answer. */
+    public void onFirstToken(long nowMs, UpstreamChoice choice) {
+        synchronized (mTable.lock()) {
+            Attempt attempt = mAttempts.get(choice.attempt());
+            if (attempt == null || !attempt.mAwaitsFirst) {
+                return;
+            }
+            attempt.mAwaitsFirst = false;
+            PrefixDigests prefix = attempt.mQuery.prefix();
+            attempt.mState.firstToken(nowMs, attempt.mSentAtMs, attempt.mLoadAtStart, prefix);
+            mDetector.onFirstToken(nowMs, attempt.mGroup, attempt.mState);
+        }
+    }
+
+    /** Ends an attempt: gives its place back and learns from its outcome. */
+    public void onEnded(long nowMs, UpstreamChoice choice, AttemptOutcome outcome) {
+        synchronized (mTable.lock()) {
+            Attempt attempt = mAttempts.remove(choice.attempt());
+            if (attempt == null) {
+                return;
+            }
+            attempt.mState.ended(nowMs, attempt.mAwaitsFirst, outcome.showsHealth());
+            if (outcome.blame() == AttemptOutcome.Blame.OVERLOAD) {
+                attempt.mState.limit().refused();
+            }
+            mDetector.onOutcome(nowMs, attempt.mGroup, attempt.mState, outcome);
+        }
+    }
+
+    private void gather(long nowMs, UpstreamGroup group, RoutingQuery query) {
+        for (Candidates.Sieve sieve : SIEVES) {
+            mCandidates.gather(nowMs, group, query, sieve);
+            if (mCandidates.size() > 0 || mCandidates.busy() > 0 || mCandidates.unhealthy() == 0) {
+                return;
+            }
+        }
+    }
+
+    private UpstreamChoice start(
+            long nowMs, UpstreamState state, UpstreamGroup group, RoutingQuery query) {
+        long number = ++mLastAttempt;
+        int believed = state.matchingBlocks(query.prefix());
+        mAttempts.put(number, new Attempt(nowMs, state, group, query));
+        state.started(nowMs);
+        return new UpstreamChoice(
+                number,
+                state.id(),
+                state.spec().baseUri(),
+                state.spec().domain(),
+                state.incarnation(),
+                believed,
+                nowMs);
+    }
+
+    private static Failure overloaded(RoutingQuery query) {
+        return Failure.retryAfter(
+                ErrorKind.OVERLOADED,
+                "each upstream of " + query.target().description() + " is at its limit",
+                OVERLOADED_RETRY_MS);
+    }
+
+    private static Failure noUpstream(RoutingQuery query) {
+        return Failure.retryAfter(
+                ErrorKind.NO_UPSTREAM,
+                "no upstream is ready for " + query.target().description(),
+                NO_UPSTREAM_RETRY_MS);
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/hornbeampass/coordination/routing/package-info.java
@@ -0,0 +1,2 @@
+/** The choice of an upstream for each attempt of a request. */
+package org.hornbeampass.coordination.routing;
--- /dev/null
+++ b/coordination/src/main/java/org/hornbeampass/coordination/upstream/OutlierDetector.java
@@ -0,0 +1,81 @@
+package org.hornbeampass.coordination.upstream;
+
+import org.hornbeampass.coordination.limit.AttemptOutcome;
+import org.hornbeampass.coordination.upstream.UpstreamHealth.State;
+
+/**
+ * Decides when a bad upstream is ejected from its group.
+ *
+ * <p>Reasons are failures in a row, a high share of failures, and a time to first token far above
+ * the group's. Invariant: an ejection never takes the ejected share of the group's live members
+ * above {@link #MAX_EJECTED_SHARE}; a failed probe of an upstream that is out already takes no
+ * more. Stateless; runs under the table's lock.
+ */
+public final class OutlierDetector {
+    /** The largest share of a group's live members that is ejected at once. */
+    public static final double MAX_EJECTED_SHARE = 0.5;
+
+    private static final int MAX_UNREACHABLE = 2;
+    private static final int MAX_CONSECUTIVE_FAILURES = 4;
+    private static final int MIN_SEEN = 10;
+    private static final double MAX_FAILED_SHARE = 0.4;
+    private static final double MAX_LATENCY_RATIO = 6;
+    private static final double MIN_LATENCY_EXCESS_MS = 500;
+
+    /** Learns from an attempt's outcome and ejects the upstream where that is due. */
+    public void onOutcome(
+            long nowMs, UpstreamGroup group, UpstreamState upstream, AttemptOutcome outcome) {
+        UpstreamHealth health = upstream.health();
+        State before = health.state(nowMs);
+        health.record(nowMs, outcome);
+        if (!outcome.upstreamFailed() || before == State.EJECTED) {
+            return;
+        }
+        if (before == State.PROBING) {
+            health.eject(nowMs);
+            return;
+        }
+        if (failsTooOften(nowMs, health) && mayEject(nowMs, group)) {
+            health.eject(nowMs);
+        }
+    }
+
+    /** Learns from a first token and ejects the upstream where it is far slower than its group. */
+    public void onFirstToken(long nowMs, UpstreamGroup group, UpstreamState upstream) {
+        double ownMs = upstream.load().firstTokenMs();
+        if (ownMs < MIN_LATENCY_EXCESS_MS || upstream.health().state(nowMs) != State.HEALTHY) {
+            return;
+        }
+        double othersMs = group.meanFirstTokenMs(upstream);
+        boolean outlier =
+                othersMs > 0
+                        && ownMs > othersMs * MAX_LATENCY_RATIO
+                        && ownMs > othersMs + MIN_LATENCY_EXCESS_MS;
+        if (outlier && mayEject(nowMs, group)) {
+            upstream.health().eject(nowMs);
+            upstream.load().forgetLatency();
+        }
+    }
+
+    private static boolean failsTooOften(long nowMs, UpstreamHealth health) {
+        if (health.consecutiveUnreachable() >= MAX_UNREACHABLE
+                || health.consecutiveFailures() >= MAX_CONSECUTIVE_FAILURES) {
+            return true;
+        }
+        int seen = health.seen(nowMs);
+        return seen >= MIN_SEEN && health.failed(nowMs) >= MAX_FAILED_SHARE * seen;
+    }
+
+    private static boolean mayEject(long nowMs, UpstreamGroup group) {
+        int live = 0;
+        int ejected = 0;
+        for (int i = 0; i < group.size(); i++) {
+            UpstreamState member = group.member(i);
+            if (member.live()) {
+                live++;
+                ejected += member.health().state(nowMs) == State.HEALTHY ? 0 : 1;
+            }
+        }
+        return ejected + 1 <= live * MAX_EJECTED_SHARE;
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/hornbeampass/coordination/upstream/PrefixBelief.java
@@ -0,0 +1,103 @@
+package org.hornbeampass.coordination.upstream;
+
+import org.agrona.collections.LongHashSet;
+import org.hornbeampass.state.upstream.CacheEvent;
+import org.hornbeampass.state.upstream.CacheEvents;
+import org.hornbeampass.state.upstream.PrefixDigests;
+
+/**
+ * Holds which prefixes an upstream is believed to have cached.
+ *
+ * <p>Belief comes from the upstream's late cache events and from this VM's own requests. A gap in
+ * the events drops all belief, since an eviction may have been missed. Invariant: at most a fixed
+ * number of blocks is held, the oldest belief is dropped first. Guarded by the table's lock.
+ */
+final class PrefixBelief {
+    private static final long UNKNOWN = -1;
+
+    private final LongHashSet mDigests = new LongHashSet();
+    private final long[] mOrder;
+    private int mNext;
+    private long mNextSequence = UNKNOWN;
+    private long mGaps;
+
+    PrefixBelief(int maxBlocks) {
+        mOrder = new long[maxBlocks];
+    }
+
+    /** Returns how many leading blocks of a prompt are believed to be cached. */
+    int matchingBlocks(PrefixDigests prefix) {
+        int low = 0;
+        int high = prefix.size();
+        if (high == 0 || !mDigests.contains(prefix.at(0))) {
+            return 0;
+        }
+        while (low + 1 < high) {
+            int middle = (low + high) >>> 1;
+            if (mDigests.contains(prefix.at(middle))) {
+                low = middle;
+            } else {
+                high = middle;
+            }
+        }
+        return low + 1;
+    }
+
+    /** Believes the whole of a prompt to be cached, since a request of this VM just ran there. */
+    void ran(PrefixDigests prefix) {
+        for (int i = 0; i < prefix.size(); i++) {
+            add(prefix.at(i));
+        }
+    }
+
+    /** Applies events; those before the next expected number are repeats and are skipped. */
+    void apply(CacheEvents batch) {
+        long sequence = batch.firstSequence();
+        if (mNextSequence != UNKNOWN && sequence > mNextSequence) {
+            mGaps++;
+            clear();
+        }
+        for (CacheEvent event : batch.events()) {
+            if (mNextSequence == UNKNOWN || sequence >= mNextSequence) {
+                apply(event);
+            }
+            sequence++;
+        }
+        mNextSequence = Math.max(mNextSequence, sequence);
+    }
+
+    /** Drops all belief and the place in the events, since another life began. */
+    void restart() {
+        clear();
+        mNextSequence = UNKNOWN;
+    }
+
+    /** Returns how many gaps were met. */
+    long gaps() {
+        return mGaps;
+    }
+
+    private void apply(CacheEvent event) {
+        if (event.kind() == CacheEvent.Kind.STORED) {
+            add(event.digest());
+        } else if (event.kind() == CacheEvent.Kind.REMOVED) {
+            mDigests.remove(event.digest());
+        } else {
+            clear();
+        }
+    }
+
+    private void add(long digest) {
+        if (!mDigests.add(digest)) {
+            return;
+        }
+        mDigests.remove(mOrder[mNext]);
+        mDigests.add(digest);
+        mOrder[mNext] = digest;
+        mNext = (mNext + 1) % mOrder.length;
+    }
+
+    private void clear() {
+        mDigests.clear();
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/hornbeampass/coordination/upstream/RoutingSettings.java
@@ -0,0 +1,27 @@
+package org.hornbeampass.coordination.upstream;
+
+/**
+ * A VM's settings for routing.
+ *
+ * <p>Immutable; safe for use by any thread.
+ *
+ * @param subsetSize the largest number of upstreams of one model that a VM sends to
+ * @param maxBelievedBlocks the largest number of cached blocks that are remembered per upstream
+ * @param adaptiveLimits whether limits per upstream follow the latency gradient
+ */
+public record RoutingSettings(int subsetSize, int maxBelievedBlocks, boolean adaptiveLimits) {
+    private static final int DEFAULT_SUBSET_SIZE = 64;
+    private static final int DEFAULT_BELIEVED_BLOCKS = 2_048;
+
+    /** Checks the bounds. */
+    public RoutingSettings {
+        if (subsetSize < 1 || maxBelievedBlocks < 1) {
+            throw new IllegalArgumentException("subsetSize and maxBelievedBlocks must be positive");
+        }
+    }
+
+    /** Returns the settings that hold where none are given. */
+    public static RoutingSettings defaults() {
+        return new RoutingSettings(DEFAULT_SUBSET_SIZE, DEFAULT_BELIEVED_BLOCKS, true);
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/hornbeampass/coordination/upstream/UpstreamGroup.java
@@ -0,0 +1,92 @@
+package org.hornbeampass.coordination.upstream;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+
+/**
+ * The upstreams of one model or service that this VM sends to.
+ *
+ * <p>Invariant: it holds at most the configured subset of live upstreams, taken by rendezvous
+ * hashing of the VM's and the upstreams' names, half of it from the VM's own failure domain where
+ * that has enough. Its members never change; the table replaces the group. The members' state is
+ * guarded by the table's lock.
+ */
+public final class UpstreamGroup {
+    private final UpstreamState[] mMembers;
+    private final long[] mHashes;
+
+    private UpstreamGroup(List<UpstreamState> members) {
+        mMembers = members.toArray(new UpstreamState[0]);
+        mHashes = new long[mMembers.length];
+        for (int i = 0; i < mMembers.length; i++) {
+            mHashes[i] = Rendezvous.hash(mMembers[i].id().value());
+        }
+    }
+
+    /** Returns a VM's subset of the candidates. */
+    static UpstreamGroup of(String vmName, List<UpstreamState> candidates, int subsetSize) {
+        if (candidates.size() <= subsetSize) {
+            List<UpstreamState> all = new ArrayList<>(candidates);
+            all.sort(Comparator.comparing(UpstreamState::id));
+            return new UpstreamGroup(all);
+        }
+        List<Ranked> ranked = rank(vmName, candidates);
+        List<UpstreamState> subset = new ArrayList<>(subsetSize);
+        for (Ranked each : ranked) {
+            if (subset.size() < subsetSize / 2
+                    && each.upstream().distance() == Distance.SAME_DOMAIN) {
+                subset.add(each.upstream());
+            }
+        }
+        for (Ranked each : ranked) {
+            if (subset.size() < subsetSize && !subset.contains(each.upstream())) {
+                subset.add(each.upstream());
+            }
+        }
+        return new UpstreamGroup(subset);
+    }
+
+    /** Returns the number of members. */
+    public int size() {
+        return mMembers.length;
+    }
+
+    /** Returns one member. */
+    public UpstreamState member(int index) {
+        return mMembers[index];
+    }
+
+    /** Returns the hash of a member's name, as in {@link Rendezvous}. */
+    public long hash(int index) {
+        return mHashes[index];
+    }
+
+    /** Returns the mean time to first token of the other members; 0 where none is known. */
+    double meanFirstTokenMs(UpstreamState except) {
+        double sum = 0;
+        int known = 0;
+        for (UpstreamState member : mMembers) {
+            double ms = member.load().firstTokenMs();
+            if (member != except && ms > 0) {
+                sum += ms;
+                known++;
+            }
+        }
+        return known == 0 ? 0 : sum / known;
+    }
+
+    private static List<Ranked> rank(String vmName, List<UpstreamState> candidates) {
+        long vm = Rendezvous.hash(vmName);
+        List<Ranked> ranked = new ArrayList<>(candidates.size());
+        for (UpstreamState each : candidates) {
+            long score = Rendezvous.score(vm, Rendezvous.hash(each.id().value()));
+            ranked.add(new Ranked(each, score));
+        }
+        ranked.sort(Comparator.comparingLong(Ranked::score).reversed());
+        return ranked;
+    }
+
+    /** A candidate with its score for this VM. */
+    private record Ranked(UpstreamState upstream, long score) {}
+}
--- /dev/null
+++ b/coordination/src/main/java/org/hornbeampass/coordination/upstream/UpstreamHealth.java
@@ -0,0 +1,159 @@
+package org.hornbeampass.coordination.upstream;
+
+import org.hornbeampass.coordination.limit.AttemptOutcome;
+
+/**
+ * Holds one upstream's failures, ejection and recovery as this VM sees them.
+ *
+ * <p>Invariants: an ejected upstream gets nothing until its time is up, then one request at a time
+ * until enough of them succeed; each ejection that follows without recovery lasts twice as long, up
+ * to a bound. Guarded by the table's lock.
+ */
+public final class UpstreamHealth {
+    private static final int WINDOW_MS = 10_000;
+    private static final int PROBES_TO_RECOVER = 3;
+    private static final long FIRST_EJECTION_MS = 2_000;
+    private static final int MAX_DOUBLINGS = 4;
+    private static final double ERROR_SMOOTHING = 0.1;
+
+    /** Whether an upstream gets work. */
+    public enum State {
+        /** It gets work. */
+        HEALTHY,
+        /** It gets none. */
+        EJECTED,
+        /** It gets one request at a time. */
+        PROBING
+    }
+
+    private State mState = State.HEALTHY;
+    private int mConsecutiveFailures;
+    private int mConsecutiveUnreachable;
+    private int mProbeSuccesses;
+    private int mEjections;
+    private long mEjectedUntilMs;
+    private long mRecoveredAtMs = Long.MIN_VALUE;
+    private long mWindowFromMs;
+    private int mSeen;
+    private int mFailed;
+    private int mLastSeen;
+    private int mLastFailed;
+    private double mErrorShare;
+
+    /** Returns the state; an ejection whose time is up turns into probing. */
+    public State state(long nowMs) {
+        if (mState == State.EJECTED && nowMs >= mEjectedUntilMs) {
+            mState = State.PROBING;
+            mProbeSuccesses = 0;
+        }
+        return mState;
+    }
+
+    /** Returns whether a further request may be sent. */
+    public boolean admits(long nowMs, int inFlight) {
+        State state = state(nowMs);
+        return state == State.HEALTHY || (state == State.PROBING && inFlight == 0);
+    }
+
+    /** Returns failures in a row. */
+    public int consecutiveFailures() {
+        return mConsecutiveFailures;
+    }
+
+    /** Returns failures in a row in which no connection could be made. */
+    public int consecutiveUnreachable() {
+        return mConsecutiveUnreachable;
+    }
+
+    /** Returns the smoothed share of failures, from 0 to 1. */
+    public double errorShare() {
+        return mErrorShare;
+    }
+
+    /** Returns when the upstream last recovered; {@code Long.MIN_VALUE} where it never did. */
+    public long recoveredAtMs() {
+        return mRecoveredAtMs;
+    }
+
+    /** Returns outcomes seen in the last {@value #WINDOW_MS} to twice as many milliseconds. */
+    int seen(long nowMs) {
+        roll(nowMs);
+        return mSeen + mLastSeen;
+    }
+
+    /** Returns failures in the same time. */
+    int failed(long nowMs) {
+        roll(nowMs);
+        return mFailed + mLastFailed;
+    }
+
+    /** Counts an outcome. */
+    void record(long nowMs, AttemptOutcome outcome) {
+        roll(nowMs);
+        if (outcome.upstreamFailed()) {
+            failure(outcome);
+        } else if (outcome.showsHealth()) {
+            success(nowMs);
+        }
+    }
+
+    /** Ejects the upstream from now on. */
+    void eject(long nowMs) {
+        int doublings = Math.min(MAX_DOUBLINGS, mEjections);
+        mEjections++;
+        mState = State.EJECTED;
+        mEjectedUntilMs = nowMs + (FIRST_EJECTION_MS << doublings);
+        mSeen = 0;
+        mFailed = 0;
+        mLastSeen = 0;
+        mLastFailed = 0;
+    }
+
+    /** Forgets all failures, since another life began. */
+    void restart(long nowMs) {
+        mState = State.HEALTHY;
+        mEjections = 0;
+        mConsecutiveFailures = 0;
+        mConsecutiveUnreachable = 0;
+        mErrorShare = 0;
+        mRecoveredAtMs = nowMs;
+    }
+
+    private void failure(AttemptOutcome outcome) {
+        mSeen++;
+        mFailed++;
+        mConsecutiveFailures++;
+        boolean unreachable = outcome.blame() == AttemptOutcome.Blame.UNREACHABLE;
+        mConsecutiveUnreachable = unreachable ? mConsecutiveUnreachable + 1 : 0;
+        mErrorShare += ERROR_SMOOTHING * (1 - mErrorShare);
+    }
+
+    private void success(long nowMs) {
+        mSeen++;
+        mConsecutiveFailures = 0;
+        mConsecutiveUnreachable = 0;
+        mErrorShare -= ERROR_SMOOTHING * mErrorShare;
+        if (mState != State.PROBING) {
+            return;
+        }
+        mProbeSuccesses++;
+        if (mProbeSuccesses >= PROBES_TO_RECOVER) {
+            mState = State.HEALTHY;
+            mEjections = 0;
+            mErrorShare = 0;
+            mRecoveredAtMs = nowMs;
+        }
+    }
+
+    private void roll(long nowMs) {
+        if (nowMs - mWindowFromMs < WINDOW_MS) {
+            return;
+        }
+        boolean adjoining = nowMs - mWindowFromMs < 2 * WINDOW_MS;
+        mLastSeen = adjoining ? mSeen : 0;
+        mLastFailed = adjoining ? mFailed : 0;
+        mSeen = 0;
+        mFailed = 0;
+        mWindowFromMs = nowMs;
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/hornbeampass/coordination/upstream/UpstreamState.java
@@ -0,0 +1,157 @@
+package org.hornbeampass.coordination.upstream;
+
+import org.hornbeampass.coordination.limit.ConcurrencyLimit;
+import org.hornbeampass.state.UpstreamId;
+import org.hornbeampass.state.config.UpstreamSpec;
+import org.hornbeampass.state.upstream.LoadReport;
+import org.hornbeampass.state.upstream.PrefixDigests;
+import org.hornbeampass.state.upstream.WorkTarget;
+
+import java.util.Optional;
+
+/**
+ * All that this VM knows of one upstream.
+ *
+ * <p>Guarded by the table's lock, {@link UpstreamTable#lock()}.
+ */
+public final class UpstreamState {
+    private static final double SLOW_START_MS = 10_000;
+    private static final double FIRST_WEIGHT = 0.1;
+
+    private final UpstreamLife mLife;
+    private final LoadEstimate mLoad = new LoadEstimate();
+    private final UpstreamHealth mHealth = new UpstreamHealth();
+    private final PrefixBelief mPrefixes;
+    private final ConcurrencyLimit mLimit;
+    private UpstreamSpec mSpec;
+    private Distance mDistance;
+    private Optional<LoadReport> mReport = Optional.empty();
+
+    UpstreamState(long nowMs, UpstreamSpec spec, Distance distance, RoutingSettings settings) {
+        mSpec = spec;
+        mDistance = distance;
+        mLife = new UpstreamLife(nowMs);
+        mPrefixes = new PrefixBelief(settings.maxBelievedBlocks());
+        mLimit = new ConcurrencyLimit(spec.maxConcurrent(), settings.adaptiveLimits());
+    }
+
+    /** Returns the upstream's name. */
+    public UpstreamId id() {
+        return mSpec.id();
+    }
+
+    /** Returns its settings. */
+    public UpstreamSpec spec() {
+        return mSpec;
+    }
+
+    /** Returns how far it is. */
+    public Distance distance() {
+        return mDistance;
+    }
+
+    /** Returns whether it may get new work as far as its life goes. */
+    public boolean live() {
+        return mLife.live();
+    }
+
+    /** Returns the newest incarnation that was heard of. */
+    public long incarnation() {
+        return mLife.incarnation();
+    }
+
+    /** Returns its load. */
+    public LoadEstimate load() {
+        return mLoad;
+    }
+
+    /** Returns its failures and ejection. */
+    public UpstreamHealth health() {
+        return mHealth;
+    }
+
+    /** Returns how many requests this VM may have in progress there. */
+    public ConcurrencyLimit limit() {
+        return mLimit;
+    }
+
+    /** Returns its last report; empty where none came in this life. */
+    public Optional<LoadReport> report() {
+        return mReport;
+    }
+
+    /** Returns how many leading blocks of a prompt are believed to be cached there. */
+    public int matchingBlocks(PrefixDigests prefix) {
+        return mPrefixes.matchingBlocks(prefix);
+    }
+
+    /**
+     * Returns whether it can serve a target: what its last report says is ready, or what is
+     * configured where no report came yet.
+     */
+    public boolean serves(WorkTarget target) {
+        if (target.service().isPresent()) {
+            return mSpec.service().equals(target.service());
+        }
+        if (mReport.isEmpty()) {
+            return mSpec.model().equals(target.model());
+        }
+        LoadReport report = mReport.get();
+        return report.readyModels().contains(target.model().orElseThrow())
+                && (target.adapter().isEmpty()
+                        || report.readyAdapters().contains(target.adapter().get()));
+    }
+
+    /** Returns the share of full work that a new or recovered upstream may get, from 0.1 to 1. */
+    public double slowStartWeight(long nowMs) {
+        long sinceMs = Math.max(mLife.liveSinceMs(), mHealth.recoveredAtMs());
+        return Math.min(1, FIRST_WEIGHT + Math.max(0, nowMs - sinceMs) / SLOW_START_MS);
+    }
+
+    /** Counts a request that was chosen to go there. */
+    public void started(long nowMs) {
+        mLoad.started(nowMs);
+    }
+
+    /** Learns from a first token, after which the prompt is believed to be cached. */
+    public void firstToken(long nowMs, long startedAtMs, double loadAtStart, PrefixDigests prefix) {
+        double waitedMs = (double) (nowMs - startedAtMs);
+        mLimit.firstToken(waitedMs, mLoad.inFlight());
+        mLoad.firstToken(nowMs, waitedMs, loadAtStart);
+        mPrefixes.ran(prefix);
+    }
+
+    /** Counts a request that ended. */
+    public void ended(long nowMs, boolean awaitedFirst, boolean progress) {
+        mLoad.ended(nowMs, awaitedFirst, progress);
+    }
+
+    UpstreamLife life() {
+        return mLife;
+    }
+
+    PrefixBelief prefixes() {
+        return mPrefixes;
+    }
+
+    void configure(UpstreamSpec spec, Distance distance) {
+        mSpec = spec;
+        mDistance = distance;
+        mLimit.setMax(spec.maxConcurrent());
+    }
+
+    void reported(LoadReport report) {
+        boolean newer = mReport.map(r -> r.reportedAtMs() <= report.reportedAtMs()).orElse(true);
+        if (newer) {
+            mReport = Optional.of(report);
+            mLoad.reported(report);
+        }
+    }
+
+    void restart(long nowMs) {
+        mReport = Optional.empty();
+        mLoad.restart();
+        mPrefixes.restart();
+        mHealth.restart(nowMs);
+    }
+}
