Add the operators' API on small interfaces to the router's parts

Cause: operators need to create, change and read templates, organisations, upstreams, budgets and bills through any router. Change: router.admin with AdminHandler, its endpoints, checks of every field, conditional changes that name the winner, keys shown once and kept as hashes, and ages on reads. Measured: 29 tests of the handler pass; no load was measured.

--- /dev/null
+++ b/router/src/main/java/org/hornbeampass/router/admin/AdminPorts.java
@@ -0,0 +1,17 @@
+package org.hornbeampass.router.admin;
+
+/**
+ * The parts of a router that the operators' API stands on.
+ *
+ * <p>Immutable; safe for use by any thread.
+ *
+ * @param configuration templates, organisations and upstreams
+ * @param accounts the budgets' accounts
+ * @param billing bills, usage and the audit
+ * @param fleet routers and upstreams at run time
+ */
+public record AdminPorts(
+        ConfigurationPort configuration,
+        AccountPort accounts,
+        BillingPort billing,
+        FleetPort fleet) {}
--- /dev/null
+++ b/router/src/main/java/org/hornbeampass/router/admin/AdminReply.java
@@ -0,0 +1,69 @@
+package org.hornbeampass.router.admin;
+
+import io.vavr.control.Either;
+
+import org.hornbeampass.protocol.admin.AdminJson;
+import org.hornbeampass.protocol.admin.AdminPaths;
+import org.hornbeampass.protocol.http.ErrorAnswer;
+import org.hornbeampass.state.Failure;
+import org.hornbeampass.transport.http.HttpExchange;
+
+import java.util.Map;
+
+/**
+ * Answers one request to the operators' API.
+ *
+ * <p>Invariant: exactly one of its methods is called, once. Thread-safe as its exchange is.
+ */
+final class AdminReply {
+    private static final int OK = 200;
+    private static final int CREATED = 201;
+    private static final long MS_PER_SECOND = 1000;
+    private static final String CONTENT_TYPE = "content-type";
+    private static final String JSON = "application/json";
+
+    private final HttpExchange mExchange;
+
+    AdminReply(HttpExchange exchange) {
+        mExchange = exchange;
+    }
+
+    /** Answers with something read, and says how old it is. */
+    void read(Aged<?> value) {
+        long seconds = Math.max(0, value.ageMs()) / MS_PER_SECOND;
+        send(OK, Map.of(CONTENT_TYPE, JSON, AdminPaths.AGE, Long.toString(seconds)), value.value());
+    }
+
+    /** Answers with something read, or a failure. */
+    void read(Either<Failure, ? extends Aged<?>> result) {
+        if (result.isLeft()) {
+            fail(result.getLeft());
+            return;
+        }
+        read(result.get());
+    }
+
+    /** Answers with what a change gave, or a failure. */
+    void done(Either<Failure, ?> result) {
+        if (result.isLeft()) {
+            fail(result.getLeft());
+            return;
+        }
+        send(OK, Map.of(CONTENT_TYPE, JSON), result.get());
+    }
+
+    /** Answers with what a creation gave; never cached, since it may show a key. */
+    void created(Object value) {
+        send(CREATED, Map.of(CONTENT_TYPE, JSON, "cache-control", "no-store"), value);
+    }
+
+    /** Answers with a failure. */
+    void fail(Failure failure) {
+        ErrorAnswer answer = ErrorAnswer.of(failure);
+        mExchange.respond(answer.status(), answer.headers(), answer.body());
+    }
+
+    private void send(int status, Map<String, String> headers, Object value) {
+        mExchange.respond(status, headers, AdminJson.encode(value));
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/hornbeampass/router/admin/ConfigPages.java
@@ -0,0 +1,41 @@
+package org.hornbeampass.router.admin;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.function.Function;
+
+/**
+ * One page of a map's values in the order of their names.
+ *
+ * <p>Immutable; safe for use by any thread.
+ *
+ * @param items the values
+ * @param next the name after which the next page starts; empty on the last page
+ * @param <T> the type of the values
+ */
+record ConfigPages<T>(List<T> items, Optional<String> next) {
+    /**
+     * Cuts a page.
+     *
+     * @param all all values by name
+     * @param after the name after which the page starts
+     * @param limit the largest number of values on the page
+     */
+    static <K, T> ConfigPages<T> cut(Map<K, T> all, Optional<String> after, int limit) {
+        TreeMap<String, T> sorted = new TreeMap<>();
+        all.forEach((name, value) -> sorted.put(name.toString(), value));
+        Map<String, T> tail = after.isPresent() ? sorted.tailMap(after.get(), false) : sorted;
+        List<String> names = tail.keySet().stream().limit(limit).toList();
+        boolean last = names.size() == tail.size();
+        return new ConfigPages<>(
+                names.stream().map(sorted::get).toList(),
+                last ? Optional.empty() : Optional.of(names.get(names.size() - 1)));
+    }
+
+    /** Returns the page with each value as operators see it. */
+    <V> List<V> views(Function<T, V> view) {
+        return items.stream().map(view).toList();
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/hornbeampass/router/admin/FleetEndpoints.java
@@ -0,0 +1,38 @@
+package org.hornbeampass.router.admin;
+
+import org.hornbeampass.protocol.admin.AdminPaths;
+
+import java.util.List;
+
+/**
+ * The endpoints for routers and for where a revision is in force.
+ *
+ * <p>Thread-safe: holds no state of its own.
+ */
+final class FleetEndpoints {
+    private final FleetPort mFleet;
+
+    FleetEndpoints(FleetPort fleet) {
+        mFleet = fleet;
+    }
+
+    List<AdminRoute> routes() {
+        return List.of(
+                new AdminRoute("GET", AdminPaths.ROUTERS, this::routers),
+                new AdminRoute("GET", AdminPaths.REVISION, this::revision),
+                new AdminRoute("POST", AdminPaths.ROUTERS + "/*/drain", this::drain));
+    }
+
+    private void routers(AdminRequest request, AdminReply reply) {
+        reply.read(Aged.fresh(mFleet.routers(request.nowMs())));
+    }
+
+    private void revision(AdminRequest request, AdminReply reply) {
+        reply.read(Aged.fresh(mFleet.revision(request.nowMs())));
+    }
+
+    private void drain(AdminRequest request, AdminReply reply) {
+        mFleet.drainRouter(
+                request.nowMs(), request.variable(0), (atMs, result) -> reply.done(result));
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/hornbeampass/router/admin/TemplateEndpoints.java
@@ -0,0 +1,141 @@
+package org.hornbeampass.router.admin;
+
+import io.vavr.control.Either;
+
+import org.hornbeampass.protocol.admin.AdminPaths;
+import org.hornbeampass.protocol.admin.TemplateList;
+import org.hornbeampass.protocol.admin.TemplateView;
+import org.hornbeampass.state.ErrorKind;
+import org.hornbeampass.state.Failure;
+import org.hornbeampass.state.config.ConfigSnapshot;
+import org.hornbeampass.state.config.Parameters;
+import org.hornbeampass.state.config.Template;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+
+/**
+ * The endpoints for templates.
+ *
+ * <p>Thread-safe: holds no state of its own.
+ */
+final class TemplateEndpoints {
+    private final ConfigurationPort mConfiguration;
+    private final ConfigChanges mChanges;
+
+    TemplateEndpoints(ConfigurationPort configuration, ConfigChanges changes) {
+        mConfiguration = configuration;
+        mChanges = changes;
+    }
+
+    List<AdminRoute> routes() {
+        String one = AdminPaths.TEMPLATES + "/*";
+        return List.of(
+                new AdminRoute("GET", AdminPaths.TEMPLATES, this::list),
+                new AdminRoute("GET", one, this::show),
+                new AdminRoute("PUT", one, this::put),
+                new AdminRoute("DELETE", one, this::delete));
+    }
+
+    private void list(AdminRequest request, AdminReply reply) {
+        Either<Failure, Integer> limit = request.limit();
+        if (limit.isLeft()) {
+            reply.fail(limit.getLeft());
+            return;
+        }
+        ConfigPages<Template> page =
+                ConfigPages.cut(
+                        mConfiguration.snapshot().templates(), request.after(), limit.get());
+        reply.read(aged(request, new TemplateList(page.views(this::view), page.next())));
+    }
+
+    private void show(AdminRequest request, AdminReply reply) {
+        String name = request.variable(0);
+        Template template = mConfiguration.snapshot().templates().get(name);
+        if (template == null) {
+            reply.fail(ConfigChanges.unknown(ConfigObject.template(name)));
+            return;
+        }
+        reply.read(aged(request, view(template)));
+    }
+
+    private void put(AdminRequest request, AdminReply reply) {
+        Either<Failure, Parameters> parameters =
+                request.body(Parameters.class).flatMap(p -> checked(request.variable(0), p));
+        Either<Failure, OptionalLong> expected = request.expectedRevision();
+        Optional<Failure> fault = firstFault(parameters, expected);
+        if (fault.isPresent()) {
+            reply.fail(fault.get());
+            return;
+        }
+        Template template = new Template(request.variable(0), parameters.get());
+        mChanges.propose(
+                request,
+                new ConfigEdit.PutTemplate(template),
+                expected.get(),
+                (atMs, result) -> reply.done(result));
+    }
+
+    private void delete(AdminRequest request, AdminReply reply) {
+        Either<Failure, OptionalLong> expected = request.expectedRevision();
+        ConfigObject object = ConfigObject.template(request.variable(0));
+        Optional<Failure> fault =
+                expected.isLeft() ? Optional.of(expected.getLeft()) : inUse(object.name());
+        if (fault.isPresent()) {
+            reply.fail(fault.get());
+            return;
+        }
+        mChanges.modify(
+                request,
+                object,
+                expected.get(),
+                () -> Either.right(new ConfigEdit.Delete(object)),
+                (atMs, result) -> reply.done(result));
+    }
+
+    private Optional<Failure> inUse(String template) {
+        ConfigSnapshot snapshot = mConfiguration.snapshot();
+        List<String> users =
+                snapshot.organisations().values().stream()
+                        .filter(o -> o.template().equals(template))
+                        .map(o -> o.id().value())
+                        .sorted()
+                        .limit(5)
+                        .toList();
+        return users.isEmpty()
+                ? Optional.empty()
+                : Optional.of(
+                        Failure.of(
+                                ErrorKind.FIELD_INVALID,
+                                "template "
+                                        + template
+                                        + " is used by "
+                                        + String.join(", ", users)
+                                        + "; give these organisations another template first"));
+    }
+
+    private TemplateView view(Template template) {
+        long revision = mConfiguration.revisionOf(ConfigObject.template(template.name())).orElse(0);
+        return new TemplateView(template.name(), revision, template.parameters());
+    }
+
+    private <T> Aged<T> aged(AdminRequest request, T value) {
+        return new Aged<>(value, mConfiguration.ageMs(request.nowMs()));
+    }
+
+    private static Either<Failure, Parameters> checked(String name, Parameters parameters) {
+        List<String> faults = new ArrayList<>();
+        AdminChecks.name("template", name).ifPresent(faults::add);
+        faults.addAll(AdminChecks.parameters(parameters));
+        return AdminChecks.unless(faults, parameters);
+    }
+
+    private static Optional<Failure> firstFault(Either<Failure, ?> one, Either<Failure, ?> two) {
+        if (one.isLeft()) {
+            return Optional.of(one.getLeft());
+        }
+        return two.isLeft() ? Optional.of(two.getLeft()) : Optional.empty();
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/hornbeampass/router/admin/UpstreamEndpoints.java
@@ -0,0 +1,151 @@
+package org.hornbeampass.router.admin;
+
+import io.vavr.control.Either;
+
+import org.hornbeampass.protocol.admin.AdminPaths;
+import org.hornbeampass.protocol.admin.UpstreamList;
+import org.hornbeampass.protocol.admin.UpstreamView;
+import org.hornbeampass.state.ErrorKind;
+import org.hornbeampass.state.Failure;
+import org.hornbeampass.state.UpstreamId;
+import org.hornbeampass.state.config.UpstreamSpec;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+
+/**
+ * The endpoints for upstreams.
+ *
+ * <p>Thread-safe: holds no state of its own.
+ */
+final class UpstreamEndpoints {
+    private final AdminPorts mPorts;
+    private final ConfigChanges mChanges;
+
+    UpstreamEndpoints(AdminPorts ports, ConfigChanges changes) {
+        mPorts = ports;
+        mChanges = changes;
+    }
+
+    List<AdminRoute> routes() {
+        String one = AdminPaths.UPSTREAMS + "/*";
+        return List.of(
+                new AdminRoute("GET", AdminPaths.UPSTREAMS, this::list),
+                new AdminRoute("GET", one, this::show),
+                new AdminRoute("PUT", one, this::put),
+                new AdminRoute("DELETE", one, this::delete),
+                new AdminRoute("POST", one + "/drain", this::drain));
+    }
+
+    private void list(AdminRequest request, AdminReply reply) {
+        Either<Failure, Integer> limit = request.limit();
+        if (limit.isLeft()) {
+            reply.fail(limit.getLeft());
+            return;
+        }
+        ConfigPages<UpstreamSpec> page =
+                ConfigPages.cut(
+                        mPorts.configuration().snapshot().upstreams(),
+                        request.after(),
+                        limit.get());
+        reply.read(aged(request, new UpstreamList(page.views(this::view), page.next())));
+    }
+
+    private void show(AdminRequest request, AdminReply reply) {
+        Either<Failure, UpstreamSpec> spec = existing(request);
+        reply.read(spec.map(s -> aged(request, view(s))));
+    }
+
+    private void put(AdminRequest request, AdminReply reply) {
+        Either<Failure, UpstreamSpec> spec =
+                request.body(UpstreamSpec.class)
+                        .flatMap(s -> sameName(request.variable(0), s))
+                        .flatMap(s -> AdminChecks.unless(AdminChecks.upstream(s), s))
+                        .flatMap(this::addressIsFree);
+        Either<Failure, OptionalLong> expected = request.expectedRevision();
+        if (spec.isLeft() || expected.isLeft()) {
+            reply.fail(spec.isLeft() ? spec.getLeft() : expected.getLeft());
+            return;
+        }
+        mChanges.propose(
+                request,
+                new ConfigEdit.PutUpstream(spec.get()),
+                expected.get(),
+                (atMs, result) -> reply.done(result));
+    }
+
+    private void delete(AdminRequest request, AdminReply reply) {
+        Either<Failure, OptionalLong> expected = request.expectedRevision();
+        if (expected.isLeft()) {
+            reply.fail(expected.getLeft());
+            return;
+        }
+        ConfigObject object = ConfigObject.upstream(request.variable(0));
+        mChanges.modify(
+                request,
+                object,
+                expected.get(),
+                () -> Either.right(new ConfigEdit.Delete(object)),
+                (atMs, result) -> reply.done(result));
+    }
+
+    private void drain(AdminRequest request, AdminReply reply) {
+        Either<Failure, UpstreamSpec> spec = existing(request);
+        if (spec.isLeft()) {
+            reply.fail(spec.getLeft());
+            return;
+        }
+        mPorts.fleet()
+                .drainUpstream(
+                        request.nowMs(), spec.get().id(), (atMs, result) -> reply.done(result));
+    }
+
+    private Either<Failure, UpstreamSpec> existing(AdminRequest request) {
+        String name = request.variable(0);
+        UpstreamSpec spec = mPorts.configuration().snapshot().upstreams().get(new UpstreamId(name));
+        return spec == null
+                ? Either.left(ConfigChanges.unknown(ConfigObject.upstream(name)))
+                : Either.right(spec);
+    }
+
+    private Either<Failure, UpstreamSpec> addressIsFree(UpstreamSpec spec) {
+        Optional<UpstreamSpec> other =
+                mPorts.configuration().snapshot().upstreams().values().stream()
+                        .filter(u -> !u.id().equals(spec.id()))
+                        .filter(u -> u.baseUri().equals(spec.baseUri()))
+                        .findFirst();
+        return other.isEmpty()
+                ? Either.right(spec)
+                : Either.left(
+                        Failure.of(
+                                ErrorKind.FIELD_INVALID,
+                                "baseUri \""
+                                        + spec.baseUri()
+                                        + "\" is upstream "
+                                        + other.get().id()
+                                        + "'s already; each upstream has its own address"));
+    }
+
+    private UpstreamView view(UpstreamSpec spec) {
+        ConfigObject object = ConfigObject.upstream(spec.id().value());
+        return new UpstreamView(mPorts.configuration().revisionOf(object).orElse(0), spec);
+    }
+
+    private <T> Aged<T> aged(AdminRequest request, T value) {
+        return new Aged<>(value, mPorts.configuration().ageMs(request.nowMs()));
+    }
+
+    private static Either<Failure, UpstreamSpec> sameName(String name, UpstreamSpec spec) {
+        return name.equals(spec.id().value())
+                ? Either.right(spec)
+                : Either.left(
+                        Failure.of(
+                                ErrorKind.FIELD_INVALID,
+                                "id \""
+                                        + AdminChecks.shortened(spec.id().value())
+                                        + "\" differs from the path's \""
+                                        + AdminChecks.shortened(name)
+                                        + "\"; make them equal"));
+    }
+}
--- /dev/null
+++ b/router/src/test/java/org/hornbeampass/router/admin/AdminHandlerTest.java
@@ -0,0 +1,338 @@
+package org.hornbeampass.router.admin;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.hornbeampass.protocol.admin.AdminJson;
+import org.hornbeampass.protocol.admin.AdminPaths;
+import org.hornbeampass.protocol.admin.KeyCreated;
+import org.hornbeampass.protocol.admin.OrganisationView;
+import org.hornbeampass.protocol.admin.TemplateList;
+import org.hornbeampass.state.ErrorKind;
+import org.hornbeampass.state.OrganisationId;
+import org.hornbeampass.state.config.OrganisationSpec;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+import java.nio.charset.StandardCharsets;
+import java.security.SecureRandom;
+import java.util.List;
+
+/** Tests {@link AdminHandler} on its configuration side: input, races, keys, pages and outages. */
+class AdminHandlerTest {
+    private static final String KEY = "operator-key-of-the-test";
+    private static final String DESK = "/admin/v1/templates/desk";
+    private static final String ORGANISATION = "/admin/v1/organisations/flight";
+
+    private final MemoryConfiguration mConfiguration = new MemoryConfiguration();
+    private AdminHandler mHandler;
+
+    @BeforeEach
+    void makeHandler() {
+        AdminPorts ports =
+                new AdminPorts(
+                        mConfiguration,
+                        new MemoryAccounts(0),
+                        new MemoryBilling(),
+                        new FakeFleet());
+        OperatorKeys keys = new OperatorKeys(List.of(new OperatorKey("olga", KeyMaker.hash(KEY))));
+        mHandler = new AdminHandler(ports, keys, new SecureRandom());
+    }
+
+    @Test
+    void noKeyOrWrongKey_isRefusedOnEveryPath() {
+        for (String path : List.of(DESK, "/admin/v1/nothing")) {
+            FakeExchange none = new FakeExchange("GET", path, "");
+            mHandler.handle(0, none);
+            assertRefused(none, ErrorKind.KEY_MISSING_OR_UNKNOWN, "operator's key");
+
+            FakeExchange wrong =
+                    new FakeExchange("GET", path, "").with("Authorization", "Bearer " + KEY + "x");
+            mHandler.handle(0, wrong);
+            assertRefused(wrong, ErrorKind.KEY_MISSING_OR_UNKNOWN, "operator's key");
+            assertThat(wrong.answer()).doesNotContain(KEY);
+        }
+    }
+
+    @Test
+    void callersKey_isNoOperatorsKey() {
+        createTemplate();
+        KeyCreated created = created(createOrganisation());
+
+        FakeExchange exchange =
+                new FakeExchange("GET", ORGANISATION, "")
+                        .with("Authorization", "Bearer " + created.key());
+        mHandler.handle(0, exchange);
+
+        assertRefused(exchange, ErrorKind.KEY_MISSING_OR_UNKNOWN, "callers' keys");
+    }
+
+    @Test
+    void unknownPathAndMethod_nameWhatIsPossible() {
+        assertRefused(send("GET", "/admin/v1/organizations", ""), ErrorKind.NOT_FOUND, "docs/CLI");
+        assertRefused(send("PATCH", DESK, "{}"), ErrorKind.METHOD_NOT_ALLOWED, "DELETE or GET");
+        assertRefused(send("GET", "/admin/v1/" + "x".repeat(5000), ""), ErrorKind.NOT_FOUND, "...");
+    }
+
+    @Test
+    void malformedAndOversizedBodies_areNamed() {
+        assertRefused(send("PUT", DESK, "{\"models\":"), ErrorKind.MALFORMED_REQUEST, "line 1");
+        assertRefused(send("PUT", DESK, ""), ErrorKind.MALFORMED_REQUEST, "empty");
+        assertRefused(
+                send("PUT", DESK, " ".repeat(AdminPaths.MAX_BODY_BYTES + 1)),
+                ErrorKind.REQUEST_TOO_LARGE,
+                "262144");
+        assertRefused(send("PUT", DESK, "{\"maxTokens\":1}"), ErrorKind.FIELD_INVALID, "maxTokens");
+    }
+
+    @Test
+    void badParameters_areNamedAllAtOnce() {
+        FakeExchange exchange = send("PUT", DESK, "{\"priority\":11,\"maxConcurrent\":0}");
+
+        assertRefused(exchange, ErrorKind.FIELD_INVALID, "priority must be from 0 to 9, not 11");
+        assertThat(exchange.answer()).contains("maxConcurrent must be from 1");
+        assertThat(mConfiguration.snapshot().revision()).isZero();
+    }
+
+    @Test
+    void badNames_areRefused() {
+        assertRefused(
+                send("PUT", "/admin/v1/templates/a%20b", "{}"), ErrorKind.FIELD_INVALID, "a b");
+        assertRefused(send("PUT", "/admin/v1/templates/%20", "{}"), ErrorKind.NOT_FOUND, "nothing");
+    }
+
+    @Test
+    void templateOfUnknownName_isNotFound() {
+        assertRefused(send("GET", DESK, ""), ErrorKind.NOT_FOUND, "no template desk");
+        assertRefused(send("DELETE", DESK, ""), ErrorKind.NOT_FOUND, "no template desk");
+    }
+
+    @Test
+    void createTwice_saysAlreadyExists() {
+        createTemplate();
+
+        FakeExchange again = new FakeExchange("PUT", DESK, "{}").with("If-None-Match", "*");
+
+        assertRefused(send(again), ErrorKind.ALREADY_EXISTS, "at revision 1");
+    }
+
+    @Test
+    void staleIfMatch_isAConflictThatNamesTheWinner() {
+        createTemplate();
+        assertThat(send("PUT", DESK, "{\"priority\":2}").status()).isEqualTo(200);
+
+        FakeExchange late = new FakeExchange("PUT", DESK, "{\"priority\":3}").with("If-Match", "1");
+
+        assertRefused(send(late), ErrorKind.REVISION_CONFLICT, "is at revision 2");
+        assertThat(template().parameters().priority()).contains(2);
+    }
+
+    @Test
+    void raceLostAtThePlatform_isAConflict() {
+        createTemplate();
+        mConfiguration.beforeNextProposal(() -> send("PUT", DESK, "{\"priority\":2}"));
+
+        FakeExchange late = new FakeExchange("PUT", DESK, "{\"priority\":3}").with("If-Match", "1");
+
+        assertRefused(send(late), ErrorKind.REVISION_CONFLICT, "template desk");
+        assertThat(template().parameters().priority()).contains(2);
+    }
+
+    @Test
+    void ifMatchThatIsNoNumber_isRefused() {
+        FakeExchange exchange = new FakeExchange("PUT", DESK, "{}").with("If-Match", "abc");
+
+        assertRefused(send(exchange), ErrorKind.FIELD_INVALID, "If-Match");
+    }
+
+    @Test
+    void organisationOfUnknownTemplate_namesKnownOnes() {
+        createTemplate();
+
+        FakeExchange exchange =
+                send("POST", ORGANISATION, "{\"template\":\"dusk\",\"budgets\":[\"main\"]}");
+
+        assertRefused(exchange, ErrorKind.FIELD_INVALID, "known are: desk");
+    }
+
+    @Test
+    void newKey_isShownOnceAndStoredAsHash() {
+        createTemplate();
+        FakeExchange exchange = createOrganisation();
+        KeyCreated created = created(exchange);
+
+        assertThat(exchange.answerHeaders()).containsEntry("cache-control", "no-store");
+        assertThat(created.key()).startsWith("hp-").hasSize(46);
+        assertThat(spec().keyHashes()).containsEntry("first", KeyMaker.hash(created.key()));
+        assertThat(send("GET", ORGANISATION, "").answer())
+                .contains("first")
+                .doesNotContain(created.key())
+                .doesNotContain(KeyMaker.hash(created.key()));
+    }
+
+    @Test
+    void organisationSet_keepsKeysAlsoWhenAKeyIsAddedMeanwhile() {
+        createTemplate();
+        createOrganisation();
+        mConfiguration.beforeNextProposal(() -> send("POST", ORGANISATION + "/keys/second", ""));
+
+        FakeExchange exchange =
+                send(
+                        "PUT",
+                        ORGANISATION,
+                        "{\"template\":\"desk\",\"overrides\":{\"priority\":8},"
+                                + "\"budgets\":[\"main\"]}");
+
+        assertThat(exchange.status()).isEqualTo(200);
+        assertThat(spec().keyHashes()).containsOnlyKeys("first", "second");
+        assertThat(spec().overrides().priority()).contains(8);
+    }
+
+    @Test
+    void keys_areAddedAndRevokedByName() {
+        createTemplate();
+        createOrganisation();
+
+        assertThat(send("POST", ORGANISATION + "/keys/second", "").status()).isEqualTo(201);
+        assertRefused(
+                send("POST", ORGANISATION + "/keys/second", ""),
+                ErrorKind.ALREADY_EXISTS,
+                "second");
+        assertThat(send("DELETE", ORGANISATION + "/keys/first", "").status()).isEqualTo(200);
+        assertRefused(
+                send("DELETE", ORGANISATION + "/keys/first", ""), ErrorKind.NOT_FOUND, "no key");
+        assertThat(spec().keyHashes()).containsOnlyKeys("second");
+    }
+
+    @Test
+    void templateInUse_isNotDeleted() {
+        createTemplate();
+        createOrganisation();
+
+        assertRefused(send("DELETE", DESK, ""), ErrorKind.FIELD_INVALID, "is used by flight");
+    }
+
+    @Test
+    void terms_comeFromTemplateWhereNotOverridden() {
+        createTemplate();
+        createOrganisation();
+        send("PUT", DESK, "{\"priority\":1,\"models\":[\"flight-desk\"]}");
+
+        OrganisationView view =
+                AdminJson.readAnswer(
+                                send("GET", ORGANISATION, "")
+                                        .answer()
+                                        .getBytes(StandardCharsets.UTF_8),
+                                OrganisationView.class)
+                        .get();
+
+        assertThat(view.terms().get().priority()).isEqualTo(1);
+        assertThat(view.revision()).isEqualTo(2);
+    }
+
+    @Test
+    void upstreamWithFaults_isRefused() {
+        String path = "/admin/v1/upstreams/u1";
+        String rest = "\"domain\":\"a\",\"region\":\"r\",\"maxConcurrent\":8}";
+
+        assertRefused(
+                send("PUT", path, "{\"id\":\"u1\",\"baseUri\":\"ftp://x\",\"model\":\"m\"," + rest),
+                ErrorKind.FIELD_INVALID,
+                "baseUri");
+        assertRefused(
+                send("PUT", path, "{\"id\":\"u1\",\"baseUri\":\"http://h:1\"," + rest),
+                ErrorKind.FIELD_INVALID,
+                "exactly one of model and service");
+        assertRefused(
+                send(
+                        "PUT",
+                        path,
+                        "{\"id\":\"u2\",\"baseUri\":\"http://h:1\",\"model\":\"m\"," + rest),
+                ErrorKind.FIELD_INVALID,
+                "differs from the path");
+    }
+
+    @Test
+    void upstreamAtAnAddressInUse_isRefused() {
+        String rest =
+                "\"baseUri\":\"http://127.0.0.1:9\",\"model\":\"m\",\"domain\":\"a\",\"region\":\"r\",\"maxConcurrent\":8}";
+        assertThat(send("PUT", "/admin/v1/upstreams/u1", "{\"id\":\"u1\"," + rest).status())
+                .isEqualTo(200);
+
+        assertRefused(
+                send("PUT", "/admin/v1/upstreams/u2", "{\"id\":\"u2\"," + rest),
+                ErrorKind.FIELD_INVALID,
+                "is upstream u1's already");
+    }
+
+    @Test
+    void lists_arePaged() {
+        for (String name : List.of("c", "a", "b")) {
+            send("PUT", "/admin/v1/templates/" + name, "{}");
+        }
+
+        TemplateList first = templates("?limit=2");
+        TemplateList second = templates("?limit=2&after=" + first.next().get());
+
+        assertThat(first.items()).extracting("name").containsExactly("a", "b");
+        assertThat(second.items()).extracting("name").containsExactly("c");
+        assertThat(second.next()).isEmpty();
+        assertRefused(
+                send("GET", "/admin/v1/templates?limit=0", ""), ErrorKind.FIELD_INVALID, "limit");
+        assertRefused(
+                send("GET", "/admin/v1/templates?limit=x", ""), ErrorKind.FIELD_INVALID, "limit");
+    }
+
+    @Test
+    void outage_readsSayTheirAge_changesAreRefused() {
+        createTemplate();
+        mConfiguration.outage(65_432);
+
+        assertThat(send("GET", DESK, "").answerHeaders()).containsEntry("Age", "65");
+        assertRefused(send("PUT", DESK, "{}"), ErrorKind.PLATFORM_UNAVAILABLE, "down");
+    }
+
+    private void createTemplate() {
+        FakeExchange exchange =
+                send(new FakeExchange("PUT", DESK, "{}").with("If-None-Match", "*"));
+        assertThat(exchange.status()).isEqualTo(200);
+    }
+
+    private FakeExchange createOrganisation() {
+        return send("POST", ORGANISATION, "{\"template\":\"desk\",\"budgets\":[\"main\"]}");
+    }
+
+    private org.hornbeampass.state.config.Template template() {
+        return mConfiguration.snapshot().templates().get("desk");
+    }
+
+    private OrganisationSpec spec() {
+        return mConfiguration.snapshot().organisations().get(new OrganisationId("flight"));
+    }
+
+    private TemplateList templates(String query) {
+        String answer = send("GET", "/admin/v1/templates" + query, "").answer();
+        return AdminJson.readAnswer(answer.getBytes(StandardCharsets.UTF_8), TemplateList.class)
+                .get();
+    }
+
+    private static KeyCreated created(FakeExchange exchange) {
+        assertThat(exchange.status()).isEqualTo(201);
+        return AdminJson.readAnswer(
+                        exchange.answer().getBytes(StandardCharsets.UTF_8), KeyCreated.class)
+                .get();
+    }
+
+    private FakeExchange send(String method, String target, String body) {
+        return send(new FakeExchange(method, target, body));
+    }
+
+    private FakeExchange send(FakeExchange exchange) {
+        mHandler.handle(0, exchange.with("Authorization", "Bearer " + KEY));
+        return exchange;
+    }
+
+    private static void assertRefused(FakeExchange exchange, ErrorKind kind, String part) {
+        assertThat(exchange.answer()).contains("\"" + kind.code() + "\"").contains(part);
+        assertThat(exchange.status()).isEqualTo(kind.httpStatus());
+    }
+}
--- /dev/null
+++ b/router/src/test/java/org/hornbeampass/router/admin/AdminMoneyTest.java
@@ -0,0 +1,149 @@
+package org.hornbeampass.router.admin;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.hornbeampass.protocol.admin.BillView;
+import org.hornbeampass.state.BudgetId;
+import org.hornbeampass.state.OrganisationId;
+import org.hornbeampass.state.RequestId;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+import java.security.SecureRandom;
+import java.util.List;
+
+/** Tests {@link AdminHandler} on budgets, bills, statements, audits and drains. */
+class AdminMoneyTest {
+    private static final String KEY = "operator-key-of-the-test";
+    private static final String BUDGETS = "/admin/v1/organisations/flight/budgets";
+
+    private final MemoryBilling mBilling = new MemoryBilling();
+    private AdminHandler mHandler;
+
+    @BeforeEach
+    void makeOrganisations() {
+        AdminPorts ports =
+                new AdminPorts(
+                        new MemoryConfiguration(),
+                        new MemoryAccounts(3_000),
+                        mBilling,
+                        new FakeFleet());
+        OperatorKeys keys = new OperatorKeys(List.of(new OperatorKey("olga", KeyMaker.hash(KEY))));
+        mHandler = new AdminHandler(ports, keys, new SecureRandom());
+        send("PUT", "/admin/v1/templates/desk", "{}");
+        for (String name : List.of("flight", "mould")) {
+            send(
+                    "POST",
+                    "/admin/v1/organisations/" + name,
+                    "{\"template\":\"desk\",\"budgets\":[\"main\"]}");
+        }
+    }
+
+    @Test
+    void topUp_withTheSameId_countsOnce() {
+        FakeExchange first =
+                send("POST", BUDGETS + "/main/top-up", "{\"id\":\"t1\",\"tokens\":50}");
+        FakeExchange again =
+                send("POST", BUDGETS + "/main/top-up", "{\"id\":\"t1\",\"tokens\":50}");
+
+        assertThat(first.answer()).contains("\"repeated\":false").contains("\"paid\":50");
+        assertThat(again.answer()).contains("\"repeated\":true").contains("\"paid\":50");
+    }
+
+    @Test
+    void topUp_withBadFields_namesThem() {
+        assertThat(send("POST", BUDGETS + "/main/top-up", "{\"id\":\"\",\"tokens\":0}").answer())
+                .contains("field_invalid")
+                .contains("id \\\"\\\" must start")
+                .contains("tokens must be from 1");
+        assertThat(send("POST", BUDGETS + "/main/top-up", "{\"id\":\"a\",\"tokens\":-5}").answer())
+                .contains("tokens must be from 1");
+    }
+
+    @Test
+    void topUp_ofUnknownBudgetOrOrganisation_isNotFound() {
+        assertThat(send("POST", BUDGETS + "/mian/top-up", "{\"id\":\"a\",\"tokens\":5}").answer())
+                .contains("not_found")
+                .contains("it has: main");
+        assertThat(
+                        send(
+                                        "POST",
+                                        "/admin/v1/organisations/fright/budgets/main/top-up",
+                                        "{\"id\":\"a\",\"tokens\":5}")
+                                .answer())
+                .contains("no organisation fright");
+    }
+
+    @Test
+    void budgets_areCreatedListedAndDeletedOnlyWhenEmpty() {
+        assertThat(send("POST", BUDGETS + "/spare", "").status()).isEqualTo(200);
+        assertThat(send("POST", BUDGETS + "/spare", "").answer()).contains("already_exists");
+        send("POST", BUDGETS + "/spare/top-up", "{\"id\":\"a\",\"tokens\":5}");
+
+        assertThat(send("GET", BUDGETS, "").answer()).contains("main").contains("\"paid\":5");
+        assertThat(send("DELETE", BUDGETS + "/spare", "").answer()).contains("lower it first");
+        send("POST", BUDGETS + "/spare/lower", "{\"id\":\"b\",\"tokens\":5}");
+        assertThat(send("DELETE", BUDGETS + "/spare", "").status()).isEqualTo(200);
+        assertThat(send("DELETE", BUDGETS + "/main", "").answer()).contains("the last one");
+    }
+
+    @Test
+    void bills_areTheOrganisationsOwn() {
+        mBilling.add(bill("flight", "r1", 10, 4));
+        mBilling.add(bill("mould", "r2", 30, 6));
+
+        assertThat(send("GET", "/admin/v1/organisations/flight/bills", "").answer())
+                .contains("r1")
+                .doesNotContain("r2");
+        assertThat(send("GET", "/admin/v1/organisations/mould/usage", "").answer())
+                .contains("\"promptTokens\":30")
+                .doesNotContain("\"promptTokens\":10");
+        assertThat(send("GET", "/admin/v1/organisations/none/bills", "").answer())
+                .contains("not_found");
+    }
+
+    @Test
+    void statement_setsBillsBesideTheAccount_andSaysItsAge() {
+        mBilling.add(bill("flight", "r1", 10, 4));
+        mBilling.add(bill("flight", "r2", 20, 6));
+        send("POST", BUDGETS + "/main/top-up", "{\"id\":\"a\",\"tokens\":500}");
+
+        FakeExchange exchange = send("GET", "/admin/v1/organisations/flight/statement", "");
+
+        assertThat(exchange.answer()).contains("\"paid\":500").contains("\"billedTokens\":40");
+        assertThat(exchange.answerHeaders()).containsEntry("Age", "3");
+    }
+
+    @Test
+    void drain_ofRouterAndUpstream_namesUnknownOnes() {
+        assertThat(send("POST", "/admin/v1/routers/vm-1/drain", "").answer()).contains("draining");
+        assertThat(send("POST", "/admin/v1/routers/vm-9/drain", "").status()).isEqualTo(404);
+        assertThat(send("POST", "/admin/v1/upstreams/u9/drain", "").status()).isEqualTo(404);
+    }
+
+    @Test
+    void auditRoutersAndRevision_areRead() {
+        assertThat(send("GET", "/admin/v1/audit", "").answer()).contains("\"breaches\":[]");
+        assertThat(send("GET", "/admin/v1/routers", "").answer()).contains("vm-1~7");
+        assertThat(send("GET", "/admin/v1/revision", "").answer()).contains("\"everywhere\":3");
+    }
+
+    private static BillView bill(String organisation, String request, long prompt, long answer) {
+        return new BillView(
+                new OrganisationId(organisation),
+                new RequestId(request),
+                new BudgetId("main"),
+                "m",
+                "u1",
+                prompt,
+                answer,
+                5);
+    }
+
+    private FakeExchange send(String method, String target, String body) {
+        FakeExchange exchange =
+                new FakeExchange(method, target, body).with("Authorization", "Bearer " + KEY);
+        mHandler.handle(0, exchange);
+        return exchange;
+    }
+}
