Carry typed messages between routers over TCP

Cause: the coordination library needs its PeerNetwork on the wire. Change: PeerTransport frames MessagePack bodies with a versioned header, proves the shared key both ways by HMAC, bounds queues and frames, backs off with jitter, and closes connections that go silent. PeerMessageType is the closed list to which each part adds its lines. Measured: not measured.

--- /dev/null
+++ b/transport/src/main/java/org/hornbeampass/protocol/peer/HandshakeProof.java
@@ -0,0 +1,58 @@
+package org.hornbeampass.protocol.peer;
+
+import org.hornbeampass.protocol.settings.Secret;
+import org.hornbeampass.state.VmId;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.security.GeneralSecurityException;
+import java.security.MessageDigest;
+
+import javax.crypto.Mac;
+import javax.crypto.spec.SecretKeySpec;
+
+/**
+ * Proves that a side holds the cluster key, without sending it.
+ *
+ * <p>Invariants: a proof covers the side that gives it, both names and both nonces, so that none
+ * can be replayed or reflected; proofs are compared in constant time. Immutable; safe for use by
+ * any thread.
+ *
+ * @param hello what the connecting side said
+ * @param listener who the listening side is
+ * @param listenerNonce the listening side's random bytes
+ */
+public record HandshakeProof(Handshake.Hello hello, VmId listener, byte[] listenerNonce) {
+    private static final String ALGORITHM = "HmacSHA256";
+
+    /** The two sides of a connection. */
+    public enum Side {
+        CONNECTING,
+        LISTENING
+    }
+
+    /** Returns a side's proof. */
+    public byte[] prove(Secret key, Side side) {
+        try {
+            Mac mac = Mac.getInstance(ALGORITHM);
+            mac.init(new SecretKeySpec(key.revealBytes(), ALGORITHM));
+            add(mac, side.name().getBytes(StandardCharsets.UTF_8));
+            add(mac, hello.encode());
+            add(mac, listener.toString().getBytes(StandardCharsets.UTF_8));
+            add(mac, listenerNonce);
+            return mac.doFinal();
+        } catch (GeneralSecurityException e) {
+            throw new IllegalStateException("this Java runtime lacks " + ALGORITHM, e);
+        }
+    }
+
+    /** Returns whether a proof is a side's. */
+    public boolean proves(byte[] proof, Secret key, Side side) {
+        return MessageDigest.isEqual(prove(key, side), proof);
+    }
+
+    private static void add(Mac mac, byte[] part) {
+        mac.update(ByteBuffer.allocate(Integer.BYTES).putInt(part.length).array());
+        mac.update(part);
+    }
+}
--- /dev/null
+++ b/transport/src/main/java/org/hornbeampass/transport/peer/ConnectingHandshake.java
@@ -0,0 +1,86 @@
+package org.hornbeampass.transport.peer;
+
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.hornbeampass.protocol.peer.FrameHeader;
+import org.hornbeampass.protocol.peer.FrameKind;
+import org.hornbeampass.protocol.peer.Handshake;
+import org.hornbeampass.protocol.peer.HandshakeProof;
+import org.hornbeampass.transport.Channels;
+
+import java.util.Optional;
+
+/**
+ * The connecting side of the handshake.
+ *
+ * <p>Invariant: nothing but the hello goes out before the other side has proved that it holds the
+ * key and bears the name that was wanted. Not thread-safe: used on one event loop.
+ */
+final class ConnectingHandshake extends SimpleChannelInboundHandler<Frame> {
+    private static final Logger LOG = LogManager.getLogger(ConnectingHandshake.class);
+
+    private final PeerContext mContext;
+    private final Handshake.Hello mHello;
+    private final Runnable mReady;
+    private Optional<HandshakeTimeout> mTimeout = Optional.empty();
+
+    ConnectingHandshake(PeerContext context, String peer, Runnable ready) {
+        mContext = context;
+        mHello =
+                new Handshake.Hello(
+                        FrameHeader.VERSION, context.settings().self(), peer, Nonces.next());
+        mReady = ready;
+    }
+
+    @Override
+    public void channelActive(ChannelHandlerContext context) {
+        mTimeout =
+                Optional.of(
+                        new HandshakeTimeout(
+                                context.channel(), mContext.settings().timing().handshakeMs()));
+        Channels.send(context.channel(), Frame.handshake(FrameKind.HELLO, mHello.encode()));
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, Frame frame) {
+        Optional<Handshake.Challenge> challenge =
+                frame.is(FrameKind.CHALLENGE)
+                        ? Handshake.Challenge.decode(frame.body())
+                        : Optional.empty();
+        Optional<HandshakeProof> proof = challenge.flatMap(this::verify);
+        if (proof.isEmpty()) {
+            mContext.counters().refusedHandshake();
+            LOG.warn(
+                    "the VM at {} did not prove that it is {}",
+                    context.channel().remoteAddress(),
+                    mHello.to());
+            Channels.close(context.channel());
+            return;
+        }
+        byte[] ownProof =
+                proof.get().prove(mContext.settings().key(), HandshakeProof.Side.CONNECTING);
+        Channels.send(context.channel(), Frame.handshake(FrameKind.PROOF, ownProof));
+        mTimeout.ifPresent(HandshakeTimeout::cancel);
+        context.pipeline()
+                .get(FrameCodec.class)
+                .trust(mContext.settings().limits().maxFrameBytes());
+        context.pipeline().remove(this);
+        mContext.counters().connected();
+        mReady.run();
+    }
+
+    private Optional<HandshakeProof> verify(Handshake.Challenge challenge) {
+        HandshakeProof proof = new HandshakeProof(mHello, challenge.from(), challenge.nonce());
+        boolean proved =
+                proof.proves(
+                        challenge.proof(),
+                        mContext.settings().key(),
+                        HandshakeProof.Side.LISTENING);
+        return proved && challenge.from().name().equals(mHello.to())
+                ? Optional.of(proof)
+                : Optional.empty();
+    }
+}
--- /dev/null
+++ b/transport/src/main/java/org/hornbeampass/transport/peer/FrameCodec.java
@@ -0,0 +1,78 @@
+package org.hornbeampass.transport.peer;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.ByteToMessageCodec;
+import io.netty.handler.codec.CorruptedFrameException;
+
+import org.hornbeampass.protocol.peer.FrameHeader;
+import org.hornbeampass.protocol.peer.Handshake;
+
+import java.util.List;
+
+/**
+ * Cuts a connection's bytes into frames, and counts them.
+ *
+ * <p>Invariants: no more is kept than the largest frame, which is small until {@link #trust}; after
+ * a frame out of bounds nothing more is decoded. Not thread-safe: used on one event loop.
+ */
+final class FrameCodec extends ByteToMessageCodec<Frame> {
+    private final PeerCounters mCounters;
+    private int mMaxBytes = Handshake.MAX_FRAME_BYTES;
+    private boolean mBroken;
+
+    FrameCodec(PeerCounters counters) {
+        mCounters = counters;
+    }
+
+    /** Allows larger frames, once the other side has proved that it holds the key. */
+    void trust(int maxFrameBytes) {
+        mMaxBytes = maxFrameBytes;
+    }
+
+    @Override
+    protected void encode(ChannelHandlerContext context, Frame frame, ByteBuf out) {
+        FrameHeader header = frame.header();
+        out.ensureWritable(frame.wireBytes());
+        out.writeInt(FrameHeader.BYTES + frame.body().length);
+        out.writeByte(header.version());
+        out.writeByte(header.kindNumber());
+        out.writeShort(header.typeNumber());
+        out.writeLong(header.correlation());
+        out.writeBytes(frame.body());
+        mCounters.sent(frame.wireBytes());
+    }
+
+    @Override
+    protected void decode(ChannelHandlerContext context, ByteBuf in, List<Object> out) {
+        if (mBroken) {
+            in.skipBytes(in.readableBytes());
+            return;
+        }
+        if (in.readableBytes() < Integer.BYTES) {
+            return;
+        }
+        int length = in.getInt(in.readerIndex());
+        if (length < FrameHeader.BYTES || length > mMaxBytes) {
+            mBroken = true;
+            mCounters.malformed();
+            throw new CorruptedFrameException(
+                    "frame of " + length + " bytes, where at most " + mMaxBytes + " are taken");
+        }
+        if (in.readableBytes() < Integer.BYTES + length) {
+            return;
+        }
+        in.skipBytes(Integer.BYTES);
+        FrameHeader header =
+                new FrameHeader(
+                        in.readUnsignedByte(),
+                        in.readUnsignedByte(),
+                        in.readUnsignedShort(),
+                        in.readLong());
+        byte[] body = new byte[length - FrameHeader.BYTES];
+        in.readBytes(body);
+        Frame frame = new Frame(header, body);
+        mCounters.received(frame.wireBytes());
+        out.add(frame);
+    }
+}
--- /dev/null
+++ b/transport/src/main/java/org/hornbeampass/transport/peer/HandshakeTimeout.java
@@ -0,0 +1,27 @@
+package org.hornbeampass.transport.peer;
+
+import io.netty.channel.Channel;
+import io.netty.util.concurrent.Future;
+
+import org.hornbeampass.transport.Channels;
+
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Closes a channel whose handshake takes too long.
+ *
+ * <p>Not thread-safe: used on one event loop.
+ */
+final class HandshakeTimeout {
+    private final Future<?> mTimer;
+
+    HandshakeTimeout(Channel channel, long timeoutMs) {
+        mTimer =
+                channel.eventLoop()
+                        .schedule(() -> Channels.close(channel), timeoutMs, TimeUnit.MILLISECONDS);
+    }
+
+    void cancel() {
+        mTimer.cancel(false);
+    }
+}
--- /dev/null
+++ b/transport/src/main/java/org/hornbeampass/transport/peer/ListeningHandshake.java
@@ -0,0 +1,100 @@
+package org.hornbeampass.transport.peer;
+
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.hornbeampass.protocol.peer.FrameHeader;
+import org.hornbeampass.protocol.peer.FrameKind;
+import org.hornbeampass.protocol.peer.Handshake;
+import org.hornbeampass.protocol.peer.HandshakeProof;
+import org.hornbeampass.transport.Channels;
+
+import java.util.Optional;
+
+/**
+ * The listening side of the handshake.
+ *
+ * <p>Invariant: no message is handled before the other side has proved that it holds the key. Not
+ * thread-safe: used on one event loop.
+ */
+final class ListeningHandshake extends SimpleChannelInboundHandler<Frame> {
+    private static final Logger LOG = LogManager.getLogger(ListeningHandshake.class);
+
+    private final PeerContext mContext;
+    private final PeerHandlers mHandlers;
+    private Optional<HandshakeTimeout> mTimeout = Optional.empty();
+    private Optional<HandshakeProof> mProof = Optional.empty();
+
+    ListeningHandshake(PeerContext context, PeerHandlers handlers) {
+        mContext = context;
+        mHandlers = handlers;
+    }
+
+    @Override
+    public void channelActive(ChannelHandlerContext context) {
+        mTimeout =
+                Optional.of(
+                        new HandshakeTimeout(
+                                context.channel(), mContext.settings().timing().handshakeMs()));
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, Frame frame) {
+        if (mProof.isEmpty()) {
+            challenge(context, frame);
+        } else {
+            finish(context, frame, mProof.get());
+        }
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        LOG.debug("handshake with {} failed", context.channel().remoteAddress(), cause);
+        Channels.close(context.channel());
+    }
+
+    private void challenge(ChannelHandlerContext context, Frame frame) {
+        Optional<Handshake.Hello> hello =
+                frame.is(FrameKind.HELLO) ? Handshake.Hello.decode(frame.body()) : Optional.empty();
+        PeerSettings settings = mContext.settings();
+        if (hello.isEmpty() || !hello.get().to().equals(settings.self().name())) {
+            refuse(context, "it did not ask for " + settings.self().name());
+            return;
+        }
+        HandshakeProof proof = new HandshakeProof(hello.get(), settings.self(), Nonces.next());
+        mProof = Optional.of(proof);
+        Handshake.Challenge challenge =
+                new Handshake.Challenge(
+                        FrameHeader.VERSION,
+                        settings.self(),
+                        proof.listenerNonce(),
+                        proof.prove(settings.key(), HandshakeProof.Side.LISTENING));
+        Channels.send(context.channel(), Frame.handshake(FrameKind.CHALLENGE, challenge.encode()));
+    }
+
+    private void finish(ChannelHandlerContext context, Frame frame, HandshakeProof proof) {
+        PeerSettings settings = mContext.settings();
+        if (!frame.is(FrameKind.PROOF)
+                || !proof.proves(frame.body(), settings.key(), HandshakeProof.Side.CONNECTING)) {
+            refuse(context, "it did not prove that it holds the key");
+            return;
+        }
+        mTimeout.ifPresent(HandshakeTimeout::cancel);
+        context.pipeline().get(FrameCodec.class).trust(settings.limits().maxFrameBytes());
+        context.pipeline()
+                .replace(
+                        this,
+                        null,
+                        new InboundConnection(
+                                mContext, mHandlers, proof.hello().from(), context.channel()));
+        mContext.counters().connected();
+    }
+
+    private void refuse(ChannelHandlerContext context, String reason) {
+        mContext.counters().refusedHandshake();
+        LOG.warn("refused {}: {}", context.channel().remoteAddress(), reason);
+        Channels.close(context.channel());
+    }
+}
--- /dev/null
+++ b/transport/src/main/java/org/hornbeampass/transport/peer/Nonces.java
@@ -0,0 +1,18 @@
+package org.hornbeampass.transport.peer;
+
+import org.hornbeampass.protocol.peer.Handshake;
+
+import java.security.SecureRandom;
+
+/** Gives the random bytes of handshakes. Thread-safe. */
+final class Nonces {
+    private static final SecureRandom RANDOM = new SecureRandom();
+
+    private Nonces() {}
+
+    static byte[] next() {
+        byte[] nonce = new byte[Handshake.NONCE_BYTES];
+        RANDOM.nextBytes(nonce);
+        return nonce;
+    }
+}
--- /dev/null
+++ b/transport/src/main/java/org/hornbeampass/transport/peer/PeerLink.java
@@ -0,0 +1,235 @@
+package org.hornbeampass.transport.peer;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.WriteBufferWaterMark;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.vavr.control.Either;
+
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.hornbeampass.coordination.peer.PeerMessage;
+import org.hornbeampass.protocol.peer.FrameHeader;
+import org.hornbeampass.protocol.peer.FrameKind;
+import org.hornbeampass.state.ErrorKind;
+import org.hornbeampass.state.Failure;
+import org.hornbeampass.transport.Channels;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.BiConsumer;
+
+/**
+ * The way to one other router: connects when something is to be sent, and waits after failures.
+ *
+ * <p>Invariants: there is at most one connection, with those being made; what waits for it is
+ * bounded; while the link waits after a failure, nothing is queued. Thread-safe: one lock guards
+ * the state; it is taken before a channel's own locks, and never while a reply is run.
+ */
+final class PeerLink {
+    private static final Logger LOG = LogManager.getLogger(PeerLink.class);
+
+    private final Object mLock = new Object();
+    private final PeerContext mContext;
+    private final String mPeer;
+    private final PendingRequests mPending;
+    private final Backoff mBackoff;
+    private final ArrayDeque<Frame> mQueue = new ArrayDeque<>();
+    private Optional<OutboundConnection> mReady = Optional.empty();
+    private Optional<Channel> mChannel = Optional.empty();
+    private int mQueuedBytes;
+    private int mFailures;
+    private long mRetryAtMs;
+    private boolean mClosed;
+
+    PeerLink(PeerContext context, String peer) {
+        mContext = context;
+        mPeer = peer;
+        mPending = new PendingRequests(context);
+        PeerSettings.Timing timing = context.settings().timing();
+        mBackoff = new Backoff(timing.minBackoffMs(), timing.maxBackoffMs());
+    }
+
+    /** Sends a message without a reply. */
+    void send(long nowMs, int typeNumber, byte[] body) {
+        Frame frame = new Frame(FrameHeader.message(FrameKind.ONE_WAY, typeNumber, 0), body);
+        if (put(nowMs, frame).isPresent()) {
+            mContext.counters().dropped();
+        }
+    }
+
+    /** Sends a request. */
+    void request(
+            long nowMs,
+            int typeNumber,
+            byte[] body,
+            long timeoutMs,
+            BiConsumer<Long, Either<Failure, PeerMessage>> done) {
+        OptionalLong correlation = mPending.add(mPeer, timeoutMs, done);
+        if (correlation.isEmpty()) {
+            mContext.counters().dropped();
+            done.accept(
+                    nowMs,
+                    Either.left(
+                            Failure.of(
+                                    ErrorKind.OVERLOADED, "too many requests wait for " + mPeer)));
+            return;
+        }
+        FrameHeader header =
+                FrameHeader.message(FrameKind.REQUEST, typeNumber, correlation.getAsLong());
+        Optional<Failure> refused = put(nowMs, new Frame(header, body));
+        if (refused.isPresent()) {
+            mContext.counters().dropped();
+            mPending.end(correlation.getAsLong(), Either.left(refused.get()));
+        }
+    }
+
+    /** Closes the link for good; requests that wait fail. */
+    void close() {
+        Optional<Channel> channel;
+        synchronized (mLock) {
+            mClosed = true;
+            channel = mChannel;
+            clearQueue();
+        }
+        channel.ifPresent(Channels::close);
+        mPending.failAll(ErrorKind.SHUTTING_DOWN, "the link to " + mPeer + " is closed");
+    }
+
+    private Optional<Failure> put(long nowMs, Frame frame) {
+        boolean connect;
+        synchronized (mLock) {
+            if (mClosed) {
+                return refusal(ErrorKind.SHUTTING_DOWN, "the link to " + mPeer + " is closed");
+            }
+            if (mReady.isPresent()) {
+                return mReady.get().write(frame)
+                        ? Optional.empty()
+                        : refusal(ErrorKind.OVERLOADED, mPeer + " does not keep up");
+            }
+            connect = mChannel.isEmpty() && mQueue.isEmpty();
+            if (connect && nowMs < mRetryAtMs) {
+                return refusal(ErrorKind.NOT_READY, mPeer + " could not be reached just now");
+            }
+            if (mQueuedBytes + frame.wireBytes() > maxQueuedBytes()) {
+                return refusal(ErrorKind.OVERLOADED, "too much waits for " + mPeer);
+            }
+            mQueue.add(frame);
+            mQueuedBytes += frame.wireBytes();
+        }
+        if (connect) {
+            connect();
+        }
+        return Optional.empty();
+    }
+
+    private int maxQueuedBytes() {
+        return mContext.settings().limits().maxQueuedBytes();
+    }
+
+    private static Optional<Failure> refusal(ErrorKind kind, String message) {
+        return Optional.of(Failure.of(kind, message));
+    }
+
+    private void connect() {
+        Optional<InetSocketAddress> address = mContext.addresses().apply(mPeer);
+        if (address.isEmpty()) {
+            down("no address is known");
+            return;
+        }
+        int timeoutMs = (int) mContext.settings().timing().handshakeMs();
+        ChannelFuture connected =
+                new Bootstrap()
+                        .group(mContext.loops().group())
+                        .channel(NioSocketChannel.class)
+                        .option(ChannelOption.TCP_NODELAY, true)
+                        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, Math.max(1, timeoutMs))
+                        .option(
+                                ChannelOption.WRITE_BUFFER_WATER_MARK,
+                                new WriteBufferWaterMark(maxQueuedBytes() / 2, maxQueuedBytes()))
+                        .handler(new Initializer(address.get()))
+                        .connect(address.get());
+        Channel channel = connected.channel();
+        boolean closed;
+        synchronized (mLock) {
+            mChannel = Optional.of(channel);
+            closed = mClosed;
+        }
+        channel.closeFuture().addListener(done -> down("its connection was closed"));
+        connected.addListener(
+                done -> {
+                    if (closed || !done.isSuccess()) {
+                        Channels.close(channel);
+                    }
+                });
+    }
+
+    private void ready(OutboundConnection connection) {
+        synchronized (mLock) {
+            if (mClosed) {
+                connection.close();
+                return;
+            }
+            mReady = Optional.of(connection);
+            mFailures = 0;
+            mQueue.forEach(connection::write);
+            clearQueue();
+        }
+        connection.startChecks();
+    }
+
+    private void down(String reason) {
+        ErrorKind kind;
+        synchronized (mLock) {
+            kind = mReady.isPresent() ? ErrorKind.OUTCOME_UNKNOWN : ErrorKind.NOT_READY;
+            mFailures++;
+            double random = ThreadLocalRandom.current().nextDouble();
+            mRetryAtMs = mContext.clock().nowMs() + mBackoff.delayMs(mFailures, random);
+            mChannel = Optional.empty();
+            mReady = Optional.empty();
+            clearQueue();
+        }
+        LOG.debug("{} can't be reached: {}", mPeer, reason);
+        mPending.failAll(kind, mPeer + " can't be reached: " + reason);
+    }
+
+    private void clearQueue() {
+        mQueue.clear();
+        mQueuedBytes = 0;
+    }
+
+    /** Lays out the pipeline of a connection. */
+    private final class Initializer extends ChannelInitializer<Channel> {
+        private final InetSocketAddress mAddress;
+
+        Initializer(InetSocketAddress address) {
+            mAddress = address;
+        }
+
+        @Override
+        protected void initChannel(Channel channel) {
+            OutboundConnection connection =
+                    new OutboundConnection(mContext, mPeer, channel, mPending);
+            mContext.clientTls()
+                    .ifPresent(
+                            tls ->
+                                    channel.pipeline()
+                                            .addLast(
+                                                    tls.newHandler(
+                                                            channel.alloc(),
+                                                            mAddress.getHostString(),
+                                                            mAddress.getPort())));
+            channel.pipeline()
+                    .addLast(
+                            new FrameCodec(mContext.counters()),
+                            new ConnectingHandshake(mContext, mPeer, () -> ready(connection)),
+                            connection);
+        }
+    }
+}
--- /dev/null
+++ b/transport/src/main/java/org/hornbeampass/transport/peer/PendingRequests.java
@@ -0,0 +1,96 @@
+package org.hornbeampass.transport.peer;
+
+import io.netty.util.concurrent.Future;
+import io.vavr.control.Either;
+
+import org.hornbeampass.coordination.peer.PeerMessage;
+import org.hornbeampass.state.ErrorKind;
+import org.hornbeampass.state.Failure;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.BiConsumer;
+
+/**
+ * The requests to one peer that wait for their replies.
+ *
+ * <p>Invariant: each is ended exactly once, by its reply, its timeout or a failure. Thread-safe;
+ * replies are run with no lock held.
+ */
+final class PendingRequests {
+    private final ConcurrentHashMap<Long, Pending> mPending = new ConcurrentHashMap<>();
+    private final AtomicLong mLastCorrelation = new AtomicLong();
+    private final PeerContext mContext;
+
+    /** One request; its timer is set after it can be found. */
+    private static final class Pending {
+        private final BiConsumer<Long, Either<Failure, PeerMessage>> mDone;
+        private volatile Optional<Future<?>> mTimer = Optional.empty();
+
+        Pending(BiConsumer<Long, Either<Failure, PeerMessage>> done) {
+            mDone = done;
+        }
+    }
+
+    PendingRequests(PeerContext context) {
+        mContext = context;
+    }
+
+    /** Adds a request and returns its correlation id; empty where too many wait. */
+    OptionalLong add(
+            String peer, long timeoutMs, BiConsumer<Long, Either<Failure, PeerMessage>> done) {
+        if (mPending.size() >= mContext.settings().limits().maxPending()) {
+            return OptionalLong.empty();
+        }
+        long correlation = mLastCorrelation.incrementAndGet();
+        Pending pending = new Pending(done);
+        mPending.put(correlation, pending);
+        Future<?> timer =
+                mContext.loops()
+                        .group()
+                        .next()
+                        .schedule(
+                                () -> timeOut(correlation, peer, timeoutMs),
+                                timeoutMs,
+                                TimeUnit.MILLISECONDS);
+        pending.mTimer = Optional.of(timer);
+        return OptionalLong.of(correlation);
+    }
+
+    /** Ends a request, if it still waits. */
+    void end(long correlation, Either<Failure, PeerMessage> reply) {
+        Optional.ofNullable(mPending.remove(correlation))
+                .ifPresent(
+                        pending -> {
+                            pending.mTimer.ifPresent(timer -> timer.cancel(false));
+                            pending.mDone.accept(mContext.clock().nowMs(), reply);
+                        });
+    }
+
+    /** Fails all requests that wait. */
+    void failAll(ErrorKind kind, String reason) {
+        for (Long correlation : List.copyOf(mPending.keySet())) {
+            end(correlation, Either.left(Failure.of(kind, reason)));
+        }
+    }
+
+    boolean isEmpty() {
+        return mPending.isEmpty();
+    }
+
+    private void timeOut(long correlation, String peer, long timeoutMs) {
+        if (mPending.containsKey(correlation)) {
+            mContext.counters().timedOut();
+            end(
+                    correlation,
+                    Either.left(
+                            Failure.of(
+                                    ErrorKind.DEADLINE_EXCEEDED,
+                                    peer + " did not reply within " + timeoutMs + " ms")));
+        }
+    }
+}
--- /dev/null
+++ b/transport/src/main/java/org/hornbeampass/transport/peer/package-info.java
@@ -0,0 +1,2 @@
+/** Typed messages between routers over TCP. */
+package org.hornbeampass.transport.peer;
--- /dev/null
+++ b/transport/src/test/java/org/hornbeampass/transport/peer/Note.java
@@ -0,0 +1,9 @@
+package org.hornbeampass.transport.peer;
+
+import com.fasterxml.jackson.annotation.JsonFormat;
+
+import org.hornbeampass.coordination.peer.PeerMessage;
+
+/** A message without a reply for tests. */
+@JsonFormat(shape = JsonFormat.Shape.ARRAY)
+record Note(String text) implements PeerMessage {}
