Read settings in JSON with comments and report all faults at once

Cause: operators need every fault of a settings file in one go, with its place and its remedy. Measured: not measured.

--- /dev/null
+++ b/transport/src/main/java/org/hornbeampass/protocol/settings/SettingsField.java
@@ -0,0 +1,201 @@
+package org.hornbeampass.protocol.settings;
+
+import io.netty.util.NetUtil;
+
+import org.hornbeampass.protocol.settings.SettingsValue.Kind;
+
+import java.math.BigDecimal;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.net.UnknownHostException;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.function.LongFunction;
+import java.util.stream.Collectors;
+
+/**
+ * One value with its path, read as one type or another.
+ *
+ * <p>Invariant: each method returns a value within its bounds, or records a fault and returns
+ * empty. Not thread-safe: used while one text is read.
+ */
+record SettingsField(Faults faults, String path, SettingsValue value) {
+    /** Stands in for an address that is at fault. */
+    static final InetSocketAddress NO_ADDRESS =
+            new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+
+    private static final String ADDRESS_FORM =
+            "write an IP number and a port, such as \"10.0.0.1:7400\" or \"[fd00::1]:7400\"";
+    private static final int MAX_PORT = 65_535;
+
+    Optional<String> text() {
+        if (!is(Kind.TEXT, "write a text in double quotes")) {
+            return Optional.empty();
+        }
+        if (value.text().isBlank()) {
+            return fault("it is blank", "write a text that is not blank");
+        }
+        return Optional.of(value.text());
+    }
+
+    Optional<Long> whole(long min, long max) {
+        String form = "write a whole number from " + min + " to " + max;
+        if (!is(Kind.NUMBER, form)) {
+            return Optional.empty();
+        }
+        try {
+            long number = new BigDecimal(value.text()).longValueExact();
+            return within(number, min, max, Long::toString);
+        } catch (ArithmeticException e) {
+            return fault("it is not a whole number, or too large", form);
+        }
+    }
+
+    Optional<Double> fraction(double min, double max) {
+        String form = "write a number from " + min + " to " + max;
+        if (!is(Kind.NUMBER, form)) {
+            return Optional.empty();
+        }
+        double number = Double.parseDouble(value.text());
+        return number >= min && number <= max
+                ? Optional.of(number)
+                : fault(number + " is out of range", form);
+    }
+
+    Optional<Boolean> truth() {
+        return is(Kind.BOOLEAN, "write true or false, without quotes")
+                ? Optional.of(Boolean.valueOf(value.text()))
+                : Optional.empty();
+    }
+
+    Optional<Long> durationMs(long minMs, long maxMs) {
+        if (!is(Kind.TEXT, "write " + Units.DURATION_FORM)) {
+            return Optional.empty();
+        }
+        OptionalLong ms = Units.durationMs(value.text());
+        return ms.isEmpty()
+                ? fault(quoted() + " is no duration", "write " + Units.DURATION_FORM)
+                : within(ms.getAsLong(), minMs, maxMs, Units::durationText);
+    }
+
+    Optional<Long> sizeBytes(long minBytes, long maxBytes) {
+        if (!is(Kind.TEXT, "write " + Units.SIZE_FORM)) {
+            return Optional.empty();
+        }
+        OptionalLong bytes = Units.sizeBytes(value.text());
+        return bytes.isEmpty()
+                ? fault(quoted() + " is no size", "write " + Units.SIZE_FORM)
+                : within(bytes.getAsLong(), minBytes, maxBytes, Units::sizeText);
+    }
+
+    <E extends Enum<E>> Optional<E> constant(Class<E> type) {
+        return text().flatMap(
+                        text -> {
+                            for (E constant : type.getEnumConstants()) {
+                                if (label(constant).equals(text)) {
+                                    return Optional.of(constant);
+                                }
+                            }
+                            return fault(quoted() + " is not known", "use one of " + labels(type));
+                        });
+    }
+
+    Optional<InetSocketAddress> address() {
+        return text().flatMap(this::parseAddress).flatMap(this::claim);
+    }
+
+    Optional<URI> uri() {
+        return text().flatMap(this::parseUri);
+    }
+
+    List<SettingsField> items() {
+        if (!is(Kind.LIST, "write a list in square brackets")) {
+            return List.of();
+        }
+        List<SettingsField> items = new ArrayList<>();
+        for (SettingsValue item : value.items()) {
+            items.add(new SettingsField(faults, path + "[" + items.size() + "]", item));
+        }
+        return items;
+    }
+
+    private boolean is(Kind kind, String remedy) {
+        if (value.kind() == kind) {
+            return true;
+        }
+        var unused = fault("it is " + value.kind().label(), remedy);
+        return false;
+    }
+
+    private Optional<Long> within(long number, long min, long max, LongFunction<String> shown) {
+        return number >= min && number <= max
+                ? Optional.of(number)
+                : fault(
+                        shown.apply(number) + " is out of range",
+                        "use " + shown.apply(min) + " to " + shown.apply(max));
+    }
+
+    private Optional<InetSocketAddress> parseAddress(String text) {
+        int cut = text.lastIndexOf(':');
+        if (cut < 0 || !text.substring(cut + 1).matches("\\d{1,5}")) {
+            return fault(quoted() + " has no port", ADDRESS_FORM);
+        }
+        int port = Integer.parseInt(text.substring(cut + 1));
+        byte[] number = NetUtil.createByteArrayFromIpAddressString(text.substring(0, cut));
+        if (number == null || port > MAX_PORT) {
+            return fault(quoted() + " is no address", ADDRESS_FORM);
+        }
+        try {
+            return Optional.of(new InetSocketAddress(InetAddress.getByAddress(number), port));
+        } catch (UnknownHostException e) {
+            return fault(quoted() + " is no address", ADDRESS_FORM);
+        }
+    }
+
+    private Optional<InetSocketAddress> claim(InetSocketAddress address) {
+        if (address.getPort() == 0) {
+            return Optional.of(address);
+        }
+        Optional<String> other = faults.claim(address.toString(), path);
+        return other.isEmpty()
+                ? Optional.of(address)
+                : fault("the address is that of " + other.get() + " already", "use another");
+    }
+
+    private Optional<URI> parseUri(String text) {
+        String form = "write an address such as \"http://10.0.0.1:8080\"";
+        try {
+            URI uri = URI.create(text);
+            boolean web = "http".equals(uri.getScheme()) || "https".equals(uri.getScheme());
+            return web && uri.getHost() != null
+                    ? Optional.of(uri)
+                    : fault(quoted() + " is no http or https address", form);
+        } catch (IllegalArgumentException e) {
+            return fault(quoted() + " is no address", form);
+        }
+    }
+
+    private static String label(Enum<?> constant) {
+        return constant.name().toLowerCase(Locale.ROOT);
+    }
+
+    private static <E extends Enum<E>> String labels(Class<E> type) {
+        return Arrays.stream(type.getEnumConstants())
+                .map(SettingsField::label)
+                .collect(Collectors.joining(", "));
+    }
+
+    private String quoted() {
+        return "\"" + value.text() + "\"";
+    }
+
+    private <T> Optional<T> fault(String problem, String remedy) {
+        faults.add(new Fault(value.line(), value.column(), path, problem, remedy));
+        return Optional.empty();
+    }
+}
