--- a/transport/src/main/java/org/hornbeampass/protocol/peer/PeerMessageType.java
+++ b/transport/src/main/java/org/hornbeampass/protocol/peer/PeerMessageType.java
@@ -1,6 +1,25 @@
 package org.hornbeampass.protocol.peer;
 
+import org.hornbeampass.coordination.budget.AskGrant;
+import org.hornbeampass.coordination.budget.AskRefused;
+import org.hornbeampass.coordination.budget.MoveAck;
+import org.hornbeampass.coordination.budget.MoveGrant;
+import org.hornbeampass.coordination.config.PullReply;
+import org.hornbeampass.coordination.config.PullRequest;
+import org.hornbeampass.coordination.config.RevisionReport;
+import org.hornbeampass.coordination.config.RevisionsReply;
+import org.hornbeampass.coordination.config.RevisionsRequest;
+import org.hornbeampass.coordination.config.SnapshotPart;
+import org.hornbeampass.coordination.config.SnapshotRequest;
+import org.hornbeampass.coordination.membership.Ack;
+import org.hornbeampass.coordination.membership.Gossip;
+import org.hornbeampass.coordination.membership.IndirectAck;
+import org.hornbeampass.coordination.membership.IndirectPing;
+import org.hornbeampass.coordination.membership.Ping;
+import org.hornbeampass.coordination.membership.SyncReply;
+import org.hornbeampass.coordination.membership.SyncRequest;
 import org.hornbeampass.coordination.peer.PeerMessage;
+import org.hornbeampass.protocol.peer.PeerType.Form;
 
 /**
  * The closed list of messages between routers.
@@ -11,15 +30,30 @@
  * thread.
  */
 public enum PeerMessageType {
-// One line for each message: NAME(number, Record.class, PeerType.Form.ONE_WAY or REQUEST or REPLY),
-;
+    PING(1, Ping.class, Form.REQUEST),
+    ACK(2, Ack.class, Form.REPLY),
+    INDIRECT_PING(3, IndirectPing.class, Form.REQUEST),
+    INDIRECT_ACK(4, IndirectAck.class, Form.REPLY),
+    SYNC_REQUEST(5, SyncRequest.class, Form.REQUEST),
+    SYNC_REPLY(6, SyncReply.class, Form.REPLY),
+    GOSSIP(7, Gossip.class, Form.ONE_WAY),
+    PULL_REQUEST(20, PullRequest.class, Form.REQUEST),
+    PULL_REPLY(21, PullReply.class, Form.REPLY),
+    SNAPSHOT_REQUEST(22, SnapshotRequest.class, Form.REQUEST),
+    SNAPSHOT_PART(23, SnapshotPart.class, Form.REPLY),
+    REVISION_REPORT(24, RevisionReport.class, Form.ONE_WAY),
+    REVISIONS_REQUEST(25, RevisionsRequest.class, Form.REQUEST),
+    REVISIONS_REPLY(26, RevisionsReply.class, Form.REPLY),
+    ASK_GRANT(40, AskGrant.class, Form.REQUEST),
+    ASK_REFUSED(41, AskRefused.class, Form.REPLY),
+    MOVE_GRANT(42, MoveGrant.class, Form.REQUEST),
+    MOVE_ACK(43, MoveAck.class, Form.ONE_WAY);
 
     private final int mNumber;
     private final Class<? extends PeerMessage> mMessageClass;
-    private final PeerType.Form mForm;
+    private final Form mForm;
 
-    @SuppressWarnings("UnusedMethod") // until the first message is listed
-    PeerMessageType(int number, Class<? extends PeerMessage> messageClass, PeerType.Form form) {
+    PeerMessageType(int number, Class<? extends PeerMessage> messageClass, Form form) {
         mNumber = number;
         mMessageClass = messageClass;
         mForm = form;
