--- a/transport/src/main/java/org/hornbeampass/transport/http/NettyHttpServer.java
+++ b/transport/src/main/java/org/hornbeampass/transport/http/NettyHttpServer.java
@@ -89,9 +89,12 @@
 
     @Override
     public CompletableFuture<Void> close() {
-        stopAccepting();
+        mStatus.startDraining();
         CompletableFuture<Void> closed = new CompletableFuture<>();
-        mConnections.close().addListener(done -> closed.complete(null));
+        mListener
+                .close()
+                .addListener(
+                        unbound -> mConnections.close().addListener(done -> closed.complete(null)));
         return closed;
     }
 
--- /dev/null
+++ b/transport/src/main/java/org/hornbeampass/transport/metrics/MetricsText.java
@@ -0,0 +1,114 @@
+package org.hornbeampass.transport.metrics;
+
+import com.codahale.metrics.Counting;
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.Histogram;
+import com.codahale.metrics.Metric;
+import com.codahale.metrics.MetricRegistry;
+import com.codahale.metrics.Snapshot;
+import com.codahale.metrics.Timer;
+
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Writes a Dropwizard registry in Prometheus' text format.
+ *
+ * <p>Invariants: names start with {@code hornbeampass_}, counts of events end in {@code _total},
+ * and timers are in seconds and end in {@code _seconds}; the lines of one metric stand together
+ * below its type. Stateless; safe for use by any thread.
+ */
+public final class MetricsText {
+    /** The text's content type. */
+    public static final String CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8";
+
+    private static final String PREFIX = "hornbeampass_";
+    private static final double NS_PER_SECOND = TimeUnit.SECONDS.toNanos(1);
+    private static final double MAX_WHOLE = 1e15;
+    private static final double[] QUANTILES = {0.5, 0.95, 0.99, 0.999};
+
+    private MetricsText() {}
+
+    /** Returns all metrics of a registry that are numbers. */
+    public static String render(MetricRegistry registry) {
+        Map<String, StringBuilder> families = new TreeMap<>();
+        new TreeMap<>(registry.getMetrics()).forEach((name, metric) -> add(families, name, metric));
+        StringBuilder text = new StringBuilder();
+        families.forEach((header, lines) -> text.append(header).append(lines));
+        return text.toString();
+    }
+
+    private static void add(Map<String, StringBuilder> families, String name, Metric metric) {
+        int cut = name.indexOf('{');
+        String base = PREFIX + clean(cut < 0 ? name : name.substring(0, cut));
+        String labels = cut < 0 ? "" : name.substring(cut + 1, name.length() - 1);
+        if (metric instanceof Gauge<?> gauge) {
+            if (gauge.getValue() instanceof Number number) {
+                line(family(families, base, "gauge"), base, labels, number);
+            }
+        } else if (metric instanceof Timer timer) {
+            String seconds = base + "_seconds";
+            summary(
+                    family(families, seconds, "summary"),
+                    seconds,
+                    labels,
+                    timer.getSnapshot(),
+                    timer.getCount(),
+                    NS_PER_SECOND);
+        } else if (metric instanceof Histogram histogram) {
+            summary(
+                    family(families, base, "summary"),
+                    base,
+                    labels,
+                    histogram.getSnapshot(),
+                    histogram.getCount(),
+                    1);
+        } else if (metric instanceof Counting counting) {
+            String total = base + "_total";
+            line(family(families, total, "counter"), total, labels, counting.getCount());
+        }
+    }
+
+    private static StringBuilder family(
+            Map<String, StringBuilder> families, String name, String type) {
+        return families.computeIfAbsent(
+                "# TYPE " + name + " " + type + "\n", header -> new StringBuilder());
+    }
+
+    private static void summary(
+            StringBuilder out,
+            String name,
+            String labels,
+            Snapshot snapshot,
+            long count,
+            double scale) {
+        String start = labels.isEmpty() ? "" : labels + ",";
+        for (double quantile : QUANTILES) {
+            String withQuantile = start + "quantile=\"" + quantile + "\"";
+            line(out, name, withQuantile, snapshot.getValue(quantile) / scale);
+        }
+        line(out, name + "_count", labels, count);
+    }
+
+    private static void line(StringBuilder out, String name, String labels, Number value) {
+        out.append(name);
+        if (!labels.isEmpty()) {
+            out.append('{').append(labels).append('}');
+        }
+        out.append(' ').append(shown(value)).append('\n');
+    }
+
+    private static String shown(Number number) {
+        if (number instanceof Long || number instanceof Integer) {
+            return number.toString();
+        }
+        double value = number.doubleValue();
+        boolean whole = value == Math.rint(value) && Math.abs(value) < MAX_WHOLE;
+        return whole ? Long.toString((long) value) : Double.toString(value);
+    }
+
+    private static String clean(String name) {
+        return name.replaceAll("[^a-zA-Z0-9_]", "_");
+    }
+}
--- /dev/null
+++ b/transport/src/main/java/org/hornbeampass/transport/metrics/package-info.java
@@ -0,0 +1,2 @@
+/** Metrics as text for scrapers. */
+package org.hornbeampass.transport.metrics;
