--- a/standins/src/main/java/org/hornbeampass/standin/admin/Faults.java
+++ b/standins/src/main/java/org/hornbeampass/standin/admin/Faults.java
@@ -75,6 +75,13 @@
         }
     }
 
+    /** Returns the rule of one kind, without deciding for a call. */
+    public Optional<FaultRule> standing(K kind) {
+        synchronized (mLock) {
+            return Optional.ofNullable(mRules.get(kind));
+        }
+    }
+
     /** Returns the rules that are set. */
     public Map<K, FaultRule> rules() {
         synchronized (mLock) {
--- /dev/null
+++ b/standins/src/main/java/org/hornbeampass/standin/package-info.java
@@ -0,0 +1,2 @@
+/** The command that runs a stand-in as a process. */
+package org.hornbeampass.standin;
--- a/standins/src/main/java/org/hornbeampass/standin/platform/FaultPlan.java
+++ b/standins/src/main/java/org/hornbeampass/standin/platform/FaultPlan.java
@@ -51,11 +51,16 @@
         }
     }
 
-    /** Removes all outages and faults. */
-    public void clear() {
+    /** Removes all outages. */
+    public void clearOutages() {
         synchronized (mLock) {
             mOutages.clear();
         }
+    }
+
+    /** Removes all outages and faults. */
+    public void clear() {
+        clearOutages();
         mFaults.clear();
     }
 
--- a/transport/src/main/java/org/hornbeampass/transport/http/HttpExchange.java
+++ b/transport/src/main/java/org/hornbeampass/transport/http/HttpExchange.java
@@ -57,7 +57,10 @@
     /** Ends a streamed answer properly, so that the caller can tell that it is whole. */
     void end();
 
-    /** Breaks a streamed answer off, so that the caller can tell that it is not whole. */
+    /**
+     * Breaks the answer off by closing the connection, before its start or within a stream, so that
+     * the caller can tell that it is not whole.
+     */
     void abort();
 
     /** Runs an action each time a slow caller has caught up. */
--- a/transport/src/main/java/org/hornbeampass/transport/http/ServerExchange.java
+++ b/transport/src/main/java/org/hornbeampass/transport/http/ServerExchange.java
@@ -112,6 +112,11 @@
 
     @Override
     public void abort() {
+        synchronized (mLock) {
+            if (mPhase == Phase.OPEN) {
+                mPhase = Phase.STREAMING;
+            }
+        }
         put(Phase.STREAMING, Phase.ENDED, new AnswerPart.Abort(this));
     }
 
