--- a/standins/src/main/java/org/hornbeampass/standin/admin/LaggedValue.java
+++ b/standins/src/main/java/org/hornbeampass/standin/admin/LaggedValue.java
@@ -31,6 +31,11 @@
         mEntries.add(new Entry<>(Long.MIN_VALUE, initial));
     }
 
+    /** Returns the lag, in milliseconds. */
+    public long lagMs() {
+        return mLagMs;
+    }
+
     /** Changes the lag, in milliseconds. */
     public void setLagMs(long lagMs) {
         mLagMs = lagMs;
--- a/standins/src/main/java/org/hornbeampass/standin/engine/EngineModel.java
+++ b/standins/src/main/java/org/hornbeampass/standin/engine/EngineModel.java
@@ -129,9 +129,9 @@
                 mTokensGenerated);
     }
 
-    /** Returns the load as the engine reports it, with its lag. */
+    /** Returns the load as the engine reports it: as it was the lag ago. */
     public LoadReport reportedLoad(long nowMs) {
-        return mReported.get(nowMs);
+        return mReported.get(nowMs).describing(nowMs - mReported.lagMs());
     }
 
     /** Changes the lag of load reports, in milliseconds. */
--- a/standins/src/main/java/org/hornbeampass/standin/engine/LoadReport.java
+++ b/standins/src/main/java/org/hornbeampass/standin/engine/LoadReport.java
@@ -13,9 +13,8 @@
  * @param tokensGenerated how many tokens were generated since the start
  */
 public record LoadReport(
-        long atMs,
-        int running,
-        int waiting,
-        int maxBatch,
-        int cachedBlocks,
-        long tokensGenerated) {}
+        long atMs, int running, int waiting, int maxBatch, int cachedBlocks, long tokensGenerated) {
+    LoadReport describing(long otherMs) {
+        return new LoadReport(otherMs, running, waiting, maxBatch, cachedBlocks, tokensGenerated);
+    }
+}
--- a/standins/src/main/java/org/hornbeampass/standin/service/RecordTable.java
+++ b/standins/src/main/java/org/hornbeampass/standin/service/RecordTable.java
@@ -23,7 +23,7 @@
      * One executed call.
      *
      * @param id the record's id
-     * @param key the caller's idempotency key; empty where there was none
+     * @param key the idempotency key, or the request id; empty where there was neither
      * @param requestId the request, from {@code x-request-id}; empty where there was none
      * @param attemptId the attempt, from {@code x-attempt-id}; empty where there was none
      * @param body the body
--- a/standins/src/main/java/org/hornbeampass/standin/service/ServiceStandIn.java
+++ b/standins/src/main/java/org/hornbeampass/standin/service/ServiceStandIn.java
@@ -21,8 +21,9 @@
  * A plain service stand-in with an HTTP server, for embedding and as a command.
  *
  * <p>Serves {@code POST /v1/records}, which appends a record each time it is executed; {@code GET
- * /v1/records/{id}}, which may be repeated; {@code POST /admin/leaving?leaving=}; and below {@code
- * /admin/}: {@code faults}, {@code records?after=} and {@code verdict}. Thread-safe.
+ * /v1/records/{id}}, which may be repeated; without an idempotency key a call is counted by its
+ * request id; {@code POST /admin/leaving?leaving=}; and below {@code /admin/}: {@code faults},
+ * {@code records?after=} and {@code verdict}. Thread-safe.
  */
 public final class ServiceStandIn implements AutoCloseable {
     private static final int STATUS_CREATED = 201;
@@ -125,7 +126,7 @@
     private void append(HttpExchange exchange, long nowMs) {
         RecordTable.Entry entry =
                 mRecords.append(
-                        exchange.header(KEY).orElse(""),
+                        exchange.header(KEY).or(() -> exchange.header(REQUEST_ID)).orElse(""),
                         exchange.header(REQUEST_ID).orElse(""),
                         exchange.header(ATTEMPT_ID).orElse(""),
                         Answers.text(exchange));
--- a/standins/src/test/java/org/hornbeampass/standin/engine/EngineModelTest.java
+++ b/standins/src/test/java/org/hornbeampass/standin/engine/EngineModelTest.java
@@ -141,6 +141,7 @@
         assertThat(engine.load(50).running()).isEqualTo(1);
         assertThat(engine.reportedLoad(149).running()).isZero();
         assertThat(engine.reportedLoad(150).running()).isEqualTo(1);
+        assertThat(engine.reportedLoad(150).atMs()).isEqualTo(50);
     }
 
     @Test
