Add the request ledger: bills, claims and outcomes decided by a log

Cause: each request is billed once and each call that may not be repeated runs at most once, whatever retries, two owners, pauses, outages and lost replies do. Change: RequestLedger with bill, claim, withdraw, recordOutcome, handOver and backlogFull. Requests are sharded by hash; a shard's state is a pure function of its log, so two VMs that both write agree on every decision. VMs forward to a shard's owner in batches, append themselves where the owner is gone, and use the next VM where they are cut off from the platform. A claim that was answered "not run" is withdrawn in the log. ShardOwners and RendezvousHash choose the owner.

--- /dev/null
+++ b/coordination/src/main/java/org/hornbeampass/coordination/hash/package-info.java
@@ -0,0 +1,2 @@
+/** Hashing that every VM computes alike. */
+package org.hornbeampass.coordination.hash;
--- /dev/null
+++ b/coordination/src/main/java/org/hornbeampass/coordination/requests/ShardReplica.java
@@ -0,0 +1,280 @@
+package org.hornbeampass.coordination.requests;
+
+import io.vavr.control.Either;
+
+import org.hornbeampass.coordination.log.AppendResult;
+import org.hornbeampass.coordination.log.LogBatch;
+import org.hornbeampass.coordination.log.ShardLog;
+import org.hornbeampass.coordination.platform.RetryPolicy;
+import org.hornbeampass.state.ErrorKind;
+import org.hornbeampass.state.Failure;
+import org.hornbeampass.state.VmId;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.function.LongSupplier;
+
+/**
+ * One VM's copy of one shard: catches up with the log, then appends entries in groups.
+ *
+ * <p>Invariants: entries are decided by applying them at their place in the log, and are answered
+ * only after that; at most one write is open, and its sequence is tried again with the same batch
+ * until it is decided, so a lost reply can't put an entry into the log unnoticed. A VM whose view
+ * is old, because it was paused or another VM also writes, loses the race for the sequence, applies
+ * the winning batch and goes on behind it.
+ *
+ * <p>Not thread-safe; the ledger's lock guards it.
+ */
+final class ShardReplica {
+    private static final RetryPolicy BACKOFF = new RetryPolicy(50, 2_000, Integer.MAX_VALUE);
+    private static final int PAGE = 8;
+
+    private final ShardLog mLog;
+    private final VmId mSelf;
+    private final LedgerSettings mSettings;
+    private final Deferred.Guard mGuard;
+    private final LongSupplier mWriterSequences;
+    private final SplittableRandom mRandom;
+    private final Deque<Proposal> mPending = new ArrayDeque<>();
+    private final List<Proposal> mInFlight = new ArrayList<>();
+
+    private ShardState mState;
+    private LogBatch mOpenBatch;
+    private long mOpenBatchMs;
+    private boolean mReady;
+    private boolean mCallOpen;
+    private long mPendingBytes;
+    private int mUrgent;
+    private int mFailures;
+    private long mFailingSinceMs;
+    private long mNextTryMs = Long.MIN_VALUE;
+    private long mLastWriteMs = Long.MIN_VALUE;
+    private boolean mSkipInterval;
+
+    ShardReplica(
+            ShardLog log,
+            VmId self,
+            LedgerSettings settings,
+            Deferred.Guard guard,
+            LongSupplier writerSequences,
+            SplittableRandom random) {
+        mLog = log;
+        mSelf = self;
+        mSettings = settings;
+        mGuard = guard;
+        mWriterSequences = writerSequences;
+        mRandom = random;
+        mState = new ShardState(settings.retention());
+    }
+
+    /** Returns whether the copy has caught up and the platform answered the last call. */
+    boolean healthy() {
+        return mReady && mFailures == 0;
+    }
+
+    /** Returns for how long the platform has not answered this copy's calls, in milliseconds. */
+    long failingForMs(long nowMs) {
+        return mFailures == 0 ? 0 : nowMs - mFailingSinceMs;
+    }
+
+    /**
+     * Gives back this VM's own entries, each once, and drops those of others, which they still hold. A batch
+     * whose write is open is still tried again, and its entries may be decided twice, alike.
+     */
+    List<Proposal> recall() {
+        List<Proposal> own = new ArrayList<>(mInFlight);
+        own.addAll(mPending);
+        own.removeIf(p -> !p.own());
+        mInFlight.replaceAll(Proposal::notOwn);
+        mPending.clear();
+        mPendingBytes = 0;
+        mUrgent = 0;
+        return own;
+    }
+
+    /** Returns whether nothing waits here. */
+    boolean idle() {
+        return mPending.isEmpty() && mInFlight.isEmpty();
+    }
+
+    /** Returns how many entries wait here. */
+    int waiting() {
+        return mPending.size() + mInFlight.size();
+    }
+
+    /** Returns the state as far as it is caught up. */
+    ShardState state() {
+        return mState;
+    }
+
+    /** Takes an entry in; it is answered at once where it is decided already. */
+    void submit(long nowMs, Proposal proposal, Deferred deferred) {
+        if (mReady && answerKnown(nowMs, proposal, deferred)) {
+            return;
+        }
+        mPending.addLast(proposal);
+        mPendingBytes += proposal.bytes();
+        mUrgent += proposal.urgent() ? 1 : 0;
+        step(nowMs, deferred);
+    }
+
+    private boolean answerKnown(long nowMs, Proposal proposal, Deferred deferred) {
+        return mState.known(proposal.entry())
+                .map(
+                        decision -> {
+                            deferred.add(() -> proposal.done().accept(nowMs, decision));
+                            return true;
+                        })
+                .orElse(false);
+    }
+
+    /** Starts the next call where one is due. */
+    void step(long nowMs, Deferred deferred) {
+        if (mCallOpen || nowMs < mNextTryMs) {
+            return;
+        }
+        if (!mReady) {
+            readOn(nowMs, deferred);
+        } else if (mOpenBatch != null) {
+            append(nowMs, deferred);
+        } else if (due(nowMs) && fillBatch(nowMs, deferred)) {
+            append(nowMs, deferred);
+        }
+    }
+
+    private boolean due(long nowMs) {
+        if (mPending.isEmpty()) {
+            return false;
+        }
+        LedgerSettings.Commit commit = mSettings.commit();
+        long interval = mUrgent > 0 ? commit.claimIntervalMs() : commit.billIntervalMs();
+        return mSkipInterval
+                || mPendingBytes >= commit.maxBatchBytes()
+                || mLastWriteMs == Long.MIN_VALUE
+                || nowMs - mLastWriteMs >= interval;
+    }
+
+    /** Puts as many waiting entries as fit into a new batch; returns whether there is any. */
+    private boolean fillBatch(long nowMs, Deferred deferred) {
+        int bytes = 0;
+        while (!mPending.isEmpty()) {
+            Proposal next = mPending.peekFirst();
+            if (bytes > 0 && bytes + next.bytes() > mSettings.commit().maxBatchBytes()) {
+                break;
+            }
+            removePending();
+            if (!answerKnown(nowMs, next, deferred)) {
+                bytes += next.bytes();
+                mInFlight.add(next);
+            }
+        }
+        mSkipInterval = false;
+        if (mInFlight.isEmpty()) {
+            return false;
+        }
+        mOpenBatchMs = Math.max(nowMs, mState.clock().timeMs());
+        List<String> texts = new ArrayList<>(mInFlight.size() + 1);
+        texts.add(EntryCodec.encodeTime(mOpenBatchMs));
+        mInFlight.forEach(p -> texts.add(p.text()));
+        mOpenBatch =
+                new LogBatch(mState.nextSequence(), mSelf, mWriterSequences.getAsLong(), texts);
+        return true;
+    }
+
+    private void removePending() {
+        Proposal first = mPending.removeFirst();
+        mPendingBytes -= first.bytes();
+        mUrgent -= first.urgent() ? 1 : 0;
+    }
+
+    private void append(long nowMs, Deferred deferred) {
+        mCallOpen = true;
+        mLastWriteMs = nowMs;
+        LogBatch batch = mOpenBatch;
+        deferred.add(
+                () ->
+                        mLog.tryAppend(
+                                nowMs,
+                                batch.sequence(),
+                                batch,
+                                (atMs, result) -> mGuard.locked(d -> appended(atMs, result, d))));
+    }
+
+    private void appended(long nowMs, Either<Failure, AppendResult> result, Deferred deferred) {
+        mCallOpen = false;
+        if (result.isLeft()) {
+            failed(nowMs, result.getLeft());
+            return;
+        }
+        mFailures = 0;
+        mOpenBatch = null;
+        if (result.get() instanceof AppendResult.Lost lost) {
+            requeue();
+            mState.apply(lost.winner());
+            mSkipInterval = true;
+        } else {
+            applyOwn(nowMs, deferred);
+        }
+        step(nowMs, deferred);
+    }
+
+    private void applyOwn(long nowMs, Deferred deferred) {
+        mState.beginBatch(mOpenBatchMs);
+        for (Proposal proposal : mInFlight) {
+            EntryDecision decision = mState.apply(proposal.entry());
+            deferred.add(() -> proposal.done().accept(nowMs, decision));
+        }
+        mInFlight.clear();
+        mState.endBatch();
+    }
+
+    private void failed(long nowMs, Failure failure) {
+        mFailingSinceMs = mFailures == 0 ? nowMs : mFailingSinceMs;
+        mFailures++;
+        mNextTryMs = nowMs + BACKOFF.waitMs(mFailures, mRandom);
+        if (failure.kind() == ErrorKind.REVISION_CONFLICT) {
+            requeue();
+            mOpenBatch = null;
+            mReady = false;
+            mState = new ShardState(mSettings.retention());
+        }
+    }
+
+    /** Puts the entries of a batch that does not stand back to the front. */
+    private void requeue() {
+        for (int i = mInFlight.size() - 1; i >= 0; i--) {
+            Proposal proposal = mInFlight.get(i);
+            mPending.addFirst(proposal);
+            mPendingBytes += proposal.bytes();
+            mUrgent += proposal.urgent() ? 1 : 0;
+        }
+        mInFlight.clear();
+    }
+
+    private void readOn(long nowMs, Deferred deferred) {
+        mCallOpen = true;
+        long from = mState.nextSequence();
+        deferred.add(
+                () ->
+                        mLog.read(
+                                nowMs,
+                                from,
+                                PAGE,
+                                (atMs, batches) -> mGuard.locked(d -> readPage(atMs, batches, d))));
+    }
+
+    private void readPage(long nowMs, Either<Failure, List<LogBatch>> batches, Deferred deferred) {
+        mCallOpen = false;
+        if (batches.isLeft()) {
+            failed(nowMs, batches.getLeft());
+            return;
+        }
+        mFailures = 0;
+        batches.get().forEach(mState::apply);
+        mReady = batches.get().isEmpty();
+        step(nowMs, deferred);
+    }
+}
--- /dev/null
+++ b/coordination/src/test/java/org/hornbeampass/coordination/requests/RequestLedgerTest.java
@@ -0,0 +1,209 @@
+package org.hornbeampass.coordination.requests;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.hornbeampass.state.ErrorKind;
+import org.hornbeampass.state.VmId;
+import org.hornbeampass.state.requests.AttemptId;
+import org.hornbeampass.state.requests.BillOutcome;
+import org.hornbeampass.state.requests.ClaimOutcome;
+import org.junit.jupiter.api.Test;
+
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.AtomicReference;
+
+/** Checks what bills and claims are answered, through faults of VMs, network and platform. */
+class RequestLedgerTest {
+    private final LedgerFleet mFleet = new LedgerFleet(1, LedgerFleet.settings(2));
+    private final VmId mA = mFleet.start("a", 1);
+    private final VmId mB = mFleet.start("b", 1);
+    private final VmId mC = mFleet.start("c", 1);
+
+    @Test
+    void first_bill_stands_and_a_retry_elsewhere_is_a_duplicate() {
+        AttemptId first = mFleet.bill(mA, "r1", 10);
+        mFleet.mTime.runFor(2_000);
+        AttemptId second = mFleet.bill(mB, "r1", 12);
+        AttemptId other = mFleet.bill(mC, "r2", 5);
+        mFleet.mTime.runFor(2_000);
+
+        assertThat(mFleet.billOutcome(first)).contains(BillOutcome.BILLED);
+        assertThat(mFleet.billOutcome(second)).contains(BillOutcome.DUPLICATE);
+        assertThat(mFleet.billOutcome(other)).contains(BillOutcome.BILLED);
+    }
+
+    @Test
+    void two_owners_of_one_shard_agree_on_one_bill() {
+        mFleet.sees(mA, mA);
+        mFleet.sees(mB, mB);
+        mFleet.sees(mC, mC);
+        AttemptId one = mFleet.bill(mA, "r1", 10);
+        AttemptId two = mFleet.bill(mB, "r1", 10);
+        AttemptId three = mFleet.bill(mC, "r1", 10);
+        mFleet.mTime.runFor(10_000);
+
+        assertThat(mFleet.mBilled).containsOnlyKeys(one, two, three);
+        assertThat(mFleet.billed()).hasSize(1);
+    }
+
+    @Test
+    void bills_survive_a_platform_outage_in_memory() {
+        mFleet.mPlatform.outage(true);
+        AttemptId one = mFleet.bill(mA, "r1", 10);
+        AttemptId two = mFleet.bill(mB, "r2", 10);
+        mFleet.mTime.runFor(600_000);
+        assertThat(mFleet.mBilled).isEmpty();
+
+        mFleet.mPlatform.outage(false);
+        mFleet.mTime.runFor(30_000);
+
+        assertThat(mFleet.billed()).containsExactlyInAnyOrder(one, two);
+    }
+
+    @Test
+    void vm_cut_off_from_its_peers_appends_itself() {
+        mFleet.mPeers.cut("a", "b");
+        mFleet.mPeers.cut("a", "c");
+        mFleet.mPeers.cut("b", "c");
+        AttemptId one = mFleet.bill(mA, "r1", 10);
+        AttemptId two = mFleet.bill(mB, "r2", 10);
+        AttemptId three = mFleet.bill(mC, "r3", 10);
+        mFleet.mTime.runFor(30_000);
+
+        assertThat(mFleet.billed()).containsExactlyInAnyOrder(one, two, three);
+    }
+
+    @Test
+    void vm_cut_off_from_the_platform_bills_through_its_peers() {
+        mFleet.mPlatform.cut(mA);
+        AttemptId one = mFleet.bill(mA, "r1", 10);
+        AttemptId two = mFleet.bill(mA, "r2", 10);
+        AttemptId three = mFleet.bill(mA, "r3", 10);
+        mFleet.sees(mA, mB, mC);
+        mFleet.sees(mB, mB, mC);
+        mFleet.sees(mC, mB, mC);
+        mFleet.mTime.runFor(30_000);
+
+        assertThat(mFleet.billed()).containsExactlyInAnyOrder(one, two, three);
+    }
+
+    @Test
+    void claim_is_granted_once_and_its_outcome_is_given_to_retries() {
+        AttemptId first = mFleet.claim(mA, "release-1", "mould 7");
+        mFleet.mTime.runFor(1_000);
+        AttemptId early = mFleet.claim(mB, "release-1", "mould 7");
+        mFleet.mTime.runFor(1_000);
+        AtomicReference<Boolean> recorded = mFleet.outcome(first, "released");
+        mFleet.mTime.runFor(1_000);
+        AttemptId late = mFleet.claim(mC, "release-1", "mould 7");
+        AttemptId reused = mFleet.claim(mC, "release-1", "mould 8");
+        mFleet.mTime.runFor(1_000);
+
+        assertThat(mFleet.claimStatus(first)).contains(ClaimOutcome.Status.GRANTED);
+        assertThat(mFleet.claimStatus(early)).contains(ClaimOutcome.Status.RUNNING);
+        assertThat(recorded).hasValue(true);
+        assertThat(mFleet.mClaimed.get(late).get().recorded().orElseThrow().body())
+                .isEqualTo("released");
+        assertThat(mFleet.claimStatus(reused)).contains(ClaimOutcome.Status.KEY_REUSED);
+    }
+
+    @Test
+    void claim_of_a_vm_that_is_gone_has_an_unknown_outcome() {
+        AttemptId first = mFleet.claim(mA, "release-1", "mould 7");
+        mFleet.mTime.runFor(1_000);
+        assertThat(mFleet.claimStatus(first)).contains(ClaimOutcome.Status.GRANTED);
+
+        mFleet.kill(mA);
+        AttemptId retry = mFleet.claim(mB, "release-1", "mould 7");
+        mFleet.mTime.runFor(10_000);
+
+        assertThat(mFleet.claimStatus(retry)).contains(ClaimOutcome.Status.OUTCOME_UNKNOWN);
+    }
+
+    @Test
+    void claim_told_not_run_in_an_outage_is_withdrawn_before_another_is_granted() {
+        mFleet.mPlatform.loses(0, 1.0);
+        AttemptId first = mFleet.claim(mA, "release-1", "mould 7");
+        mFleet.mTime.runFor(10_000);
+        assertThat(mFleet.mClaimed.get(first).getLeft().kind())
+                .isEqualTo(ErrorKind.PLATFORM_UNAVAILABLE);
+
+        mFleet.mPlatform.loses(0, 0);
+        mFleet.mTime.runFor(20_000);
+        AttemptId retry = mFleet.claim(mB, "release-1", "mould 7");
+        mFleet.mTime.runFor(5_000);
+
+        assertThat(mFleet.claimStatus(retry)).contains(ClaimOutcome.Status.GRANTED);
+        assertThat(mFleet.mClaimed.get(first).isLeft()).isTrue();
+    }
+
+    @Test
+    void full_backlog_is_told_and_ends_with_the_outage() {
+        LedgerSettings small =
+                new LedgerSettings(
+                        1,
+                        Retention.standard(),
+                        LedgerSettings.standard().commit(),
+                        new LedgerSettings.Backlog(10, 1 << 20, 100),
+                        1_000);
+        LedgerFleet fleet = new LedgerFleet(2, small);
+        VmId vm = fleet.start("a", 1);
+        fleet.mPlatform.outage(true);
+        for (int i = 0; i < 10; i++) {
+            assertThat(fleet.ledger(vm).backlogFull()).isFalse();
+            fleet.bill(vm, "r" + i, 1);
+        }
+        assertThat(fleet.ledger(vm).backlogFull()).isTrue();
+
+        fleet.mPlatform.outage(false);
+        fleet.mTime.runFor(10_000);
+
+        assertThat(fleet.ledger(vm).backlogFull()).isFalse();
+        assertThat(fleet.billed()).hasSize(10);
+    }
+
+    @Test
+    void hand_over_ends_once_all_is_durable() {
+        AttemptId one = mFleet.bill(mA, "r1", 10);
+        AttemptId two = mFleet.bill(mB, "r2", 10);
+        AtomicLong doneMs = new AtomicLong();
+        mFleet.mTime.runFor(1);
+        mFleet.ledger(mA).handOver(mFleet.mTime.nowMs(), doneMs::set);
+        mFleet.sees(mB, mB, mC);
+        mFleet.sees(mC, mB, mC);
+        mFleet.mTime.runFor(30_000);
+
+        assertThat(doneMs.get()).isPositive();
+        assertThat(mFleet.billed()).containsExactlyInAnyOrder(one, two);
+        assertThat(mFleet.ledger(mA).waiting()).isZero();
+    }
+
+    @Test
+    void request_answered_too_often_is_refused_by_the_vms_that_know() {
+        for (int i = 0; i < 4; i++) {
+            mFleet.bill(mA, "r1", 10);
+            mFleet.mTime.runFor(2_000);
+        }
+        long nowMs = mFleet.mTime.nowMs();
+
+        assertThat(mFleet.ledger(mA).refusal(nowMs, LedgerFleet.key("r1", "body")))
+                .hasValueSatisfying(
+                        f -> assertThat(f.kind()).isEqualTo(ErrorKind.IDEMPOTENCY_KEY_EXPIRED));
+        assertThat(mFleet.ledger(mA).refusal(nowMs, LedgerFleet.key("r1", "other"))).isEmpty();
+        assertThat(mFleet.ledger(mB).refusal(nowMs, LedgerFleet.key("r1", "body"))).isEmpty();
+    }
+
+    @Test
+    void key_that_carries_an_old_time_is_refused() {
+        long nowMs = mFleet.mTime.nowMs();
+        long tooOldMs = nowMs - Retention.standard().retryMs() - 1;
+
+        assertThat(mFleet.ledger(mA).refusal(nowMs, LedgerFleet.key("r@" + tooOldMs, "body")))
+                .isPresent();
+        assertThat(mFleet.ledger(mA).refusal(nowMs, LedgerFleet.key("r@" + nowMs, "body")))
+                .isEmpty();
+        AttemptId claim = mFleet.claim(mA, "r@" + tooOldMs, "body");
+        mFleet.mTime.runFor(2_000);
+        assertThat(mFleet.claimStatus(claim)).contains(ClaimOutcome.Status.EXPIRED);
+    }
+}
