Hold budgets to their invariants over random schedules

Cause: the escrow's rules must hold under any mix of faults, deaths, pauses, partitions, top-ups and lowering.

--- a/coordination/src/test/java/org/hornbeampass/coordination/budget/BudgetWorld.java
+++ b/coordination/src/test/java/org/hornbeampass/coordination/budget/BudgetWorld.java
@@ -22,6 +22,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.PriorityQueue;
+import java.util.Random;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.BiConsumer;
@@ -46,7 +47,10 @@
     private final List<Node> mNodes = new ArrayList<>();
     private final GrantPolicy mPolicy;
     private final int mHomes;
-    private BudgetAccounts mAccounts;
+    private final BudgetAccounts mAccounts;
+    private final BudgetMutant mMutant;
+    private final Random mRandom;
+    private PlatformFault mOperatorFault = PlatformFault.NONE;
     private long mNowMs;
     private long mOrder;
     private long mRequests;
@@ -78,6 +82,7 @@
         PlatformFault mFault = PlatformFault.NONE;
         boolean mCutFromPlatform;
         boolean mCutFromPeers;
+        boolean mDropNextReply;
         boolean mPaused;
         boolean mDead;
         final List<Runnable> mHeld = new ArrayList<>();
@@ -89,9 +94,16 @@
     }
 
     BudgetWorld(int vms, GrantPolicy policy, int homes) {
+        this(vms, policy, homes, BudgetMutant.NONE, 0);
+    }
+
+    /** Creates a world in which one rule may be broken, with latencies drawn from a seed. */
+    BudgetWorld(int vms, GrantPolicy policy, int homes, BudgetMutant mutant, long seed) {
         mPolicy = policy;
         mHomes = homes;
-        mAccounts = new BudgetAccounts(new VmId("operator", 1), mStore);
+        mMutant = mutant;
+        mRandom = new Random(seed);
+        mAccounts = new BudgetAccounts(new VmId("operator", 1), operatorPlatform());
         for (int i = 0; i < vms; i++) {
             start("vm" + i, 1);
         }
@@ -114,9 +126,9 @@
         return index;
     }
 
-    /** Lets the operators' side see the store through another platform. */
-    void operatorsUse(java.util.function.UnaryOperator<Platform> faults) {
-        mAccounts = new BudgetAccounts(new VmId("operator", 2), faults.apply(mStore));
+    /** Sets what the operators' next platform call meets. */
+    void operatorFault(PlatformFault fault) {
+        mOperatorFault = fault;
     }
 
     Node node(int vm) {
@@ -153,7 +165,7 @@
         at(
                 mNowMs + TICK_MS,
                 () -> {
-                    if (mNodes.get(vm).mDead) {
+                    if (mNodes.get(vm).mDead || !mMutant.ticks()) {
                         return;
                     }
                     at(vm, () -> ledger(vm).tick(mNowMs));
@@ -183,7 +195,9 @@
         node.mPaused = false;
         List<Runnable> held = List.copyOf(node.mHeld);
         node.mHeld.clear();
-        held.forEach(Runnable::run);
+        if (!node.mDead) {
+            held.forEach(Runnable::run);
+        }
     }
 
     /** Runs all events of a span of time. */
@@ -224,26 +238,31 @@
     }
 
     Either<Failure, BudgetStatement> topUp(String id, long tokens) {
-        AtomicReference<Either<Failure, BudgetStatement>> result = new AtomicReference<>();
-        mAccounts.topUp(mNowMs, KEY, id, tokens, (at, r) -> result.set(r));
-        return result.get();
+        return await(done -> mAccounts.topUp(mNowMs, KEY, id, tokens, done));
     }
 
     Either<Failure, BudgetStatement> setPaid(long tokens) {
-        AtomicReference<Either<Failure, BudgetStatement>> result = new AtomicReference<>();
-        mAccounts.setPaid(mNowMs, KEY, tokens, (at, r) -> result.set(r));
+        return await(done -> mAccounts.setPaid(mNowMs, KEY, tokens, done));
+    }
+
+    Either<Failure, BudgetStatement> lower(long tokens) {
+        return await(done -> mAccounts.lower(mNowMs, KEY, tokens, done));
+    }
+
+    /** Starts something and runs until its outcome is there. */
+    <T> T await(Consumer<BiConsumer<Long, T>> start) {
+        AtomicReference<T> result = new AtomicReference<>();
+        start.accept((at, r) -> result.set(r));
+        for (int i = 0; i < 5_000 && result.get() == null; i++) {
+            run(2);
+        }
         return result.get();
     }
 
     /** Reserves with a wait of two seconds and runs until the outcome is there. */
     Either<Failure, Reservation> reserve(int vm, long tokens) {
-        AtomicReference<Either<Failure, Reservation>> result = new AtomicReference<>();
         RequestId id = new RequestId("r" + mRequests++);
-        ledger(vm).reserve(mNowMs, KEY, id, tokens, 2_000, (at, r) -> result.set(r));
-        for (int i = 0; i < 300 && result.get() == null; i++) {
-            run(10);
-        }
-        return result.get();
+        return await(done -> ledger(vm).reserve(mNowMs, KEY, id, tokens, 2_000, done));
     }
 
     boolean handOver(int vm) {
@@ -253,37 +272,52 @@
         return done.get();
     }
 
+    private Platform operatorPlatform() {
+        return (nowMs, call, done) -> {
+            PlatformFault fault = mOperatorFault;
+            mOperatorFault = PlatformFault.NONE;
+            call(fault, call, r -> done.accept(mNowMs, r));
+        };
+    }
+
     private Platform platformOf(int vm) {
         return (nowMs, call, done) -> {
             Node node = mNodes.get(vm);
             PlatformFault fault = node.mCutFromPlatform ? PlatformFault.LOST : node.mFault;
             node.mFault = PlatformFault.NONE;
-            BiConsumer<Long, PlatformReply> reply = (at, r) -> at(vm, () -> done.accept(mNowMs, r));
-            boolean lost = fault != PlatformFault.NONE;
-            if (lost) {
-                at(
-                        mNowMs + TIMEOUT_MS,
-                        () -> reply.accept(mNowMs, new PlatformReply.Unavailable("timeout")));
-            }
-            if (fault == PlatformFault.LOST) {
-                return;
-            }
-            long arrivesMs = fault == PlatformFault.LATE ? 3 * TIMEOUT_MS : CALL_MS;
-            at(mNowMs + arrivesMs, () -> apply(call, lost, reply));
+            call(fault, call, r -> at(vm, () -> done.accept(mNowMs, r)));
         };
     }
 
-    private void apply(PlatformCall call, boolean lost, BiConsumer<Long, PlatformReply> reply) {
-        mStore.submit(
+    private void call(PlatformFault fault, PlatformCall call, Consumer<PlatformReply> reply) {
+        boolean lost = fault != PlatformFault.NONE;
+        if (lost) {
+            at(mNowMs + TIMEOUT_MS, () -> reply.accept(new PlatformReply.Unavailable("timeout")));
+        }
+        if (fault == PlatformFault.LOST) {
+            return;
+        }
+        long arrivesMs = fault == PlatformFault.LATE ? 3 * TIMEOUT_MS : latency();
+        at(mNowMs + arrivesMs, () -> apply(call, lost, reply));
+    }
+
+    private void apply(PlatformCall call, boolean lost, Consumer<PlatformReply> reply) {
+        mMutant.submit(
+                mStore,
                 mNowMs,
                 call,
                 (at, r) -> {
                     if (!lost) {
-                        at(mNowMs + CALL_MS, () -> reply.accept(mNowMs, r));
+                        at(mNowMs + latency(), () -> reply.accept(r));
                     }
                 });
     }
 
+    /** Mostly a few milliseconds, now and then longer than any timeout. */
+    private long latency() {
+        return mRandom.nextInt(50) == 0 ? 1_200 : CALL_MS + mRandom.nextInt(8);
+    }
+
     private int find(String name) {
         for (int i = mNodes.size() - 1; i >= 0; i--) {
             if (mNodes.get(i).mId.name().equals(name)) {
@@ -336,8 +370,10 @@
                 to,
                 request,
                 reply -> {
-                    if (linked(from, to)) {
-                        at(mNowMs + CALL_MS, () -> once.accept(Either.right(reply)));
+                    boolean dropped = mNodes.get(to).mDropNextReply;
+                    mNodes.get(to).mDropNextReply = false;
+                    if (linked(from, to) && !dropped) {
+                        at(mNowMs + latency(), () -> once.accept(Either.right(reply)));
                     }
                 });
     }
@@ -347,7 +383,8 @@
             return;
         }
         VmId sender = mNodes.get(from).mId;
-        at(mNowMs + CALL_MS, () -> at(to, () -> handle(to, sender, message, reply)));
+        PeerMessage sent = mMutant.sent(message, mOrder);
+        at(mNowMs + latency(), () -> at(to, () -> handle(to, sender, sent, reply)));
     }
 
     private void handle(int to, VmId from, PeerMessage message, Consumer<PeerMessage> reply) {
