--- /dev/null
+++ b/coordination/src/main/java/org/hornbeampass/coordination/orders/OrderTarget.java
@@ -0,0 +1,74 @@
+package org.hornbeampass.coordination.orders;
+
+import org.hornbeampass.state.FailureDomain;
+import org.hornbeampass.state.ModelId;
+import org.hornbeampass.state.UpstreamId;
+import org.hornbeampass.state.upstream.IntendedState;
+import org.hornbeampass.state.upstream.WorkTarget;
+
+import java.util.Objects;
+import java.util.Set;
+
+/**
+ * One upstream as the planner sees it.
+ *
+ * <p>Immutable; safe for use by any thread.
+ *
+ * @param id the upstream
+ * @param domain its failure domain
+ * @param guard how far it is safe from late orders
+ * @param maxModels how many models it can hold
+ * @param usable whether it is live, healthy and has reported lately
+ * @param intended what it was last ordered to hold
+ * @param readyModels models that it reports as ready
+ * @param readyAdapters adapters that it reports as ready
+ */
+public record OrderTarget(
+        UpstreamId id,
+        FailureDomain domain,
+        OrderGuard guard,
+        int maxModels,
+        boolean usable,
+        IntendedState intended,
+        Set<ModelId> readyModels,
+        Set<String> readyAdapters) {
+    /** Copies the sets. */
+    public OrderTarget {
+        Objects.requireNonNull(id, "id");
+        Objects.requireNonNull(domain, "domain");
+        Objects.requireNonNull(guard, "guard");
+        Objects.requireNonNull(intended, "intended");
+        readyModels = Set.copyOf(readyModels);
+        readyAdapters = Set.copyOf(readyAdapters);
+    }
+
+    /** Returns whether it can serve a target now and is to go on doing so. */
+    public boolean serves(WorkTarget target) {
+        return usable
+                && intended.holds(target)
+                && target.model().map(readyModels::contains).orElse(false)
+                && target.adapter().map(readyAdapters::contains).orElse(true);
+    }
+
+    /** Returns whether it was ordered to hold a target and is not ready for it yet. */
+    public boolean loading(WorkTarget target) {
+        return usable && intended.holds(target) && !serves(target);
+    }
+
+    /** Returns whether a target can be added to what it holds. */
+    public boolean hasRoomFor(WorkTarget target) {
+        if (!usable || intended.holds(target)) {
+            return false;
+        }
+        if (target.adapter().isPresent()) {
+            return serves(WorkTarget.model(target.model().orElseThrow()));
+        }
+        return intended.models().size() < maxModels;
+    }
+
+    /** Returns this upstream with another intended state. */
+    public OrderTarget ordered(IntendedState state) {
+        return new OrderTarget(
+                id, domain, guard, maxModels, usable, state, readyModels, readyAdapters);
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/hornbeampass/coordination/orders/package-info.java
@@ -0,0 +1,2 @@
+/** Orders to upstreams: what each should hold, written first, sent after, checked again. */
+package org.hornbeampass.coordination.orders;
