--- /dev/null
+++ b/cli/src/main/java/org/hornbeampass/cli/command/BudgetCommand.java
@@ -0,0 +1,258 @@
+package org.hornbeampass.cli.command;
+
+import io.vavr.control.Either;
+
+import org.hornbeampass.cli.client.AdminCall;
+import org.hornbeampass.cli.output.TextTable;
+import org.hornbeampass.protocol.admin.AdminPaths;
+import org.hornbeampass.protocol.admin.BudgetChange;
+import org.hornbeampass.protocol.admin.BudgetChanged;
+import org.hornbeampass.protocol.admin.BudgetList;
+import org.hornbeampass.protocol.admin.BudgetView;
+import org.hornbeampass.protocol.admin.Changed;
+import org.hornbeampass.state.ErrorKind;
+import org.hornbeampass.state.Failure;
+
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+
+import java.util.Optional;
+
+/**
+ * Commands on budgets.
+ *
+ * <p>For use by one thread.
+ */
+@Command(
+        name = "budget",
+        description = "Budgets: what organisations have paid for, in tokens.",
+        subcommands = {
+            BudgetCommand.Create.class,
+            BudgetCommand.Show.class,
+            BudgetCommand.Listing.class,
+            BudgetCommand.Change.class,
+            BudgetCommand.TopUp.class,
+            BudgetCommand.Lower.class,
+            BudgetCommand.Delete.class
+        },
+        footer = {
+            "%nExamples:",
+            "  hornbeamctl budget top-up flight main 1000000 --id invoice-2026-117",
+            "  hornbeamctl budget list flight"
+        })
+public final class BudgetCommand extends GroupCommand {
+    private static String path(String organisation, String... rest) {
+        return Session.path(Session.path(AdminPaths.ORGANISATIONS, organisation, "budgets"), rest);
+    }
+
+    private static String table(BudgetList list) {
+        TextTable table =
+                new TextTable("BUDGET", "PAID", "SPENT", "HELD", "WRITTEN OFF", "AVAILABLE");
+        for (BudgetView b : list.items()) {
+            table.row(b.budget(), b.paid(), b.spent(), b.held(), b.writtenOff(), b.available());
+        }
+        return table.text();
+    }
+
+    private static Either<Failure, Integer> apply(
+            Session session, String path, Optional<String> id, long tokens) {
+        String used = id.orElseGet(session.surroundings().newId());
+        session.note("id " + used + "; with it the command is safe to repeat");
+        return session.call(
+                        AdminCall.repeatablePost(path, new BudgetChange(used, tokens)),
+                        BudgetChanged.class)
+                .map(
+                        answer -> {
+                            if (answer.value().repeated()) {
+                                session.note(
+                                        "this id had been applied before; nothing changed now");
+                            }
+                            return session.print(answer.value(), Fields::table);
+                        });
+    }
+
+    /** Creates a budget. */
+    @Command(
+            name = "create",
+            description = "Adds a budget to an organisation, with nothing paid into it.",
+            footer = {"%nExample:", "  hornbeamctl budget create flight spare"})
+    static final class Create extends AdminCommand {
+        @Parameters(index = "0", paramLabel = "ORGANISATION", description = "The organisation.")
+        private String mOrganisation;
+
+        @Parameters(index = "1", paramLabel = "NAME", description = "The budget's name.")
+        private String mName;
+
+        @Override
+        protected Either<Failure, Integer> run(Session session) {
+            return session.show(
+                    AdminCall.repeatablePost(path(mOrganisation, mName)),
+                    Changed.class,
+                    Fields::table);
+        }
+    }
+
+    /** Shows a budget. */
+    @Command(
+            name = "show",
+            description = "Shows a budget's account in tokens.",
+            footer = {"%nExample:", "  hornbeamctl budget show flight main"})
+    static final class Show extends AdminCommand {
+        @Parameters(index = "0", paramLabel = "ORGANISATION", description = "The organisation.")
+        private String mOrganisation;
+
+        @Parameters(index = "1", paramLabel = "NAME", description = "The budget's name.")
+        private String mName;
+
+        @Override
+        protected Either<Failure, Integer> run(Session session) {
+            return session.show(
+                    AdminCall.get(path(mOrganisation, mName)), BudgetView.class, Fields::table);
+        }
+    }
+
+    /** Lists budgets. */
+    @Command(
+            name = "list",
+            description = "Lists an organisation's budgets with their accounts in tokens.",
+            footer = {"%nExample:", "  hornbeamctl budget list flight"})
+    static final class Listing extends AdminCommand {
+        @Parameters(paramLabel = "ORGANISATION", description = "The organisation.")
+        private String mOrganisation;
+
+        @Override
+        protected Either<Failure, Integer> run(Session session) {
+            return session.show(
+                    AdminCall.get(path(mOrganisation)), BudgetList.class, BudgetCommand::table);
+        }
+    }
+
+    /** Adds to a budget. */
+    @Command(
+            name = "top-up",
+            description = {
+                "Adds tokens to what is paid, once for each id.",
+                "Where an answer is lost the command sends the same id again."
+            },
+            footer = {
+                "%nExample:",
+                "  hornbeamctl budget top-up flight main 1000000 --id invoice-2026-117"
+            })
+    static final class TopUp extends AdminCommand {
+        @Parameters(index = "0", paramLabel = "ORGANISATION", description = "The organisation.")
+        private String mOrganisation;
+
+        @Parameters(index = "1", paramLabel = "NAME", description = "The budget's name.")
+        private String mName;
+
+        @Parameters(index = "2", paramLabel = "TOKENS", description = "How many tokens.")
+        private long mTokens;
+
+        @Option(names = "--id", paramLabel = "ID", description = "Names the top-up. Default: made.")
+        private String mId;
+
+        @Override
+        protected Either<Failure, Integer> run(Session session) {
+            return apply(
+                    session,
+                    path(mOrganisation, mName, "top-up"),
+                    Optional.ofNullable(mId),
+                    mTokens);
+        }
+    }
+
+    /** Takes from a budget. */
+    @Command(
+            name = "lower",
+            description = {
+                "Takes tokens from what is paid, once for each id.",
+                "What is spent, or held by VMs, can't be taken; `tokens` shows what was."
+            },
+            footer = {"%nExample:", "  hornbeamctl budget lower flight main 5000 --id refund-3"})
+    static final class Lower extends AdminCommand {
+        @Parameters(index = "0", paramLabel = "ORGANISATION", description = "The organisation.")
+        private String mOrganisation;
+
+        @Parameters(index = "1", paramLabel = "NAME", description = "The budget's name.")
+        private String mName;
+
+        @Parameters(index = "2", paramLabel = "TOKENS", description = "How many tokens.")
+        private long mTokens;
+
+        @Option(names = "--id", paramLabel = "ID", description = "Names the change. Default: made.")
+        private String mId;
+
+        @Override
+        protected Either<Failure, Integer> run(Session session) {
+            return apply(
+                    session,
+                    path(mOrganisation, mName, "lower"),
+                    Optional.ofNullable(mId),
+                    mTokens);
+        }
+    }
+
+    /** Sets what is paid. */
+    @Command(
+            name = "set",
+            description = "Brings what is paid to a total, by a top-up or a lowering.",
+            footer = {"%nExample:", "  hornbeamctl budget set flight main --paid 2000000"})
+    static final class Change extends AdminCommand {
+        @Parameters(index = "0", paramLabel = "ORGANISATION", description = "The organisation.")
+        private String mOrganisation;
+
+        @Parameters(index = "1", paramLabel = "NAME", description = "The budget's name.")
+        private String mName;
+
+        @Option(
+                names = "--paid",
+                required = true,
+                paramLabel = "TOKENS",
+                description = "The total that is to be paid.")
+        private long mPaid;
+
+        @Override
+        protected Either<Failure, Integer> run(Session session) {
+            String path = path(mOrganisation, mName);
+            return session.call(AdminCall.get(path), BudgetView.class)
+                    .flatMap(read -> change(session, path, read.value()));
+        }
+
+        private Either<Failure, Integer> change(Session session, String path, BudgetView now) {
+            long difference = mPaid - now.paid();
+            if (mPaid < 0) {
+                return Either.left(
+                        Failure.of(ErrorKind.FIELD_INVALID, "--paid must not be negative"));
+            }
+            if (difference == 0) {
+                session.note("nothing to change: it is so already");
+                return Either.right(session.print(now, Fields::table));
+            }
+            return apply(
+                    session,
+                    path + (difference > 0 ? "/top-up" : "/lower"),
+                    Optional.empty(),
+                    Math.abs(difference));
+        }
+    }
+
+    /** Deletes a budget. */
+    @Command(
+            name = "delete",
+            description = "Removes a budget in which nothing is left.",
+            footer = {"%nExample:", "  hornbeamctl budget delete flight spare"})
+    static final class Delete extends AdminCommand {
+        @Parameters(index = "0", paramLabel = "ORGANISATION", description = "The organisation.")
+        private String mOrganisation;
+
+        @Parameters(index = "1", paramLabel = "NAME", description = "The budget's name.")
+        private String mName;
+
+        @Override
+        protected Either<Failure, Integer> run(Session session) {
+            return session.show(
+                    AdminCall.delete(path(mOrganisation, mName), 0), Changed.class, Fields::table);
+        }
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/hornbeampass/cli/command/package-info.java
@@ -0,0 +1,2 @@
+/** The commands, one class for each. */
+package org.hornbeampass.cli.command;
--- /dev/null
+++ b/cli/src/main/java/org/hornbeampass/cli/package-info.java
@@ -0,0 +1,2 @@
+/** The operators' command line, {@code hornbeamctl}. */
+package org.hornbeampass.cli;
