Put the operators' API on the configuration's own changes and ledgers

Cause: the configuration store and the budgets' accounts exist now, with object revisions and with totals in place of amounts. Change: ConfigChange and ObjectKey replace the API's own edits; what is paid is set to a total on top of what was read (BudgetAccounts.setPaid with an expected total, so that no top-up is overwritten); ConfigStore.confirmedMs tells how old a configuration may be; accounts are answered from the last read with its age while the platform is unavailable.

--- a/cli/src/main/java/org/hornbeampass/cli/client/AdminCall.java
+++ b/cli/src/main/java/org/hornbeampass/cli/client/AdminCall.java
@@ -35,6 +35,11 @@
         return new AdminCall("POST", path, Map.of(), AdminJson.encode(body), true);
     }
 
+    /** Returns a put whose effect is there once however often it is sent. */
+    public static AdminCall repeatablePut(String path, Object body) {
+        return new AdminCall("PUT", path, Map.of(), AdminJson.encode(body), true);
+    }
+
     /** Returns a post that must not be sent again when its answer is lost. */
     public static AdminCall post(String path, Object body) {
         return new AdminCall("POST", path, Map.of(), AdminJson.encode(body), false);
--- a/cli/src/main/java/org/hornbeampass/cli/command/BudgetCommand.java
+++ b/cli/src/main/java/org/hornbeampass/cli/command/BudgetCommand.java
@@ -5,12 +5,10 @@
 import org.hornbeampass.cli.client.AdminCall;
 import org.hornbeampass.cli.output.TextTable;
 import org.hornbeampass.protocol.admin.AdminPaths;
-import org.hornbeampass.protocol.admin.BudgetChange;
-import org.hornbeampass.protocol.admin.BudgetChanged;
 import org.hornbeampass.protocol.admin.BudgetList;
 import org.hornbeampass.protocol.admin.BudgetView;
 import org.hornbeampass.protocol.admin.Changed;
-import org.hornbeampass.state.ErrorKind;
+import org.hornbeampass.protocol.admin.TopUpBody;
 import org.hornbeampass.state.Failure;
 
 import picocli.CommandLine.Command;
@@ -55,23 +53,6 @@
         return table.text();
     }
 
-    private static Either<Failure, Integer> apply(
-            Session session, String path, Optional<String> id, long tokens) {
-        String used = id.orElseGet(session.surroundings().newId());
-        session.note("id " + used + "; with it the command is safe to repeat");
-        return session.call(
-                        AdminCall.repeatablePost(path, new BudgetChange(used, tokens)),
-                        BudgetChanged.class)
-                .map(
-                        answer -> {
-                            if (answer.value().repeated()) {
-                                session.note(
-                                        "this id had been applied before; nothing changed now");
-                            }
-                            return session.print(answer.value(), Fields::table);
-                        });
-    }
-
     /** Creates a budget. */
     @Command(
             name = "create",
@@ -154,22 +135,24 @@
 
         @Override
         protected Either<Failure, Integer> run(Session session) {
-            return apply(
-                    session,
-                    path(mOrganisation, mName, "top-up"),
-                    Optional.ofNullable(mId),
-                    mTokens);
+            String id = Optional.ofNullable(mId).orElseGet(session.surroundings().newId());
+            session.note("id " + id + "; with it the command is safe to repeat");
+            return session.show(
+                    AdminCall.repeatablePost(
+                            path(mOrganisation, mName, "top-up"), new TopUpBody(id, mTokens)),
+                    BudgetView.class,
+                    Fields::table);
         }
     }
 
-    /** Takes from a budget. */
+    /** Lowers a budget. */
     @Command(
             name = "lower",
             description = {
-                "Takes tokens from what is paid, once for each id.",
-                "What is spent, or held by VMs, can't be taken; `tokens` shows what was."
+                "Lowers what is paid to a total; safe to repeat.",
+                "What VMs hold comes off as they give it back: `target` shows the total until then."
             },
-            footer = {"%nExample:", "  hornbeamctl budget lower flight main 5000 --id refund-3"})
+            footer = {"%nExample:", "  hornbeamctl budget lower flight main --to 500000"})
     static final class Lower extends AdminCommand {
         @Parameters(index = "0", paramLabel = "ORGANISATION", description = "The organisation.")
         private String mOrganisation;
@@ -177,26 +160,23 @@
         @Parameters(index = "1", paramLabel = "NAME", description = "The budget's name.")
         private String mName;
 
-        @Parameters(index = "2", paramLabel = "TOKENS", description = "How many tokens.")
-        private long mTokens;
-
-        @Option(names = "--id", paramLabel = "ID", description = "Names the change. Default: made.")
-        private String mId;
+        @Option(
+                names = "--to",
+                required = true,
+                paramLabel = "TOKENS",
+                description = "The total that is to be paid.")
+        private long mTo;
 
         @Override
         protected Either<Failure, Integer> run(Session session) {
-            return apply(
-                    session,
-                    path(mOrganisation, mName, "lower"),
-                    Optional.ofNullable(mId),
-                    mTokens);
+            return new PaidEditor(path(mOrganisation, mName), mTo).lower(session);
         }
     }
 
     /** Sets what is paid. */
     @Command(
             name = "set",
-            description = "Brings what is paid to a total, by a top-up or a lowering.",
+            description = "Sets what is paid to a total, up or down; safe to repeat.",
             footer = {"%nExample:", "  hornbeamctl budget set flight main --paid 2000000"})
     static final class Change extends AdminCommand {
         @Parameters(index = "0", paramLabel = "ORGANISATION", description = "The organisation.")
@@ -214,26 +194,7 @@
 
         @Override
         protected Either<Failure, Integer> run(Session session) {
-            String path = path(mOrganisation, mName);
-            return session.call(AdminCall.get(path), BudgetView.class)
-                    .flatMap(read -> change(session, path, read.value()));
-        }
-
-        private Either<Failure, Integer> change(Session session, String path, BudgetView now) {
-            long difference = mPaid - now.paid();
-            if (mPaid < 0) {
-                return Either.left(
-                        Failure.of(ErrorKind.FIELD_INVALID, "--paid must not be negative"));
-            }
-            if (difference == 0) {
-                session.note("nothing to change: it is so already");
-                return Either.right(session.print(now, Fields::table));
-            }
-            return apply(
-                    session,
-                    path + (difference > 0 ? "/top-up" : "/lower"),
-                    Optional.empty(),
-                    Math.abs(difference));
+            return new PaidEditor(path(mOrganisation, mName), mPaid).set(session);
         }
     }
 
--- a/coordination/src/main/java/org/hornbeampass/coordination/budget/BudgetAccounts.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/budget/BudgetAccounts.java
@@ -20,6 +20,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BiConsumer;
 
@@ -111,7 +112,20 @@
             BudgetKey key,
             long newPaid,
             BiConsumer<Long, Either<Failure, BudgetStatement>> done) {
-        change(nowMs, key, newPaid, false, done);
+        change(nowMs, key, newPaid, false, OptionalLong.empty(), done);
+    }
+
+    /**
+     * Sets what is paid for a budget, as {@link #setPaid(long, BudgetKey, long, BiConsumer)}, but
+     * only where what is paid now is as expected; {@code REVISION_CONFLICT} where it is not.
+     */
+    public void setPaid(
+            long nowMs,
+            BudgetKey key,
+            long newPaid,
+            long expectedPaid,
+            BiConsumer<Long, Either<Failure, BudgetStatement>> done) {
+        change(nowMs, key, newPaid, false, OptionalLong.of(expectedPaid), done);
     }
 
     /**
@@ -123,7 +137,7 @@
             BudgetKey key,
             long newPaid,
             BiConsumer<Long, Either<Failure, BudgetStatement>> done) {
-        change(nowMs, key, newPaid, true, done);
+        change(nowMs, key, newPaid, true, OptionalLong.empty(), done);
     }
 
     private void change(
@@ -131,6 +145,7 @@
             BudgetKey key,
             long newPaid,
             boolean onlyLower,
+            OptionalLong expectedPaid,
             BiConsumer<Long, Either<Failure, BudgetStatement>> done) {
         if (newPaid < 0 || newPaid > BudgetRecord.MAX_TOKENS) {
             done.accept(
@@ -145,17 +160,33 @@
         new LedgerEdit(
                         mPlatform,
                         key.organisation(),
-                        record -> changed(record, key, newPaid, onlyLower, stamp),
+                        record -> changed(record, key, newPaid, onlyLower, expectedPaid, stamp),
                         (at, record) -> done.accept(at, record.map(r -> statementOf(key, r))))
                 .start(nowMs);
     }
 
     private static Either<Failure, Optional<LedgerRecord>> changed(
-            LedgerRecord record, BudgetKey key, long newPaid, boolean onlyLower, String stamp) {
+            LedgerRecord record,
+            BudgetKey key,
+            long newPaid,
+            boolean onlyLower,
+            OptionalLong expectedPaid,
+            String stamp) {
         BudgetRecord budget = record.budget(key.budget());
         if (budget.changes().contains(stamp)) {
             return Either.right(Optional.empty());
         }
+        if (expectedPaid.isPresent() && expectedPaid.getAsLong() != budget.paid()) {
+            return Either.left(
+                    Failure.of(
+                            ErrorKind.REVISION_CONFLICT,
+                            budget.paid()
+                                    + " tokens are paid for budget "
+                                    + key
+                                    + ", not "
+                                    + expectedPaid.getAsLong()
+                                    + ": it was changed meanwhile; read it again and decide"));
+        }
         if (onlyLower && newPaid >= budget.target().orElse(budget.paid())) {
             return Either.left(
                     Failure.of(
--- a/coordination/src/main/java/org/hornbeampass/coordination/config/ConfigStore.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/config/ConfigStore.java
@@ -134,6 +134,13 @@
         }
     }
 
+    /** Returns when the platform last told this VM how far the log goes, in milliseconds. */
+    public OptionalLong confirmedMs() {
+        synchronized (mLock) {
+            return mLogFollower.confirmedMs();
+        }
+    }
+
     /**
      * Proposes a change.
      *
--- a/coordination/src/main/java/org/hornbeampass/coordination/config/LogFollower.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/config/LogFollower.java
@@ -12,6 +12,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 
 /**
  * Follows the platform's log: by a waiting watch where this VM is chosen to, otherwise by a slow
@@ -34,6 +35,7 @@
     private long mWatchFrom = NO_POSITION;
     private long mNotBeforeMs;
     private long mNextPollMs;
+    private OptionalLong mConfirmedMs = OptionalLong.empty();
 
     LogFollower(ConfigCore core, ConfigRoles roles, ConfigSnapshots snapshots) {
         mCore = core;
@@ -46,6 +48,11 @@
         return mReachedEnd;
     }
 
+    /** Returns when the platform last told how far the log goes, in milliseconds. */
+    OptionalLong confirmedMs() {
+        return mConfirmedMs;
+    }
+
     boolean watching() {
         return mWatchFrom != NO_POSITION;
     }
@@ -128,6 +135,7 @@
         batches.get().forEach(mCore::apply);
         mReadDue = batches.get().size() >= READ_LIMIT;
         mReachedEnd |= !mReadDue;
+        mConfirmedMs = OptionalLong.of(nowMs);
     }
 
     private void findPosition(long nowMs, Outbox out) {
@@ -171,6 +179,7 @@
         mBusy = false;
         if (reply instanceof PlatformReply.Changed changed) {
             mWatchFrom = Math.max(mWatchFrom, changed.upToVersion());
+            mConfirmedMs = OptionalLong.of(nowMs);
             changed.changes().forEach(this::applyChange);
             tick(nowMs, out);
             return;
--- a/router/src/main/java/org/hornbeampass/router/admin/AccountReader.java
+++ b/router/src/main/java/org/hornbeampass/router/admin/AccountReader.java
@@ -4,23 +4,27 @@
 
 import org.hornbeampass.protocol.admin.BudgetView;
 import org.hornbeampass.state.BudgetId;
-import org.hornbeampass.state.BudgetKey;
+import org.hornbeampass.state.ErrorKind;
 import org.hornbeampass.state.Failure;
 import org.hornbeampass.state.OrganisationId;
+import org.hornbeampass.state.config.ConfigSnapshot;
+import org.hornbeampass.state.config.ObjectKey;
 import org.hornbeampass.state.config.OrganisationSpec;
 
-import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.function.BiConsumer;
 
 /**
- * Reads the accounts of all budgets of an organisation, one after the other.
+ * Reads the accounts of all budgets of an organisation; while the platform is unavailable, what was
+ * last read, with its age.
  *
- * <p>Thread-safe: holds no state of its own. The number of budgets is bounded.
+ * <p>Thread-safe; callbacks run with no lock held. What is kept is bounded by {@link LastReads}.
  */
 final class AccountReader {
     private final ConfigurationPort mConfiguration;
     private final AccountPort mAccounts;
+    private final LastReads<OrganisationId, List<BudgetView>> mLast = new LastReads<>();
 
     AccountReader(ConfigurationPort configuration, AccountPort accounts) {
         mConfiguration = configuration;
@@ -29,13 +33,14 @@
 
     /** Returns an organisation, or {@code NOT_FOUND}. */
     Either<Failure, OrganisationSpec> organisation(OrganisationId id) {
-        OrganisationSpec spec = mConfiguration.snapshot().organisations().get(id);
+        ConfigSnapshot snapshot = mConfiguration.snapshot();
+        OrganisationSpec spec = snapshot.organisations().get(id);
         return spec == null
-                ? Either.left(ConfigChanges.unknown(ConfigObject.organisation(id.value())))
+                ? Either.left(ConfigChanges.unknown(ObjectKey.organisation(id)))
                 : Either.right(spec);
     }
 
-    /** Reads all accounts of an organisation; the age is that of the oldest. */
+    /** Reads all accounts of an organisation, those of budgets without any payment included. */
     void all(
             long nowMs,
             OrganisationId id,
@@ -45,36 +50,33 @@
             done.accept(nowMs, Either.left(spec.getLeft()));
             return;
         }
-        List<BudgetId> budgets = spec.get().budgets().stream().sorted().toList();
-        next(nowMs, id, budgets, new Aged<>(new ArrayList<>(), 0), done);
+        mAccounts.accounts(
+                nowMs, id, (atMs, result) -> done.accept(atMs, merged(atMs, spec.get(), result)));
     }
 
-    private void next(
-            long nowMs,
-            OrganisationId id,
-            List<BudgetId> left,
-            Aged<List<BudgetView>> read,
-            BiConsumer<Long, Either<Failure, Aged<List<BudgetView>>>> done) {
-        if (left.isEmpty()) {
-            done.accept(nowMs, Either.right(read));
-            return;
+    private Either<Failure, Aged<List<BudgetView>>> merged(
+            long nowMs, OrganisationSpec spec, Either<Failure, List<BudgetView>> result) {
+        if (result.isRight()) {
+            mLast.keep(nowMs, spec.id(), result.get());
+            return Either.right(Aged.fresh(complete(spec, result.get())));
         }
-        mAccounts.account(
-                nowMs,
-                new BudgetKey(id, left.get(0)),
-                (atMs, result) -> {
-                    if (result.isLeft()) {
-                        done.accept(atMs, Either.left(result.getLeft()));
-                        return;
-                    }
-                    read.value().add(result.get().value());
-                    long age = Math.max(read.ageMs(), result.get().ageMs());
-                    next(
-                            atMs,
-                            id,
-                            left.subList(1, left.size()),
-                            new Aged<>(read.value(), age),
-                            done);
-                });
+        Optional<Aged<List<BudgetView>>> last =
+                result.getLeft().kind() == ErrorKind.PLATFORM_UNAVAILABLE
+                        ? mLast.find(nowMs, spec.id())
+                        : Optional.empty();
+        return last.<Either<Failure, Aged<List<BudgetView>>>>map(
+                        l -> Either.right(new Aged<>(complete(spec, l.value()), l.ageMs())))
+                .orElseGet(() -> Either.left(result.getLeft()));
+    }
+
+    private static List<BudgetView> complete(OrganisationSpec spec, List<BudgetView> read) {
+        return spec.budgets().stream().sorted().map(b -> account(spec.id(), b, read)).toList();
+    }
+
+    private static BudgetView account(OrganisationId id, BudgetId budget, List<BudgetView> read) {
+        return read.stream()
+                .filter(b -> b.budget().equals(budget))
+                .findFirst()
+                .orElseGet(() -> BudgetView.empty(id, budget));
     }
 }
--- a/router/src/main/java/org/hornbeampass/router/admin/ConfigChanges.java
+++ b/router/src/main/java/org/hornbeampass/router/admin/ConfigChanges.java
@@ -7,6 +7,8 @@
 import org.hornbeampass.protocol.admin.Changed;
 import org.hornbeampass.state.ErrorKind;
 import org.hornbeampass.state.Failure;
+import org.hornbeampass.state.config.ConfigChange;
+import org.hornbeampass.state.config.ObjectKey;
 
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -33,11 +35,11 @@
     /** Proposes one change as it is. */
     void propose(
             AdminRequest request,
-            ConfigEdit edit,
+            ConfigChange change,
             OptionalLong expected,
             BiConsumer<Long, Either<Failure, Changed>> done) {
-        ConfigObject object = edit.object();
-        OptionalLong current = mConfiguration.revisionOf(object);
+        ObjectKey object = change.object();
+        OptionalLong current = revisionOf(object);
         Optional<Failure> early = precheck(object, expected, current);
         if (early.isPresent()) {
             done.accept(request.nowMs(), Either.left(early.get()));
@@ -45,7 +47,7 @@
         }
         mConfiguration.propose(
                 request.nowMs(),
-                edit,
+                change,
                 expected,
                 (atMs, result) -> {
                     result.peek(
@@ -57,8 +59,8 @@
                                             revision));
                     done.accept(
                             atMs,
-                            result.mapLeft(f -> named(f, object))
-                                    .map(revision -> new Changed(object.name(), revision)));
+                            result.mapLeft(f -> named(f, object, expected))
+                                    .map(revision -> new Changed(name(object), revision)));
                 });
     }
 
@@ -68,28 +70,28 @@
      * @param request the operator's request
      * @param object the object, which must exist
      * @param expected the revision that the operator expects; empty for any
-     * @param edit makes the change from the present configuration
+     * @param change makes the change from the present configuration
      * @param done run once
      */
     void modify(
             AdminRequest request,
-            ConfigObject object,
+            ObjectKey object,
             OptionalLong expected,
-            Supplier<Either<Failure, ConfigEdit>> edit,
+            Supplier<Either<Failure, ConfigChange>> change,
             BiConsumer<Long, Either<Failure, Changed>> done) {
-        modify(request, object, expected, edit, done, 1);
+        modify(request, object, expected, change, done, 1);
     }
 
     private void modify(
             AdminRequest request,
-            ConfigObject object,
+            ObjectKey object,
             OptionalLong expected,
-            Supplier<Either<Failure, ConfigEdit>> edit,
+            Supplier<Either<Failure, ConfigChange>> change,
             BiConsumer<Long, Either<Failure, Changed>> done,
             int attempt) {
-        OptionalLong current = mConfiguration.revisionOf(object);
-        Either<Failure, ConfigEdit> made =
-                current.isEmpty() ? Either.left(unknown(object)) : edit.get();
+        OptionalLong current = revisionOf(object);
+        Either<Failure, ConfigChange> made =
+                current.isEmpty() ? Either.left(unknown(object)) : change.get();
         if (made.isLeft()) {
             done.accept(request.nowMs(), Either.left(made.getLeft()));
             return;
@@ -104,7 +106,7 @@
                             result.isLeft()
                                     && result.getLeft().kind() == ErrorKind.REVISION_CONFLICT;
                     if (lost && again) {
-                        modify(request, object, expected, edit, done, attempt + 1);
+                        modify(request, object, expected, change, done, attempt + 1);
                         return;
                     }
                     done.accept(atMs, result);
@@ -112,21 +114,25 @@
     }
 
     /** Returns the failure for an object that does not exist. */
-    static Failure unknown(ConfigObject object) {
+    static Failure unknown(ObjectKey object) {
         return Failure.of(
                 ErrorKind.NOT_FOUND,
                 "there is no "
-                        + object
+                        + words(object)
                         + "; `hornbeamctl "
-                        + object.kind().word()
+                        + kind(object)
                         + " list` shows what there is");
     }
 
-    private static Optional<Failure> precheck(
-            ConfigObject object, OptionalLong expected, OptionalLong current) {
+    private Optional<Failure> precheck(
+            ObjectKey object, OptionalLong expected, OptionalLong current) {
         if (expected.isEmpty()) {
             return Optional.empty();
         }
+        long applied = mConfiguration.snapshot().revision();
+        if (expected.getAsLong() > applied) {
+            return Optional.of(lagging(expected.getAsLong(), applied));
+        }
         if (expected.getAsLong() == 0) {
             return current.isPresent()
                     ? Optional.of(exists(object, current.getAsLong()))
@@ -140,19 +146,30 @@
                 : Optional.empty();
     }
 
-    private static Failure exists(ConfigObject object, long revision) {
+    private static Failure lagging(long expected, long applied) {
+        return Failure.of(
+                ErrorKind.NOT_READY,
+                "this router runs revision "
+                        + applied
+                        + " and has not yet applied "
+                        + expected
+                        + ", on which the change was made; send it again in a moment, or to"
+                        + " another router");
+    }
+
+    private static Failure exists(ObjectKey object, long revision) {
         return Failure.of(
                 ErrorKind.ALREADY_EXISTS,
-                object
+                words(object)
                         + " exists already, at revision "
                         + revision
                         + "; change it with `set`, or take another name");
     }
 
-    private static Failure conflict(ConfigObject object, long expected, long current) {
+    private static Failure conflict(ObjectKey object, long expected, long current) {
         return Failure.of(
                 ErrorKind.REVISION_CONFLICT,
-                object
+                words(object)
                         + " is at revision "
                         + current
                         + ", changed by another operator after revision "
@@ -162,10 +179,33 @@
                         + current);
     }
 
-    private static Failure named(Failure failure, ConfigObject object) {
-        return failure.message().contains(object.name())
-                ? failure
-                : new Failure(
-                        failure.kind(), object + ": " + failure.message(), failure.retryAfterMs());
+    private static Failure named(Failure failure, ObjectKey object, OptionalLong expected) {
+        boolean creation = expected.isPresent() && expected.getAsLong() == 0;
+        ErrorKind kind =
+                creation && failure.kind() == ErrorKind.REVISION_CONFLICT
+                        ? ErrorKind.ALREADY_EXISTS
+                        : failure.kind();
+        String message =
+                failure.message().contains(name(object))
+                        ? failure.message()
+                        : words(object) + ": " + failure.message();
+        return new Failure(kind, message, failure.retryAfterMs());
+    }
+
+    private OptionalLong revisionOf(ObjectKey object) {
+        long revision = mConfiguration.snapshot().objectRevision(object);
+        return revision == 0 ? OptionalLong.empty() : OptionalLong.of(revision);
+    }
+
+    private static String kind(ObjectKey object) {
+        return object.value().substring(0, object.value().indexOf('/'));
+    }
+
+    private static String name(ObjectKey object) {
+        return object.value().substring(object.value().indexOf('/') + 1);
+    }
+
+    private static String words(ObjectKey object) {
+        return kind(object) + " " + name(object);
     }
 }
--- a/router/src/main/java/org/hornbeampass/router/admin/ConfigurationPort.java
+++ b/router/src/main/java/org/hornbeampass/router/admin/ConfigurationPort.java
@@ -3,6 +3,7 @@
 import io.vavr.control.Either;
 
 import org.hornbeampass.state.Failure;
+import org.hornbeampass.state.config.ConfigChange;
 import org.hornbeampass.state.config.ConfigSnapshot;
 
 import java.util.OptionalLong;
@@ -14,7 +15,7 @@
  * <p>Implementations are thread-safe and never block.
  */
 public interface ConfigurationPort {
-    /** Returns the configuration that this router runs. */
+    /** Returns the configuration that this router runs, with the revisions of its objects. */
     ConfigSnapshot snapshot();
 
     /**
@@ -23,22 +24,18 @@
      */
     long ageMs(long nowMs);
 
-    /** Returns the revision of an object's last change; empty where there is no such object. */
-    OptionalLong revisionOf(ConfigObject object);
-
     /**
      * Proposes a change.
      *
      * @param nowMs the present time in milliseconds
-     * @param edit the change
+     * @param change the change
      * @param expectedRevision the revision that the object must have; 0 where it must not exist;
-     *     empty where any will do
-     * @param done run once with the accepted change's revision, or {@code REVISION_CONFLICT},
-     *     {@code ALREADY_EXISTS}, {@code NOT_FOUND} or {@code PLATFORM_UNAVAILABLE}
+     *     empty for the one that this router has in force
+     * @param done run once with the accepted change's revision, or why it was not accepted
      */
     void propose(
             long nowMs,
-            ConfigEdit edit,
+            ConfigChange change,
             OptionalLong expectedRevision,
             BiConsumer<Long, Either<Failure, Long>> done);
 }
--- a/router/src/main/java/org/hornbeampass/router/admin/KeyEndpoints.java
+++ b/router/src/main/java/org/hornbeampass/router/admin/KeyEndpoints.java
@@ -7,6 +7,8 @@
 import org.hornbeampass.state.ErrorKind;
 import org.hornbeampass.state.Failure;
 import org.hornbeampass.state.OrganisationId;
+import org.hornbeampass.state.config.ConfigChange;
+import org.hornbeampass.state.config.ObjectKey;
 import org.hornbeampass.state.config.OrganisationSpec;
 
 import java.util.HashMap;
@@ -46,7 +48,7 @@
         OrganisationSpec keyed = withKeys(spec, Map.of(keyName, KeyMaker.hash(key)));
         mChanges.propose(
                 request,
-                new ConfigEdit.PutOrganisation(keyed),
+                new ConfigChange.PutOrganisation(keyed),
                 OptionalLong.of(0),
                 (atMs, result) -> {
                     if (result.isLeft()) {
@@ -71,7 +73,7 @@
         String key = mKeyMaker.next();
         mChanges.modify(
                 request,
-                ConfigObject.organisation(id.value()),
+                ObjectKey.organisation(id),
                 expected.get(),
                 () -> added(id, name, KeyMaker.hash(key)),
                 (atMs, result) -> {
@@ -92,17 +94,17 @@
         }
         mChanges.modify(
                 request,
-                ConfigObject.organisation(id.value()),
+                ObjectKey.organisation(id),
                 expected.get(),
                 () -> revoked(id, request.variable(1)),
                 (atMs, result) -> reply.done(result));
     }
 
-    private Either<Failure, ConfigEdit> added(OrganisationId id, String name, String hash) {
+    private Either<Failure, ConfigChange> added(OrganisationId id, String name, String hash) {
         return existing(id).flatMap(spec -> added(spec, name, hash));
     }
 
-    private static Either<Failure, ConfigEdit> added(
+    private static Either<Failure, ConfigChange> added(
             OrganisationSpec spec, String name, String hash) {
         if (spec.keyHashes().containsKey(name)) {
             return Either.left(
@@ -126,10 +128,10 @@
         }
         Map<String, String> keys = new HashMap<>(spec.keyHashes());
         keys.put(name, hash);
-        return Either.right(new ConfigEdit.PutOrganisation(withKeys(spec, keys)));
+        return Either.right(new ConfigChange.PutOrganisation(withKeys(spec, keys)));
     }
 
-    private Either<Failure, ConfigEdit> revoked(OrganisationId id, String name) {
+    private Either<Failure, ConfigChange> revoked(OrganisationId id, String name) {
         return existing(id)
                 .flatMap(
                         spec -> {
@@ -137,14 +139,14 @@
                             return keys.remove(name) == null
                                     ? Either.left(unknownKey(id, name))
                                     : Either.right(
-                                            new ConfigEdit.PutOrganisation(withKeys(spec, keys)));
+                                            new ConfigChange.PutOrganisation(withKeys(spec, keys)));
                         });
     }
 
     private Either<Failure, OrganisationSpec> existing(OrganisationId id) {
         OrganisationSpec spec = mConfiguration.snapshot().organisations().get(id);
         return spec == null
-                ? Either.left(ConfigChanges.unknown(ConfigObject.organisation(id.value())))
+                ? Either.left(ConfigChanges.unknown(ObjectKey.organisation(id)))
                 : Either.right(spec);
     }
 
--- a/router/src/main/java/org/hornbeampass/router/admin/OperatorKeys.java
+++ b/router/src/main/java/org/hornbeampass/router/admin/OperatorKeys.java
@@ -4,22 +4,33 @@
 import java.security.MessageDigest;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
 import java.util.Optional;
+import java.util.function.Supplier;
 
 /**
- * Decides which operator a request comes from.
+ * Decides which operator a request comes from, by the keys of the settings and those of the
+ * configuration.
  *
  * <p>Invariant: a comparison takes the same time whether and where keys differ, and looks at every
- * key. No key is kept, only hashes. Immutable; safe for use by any thread.
+ * key. No key is kept, only hashes. Thread-safe as the supplier is.
  */
 public final class OperatorKeys {
     private static final String SCHEME = "bearer ";
 
     private final List<OperatorKey> mKeys;
+    private final Supplier<Map<String, String>> mConfigured;
 
-    /** Takes the keys of the settings. */
-    public OperatorKeys(List<OperatorKey> keys) {
+    /**
+     * Takes the keys.
+     *
+     * @param keys the keys of the settings
+     * @param configured names of the keys in the configuration with the SHA-256 of each, in
+     *     lower-case hex
+     */
+    public OperatorKeys(List<OperatorKey> keys, Supplier<Map<String, String>> configured) {
         mKeys = List.copyOf(keys);
+        mConfigured = configured;
     }
 
     /**
@@ -28,23 +39,28 @@
      * @param authorization the value of the authorization header
      */
     public Optional<String> operator(Optional<String> authorization) {
-        Optional<String> key =
-                authorization
-                        .filter(a -> a.toLowerCase(Locale.ROOT).startsWith(SCHEME))
-                        .map(a -> a.substring(SCHEME.length()).trim())
-                        .filter(k -> !k.isEmpty());
-        return key.map(KeyMaker::hash).flatMap(this::named);
+        return authorization
+                .filter(a -> a.toLowerCase(Locale.ROOT).startsWith(SCHEME))
+                .map(a -> a.substring(SCHEME.length()).trim())
+                .filter(k -> !k.isEmpty())
+                .map(KeyMaker::hash)
+                .flatMap(this::named);
     }
 
     private Optional<String> named(String hash) {
         byte[] given = hash.getBytes(StandardCharsets.US_ASCII);
         Optional<String> found = Optional.empty();
         for (OperatorKey key : mKeys) {
-            byte[] known = key.sha256().getBytes(StandardCharsets.US_ASCII);
-            if (MessageDigest.isEqual(known, given)) {
-                found = Optional.of(key.name());
-            }
+            found = equal(given, key.sha256()) ? Optional.of(key.name()) : found;
+        }
+        for (Map.Entry<String, String> key : mConfigured.get().entrySet()) {
+            found = equal(given, key.getValue()) ? Optional.of(key.getKey()) : found;
         }
         return found;
     }
+
+    private static boolean equal(byte[] given, String known) {
+        byte[] bytes = known.toLowerCase(Locale.ROOT).getBytes(StandardCharsets.US_ASCII);
+        return MessageDigest.isEqual(bytes, given);
+    }
 }
--- a/router/src/main/java/org/hornbeampass/router/admin/UpstreamEndpoints.java
+++ b/router/src/main/java/org/hornbeampass/router/admin/UpstreamEndpoints.java
@@ -8,6 +8,8 @@
 import org.hornbeampass.state.ErrorKind;
 import org.hornbeampass.state.Failure;
 import org.hornbeampass.state.UpstreamId;
+import org.hornbeampass.state.config.ConfigChange;
+import org.hornbeampass.state.config.ObjectKey;
 import org.hornbeampass.state.config.UpstreamSpec;
 
 import java.util.List;
@@ -70,7 +72,7 @@
         }
         mChanges.propose(
                 request,
-                new ConfigEdit.PutUpstream(spec.get()),
+                new ConfigChange.PutUpstream(spec.get()),
                 expected.get(),
                 (atMs, result) -> reply.done(result));
     }
@@ -81,12 +83,12 @@
             reply.fail(expected.getLeft());
             return;
         }
-        ConfigObject object = ConfigObject.upstream(request.variable(0));
+        UpstreamId id = new UpstreamId(request.variable(0));
         mChanges.modify(
                 request,
-                object,
+                ObjectKey.upstream(id),
                 expected.get(),
-                () -> Either.right(new ConfigEdit.Delete(object)),
+                () -> Either.right(new ConfigChange.DeleteUpstream(id)),
                 (atMs, result) -> reply.done(result));
     }
 
@@ -105,7 +107,7 @@
         String name = request.variable(0);
         UpstreamSpec spec = mPorts.configuration().snapshot().upstreams().get(new UpstreamId(name));
         return spec == null
-                ? Either.left(ConfigChanges.unknown(ConfigObject.upstream(name)))
+                ? Either.left(ConfigChanges.unknown(ObjectKey.upstream(new UpstreamId(name))))
                 : Either.right(spec);
     }
 
@@ -128,8 +130,8 @@
     }
 
     private UpstreamView view(UpstreamSpec spec) {
-        ConfigObject object = ConfigObject.upstream(spec.id().value());
-        return new UpstreamView(mPorts.configuration().revisionOf(object).orElse(0), spec);
+        ObjectKey object = ObjectKey.upstream(spec.id());
+        return new UpstreamView(mPorts.configuration().snapshot().objectRevision(object), spec);
     }
 
     private <T> Aged<T> aged(AdminRequest request, T value) {
