--- a/router/src/main/java/org/hornbeampass/router/flow/ChatFlow.java
+++ b/router/src/main/java/org/hornbeampass/router/flow/ChatFlow.java
@@ -1,5 +1,7 @@
 package org.hornbeampass.router.flow;
 
+import org.hornbeampass.coordination.limit.AttemptOutcome;
+
 import io.vavr.control.Either;
 
 import org.hornbeampass.protocol.openai.ChatChunk;
@@ -160,7 +162,7 @@
         if (mRelayed.isNothing()) {
             mMeter = newMeter();
         }
-        Either<Failure, Attempt> started = mPorts.upstreams().start(nowMs, mNumber, mRelayed);
+        Either<Failure, Attempt> started = mPorts.upstreams().start(nowMs, mNumber, mRelayed, this);
         if (started.isLeft()) {
             giveUp(nowMs, started.getLeft());
             return;
@@ -174,7 +176,7 @@
             doFault(
                     nowMs,
                     new AttemptFault(
-                            AttemptFault.Kind.BROKEN,
+                            AttemptOutcome.BROKEN_IN_ANSWER,
                             "the upstream went on at token "
                                     + chunk.offset().getAsLong()
                                     + " in place of "
@@ -221,7 +223,7 @@
             doFault(
                     nowMs,
                     new AttemptFault(
-                            AttemptFault.Kind.UPSTREAM_ERROR, "the answer is no chat completion"));
+                            AttemptOutcome.UPSTREAM_ERROR, "the answer is no chat completion"));
             return;
         }
         mMeter.count(read.get());
@@ -239,7 +241,7 @@
             doFault(
                     nowMs,
                     new AttemptFault(
-                            AttemptFault.Kind.UPSTREAM_ERROR, "the upstream refused to go on"));
+                            AttemptOutcome.UPSTREAM_ERROR, "the upstream refused to go on"));
             return;
         }
         mLive = Optional.empty();
@@ -279,7 +281,7 @@
             return;
         }
         mLive = Optional.empty();
-        mMayHaveRun |= fault.kind() != AttemptFault.Kind.NOT_SENT;
+        mMayHaveRun |= fault.outcome().mayHaveSent();
         Retry retry = mPorts.upstreams().afterFault(nowMs, fault, mRelayed);
         if (retry instanceof Retry.Again again && nowMs + again.afterMs() < mPlan.deadlineMs()) {
             retryAfter(nowMs, again.afterMs());
--- a/router/src/main/java/org/hornbeampass/router/flow/ServiceFlow.java
+++ b/router/src/main/java/org/hornbeampass/router/flow/ServiceFlow.java
@@ -155,7 +155,7 @@
     private void tryNext(long nowMs) {
         mNumber++;
         Either<Failure, Attempt> started =
-                mPorts.upstreams().start(nowMs, mNumber, Relayed.NOTHING);
+                mPorts.upstreams().start(nowMs, mNumber, Relayed.NOTHING, this);
         if (started.isLeft()) {
             giveUp(nowMs, started.getLeft());
             return;
@@ -196,7 +196,7 @@
 
     private void doFault(long nowMs, AttemptFault fault) {
         mLive = Optional.empty();
-        mMayHaveRun |= fault.kind() != AttemptFault.Kind.NOT_SENT;
+        mMayHaveRun |= fault.outcome().mayHaveSent();
         if (!mPlan.repeatable() && mMayHaveRun) {
             giveUp(nowMs, Failure.of(ErrorKind.OUTCOME_UNKNOWN, unknownMessage()));
             return;
--- a/router/src/main/java/org/hornbeampass/router/flow/UpstreamPort.java
+++ b/router/src/main/java/org/hornbeampass/router/flow/UpstreamPort.java
@@ -16,10 +16,12 @@
      * @param nowMs the present time in milliseconds
      * @param number the attempt's number, from 1; its events carry it
      * @param relayed what the caller has already been sent, where generation is to go on
+     * @param listener told of the attempt's events
      * @return the attempt, whose events follow, or why no upstream can take it; then nothing was
      *     sent
      */
-    Either<Failure, Attempt> start(long nowMs, int number, Relayed relayed);
+    Either<Failure, Attempt> start(
+            long nowMs, int number, Relayed relayed, AttemptListener listener);
 
     /**
      * Decides what to do after an attempt has failed.
--- a/router/src/main/java/org/hornbeampass/router/front/RequestAdmission.java
+++ b/router/src/main/java/org/hornbeampass/router/front/RequestAdmission.java
@@ -7,6 +7,7 @@
 import org.hornbeampass.router.flow.ChatPlan;
 import org.hornbeampass.router.flow.JsonText;
 import org.hornbeampass.router.flow.ServicePlan;
+import org.hornbeampass.router.upstream.ServiceCall;
 import org.hornbeampass.state.ErrorKind;
 import org.hornbeampass.state.Failure;
 import org.hornbeampass.state.RequestId;
@@ -130,8 +131,8 @@
         return workKind(head.caller().terms(), exchange)
                 .map(
                         kind -> {
-                            ServiceOrder.Call call =
-                                    new ServiceOrder.Call(
+                            ServiceCall call =
+                                    new ServiceCall(
                                             name,
                                             exchange.method(),
                                             slash < 0 ? "/" : rest.substring(slash),
@@ -142,7 +143,7 @@
                         });
     }
 
-    private ServiceOrder order(RequestHead head, ServiceOrder.Call call, boolean repeatable) {
+    private ServiceOrder order(RequestHead head, ServiceCall call, boolean repeatable) {
         byte[] content = content(call);
         RequestId id =
                 repeatable
@@ -157,7 +158,7 @@
                 new ServicePlan(repeatable, head.deadlineMs()));
     }
 
-    private static byte[] content(ServiceOrder.Call call) {
+    private static byte[] content(ServiceCall call) {
         ByteArrayOutputStream content = new ByteArrayOutputStream(call.body().length + 64);
         String start = call.method() + " " + call.service() + call.target() + "\n";
         content.writeBytes(start.getBytes(StandardCharsets.UTF_8));
--- a/router/src/main/java/org/hornbeampass/router/front/RequestHead.java
+++ b/router/src/main/java/org/hornbeampass/router/front/RequestHead.java
@@ -32,11 +32,7 @@
             long nowMs, HttpExchange exchange, ServingConfig config, FrontLimits limits) {
         Optional<ServingConfig.Caller> caller = config.caller(exchange.header("authorization"));
         if (caller.isEmpty()) {
-            return Either.left(
-                    Failure.of(
-                            ErrorKind.KEY_MISSING_OR_UNKNOWN,
-                            "header authorization carries no known key; send \"Bearer <key>\" with"
-                                    + " a key of your organisation"));
+            return Either.left(unknownKey());
         }
         Either<Failure, Optional<String>> key = idempotencyKey(exchange);
         if (key.isLeft()) {
@@ -50,6 +46,14 @@
                 .map(at -> new RequestHead(caller.get(), key.get(), budget.get(), at));
     }
 
+    /** Returns the failure of a request without a known key. */
+    static Failure unknownKey() {
+        return Failure.of(
+                ErrorKind.KEY_MISSING_OR_UNKNOWN,
+                "header authorization carries no known key; send \"Bearer <key>\" with a key of your"
+                        + " organisation");
+    }
+
     private static Either<Failure, Optional<String>> idempotencyKey(HttpExchange exchange) {
         Optional<String> key = exchange.header("idempotency-key");
         boolean valid =
--- a/router/src/main/java/org/hornbeampass/router/front/ServiceOrder.java
+++ b/router/src/main/java/org/hornbeampass/router/front/ServiceOrder.java
@@ -1,6 +1,7 @@
 package org.hornbeampass.router.front;
 
 import org.hornbeampass.router.flow.ServicePlan;
+import org.hornbeampass.router.upstream.ServiceCall;
 import org.hornbeampass.state.BudgetKey;
 import org.hornbeampass.state.RequestId;
 
@@ -20,19 +21,6 @@
         RequestId id,
         ServingConfig.Caller caller,
         BudgetKey budget,
-        Call call,
+        ServiceCall call,
         String digest,
-        ServicePlan plan) {
-    /**
-     * What is to be sent to an instance of the service.
-     *
-     * @param service the service's name
-     * @param method the method
-     * @param target the path below the service, with a leading slash
-     * @param contentType the content type of the body
-     * @param body the body
-     */
-    @SuppressWarnings("ArrayRecordComponent")
-    public record Call(
-            String service, String method, String target, String contentType, byte[] body) {}
-}
+        ServicePlan plan) {}
--- /dev/null
+++ b/router/src/main/java/org/hornbeampass/router/serve/FlowRecorder.java
@@ -0,0 +1,99 @@
+package org.hornbeampass.router.serve;
+
+import org.hornbeampass.router.flow.Bill;
+import org.hornbeampass.router.flow.BillResult;
+import org.hornbeampass.router.flow.FlowObserver;
+import org.hornbeampass.state.ErrorKind;
+import org.hornbeampass.state.OrganisationId;
+import org.hornbeampass.state.RequestId;
+import org.hornbeampass.state.config.WorkKind;
+
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+
+import java.util.Locale;
+import java.util.Optional;
+
+/**
+ * Writes one request's milestones to metrics and to the log.
+ *
+ * <p>Not thread-safe: confined to the request's flow.
+ */
+final class FlowRecorder implements FlowObserver {
+    private static final Logger LOG = LogManager.getLogger(FlowRecorder.class);
+
+    private final RouterMetrics mMetrics;
+    private final WorkKind mKind;
+    private final OrganisationId mOrganisation;
+    private final RequestId mId;
+    private final long mArrivedMs;
+    private final Runnable mOnEnd;
+    private long mLastPartMs;
+
+    /**
+     * Makes the recorder of one request.
+     *
+     * @param arrivedMs when it arrived, in milliseconds
+     * @param onEnd run once when it has ended
+     */
+    FlowRecorder(
+            RouterMetrics metrics,
+            WorkKind kind,
+            OrganisationId organisation,
+            RequestId id,
+            long arrivedMs,
+            Runnable onEnd) {
+        mMetrics = metrics;
+        mKind = kind;
+        mOrganisation = organisation;
+        mId = id;
+        mArrivedMs = arrivedMs;
+        mOnEnd = onEnd;
+    }
+
+    @Override
+    public void onFirstPart(long nowMs) {
+        mLastPartMs = nowMs;
+        mMetrics.firstPart(nowMs - mArrivedMs);
+    }
+
+    @Override
+    public void onPart(long nowMs) {
+        mMetrics.betweenParts(nowMs - mLastPartMs);
+        mLastPartMs = nowMs;
+    }
+
+    @Override
+    public void onInternalFault(RuntimeException fault) {
+        LOG.error("request {} of {} met an internal fault", mId, mOrganisation, fault);
+    }
+
+    @Override
+    public void onEnd(
+            long nowMs, Optional<ErrorKind> error, Bill bill, Optional<BillResult> result) {
+        mMetrics.ended(mKind, mOrganisation, error);
+        if (result.isPresent()) {
+            mMetrics.bill(result.get().name().toLowerCase(Locale.ROOT), 0);
+        }
+        if (result.isPresent() && result.get() != BillResult.DUPLICATE) {
+            mMetrics.billed(mOrganisation, bill.totalTokens());
+        }
+        if (error.isPresent()) {
+            LOG.info(
+                    "request {} of {} ended with {} after {} ms",
+                    mId,
+                    mOrganisation,
+                    error.get(),
+                    nowMs - mArrivedMs);
+        } else {
+            LOG.debug(
+                    "request {} of {} ended after {} ms, {} + {} tokens",
+                    mId,
+                    mOrganisation,
+                    nowMs - mArrivedMs,
+                    bill.promptTokens(),
+                    bill.completionTokens());
+        }
+        mOnEnd.run();
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/hornbeampass/router/serve/LedgerBudget.java
@@ -0,0 +1,65 @@
+package org.hornbeampass.router.serve;
+
+import org.hornbeampass.coordination.budget.BudgetLedger;
+import org.hornbeampass.router.flow.BudgetPort;
+import org.hornbeampass.state.BudgetKey;
+import org.hornbeampass.state.Failure;
+import org.hornbeampass.state.RequestId;
+import org.hornbeampass.state.budget.Reservation;
+
+import java.util.Optional;
+import java.util.function.BiConsumer;
+
+/**
+ * Binds one request's flow to the VM's budget ledger.
+ *
+ * <p>Not thread-safe, but that the ledger's reply may come on any thread: the flow calls nothing
+ * else before it.
+ */
+final class LedgerBudget implements BudgetPort {
+    private final BudgetLedger mLedger;
+    private final BudgetKey mKey;
+    private final RequestId mId;
+    private final long mWaitMs;
+    private volatile Reservation mReservation;
+
+    /**
+     * Binds a request.
+     *
+     * @param waitMs how long it may wait for a grant, in milliseconds
+     */
+    LedgerBudget(BudgetLedger ledger, BudgetKey key, RequestId id, long waitMs) {
+        mLedger = ledger;
+        mKey = key;
+        mId = id;
+        mWaitMs = waitMs;
+    }
+
+    @Override
+    public void reserve(long nowMs, long tokens, BiConsumer<Long, Optional<Failure>> done) {
+        mLedger.reserve(
+                nowMs,
+                mKey,
+                mId,
+                tokens,
+                mWaitMs,
+                (t, reserved) -> {
+                    reserved.forEach(r -> mReservation = r);
+                    done.accept(
+                            t,
+                            reserved.isLeft()
+                                    ? Optional.of(reserved.getLeft())
+                                    : Optional.empty());
+                });
+    }
+
+    @Override
+    public void settle(long nowMs, long tokens) {
+        mLedger.settle(nowMs, mReservation, tokens);
+    }
+
+    @Override
+    public void cancel(long nowMs) {
+        mLedger.cancel(nowMs, mReservation);
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/hornbeampass/router/upstream/ChatRoute.java
@@ -0,0 +1,64 @@
+package org.hornbeampass.router.upstream;
+
+import org.hornbeampass.coordination.routing.RoutingQuery;
+import org.hornbeampass.coordination.routing.UpstreamChoice;
+import org.hornbeampass.router.flow.AttemptListener;
+import org.hornbeampass.router.flow.Relayed;
+
+/**
+ * Sends the attempts of one chat completion.
+ *
+ * <p>Not thread-safe: confined to the request's flow.
+ */
+public final class ChatRoute extends UpstreamRoute {
+    private final byte[] mBody;
+    private final boolean mStream;
+
+    /**
+     * Makes the route of one request.
+     *
+     * @param calls what all attempts share
+     * @param requestId the request's id
+     * @param query what is needed
+     * @param body the body that is sent
+     * @param stream whether the answer is streamed
+     */
+    public ChatRoute(
+            UpstreamCalls calls,
+            String requestId,
+            RoutingQuery query,
+            byte[] body,
+            boolean stream) {
+        super(calls, requestId, true, query);
+        mBody = body;
+        mStream = stream;
+    }
+
+    @Override
+    HttpAttempt attempt(
+            UpstreamChoice choice, int number, Relayed relayed, AttemptListener listener) {
+        return mStream
+                ? new ChatStreamAttempt(calls(), choice, number, listener, relayed.tokens())
+                : new HttpAttempt(calls(), choice, number, listener);
+    }
+
+    @Override
+    String method() {
+        return "POST";
+    }
+
+    @Override
+    String target() {
+        return "/v1/chat/completions";
+    }
+
+    @Override
+    String contentType() {
+        return "application/json";
+    }
+
+    @Override
+    byte[] body() {
+        return mBody;
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/hornbeampass/router/upstream/ServiceAttempt.java
@@ -0,0 +1,31 @@
+package org.hornbeampass.router.upstream;
+
+import org.hornbeampass.coordination.limit.AttemptOutcome;
+import org.hornbeampass.coordination.routing.UpstreamChoice;
+import org.hornbeampass.router.flow.AttemptListener;
+
+/**
+ * One attempt at a call to a plain service.
+ *
+ * <p>Any whole answer to a call that may not be repeated is its outcome, also one of a 5xx status;
+ * for other calls those statuses are failures, after which another instance is tried. Same threads
+ * as {@link HttpAttempt}.
+ */
+final class ServiceAttempt extends HttpAttempt {
+    private final boolean mRepeatable;
+
+    ServiceAttempt(
+            UpstreamCalls calls,
+            UpstreamChoice choice,
+            int number,
+            AttemptListener listener,
+            boolean repeatable) {
+        super(calls, choice, number, listener);
+        mRepeatable = repeatable;
+    }
+
+    @Override
+    AttemptOutcome outcome(int status, boolean leaving) {
+        return mRepeatable ? super.outcome(status, leaving) : AttemptOutcome.SUCCEEDED;
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/hornbeampass/router/upstream/ServiceCall.java
@@ -0,0 +1,16 @@
+package org.hornbeampass.router.upstream;
+
+/**
+ * A call that is to be sent to an instance of a plain service.
+ *
+ * <p>The body is not changed once the value is made; safe for use by any thread.
+ *
+ * @param service the service's name
+ * @param method the method
+ * @param target the path below the instance's base, with a leading slash
+ * @param contentType the content type of the body
+ * @param body the body
+ */
+@SuppressWarnings("ArrayRecordComponent")
+public record ServiceCall(
+        String service, String method, String target, String contentType, byte[] body) {}
--- /dev/null
+++ b/router/src/main/java/org/hornbeampass/router/upstream/ServiceRoute.java
@@ -0,0 +1,62 @@
+package org.hornbeampass.router.upstream;
+
+import org.hornbeampass.coordination.routing.RoutingQuery;
+import org.hornbeampass.coordination.routing.UpstreamChoice;
+import org.hornbeampass.router.flow.AttemptListener;
+import org.hornbeampass.router.flow.Relayed;
+
+/**
+ * Sends the attempts of one call to a plain service.
+ *
+ * <p>Not thread-safe: confined to the call's flow.
+ */
+public final class ServiceRoute extends UpstreamRoute {
+    private final ServiceCall mCall;
+    private final boolean mRepeatable;
+
+    /**
+     * Makes the route of one call.
+     *
+     * @param calls what all attempts share
+     * @param requestId the request's id
+     * @param query what is needed
+     * @param call what is sent
+     * @param repeatable whether the call may run more than once
+     */
+    public ServiceRoute(
+            UpstreamCalls calls,
+            String requestId,
+            RoutingQuery query,
+            ServiceCall call,
+            boolean repeatable) {
+        super(calls, requestId, repeatable, query);
+        mCall = call;
+        mRepeatable = repeatable;
+    }
+
+    @Override
+    HttpAttempt attempt(
+            UpstreamChoice choice, int number, Relayed relayed, AttemptListener listener) {
+        return new ServiceAttempt(calls(), choice, number, listener, mRepeatable);
+    }
+
+    @Override
+    String method() {
+        return mCall.method();
+    }
+
+    @Override
+    String target() {
+        return mCall.target();
+    }
+
+    @Override
+    String contentType() {
+        return mCall.contentType();
+    }
+
+    @Override
+    byte[] body() {
+        return mCall.body();
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/hornbeampass/router/upstream/UpstreamCalls.java
@@ -0,0 +1,33 @@
+package org.hornbeampass.router.upstream;
+
+import org.hornbeampass.coordination.limit.RetryBudget;
+import org.hornbeampass.coordination.limit.RetryPolicy;
+import org.hornbeampass.coordination.routing.UpstreamChooser;
+import org.hornbeampass.coordination.upstream.UpstreamTable;
+import org.hornbeampass.state.VmId;
+import org.hornbeampass.transport.Clock;
+import org.hornbeampass.transport.http.HttpClient;
+
+/**
+ * What all attempts of one VM share.
+ *
+ * <p>Immutable; its parts are thread-safe.
+ *
+ * @param vm this VM
+ * @param table what is known of upstreams
+ * @param chooser chooses the upstream of each attempt
+ * @param retries decides what follows a failed attempt
+ * @param retryBudget bounds further attempts
+ * @param client sends requests
+ * @param clock the present time
+ * @param settings times and bounds
+ */
+public record UpstreamCalls(
+        VmId vm,
+        UpstreamTable table,
+        UpstreamChooser chooser,
+        RetryPolicy retries,
+        RetryBudget retryBudget,
+        HttpClient client,
+        Clock clock,
+        UpstreamSettings settings) {}
--- /dev/null
+++ b/router/src/main/java/org/hornbeampass/router/upstream/UpstreamRoute.java
@@ -0,0 +1,143 @@
+package org.hornbeampass.router.upstream;
+
+import org.hornbeampass.coordination.limit.FailedAttempt;
+import org.hornbeampass.coordination.limit.RetryDecision;
+import org.hornbeampass.coordination.routing.RoutingQuery;
+import org.hornbeampass.coordination.routing.UpstreamChoice;
+import org.hornbeampass.router.flow.Attempt;
+import org.hornbeampass.router.flow.AttemptFault;
+import org.hornbeampass.router.flow.AttemptListener;
+import org.hornbeampass.router.flow.Relayed;
+import org.hornbeampass.router.flow.Retry;
+import org.hornbeampass.router.flow.UpstreamPort;
+import org.hornbeampass.state.Failure;
+import org.hornbeampass.state.UpstreamId;
+import org.hornbeampass.transport.http.HttpClient;
+
+import io.vavr.control.Either;
+
+import java.net.URI;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * Sends the attempts of one request, each to an upstream that was not tried before where there is
+ * one.
+ *
+ * <p>Not thread-safe: confined to the request's flow.
+ */
+abstract class UpstreamRoute implements UpstreamPort {
+    private static final String JSON = "application/json";
+
+    private final UpstreamCalls mCalls;
+    private final String mRequestId;
+    private final boolean mRepeatable;
+    private RoutingQuery mQuery;
+    private int mAttempts;
+    private boolean mSentBefore;
+    private UpstreamId mLast;
+
+    UpstreamRoute(
+            UpstreamCalls calls, String requestId, boolean repeatable, RoutingQuery query) {
+        mCalls = calls;
+        mRequestId = requestId;
+        mRepeatable = repeatable;
+        mQuery = query;
+    }
+
+    /** Makes the attempt that is to be sent. */
+    abstract HttpAttempt attempt(
+            UpstreamChoice choice, int number, Relayed relayed, AttemptListener listener);
+
+    abstract String method();
+
+    abstract String target();
+
+    abstract String contentType();
+
+    abstract byte[] body();
+
+    @Override
+    public final Either<Failure, Attempt> start(
+            long nowMs, int number, Relayed relayed, AttemptListener listener) {
+        Either<Failure, UpstreamChoice> choice = choose(nowMs);
+        if (choice.isLeft()) {
+            return Either.left(choice.getLeft());
+        }
+        if (mAttempts == 0) {
+            mCalls.retryBudget().onFirstAttempt();
+        }
+        mAttempts++;
+        mLast = choice.get().upstream();
+        HttpAttempt attempt = attempt(choice.get(), number, relayed, listener);
+        attempt.send(request(nowMs, choice.get(), relayed));
+        return Either.right(attempt);
+    }
+
+    /** Chooses among those not tried, and among all where none of those is left. */
+    private Either<Failure, UpstreamChoice> choose(long nowMs) {
+        Either<Failure, UpstreamChoice> choice = mCalls.chooser().choose(nowMs, mQuery);
+        if (choice.isRight() || mQuery.excluded().isEmpty()) {
+            return choice;
+        }
+        return mCalls.chooser().choose(nowMs, excluding(Set.of()));
+    }
+
+    @Override
+    public final Retry afterFault(long nowMs, AttemptFault fault, Relayed relayed) {
+        FailedAttempt failed =
+                new FailedAttempt(
+                        fault.outcome(),
+                        mRepeatable,
+                        mAttempts,
+                        relayed.tokens(),
+                        true,
+                        mQuery.deadline());
+        RetryDecision decision =
+                mCalls.retries().decide(nowMs, failed, mSentBefore, mCalls.retryBudget());
+        mSentBefore |= fault.outcome().mayHaveSent();
+        mQuery = mQuery.without(mLast);
+        if (decision instanceof RetryDecision.RetryElsewhere elsewhere) {
+            return new Retry.Again(elsewhere.delayMs());
+        }
+        return decision instanceof RetryDecision.Resume
+                ? new Retry.Again(0)
+                : new Retry.GiveUp();
+    }
+
+    private RoutingQuery excluding(Set<UpstreamId> excluded) {
+        return new RoutingQuery(
+                mQuery.target(),
+                mQuery.organisation(),
+                mQuery.priority(),
+                mQuery.prefix(),
+                excluded,
+                mQuery.deadline());
+    }
+
+    private HttpClient.Request request(long nowMs, UpstreamChoice choice, Relayed relayed) {
+        Map<String, String> headers = new HashMap<>();
+        headers.put("content-type", contentType());
+        headers.put("accept", JSON + ", text/event-stream");
+        headers.put(UpstreamHeaders.REQUEST_ID, mRequestId);
+        headers.put(UpstreamHeaders.ATTEMPT_ID, mCalls.vm() + "-" + choice.attempt());
+        headers.put(UpstreamHeaders.PRIORITY, Integer.toString(mQuery.priority()));
+        headers.put(
+                UpstreamHeaders.DEADLINE_MS, Long.toString(mQuery.deadline().remainingMs(nowMs)));
+        if (relayed.tokens() > 0) {
+            headers.put(UpstreamHeaders.RESUME_OFFSET, Long.toString(relayed.tokens()));
+        }
+        return new HttpClient.Request(
+                method(),
+                URI.create(choice.baseUri() + target()),
+                headers,
+                body(),
+                mCalls.settings().connectTimeoutMs(),
+                mCalls.settings().idleTimeoutMs());
+    }
+
+    final UpstreamCalls calls() {
+        return mCalls;
+    }
+}
--- a/router/src/test/java/org/hornbeampass/router/flow/ChatFlowTest.java
+++ b/router/src/test/java/org/hornbeampass/router/flow/ChatFlowTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import org.hornbeampass.coordination.limit.AttemptOutcome;
 import org.hornbeampass.state.ErrorKind;
 import org.hornbeampass.state.Failure;
 import org.junit.jupiter.api.Test;
@@ -233,6 +234,6 @@
     }
 
     private static AttemptFault broken() {
-        return new AttemptFault(AttemptFault.Kind.BROKEN, "reset");
+        return new AttemptFault(AttemptOutcome.BROKEN_IN_ANSWER, "reset");
     }
 }
--- a/router/src/test/java/org/hornbeampass/router/flow/FakePorts.java
+++ b/router/src/test/java/org/hornbeampass/router/flow/FakePorts.java
@@ -182,7 +182,8 @@
     }
 
     @Override
-    public Either<Failure, Attempt> start(long nowMs, int number, Relayed relayed) {
+    public Either<Failure, Attempt> start(
+            long nowMs, int number, Relayed relayed, AttemptListener listener) {
         if (mNoUpstream.isPresent()) {
             return Either.left(mNoUpstream.get());
         }
--- a/router/src/test/java/org/hornbeampass/router/flow/ServiceFlowTest.java
+++ b/router/src/test/java/org/hornbeampass/router/flow/ServiceFlowTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import org.hornbeampass.coordination.limit.AttemptOutcome;
 import org.hornbeampass.state.ErrorKind;
 import org.hornbeampass.state.Failure;
 import org.junit.jupiter.api.Test;
@@ -51,7 +52,7 @@
     @Test
     void onceCallThatBreaksAfterItWasSent_isNotSentAgain() {
         ServiceFlow flow = startOnce();
-        flow.onFault(1, 1, new AttemptFault(AttemptFault.Kind.BROKEN, "reset"));
+        flow.onFault(1, 1, new AttemptFault(AttemptOutcome.BROKEN_IN_ANSWER, "reset"));
         assertThat(mPorts.mAttempts).hasSize(1);
         assertThat(mPorts.errorKind()).contains(ErrorKind.OUTCOME_UNKNOWN);
         assertThat(mPorts.mLog).doesNotContain("release");
@@ -60,7 +61,7 @@
     @Test
     void onceCallOfWhichNoByteWasSent_isSentElsewhere() {
         ServiceFlow flow = startOnce();
-        flow.onFault(1, 1, new AttemptFault(AttemptFault.Kind.NOT_SENT, "refused"));
+        flow.onFault(1, 1, new AttemptFault(AttemptOutcome.CONNECT_FAILED, "refused"));
         assertThat(mPorts.mAttempts).hasSize(2);
     }
 
@@ -118,7 +119,7 @@
     @Test
     void repeatableCall_isTriedAgainAndNeedsNoClaim() {
         ServiceFlow flow = start(true);
-        flow.onFault(1, 1, new AttemptFault(AttemptFault.Kind.BROKEN, "reset"));
+        flow.onFault(1, 1, new AttemptFault(AttemptOutcome.BROKEN_IN_ANSWER, "reset"));
         flow.onWhole(2, 2, ANSWER);
         mPorts.mBilled.accept(3L, BillResult.FIRST);
         assertThat(mPorts.mAnswer).contains(ANSWER);
--- a/transport/src/main/java/org/hornbeampass/transport/http/AnswerPart.java
+++ b/transport/src/main/java/org/hornbeampass/transport/http/AnswerPart.java
@@ -27,6 +27,11 @@
     /** Whether nothing follows it. */
     boolean last();
 
+    /** Whether the handler wants the connection closed after the answer. */
+    default boolean closes() {
+        return false;
+    }
+
     /**
      * Returns what the codec is given.
      *
@@ -39,6 +44,11 @@
     /** A whole answer. */
     record Whole(ServerExchange exchange, int status, Map<String, String> headers, byte[] body)
             implements AnswerPart {
+        @Override
+        public boolean closes() {
+            return saysClose(headers);
+        }
+
         @Override
         public boolean last() {
             return true;
@@ -60,6 +70,11 @@
     /** The head of a streamed answer. */
     record Head(ServerExchange exchange, int status, Map<String, String> headers)
             implements AnswerPart {
+        @Override
+        public boolean closes() {
+            return saysClose(headers);
+        }
+
         @Override
         public boolean last() {
             return false;
@@ -117,6 +132,10 @@
         }
     }
 
+    private static boolean saysClose(Map<String, String> headers) {
+        return "close".equalsIgnoreCase(headers.get("connection"));
+    }
+
     private static void setHeaders(
             HttpResponse response, Map<String, String> headers, boolean keepAlive) {
         HttpHeaders target = response.headers();
--- a/transport/src/main/java/org/hornbeampass/transport/http/ServerConnection.java
+++ b/transport/src/main/java/org/hornbeampass/transport/http/ServerConnection.java
@@ -270,7 +270,8 @@
         boolean first = part instanceof AnswerPart.Whole || part instanceof AnswerPart.Head;
         if (first) {
             boolean streamed = part instanceof AnswerPart.Head;
-            mKeepAlive = mKeepAlive && !mStatus.draining() && (mChunked || !streamed);
+            boolean closes = mStatus.draining() || part.closes();
+            mKeepAlive = mKeepAlive && !closes && (mChunked || !streamed);
         }
         HttpObject encoded;
         try {
