--- a/router/src/main/java/org/hornbeampass/router/flow/ChatFlow.java
+++ b/router/src/main/java/org/hornbeampass/router/flow/ChatFlow.java
@@ -1,9 +1,8 @@
 package org.hornbeampass.router.flow;
 
-import org.hornbeampass.coordination.limit.AttemptOutcome;
-
 import io.vavr.control.Either;
 
+import org.hornbeampass.coordination.limit.AttemptOutcome;
 import org.hornbeampass.protocol.openai.ChatChunk;
 import org.hornbeampass.protocol.openai.ChatChunkReader;
 import org.hornbeampass.state.ErrorKind;
--- a/router/src/main/java/org/hornbeampass/router/front/FrontDoor.java
+++ b/router/src/main/java/org/hornbeampass/router/front/FrontDoor.java
@@ -1,5 +1,7 @@
 package org.hornbeampass.router.front;
 
+import io.vavr.control.Either;
+
 import org.hornbeampass.coordination.address.AddressAnswer;
 import org.hornbeampass.coordination.address.AddressBook;
 import org.hornbeampass.coordination.address.AddressQuery;
@@ -12,8 +14,6 @@
 import org.hornbeampass.transport.http.HttpExchange;
 import org.hornbeampass.transport.http.HttpHandler;
 
-import io.vavr.control.Either;
-
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.List;
@@ -117,10 +117,7 @@
             return;
         }
         mRunner.chat(
-                nowMs,
-                order.get(),
-                exchange,
-                new CallerAnswer(exchange, order.get().id().value()));
+                nowMs, order.get(), exchange, new CallerAnswer(exchange, order.get().id().value()));
     }
 
     private void service(long nowMs, HttpExchange exchange) {
@@ -133,10 +130,7 @@
             return;
         }
         mRunner.service(
-                nowMs,
-                order.get(),
-                exchange,
-                new CallerAnswer(exchange, order.get().id().value()));
+                nowMs, order.get(), exchange, new CallerAnswer(exchange, order.get().id().value()));
     }
 
     private boolean refusedAsNotReady(long nowMs, HttpExchange exchange) {
@@ -218,9 +212,7 @@
 
     private static void text(HttpExchange exchange, String text) {
         exchange.respond(
-                200,
-                Map.of("content-type", "text/plain"),
-                text.getBytes(StandardCharsets.UTF_8));
+                200, Map.of("content-type", "text/plain"), text.getBytes(StandardCharsets.UTF_8));
     }
 
     private static void json(HttpExchange exchange, Object value, Map<String, String> more) {
--- a/router/src/main/java/org/hornbeampass/router/front/RequestHead.java
+++ b/router/src/main/java/org/hornbeampass/router/front/RequestHead.java
@@ -50,8 +50,8 @@
     static Failure unknownKey() {
         return Failure.of(
                 ErrorKind.KEY_MISSING_OR_UNKNOWN,
-                "header authorization carries no known key; send \"Bearer <key>\" with a key of your"
-                        + " organisation");
+                "header authorization carries no known key; send \"Bearer <key>\" with a key of"
+                        + " your organisation");
     }
 
     private static Either<Failure, Optional<String>> idempotencyKey(HttpExchange exchange) {
--- a/router/src/main/java/org/hornbeampass/router/serve/FlowRecorder.java
+++ b/router/src/main/java/org/hornbeampass/router/serve/FlowRecorder.java
@@ -1,5 +1,7 @@
 package org.hornbeampass.router.serve;
 
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 import org.hornbeampass.router.flow.Bill;
 import org.hornbeampass.router.flow.BillResult;
 import org.hornbeampass.router.flow.FlowObserver;
@@ -8,9 +10,6 @@
 import org.hornbeampass.state.RequestId;
 import org.hornbeampass.state.config.WorkKind;
 
-import org.apache.logging.log4j.LogManager;
-import org.apache.logging.log4j.Logger;
-
 import java.util.Locale;
 import java.util.Optional;
 
--- a/router/src/main/java/org/hornbeampass/router/serve/LedgerBudget.java
+++ b/router/src/main/java/org/hornbeampass/router/serve/LedgerBudget.java
@@ -47,9 +47,7 @@
                     reserved.forEach(r -> mReservation = r);
                     done.accept(
                             t,
-                            reserved.isLeft()
-                                    ? Optional.of(reserved.getLeft())
-                                    : Optional.empty());
+                            reserved.isLeft() ? Optional.of(reserved.getLeft()) : Optional.empty());
                 });
     }
 
--- a/router/src/main/java/org/hornbeampass/router/serve/RequestGate.java
+++ b/router/src/main/java/org/hornbeampass/router/serve/RequestGate.java
@@ -13,8 +13,8 @@
 /**
  * Takes one request through its organisation's limits and then through its target's queue.
  *
- * <p>Invariant: what was taken of either is given back exactly once, by {@link #leave}. Thread-safe:
- * the queue may answer on any thread while the request leaves.
+ * <p>Invariant: what was taken of either is given back exactly once, by {@link #leave}.
+ * Thread-safe: the queue may answer on any thread while the request leaves.
  */
 final class RequestGate implements AdmissionPort {
     private final OrganisationLimits mLimits;
--- a/router/src/main/java/org/hornbeampass/router/serve/RouterMetrics.java
+++ b/router/src/main/java/org/hornbeampass/router/serve/RouterMetrics.java
@@ -1,14 +1,14 @@
 package org.hornbeampass.router.serve;
 
-import org.hornbeampass.state.ErrorKind;
-import org.hornbeampass.state.OrganisationId;
-import org.hornbeampass.state.config.WorkKind;
-
 import com.codahale.metrics.Counter;
 import com.codahale.metrics.Histogram;
 import com.codahale.metrics.MetricRegistry;
 import com.codahale.metrics.UniformReservoir;
 
+import org.hornbeampass.state.ErrorKind;
+import org.hornbeampass.state.OrganisationId;
+import org.hornbeampass.state.config.WorkKind;
+
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
--- a/router/src/main/java/org/hornbeampass/router/serve/WheelTimers.java
+++ b/router/src/main/java/org/hornbeampass/router/serve/WheelTimers.java
@@ -1,12 +1,12 @@
 package org.hornbeampass.router.serve;
 
-import org.hornbeampass.router.flow.TimerPort;
-import org.hornbeampass.transport.Clock;
-
 import io.netty.util.HashedWheelTimer;
 import io.netty.util.Timeout;
 import io.netty.util.concurrent.DefaultThreadFactory;
 
+import org.hornbeampass.router.flow.TimerPort;
+import org.hornbeampass.transport.Clock;
+
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongConsumer;
 
--- a/router/src/main/java/org/hornbeampass/router/upstream/HttpAttempt.java
+++ b/router/src/main/java/org/hornbeampass/router/upstream/HttpAttempt.java
@@ -38,8 +38,7 @@
     private boolean mLeaving;
     private boolean mFirstSeen;
 
-    HttpAttempt(
-            UpstreamCalls calls, UpstreamChoice choice, int number, AttemptListener listener) {
+    HttpAttempt(UpstreamCalls calls, UpstreamChoice choice, int number, AttemptListener listener) {
         mCalls = calls;
         mChoice = choice;
         mNumber = number;
@@ -134,9 +133,7 @@
         if (!sent) {
             return AttemptOutcome.CONNECT_FAILED;
         }
-        return mFirstSeen
-                ? AttemptOutcome.BROKEN_IN_ANSWER
-                : AttemptOutcome.BROKEN_BEFORE_ANSWER;
+        return mFirstSeen ? AttemptOutcome.BROKEN_IN_ANSWER : AttemptOutcome.BROKEN_BEFORE_ANSWER;
     }
 
     /** Returns how an answer of a status ends the attempt. */
--- a/router/src/main/java/org/hornbeampass/router/upstream/UpstreamRoute.java
+++ b/router/src/main/java/org/hornbeampass/router/upstream/UpstreamRoute.java
@@ -1,5 +1,7 @@
 package org.hornbeampass.router.upstream;
 
+import io.vavr.control.Either;
+
 import org.hornbeampass.coordination.limit.FailedAttempt;
 import org.hornbeampass.coordination.limit.RetryDecision;
 import org.hornbeampass.coordination.routing.RoutingQuery;
@@ -14,8 +16,6 @@
 import org.hornbeampass.state.UpstreamId;
 import org.hornbeampass.transport.http.HttpClient;
 
-import io.vavr.control.Either;
-
 import java.net.URI;
 import java.util.HashMap;
 import java.util.Map;
@@ -38,8 +38,7 @@
     private boolean mSentBefore;
     private UpstreamId mLast;
 
-    UpstreamRoute(
-            UpstreamCalls calls, String requestId, boolean repeatable, RoutingQuery query) {
+    UpstreamRoute(UpstreamCalls calls, String requestId, boolean repeatable, RoutingQuery query) {
         mCalls = calls;
         mRequestId = requestId;
         mRepeatable = repeatable;
@@ -101,9 +100,7 @@
         if (decision instanceof RetryDecision.RetryElsewhere elsewhere) {
             return new Retry.Again(elsewhere.delayMs());
         }
-        return decision instanceof RetryDecision.Resume
-                ? new Retry.Again(0)
-                : new Retry.GiveUp();
+        return decision instanceof RetryDecision.Resume ? new Retry.Again(0) : new Retry.GiveUp();
     }
 
     private RoutingQuery excluding(Set<UpstreamId> excluded) {
--- /dev/null
+++ b/router/src/test/java/org/hornbeampass/router/flow/ChatFlowProperties.java
@@ -0,0 +1,26 @@
+package org.hornbeampass.router.flow;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+
+import java.util.stream.LongStream;
+
+/** What holds for a chat completion whatever fails, in whatever order. */
+class ChatFlowProperties {
+    @Property(seed = "7041", tries = 5_000)
+    void callerGetsItsWholeAnswerOrAnHonestError_billedOnce(@ForAll long seed) {
+        assertThat(new ChatWorld(seed, false).run()).isEmpty();
+    }
+
+    @Example
+    void relayingChunksOfAbandonedAttempts_isFound() {
+        long found =
+                LongStream.range(0, 2_000)
+                        .filter(seed -> !new ChatWorld(seed, true).run().isEmpty())
+                        .count();
+        assertThat(found).isPositive();
+    }
+}
--- /dev/null
+++ b/router/src/test/java/org/hornbeampass/router/flow/ChatWorld.java
@@ -0,0 +1,272 @@
+package org.hornbeampass.router.flow;
+
+import io.vavr.control.Either;
+
+import org.hornbeampass.coordination.limit.AttemptOutcome;
+import org.hornbeampass.state.ErrorKind;
+import org.hornbeampass.state.Failure;
+import org.hornbeampass.state.RunState;
+import org.hornbeampass.state.UpstreamId;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+
+/**
+ * One chat completion among upstreams, a ledger and a caller that fail at random points.
+ *
+ * <p>All that is pending is kept in one bag, from which the seed draws what happens next, so that
+ * replies, chunks, failures, the deadline and the caller's departure meet in any order. Events of
+ * abandoned attempts stay in the bag and come late. Not thread-safe.
+ */
+final class ChatWorld {
+    private static final long DEADLINE_MS = 1_000;
+    private static final int PROMPT_TOKENS = 3;
+    private static final int MAX_STEPS = 500;
+
+    private final SplittableRandom mRandom;
+    private final boolean mRelabelLateChunks;
+    private final List<Runnable> mPending = new ArrayList<>();
+    private final FakePorts mFake = new FakePorts();
+    private final List<RandomAttempt> mAttempts = new ArrayList<>();
+    private final int mTokens;
+    private final ChatFlow mFlow;
+    private boolean mCallerGone;
+    private boolean mMayHaveSent;
+    private long mNowMs;
+
+    /** An attempt with the events that it has yet to give. */
+    private final class RandomAttempt implements Attempt {
+        private final int mNumber;
+        private boolean mCancelled;
+        private boolean mOver;
+
+        RandomAttempt(int number) {
+            mNumber = number;
+        }
+
+        @Override
+        public UpstreamId upstream() {
+            return new UpstreamId("u" + mNumber);
+        }
+
+        @Override
+        public void cancel(long nowMs) {
+            mCancelled = true;
+        }
+
+        @Override
+        public void pause() {}
+
+        @Override
+        public void resume() {}
+
+        /**
+         * The number that the flow is told: the live attempt's where late chunks are relabelled.
+         */
+        private int told() {
+            return mRelabelLateChunks ? mAttempts.size() : mNumber;
+        }
+
+        private void next(int token) {
+            if (mRandom.nextInt(8) == 0) {
+                mOver = true;
+                AttemptOutcome outcome = fate(token);
+                mMayHaveSent |= outcome.mayHaveSent();
+                mFlow.onFault(mNowMs, told(), new AttemptFault(outcome, "at random"));
+            } else if (token < mTokens) {
+                mMayHaveSent = true;
+                mFlow.onChunk(mNowMs, told(), Chunks.token("t" + token + " "));
+                mPending.add(() -> next(token + 1));
+            } else {
+                mOver = true;
+                mMayHaveSent = true;
+                mFlow.onChunk(mNowMs, told(), Chunks.finish("stop"));
+                mFlow.onChunk(mNowMs, told(), Chunks.usage(PROMPT_TOKENS, mTokens));
+                mFlow.onDone(mNowMs, told());
+            }
+        }
+
+        private AttemptOutcome fate(int token) {
+            if (token > 0) {
+                return AttemptOutcome.BROKEN_IN_ANSWER;
+            }
+            return mRandom.nextBoolean()
+                    ? AttemptOutcome.CONNECT_FAILED
+                    : AttemptOutcome.REFUSED_OVERLOADED;
+        }
+    }
+
+    /** Upstreams that fail at random. */
+    private final class RandomUpstreams implements UpstreamPort {
+        @Override
+        public Either<Failure, Attempt> start(
+                long nowMs, int number, Relayed relayed, AttemptListener listener) {
+            if (mRandom.nextInt(10) == 0) {
+                return Either.left(Failure.of(ErrorKind.NO_UPSTREAM, "none"));
+            }
+            RandomAttempt attempt = new RandomAttempt(number);
+            mAttempts.add(attempt);
+            mPending.add(() -> attempt.next((int) relayed.tokens()));
+            return Either.right(attempt);
+        }
+
+        @Override
+        public Retry afterFault(long nowMs, AttemptFault fault, Relayed relayed) {
+            return mRandom.nextInt(4) == 0
+                    ? new Retry.GiveUp()
+                    : new Retry.Again(mRandom.nextInt(2) * 10L);
+        }
+    }
+
+    ChatWorld(long seed, boolean relabelLateChunks) {
+        mRandom = new SplittableRandom(seed);
+        mRelabelLateChunks = relabelLateChunks;
+        mTokens = 1 + mRandom.nextInt(6);
+        ChatPlan plan = new ChatPlan(true, false, 50, 10, DEADLINE_MS, "\"chatcmpl-1\"", "m");
+        FlowPorts ports =
+                new FlowPorts(
+                        (AdmissionPort) mFake,
+                        mFake,
+                        mFake,
+                        new RandomUpstreams(),
+                        mFake,
+                        mFake,
+                        mFake);
+        mFlow = new ChatFlow(plan, ports);
+    }
+
+    /** Runs to the end and returns what is wrong, nothing where all invariants hold. */
+    List<String> run() {
+        mFlow.start(0);
+        if (mRandom.nextInt(3) == 0) {
+            mPending.add(this::callerGoes);
+        }
+        if (mRandom.nextInt(3) == 0) {
+            mPending.add(() -> timeTo(DEADLINE_MS));
+        }
+        for (int step = 0; step < MAX_STEPS && collect(); step++) {
+            mPending.remove(mRandom.nextInt(mPending.size())).run();
+        }
+        return findings();
+    }
+
+    /** Puts the replies that are due into the bag; returns whether anything is left to happen. */
+    private boolean collect() {
+        if (mFake.mAdmitted != null) {
+            var admitted = mFake.mAdmitted;
+            mFake.mAdmitted = null;
+            mPending.add(() -> admitted.accept(mNowMs, sometimes(ErrorKind.OVERLOADED)));
+        }
+        if (mFake.mReserved != null) {
+            var reserved = mFake.mReserved;
+            mFake.mReserved = null;
+            mPending.add(() -> reserve(reserved));
+        }
+        if (mFake.mBilled != null) {
+            var billed = mFake.mBilled;
+            mFake.mBilled = null;
+            BillResult[] results = BillResult.values();
+            mPending.add(() -> billed.accept(mNowMs, results[mRandom.nextInt(results.length)]));
+        }
+        if (mPending.isEmpty() && mFake.mEnds == 0) {
+            mPending.add(() -> timeTo(mNowMs + 20));
+        }
+        return !mPending.isEmpty();
+    }
+
+    private void reserve(java.util.function.BiConsumer<Long, Optional<Failure>> reserved) {
+        Optional<Failure> refused = sometimes(ErrorKind.BUDGET_EXHAUSTED);
+        if (refused.isPresent()) {
+            mFake.mReservations--;
+        }
+        reserved.accept(mNowMs, refused);
+    }
+
+    private Optional<Failure> sometimes(ErrorKind kind) {
+        return mRandom.nextInt(10) == 0
+                ? Optional.of(Failure.of(kind, "at random"))
+                : Optional.empty();
+    }
+
+    private void callerGoes() {
+        mCallerGone = true;
+        mFlow.onCallerGone(mNowMs);
+    }
+
+    private void timeTo(long nowMs) {
+        mNowMs = Math.max(mNowMs, nowMs);
+        mFake.runTimers(mNowMs);
+    }
+
+    private List<String> findings() {
+        List<String> findings = new ArrayList<>();
+        expect(findings, mFake.mEnds == 1, "it ended " + mFake.mEnds + " times");
+        expect(findings, mFake.mBills <= 1, "it was billed " + mFake.mBills + " times");
+        expect(
+                findings,
+                mFake.mSettled + mFake.mCancelled == mFake.mReservations,
+                "a reservation was not ended exactly once");
+        long left = mFake.mLog.stream().filter("leave"::equals).count();
+        long entered = mFake.mLog.stream().filter("enter"::equals).count();
+        expect(findings, left == entered, "it left the queue " + left + " times");
+        expect(
+                findings,
+                mAttempts.stream().allMatch(a -> a.mOver || a.mCancelled),
+                "an abandoned attempt runs on");
+        checkAnswer(findings);
+        checkError(findings);
+        return findings;
+    }
+
+    private void checkAnswer(List<String> findings) {
+        StringBuilder whole = new StringBuilder();
+        for (int i = 0; i < mTokens; i++) {
+            whole.append('t').append(i).append(' ');
+        }
+        String text = text();
+        expect(findings, whole.toString().startsWith(text), "the caller was sent: " + text);
+        if (mFake.mStreamEnded) {
+            expect(findings, whole.toString().equals(text), "ended but not whole: " + text);
+            expect(
+                    findings,
+                    mFake.mBill.equals(new Bill(PROMPT_TOKENS, mTokens)),
+                    "billed " + mFake.mBill);
+        }
+        expect(
+                findings,
+                mFake.mStreamEnded != mFake.mFailure.isPresent(),
+                "neither whole nor an error, or both");
+        expect(findings, text.isEmpty() || mFake.mBills == 1, "tokens were sent but not billed");
+    }
+
+    private void checkError(List<String> findings) {
+        boolean notRun =
+                mFake.errorKind().filter(k -> k.runState() == RunState.NOT_RUN).isPresent();
+        boolean live = mAttempts.stream().anyMatch(a -> a.mCancelled);
+        expect(findings, !notRun || !(mMayHaveSent || live), "\"not run\" though it may have run");
+        boolean gone = mFake.mFailure.filter(f -> f.message().contains("caller")).isPresent();
+        expect(findings, !gone || mCallerGone, "the caller is still there");
+    }
+
+    /** Returns the generated text that the caller was sent. */
+    private String text() {
+        StringBuilder text = new StringBuilder();
+        String mark = "\"content\":\"";
+        String sent = mFake.mSent.toString();
+        int at = sent.indexOf(mark);
+        while (at >= 0) {
+            int end = sent.indexOf('"', at + mark.length());
+            text.append(sent, at + mark.length(), end);
+            at = sent.indexOf(mark, end);
+        }
+        return text.toString();
+    }
+
+    private static void expect(List<String> findings, boolean holds, String finding) {
+        if (!holds) {
+            findings.add(finding);
+        }
+    }
+}
--- /dev/null
+++ b/router/src/test/java/org/hornbeampass/router/flow/ServiceFlowProperties.java
@@ -0,0 +1,26 @@
+package org.hornbeampass.router.flow;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+
+import java.util.stream.LongStream;
+
+/** What holds for a call that may not be repeated whatever fails, in whatever order. */
+class ServiceFlowProperties {
+    @Property(seed = "7042", tries = 5_000)
+    void callRunsAtMostOnceAndNotRunIsTrue(@ForAll long seed) {
+        assertThat(new ServiceWorld(seed, false).run()).isEmpty();
+    }
+
+    @Example
+    void sendingItAgain_isFound() {
+        long found =
+                LongStream.range(0, 2_000)
+                        .filter(seed -> !new ServiceWorld(seed, true).run().isEmpty())
+                        .count();
+        assertThat(found).isPositive();
+    }
+}
