--- a/router/src/main/java/org/hornbeampass/router/flow/ChatFlow.java
+++ b/router/src/main/java/org/hornbeampass/router/flow/ChatFlow.java
@@ -107,6 +107,9 @@
     }
 
     private void doStart(long nowMs) {
+        if (mState != State.NEW) {
+            return; // The caller was gone before it could start.
+        }
         if (nowMs >= mPlan.deadlineMs()) {
             failAtOnce(nowMs, Failure.of(ErrorKind.DEADLINE_EXCEEDED_NOT_RUN, lateMessage()));
             return;
--- a/router/src/main/java/org/hornbeampass/router/flow/ServiceFlow.java
+++ b/router/src/main/java/org/hornbeampass/router/flow/ServiceFlow.java
@@ -97,6 +97,9 @@
     }
 
     private void doStart(long nowMs) {
+        if (mState != State.NEW) {
+            return; // The caller was gone before it could start.
+        }
         if (nowMs >= mPlan.deadlineMs()) {
             fail(nowMs, Failure.of(ErrorKind.DEADLINE_EXCEEDED_NOT_RUN, lateMessage()));
             return;
--- a/router/src/test/java/org/hornbeampass/router/flow/ChatFlowTest.java
+++ b/router/src/test/java/org/hornbeampass/router/flow/ChatFlowTest.java
@@ -207,6 +207,14 @@
         assertThat(mPorts.mLog).contains("settle 1").containsOnlyOnce("end");
     }
 
+    @Test
+    void callerGoneBeforeTheStart_endsOnce() {
+        mFlow.onCallerGone(0);
+        mFlow.start(0);
+        assertThat(mPorts.mEnds).isEqualTo(1);
+        assertThat(mPorts.mReservations).isZero();
+    }
+
     @Test
     void slowCaller_pausesTheUpstream() {
         startAttempt();
--- a/router/src/test/java/org/hornbeampass/router/flow/ChatWorld.java
+++ b/router/src/test/java/org/hornbeampass/router/flow/ChatWorld.java
@@ -75,6 +75,9 @@
                 AttemptOutcome outcome = fate(token);
                 mMayHaveSent |= outcome.mayHaveSent();
                 mFlow.onFault(mNowMs, told(), new AttemptFault(outcome, "at random"));
+                if (outcome.mayHaveSent() && mRandom.nextBoolean()) {
+                    mPending.add(() -> next(token)); // Goes on, and comes late.
+                }
             } else if (token < mTokens) {
                 mMayHaveSent = true;
                 mFlow.onChunk(mNowMs, told(), Chunks.token("t" + token + " "));
--- a/transport/src/main/java/org/hornbeampass/protocol/openai/ChatChunkReader.java
+++ b/transport/src/main/java/org/hornbeampass/protocol/openai/ChatChunkReader.java
@@ -150,7 +150,7 @@
         private void text(String text) {
             if (!text.isEmpty()) {
                 mHasDelta = true;
-                mContentBytes += PromptTokens.utf8Bytes(text);
+                mContentBytes += PromptBound.utf8Bytes(text);
             }
         }
 
--- a/transport/src/main/java/org/hornbeampass/protocol/openai/ChatRequestParser.java
+++ b/transport/src/main/java/org/hornbeampass/protocol/openai/ChatRequestParser.java
@@ -121,7 +121,7 @@
                 body.path("stream").asBoolean(false),
                 body.path("stream_options").path("include_usage").asBoolean(false),
                 tokenLimit(body),
-                PromptTokens.upperBound(body),
+                PromptBound.upperBound(body),
                 body);
     }
 
--- a/transport/src/main/java/org/hornbeampass/protocol/openai/PromptTokens.java
+++ b/transport/src/main/java/org/hornbeampass/protocol/openai/PromptBound.java
@@ -13,11 +13,11 @@
  * by reference are outside this bound; their tokens are capped by the reservation when the request
  * is billed. Stateless; safe for use by any thread.
  */
-public final class PromptTokens {
+public final class PromptBound {
     /** Tokens that the frame of one message may take. */
     static final int PER_MESSAGE = 16;
 
-    private PromptTokens() {}
+    private PromptBound() {}
 
     /** Returns the bound in tokens over messages, tools and response format. */
     public static long upperBound(ObjectNode body) {
--- a/transport/src/test/java/org/hornbeampass/protocol/openai/ChatRequestParserTest.java
+++ b/transport/src/test/java/org/hornbeampass/protocol/openai/ChatRequestParserTest.java
@@ -49,7 +49,7 @@
     void promptBound_coversBytesAndFrames() {
         ChatRequest request = parse("{\"model\":\"m\"," + MESSAGES + "}").get();
         int bytes = "role".length() + "user".length() + "content".length() + "hi".length();
-        assertThat(request.promptTokensBound()).isEqualTo(PromptTokens.PER_MESSAGE + bytes);
+        assertThat(request.promptTokensBound()).isEqualTo(PromptBound.PER_MESSAGE + bytes);
     }
 
     @ParameterizedTest
