--- a/coordination/src/main/java/org/hornbeampass/coordination/requests/ShardReplica.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/requests/ShardReplica.java
@@ -81,8 +81,9 @@
     }
 
     /**
-     * Gives back this VM's own entries, each once, and drops those of others, which they still hold. A batch
-     * whose write is open is still tried again, and its entries may be decided twice, alike.
+     * Gives back this VM's own entries, each once, and drops those of others, which they still
+     * hold. A batch whose write is open is still tried again, and its entries may be decided twice,
+     * alike.
      */
     List<Proposal> recall() {
         List<Proposal> own = new ArrayList<>(mInFlight);
--- a/router/src/main/java/org/hornbeampass/router/front/FrontDoor.java
+++ b/router/src/main/java/org/hornbeampass/router/front/FrontDoor.java
@@ -117,7 +117,10 @@
             return;
         }
         mRunner.chat(
-                nowMs, order.get(), exchange, new CallerAnswer(exchange, order.get().id().value()));
+                nowMs,
+                order.get(),
+                exchange,
+                new CallerAnswer(exchange, order.get().key().request().value()));
     }
 
     private void service(long nowMs, HttpExchange exchange) {
@@ -130,7 +133,10 @@
             return;
         }
         mRunner.service(
-                nowMs, order.get(), exchange, new CallerAnswer(exchange, order.get().id().value()));
+                nowMs,
+                order.get(),
+                exchange,
+                new CallerAnswer(exchange, order.get().key().request().value()));
     }
 
     private boolean refusedAsNotReady(long nowMs, HttpExchange exchange) {
--- a/router/src/main/java/org/hornbeampass/router/front/RequestAdmission.java
+++ b/router/src/main/java/org/hornbeampass/router/front/RequestAdmission.java
@@ -10,10 +10,10 @@
 import org.hornbeampass.router.upstream.ServiceCall;
 import org.hornbeampass.state.ErrorKind;
 import org.hornbeampass.state.Failure;
-import org.hornbeampass.state.RequestId;
 import org.hornbeampass.state.VmId;
 import org.hornbeampass.state.config.OrganisationTerms;
 import org.hornbeampass.state.config.WorkKind;
+import org.hornbeampass.state.requests.RequestKey;
 import org.hornbeampass.transport.http.HttpExchange;
 
 import java.io.ByteArrayOutputStream;
@@ -47,23 +47,22 @@
                 .flatMap(
                         head ->
                                 mParser.parse(exchange.body())
-                                        .flatMap(
-                                                request ->
-                                                        chat(
-                                                                head,
-                                                                request,
-                                                                exchange.body(),
-                                                                config)));
+                                        .flatMap(r -> chat(nowMs, head, r, exchange, config)));
     }
 
     private Either<Failure, ChatOrder> chat(
-            RequestHead head, ChatRequest request, byte[] body, ServingConfig config) {
+            long nowMs,
+            RequestHead head,
+            ChatRequest request,
+            HttpExchange exchange,
+            ServingConfig config) {
         OrganisationTerms terms = head.caller().terms();
         Optional<Failure> refusal = chatRefusal(terms, request, config);
         if (refusal.isPresent()) {
             return Either.left(refusal.get());
         }
-        RequestId id = mIds.repeatable(head.idempotencyKey(), body);
+        RequestKey key =
+                mIds.key(nowMs, head.caller().spec().id(), head.idempotencyKey(), exchange.body());
         ChatPlan plan =
                 new ChatPlan(
                         request.stream(),
@@ -71,9 +70,9 @@
                         request.promptTokensBound(),
                         request.maxCompletionTokens().orElse(terms.maxCompletionTokens()),
                         head.deadlineMs(),
-                        JsonText.quote("chatcmpl-" + id.value()),
+                        JsonText.quote("chatcmpl-" + key.request()),
                         request.model().value());
-        return Either.right(new ChatOrder(id, head.caller(), head.budget(), request, plan));
+        return Either.right(new ChatOrder(key, head.caller(), head.budget(), request, plan));
     }
 
     private static Optional<Failure> chatRefusal(
@@ -112,11 +111,11 @@
     public Either<Failure, ServiceOrder> service(
             long nowMs, HttpExchange exchange, ServingConfig config) {
         return RequestHead.read(nowMs, exchange, config, mLimits)
-                .flatMap(head -> service(head, exchange, config));
+                .flatMap(head -> service(nowMs, head, exchange, config));
     }
 
     private Either<Failure, ServiceOrder> service(
-            RequestHead head, HttpExchange exchange, ServingConfig config) {
+            long nowMs, RequestHead head, HttpExchange exchange, ServingConfig config) {
         String rest = exchange.path().substring(SERVICES.length());
         int slash = rest.indexOf('/');
         String name = slash < 0 ? rest : rest.substring(0, slash);
@@ -135,26 +134,35 @@
                                     new ServiceCall(
                                             name,
                                             exchange.method(),
-                                            slash < 0 ? "/" : rest.substring(slash),
+                                            target(exchange),
                                             exchange.header("content-type")
                                                     .orElse("application/octet-stream"),
                                             exchange.body());
-                            return order(head, call, kind == WorkKind.SERVICE_REPEATABLE);
+                            return order(nowMs, head, call, kind == WorkKind.SERVICE_REPEATABLE);
                         });
     }
 
-    private ServiceOrder order(RequestHead head, ServiceCall call, boolean repeatable) {
-        byte[] content = content(call);
-        RequestId id =
-                repeatable
-                        ? mIds.repeatable(head.idempotencyKey(), content)
-                        : mIds.once(head.idempotencyKey());
+    /** Returns the path and query below the service, as they came. */
+    private static String target(HttpExchange exchange) {
+        String raw = exchange.rawTarget();
+        int start = raw.indexOf(SERVICES);
+        String rest = start < 0 ? "" : raw.substring(start + SERVICES.length());
+        int slash = rest.indexOf('/');
+        int query = rest.indexOf('?');
+        if (slash >= 0 && (query < 0 || slash < query)) {
+            return rest.substring(slash);
+        }
+        return query < 0 ? "/" : "/" + rest.substring(query);
+    }
+
+    private ServiceOrder order(long nowMs, RequestHead head, ServiceCall call, boolean repeatable) {
+        RequestKey key =
+                mIds.key(nowMs, head.caller().spec().id(), head.idempotencyKey(), content(call));
         return new ServiceOrder(
-                id,
+                key,
                 head.caller(),
                 head.budget(),
                 call,
-                RequestIds.digest(content),
                 new ServicePlan(repeatable, head.deadlineMs()));
     }
 
--- /dev/null
+++ b/router/src/main/java/org/hornbeampass/router/serve/LedgerBill.java
@@ -0,0 +1,116 @@
+package org.hornbeampass.router.serve;
+
+import io.vavr.control.Either;
+
+import org.hornbeampass.coordination.requests.RequestLedger;
+import org.hornbeampass.router.flow.Bill;
+import org.hornbeampass.router.flow.BillPort;
+import org.hornbeampass.router.flow.BillResult;
+import org.hornbeampass.router.flow.TimerPort;
+import org.hornbeampass.state.BudgetId;
+import org.hornbeampass.state.ErrorKind;
+import org.hornbeampass.state.Failure;
+import org.hornbeampass.state.requests.AttemptId;
+import org.hornbeampass.state.requests.BillOutcome;
+import org.hornbeampass.state.requests.RequestKey;
+
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.BiConsumer;
+import java.util.function.ObjLongConsumer;
+
+/**
+ * Binds one request's flow to the VM's request ledger, for its bill.
+ *
+ * <p>Invariant: the flow is answered exactly once, at the bound at the latest; a duplicate that is
+ * known only after that is refunded. Thread-safe.
+ */
+final class LedgerBill implements BillPort {
+    private static final long BACKLOG_RETRY_MS = 5_000;
+
+    private final RequestLedger mLedger;
+    private final RequestKey mKey;
+    private final BudgetId mBudget;
+    private final AttemptId mAttempt;
+    private final long mAdmittedMs;
+    private final Wait mWait;
+
+    /**
+     * How long a bill is waited for, and who is told of what comes later.
+     *
+     * @param timers bounds the wait
+     * @param boundMs the bound in milliseconds
+     * @param onLateDuplicate takes the tokens of a duplicate that came after the bound, and the
+     *     time
+     */
+    record Wait(TimerPort timers, long boundMs, ObjLongConsumer<Bill> onLateDuplicate) {}
+
+    LedgerBill(
+            RequestLedger ledger,
+            RequestKey key,
+            BudgetId budget,
+            AttemptId attempt,
+            long admittedMs,
+            Wait wait) {
+        mLedger = ledger;
+        mKey = key;
+        mBudget = budget;
+        mAttempt = attempt;
+        mAdmittedMs = admittedMs;
+        mWait = wait;
+    }
+
+    @Override
+    public Optional<Failure> refusal(long nowMs) {
+        if (mLedger.backlogFull()) {
+            return Optional.of(
+                    Failure.retryAfter(
+                            ErrorKind.BILLING_BACKLOG,
+                            "too many bills wait for the platform; retry later or elsewhere",
+                            BACKLOG_RETRY_MS));
+        }
+        return mLedger.refusal(nowMs, mKey);
+    }
+
+    @Override
+    public void bill(long nowMs, Bill bill, BiConsumer<Long, BillResult> done) {
+        AtomicBoolean answered = new AtomicBoolean();
+        Runnable timer =
+                mWait.timers()
+                        .at(
+                                nowMs,
+                                nowMs + mWait.boundMs(),
+                                t -> {
+                                    if (answered.compareAndSet(false, true)) {
+                                        done.accept(t, BillResult.QUEUED);
+                                    }
+                                });
+        org.hornbeampass.state.requests.Bill entry =
+                new org.hornbeampass.state.requests.Bill(
+                        mKey,
+                        mBudget,
+                        mAttempt,
+                        bill.promptTokens(),
+                        bill.completionTokens(),
+                        mAdmittedMs);
+        mLedger.bill(
+                nowMs,
+                entry,
+                (t, outcome) -> {
+                    timer.run();
+                    BillResult result = result(outcome);
+                    if (answered.compareAndSet(false, true)) {
+                        done.accept(t, result);
+                    } else if (result == BillResult.DUPLICATE) {
+                        mWait.onLateDuplicate().accept(bill, t);
+                    }
+                });
+    }
+
+    private static BillResult result(Either<Failure, BillOutcome> outcome) {
+        if (outcome.isLeft()) {
+            return BillResult.QUEUED;
+        }
+        return outcome.get() == BillOutcome.BILLED ? BillResult.FIRST : BillResult.DUPLICATE;
+    }
+}
--- a/router/src/main/java/org/hornbeampass/router/serve/LedgerBudget.java
+++ b/router/src/main/java/org/hornbeampass/router/serve/LedgerBudget.java
@@ -8,6 +8,7 @@
 import org.hornbeampass.state.budget.Reservation;
 
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.BiConsumer;
 
 /**
@@ -21,8 +22,16 @@
     private final BudgetKey mKey;
     private final RequestId mId;
     private final long mWaitMs;
+    private final AtomicReference<End> mEnd = new AtomicReference<>(End.OPEN);
     private volatile Reservation mReservation;
 
+    /** What happened first of settling and of a refund that came from another thread. */
+    private enum End {
+        OPEN,
+        SETTLED,
+        REFUNDED
+    }
+
     /**
      * Binds a request.
      *
@@ -54,6 +63,16 @@
     @Override
     public void settle(long nowMs, long tokens) {
         mLedger.settle(nowMs, mReservation, tokens);
+        if (!mEnd.compareAndSet(End.OPEN, End.SETTLED)) {
+            mLedger.refund(nowMs, mKey, tokens);
+        }
+    }
+
+    /** Gives back what was settled, or will be, since another bill of the same request stands. */
+    void refundLate(long nowMs, long tokens) {
+        if (!mEnd.compareAndSet(End.OPEN, End.REFUNDED)) {
+            mLedger.refund(nowMs, mKey, tokens);
+        }
     }
 
     @Override
--- a/standins/src/main/java/org/hornbeampass/standin/engine/AnswerStream.java
+++ b/standins/src/main/java/org/hornbeampass/standin/engine/AnswerStream.java
@@ -2,6 +2,7 @@
 
 import org.hornbeampass.transport.http.HttpExchange;
 
+import java.util.HashMap;
 import java.util.Map;
 import java.util.OptionalLong;
 
@@ -78,6 +79,17 @@
         mExchange.end();
     }
 
+    /** Returns the stream's headers, which confirm the offset at which a resumed one goes on. */
+    private Map<String, String> streamHeaders() {
+        int from = mJob.answer().from();
+        if (from == 0) {
+            return EVENT_STREAM;
+        }
+        Map<String, String> headers = new HashMap<>(EVENT_STREAM);
+        headers.put(EngineHeaders.RESUME_OFFSET, Integer.toString(from));
+        return headers;
+    }
+
     /** Breaks the answer off. */
     void abort() {
         mExchange.abort();
@@ -86,7 +98,7 @@
     private void start() {
         if (!mStarted) {
             mStarted = true;
-            mExchange.startStream(OK, EVENT_STREAM);
+            mExchange.startStream(OK, streamHeaders());
         }
     }
 }
--- a/standins/src/main/java/org/hornbeampass/standin/engine/EngineHeaders.java
+++ b/standins/src/main/java/org/hornbeampass/standin/engine/EngineHeaders.java
@@ -11,7 +11,10 @@
     /** The priority from 0 to 9; the greater is run first. */
     public static final String PRIORITY = "x-priority";
 
-    /** The offset of the first token to generate, to go on with a broken answer. */
+    /**
+     * The offset of the first token to generate, to go on with a broken answer; the streamed answer
+     * confirms it under the same name.
+     */
     public static final String RESUME_OFFSET = "x-hornbeampass-resume-offset";
 
     /** Present, with {@code true}, on answers of an engine that is leaving. */
--- a/transport/src/main/java/org/hornbeampass/transport/http/HttpExchange.java
+++ b/transport/src/main/java/org/hornbeampass/transport/http/HttpExchange.java
@@ -16,6 +16,11 @@
     /** Returns the decoded path without the query, such as {@code /v1/models}. */
     String path();
 
+    /** Returns the path and the query as they came, still encoded. */
+    default String rawTarget() {
+        return path();
+    }
+
     /** Returns the first value of a query parameter. */
     Optional<String> query(String name);
 
--- a/transport/src/main/java/org/hornbeampass/transport/http/ServerExchange.java
+++ b/transport/src/main/java/org/hornbeampass/transport/http/ServerExchange.java
@@ -66,6 +66,11 @@
         return mPath;
     }
 
+    @Override
+    public String rawTarget() {
+        return mRequest.uri();
+    }
+
     @Override
     public Optional<String> query(String name) {
         List<String> values = mTarget.parameters().get(name);
