--- a/transport/src/main/java/org/hornbeampass/protocol/peer/PeerMessageType.java
+++ b/transport/src/main/java/org/hornbeampass/protocol/peer/PeerMessageType.java
@@ -19,6 +19,9 @@
 import org.hornbeampass.coordination.membership.SyncReply;
 import org.hornbeampass.coordination.membership.SyncRequest;
 import org.hornbeampass.coordination.peer.PeerMessage;
+import org.hornbeampass.coordination.requests.EntriesDecided;
+import org.hornbeampass.coordination.requests.EntriesRefused;
+import org.hornbeampass.coordination.requests.SubmitEntries;
 import org.hornbeampass.protocol.peer.PeerType.Form;
 
 /**
@@ -47,7 +50,10 @@
     ASK_GRANT(40, AskGrant.class, Form.REQUEST),
     ASK_REFUSED(41, AskRefused.class, Form.REPLY),
     MOVE_GRANT(42, MoveGrant.class, Form.REQUEST),
-    MOVE_ACK(43, MoveAck.class, Form.ONE_WAY);
+    MOVE_ACK(43, MoveAck.class, Form.ONE_WAY),
+    SUBMIT_ENTRIES(60, SubmitEntries.class, Form.REQUEST),
+    ENTRIES_DECIDED(61, EntriesDecided.class, Form.REPLY),
+    ENTRIES_REFUSED(62, EntriesRefused.class, Form.REPLY);
 
     private final int mNumber;
     private final Class<? extends PeerMessage> mMessageClass;
