Give a client connection back only if nothing follows its answer

Cause: bytes that followed an answer in the same read could have been taken for the answer to the next call on that connection. Change: the connection goes back to its pool at the end of the read, and is closed if anything came after the answer. Measured: not measured. Conclusion: a caller gets its own answer only, also from an upstream that says too much.

--- a/transport/src/main/java/org/hornbeampass/transport/http/ClientConnection.java
+++ b/transport/src/main/java/org/hornbeampass/transport/http/ClientConnection.java
@@ -38,12 +38,14 @@
  *
  * <p>Invariants: a call's request is written at most once; once a byte of it may have left, the
  * call fails with {@code sent}; a connection goes back to its pool only after an answer that ended
- * properly. All state belongs to the channel's event loop.
+ * properly and after which nothing followed, so that no later call is given what is not its own.
+ * All state belongs to the channel's event loop.
  */
 final class ClientConnection extends ChannelInboundHandlerAdapter {
     private static final Logger LOG = LogManager.getLogger(ClientConnection.class);
     private static final long MIN_TICK_MS = 10;
     private static final long MAX_TICK_MS = 1_000;
+    private static final int TICKS_PER_TIMEOUT = 4;
 
     private final ConnectionPool mPool;
     private final Channel mChannel;
@@ -52,7 +54,9 @@
     private Optional<ClientCall> mCall = Optional.empty();
     private boolean mKeepAlive;
     private boolean mSkipInterim;
+    private boolean mReleasable;
     private long mLastUseMs;
+    private long mTickMs = Long.MAX_VALUE;
     private Optional<Future<?>> mTick = Optional.empty();
 
     ClientConnection(ConnectionPool pool, Channel channel, Clock clock, long maxIdleMs) {
@@ -97,6 +101,7 @@
     public void channelRead(ChannelHandlerContext context, Object message) {
         try {
             if (mCall.isEmpty()) {
+                mReleasable = false;
                 Channels.close(mChannel);
                 return;
             }
@@ -109,6 +114,15 @@
         }
     }
 
+    /** Gives the connection back, but only if nothing follows the answer's end. */
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) {
+        if (mReleasable) {
+            mReleasable = false;
+            mPool.release(this);
+        }
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         mTick.ifPresent(t -> t.cancel(false));
@@ -192,8 +206,8 @@
         }
         mCall = Optional.empty();
         if (mKeepAlive) {
+            mReleasable = true;
             mChannel.config().setAutoRead(true);
-            mPool.release(this);
         } else {
             Channels.close(mChannel);
         }
@@ -262,11 +276,13 @@
     }
 
     private void startTick(long idleTimeoutMs) {
-        if (mTick.isPresent()) {
+        long shortest = Math.min(idleTimeoutMs, mMaxIdleMs);
+        long tickMs = Math.max(MIN_TICK_MS, Math.min(MAX_TICK_MS, shortest / TICKS_PER_TIMEOUT));
+        if (tickMs >= mTickMs) {
             return;
         }
-        long shortest = Math.min(idleTimeoutMs, mMaxIdleMs);
-        long tickMs = Math.max(MIN_TICK_MS, Math.min(MAX_TICK_MS, shortest / 4));
+        mTickMs = tickMs;
+        mTick.ifPresent(t -> t.cancel(false));
         mTick =
                 Optional.of(
                         mChannel.eventLoop()
