--- a/standins/src/test/java/org/hornbeampass/standin/engine/EngineStandInTest.java
+++ b/standins/src/test/java/org/hornbeampass/standin/engine/EngineStandInTest.java
@@ -6,7 +6,10 @@
 
 import org.hornbeampass.standin.admin.FaultRule;
 import org.hornbeampass.standin.admin.TestHttp;
+import org.hornbeampass.standin.platform.PlatformSettings;
+import org.hornbeampass.standin.platform.PlatformStandIn;
 import org.hornbeampass.state.Json;
+import org.hornbeampass.transport.Clock;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -170,6 +173,57 @@
         assertThat(pending.await().body()).contains("[DONE]");
     }
 
+    @Test
+    void slow_changesTheStepTime() throws Exception {
+        EngineTiming endless = new EngineTiming(1e9, 0, 0, 10_000, 32, 256, 1_000);
+        EngineSettings settings = EngineSettings.defaults("desk").withTiming(endless);
+        try (EngineStandIn engine = EngineStandIn.start(settings)) {
+            engine.faults().set(EngineFault.SLOW, FaultRule.always(1e-9));
+            String uri = engine.uri() + "/v1/chat/completions";
+
+            assertThat(mHttp.call("POST", uri, body(5, true, "")).body()).contains("[DONE]");
+        }
+    }
+
+    @Test
+    void order_toLoad_takesTheWeightsFromTheStore() throws Exception {
+        PlatformSettings.Weights weights = new PlatformSettings.Weights(100 << 20, 100_000);
+        PlatformSettings settings =
+                PlatformSettings.defaults().withKey("secret").withWeights(weights);
+        try (PlatformStandIn platform = PlatformStandIn.start(settings);
+                EngineStandIn engine =
+                        EngineStandIn.start(
+                                EngineSettings.defaults("desk")
+                                        .withWeights(
+                                                new EngineSettings.Weights(
+                                                        Optional.of(platform.uri()),
+                                                        "secret",
+                                                        0)))) {
+            mHttp.call(
+                    "POST",
+                    engine.uri() + "/v1/orders",
+                    "{\"fencing\":1,\"action\":\"LOAD\",\"model\":\"review\",\"version\":\"2\"}");
+            while (!mHttp.call("GET", engine.uri() + "/v1/models", "").body().contains("review")) {
+                Thread.onSpinWait();
+            }
+            assertThat(mHttp.call("GET", platform.uri() + "/admin/counts", "").body())
+                    .contains("\"review@2\":{\"started\":1,\"finished\":1,\"open\":0");
+        }
+    }
+
+    @Test
+    void loadLag_isSettable() throws Exception {
+        String load = mEngine.uri() + "/v1/load";
+        TestHttp.Pending open = startEndless("a1");
+        open.awaitData();
+        assertThat(json(mHttp.call("GET", load, "")).at("/load/running").asInt()).isEqualTo(1);
+
+        mHttp.call("PUT", mEngine.uri() + "/admin/load-lag?ms=1000000", "");
+        long atMs = json(mHttp.call("GET", load, "")).at("/load/atMs").asLong();
+        assertThat(atMs).isLessThan(Clock.monotonic().nowMs() - 900_000);
+        open.cancel();
+    }
+
     @Test
     void faults_ofUnknownKind_areRefused() throws Exception {
         TestHttp.Answer answer =
