Bound the request log by checkpoints and truncation

Cause: without them a shard's log and a new owner's catching up grow for ever. Change: when a generation of remembered ids closes, the owner writes the closed generations, claims and totals in parts, then a manifest by conditional write, then truncates the log below it. Ids are forgotten by the log's active time, so an outage does not age what waits. A new or paused owner starts from the checkpoint. RequestLedger is split into ShardTraffic and ClaimWaits, and takes a second platform for checkpoints.

--- a/coordination/src/main/java/org/hornbeampass/coordination/requests/BillMemory.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/requests/BillMemory.java
@@ -122,6 +122,11 @@
         return mClosed;
     }
 
+    /** Returns the number of the open generation. */
+    long openNumber() {
+        return mOpen.number();
+    }
+
     /** Returns how many ids are remembered. */
     long size() {
         return mOpen.size() + mClosed.stream().mapToLong(Generation::size).sum();
--- /dev/null
+++ b/coordination/src/main/java/org/hornbeampass/coordination/requests/Checkpoint.java
@@ -0,0 +1,55 @@
+package org.hornbeampass.coordination.requests;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * What a shard remembers at one place in the log, ready to be written.
+ *
+ * <p>Taken when a generation of bills is closed, while the new one is still empty. Immutable:
+ * closed generations don't change, and the rest is text.
+ *
+ * @param nextSequence the first batch that is not in the checkpoint
+ * @param openNumber the number of the new generation
+ * @param clock the log's time
+ * @param generations the closed generations, the oldest first
+ * @param claims the parts of the claims
+ * @param totals the parts of the totals
+ */
+record Checkpoint(
+        long nextSequence,
+        long openNumber,
+        ActiveClock.Saved clock,
+        List<BillMemory.Generation> generations,
+        List<String> claims,
+        List<String> totals) {
+    /** Takes a checkpoint of a state whose open generation is empty. */
+    static Checkpoint of(ShardState state) {
+        List<BillMemory.Generation> generations = new ArrayList<>();
+        state.bills().closed().forEach(generations::add);
+        return new Checkpoint(
+                state.nextSequence(),
+                state.bills().openNumber(),
+                state.clock().save(),
+                generations,
+                CheckpointParts.ofClaims(state.claims()),
+                CheckpointParts.ofTotals(state.totals()));
+    }
+
+    /** Returns the manifest that names this checkpoint's parts. */
+    CheckpointManifest manifest() {
+        List<CheckpointManifest.GenerationParts> parts =
+                generations.stream()
+                        .map(
+                                g ->
+                                        new CheckpointManifest.GenerationParts(
+                                                g.number(), partsOf(g.size())))
+                        .toList();
+        return new CheckpointManifest(
+                nextSequence, openNumber, clock, parts, claims.size(), totals.size());
+    }
+
+    private static int partsOf(int ids) {
+        return (ids + CheckpointParts.IDS_PER_PART - 1) / CheckpointParts.IDS_PER_PART;
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/hornbeampass/coordination/requests/CheckpointLoader.java
@@ -0,0 +1,127 @@
+package org.hornbeampass.coordination.requests;
+
+import io.vavr.control.Either;
+
+import org.hornbeampass.coordination.platform.Platform;
+import org.hornbeampass.coordination.platform.PlatformCall;
+import org.hornbeampass.coordination.platform.PlatformReply;
+import org.hornbeampass.state.BudgetKey;
+import org.hornbeampass.state.ErrorKind;
+import org.hornbeampass.state.Failure;
+import org.hornbeampass.state.Json;
+import org.hornbeampass.state.requests.BudgetTotals;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.BiConsumer;
+import java.util.function.Function;
+
+/**
+ * One run of reading a shard's checkpoint, part by part.
+ *
+ * <p>A part that is missing was deleted after the manifest was read; the run fails and the caller
+ * starts anew. Used by one run, each step following the reply of the last one.
+ */
+final class CheckpointLoader {
+    private final Platform mPlatform;
+    private final CheckpointKeys mKeys;
+    private final Retention mRetention;
+    private final BiConsumer<Long, Either<Failure, ShardState>> mDone;
+    private final Deque<Part> mParts = new ArrayDeque<>();
+    private final ClaimMemory mClaims = new ClaimMemory();
+    private final Map<BudgetKey, BudgetTotals> mTotals = new HashMap<>();
+
+    /** A part to be read, and how. */
+    private record Part(String key, Function<String, Either<Failure, Boolean>> reader) {}
+
+    CheckpointLoader(
+            Platform platform,
+            CheckpointKeys keys,
+            Retention retention,
+            BiConsumer<Long, Either<Failure, ShardState>> done) {
+        mPlatform = platform;
+        mKeys = keys;
+        mRetention = retention;
+        mDone = done;
+    }
+
+    /** Starts; the result is the state of an empty log where there is no checkpoint. */
+    void start(long nowMs) {
+        mPlatform.submit(
+                nowMs,
+                new PlatformCall.Get(mKeys.manifest()),
+                (atMs, reply) -> {
+                    if (reply instanceof PlatformReply.Missing) {
+                        mDone.accept(atMs, Either.right(new ShardState(mRetention)));
+                    } else if (reply instanceof PlatformReply.Found found) {
+                        Json.decode(found.object().value(), CheckpointManifest.class)
+                                .peek(manifest -> readParts(atMs, manifest))
+                                .peekLeft(f -> mDone.accept(atMs, Either.left(f)));
+                    } else {
+                        mDone.accept(atMs, Either.left(unavailable(mKeys.manifest())));
+                    }
+                });
+    }
+
+    private void readParts(long nowMs, CheckpointManifest manifest) {
+        BillMemory bills = new BillMemory(manifest.openNumber());
+        for (CheckpointManifest.GenerationParts each : manifest.generations()) {
+            BillMemory.Generation generation = new BillMemory.Generation(each.number());
+            bills.addClosed(generation);
+            for (int i = 0; i < each.parts(); i++) {
+                mParts.add(
+                        new Part(
+                                mKeys.generation(each.number(), i),
+                                text -> CheckpointParts.readGeneration(text, generation)));
+            }
+        }
+        for (int i = 0; i < manifest.claimParts(); i++) {
+            mParts.add(
+                    new Part(
+                            mKeys.claims(manifest.openNumber(), i),
+                            text -> CheckpointParts.readClaims(text, mClaims)));
+        }
+        for (int i = 0; i < manifest.totalParts(); i++) {
+            mParts.add(
+                    new Part(
+                            mKeys.totals(manifest.openNumber(), i),
+                            text -> CheckpointParts.readTotals(text, mTotals)));
+        }
+        ShardState state =
+                new ShardState(
+                        mRetention,
+                        manifest.nextSequence(),
+                        new ActiveClock(manifest.clock()),
+                        bills,
+                        mClaims,
+                        mTotals);
+        readNext(nowMs, state);
+    }
+
+    private void readNext(long nowMs, ShardState state) {
+        Part part = mParts.pollFirst();
+        if (part == null) {
+            mDone.accept(nowMs, Either.right(state));
+            return;
+        }
+        mPlatform.submit(
+                nowMs,
+                new PlatformCall.Get(part.key()),
+                (atMs, reply) -> {
+                    if (!(reply instanceof PlatformReply.Found found)) {
+                        mDone.accept(atMs, Either.left(unavailable(part.key())));
+                        return;
+                    }
+                    part.reader()
+                            .apply(found.object().value())
+                            .peek(read -> readNext(atMs, state))
+                            .peekLeft(f -> mDone.accept(atMs, Either.left(f)));
+                });
+    }
+
+    private static Failure unavailable(String key) {
+        return Failure.of(ErrorKind.PLATFORM_UNAVAILABLE, "could not read " + key);
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/hornbeampass/coordination/requests/CheckpointParts.java
@@ -0,0 +1,174 @@
+package org.hornbeampass.coordination.requests;
+
+import com.fasterxml.jackson.annotation.JsonFormat;
+
+import io.vavr.control.Either;
+
+import org.hornbeampass.state.BudgetId;
+import org.hornbeampass.state.BudgetKey;
+import org.hornbeampass.state.Failure;
+import org.hornbeampass.state.Json;
+import org.hornbeampass.state.OrganisationId;
+import org.hornbeampass.state.requests.AttemptId;
+import org.hornbeampass.state.requests.BudgetTotals;
+
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Turns what a shard remembers into texts that the platform holds, and back.
+ *
+ * <p>Equal memories give equal texts, in whatever order they were filled. Thread-safe: holds no
+ * state.
+ */
+final class CheckpointParts {
+    /** How many ids go into one part: 720,000 bytes, 960,000 in Base64. */
+    static final int IDS_PER_PART = 30_000;
+
+    private static final int ID_BYTES = 3 * Long.BYTES;
+    private static final int MAX_CHARS = 400_000;
+
+    private CheckpointParts() {}
+
+    /**
+     * Ids of bills, three longs each: high, low and value.
+     *
+     * @param ids the bytes
+     */
+    private record IdPart(byte[] ids) {}
+
+    /**
+     * When an attempt gave up.
+     *
+     * @param attempt the attempt
+     * @param atMs when
+     */
+    @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+    private record Withdrawal(AttemptId attempt, long atMs) {}
+
+    /**
+     * Claims and withdrawals.
+     *
+     * @param held claims that stand
+     * @param withdrawn attempts that gave up
+     */
+    private record ClaimPart(List<ClaimMemory.Held> held, List<Withdrawal> withdrawn) {}
+
+    /**
+     * One budget's totals.
+     *
+     * @param organisation the organisation
+     * @param budget its budget
+     * @param totals the totals
+     */
+    @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+    private record TotalLine(OrganisationId organisation, BudgetId budget, BudgetTotals totals) {}
+
+    /**
+     * Totals of budgets.
+     *
+     * @param lines the budgets
+     */
+    private record TotalPart(List<TotalLine> lines) {}
+
+    /** Returns a closed generation's ids, in their order. */
+    static List<String> ofGeneration(BillMemory.Generation generation) {
+        List<long[]> ids = new ArrayList<>(generation.size());
+        generation.forEach((id, value) -> ids.add(new long[] {id.high(), id.low(), value}));
+        ids.sort(Comparator.<long[]>comparingLong(i -> i[0]).thenComparingLong(i -> i[1]));
+        List<String> parts = new ArrayList<>();
+        for (int from = 0; from < ids.size(); from += IDS_PER_PART) {
+            int to = Math.min(ids.size(), from + IDS_PER_PART);
+            ByteBuffer bytes = ByteBuffer.allocate((to - from) * ID_BYTES);
+            ids.subList(from, to).forEach(i -> bytes.putLong(i[0]).putLong(i[1]).putLong(i[2]));
+            parts.add(Json.encode(new IdPart(bytes.array())));
+        }
+        return parts;
+    }
+
+    /** Reads one part into a generation. */
+    static Either<Failure, Boolean> readGeneration(String text, BillMemory.Generation into) {
+        return Json.decode(text, IdPart.class)
+                .map(
+                        part -> {
+                            ByteBuffer bytes = ByteBuffer.wrap(part.ids());
+                            while (bytes.remaining() >= ID_BYTES) {
+                                long high = bytes.getLong();
+                                long low = bytes.getLong();
+                                into.put(new RequestFingerprint(high, low), bytes.getLong());
+                            }
+                            return true;
+                        });
+    }
+
+    /** Returns the claims and withdrawals, in the order of their ids. */
+    static List<String> ofClaims(ClaimMemory claims) {
+        List<ClaimMemory.Held> held = new ArrayList<>(claims.held());
+        held.sort(
+                Comparator.<ClaimMemory.Held, OrganisationId>comparing(h -> h.key().organisation())
+                        .thenComparing(h -> h.key().request()));
+        List<Withdrawal> withdrawn = new ArrayList<>();
+        claims.withdrawals().forEach((a, atMs) -> withdrawn.add(new Withdrawal(a, atMs)));
+        withdrawn.sort(
+                Comparator.<Withdrawal, String>comparing(w -> w.attempt().vm().toString())
+                        .thenComparingLong(w -> w.attempt().number()));
+        List<String> parts = new ArrayList<>();
+        chunks(held).forEach(c -> parts.add(Json.encode(new ClaimPart(c, List.of()))));
+        chunks(withdrawn).forEach(c -> parts.add(Json.encode(new ClaimPart(List.of(), c))));
+        return parts;
+    }
+
+    /** Reads one part of claims. */
+    static Either<Failure, Boolean> readClaims(String text, ClaimMemory into) {
+        return Json.decode(text, ClaimPart.class)
+                .map(
+                        part -> {
+                            part.held().forEach(into::add);
+                            part.withdrawn().forEach(w -> into.addWithdrawn(w.attempt(), w.atMs()));
+                            return true;
+                        });
+    }
+
+    /** Returns the totals, in the order of the budgets. */
+    static List<String> ofTotals(Map<BudgetKey, BudgetTotals> totals) {
+        List<TotalLine> lines = new ArrayList<>();
+        totals.forEach((k, t) -> lines.add(new TotalLine(k.organisation(), k.budget(), t)));
+        lines.sort(Comparator.comparing(TotalLine::organisation).thenComparing(TotalLine::budget));
+        return chunks(lines).stream().map(c -> Json.encode(new TotalPart(c))).toList();
+    }
+
+    /** Reads one part of totals. */
+    static Either<Failure, Boolean> readTotals(String text, Map<BudgetKey, BudgetTotals> into) {
+        return Json.decode(text, TotalPart.class)
+                .map(
+                        part -> {
+                            part.lines()
+                                    .forEach(
+                                            l ->
+                                                    into.put(
+                                                            new BudgetKey(
+                                                                    l.organisation(), l.budget()),
+                                                            l.totals()));
+                            return true;
+                        });
+    }
+
+    /** Splits a list so that each chunk's text stays well below what the platform holds. */
+    private static <T> List<List<T>> chunks(List<T> all) {
+        List<List<T>> chunks = new ArrayList<>();
+        int chars = MAX_CHARS;
+        for (T each : all) {
+            int length = Json.encode(each).length();
+            if (chars + length > MAX_CHARS) {
+                chunks.add(new ArrayList<>());
+                chars = 0;
+            }
+            chunks.get(chunks.size() - 1).add(each);
+            chars += length;
+        }
+        return chunks;
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/hornbeampass/coordination/requests/CheckpointWriter.java
@@ -0,0 +1,187 @@
+package org.hornbeampass.coordination.requests;
+
+import io.vavr.control.Either;
+
+import org.hornbeampass.coordination.platform.Platform;
+import org.hornbeampass.coordination.platform.PlatformCall;
+import org.hornbeampass.coordination.platform.PlatformReply;
+import org.hornbeampass.coordination.platform.PlatformReply.StoredObject;
+import org.hornbeampass.state.Json;
+
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.BiConsumer;
+
+/**
+ * One run of writing a checkpoint: parts, then the manifest; then the parts that only the last
+ * manifest names are deleted.
+ *
+ * <p>Invariants: a manifest is written conditionally on the one that was read before its parts were
+ * written, so it never names a part that another run deleted; nothing is deleted before it is known
+ * to be written. A run that fails anywhere stops; the next one starts anew. Two runs of one
+ * checkpoint write equal parts, so a part that exists already is as good as written.
+ *
+ * <p>Used by one run, each step following the reply of the last one.
+ */
+final class CheckpointWriter {
+    private static final long NOTHING = 0;
+
+    private final Platform mPlatform;
+    private final CheckpointKeys mKeys;
+    private final Checkpoint mCheckpoint;
+    private final CheckpointManifest mManifest;
+    private final BiConsumer<Long, Long> mDone;
+
+    private Optional<CheckpointManifest> mBefore = Optional.empty();
+    private long mVersion;
+
+    /** A part to be written. */
+    private record Part(String key, String text) {}
+
+    CheckpointWriter(
+            Platform platform,
+            CheckpointKeys keys,
+            Checkpoint checkpoint,
+            BiConsumer<Long, Long> done) {
+        mPlatform = platform;
+        mKeys = keys;
+        mCheckpoint = checkpoint;
+        mManifest = checkpoint.manifest();
+        mDone = done;
+    }
+
+    /**
+     * Starts; at its end {@code done} is run with the time in milliseconds and the sequence below
+     * which the log may be truncated, 0 where the checkpoint was not written.
+     */
+    void start(long nowMs) {
+        mPlatform.submit(
+                nowMs,
+                new PlatformCall.Get(mKeys.manifest()),
+                (atMs, reply) -> {
+                    if (reply instanceof PlatformReply.Missing) {
+                        writeParts(atMs);
+                    } else if (reply instanceof PlatformReply.Found found) {
+                        follow(atMs, found.object());
+                    } else {
+                        mDone.accept(atMs, NOTHING);
+                    }
+                });
+    }
+
+    private void follow(long nowMs, StoredObject stored) {
+        Either<?, CheckpointManifest> before =
+                Json.decode(stored.value(), CheckpointManifest.class);
+        if (before.isLeft() || before.get().nextSequence() >= mManifest.nextSequence()) {
+            mDone.accept(nowMs, NOTHING);
+            return;
+        }
+        mBefore = Optional.of(before.get());
+        mVersion = stored.version();
+        writeParts(nowMs);
+    }
+
+    private void writeParts(long nowMs) {
+        List<Part> parts = new ArrayList<>();
+        for (int i = 0; i < mCheckpoint.claims().size(); i++) {
+            parts.add(
+                    new Part(mKeys.claims(mManifest.openNumber(), i), mCheckpoint.claims().get(i)));
+        }
+        for (int i = 0; i < mCheckpoint.totals().size(); i++) {
+            parts.add(
+                    new Part(mKeys.totals(mManifest.openNumber(), i), mCheckpoint.totals().get(i)));
+        }
+        Iterator<BillMemory.Generation> missing =
+                mCheckpoint.generations().stream().filter(g -> !written(g.number())).iterator();
+        writeNext(nowMs, parts.iterator(), missing);
+    }
+
+    private boolean written(long number) {
+        return mBefore.flatMap(b -> b.generation(number)).isPresent();
+    }
+
+    /** Writes the next part; a generation is only turned into text when its turn comes. */
+    private void writeNext(
+            long nowMs, Iterator<Part> parts, Iterator<BillMemory.Generation> generations) {
+        if (!parts.hasNext() && !generations.hasNext()) {
+            writeManifest(nowMs);
+            return;
+        }
+        if (!parts.hasNext()) {
+            writeNext(nowMs, partsOf(generations.next()), generations);
+            return;
+        }
+        Part part = parts.next();
+        mPlatform.submit(
+                nowMs,
+                new PlatformCall.Create(part.key(), part.text()),
+                (atMs, reply) -> {
+                    boolean stands =
+                            reply instanceof PlatformReply.Written
+                                    || reply instanceof PlatformReply.Conflict;
+                    if (stands) {
+                        writeNext(atMs, parts, generations);
+                    } else {
+                        mDone.accept(atMs, NOTHING);
+                    }
+                });
+    }
+
+    private Iterator<Part> partsOf(BillMemory.Generation generation) {
+        List<String> texts = CheckpointParts.ofGeneration(generation);
+        List<Part> parts = new ArrayList<>();
+        for (int i = 0; i < texts.size(); i++) {
+            parts.add(new Part(mKeys.generation(generation.number(), i), texts.get(i)));
+        }
+        return parts.iterator();
+    }
+
+    private void writeManifest(long nowMs) {
+        String value = Json.encode(mManifest);
+        PlatformCall call =
+                mBefore.isEmpty()
+                        ? new PlatformCall.Create(mKeys.manifest(), value)
+                        : new PlatformCall.Update(mKeys.manifest(), value, mVersion);
+        mPlatform.submit(
+                nowMs,
+                call,
+                (atMs, reply) -> {
+                    if (reply instanceof PlatformReply.Written) {
+                        deleteParts(atMs, dropped().iterator());
+                    } else {
+                        mDone.accept(atMs, NOTHING);
+                    }
+                });
+    }
+
+    private List<String> dropped() {
+        return mBefore.map(b -> mKeys.dropped(b, mManifest)).orElse(List.of());
+    }
+
+    private void deleteParts(long nowMs, Iterator<String> keys) {
+        if (!keys.hasNext()) {
+            mDone.accept(nowMs, mManifest.nextSequence());
+            return;
+        }
+        String key = keys.next();
+        mPlatform.submit(
+                nowMs,
+                new PlatformCall.Get(key),
+                (atMs, reply) -> {
+                    if (reply instanceof PlatformReply.Found found) {
+                        delete(atMs, found.object(), keys);
+                    } else {
+                        deleteParts(atMs, keys);
+                    }
+                });
+    }
+
+    private void delete(long nowMs, StoredObject part, Iterator<String> keys) {
+        mPlatform.submit(
+                nowMs,
+                new PlatformCall.Delete(part.key(), part.version()),
+                (atMs, reply) -> deleteParts(atMs, keys));
+    }
+}
--- a/coordination/src/main/java/org/hornbeampass/coordination/requests/RequestLedger.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/requests/RequestLedger.java
@@ -2,7 +2,6 @@
 
 import io.vavr.control.Either;
 
-import org.hornbeampass.coordination.log.ShardLog;
 import org.hornbeampass.coordination.peer.PeerHandler;
 import org.hornbeampass.coordination.peer.PeerNetwork;
 import org.hornbeampass.coordination.platform.Platform;
@@ -21,13 +20,8 @@
 import org.hornbeampass.state.requests.ClaimOutcome;
 import org.hornbeampass.state.requests.RequestKey;
 
-import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Deque;
-import java.util.HashMap;
-import java.util.Iterator;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.function.BiConsumer;
@@ -48,54 +42,23 @@
  * run without it.
  */
 public final class RequestLedger {
-    private static final String PREFIX = "requests/";
-    private static final long HOLD_MS = 1_500;
-    private static final long CUT_OFF_MS = 3_000;
-    private static final long REPLICA_IDLE_MS = 60_000;
-    private static final int MAX_LOADING = 4;
 
-    private final Platform mPlatform;
-    private final PeerNetwork mPeers;
-    private final VmId mSelf;
-    private final ShardOwners mOwners;
-    private final Predicate<VmId> mProvedGone;
     private final LedgerSettings mSettings;
     private final Object mLock = new Object();
-    private final SplittableRandom mRandom;
-    private final Map<Integer, ShardOutbox> mOutboxes = new HashMap<>();
-    private final Map<Integer, ShardReplica> mReplicas = new HashMap<>();
-    private final Map<Integer, Long> mReplicaUsedMs = new HashMap<>();
-    private final Deque<PendingClaim> mClaims = new ArrayDeque<>();
-    private final List<EntryReception> mReceptions = new ArrayList<>();
-    private final List<LongConsumer> mHandOvers = new ArrayList<>();
+    private final ShardTraffic mTraffic;
+    private final ClaimWaits mClaims;
     private final RepeatLimit mRepeats;
+    private final List<LongConsumer> mHandOvers = new ArrayList<>();
 
-    private long mWriterSequence;
     private int mWaiting;
     private long mWaitingBytes;
     private boolean mHandingOver;
 
-    /** A claim that may time out. */
-    private static final class PendingClaim {
-        private final Claim mClaim;
-        private final long mDeadlineMs;
-        private final BiConsumer<Long, Either<Failure, ClaimOutcome>> mDone;
-        private boolean mAnswered;
-
-        private PendingClaim(
-                Claim claim,
-                long deadlineMs,
-                BiConsumer<Long, Either<Failure, ClaimOutcome>> done) {
-            mClaim = claim;
-            mDeadlineMs = deadlineMs;
-            mDone = done;
-        }
-    }
-
     /**
      * Creates a ledger in which nothing waits.
      *
      * @param platform the platform that keeps the log
+     * @param background the same platform, for checkpoints and truncation, which can wait
      * @param peers the other routers
      * @param self this VM
      * @param owners who usually writes each shard
@@ -105,20 +68,24 @@
      */
     public RequestLedger(
             Platform platform,
+            Platform background,
             PeerNetwork peers,
             VmId self,
             ShardOwners owners,
             Predicate<VmId> provedGone,
             LedgerSettings settings,
             long seed) {
-        mPlatform = platform;
-        mPeers = peers;
-        mSelf = self;
-        mOwners = owners;
-        mProvedGone = provedGone;
         mSettings = settings;
-        mRandom = new SplittableRandom(seed);
+        mClaims = new ClaimWaits(provedGone);
         mRepeats = new RepeatLimit(settings.retention());
+        mTraffic =
+                new ShardTraffic(
+                        new ShardTraffic.Links(platform, background, peers),
+                        self,
+                        owners,
+                        settings,
+                        this::locked,
+                        new SplittableRandom(seed));
     }
 
     /**
@@ -187,28 +154,19 @@
      */
     public void claim(
             long nowMs, Claim claim, BiConsumer<Long, Either<Failure, ClaimOutcome>> done) {
-        PendingClaim pending = new PendingClaim(claim, nowMs + mSettings.claimWaitMs(), done);
+        long deadlineMs = nowMs + mSettings.claimWaitMs();
         locked(
                 deferred -> {
-                    mClaims.addLast(pending);
+                    ClaimWaits.Waiting waiting = mClaims.add(claim, deadlineMs, done);
                     enqueue(
                             nowMs,
                             new ClaimEntry(claim),
-                            (atMs, decision) -> locked(d -> claimed(atMs, pending, decision, d)),
+                            (atMs, decision) ->
+                                    locked(d -> mClaims.decided(atMs, waiting, decision, d)),
                             deferred);
                 });
     }
 
-    private void claimed(
-            long nowMs, PendingClaim pending, EntryDecision decision, Deferred deferred) {
-        if (pending.mAnswered) {
-            return;
-        }
-        pending.mAnswered = true;
-        Either<Failure, ClaimOutcome> outcome = ClaimAnswer.of(decision, mProvedGone);
-        deferred.add(() -> pending.mDone.accept(nowMs, outcome));
-    }
-
     /**
      * Gives up a claim whose attempt has sent nothing to an upstream and never will.
      *
@@ -272,9 +230,7 @@
                         });
         mWaiting++;
         mWaitingBytes += text.length();
-        int shard = shardOf(entry.key());
-        outbox(shard).add(proposal);
-        forward(nowMs, shard, deferred);
+        mTraffic.add(nowMs, shardOf(entry.key()), proposal, deferred);
     }
 
     /** Counts an entry as no longer waiting; returns false where it was decided before. */
@@ -317,133 +273,24 @@
     public void tick(long nowMs) {
         locked(
                 deferred -> {
-                    expireClaims(nowMs, deferred);
-                    for (int shard = 0; shard < mSettings.shards(); shard++) {
-                        forward(nowMs, shard, deferred);
-                        keepReplica(nowMs, shard, deferred);
-                    }
-                    mReceptions.removeIf(r -> r.answeredOrRefused(nowMs, HOLD_MS, deferred));
+                    mClaims.expire(nowMs, deferred)
+                            .forEach(c -> enqueueWithdrawal(nowMs, c, deferred));
+                    mTraffic.tick(nowMs, deferred);
                     finishHandOver(nowMs, deferred);
                 });
     }
 
-    private void expireClaims(long nowMs, Deferred deferred) {
-        Iterator<PendingClaim> each = mClaims.iterator();
-        while (each.hasNext()) {
-            PendingClaim pending = each.next();
-            if (!pending.mAnswered && pending.mDeadlineMs > nowMs) {
-                break;
-            }
-            each.remove();
-            if (!pending.mAnswered) {
-                pending.mAnswered = true;
-                Failure late =
-                        Failure.of(
-                                ErrorKind.PLATFORM_UNAVAILABLE,
-                                "the call could not be claimed in time; it did not run");
-                enqueueWithdrawal(nowMs, pending.mClaim, deferred);
-                deferred.add(() -> pending.mDone.accept(nowMs, Either.left(late)));
-            }
-        }
-    }
-
-    private void forward(long nowMs, int shard, Deferred deferred) {
-        ShardOutbox outbox = mOutboxes.get(shard);
-        if (outbox == null || outbox.isEmpty()) {
-            return;
-        }
-        Optional<VmId> owner = mOwners.owner(shard);
-        boolean owned = owner.isEmpty() || owner.get().equals(mSelf);
-        if (!owned && !outbox.direct(nowMs)) {
-            outbox.sendTo(nowMs, owner.orElseThrow(), deferred);
-            return;
-        }
-        ShardReplica replica = replica(nowMs, shard);
-        if (owned && replica.failingForMs(nowMs) >= CUT_OFF_MS) {
-            mOwners.backup(shard).ifPresent(b -> outbox.sendTo(nowMs, b, deferred));
-        } else if (owned || replica.healthy()) {
-            outbox.drainTo(nowMs, replica, deferred);
-        }
-        replica.step(nowMs, deferred);
-    }
-
-    private ShardOutbox outbox(int shard) {
-        return mOutboxes.computeIfAbsent(
-                shard, s -> new ShardOutbox(s, mPeers, this::locked, mRandom.split()));
-    }
-
-    private ShardReplica replica(long nowMs, int shard) {
-        mReplicaUsedMs.put(shard, nowMs);
-        return mReplicas.computeIfAbsent(
-                shard,
-                s ->
-                        new ShardReplica(
-                                new ShardLog(mPlatform, PREFIX + s),
-                                mSelf,
-                                mSettings,
-                                this::locked,
-                                () -> mWriterSequence++,
-                                mRandom.split()));
-    }
-
-    /** Opens the copies of owned shards, a few at a time, and closes others that are not used. */
-    private void keepReplica(long nowMs, int shard, Deferred deferred) {
-        ShardReplica replica = mReplicas.get(shard);
-        boolean owned = mOwners.owner(shard).equals(Optional.of(mSelf));
-        if (replica == null) {
-            long loading = mReplicas.values().stream().filter(r -> !r.healthy()).count();
-            if (owned && loading < MAX_LOADING) {
-                replica(nowMs, shard).step(nowMs, deferred);
-            }
-            return;
-        }
-        boolean unused = nowMs - mReplicaUsedMs.get(shard) > REPLICA_IDLE_MS;
-        if (!owned && unused && replica.idle()) {
-            mReplicas.remove(shard);
-            return;
-        }
-        if (replica.failingForMs(nowMs) >= CUT_OFF_MS) {
-            outbox(shard).addFirst(replica.recall());
-        }
-        replica.step(nowMs, deferred);
-    }
-
     /** Returns the handler of other VMs' entries for shards that this VM owns. */
     public PeerHandler<SubmitEntries> submitHandler() {
         return (nowMs, from, message, reply) ->
-                locked(deferred -> receive(nowMs, message, reply, deferred));
-    }
-
-    private void receive(
-            long nowMs,
-            SubmitEntries message,
-            Consumer<org.hornbeampass.coordination.peer.PeerMessage> reply,
-            Deferred deferred) {
-        boolean known = message.shard() >= 0 && message.shard() < mSettings.shards();
-        if (!known || mHandingOver) {
-            deferred.add(() -> reply.accept(new EntriesRefused(HOLD_MS)));
-            return;
-        }
-        ShardReplica replica = replica(nowMs, message.shard());
-        List<RequestEntry> entries = new ArrayList<>();
-        message.entries().forEach(t -> EntryCodec.decode(t).forEach(entries::add));
-        boolean full = replica.waiting() + entries.size() > mSettings.backlog().maxOwnerEntries();
-        if (full || entries.size() != message.entries().size() || entries.isEmpty()) {
-            deferred.add(() -> reply.accept(new EntriesRefused(HOLD_MS)));
-            return;
-        }
-        EntryReception reception = new EntryReception(entries.size(), nowMs, reply);
-        mReceptions.add(reception);
-        for (int i = 0; i < entries.size(); i++) {
-            int index = i;
-            Proposal proposal =
-                    new Proposal(
-                            entries.get(i),
-                            message.entries().get(i),
-                            false,
-                            (atMs, decision) -> locked(d -> reception.decided(index, decision, d)));
-            replica.submit(nowMs, proposal, deferred);
-        }
+                locked(
+                        deferred -> {
+                            if (mHandingOver) {
+                                ShardTraffic.refuse(reply, deferred);
+                            } else {
+                                mTraffic.receive(nowMs, message, reply, deferred);
+                            }
+                        });
     }
 
     /**
@@ -463,8 +310,7 @@
     }
 
     private void finishHandOver(long nowMs, Deferred deferred) {
-        boolean busy = mWaiting > 0 || mReplicas.values().stream().anyMatch(r -> !r.idle());
-        if (mHandOvers.isEmpty() || busy) {
+        if (mHandOvers.isEmpty() || mWaiting > 0 || !mTraffic.idle()) {
             return;
         }
         List<LongConsumer> waiting = List.copyOf(mHandOvers);
--- a/coordination/src/main/java/org/hornbeampass/coordination/requests/ShardReplica.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/requests/ShardReplica.java
@@ -5,6 +5,7 @@
 import org.hornbeampass.coordination.log.AppendResult;
 import org.hornbeampass.coordination.log.LogBatch;
 import org.hornbeampass.coordination.log.ShardLog;
+import org.hornbeampass.coordination.platform.Platform;
 import org.hornbeampass.coordination.platform.RetryPolicy;
 import org.hornbeampass.state.ErrorKind;
 import org.hornbeampass.state.Failure;
@@ -14,7 +15,9 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
+import java.util.Optional;
 import java.util.SplittableRandom;
+import java.util.function.BiConsumer;
 import java.util.function.LongSupplier;
 
 /**
@@ -30,9 +33,11 @@
  */
 final class ShardReplica {
     private static final RetryPolicy BACKOFF = new RetryPolicy(50, 2_000, Integer.MAX_VALUE);
+    private static final String LOG_PREFIX = "requests/";
     private static final int PAGE = 8;
+    private static final int TRUNCATE_PAGE = 20;
 
-    private final ShardLog mLog;
+    private final Storage mStorage;
     private final VmId mSelf;
     private final LedgerSettings mSettings;
     private final Deferred.Guard mGuard;
@@ -41,10 +46,33 @@
     private final Deque<Proposal> mPending = new ArrayDeque<>();
     private final List<Proposal> mInFlight = new ArrayList<>();
 
+    /**
+     * Where a shard is kept.
+     *
+     * @param platform for reads that entries wait for
+     * @param background for checkpoints
+     * @param log the shard's log
+     * @param keys the keys of the shard's checkpoint
+     */
+    record Storage(Platform platform, Platform background, ShardLog log, CheckpointKeys keys) {
+        /** Returns where one shard is kept. */
+        static Storage of(Platform platform, Platform background, int shard) {
+            ShardLog log = new ShardLog(platform, LOG_PREFIX + shard);
+            return new Storage(platform, background, log, new CheckpointKeys(shard));
+        }
+
+        private ShardLog backgroundLog() {
+            return new ShardLog(background, LOG_PREFIX + keys.shard());
+        }
+    }
+
     private ShardState mState;
     private LogBatch mOpenBatch;
     private long mOpenBatchMs;
+    private boolean mLoaded;
     private boolean mReady;
+    private boolean mCheckpointing;
+    private long mTruncateBelow;
     private boolean mCallOpen;
     private long mPendingBytes;
     private int mUrgent;
@@ -55,13 +83,13 @@
     private boolean mSkipInterval;
 
     ShardReplica(
-            ShardLog log,
+            Storage storage,
             VmId self,
             LedgerSettings settings,
             Deferred.Guard guard,
             LongSupplier writerSequences,
             SplittableRandom random) {
-        mLog = log;
+        mStorage = storage;
         mSelf = self;
         mSettings = settings;
         mGuard = guard;
@@ -81,8 +109,9 @@
     }
 
     /**
-     * Gives back this VM's own entries, each once, and drops those of others, which they still hold. A batch
-     * whose write is open is still tried again, and its entries may be decided twice, alike.
+     * Gives back this VM's own entries, each once, and drops those of others, which they still
+     * hold. A batch whose write is open is still tried again, and its entries may be decided twice,
+     * alike.
      */
     List<Proposal> recall() {
         List<Proposal> own = new ArrayList<>(mInFlight);
@@ -97,7 +126,7 @@
 
     /** Returns whether nothing waits here. */
     boolean idle() {
-        return mPending.isEmpty() && mInFlight.isEmpty();
+        return mPending.isEmpty() && mInFlight.isEmpty() && !mCheckpointing;
     }
 
     /** Returns how many entries wait here. */
@@ -136,7 +165,9 @@
         if (mCallOpen || nowMs < mNextTryMs) {
             return;
         }
-        if (!mReady) {
+        if (!mLoaded) {
+            load(nowMs, deferred);
+        } else if (!mReady) {
             readOn(nowMs, deferred);
         } else if (mOpenBatch != null) {
             append(nowMs, deferred);
@@ -196,11 +227,13 @@
         LogBatch batch = mOpenBatch;
         deferred.add(
                 () ->
-                        mLog.tryAppend(
-                                nowMs,
-                                batch.sequence(),
-                                batch,
-                                (atMs, result) -> mGuard.locked(d -> appended(atMs, result, d))));
+                        mStorage.log()
+                                .tryAppend(
+                                        nowMs,
+                                        batch.sequence(),
+                                        batch,
+                                        (atMs, result) ->
+                                                mGuard.locked(d -> appended(atMs, result, d))));
     }
 
     private void appended(long nowMs, Either<Failure, AppendResult> result, Deferred deferred) {
@@ -239,6 +272,7 @@
             requeue();
             mOpenBatch = null;
             mReady = false;
+            mLoaded = false;
             mState = new ShardState(mSettings.retention());
         }
     }
@@ -254,16 +288,89 @@
         mInFlight.clear();
     }
 
+    private void load(long nowMs, Deferred deferred) {
+        mCallOpen = true;
+        BiConsumer<Long, Either<Failure, ShardState>> done =
+                (atMs, loaded) -> mGuard.locked(d -> loaded(atMs, loaded, d));
+        CheckpointLoader loader =
+                new CheckpointLoader(
+                        mStorage.platform(), mStorage.keys(), mSettings.retention(), done);
+        deferred.add(() -> loader.start(nowMs));
+    }
+
+    private void loaded(long nowMs, Either<Failure, ShardState> loaded, Deferred deferred) {
+        mCallOpen = false;
+        if (loaded.isLeft()) {
+            failed(nowMs, loaded.getLeft());
+            return;
+        }
+        mFailures = 0;
+        mState = loaded.get();
+        mLoaded = true;
+        step(nowMs, deferred);
+    }
+
+    /**
+     * Writes the newest checkpoint where there is one that is not written yet, then truncates the
+     * log below it, a page at a time.
+     *
+     * @param owned whether this VM owns the shard; another one leaves it to the owner
+     */
+    void checkpoint(long nowMs, boolean owned, Deferred deferred) {
+        if (!mReady || mCheckpointing) {
+            return;
+        }
+        Optional<Checkpoint> newest = mState.pollCheckpoint();
+        if (!owned) {
+            return;
+        }
+        if (newest.isPresent()) {
+            mCheckpointing = true;
+            CheckpointWriter writer =
+                    new CheckpointWriter(
+                            mStorage.background(),
+                            mStorage.keys(),
+                            newest.get(),
+                            (atMs, below) -> mGuard.locked(d -> checkpointed(below)));
+            deferred.add(() -> writer.start(nowMs));
+        } else if (mTruncateBelow > 0) {
+            mCheckpointing = true;
+            long below = mTruncateBelow;
+            deferred.add(
+                    () ->
+                            mStorage.backgroundLog()
+                                    .truncate(
+                                            nowMs,
+                                            below,
+                                            TRUNCATE_PAGE,
+                                            (atMs, found) -> mGuard.locked(d -> truncated(found))));
+        }
+    }
+
+    private void checkpointed(long truncateBelow) {
+        mCheckpointing = false;
+        mTruncateBelow = Math.max(mTruncateBelow, truncateBelow);
+    }
+
+    private void truncated(Either<Failure, Integer> found) {
+        mCheckpointing = false;
+        if (found.isLeft() || found.get() < TRUNCATE_PAGE) {
+            mTruncateBelow = 0;
+        }
+    }
+
     private void readOn(long nowMs, Deferred deferred) {
         mCallOpen = true;
         long from = mState.nextSequence();
         deferred.add(
                 () ->
-                        mLog.read(
-                                nowMs,
-                                from,
-                                PAGE,
-                                (atMs, batches) -> mGuard.locked(d -> readPage(atMs, batches, d))));
+                        mStorage.log()
+                                .read(
+                                        nowMs,
+                                        from,
+                                        PAGE,
+                                        (atMs, batches) ->
+                                                mGuard.locked(d -> readPage(atMs, batches, d))));
     }
 
     private void readPage(long nowMs, Either<Failure, List<LogBatch>> batches, Deferred deferred) {
--- a/coordination/src/main/java/org/hornbeampass/coordination/requests/ShardState.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/requests/ShardState.java
@@ -39,6 +39,7 @@
     private final ClaimMemory mClaims;
     private final Map<BudgetKey, BudgetTotals> mTotals;
     private long mNextSequence;
+    private Optional<Checkpoint> mCheckpoint = Optional.empty();
 
     /** Creates the state before the first batch. */
     ShardState(Retention retention) {
@@ -90,17 +91,22 @@
     }
 
     /**
-     * Moves on to a batch's time, before its entries are applied.
-     *
-     * @return whether a generation of bills was closed, so that a checkpoint may be made
+     * Moves on to a batch's time, before its entries are applied. Takes a checkpoint where a
+     * generation of bills is closed by it.
      */
-    boolean beginBatch(long batchMs) {
+    void beginBatch(long batchMs) {
         mClock.advance(batchMs);
-        if (!mBills.advanceTo(mClock.activeMs() / mRetention.generationMs())) {
-            return false;
+        if (mBills.advanceTo(mClock.activeMs() / mRetention.generationMs())) {
+            mClaims.sweep(mClock, mRetention);
+            mCheckpoint = Optional.of(Checkpoint.of(this));
         }
-        mClaims.sweep(mClock, mRetention);
-        return true;
+    }
+
+    /** Takes away the newest checkpoint that was not taken away yet. */
+    Optional<Checkpoint> pollCheckpoint() {
+        Optional<Checkpoint> newest = mCheckpoint;
+        mCheckpoint = Optional.empty();
+        return newest;
     }
 
     /** Ends a batch: the next one is expected. */
--- /dev/null
+++ b/coordination/src/test/java/org/hornbeampass/coordination/requests/CheckpointTest.java
@@ -0,0 +1,117 @@
+package org.hornbeampass.coordination.requests;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.hornbeampass.coordination.platform.PlatformCall;
+import org.hornbeampass.coordination.platform.PlatformReply;
+import org.hornbeampass.coordination.platform.PlatformReply.StoredObject;
+import org.hornbeampass.state.VmId;
+import org.hornbeampass.state.requests.AttemptId;
+import org.hornbeampass.state.requests.BillOutcome;
+import org.hornbeampass.state.requests.ClaimOutcome;
+import org.junit.jupiter.api.Test;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** Checks that the log is bounded by checkpoints and that nothing remembered is lost by them. */
+class CheckpointTest {
+    private static final long MINUTE_MS = 60_000;
+
+    /** Remembers for 16 minutes, in generations of 2. */
+    private final LedgerFleet mFleet =
+            new LedgerFleet(
+                    3, settings(new Retention(8 * MINUTE_MS, 8 * MINUTE_MS, 0, 1 << 20, 3)));
+
+    private final VmId mA = mFleet.start("a", 1);
+
+    @Test
+    void log_is_truncated_below_the_checkpoint() {
+        bills(mA, "r", 60);
+
+        assertThat(stored("requests/0/").size()).isLessThan(40);
+        assertThat(stored("request-checkpoints/0/").size()).isLessThan(20);
+        assertThat(mFleet.billed()).hasSize(360);
+    }
+
+    @Test
+    void new_vm_remembers_what_the_checkpoint_holds() {
+        bills(mA, "r", 20);
+        AttemptId claim = mFleet.claim(mA, "release-1", "mould 7");
+        mFleet.mTime.runFor(1_000);
+        mFleet.outcome(claim, "released");
+        bills(mA, "s", 4);
+        mFleet.kill(mA);
+        VmId b = mFleet.start("b", 1);
+        mFleet.mTime.runFor(MINUTE_MS);
+
+        AttemptId recent = mFleet.bill(b, "s0", 1);
+        AttemptId inCheckpoint = mFleet.bill(b, "r100", 1);
+        AttemptId forgotten = mFleet.bill(b, "r0", 1);
+        AttemptId released = mFleet.claim(b, "release-1", "mould 7");
+        mFleet.mTime.runFor(MINUTE_MS);
+
+        assertThat(mFleet.billOutcome(recent)).contains(BillOutcome.DUPLICATE);
+        assertThat(mFleet.billOutcome(inCheckpoint)).contains(BillOutcome.DUPLICATE);
+        assertThat(mFleet.billOutcome(forgotten)).contains(BillOutcome.BILLED);
+        assertThat(mFleet.claimStatus(released)).contains(ClaimOutcome.Status.RECORDED);
+    }
+
+    @Test
+    void vm_that_was_paused_past_a_truncation_starts_from_the_checkpoint() {
+        VmId b = mFleet.start("b", 1);
+        mFleet.sees(mA, mA);
+        mFleet.sees(b, b);
+        mFleet.bill(b, "r0", 1);
+        mFleet.mTime.runFor(1_000);
+        mFleet.mVms.pause(b);
+        bills(mA, "s", 20);
+        mFleet.mVms.resume(b);
+        AttemptId late = mFleet.bill(b, "s100", 1);
+        mFleet.mTime.runFor(MINUTE_MS);
+
+        assertThat(mFleet.billOutcome(late)).contains(BillOutcome.DUPLICATE);
+    }
+
+    @Test
+    void checkpoints_survive_lost_replies_and_two_owners() {
+        mFleet.mPlatform.loses(0.05, 0.05);
+        VmId b = mFleet.start("b", 1);
+        mFleet.sees(mA, mA);
+        mFleet.sees(b, b);
+        for (int i = 0; i < 180; i++) {
+            mFleet.bill(mA, "r" + i, 1);
+            mFleet.bill(b, "r" + i, 1);
+            mFleet.mTime.runFor(10_000);
+        }
+        mFleet.mTime.runFor(MINUTE_MS);
+
+        assertThat(mFleet.mBilled).hasSize(360);
+        assertThat(mFleet.billed()).hasSize(180);
+        assertThat(stored("requests/0/").size()).isLessThan(60);
+    }
+
+    /** Bills six requests a minute. */
+    private void bills(VmId vm, String prefix, int minutes) {
+        for (int i = 0; i < 6 * minutes; i++) {
+            mFleet.bill(vm, prefix + i, 1);
+            mFleet.mTime.runFor(10_000);
+        }
+    }
+
+    private List<StoredObject> stored(String prefix) {
+        List<StoredObject> objects = new ArrayList<>();
+        mFleet.mPlatform
+                .store()
+                .submit(
+                        0,
+                        new PlatformCall.ListObjects(prefix, "", 100_000),
+                        (t, reply) -> objects.addAll(((PlatformReply.Listed) reply).objects()));
+        return objects;
+    }
+
+    private static LedgerSettings settings(Retention retention) {
+        LedgerSettings one = LedgerFleet.settings(1);
+        return new LedgerSettings(1, retention, one.commit(), one.backlog(), one.claimWaitMs());
+    }
+}
--- a/coordination/src/test/java/org/hornbeampass/coordination/requests/LedgerFleet.java
+++ b/coordination/src/test/java/org/hornbeampass/coordination/requests/LedgerFleet.java
@@ -87,6 +87,7 @@
         mMembers.put(vm, members);
         RequestLedger ledger =
                 new RequestLedger(
+                        mPlatform.connect(vm),
                         mPlatform.connect(vm),
                         mPeers.connect(vm),
                         vm,
