--- a/coordination/src/main/java/org/hornbeampass/coordination/requests/ShardState.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/requests/ShardState.java
@@ -39,6 +39,7 @@
     private final ClaimMemory mClaims;
     private final Map<BudgetKey, BudgetTotals> mTotals;
     private long mNextSequence;
+    private Optional<Checkpoint> mCheckpoint = Optional.empty();
 
     /** Creates the state before the first batch. */
     ShardState(Retention retention) {
@@ -90,17 +91,22 @@
     }
 
     /**
-     * Moves on to a batch's time, before its entries are applied.
-     *
-     * @return whether a generation of bills was closed, so that a checkpoint may be made
+     * Moves on to a batch's time, before its entries are applied. Takes a checkpoint where a
+     * generation of bills is closed by it.
      */
-    boolean beginBatch(long batchMs) {
+    void beginBatch(long batchMs) {
         mClock.advance(batchMs);
-        if (!mBills.advanceTo(mClock.activeMs() / mRetention.generationMs())) {
-            return false;
+        if (mBills.advanceTo(mClock.activeMs() / mRetention.generationMs())) {
+            mClaims.sweep(mClock, mRetention);
+            mCheckpoint = Optional.of(Checkpoint.of(this));
         }
-        mClaims.sweep(mClock, mRetention);
-        return true;
+    }
+
+    /** Takes away the newest checkpoint that was not taken away yet. */
+    Optional<Checkpoint> pollCheckpoint() {
+        Optional<Checkpoint> newest = mCheckpoint;
+        mCheckpoint = Optional.empty();
+        return newest;
     }
 
     /** Ends a batch: the next one is expected. */
@@ -125,9 +131,9 @@
 
     /** Applies one entry and returns what is decided on it. */
     EntryDecision apply(RequestEntry entry) {
-        Optional<EntryDecision> known = known(entry);
-        if (known.isPresent()) {
-            return known.get();
+        Optional<EntryDecision> decided = decided(entry);
+        if (decided.isPresent()) {
+            return decided.get();
         }
         if (entry instanceof BillEntry bill) {
             return applyBill(bill.bill());
@@ -144,9 +150,14 @@
 
     /**
      * Returns the decision on an entry that needs no place in the log, since what was applied
-     * decides it for good, or since a retry may find more.
+     * decides it for good. That another attempt holds a claim is none: a batch that this VM has not
+     * seen may have withdrawn it, and only a place in the log tells.
      */
     Optional<EntryDecision> known(RequestEntry entry) {
+        return decided(entry).filter(d -> d.kind() != Kind.HELD && d.kind() != Kind.KEY_REUSED);
+    }
+
+    private Optional<EntryDecision> decided(RequestEntry entry) {
         if (entry instanceof BillEntry bill) {
             return knownBill(bill.bill());
         }
