--- a/coordination/src/main/java/org/hornbeampass/coordination/config/ConfigRoles.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/config/ConfigRoles.java
@@ -7,15 +7,20 @@
 import org.hornbeampass.state.member.MembershipView;
 
 import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.function.Supplier;
+import java.util.stream.Collectors;
 
 /**
  * Decides by rendezvous hashing which VM of each failure domain watches the platform's log, which
  * one collects reports, and which one of the fleet writes snapshots.
  *
- * <p>A wrong choice, as two VMs with other views make it, costs calls and nothing else. Stateless;
- * thread-safe.
+ * <p>A wrong choice, as two VMs with other views make it, costs calls and nothing else. Not
+ * thread-safe: guarded by the lock of {@link ConfigStore}; the choice is kept for as long as the
+ * view is the same.
  */
 final class ConfigRoles {
     private static final String WATCHER = "config-watcher";
@@ -24,6 +29,10 @@
 
     private final VmId mSelf;
     private final Supplier<MembershipView> mView;
+    private final Map<FailureDomain, VmId> mCollectors = new HashMap<>();
+    private MembershipView mChosenIn;
+    private boolean mWatches;
+    private boolean mWritesSnapshots;
 
     ConfigRoles(VmId self, Supplier<MembershipView> view) {
         mSelf = self;
@@ -31,31 +40,41 @@
     }
 
     boolean watches() {
-        MembershipView view = mView.get();
-        return first(WATCHER, view, Optional.of(view.self().domain()))
-                .filter(this::isSelf)
-                .isPresent();
+        choose();
+        return mWatches;
     }
 
     boolean writesSnapshots() {
-        return first(SNAPSHOT_WRITER, mView.get(), Optional.empty())
-                .filter(this::isSelf)
-                .isPresent();
+        choose();
+        return mWritesSnapshots;
     }
 
     /** Returns the collector of a failure domain; empty where no VM of it is live. */
     Optional<VmId> collector(FailureDomain domain) {
-        return first(COLLECTOR, mView.get(), Optional.of(domain)).map(Member::vm);
+        choose();
+        return Optional.ofNullable(mCollectors.get(domain));
     }
 
-    private boolean isSelf(Member member) {
-        return member.vm().equals(mSelf);
+    private void choose() {
+        MembershipView view = mView.get();
+        if (view == mChosenIn) {
+            return;
+        }
+        mChosenIn = view;
+        Map<FailureDomain, List<Member>> domains =
+                view.live().stream().collect(Collectors.groupingBy(Member::domain));
+        List<Member> near = domains.getOrDefault(view.self().domain(), List.of());
+        mWatches = first(WATCHER, near).filter(mSelf::equals).isPresent();
+        mWritesSnapshots = first(SNAPSHOT_WRITER, view.live()).filter(mSelf::equals).isPresent();
+        mCollectors.clear();
+        domains.forEach(
+                (domain, members) ->
+                        first(COLLECTOR, members).ifPresent(vm -> mCollectors.put(domain, vm)));
     }
 
-    private static Optional<Member> first(
-            String role, MembershipView view, Optional<FailureDomain> domain) {
-        return view.live().stream()
-                .filter(m -> domain.filter(d -> !d.equals(m.domain())).isEmpty())
-                .min(Comparator.comparing(Member::name, Rendezvous.order(role)));
+    private static Optional<VmId> first(String role, List<Member> members) {
+        return members.stream()
+                .min(Comparator.comparing(Member::name, Rendezvous.order(role)))
+                .map(Member::vm);
     }
 }
--- a/coordination/src/main/java/org/hornbeampass/coordination/membership/MembershipCore.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/membership/MembershipCore.java
@@ -124,11 +124,24 @@
                 Rumours told = rumours(List.of(update));
                 out.add(() -> mNetwork.send(update.name(), new Gossip(told)));
             }
+            case KNOWN -> noteTold(update);
             default -> {}
         }
         return result;
     }
 
+    private void noteTold(MemberUpdate update) {
+        Optional<MemberEntry> entry = mTable.entry(update.name());
+        boolean same =
+                entry.isPresent()
+                        && entry.get().vm().incarnation() == update.incarnation()
+                        && entry.get().counter() == update.counter()
+                        && entry.get().health() == update.health();
+        if (same) {
+            mQueue.toldByPeer(update.name());
+        }
+    }
+
     private void changed(MemberUpdate update, Optional<VmId> before) {
         MemberEntry entry = mTable.entry(update.name()).orElseThrow();
         boolean newIncarnation = before.filter(entry.vm()::equals).isEmpty();
--- a/coordination/src/main/java/org/hornbeampass/coordination/membership/UpdateQueue.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/membership/UpdateQueue.java
@@ -12,10 +12,11 @@
  * Chooses the news that the next message carries: what was sent least often first, within a size.
  *
  * <p>Invariant: each piece of news is sent a number of times that grows with the logarithm of the
- * fleet, and then dropped. Not thread-safe: guarded by the lock of {@link Membership}.
+ * fleet, and then dropped; that a peer tells it too counts as one of these times. Not thread-safe:
+ * guarded by the lock of {@link Membership}.
  */
 final class UpdateQueue {
-    private static final int SENDS_PER_DOUBLING = 2;
+    private static final int MIN_SENDS = 2;
 
     private final Map<String, News> mNews = new HashMap<>();
     private final int mMaxBytes;
@@ -54,8 +55,16 @@
         mNews.put(name, new News(name, details, mNextOrder++));
     }
 
-    boolean isEmpty() {
-        return mNews.isEmpty();
+    /** Notes that a peer told what is queued here, so that fewer need to hear it from us. */
+    void toldByPeer(String name) {
+        News news = mNews.get(name);
+        if (news != null) {
+            news.mSends++;
+        }
+    }
+
+    private static int doublings(int fleetSize) {
+        return Integer.SIZE - Integer.numberOfLeadingZeros(fleetSize);
     }
 
     /**
@@ -74,12 +83,12 @@
             return taken;
         }
         int bytes = first.stream().mapToInt(MemberUpdate::encodedBytes).sum();
-        int maxSends = SENDS_PER_DOUBLING * (32 - Integer.numberOfLeadingZeros(fleetSize));
+        int maxSends = MIN_SENDS + doublings(fleetSize);
         List<News> ordered = new ArrayList<>(mNews.values());
         ordered.sort(Comparator.comparingInt(News::sends).thenComparingLong(News::order));
         for (News news : ordered) {
             Optional<MemberEntry> entry = lookUp.apply(news.mName);
-            if (entry.isEmpty()) {
+            if (entry.isEmpty() || news.mSends >= maxSends) {
                 mNews.remove(news.mName);
                 continue;
             }
