--- /dev/null
+++ b/router/src/main/java/org/hornbeampass/router/admin/ConfigChanges.java
@@ -0,0 +1,211 @@
+package org.hornbeampass.router.admin;
+
+import io.vavr.control.Either;
+
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.hornbeampass.protocol.admin.Changed;
+import org.hornbeampass.state.ErrorKind;
+import org.hornbeampass.state.Failure;
+import org.hornbeampass.state.config.ConfigChange;
+import org.hornbeampass.state.config.ObjectKey;
+
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.function.BiConsumer;
+import java.util.function.Supplier;
+
+/**
+ * Proposes operators' changes, and tells the loser of a race who won.
+ *
+ * <p>Invariant: a change that the operator made conditional is proposed once; one that keeps parts
+ * of what is there is proposed again, from what is there then, up to {@value #MAX_ATTEMPTS} times.
+ * Thread-safe; run with no lock held.
+ */
+final class ConfigChanges {
+    private static final Logger LOG = LogManager.getLogger(ConfigChanges.class);
+    private static final int MAX_ATTEMPTS = 5;
+
+    private final ConfigurationPort mConfiguration;
+
+    ConfigChanges(ConfigurationPort configuration) {
+        mConfiguration = configuration;
+    }
+
+    /** Proposes one change as it is. */
+    void propose(
+            AdminRequest request,
+            ConfigChange change,
+            OptionalLong expected,
+            BiConsumer<Long, Either<Failure, Changed>> done) {
+        ObjectKey object = change.object();
+        OptionalLong current = revisionOf(object);
+        Optional<Failure> early = precheck(object, expected, current);
+        if (early.isPresent()) {
+            done.accept(request.nowMs(), Either.left(early.get()));
+            return;
+        }
+        mConfiguration.propose(
+                request.nowMs(),
+                change,
+                expected,
+                (atMs, result) -> {
+                    result.peek(
+                            revision ->
+                                    LOG.info(
+                                            "operator {} changed {} at revision {}",
+                                            request.operator(),
+                                            object,
+                                            revision));
+                    done.accept(
+                            atMs,
+                            result.mapLeft(f -> named(f, object, expected))
+                                    .map(revision -> new Changed(name(object), revision)));
+                });
+    }
+
+    /**
+     * Proposes a change that is made from what is there, again where another was faster.
+     *
+     * @param request the operator's request
+     * @param object the object, which must exist
+     * @param expected the revision that the operator expects; empty for any
+     * @param change makes the change from the present configuration
+     * @param done run once
+     */
+    void modify(
+            AdminRequest request,
+            ObjectKey object,
+            OptionalLong expected,
+            Supplier<Either<Failure, ConfigChange>> change,
+            BiConsumer<Long, Either<Failure, Changed>> done) {
+        modify(request, object, expected, change, done, 1);
+    }
+
+    private void modify(
+            AdminRequest request,
+            ObjectKey object,
+            OptionalLong expected,
+            Supplier<Either<Failure, ConfigChange>> change,
+            BiConsumer<Long, Either<Failure, Changed>> done,
+            int attempt) {
+        OptionalLong current = revisionOf(object);
+        Either<Failure, ConfigChange> made =
+                current.isEmpty() ? Either.left(unknown(object)) : change.get();
+        if (made.isLeft()) {
+            done.accept(request.nowMs(), Either.left(made.getLeft()));
+            return;
+        }
+        boolean again = expected.isEmpty() && attempt < MAX_ATTEMPTS;
+        propose(
+                request,
+                made.get(),
+                expected.isPresent() ? expected : current,
+                (atMs, result) -> {
+                    boolean lost =
+                            result.isLeft()
+                                    && result.getLeft().kind() == ErrorKind.REVISION_CONFLICT;
+                    if (lost && again) {
+                        modify(request, object, expected, change, done, attempt + 1);
+                        return;
+                    }
+                    done.accept(atMs, result);
+                });
+    }
+
+    /** Returns the failure for an object that does not exist. */
+    static Failure unknown(ObjectKey object) {
+        return Failure.of(
+                ErrorKind.NOT_FOUND,
+                "there is no "
+                        + words(object)
+                        + "; `hornbeamctl "
+                        + kind(object)
+                        + " list` shows what there is");
+    }
+
+    private Optional<Failure> precheck(
+            ObjectKey object, OptionalLong expected, OptionalLong current) {
+        if (expected.isEmpty()) {
+            return Optional.empty();
+        }
+        long applied = mConfiguration.snapshot().revision();
+        if (expected.getAsLong() > applied) {
+            return Optional.of(lagging(expected.getAsLong(), applied));
+        }
+        if (expected.getAsLong() == 0) {
+            return current.isPresent()
+                    ? Optional.of(exists(object, current.getAsLong()))
+                    : Optional.empty();
+        }
+        if (current.isEmpty()) {
+            return Optional.of(unknown(object));
+        }
+        return current.getAsLong() > expected.getAsLong()
+                ? Optional.of(conflict(object, expected.getAsLong(), current.getAsLong()))
+                : Optional.empty();
+    }
+
+    private static Failure lagging(long expected, long applied) {
+        return Failure.of(
+                ErrorKind.NOT_READY,
+                "this router runs revision "
+                        + applied
+                        + " and has not yet applied "
+                        + expected
+                        + ", on which the change was made; send it again in a moment, or to"
+                        + " another router");
+    }
+
+    private static Failure exists(ObjectKey object, long revision) {
+        return Failure.of(
+                ErrorKind.ALREADY_EXISTS,
+                words(object)
+                        + " exists already, at revision "
+                        + revision
+                        + "; change it with `set`, or take another name");
+    }
+
+    private static Failure conflict(ObjectKey object, long expected, long current) {
+        return Failure.of(
+                ErrorKind.REVISION_CONFLICT,
+                words(object)
+                        + " is at revision "
+                        + current
+                        + ", changed by another operator after revision "
+                        + expected
+                        + " on which this change was made; read it again, decide, and send the"
+                        + " change with If-Match: "
+                        + current);
+    }
+
+    private static Failure named(Failure failure, ObjectKey object, OptionalLong expected) {
+        boolean creation = expected.isPresent() && expected.getAsLong() == 0;
+        ErrorKind kind =
+                creation && failure.kind() == ErrorKind.REVISION_CONFLICT
+                        ? ErrorKind.ALREADY_EXISTS
+                        : failure.kind();
+        String message =
+                failure.message().contains(name(object))
+                        ? failure.message()
+                        : words(object) + ": " + failure.message();
+        return new Failure(kind, message, failure.retryAfterMs());
+    }
+
+    private OptionalLong revisionOf(ObjectKey object) {
+        long revision = mConfiguration.snapshot().objectRevision(object);
+        return revision == 0 ? OptionalLong.empty() : OptionalLong.of(revision);
+    }
+
+    private static String kind(ObjectKey object) {
+        return object.value().substring(0, object.value().indexOf('/'));
+    }
+
+    private static String name(ObjectKey object) {
+        return object.value().substring(object.value().indexOf('/') + 1);
+    }
+
+    private static String words(ObjectKey object) {
+        return kind(object) + " " + name(object);
+    }
+}
