--- a/coordination/src/main/java/org/hornbeampass/coordination/routing/UpstreamChooser.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/routing/UpstreamChooser.java
@@ -7,11 +7,13 @@
 import org.hornbeampass.coordination.upstream.LoadEstimate;
 import org.hornbeampass.coordination.upstream.OutlierDetector;
 import org.hornbeampass.coordination.upstream.UpstreamGroup;
+import org.hornbeampass.coordination.upstream.UpstreamHealth;
 import org.hornbeampass.coordination.upstream.UpstreamState;
 import org.hornbeampass.coordination.upstream.UpstreamTable;
 import org.hornbeampass.state.ErrorKind;
 import org.hornbeampass.state.Failure;
 import org.hornbeampass.state.upstream.PrefixDigests;
+import org.hornbeampass.state.upstream.WorkTarget;
 
 import java.util.Optional;
 import java.util.SplittableRandom;
@@ -97,6 +99,26 @@
         }
     }
 
+    /**
+     * Returns how many requests for a target this VM may have in progress over all upstreams that
+     * get work now: the capacity of the target's {@code AdmissionQueue}.
+     */
+    public int places(long nowMs, WorkTarget target) {
+        synchronized (mTable.lock()) {
+            Optional<UpstreamGroup> group = mTable.group(target);
+            int places = 0;
+            for (int i = 0; group.isPresent() && i < group.get().size(); i++) {
+                UpstreamState state = group.get().member(i);
+                boolean open =
+                        state.live()
+                                && state.serves(target)
+                                && state.health().state(nowMs) == UpstreamHealth.State.HEALTHY;
+                places += open ? state.limit().limit() : 0;
+            }
+            return places;
+        }
+    }
+
     /** Notes that an attempt's first byte is being sent. */
     public void onStarted(long nowMs, UpstreamChoice choice) {
         synchronized (mTable.lock()) {
--- a/coordination/src/main/java/org/hornbeampass/coordination/upstream/PrefixBelief.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/upstream/PrefixBelief.java
@@ -10,7 +10,8 @@
  *
  * <p>Belief comes from the upstream's late cache events and from this VM's own requests. A gap in
  * the events drops all belief, since an eviction may have been missed. Invariant: at most a fixed
- * number of blocks is held, the oldest belief is dropped first. Guarded by the table's lock.
+ * number of blocks is held; the oldest belief is dropped first, and of one prompt its end. Guarded
+ * by the table's lock.
  */
 final class PrefixBelief {
     private static final long UNKNOWN = -1;
@@ -45,7 +46,7 @@
 
     /** Believes the whole of a prompt to be cached, since a request of this VM just ran there. */
     void ran(PrefixDigests prefix) {
-        for (int i = 0; i < prefix.size(); i++) {
+        for (int i = prefix.size() - 1; i >= 0; i--) {
             add(prefix.at(i));
         }
     }
--- a/coordination/src/main/java/org/hornbeampass/state/upstream/PrefixDigests.java
+++ b/coordination/src/main/java/org/hornbeampass/state/upstream/PrefixDigests.java
@@ -9,12 +9,6 @@
  * exactly where their digests {@code 0..n-1} are equal. Immutable; safe for use by any thread.
  */
 public final class PrefixDigests {
-    /** The size of a block in bytes of prompt text. */
-    public static final int BLOCK_BYTES = 256;
-
-    private static final int MAX_BLOCKS = 256;
-    private static final long SEED = 0x9E3779B97F4A7C15L;
-    private static final long MULTIPLIER = 0xBF58476D1CE4E5B9L;
     private static final PrefixDigests NONE = new PrefixDigests(new long[0]);
 
     private final long[] mDigests;
@@ -28,33 +22,11 @@
         return NONE;
     }
 
-    /** Returns given digests, the shortest prefix first. */
+    /** Returns given digests, such as {@code PromptTokens.blockHashes}, the shortest first. */
     public static PrefixDigests of(long... digests) {
         return new PrefixDigests(digests.clone());
     }
 
-    /**
-     * Returns the digests of a prompt in blocks of {@value #BLOCK_BYTES} bytes, of at most {@value
-     * #MAX_BLOCKS} blocks; a last part of a block is left out.
-     *
-     * @param salt sets prompts apart that don't share a cache, such as those of other adapters
-     * @param prompt the prompt's bytes
-     */
-    public static PrefixDigests ofPrompt(long salt, byte[] prompt) {
-        int blocks = Math.min(MAX_BLOCKS, prompt.length / BLOCK_BYTES);
-        long[] digests = new long[blocks];
-        long digest = mix(SEED ^ salt);
-        for (int block = 0; block < blocks; block++) {
-            int end = (block + 1) * BLOCK_BYTES;
-            for (int at = block * BLOCK_BYTES; at < end; at++) {
-                digest = (digest ^ prompt[at]) * MULTIPLIER;
-            }
-            digest = mix(digest);
-            digests[block] = digest;
-        }
-        return new PrefixDigests(digests);
-    }
-
     /** Returns the number of blocks. */
     public int size() {
         return mDigests.length;
@@ -65,11 +37,6 @@
         return mDigests[block];
     }
 
-    private static long mix(long value) {
-        long mixed = (value ^ (value >>> 30)) * MULTIPLIER;
-        return mixed ^ (mixed >>> 31);
-    }
-
     @Override
     public boolean equals(Object other) {
         return other instanceof PrefixDigests that && Arrays.equals(mDigests, that.mDigests);
