Stand the operators' API on the coordination library

Cause: the API had only fakes below it. Change: adapters to ConfigStore, BudgetAccounts and Membership; a drain order between routers that is for one incarnation; an upstream's drain is a configuration change (UpstreamSpec.draining), so that it is in force everywhere and never undone by an older list; UpstreamTable gives such an upstream no new work. Conclusion: what is left is bills, which follow the request log.

--- a/cli/src/main/java/org/hornbeampass/cli/command/UpstreamCommand.java
+++ b/cli/src/main/java/org/hornbeampass/cli/command/UpstreamCommand.java
@@ -5,7 +5,7 @@
 import org.hornbeampass.cli.client.AdminCall;
 import org.hornbeampass.cli.output.TextTable;
 import org.hornbeampass.protocol.admin.AdminPaths;
-import org.hornbeampass.protocol.admin.Drained;
+import org.hornbeampass.protocol.admin.Changed;
 import org.hornbeampass.protocol.admin.UpstreamList;
 import org.hornbeampass.protocol.admin.UpstreamView;
 import org.hornbeampass.state.ErrorKind;
@@ -132,7 +132,8 @@
                         u.domain(),
                         u.region(),
                         u.maxConcurrent(),
-                        u.checksFencing() ? "checked" : "ignored");
+                        u.checksFencing() ? "checked" : "ignored",
+                        u.draining() ? "draining" : "in use");
             }
             return table.text();
         }
@@ -176,8 +177,15 @@
     /** Drains an upstream. */
     @Command(
             name = "drain",
-            description = "Stops new work to an upstream that is leaving; may be repeated.",
-            footer = {"%nExample:", "  hornbeamctl upstream drain runner-1"})
+            description = {
+                "Stops new work to an upstream that is leaving; may be repeated.",
+                "Take it back with `upstream set ID --draining false`."
+            },
+            footer = {
+                "%nExample:",
+                "  hornbeamctl upstream drain runner-1",
+                "  hornbeamctl revision --wait"
+            })
     static final class Drain extends AdminCommand {
         @Parameters(paramLabel = "ID", description = "The upstream.")
         private String mId;
@@ -186,7 +194,7 @@
         protected Either<Failure, Integer> run(Session session) {
             return session.show(
                     AdminCall.repeatablePost(Session.path(AdminPaths.UPSTREAMS, mId, "drain")),
-                    Drained.class,
+                    Changed.class,
                     Fields::table);
         }
     }
--- a/cli/src/main/java/org/hornbeampass/cli/command/UpstreamOptions.java
+++ b/cli/src/main/java/org/hornbeampass/cli/command/UpstreamOptions.java
@@ -51,6 +51,12 @@
             description = "Requests that one VM has in progress there.")
     private Integer mMaxConcurrent;
 
+    @Option(
+            names = "--draining",
+            paramLabel = "BOOLEAN",
+            description = "Whether it gets no new work (true or false).")
+    private Boolean mDraining;
+
     /** Returns what is missing for a new upstream. */
     Optional<String> missing() {
         if (mUri == null || mDomain == null || mRegion == null) {
@@ -71,7 +77,8 @@
                 new FailureDomain(mDomain),
                 new Region(mRegion),
                 mChecksFencing != null && mChecksFencing,
-                mMaxConcurrent == null ? DEFAULT_MAX_CONCURRENT : mMaxConcurrent);
+                mMaxConcurrent == null ? DEFAULT_MAX_CONCURRENT : mMaxConcurrent,
+                mDraining != null && mDraining);
     }
 
     /** Returns an upstream with the options put in. */
@@ -85,6 +92,7 @@
                 mDomain == null ? base.domain() : new FailureDomain(mDomain),
                 mRegion == null ? base.region() : new Region(mRegion),
                 mChecksFencing == null ? base.checksFencing() : mChecksFencing,
-                mMaxConcurrent == null ? base.maxConcurrent() : mMaxConcurrent);
+                mMaxConcurrent == null ? base.maxConcurrent() : mMaxConcurrent,
+                mDraining == null ? base.draining() : mDraining);
     }
 }
--- /dev/null
+++ b/coordination/src/main/java/org/hornbeampass/coordination/drain/package-info.java
@@ -0,0 +1,2 @@
+/** Orders between routers to drain. */
+package org.hornbeampass.coordination.drain;
--- a/coordination/src/main/java/org/hornbeampass/coordination/upstream/UpstreamTable.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/upstream/UpstreamTable.java
@@ -216,7 +216,7 @@
         Map<ModelId, List<UpstreamState>> models = new HashMap<>();
         Map<String, List<UpstreamState>> services = new HashMap<>();
         for (UpstreamState state : mStates.values()) {
-            if (state.live()) {
+            if (state.live() && !state.spec().draining()) {
                 state.spec().service().ifPresent(s -> add(services, s, state));
                 modelsOf(state).forEach(m -> add(models, m, state));
             }
--- a/coordination/src/main/java/org/hornbeampass/state/config/UpstreamSpec.java
+++ b/coordination/src/main/java/org/hornbeampass/state/config/UpstreamSpec.java
@@ -1,5 +1,7 @@
 package org.hornbeampass.state.config;
 
+import com.fasterxml.jackson.annotation.JsonCreator;
+
 import org.hornbeampass.state.FailureDomain;
 import org.hornbeampass.state.ModelId;
 import org.hornbeampass.state.Region;
@@ -22,6 +24,7 @@
  * @param region its region
  * @param checksFencing whether it refuses an order that carries an old fencing number
  * @param maxConcurrent the largest number of requests that one VM has in progress there
+ * @param draining whether it gets no new work, since it is about to leave
  */
 public record UpstreamSpec(
         UpstreamId id,
@@ -31,8 +34,10 @@
         FailureDomain domain,
         Region region,
         boolean checksFencing,
-        int maxConcurrent) {
+        int maxConcurrent,
+        boolean draining) {
     /** Checks the invariant. */
+    @JsonCreator
     public UpstreamSpec {
         Objects.requireNonNull(id, "id");
         Objects.requireNonNull(baseUri, "baseUri");
@@ -43,4 +48,23 @@
                     "upstream " + id + " must name exactly one of model and service");
         }
     }
+
+    /** Makes an upstream that gets new work. */
+    public UpstreamSpec(
+            UpstreamId id,
+            String baseUri,
+            Optional<ModelId> model,
+            Optional<String> service,
+            FailureDomain domain,
+            Region region,
+            boolean checksFencing,
+            int maxConcurrent) {
+        this(id, baseUri, model, service, domain, region, checksFencing, maxConcurrent, false);
+    }
+
+    /** Returns the upstream as one that gets no new work. */
+    public UpstreamSpec drained() {
+        return new UpstreamSpec(
+                id, baseUri, model, service, domain, region, checksFencing, maxConcurrent, true);
+    }
 }
--- a/router/src/main/java/org/hornbeampass/router/admin/AdminHandler.java
+++ b/router/src/main/java/org/hornbeampass/router/admin/AdminHandler.java
@@ -106,7 +106,7 @@
         routes.addAll(new TemplateEndpoints(configuration, changes).routes());
         routes.addAll(new OrganisationEndpoints(configuration, changes, keys).routes());
         routes.addAll(keys.routes());
-        routes.addAll(new UpstreamEndpoints(ports, changes).routes());
+        routes.addAll(new UpstreamEndpoints(configuration, changes).routes());
         routes.addAll(new BudgetEndpoints(ports, changes, reader).routes());
         routes.addAll(new BillingEndpoints(ports.billing(), reader).routes());
         routes.addAll(new FleetEndpoints(ports.fleet()).routes());
--- a/router/src/main/java/org/hornbeampass/router/admin/FleetEndpoints.java
+++ b/router/src/main/java/org/hornbeampass/router/admin/FleetEndpoints.java
@@ -33,6 +33,9 @@
 
     private void drain(AdminRequest request, AdminReply reply) {
         mFleet.drainRouter(
-                request.nowMs(), request.variable(0), (atMs, result) -> reply.done(result));
+                request.nowMs(),
+                request.variable(0),
+                request.operator(),
+                (atMs, result) -> reply.done(result));
     }
 }
--- /dev/null
+++ b/router/src/main/java/org/hornbeampass/router/admin/LedgerAccounts.java
@@ -0,0 +1,85 @@
+package org.hornbeampass.router.admin;
+
+import io.vavr.control.Either;
+
+import org.hornbeampass.coordination.budget.BudgetAccounts;
+import org.hornbeampass.protocol.admin.BudgetView;
+import org.hornbeampass.state.BudgetKey;
+import org.hornbeampass.state.Failure;
+import org.hornbeampass.state.OrganisationId;
+import org.hornbeampass.state.budget.BudgetStatement;
+
+import java.util.List;
+import java.util.OptionalLong;
+import java.util.function.BiConsumer;
+
+/**
+ * The budgets' accounts as the platform's ledgers have them.
+ *
+ * <p>Thread-safe as {@link BudgetAccounts} is.
+ */
+public final class LedgerAccounts implements AccountPort {
+    private final BudgetAccounts mAccounts;
+
+    /** Takes the operators' side of the budgets. */
+    public LedgerAccounts(BudgetAccounts accounts) {
+        mAccounts = accounts;
+    }
+
+    @Override
+    public void accounts(
+            long nowMs,
+            OrganisationId organisation,
+            BiConsumer<Long, Either<Failure, List<BudgetView>>> done) {
+        mAccounts.statement(
+                nowMs,
+                organisation,
+                (atMs, result) ->
+                        done.accept(
+                                atMs,
+                                result.map(
+                                        all -> all.stream().map(LedgerAccounts::view).toList())));
+    }
+
+    @Override
+    public void topUp(
+            long nowMs,
+            BudgetKey key,
+            String id,
+            long tokens,
+            BiConsumer<Long, Either<Failure, BudgetView>> done) {
+        mAccounts.topUp(nowMs, key, id, tokens, viewed(done));
+    }
+
+    @Override
+    public void setPaid(
+            long nowMs,
+            BudgetKey key,
+            long paid,
+            OptionalLong expectedPaid,
+            BiConsumer<Long, Either<Failure, BudgetView>> done) {
+        if (expectedPaid.isPresent()) {
+            mAccounts.setPaid(nowMs, key, paid, expectedPaid.getAsLong(), viewed(done));
+            return;
+        }
+        mAccounts.setPaid(nowMs, key, paid, viewed(done));
+    }
+
+    private static BiConsumer<Long, Either<Failure, BudgetStatement>> viewed(
+            BiConsumer<Long, Either<Failure, BudgetView>> done) {
+        return (atMs, result) -> done.accept(atMs, result.map(LedgerAccounts::view));
+    }
+
+    /** Returns a statement as operators see it. */
+    static BudgetView view(BudgetStatement s) {
+        return new BudgetView(
+                s.key().organisation(),
+                s.key().budget(),
+                s.paid(),
+                s.settled(),
+                s.reserved() + s.free() + s.lent(),
+                s.writtenOff(),
+                s.available(),
+                s.target());
+    }
+}
--- a/router/src/test/java/org/hornbeampass/router/admin/AdminHandlerTest.java
+++ b/router/src/test/java/org/hornbeampass/router/admin/AdminHandlerTest.java
@@ -300,6 +300,21 @@
                 "is upstream u1's already");
     }
 
+    @Test
+    void upstreamDrain_isAChangeThatLasts() {
+        String path = "/admin/v1/upstreams/u1";
+        send(
+                "PUT",
+                path,
+                "{\"id\":\"u1\",\"baseUri\":\"http://h:1\",\"model\":\"m\",\"domain\":\"a\","
+                        + "\"region\":\"r\",\"maxConcurrent\":8}");
+
+        assertThat(send("GET", path, "").answer()).contains("\"draining\":false");
+        assertThat(send("POST", path + "/drain", "").answer()).contains("\"revision\":2");
+        assertThat(send("GET", path, "").answer()).contains("\"draining\":true");
+        assertRefused(send("POST", "/admin/v1/upstreams/u9/drain", ""), ErrorKind.NOT_FOUND, "u9");
+    }
+
     @Test
     void lists_arePaged() {
         for (String name : List.of("c", "a", "b")) {
