--- a/transport/src/main/java/org/hornbeampass/transport/http/ServerExchange.java
+++ b/transport/src/main/java/org/hornbeampass/transport/http/ServerExchange.java
@@ -66,6 +66,11 @@
         return mPath;
     }
 
+    @Override
+    public String rawTarget() {
+        return mRequest.uri();
+    }
+
     @Override
     public Optional<String> query(String name) {
         List<String> values = mTarget.parameters().get(name);
@@ -112,6 +117,11 @@
 
     @Override
     public void abort() {
+        synchronized (mLock) {
+            if (mPhase == Phase.OPEN) {
+                mPhase = Phase.STREAMING;
+            }
+        }
         put(Phase.STREAMING, Phase.ENDED, new AnswerPart.Abort(this));
     }
 
