--- a/cli/src/main/java/org/hornbeampass/cli/Hornbeamctl.java
+++ b/cli/src/main/java/org/hornbeampass/cli/Hornbeamctl.java
@@ -114,7 +114,7 @@
     @Option(
             names = "--call-timeout",
             scope = ScopeType.INHERIT,
-            defaultValue = "10",
+            defaultValue = "40",
             paramLabel = "SECONDS",
             description = "How long one call may take. Default: ${DEFAULT-VALUE}.")
     private int mCallTimeoutSeconds;
--- a/cli/src/main/java/org/hornbeampass/cli/command/UpstreamOptions.java
+++ b/cli/src/main/java/org/hornbeampass/cli/command/UpstreamOptions.java
@@ -41,6 +41,7 @@
 
     @Option(
             names = "--checks-fencing",
+            arity = "1",
             paramLabel = "BOOLEAN",
             description = "Whether it refuses orders with an old fencing number (true or false).")
     private Boolean mChecksFencing;
@@ -53,6 +54,7 @@
 
     @Option(
             names = "--draining",
+            arity = "1",
             paramLabel = "BOOLEAN",
             description = "Whether it gets no new work (true or false).")
     private Boolean mDraining;
--- a/transport/src/main/java/org/hornbeampass/protocol/peer/PeerMessageType.java
+++ b/transport/src/main/java/org/hornbeampass/protocol/peer/PeerMessageType.java
@@ -11,6 +11,8 @@
 import org.hornbeampass.coordination.config.RevisionsRequest;
 import org.hornbeampass.coordination.config.SnapshotPart;
 import org.hornbeampass.coordination.config.SnapshotRequest;
+import org.hornbeampass.coordination.drain.DrainAnswer;
+import org.hornbeampass.coordination.drain.DrainOrder;
 import org.hornbeampass.coordination.membership.Ack;
 import org.hornbeampass.coordination.membership.Gossip;
 import org.hornbeampass.coordination.membership.IndirectAck;
@@ -19,15 +21,18 @@
 import org.hornbeampass.coordination.membership.SyncReply;
 import org.hornbeampass.coordination.membership.SyncRequest;
 import org.hornbeampass.coordination.peer.PeerMessage;
+import org.hornbeampass.coordination.requests.EntriesDecided;
+import org.hornbeampass.coordination.requests.EntriesRefused;
+import org.hornbeampass.coordination.requests.SubmitEntries;
 import org.hornbeampass.protocol.peer.PeerType.Form;
 
 /**
  * The closed list of messages between routers.
  *
  * <p>Numbers are never given to another message: membership takes 1 to 19, configuration 20 to 39,
- * budgets 40 to 59, requests 60 to 79, routing 80 to 99. A router that does not know a number
- * counts it and, for a request, answers that it is unsupported. Immutable; safe for use by any
- * thread.
+ * budgets 40 to 59, requests 60 to 79, routing 80 to 94, operators 95 to 99. A router that does not
+ * know a number counts it and, for a request, answers that it is unsupported. Immutable; safe for
+ * use by any thread.
  */
 public enum PeerMessageType {
     PING(1, Ping.class, Form.REQUEST),
@@ -47,7 +52,12 @@
     ASK_GRANT(40, AskGrant.class, Form.REQUEST),
     ASK_REFUSED(41, AskRefused.class, Form.REPLY),
     MOVE_GRANT(42, MoveGrant.class, Form.REQUEST),
-    MOVE_ACK(43, MoveAck.class, Form.ONE_WAY);
+    MOVE_ACK(43, MoveAck.class, Form.ONE_WAY),
+    SUBMIT_ENTRIES(60, SubmitEntries.class, Form.REQUEST),
+    ENTRIES_DECIDED(61, EntriesDecided.class, Form.REPLY),
+    ENTRIES_REFUSED(62, EntriesRefused.class, Form.REPLY),
+    DRAIN_ORDER(95, DrainOrder.class, Form.REQUEST),
+    DRAIN_ANSWER(96, DrainAnswer.class, Form.REPLY);
 
     private final int mNumber;
     private final Class<? extends PeerMessage> mMessageClass;
