--- /dev/null
+++ b/router/src/main/java/org/hornbeampass/router/daemon/Coordination.java
@@ -0,0 +1,223 @@
+package org.hornbeampass.router.daemon;
+
+import org.hornbeampass.coordination.address.AddressBook;
+import org.hornbeampass.coordination.address.AddressSettings;
+import org.hornbeampass.coordination.budget.BudgetAccounts;
+import org.hornbeampass.coordination.budget.BudgetLedger;
+import org.hornbeampass.coordination.budget.BudgetSettings;
+import org.hornbeampass.coordination.budget.GrantPolicy;
+import org.hornbeampass.coordination.config.ConfigSettings;
+import org.hornbeampass.coordination.config.ConfigStore;
+import org.hornbeampass.coordination.limit.OrganisationLimits;
+import org.hornbeampass.coordination.membership.Membership;
+import org.hornbeampass.coordination.membership.MembershipListener;
+import org.hornbeampass.coordination.membership.MembershipSettings;
+import org.hornbeampass.coordination.platform.CallBudget;
+import org.hornbeampass.coordination.platform.CallPriority;
+import org.hornbeampass.coordination.platform.Platform;
+import org.hornbeampass.coordination.requests.LedgerSettings;
+import org.hornbeampass.coordination.requests.RequestLedger;
+import org.hornbeampass.coordination.requests.ShardOwners;
+import org.hornbeampass.coordination.routing.RoutingPolicy;
+import org.hornbeampass.coordination.routing.UpstreamChooser;
+import org.hornbeampass.coordination.upstream.Placement;
+import org.hornbeampass.coordination.upstream.RoutingSettings;
+import org.hornbeampass.coordination.upstream.UpstreamTable;
+import org.hornbeampass.router.serve.TargetQueues;
+import org.hornbeampass.state.OrganisationId;
+import org.hornbeampass.state.VmId;
+import org.hornbeampass.state.config.ConfigSnapshot;
+import org.hornbeampass.state.config.OrganisationTerms;
+import org.hornbeampass.state.member.Member;
+import org.hornbeampass.state.member.MembershipView;
+
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import java.util.stream.Collectors;
+
+/**
+ * The coordination parts of one router, and how news flows between them.
+ *
+ * <p>Lock order: no part holds its lock while it calls another, so each lock is a leaf; where two
+ * parts must be called together, they are called one after the other. Thread-safe.
+ */
+final class Coordination {
+    private final Membership mMembership;
+    private final ConfigStore mConfig;
+    private final AddressBook mAddresses;
+    private final BudgetLedger mBudgets;
+    private final BudgetAccounts mAccounts;
+    private final RequestLedger mRequests;
+    private final UpstreamTable mTable;
+    private final UpstreamChooser mChooser;
+    private final OrganisationLimits mLimits;
+    private final TargetQueues mQueues;
+    private final CallBudget mCalls;
+    private final ConfigInForce mInForce = new ConfigInForce();
+
+    /**
+     * Makes the parts.
+     *
+     * @param self this VM as others see it
+     * @param settings its settings
+     * @param platform the platform without a limit of its own
+     * @param network its network
+     * @param nowMs the present time in milliseconds
+     */
+    Coordination(
+            Member self,
+            RouterSettings settings,
+            Platform platform,
+            RouterNetwork network,
+            long nowMs) {
+        VmId vm = self.vm();
+        Random random = new Random(vm.hashCode() * 31L + vm.incarnation());
+        mCalls = new CallBudget(platform, settings.calls(), nowMs);
+        mMembership =
+                new Membership(
+                        self,
+                        network.peers(),
+                        settings.seeds(),
+                        MembershipSettings.defaults(),
+                        random);
+        mConfig =
+                new ConfigStore(
+                        vm,
+                        mCalls.lane(CallPriority.NORMAL),
+                        network.peers(),
+                        mMembership,
+                        ConfigSettings.defaults(),
+                        new Random(random.nextLong()));
+        mAddresses =
+                new AddressBook(
+                        mMembership::view,
+                        this::limitPerSecond,
+                        AddressSettings.defaults(),
+                        new Random(random.nextLong()));
+        mBudgets =
+                new BudgetLedger(
+                        vm,
+                        mCalls.lane(CallPriority.URGENT),
+                        network.peers(),
+                        new MembershipHomes(mMembership, mAddresses),
+                        BudgetSettings.defaults(),
+                        GrantPolicy.DEMAND_HORIZON);
+        mAccounts = new BudgetAccounts(vm, mCalls.lane(CallPriority.URGENT));
+        mRequests =
+                new RequestLedger(
+                        mCalls.lane(CallPriority.URGENT),
+                        network.peers(),
+                        vm,
+                        ShardOwners.rendezvous(this::liveVms),
+                        mMembership::isProvedGone,
+                        LedgerSettings.standard(),
+                        random.nextLong());
+        mTable =
+                new UpstreamTable(
+                        new Placement(vm.name(), self.domain(), self.region()),
+                        RoutingSettings.defaults());
+        mChooser = new UpstreamChooser(mTable, RoutingPolicy.PREDICTED_WAIT, random.nextLong());
+        mLimits = new OrganisationLimits(vm.name());
+        mQueues = new TargetQueues(settings.limits().serve().maxWaiting());
+        mMembership.addListener(new MembershipNews());
+        mConfig.addListener(this::applyConfig);
+    }
+
+    private List<VmId> liveVms() {
+        return mMembership.view().live().stream().map(Member::vm).toList();
+    }
+
+    /** Returns an organisation's limit, on which all VMs agree, as a bound of its demand. */
+    private double limitPerSecond(OrganisationId organisation) {
+        return mConfig.snapshot()
+                .terms(organisation)
+                .map(OrganisationTerms::requestsPerSecond)
+                .orElse(0);
+    }
+
+    private void applyConfig(long nowMs, ConfigSnapshot snapshot) {
+        mTable.applyConfig(nowMs, snapshot);
+        mLimits.applyConfig(nowMs, snapshot);
+        mBudgets.onConfig(nowMs, snapshot);
+        mQueues.resize(nowMs, snapshot, mTable.status(nowMs));
+        mInForce.apply(snapshot);
+    }
+
+    /** Passes on what is heard of other VMs. */
+    private final class MembershipNews implements MembershipListener {
+        @Override
+        public void onChange(long nowMs, MembershipView view) {
+            Set<String> names = view.live().stream().map(Member::name).collect(Collectors.toSet());
+            mLimits.onVms(nowMs, names);
+        }
+
+        @Override
+        public void onProvedGone(long nowMs, VmId vm) {
+            mBudgets.onVmGone(nowMs, vm);
+        }
+    }
+
+    /** Does what is due often: platform calls that wait, and bills. */
+    void tickOften(long nowMs) {
+        mCalls.tick(nowMs);
+        mRequests.tick(nowMs);
+    }
+
+    /** Does what is due a few times a second. */
+    void tick(long nowMs) {
+        mMembership.tick(nowMs);
+        mConfig.tick(nowMs);
+        mBudgets.tick(nowMs);
+        mQueues.expire(nowMs);
+        mQueues.resize(nowMs, mConfig.snapshot(), mTable.status(nowMs));
+    }
+
+    Membership membership() {
+        return mMembership;
+    }
+
+    ConfigStore config() {
+        return mConfig;
+    }
+
+    ConfigInForce inForce() {
+        return mInForce;
+    }
+
+    AddressBook addresses() {
+        return mAddresses;
+    }
+
+    BudgetLedger budgets() {
+        return mBudgets;
+    }
+
+    BudgetAccounts accounts() {
+        return mAccounts;
+    }
+
+    RequestLedger requests() {
+        return mRequests;
+    }
+
+    UpstreamTable table() {
+        return mTable;
+    }
+
+    UpstreamChooser chooser() {
+        return mChooser;
+    }
+
+    OrganisationLimits limits() {
+        return mLimits;
+    }
+
+    TargetQueues queues() {
+        return mQueues;
+    }
+
+    CallBudget calls() {
+        return mCalls;
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/hornbeampass/router/daemon/RouterDaemon.java
@@ -0,0 +1,187 @@
+package org.hornbeampass.router.daemon;
+
+import com.codahale.metrics.MetricRegistry;
+
+import org.hornbeampass.coordination.limit.RetryBudget;
+import org.hornbeampass.coordination.limit.RetryPolicy;
+import org.hornbeampass.router.front.FrontDoor;
+import org.hornbeampass.router.front.RequestAdmission;
+import org.hornbeampass.router.serve.FlowRunner;
+import org.hornbeampass.router.serve.RouterMetrics;
+import org.hornbeampass.router.serve.ServeParts;
+import org.hornbeampass.router.serve.WheelTimers;
+import org.hornbeampass.router.upstream.UpstreamCalls;
+import org.hornbeampass.state.ErrorKind;
+import org.hornbeampass.state.Failure;
+import org.hornbeampass.state.VmId;
+import org.hornbeampass.state.member.Member;
+import org.hornbeampass.state.member.MemberState;
+import org.hornbeampass.transport.Clock;
+import org.hornbeampass.transport.platform.HttpPlatform;
+
+import java.net.InetSocketAddress;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicReference;
+
+/**
+ * One router: all its parts, from start to shutdown.
+ *
+ * <p>Holds no static state, so that several can run in one process. Thread-safe.
+ */
+public final class RouterDaemon implements AutoCloseable {
+    private final VmId mVm;
+    private final Clock mClock;
+    private final RouterNetwork mNetwork;
+    private final Coordination mParts;
+    private final WheelTimers mTimers;
+    private final FlowRunner mRunner;
+    private final RouterMetrics mMetrics;
+    private final TickLoop mTicks;
+    private final Shutdown mShutdown;
+
+    private RouterDaemon(RouterSettings settings, Clock clock) {
+        mClock = clock;
+        long nowMs = clock.nowMs();
+        mVm = new VmId(settings.place().name(), settings.place().incarnation().orElse(nowMs));
+        AtomicReference<Coordination> parts = new AtomicReference<>();
+        mNetwork = new RouterNetwork(mVm, settings, clock, name -> PeerAddresses.of(parts, name));
+        mTimers = new WheelTimers(clock, mVm.name() + "-timers");
+        mMetrics = new RouterMetrics(new MetricRegistry());
+        mParts =
+                new Coordination(
+                        self(settings),
+                        settings,
+                        new HttpPlatform(mNetwork.platform(), settings.platform(), clock),
+                        mNetwork,
+                        nowMs);
+        parts.set(mParts);
+        mRunner = new FlowRunner(serveParts(settings));
+        mShutdown = new Shutdown(mParts, mNetwork, mRunner, mTimers, settings.execution());
+        PeerRoutes.register(mNetwork.peers(), mParts);
+        mNetwork.callersHandler().set(frontDoor(settings));
+        mTicks = new TickLoop(mNetwork.control(), clock);
+        mTicks.every(TickLoop.OFTEN_MS, mParts::tickOften);
+        mTicks.every(TickLoop.SELDOM_MS, mParts::tick);
+    }
+
+    /**
+     * Starts a router; it is ready once {@link #notReady} is empty.
+     *
+     * @throws IllegalStateException if an address can't be listened on
+     */
+    public static RouterDaemon start(RouterSettings settings) {
+        return new RouterDaemon(settings, Clock.monotonic());
+    }
+
+    private Member self(RouterSettings settings) {
+        RouterSettings.Listen listen = settings.listen();
+        return new Member(
+                mVm,
+                listen.advertisedCallers().orElseGet(() -> text(callersAddress())),
+                listen.advertisedPeers().orElseGet(() -> text(mNetwork.peers().address())),
+                settings.place().region(),
+                settings.place().domain(),
+                MemberState.LIVE);
+    }
+
+    private static String text(InetSocketAddress address) {
+        String host = address.getAddress().getHostAddress();
+        return (host.contains(":") ? "[" + host + "]" : host) + ":" + address.getPort();
+    }
+
+    private ServeParts serveParts(RouterSettings settings) {
+        UpstreamCalls upstreams =
+                new UpstreamCalls(
+                        mVm,
+                        mParts.table(),
+                        mParts.chooser(),
+                        new RetryPolicy(),
+                        RetryBudget.defaults(),
+                        mNetwork.upstreams(),
+                        mClock,
+                        settings.limits().upstream());
+        return new ServeParts(
+                mVm,
+                mParts.budgets(),
+                mParts.requests(),
+                mParts.limits(),
+                mParts.queues(),
+                upstreams,
+                mTimers,
+                mMetrics,
+                mClock,
+                settings.limits().serve());
+    }
+
+    private FrontDoor frontDoor(RouterSettings settings) {
+        return new FrontDoor(
+                new RequestAdmission(mVm, settings.limits().front()),
+                mParts.inForce(),
+                mRunner,
+                mParts.addresses(),
+                this::notReady,
+                () -> MetricsPage.of(mMetrics.registry()),
+                mMetrics::refused);
+    }
+
+    /** Returns why this router takes no new requests; empty where it does. */
+    public Optional<Failure> notReady() {
+        if (mShutdown.begun()) {
+            return Optional.of(
+                    Failure.retryAfter(
+                            ErrorKind.SHUTTING_DOWN,
+                            "this router shuts down; send the request to another address",
+                            0));
+        }
+        return mParts.config().notReady();
+    }
+
+    /** Returns the coordination parts. */
+    Coordination parts() {
+        return mParts;
+    }
+
+    /** Returns this VM. */
+    public VmId vm() {
+        return mVm;
+    }
+
+    /** Returns where callers connect. */
+    public InetSocketAddress callersAddress() {
+        return mNetwork.callers().address();
+    }
+
+    /** Returns where operators connect. */
+    public InetSocketAddress operatorsAddress() {
+        return mNetwork.operators().address();
+    }
+
+    /** Returns where other routers connect. */
+    public InetSocketAddress peersAddress() {
+        return mNetwork.peers().address();
+    }
+
+    /** Returns the number of requests in progress. */
+    public int running() {
+        return mRunner.running();
+    }
+
+    /**
+     * Shuts down gracefully: leaves the address answers, refuses new requests, finishes those in
+     * progress, hands over grants and bills, and closes.
+     *
+     * @return completed when all is closed
+     */
+    public CompletableFuture<Void> shutDown() {
+        return mShutdown.begin(mClock.nowMs()).thenRunAsync(this::close);
+    }
+
+    /** Closes at once, as a crash would: requests in progress are cut, grants are not returned. */
+    @Override
+    public void close() {
+        mTicks.close();
+        mTimers.close();
+        mNetwork.close();
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/hornbeampass/router/daemon/RouterNetwork.java
@@ -0,0 +1,130 @@
+package org.hornbeampass.router.daemon;
+
+import org.hornbeampass.state.VmId;
+import org.hornbeampass.transport.Clock;
+import org.hornbeampass.transport.EventLoops;
+import org.hornbeampass.transport.http.HttpClient;
+import org.hornbeampass.transport.http.HttpClientSettings;
+import org.hornbeampass.transport.http.HttpServer;
+import org.hornbeampass.transport.http.HttpServerSettings;
+import org.hornbeampass.transport.http.NettyHttpClient;
+import org.hornbeampass.transport.http.NettyHttpServer;
+import org.hornbeampass.transport.peer.PeerSettings;
+import org.hornbeampass.transport.peer.PeerTransport;
+
+import java.net.InetSocketAddress;
+import java.util.Optional;
+import java.util.function.Function;
+
+/**
+ * The listeners, clients and event loops of one router.
+ *
+ * <p>Requests run on the serving loops; the platform, other routers, operators and all ticks run on
+ * one control loop, so that their work never holds up a request. Thread-safe.
+ */
+final class RouterNetwork implements AutoCloseable {
+    private static final int CONTROL_THREADS = 1;
+    private static final int UPSTREAM_CONNECTIONS = 2_048;
+    private static final int UPSTREAM_WAITING = 8_192;
+    private static final int PLATFORM_CONNECTIONS = 64;
+    private static final int PLATFORM_WAITING = 4_096;
+
+    private final EventLoops mServing;
+    private final EventLoops mControl;
+    private final HttpServer mCallers;
+    private final HttpServer mOperators;
+    private final PeerTransport mPeers;
+    private final HttpClient mUpstreams;
+    private final HttpClient mPlatform;
+    private final LateHandler mCallersHandler = new LateHandler();
+    private final LateHandler mOperatorsHandler = new LateHandler();
+
+    /**
+     * Starts listening.
+     *
+     * @param addresses gives the address of another router by its name
+     */
+    RouterNetwork(
+            VmId self,
+            RouterSettings settings,
+            Clock clock,
+            Function<String, Optional<InetSocketAddress>> addresses) {
+        mServing = EventLoops.create(settings.execution().workers(), self.name() + "-serving");
+        mControl = EventLoops.create(CONTROL_THREADS, self.name() + "-control");
+        RouterSettings.Listen listen = settings.listen();
+        mCallers =
+                NettyHttpServer.start(
+                        mServing, server(listen.callers(), listen), clock, mCallersHandler);
+        mOperators =
+                NettyHttpServer.start(
+                        mControl, server(listen.operators(), listen), clock, mOperatorsHandler);
+        PeerSettings peers = PeerSettings.of(self, listen.peers(), settings.keys().cluster());
+        mPeers =
+                PeerTransport.start(
+                        mControl,
+                        listen.peerTls().map(peers::withTls).orElse(peers),
+                        clock,
+                        addresses);
+        mUpstreams =
+                NettyHttpClient.create(
+                        mServing,
+                        HttpClientSettings.STANDARD.withPool(
+                                UPSTREAM_CONNECTIONS, UPSTREAM_WAITING),
+                        clock);
+        mPlatform =
+                NettyHttpClient.create(
+                        mControl,
+                        HttpClientSettings.STANDARD.withPool(
+                                PLATFORM_CONNECTIONS, PLATFORM_WAITING),
+                        clock);
+    }
+
+    private static HttpServerSettings server(
+            InetSocketAddress address, RouterSettings.Listen listen) {
+        HttpServerSettings plain = HttpServerSettings.at(address);
+        return listen.tls().map(plain::withTls).orElse(plain);
+    }
+
+    HttpServer callers() {
+        return mCallers;
+    }
+
+    HttpServer operators() {
+        return mOperators;
+    }
+
+    PeerTransport peers() {
+        return mPeers;
+    }
+
+    HttpClient upstreams() {
+        return mUpstreams;
+    }
+
+    HttpClient platform() {
+        return mPlatform;
+    }
+
+    EventLoops control() {
+        return mControl;
+    }
+
+    LateHandler callersHandler() {
+        return mCallersHandler;
+    }
+
+    LateHandler operatorsHandler() {
+        return mOperatorsHandler;
+    }
+
+    @Override
+    public void close() {
+        mCallers.close().join();
+        mOperators.close().join();
+        mPeers.stop().join();
+        mUpstreams.close();
+        mPlatform.close();
+        mServing.close();
+        mControl.close();
+    }
+}
--- a/transport/src/main/java/org/hornbeampass/protocol/peer/PeerMessageType.java
+++ b/transport/src/main/java/org/hornbeampass/protocol/peer/PeerMessageType.java
@@ -1,6 +1,27 @@
 package org.hornbeampass.protocol.peer;
 
+import org.hornbeampass.coordination.budget.AskGrant;
+import org.hornbeampass.coordination.budget.AskRefused;
+import org.hornbeampass.coordination.budget.MoveAck;
+import org.hornbeampass.coordination.budget.MoveGrant;
+import org.hornbeampass.coordination.config.PullReply;
+import org.hornbeampass.coordination.config.PullRequest;
+import org.hornbeampass.coordination.config.RevisionReport;
+import org.hornbeampass.coordination.config.RevisionsReply;
+import org.hornbeampass.coordination.config.RevisionsRequest;
+import org.hornbeampass.coordination.config.SnapshotPart;
+import org.hornbeampass.coordination.config.SnapshotRequest;
+import org.hornbeampass.coordination.membership.Ack;
+import org.hornbeampass.coordination.membership.Gossip;
+import org.hornbeampass.coordination.membership.IndirectAck;
+import org.hornbeampass.coordination.membership.IndirectPing;
+import org.hornbeampass.coordination.membership.Ping;
+import org.hornbeampass.coordination.membership.SyncReply;
+import org.hornbeampass.coordination.membership.SyncRequest;
 import org.hornbeampass.coordination.peer.PeerMessage;
+import org.hornbeampass.coordination.requests.EntriesDecided;
+import org.hornbeampass.coordination.requests.EntriesRefused;
+import org.hornbeampass.coordination.requests.SubmitEntries;
 
 /**
  * The closed list of messages between routers.
@@ -11,14 +32,32 @@
  * thread.
  */
 public enum PeerMessageType {
-// One line for each message: NAME(number, Record.class, PeerType.Form.ONE_WAY or REQUEST or REPLY),
-;
+    PING(1, Ping.class, PeerType.Form.REQUEST),
+    ACK(2, Ack.class, PeerType.Form.REPLY),
+    GOSSIP(3, Gossip.class, PeerType.Form.ONE_WAY),
+    INDIRECT_PING(4, IndirectPing.class, PeerType.Form.REQUEST),
+    INDIRECT_ACK(5, IndirectAck.class, PeerType.Form.REPLY),
+    SYNC_REQUEST(6, SyncRequest.class, PeerType.Form.REQUEST),
+    SYNC_REPLY(7, SyncReply.class, PeerType.Form.REPLY),
+    PULL_REQUEST(20, PullRequest.class, PeerType.Form.REQUEST),
+    PULL_REPLY(21, PullReply.class, PeerType.Form.REPLY),
+    SNAPSHOT_REQUEST(22, SnapshotRequest.class, PeerType.Form.REQUEST),
+    SNAPSHOT_PART(23, SnapshotPart.class, PeerType.Form.REPLY),
+    REVISION_REPORT(24, RevisionReport.class, PeerType.Form.ONE_WAY),
+    REVISIONS_REQUEST(25, RevisionsRequest.class, PeerType.Form.REQUEST),
+    REVISIONS_REPLY(26, RevisionsReply.class, PeerType.Form.REPLY),
+    ASK_GRANT(40, AskGrant.class, PeerType.Form.REQUEST),
+    ASK_REFUSED(41, AskRefused.class, PeerType.Form.REPLY),
+    MOVE_GRANT(42, MoveGrant.class, PeerType.Form.REQUEST),
+    MOVE_ACK(43, MoveAck.class, PeerType.Form.ONE_WAY),
+    SUBMIT_ENTRIES(60, SubmitEntries.class, PeerType.Form.REQUEST),
+    ENTRIES_DECIDED(61, EntriesDecided.class, PeerType.Form.REPLY),
+    ENTRIES_REFUSED(62, EntriesRefused.class, PeerType.Form.REPLY);
 
     private final int mNumber;
     private final Class<? extends PeerMessage> mMessageClass;
     private final PeerType.Form mForm;
 
-    @SuppressWarnings("UnusedMethod") // until the first message is listed
     PeerMessageType(int number, Class<? extends PeerMessage> messageClass, PeerType.Form form) {
         mNumber = number;
         mMessageClass = messageClass;
