--- /dev/null
+++ b/coordination/src/main/java/org/hornbeampass/coordination/slo/BurnCause.java
@@ -0,0 +1,40 @@
+package org.hornbeampass.coordination.slo;
+
+import org.hornbeampass.state.ErrorKind;
+import org.hornbeampass.state.FailureDomain;
+import org.hornbeampass.state.OrganisationId;
+import org.hornbeampass.state.UpstreamId;
+
+import java.util.Optional;
+
+/**
+ * What a bad request is put down to.
+ *
+ * <p>Immutable; safe for use by any thread.
+ *
+ * @param objective the objective that it burned
+ * @param organisation whose request it was; empty for those beyond the bound on causes
+ * @param error the kind of error; empty where the answer was whole but late
+ * @param upstream the upstream that served it, where one did
+ * @param domain the failure domain of that upstream
+ */
+public record BurnCause(
+        Objective objective,
+        Optional<OrganisationId> organisation,
+        Optional<ErrorKind> error,
+        Optional<UpstreamId> upstream,
+        Optional<FailureDomain> domain) {
+    static BurnCause of(Objective objective, SloSample sample) {
+        return new BurnCause(
+                objective,
+                Optional.of(sample.organisation()),
+                sample.error(),
+                sample.upstream(),
+                sample.domain());
+    }
+
+    static BurnCause other(Objective objective) {
+        return new BurnCause(
+                objective, Optional.empty(), Optional.empty(), Optional.empty(), Optional.empty());
+    }
+}
