--- /dev/null
+++ b/coordination/src/main/java/org/hornbeampass/coordination/requests/RequestAudit.java
@@ -0,0 +1,178 @@
+package org.hornbeampass.coordination.requests;
+
+import io.vavr.control.Either;
+
+import org.hornbeampass.coordination.log.LogBatch;
+import org.hornbeampass.coordination.log.ShardLog;
+import org.hornbeampass.coordination.platform.Platform;
+import org.hornbeampass.state.BudgetKey;
+import org.hornbeampass.state.ErrorKind;
+import org.hornbeampass.state.Failure;
+import org.hornbeampass.state.requests.BudgetTotals;
+import org.hornbeampass.state.requests.OpenClaim;
+import org.hornbeampass.state.requests.RequestAuditReport;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.BiConsumer;
+
+/**
+ * Reads all bills and claims from the platform's records alone, shard by shard and page by page.
+ *
+ * <p>It needs no router. What it holds at one time is one shard's memory, one page of its log, the
+ * totals, and a bounded list of open claims. Records that are written meanwhile are seen or not,
+ * per shard; each shard's part is exact for one place in its log. One run at a time per instance;
+ * not thread-safe beyond that each step follows the reply of the last one.
+ */
+public final class RequestAudit {
+    private static final int PAGE = 8;
+    private static final int MAX_RESTARTS = 5;
+    private static final int MAX_FINDINGS = 100;
+
+    private final Platform mPlatform;
+    private final LedgerSettings mSettings;
+    private final int mMaxOpenClaims;
+    private final Map<BudgetKey, BudgetTotals> mTotals = new HashMap<>();
+    private final List<OpenClaim> mOpenClaims = new ArrayList<>();
+    private final List<String> mFindings = new ArrayList<>();
+    private long mMoreOpenClaims;
+    private long mRemembered;
+    private int mRestarts;
+
+    /**
+     * Creates an audit.
+     *
+     * @param platform the platform that keeps the records
+     * @param settings the settings with which they were written
+     * @param maxOpenClaims how many open claims are listed
+     */
+    public RequestAudit(Platform platform, LedgerSettings settings, int maxOpenClaims) {
+        mPlatform = platform;
+        mSettings = settings;
+        mMaxOpenClaims = maxOpenClaims;
+    }
+
+    /**
+     * Reads every shard.
+     *
+     * @param nowMs the present time in milliseconds
+     * @param done takes the time in milliseconds and the report, or why the records could not be
+     *     read
+     */
+    public void run(long nowMs, BiConsumer<Long, Either<Failure, RequestAuditReport>> done) {
+        shard(nowMs, 0, done);
+    }
+
+    private void shard(
+            long nowMs, int shard, BiConsumer<Long, Either<Failure, RequestAuditReport>> done) {
+        if (shard == mSettings.shards()) {
+            done.accept(nowMs, Either.right(report()));
+            return;
+        }
+        new CheckpointLoader(
+                        mPlatform,
+                        new CheckpointKeys(shard),
+                        mSettings.retention(),
+                        (atMs, loaded) ->
+                                loaded.peek(state -> readOn(atMs, shard, state, done))
+                                        .peekLeft(f -> restart(atMs, shard, f, done)))
+                .start(nowMs);
+    }
+
+    private void readOn(
+            long nowMs,
+            int shard,
+            ShardState state,
+            BiConsumer<Long, Either<Failure, RequestAuditReport>> done) {
+        new ShardLog(mPlatform, ShardReplica.LOG_PREFIX + shard)
+                .read(
+                        nowMs,
+                        state.nextSequence(),
+                        PAGE,
+                        (atMs, page) ->
+                                page.peek(batches -> take(atMs, shard, state, batches, done))
+                                        .peekLeft(f -> restart(atMs, shard, f, done)));
+    }
+
+    private void take(
+            long nowMs,
+            int shard,
+            ShardState state,
+            List<LogBatch> batches,
+            BiConsumer<Long, Either<Failure, RequestAuditReport>> done) {
+        for (LogBatch batch : batches) {
+            check(shard, batch);
+            state.apply(batch);
+        }
+        if (!batches.isEmpty()) {
+            readOn(nowMs, shard, state, done);
+            return;
+        }
+        add(state);
+        mRestarts = 0;
+        shard(nowMs, shard + 1, done);
+    }
+
+    /** Starts a shard anew where its log was truncated while it was read. */
+    private void restart(
+            long nowMs,
+            int shard,
+            Failure failure,
+            BiConsumer<Long, Either<Failure, RequestAuditReport>> done) {
+        mRestarts++;
+        if (failure.kind() == ErrorKind.INTERNAL || mRestarts > MAX_RESTARTS) {
+            String message = "shard " + shard + ": " + failure.message();
+            done.accept(nowMs, Either.left(Failure.of(failure.kind(), message)));
+            return;
+        }
+        shard(nowMs, shard, done);
+    }
+
+    private void check(int shard, LogBatch batch) {
+        for (String text : batch.entries()) {
+            if (EntryCodec.decodeTime(text).isPresent()) {
+                continue;
+            }
+            Either<Failure, RequestEntry> entry = EntryCodec.decode(text);
+            if (entry.isLeft()) {
+                find(shard, batch, entry.getLeft().message());
+                continue;
+            }
+            RequestEntry known = entry.get();
+            int place =
+                    RequestFingerprint.shard(
+                            known.key().organisation(), known.key().request(), mSettings.shards());
+            if (place != shard) {
+                find(shard, batch, "an entry of shard " + place + "; were the shards changed?");
+            }
+        }
+    }
+
+    private void find(int shard, LogBatch batch, String what) {
+        if (mFindings.size() < MAX_FINDINGS) {
+            mFindings.add("shard " + shard + ", batch " + batch.sequence() + ": " + what);
+        }
+    }
+
+    private void add(ShardState state) {
+        state.totals().forEach((key, totals) -> mTotals.merge(key, totals, BudgetTotals::plus));
+        mRemembered += state.bills().size();
+        for (ClaimMemory.Held held : state.claims().held()) {
+            if (held.outcome().isPresent()) {
+                continue;
+            }
+            if (mOpenClaims.size() >= mMaxOpenClaims) {
+                mMoreOpenClaims++;
+                continue;
+            }
+            mOpenClaims.add(new OpenClaim(held.key(), held.attempt(), held.claimedAtMs()));
+        }
+    }
+
+    private RequestAuditReport report() {
+        return new RequestAuditReport(
+                mTotals, mOpenClaims, mMoreOpenClaims, mRemembered, mFindings);
+    }
+}
--- a/coordination/src/main/java/org/hornbeampass/coordination/requests/ShardReplica.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/requests/ShardReplica.java
@@ -33,7 +33,7 @@
  */
 final class ShardReplica {
     private static final RetryPolicy BACKOFF = new RetryPolicy(50, 2_000, Integer.MAX_VALUE);
-    private static final String LOG_PREFIX = "requests/";
+    static final String LOG_PREFIX = "requests/";
     private static final int PAGE = 8;
     private static final int TRUNCATE_PAGE = 20;
 
--- a/coordination/src/main/java/org/hornbeampass/coordination/requests/ShardState.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/requests/ShardState.java
@@ -131,9 +131,9 @@
 
     /** Applies one entry and returns what is decided on it. */
     EntryDecision apply(RequestEntry entry) {
-        Optional<EntryDecision> known = known(entry);
-        if (known.isPresent()) {
-            return known.get();
+        Optional<EntryDecision> decided = decided(entry);
+        if (decided.isPresent()) {
+            return decided.get();
         }
         if (entry instanceof BillEntry bill) {
             return applyBill(bill.bill());
@@ -150,9 +150,14 @@
 
     /**
      * Returns the decision on an entry that needs no place in the log, since what was applied
-     * decides it for good, or since a retry may find more.
+     * decides it for good. That another attempt holds a claim is none: a batch that this VM has not
+     * seen may have withdrawn it, and only a place in the log tells.
      */
     Optional<EntryDecision> known(RequestEntry entry) {
+        return decided(entry).filter(d -> d.kind() != Kind.HELD && d.kind() != Kind.KEY_REUSED);
+    }
+
+    private Optional<EntryDecision> decided(RequestEntry entry) {
         if (entry instanceof BillEntry bill) {
             return knownBill(bill.bill());
         }
--- a/coordination/src/test/java/org/hornbeampass/coordination/requests/LedgerFleet.java
+++ b/coordination/src/test/java/org/hornbeampass/coordination/requests/LedgerFleet.java
@@ -2,6 +2,7 @@
 
 import io.vavr.control.Either;
 
+import org.hornbeampass.coordination.platform.Platform;
 import org.hornbeampass.state.BudgetId;
 import org.hornbeampass.state.Failure;
 import org.hornbeampass.state.OrganisationId;
@@ -27,6 +28,7 @@
 import java.util.Optional;
 import java.util.TreeSet;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.UnaryOperator;
 
 /**
  * A few VMs with ledgers in virtual time, and what each attempt was told.
@@ -51,12 +53,19 @@
 
     private final LedgerSettings mSettings;
     private final long mSeed;
+    private final UnaryOperator<Platform> mPlatformRule;
     private final Map<VmId, RequestLedger> mLedgers = new LinkedHashMap<>();
     private final Map<VmId, TreeSet<VmId>> mMembers = new HashMap<>();
     private long mAttempts;
 
     LedgerFleet(long seed, LedgerSettings settings) {
+        this(seed, settings, platform -> platform);
+    }
+
+    /** Creates a fleet whose VMs see the platform through a rule, such as a broken one. */
+    LedgerFleet(long seed, LedgerSettings settings, UnaryOperator<Platform> platformRule) {
         mSeed = seed;
+        mPlatformRule = platformRule;
         mSettings = settings;
         mPlatform = new FaultyPlatform(mTime, mVms, seed);
         mPeers = new FakePeerNetwork(mTime, mVms, seed + 1);
@@ -87,8 +96,8 @@
         mMembers.put(vm, members);
         RequestLedger ledger =
                 new RequestLedger(
-                        mPlatform.connect(vm),
-                        mPlatform.connect(vm),
+                        mPlatformRule.apply(mPlatform.connect(vm)),
+                        mPlatformRule.apply(mPlatform.connect(vm)),
                         mPeers.connect(vm),
                         vm,
                         ShardOwners.rendezvous(() -> mMembers.get(vm)),
--- /dev/null
+++ b/coordination/src/test/java/org/hornbeampass/coordination/requests/LedgerMutant.java
@@ -0,0 +1,94 @@
+package org.hornbeampass.coordination.requests;
+
+import org.hornbeampass.coordination.log.LogBatch;
+import org.hornbeampass.coordination.platform.Platform;
+import org.hornbeampass.coordination.platform.PlatformCall;
+import org.hornbeampass.coordination.platform.PlatformReply;
+import org.hornbeampass.state.Json;
+
+import java.util.List;
+
+/**
+ * Deliberately broken rules, each of which a check must catch.
+ *
+ * <p>Immutable; safe for use by any thread.
+ */
+enum LedgerMutant {
+    /** Nothing is broken. */
+    NONE,
+    /** A conditional create overwrites what is there. */
+    CREATE_OVERWRITES,
+    /** A create is answered as written before it reaches the platform. */
+    ACKNOWLEDGE_BEFORE_WRITE,
+    /** A VM runs a call whose claim was not answered in time. */
+    RUN_WITHOUT_ANSWER,
+    /** A VM whose claim was held by another asks again under the other's attempt. */
+    RUN_WHEN_HELD,
+    /** Outcomes are altered on their way into the log. */
+    OUTCOMES_ALTERED,
+    /** Withdrawals never reach the log. */
+    WITHDRAWALS_DROPPED;
+
+    /** Returns the platform as a VM under this rule sees it. */
+    Platform apply(Platform platform) {
+        return switch (this) {
+            case CREATE_OVERWRITES ->
+                    (nowMs, call, done) ->
+                            platform.submit(
+                                    nowMs,
+                                    call,
+                                    (atMs, reply) -> overwrite(platform, atMs, call, reply, done));
+            case ACKNOWLEDGE_BEFORE_WRITE ->
+                    (nowMs, call, done) -> {
+                        if (call instanceof PlatformCall.Create) {
+                            platform.submit(nowMs, call, (atMs, reply) -> {});
+                            done.accept(nowMs, new PlatformReply.Written(1));
+                        } else {
+                            platform.submit(nowMs, call, done);
+                        }
+                    };
+            case OUTCOMES_ALTERED ->
+                    (nowMs, call, done) -> platform.submit(nowMs, altered(call), done);
+            case WITHDRAWALS_DROPPED ->
+                    (nowMs, call, done) -> platform.submit(nowMs, withoutWithdrawals(call), done);
+            default -> platform;
+        };
+    }
+
+    private static void overwrite(
+            Platform platform,
+            long nowMs,
+            PlatformCall call,
+            PlatformReply reply,
+            java.util.function.BiConsumer<Long, PlatformReply> done) {
+        if (call instanceof PlatformCall.Create create
+                && reply instanceof PlatformReply.Conflict conflict
+                && conflict.current().isPresent()) {
+            PlatformCall update =
+                    new PlatformCall.Update(
+                            create.key(), create.value(), conflict.current().get().version());
+            platform.submit(nowMs, update, done);
+        } else {
+            done.accept(nowMs, reply);
+        }
+    }
+
+    private static PlatformCall altered(PlatformCall call) {
+        return call instanceof PlatformCall.Create create
+                ? new PlatformCall.Create(
+                        create.key(), create.value().replace("done by", "not done by"))
+                : call;
+    }
+
+    private static PlatformCall withoutWithdrawals(PlatformCall call) {
+        if (!(call instanceof PlatformCall.Create create)
+                || !create.key().startsWith("requests/")) {
+            return call;
+        }
+        LogBatch batch = Json.decode(create.value(), LogBatch.class).get();
+        List<String> kept = batch.entries().stream().filter(e -> !e.startsWith("W")).toList();
+        LogBatch rest =
+                new LogBatch(batch.sequence(), batch.writer(), batch.writerSequence(), kept);
+        return new PlatformCall.Create(create.key(), Json.encode(rest));
+    }
+}
--- /dev/null
+++ b/coordination/src/test/java/org/hornbeampass/coordination/requests/LedgerSchedule.java
@@ -0,0 +1,318 @@
+package org.hornbeampass.coordination.requests;
+
+import io.vavr.control.Either;
+
+import org.hornbeampass.state.Failure;
+import org.hornbeampass.state.VmId;
+import org.hornbeampass.state.requests.AttemptId;
+import org.hornbeampass.state.requests.Bill;
+import org.hornbeampass.state.requests.BillOutcome;
+import org.hornbeampass.state.requests.CallOutcome;
+import org.hornbeampass.state.requests.Claim;
+import org.hornbeampass.state.requests.ClaimOutcome;
+import org.hornbeampass.state.requests.RequestKey;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+
+/**
+ * Plays a schedule of steps on a fleet and checks, after each, what must always hold.
+ *
+ * <p>VMs behave as routers do: a granted call runs at once; a failure is told the caller as "not
+ * run". Not thread-safe: tests run on one thread.
+ */
+final class LedgerSchedule {
+    private static final long MINUTE_MS = 60_000;
+    private static final long SETTLE_MS = 3 * MINUTE_MS;
+
+    /** What must always hold. */
+    enum Rule {
+        ONE_BILL_PER_ID,
+        FIRST_BILL_STANDS,
+        ACKNOWLEDGED_IS_DURABLE,
+        ONE_RUN_PER_CALL,
+        NOT_RUN_IS_TRUE,
+        RECORDED_IS_WHAT_RAN,
+        ANSWERED_ONCE,
+        BILLS_END,
+        NOT_RUN_CAN_RUN_LATER
+    }
+
+    private final LedgerMutant mMutant;
+    private final LedgerFleet mFleet;
+    private final LogHistory mHistory;
+    private final Map<String, VmId> mNames = new TreeMap<>();
+    private final Set<Rule> mBroken = new TreeSet<>();
+    private final Map<AttemptId, BillOutcome> mBilled = new LinkedHashMap<>();
+    private final Map<AttemptId, Bill> mBills = new LinkedHashMap<>();
+    private final Map<AttemptId, Claim> mClaims = new LinkedHashMap<>();
+    private final Map<AttemptId, Either<Failure, ClaimOutcome>> mAnswers = new LinkedHashMap<>();
+    private final Map<String, List<AttemptId>> mRuns = new HashMap<>();
+    private final Map<AttemptId, String> mRecorded = new HashMap<>();
+    private final Set<AttemptId> mGaveUp = new HashSet<>();
+    private long mIncarnation = 1;
+
+    LedgerSchedule(long seed, LedgerMutant mutant) {
+        mMutant = mutant;
+        mFleet = new LedgerFleet(seed, settings(), mutant::apply);
+        mHistory = new LogHistory(mFleet.mPlatform.store());
+        for (int i = 0; i < LedgerStep.VMS; i++) {
+            String name = "vm" + i;
+            mNames.put(name, mFleet.start(name, mIncarnation++));
+        }
+    }
+
+    /** Remembers for 24 minutes in generations of 3, longer than any schedule; one shard of two. */
+    private static LedgerSettings settings() {
+        LedgerSettings two = LedgerFleet.settings(2);
+        return new LedgerSettings(
+                2,
+                new Retention(12 * MINUTE_MS, 12 * MINUTE_MS, 0, 1 << 20, 100),
+                two.commit(),
+                two.backlog(),
+                two.claimWaitMs());
+    }
+
+    /** Returns the rules that were broken. */
+    Set<Rule> play(List<LedgerStep> steps) {
+        for (LedgerStep step : steps) {
+            play(step);
+            mFleet.mTime.runFor(step.waitMs());
+            check();
+        }
+        settle();
+        check();
+        return mBroken;
+    }
+
+    private void play(LedgerStep step) {
+        String name = "vm" + step.vm();
+        String other = "vm" + step.id() % LedgerStep.VMS;
+        VmId vm = mNames.get(name);
+        switch (step.kind()) {
+            case BILL -> bill(vm, "r" + step.id());
+            case BILL_AGAIN -> billAgain(vm);
+            case CLAIM -> claim(vm, "c" + step.id(), "body");
+            case CLAIM_OTHER_BODY -> claim(vm, "c" + step.id(), "other");
+            case RECORD -> record(vm);
+            case GIVE_UP -> giveUpNext(vm, "c" + step.id());
+            case PAUSE -> mFleet.mVms.pause(vm);
+            case RESUME -> mFleet.mVms.resume(vm);
+            case RESTART -> restart(name);
+            case CUT_PLATFORM -> mFleet.mPlatform.cut(vm);
+            case HEAL_PLATFORM -> mFleet.mPlatform.heal(vm);
+            case CUT_PEERS -> mFleet.mPeers.cut(name, other);
+            case HEAL_PEERS -> mFleet.mPeers.healAll();
+            case OUTAGE -> mFleet.mPlatform.outage(true);
+            case OUTAGE_ENDS -> mFleet.mPlatform.outage(false);
+            case LOSE -> lose(0.2);
+            case LOSE_NOTHING -> lose(0);
+            case SLOW -> mFleet.mPlatform.takes(1, 900);
+            case FAST -> mFleet.mPlatform.takes(1, 3);
+            case SPLIT_VIEW -> mFleet.sees(vm, vm);
+            case SAME_VIEW -> sameView();
+            default -> mFleet.mTime.runFor(1);
+        }
+    }
+
+    private void lose(double share) {
+        mFleet.mPlatform.loses(share, share);
+        mFleet.mPeers.drops(share);
+    }
+
+    private void sameView() {
+        VmId[] all = mNames.values().toArray(VmId[]::new);
+        mNames.values().forEach(vm -> mFleet.sees(vm, all));
+    }
+
+    private void restart(String name) {
+        mFleet.kill(mNames.get(name));
+        mNames.put(name, mFleet.start(name, mIncarnation++));
+    }
+
+    private void bill(VmId vm, String id) {
+        AttemptId attempt = mFleet.attempt(vm);
+        RequestKey key = LedgerFleet.key(id, "body");
+        submit(new Bill(key, LedgerFleet.BUDGET, attempt, 1, 2, mFleet.mTime.nowMs()));
+    }
+
+    /** Sends a bill again that the VM sent before, as after an answer that it missed. */
+    private void billAgain(VmId vm) {
+        mBills.values().stream()
+                .filter(b -> b.attempt().vm().equals(vm) && !mBilled.containsKey(b.attempt()))
+                .findFirst()
+                .ifPresent(this::submit);
+    }
+
+    private void submit(Bill bill) {
+        VmId vm = bill.attempt().vm();
+        mBills.put(bill.attempt(), bill);
+        mFleet.mVms.deliver(
+                vm, atMs -> mFleet.ledger(vm).bill(atMs, bill, (t, r) -> billed(bill, r.get())));
+    }
+
+    private void billed(Bill bill, BillOutcome outcome) {
+        BillOutcome before = mBilled.put(bill.attempt(), outcome);
+        if (before != null && before != outcome) {
+            mBroken.add(Rule.ANSWERED_ONCE);
+        }
+        mHistory.catchUp();
+        if (!mHistory.hasBill(bill.attempt())) {
+            mBroken.add(Rule.ACKNOWLEDGED_IS_DURABLE);
+        }
+    }
+
+    private void claim(VmId vm, String id, String body) {
+        AttemptId attempt = mFleet.attempt(vm);
+        Claim claim = new Claim(LedgerFleet.key(id, body), attempt, mFleet.mTime.nowMs());
+        mClaims.put(attempt, claim);
+        mFleet.mVms.deliver(
+                vm, atMs -> mFleet.ledger(vm).claim(atMs, claim, (t, r) -> claimed(claim, r)));
+    }
+
+    private void claimed(Claim claim, Either<Failure, ClaimOutcome> answer) {
+        AttemptId attempt = claim.attempt();
+        if (mAnswers.put(attempt, answer) != null) {
+            mBroken.add(Rule.ANSWERED_ONCE);
+        }
+        boolean granted = answer.isRight() && answer.get().status() == ClaimOutcome.Status.GRANTED;
+        boolean held = answer.isRight() && answer.get().status() == ClaimOutcome.Status.RUNNING;
+        boolean mutantRuns =
+                (mMutant == LedgerMutant.RUN_WITHOUT_ANSWER && answer.isLeft())
+                        || (mMutant == LedgerMutant.RUN_WHEN_HELD && held);
+        if (granted && mGaveUp.contains(attempt)) {
+            mFleet.ledger(attempt.vm()).withdraw(mFleet.mTime.nowMs(), claim);
+            return;
+        }
+        if (granted || mutantRuns) {
+            String id = claim.key().request().value();
+            mRuns.computeIfAbsent(id, i -> new ArrayList<>()).add(attempt);
+        }
+        mHistory.catchUp();
+        if (granted && !mHistory.hasClaim(attempt)) {
+            mBroken.add(Rule.ACKNOWLEDGED_IS_DURABLE);
+        }
+        if (answer.isRight()) {
+            answer.get().recorded().ifPresent(o -> checkRecorded(claim, o));
+        }
+    }
+
+    private void checkRecorded(Claim claim, CallOutcome outcome) {
+        List<AttemptId> runs = mRuns.getOrDefault(claim.key().request().value(), List.of());
+        boolean ran = runs.contains(outcome.attempt());
+        if (!ran || !outcome.body().equals(mRecorded.get(outcome.attempt()))) {
+            mBroken.add(Rule.RECORDED_IS_WHAT_RAN);
+        }
+    }
+
+    /** Claims a call whose attempt will find no upstream, and so sends nothing. */
+    private void giveUpNext(VmId vm, String id) {
+        claim(vm, id, "body");
+        AttemptId last = null;
+        for (AttemptId attempt : mClaims.keySet()) {
+            last = attempt;
+        }
+        mGaveUp.add(last);
+    }
+
+    private void record(VmId vm) {
+        for (List<AttemptId> runs : mRuns.values()) {
+            for (AttemptId attempt : runs) {
+                if (attempt.vm().equals(vm) && !mRecorded.containsKey(attempt)) {
+                    record(attempt);
+                    return;
+                }
+            }
+        }
+    }
+
+    private void record(AttemptId attempt) {
+        String body = "done by " + attempt.number();
+        mRecorded.put(attempt, body);
+        CallOutcome outcome =
+                new CallOutcome(mClaims.get(attempt).key(), attempt, 200, "text/plain", body);
+        VmId vm = attempt.vm();
+        mFleet.mVms.deliver(
+                vm, atMs -> mFleet.ledger(vm).recordOutcome(atMs, outcome, (t, r) -> {}));
+    }
+
+    /** Ends all faults and gives what waits time to end. */
+    private void settle() {
+        mFleet.mPlatform.outage(false);
+        mFleet.mPlatform.takes(1, 3);
+        lose(0);
+        mFleet.mPeers.healAll();
+        mFleet.vms().forEach(mFleet.mPlatform::heal);
+        mFleet.vms().forEach(mFleet.mVms::resume);
+        sameView();
+        mFleet.mTime.runFor(SETTLE_MS);
+        mBills.keySet().stream()
+                .filter(a -> !mFleet.mVms.dead(a.vm()) && !mBilled.containsKey(a))
+                .forEach(a -> mBroken.add(Rule.BILLS_END));
+        checkFreedCalls();
+    }
+
+    /** A call of which every attempt was told "not run", by VMs that live, can be run at last. */
+    private void checkFreedCalls() {
+        VmId vm = mNames.get("vm0");
+        List<Claim> probes = new ArrayList<>();
+        for (int i = 0; i < LedgerStep.IDS; i++) {
+            String id = "c" + i;
+            List<Claim> attempts =
+                    mClaims.values().stream()
+                            .filter(c -> c.key().request().value().equals(id))
+                            .toList();
+            boolean allNotRun = attempts.stream().allMatch(c -> toldNotRun(c.attempt()));
+            if (!attempts.isEmpty() && allNotRun) {
+                claim(vm, id, "body");
+                probes.add(List.copyOf(mClaims.values()).get(mClaims.size() - 1));
+            }
+        }
+        mFleet.mTime.runFor(MINUTE_MS);
+        for (Claim probe : probes) {
+            Either<Failure, ClaimOutcome> answer = mAnswers.get(probe.attempt());
+            if (answer == null
+                    || answer.isLeft()
+                    || answer.get().status() != ClaimOutcome.Status.GRANTED) {
+                mBroken.add(Rule.NOT_RUN_CAN_RUN_LATER);
+            }
+        }
+    }
+
+    private boolean toldNotRun(AttemptId attempt) {
+        Either<Failure, ClaimOutcome> answer = mAnswers.get(attempt);
+        return !mFleet.mVms.dead(attempt.vm())
+                && answer != null
+                && (answer.isLeft() || mGaveUp.contains(attempt));
+    }
+
+    private void check() {
+        mHistory.catchUp();
+        Map<RequestKey, AttemptId> billed = new HashMap<>();
+        mBilled.forEach(
+                (attempt, outcome) -> {
+                    RequestKey key = mBills.get(attempt).key();
+                    boolean stands = outcome == BillOutcome.BILLED;
+                    if (stands && billed.put(key, attempt) != null) {
+                        mBroken.add(Rule.ONE_BILL_PER_ID);
+                    }
+                    if (stands != mHistory.billedFirst(key, attempt)) {
+                        mBroken.add(Rule.FIRST_BILL_STANDS);
+                    }
+                });
+        mRuns.values().stream()
+                .filter(runs -> runs.size() > 1)
+                .forEach(runs -> mBroken.add(Rule.ONE_RUN_PER_CALL));
+        mRuns.values().stream()
+                .flatMap(List::stream)
+                .filter(attempt -> mAnswers.get(attempt).isLeft())
+                .forEach(attempt -> mBroken.add(Rule.NOT_RUN_IS_TRUE));
+    }
+}
--- /dev/null
+++ b/coordination/src/test/java/org/hornbeampass/coordination/requests/LogHistory.java
@@ -0,0 +1,86 @@
+package org.hornbeampass.coordination.requests;
+
+import org.hornbeampass.coordination.log.LogBatch;
+import org.hornbeampass.coordination.platform.MemoryPlatform;
+import org.hornbeampass.coordination.platform.PlatformCall;
+import org.hornbeampass.coordination.platform.PlatformReply;
+import org.hornbeampass.coordination.platform.PlatformReply.Change;
+import org.hornbeampass.coordination.requests.RequestEntry.BillEntry;
+import org.hornbeampass.coordination.requests.RequestEntry.ClaimEntry;
+import org.hornbeampass.state.Json;
+import org.hornbeampass.state.requests.AttemptId;
+import org.hornbeampass.state.requests.RequestKey;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * All that was ever written to the request log, seen at the store itself, and the plain rule of who
+ * is billed: the first in the log.
+ *
+ * <p>Written apart from the code under test: no generations, no fingerprints, nothing forgotten.
+ * Not thread-safe: tests run on one thread.
+ */
+final class LogHistory {
+    private final MemoryPlatform mStore;
+    private final Set<String> mSeenKeys = new HashSet<>();
+    private final Map<RequestKey, AttemptId> mFirstBills = new HashMap<>();
+    private final Set<AttemptId> mBills = new HashSet<>();
+    private final Set<AttemptId> mClaims = new HashSet<>();
+    private long mUpTo;
+
+    LogHistory(MemoryPlatform store) {
+        mStore = store;
+    }
+
+    /** Takes in what was written since the last time. */
+    void catchUp() {
+        mStore.submit(
+                0,
+                new PlatformCall.Watch("requests/", mUpTo, Duration.ZERO),
+                (atMs, reply) -> {
+                    if (reply instanceof PlatformReply.Changed changed) {
+                        changed.changes().forEach(this::take);
+                        mUpTo = Math.max(mUpTo, changed.upToVersion());
+                    }
+                });
+        mStore.expireWatches(Long.MAX_VALUE);
+    }
+
+    private void take(Change change) {
+        boolean batch = change.value().isPresent() && !change.key().endsWith("~floor");
+        if (!batch || !mSeenKeys.add(change.key())) {
+            return;
+        }
+        for (String text : Json.decode(change.value().get(), LogBatch.class).get().entries()) {
+            EntryCodec.decode(text).forEach(this::take);
+        }
+    }
+
+    private void take(RequestEntry entry) {
+        if (entry instanceof BillEntry bill) {
+            mFirstBills.putIfAbsent(bill.key(), bill.attempt());
+            mBills.add(bill.attempt());
+        } else if (entry instanceof ClaimEntry claim) {
+            mClaims.add(claim.attempt());
+        }
+    }
+
+    /** Returns whether an attempt's bill is the first of its request. */
+    boolean billedFirst(RequestKey key, AttemptId attempt) {
+        return attempt.equals(mFirstBills.get(key));
+    }
+
+    /** Returns whether an attempt's bill is in the log. */
+    boolean hasBill(AttemptId attempt) {
+        return mBills.contains(attempt);
+    }
+
+    /** Returns whether an attempt's claim is in the log. */
+    boolean hasClaim(AttemptId attempt) {
+        return mClaims.contains(attempt);
+    }
+}
--- /dev/null
+++ b/coordination/src/test/java/org/hornbeampass/coordination/requests/ShardStateTest.java
@@ -0,0 +1,193 @@
+package org.hornbeampass.coordination.requests;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.hornbeampass.coordination.requests.EntryDecision.Kind;
+import org.hornbeampass.coordination.requests.RequestEntry.BillEntry;
+import org.hornbeampass.coordination.requests.RequestEntry.ClaimEntry;
+import org.hornbeampass.coordination.requests.RequestEntry.OutcomeEntry;
+import org.hornbeampass.coordination.requests.RequestEntry.WithdrawEntry;
+import org.hornbeampass.state.BudgetKey;
+import org.hornbeampass.state.VmId;
+import org.hornbeampass.state.requests.AttemptId;
+import org.hornbeampass.state.requests.Bill;
+import org.hornbeampass.state.requests.BudgetTotals;
+import org.hornbeampass.state.requests.CallOutcome;
+import org.hornbeampass.state.requests.Claim;
+import org.junit.jupiter.api.Test;
+
+/** Checks the decision on each entry, by what was applied before it. */
+class ShardStateTest {
+    private static final long HOUR_MS = 3_600_000;
+    private static final long START_MS = 1_764_700_000_000L;
+    private static final AttemptId ONE = new AttemptId(new VmId("a", 1), 1);
+    private static final AttemptId TWO = new AttemptId(new VmId("b", 1), 1);
+    private static final AttemptId THREE = new AttemptId(new VmId("c", 1), 1);
+
+    private final ShardState mState = new ShardState(Retention.standard());
+
+    @Test
+    void bill_sent_again_is_the_same_bill_and_another_attempt_is_a_duplicate() {
+        at(START_MS);
+
+        assertThat(bill("r", ONE, START_MS)).isEqualTo(Kind.BILLED);
+        assertThat(bill("r", ONE, START_MS)).isEqualTo(Kind.BILLED);
+        assertThat(bill("r", TWO, START_MS)).isEqualTo(Kind.DUPLICATE);
+        assertThat(bill("r", TWO, START_MS)).isEqualTo(Kind.DUPLICATE);
+        assertThat(mState.totals())
+                .containsEntry(
+                        new BudgetKey(LedgerFleet.ORGANISATION, LedgerFleet.BUDGET),
+                        new BudgetTotals(1, 3, 1, 3, 0, 0));
+    }
+
+    @Test
+    void same_id_with_another_body_is_another_repeatable_request() {
+        at(START_MS);
+
+        assertThat(mState.apply(billEntry("r", "body 1", ONE, START_MS)).kind())
+                .isEqualTo(Kind.BILLED);
+        assertThat(mState.apply(billEntry("r", "body 2", TWO, START_MS)).kind())
+                .isEqualTo(Kind.BILLED);
+    }
+
+    @Test
+    void bill_is_remembered_for_the_whole_window_and_forgotten_after_it() {
+        at(START_MS);
+        bill("r", ONE, START_MS);
+        long nowMs = pass(START_MS, 2 * HOUR_MS);
+        assertThat(bill("r", TWO, nowMs)).isEqualTo(Kind.DUPLICATE);
+
+        nowMs = pass(nowMs, 3 * HOUR_MS);
+
+        assertThat(bill("r", THREE, nowMs)).isEqualTo(Kind.BILLED);
+    }
+
+    @Test
+    void bill_that_can_not_be_told_from_a_repeated_one_is_late() {
+        at(START_MS);
+        bill("other", ONE, START_MS);
+        pass(START_MS, HOUR_MS + 60_000);
+
+        assertThat(bill("r", TWO, START_MS)).isEqualTo(Kind.LATE);
+        assertThat(bill("r", TWO, START_MS)).isEqualTo(Kind.LATE);
+        assertThat(mState.totals().values()).containsExactly(new BudgetTotals(1, 3, 0, 0, 1, 3));
+    }
+
+    @Test
+    void bill_that_waited_for_the_end_of_a_long_outage_is_not_late() {
+        at(START_MS);
+        bill("other", ONE, START_MS);
+        at(START_MS + 10 * HOUR_MS);
+
+        assertThat(bill("r", TWO, START_MS + 1_000)).isEqualTo(Kind.BILLED);
+    }
+
+    @Test
+    void held_claim_needs_a_place_in_the_log_since_it_may_have_been_withdrawn() {
+        at(START_MS);
+        claim("c", "body", ONE);
+        ClaimEntry retry = claimEntry("c", "body", TWO);
+
+        assertThat(mState.known(retry)).isEmpty();
+        assertThat(mState.apply(retry).kind()).isEqualTo(Kind.HELD);
+        mState.apply(new WithdrawEntry(LedgerFleet.key("c", "body"), ONE, START_MS));
+        assertThat(mState.apply(retry).kind()).isEqualTo(Kind.GRANTED);
+    }
+
+    @Test
+    void claim_that_comes_after_its_withdrawal_is_not_granted() {
+        at(START_MS);
+        mState.apply(new WithdrawEntry(LedgerFleet.key("c", "body"), ONE, START_MS));
+
+        assertThat(claim("c", "body", ONE)).isEqualTo(Kind.WITHDRAWN);
+        assertThat(claim("c", "body", TWO)).isEqualTo(Kind.GRANTED);
+    }
+
+    @Test
+    void outcome_is_taken_from_the_holder_only() {
+        at(START_MS);
+        claim("c", "body", ONE);
+
+        assertThat(outcome("c", TWO)).isEqualTo(Kind.NOT_HELD);
+        assertThat(outcome("c", ONE)).isEqualTo(Kind.DONE);
+        assertThat(claim("c", "body", TWO)).isEqualTo(Kind.RECORDED);
+        assertThat(claim("c", "other", TWO)).isEqualTo(Kind.KEY_REUSED);
+    }
+
+    @Test
+    void claim_whose_key_carries_a_time_is_refused_once_it_may_be_forgotten() {
+        at(START_MS);
+        assertThat(claim("c@" + START_MS, "body", ONE)).isEqualTo(Kind.GRANTED);
+        long nowMs = pass(START_MS, HOUR_MS);
+        assertThat(claim("c@" + START_MS, "body", TWO)).isEqualTo(Kind.HELD);
+
+        pass(nowMs, HOUR_MS);
+
+        assertThat(claim("c@" + START_MS, "body", THREE)).isEqualTo(Kind.EXPIRED);
+    }
+
+    @Test
+    void claim_whose_key_carries_no_time_is_never_forgotten() {
+        at(START_MS);
+        claim("release-1", "body", ONE);
+        pass(START_MS, 48 * HOUR_MS);
+
+        assertThat(claim("release-1", "body", TWO)).isEqualTo(Kind.HELD);
+    }
+
+    @Test
+    void claims_without_a_time_are_bounded() {
+        ShardState small = new ShardState(new Retention(HOUR_MS, HOUR_MS, 0, 500, 3));
+        small.beginBatch(START_MS);
+        Kind last = Kind.GRANTED;
+        for (int i = 0; i < 10; i++) {
+            last = small.apply(claimEntry("c" + i, "body", new AttemptId(ONE.vm(), i))).kind();
+        }
+
+        assertThat(last).isEqualTo(Kind.FULL);
+    }
+
+    private void at(long nowMs) {
+        mState.beginBatch(nowMs);
+        mState.endBatch();
+    }
+
+    /** Lets time pass with a batch every half minute. */
+    private long pass(long fromMs, long durationMs) {
+        for (long t = fromMs; t <= fromMs + durationMs; t += 30_000) {
+            at(t);
+        }
+        return fromMs + durationMs;
+    }
+
+    private Kind bill(String id, AttemptId attempt, long admittedAtMs) {
+        return mState.apply(billEntry(id, "body", attempt, admittedAtMs)).kind();
+    }
+
+    private static BillEntry billEntry(
+            String id, String body, AttemptId attempt, long admittedAtMs) {
+        return new BillEntry(
+                new Bill(
+                        LedgerFleet.key(id, body),
+                        LedgerFleet.BUDGET,
+                        attempt,
+                        1,
+                        2,
+                        admittedAtMs));
+    }
+
+    private Kind claim(String id, String body, AttemptId attempt) {
+        return mState.apply(claimEntry(id, body, attempt)).kind();
+    }
+
+    private ClaimEntry claimEntry(String id, String body, AttemptId attempt) {
+        long nowMs = Math.max(START_MS, mState.clock().timeMs());
+        return new ClaimEntry(new Claim(LedgerFleet.key(id, body), attempt, nowMs));
+    }
+
+    private Kind outcome(String id, AttemptId attempt) {
+        CallOutcome outcome =
+                new CallOutcome(LedgerFleet.key(id, "body"), attempt, 200, "text/plain", "ok");
+        return mState.apply(new OutcomeEntry(outcome)).kind();
+    }
+}
