Serve the whole path: operators' side on the router, drain, and faster shutdown

Cause: operators' API and drain orders had no process to run in. Change: bind router.admin to the daemon's parts; reading bills answers that it is not built until the request log has a reader.

--- a/router/src/main/java/org/hornbeampass/router/daemon/Coordination.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/Coordination.java
@@ -107,6 +107,7 @@
         mRequests =
                 new RequestLedger(
                         mCalls.lane(CallPriority.URGENT),
+                        mCalls.lane(CallPriority.BACKGROUND),
                         network.peers(),
                         vm,
                         ShardOwners.rendezvous(this::liveVms),
--- a/router/src/main/java/org/hornbeampass/router/daemon/Hornbeampassd.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/Hornbeampassd.java
@@ -15,7 +15,6 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.concurrent.Callable;
-import java.util.concurrent.CountDownLatch;
 
 /**
  * The command that runs a router until it is told to stop.
@@ -87,8 +86,7 @@
             mErr.println(e.getMessage());
             return EXIT_LISTEN;
         }
-        CountDownLatch closed = new CountDownLatch(1);
-        Thread hook = new Thread(() -> shutDown(daemon, closed), "shutdown");
+        Thread hook = new Thread(() -> onSignal(daemon), "shutdown");
         Runtime.getRuntime().addShutdownHook(hook);
         while (daemon.notReady().isPresent()) {
             Thread.sleep(READY_POLL_MS);
@@ -102,13 +100,14 @@
                         + daemon.operatorsAddress()
                         + " peers="
                         + daemon.peersAddress());
-        closed.await();
+        daemon.drained().join();
         return 0;
     }
 
-    private void shutDown(RouterDaemon daemon, CountDownLatch closed) {
+    /** Runs when the process is to end: holds it until the graceful shutdown is done. */
+    private void onSignal(RouterDaemon daemon) {
         daemon.shutDown().join();
         mOut.println("stopped: " + daemon.vm());
-        closed.countDown();
+        Runtime.getRuntime().halt(0);
     }
 }
--- /dev/null
+++ b/router/src/main/java/org/hornbeampass/router/daemon/OperatorSide.java
@@ -0,0 +1,46 @@
+package org.hornbeampass.router.daemon;
+
+import org.hornbeampass.coordination.drain.DrainOrder;
+import org.hornbeampass.router.admin.AdminHandler;
+import org.hornbeampass.router.admin.AdminPorts;
+import org.hornbeampass.router.admin.DrainControl;
+import org.hornbeampass.router.admin.LedgerAccounts;
+import org.hornbeampass.router.admin.MemberFleet;
+import org.hornbeampass.router.admin.OperatorKeys;
+import org.hornbeampass.router.admin.RouterDrains;
+import org.hornbeampass.router.admin.StoredConfiguration;
+
+import java.security.SecureRandom;
+
+/**
+ * Binds the operators' API to a router's parts.
+ *
+ * <p>Stateless; safe for use by any thread.
+ */
+final class OperatorSide {
+    /** For how long the platform may say nothing about the configuration while all is well. */
+    private static final long SILENT_MS = 120_000;
+
+    private OperatorSide() {}
+
+    /** Starts answering operators, and the orders that other routers carry for them. */
+    static void start(
+            RouterSettings settings,
+            Coordination parts,
+            RouterNetwork network,
+            DrainControl control) {
+        RouterDrains drains = new RouterDrains(parts.membership(), network.peers(), control);
+        network.peers().on(DrainOrder.class, drains::onDrainOrder);
+        AdminPorts ports =
+                new AdminPorts(
+                        new StoredConfiguration(parts.config(), SILENT_MS),
+                        new LedgerAccounts(parts.accounts()),
+                        new NoBilling(),
+                        new MemberFleet(parts.membership(), parts.config(), drains));
+        OperatorKeys keys =
+                new OperatorKeys(
+                        settings.keys().operators(),
+                        () -> parts.config().snapshot().operatorKeys());
+        network.operatorsHandler().set(new AdminHandler(ports, keys, new SecureRandom()));
+    }
+}
--- a/router/src/main/java/org/hornbeampass/router/daemon/RouterDaemon.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/RouterDaemon.java
@@ -4,6 +4,7 @@
 
 import org.hornbeampass.coordination.limit.RetryBudget;
 import org.hornbeampass.coordination.limit.RetryPolicy;
+import org.hornbeampass.router.admin.DrainControl;
 import org.hornbeampass.router.front.FrontDoor;
 import org.hornbeampass.router.front.RequestAdmission;
 import org.hornbeampass.router.serve.FlowRunner;
@@ -60,6 +61,7 @@
         mShutdown = new Shutdown(mParts, mNetwork, mRunner, mTimers, settings.execution());
         PeerRoutes.register(mNetwork.peers(), mParts);
         mNetwork.callersHandler().set(frontDoor(settings));
+        OperatorSide.start(settings, mParts, mNetwork, new Drain());
         mTicks = new TickLoop(mNetwork.control(), clock);
         mTicks.every(TickLoop.OFTEN_MS, mParts::tickOften);
         mTicks.every(TickLoop.SELDOM_MS, mParts::tick);
@@ -162,6 +164,11 @@
         return mNetwork.peers().address();
     }
 
+    /** Returns a future that is completed once nothing is left to do after a shutdown began. */
+    public CompletableFuture<Void> drained() {
+        return mShutdown.done();
+    }
+
     /** Returns the number of requests in progress. */
     public int running() {
         return mRunner.running();
@@ -177,6 +184,19 @@
         return mShutdown.begin(mClock.nowMs()).thenRunAsync(this::close);
     }
 
+    /** Begins the shutdown for an operator; the process that runs the router then closes it. */
+    private final class Drain implements DrainControl {
+        @Override
+        public void begin(long nowMs) {
+            var unused = mShutdown.begin(nowMs);
+        }
+
+        @Override
+        public long inFlight() {
+            return mRunner.running();
+        }
+    }
+
     /** Closes at once, as a crash would: requests in progress are cut, grants are not returned. */
     @Override
     public void close() {
--- a/router/src/main/java/org/hornbeampass/router/daemon/Shutdown.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/Shutdown.java
@@ -45,6 +45,11 @@
         return mBegun.get();
     }
 
+    /** Returns a future that is completed when nothing is left to do. */
+    CompletableFuture<Void> done() {
+        return mDone;
+    }
+
     /** Begins the shutdown where it has not begun; completed when nothing is left to do. */
     CompletableFuture<Void> begin(long nowMs) {
         if (mBegun.compareAndSet(false, true)) {
