--- a/standins/src/main/java/org/hornbeampass/standin/engine/EngineModel.java
+++ b/standins/src/main/java/org/hornbeampass/standin/engine/EngineModel.java
@@ -36,8 +36,6 @@
     private boolean mFrozen;
     private long mArrivals;
     private long mTokensGenerated;
-    private long mBlocksAsked;
-    private long mBlocksCached;
 
     /** What became of an offered job. */
     public enum Offer {
@@ -131,21 +129,7 @@
                 mTokensGenerated);
     }
 
-<<<<<<< HEAD
     /** Returns the load as the engine reports it: as it was the lag ago. */
-=======
-    /** Returns how many prompt blocks were asked for since the start. */
-    public long blocksAsked() {
-        return mBlocksAsked;
-    }
-
-    /** Returns how many of them the prefix cache held. */
-    public long blocksCached() {
-        return mBlocksCached;
-    }
-
-    /** Returns the load as the engine reports it, with its lag. */
->>>>>>> routing
     public LoadReport reportedLoad(long nowMs) {
         return mReported.get(nowMs).describing(nowMs - mReported.lagMs());
     }
@@ -187,11 +171,7 @@
     private void admitWaiting() {
         while (mRunning.size() < mTiming.maxBatch() && !mWaiting.isEmpty()) {
             Sequence sequence = mWaiting.remove();
-            long[] hashes = sequence.job().prompt().blockHashes();
-            int cached = mCache.hit(hashes);
-            mBlocksAsked += hashes.length;
-            mBlocksCached += cached;
-            sequence.admit(cached);
+            sequence.admit(mCache.hit(sequence.job().prompt().blockHashes()));
             mRunning.put(sequence.job().attemptId(), sequence);
         }
     }
