Mend what random schedules found in the budgets; add traps and scenarios

Found in the ledger: a grant whose reply was lost was not read again by an idle VM, so that its tokens stayed drawn after a shutdown; refunds were lost when a holder was closed while its VM ran; homes drew in tiny steps with one write each; a home served one asking peer at a time; a gone VM's entries stayed where nobody else used the organisation. Found in the checks: "refused as exhausted" was compared with samples taken too rarely, and with refunds that nobody could know of yet.

--- a/coordination/src/main/java/org/hornbeampass/coordination/budget/Account.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/budget/Account.java
@@ -17,7 +17,7 @@
     private final PeerMoves mMoves;
     private final Deque<Waiter> mWaiters = new ArrayDeque<>();
     private final AskRound mAsks = new AskRound();
-    private long mPeersWant;
+    private final Deque<DeferredAsk> mDeferred = new ArrayDeque<>();
 
     Account(BudgetKey key, VmId self) {
         mHolding = new Holding(key, new HolderId(self, 0));
@@ -53,12 +53,25 @@
         return sum;
     }
 
-    /** Returns the tokens that peers asked for in vain since the last grant. */
-    long peersWant() {
-        return mPeersWant;
+    /** Returns whether time alone may change something here. */
+    boolean busy() {
+        return !mWaiters.isEmpty()
+                || !mDeferred.isEmpty()
+                || mAsks.running()
+                || mMoves.anyPending();
+    }
+
+    /** Returns the asks that wait for this VM's next grant. */
+    Deque<DeferredAsk> deferred() {
+        return mDeferred;
     }
 
-    void peersWant(long tokens) {
-        mPeersWant = tokens;
+    /** Returns the tokens that peers wait for. */
+    long peersWant() {
+        long sum = 0;
+        for (DeferredAsk each : mDeferred) {
+            sum += each.ask().atLeast();
+        }
+        return sum;
     }
 }
--- a/coordination/src/main/java/org/hornbeampass/coordination/budget/BudgetLedger.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/budget/BudgetLedger.java
@@ -32,6 +32,8 @@
  * held. Time passes only by {@link #tick}, which is to be called a few times a second.
  */
 public final class BudgetLedger {
+    private static final int CLOSERS = 2;
+
     private final BudgetContext mContext;
     private final AtomicLong mNumbers = new AtomicLong();
     private final Map<OrganisationId, OrganisationBudgets> mOrganisations =
@@ -164,9 +166,21 @@
      *     platform's list dropped it
      */
     public void onVmGone(long nowMs, VmId vm) {
+        for (OrganisationId id : mConfig.get().organisations().keySet()) {
+            if (closesFor(id)) {
+                organisation(id);
+            }
+        }
         mOrganisations.values().forEach(o -> o.onVmGone(nowMs, vm));
     }
 
+    /** Returns whether this VM looks after the entries of an organisation that it does not use. */
+    private boolean closesFor(OrganisationId id) {
+        return mContext.homes().homes(id).stream()
+                .limit(CLOSERS)
+                .anyMatch(vm -> vm.equals(mContext.self()));
+    }
+
     /** Takes each organisation's preference from the configuration in force. */
     public void onConfig(long nowMs, ConfigSnapshot config) {
         mConfig.set(config);
--- a/coordination/src/main/java/org/hornbeampass/coordination/budget/BudgetSettings.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/budget/BudgetSettings.java
@@ -6,6 +6,7 @@
  * <p>Immutable; safe for use by any thread.
  *
  * @param reportIntervalMs how often spending is reported, in milliseconds
+ * @param refillIntervalMs how soon after a write the next one may draw though nobody waits
  * @param refreshIntervalMs how often the record of a budget that is held is read anew
  * @param freshMs how old the record may be for a refusal to rest on it
  * @param maxWaiters the largest number of requests that wait for one budget's grant
@@ -16,6 +17,7 @@
  */
 public record BudgetSettings(
         long reportIntervalMs,
+        long refillIntervalMs,
         long refreshIntervalMs,
         long freshMs,
         int maxWaiters,
@@ -25,6 +27,6 @@
         long chunkTokens) {
     /** Returns the settings for which figures are published. */
     public static BudgetSettings defaults() {
-        return new BudgetSettings(10_000, 30_000, 1_000, 1_024, 100, 5_000, 1_000, 50_000);
+        return new BudgetSettings(10_000, 1_000, 30_000, 1_000, 1_024, 100, 5_000, 1_000, 50_000);
     }
 }
--- a/coordination/src/main/java/org/hornbeampass/coordination/budget/Drawing.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/budget/Drawing.java
@@ -13,17 +13,24 @@
  * @param sharers the number of VMs that draw on its budgets
  * @param chunkTokens the settings' fixed grant
  * @param maySplit whether this VM may draw more than its requests wait for
+ * @param mayRefill whether this VM may draw though no request waits
  */
 record Drawing(
         GrantPolicy policy,
         BudgetPreference preference,
         int sharers,
         long chunkTokens,
-        boolean maySplit) {
+        boolean maySplit,
+        boolean mayRefill) {
     /** Returns the tokens to draw, at most what is available. */
     long draw(long nowMs, Account account, BudgetRecord budget) {
         long available = Math.max(0, budget.available());
-        long wanted = policy.draw(need(nowMs, account, budget));
+        GrantNeed need = need(nowMs, account, budget);
+        boolean urgent = need.waiting() > need.free();
+        if (!urgent && !mayRefill) {
+            return 0;
+        }
+        long wanted = policy.draw(need);
         if (!maySplit) {
             wanted = Math.min(wanted, account.waitingTokens() - account.holding().free());
         }
--- a/coordination/src/main/java/org/hornbeampass/coordination/budget/GrantExchange.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/budget/GrantExchange.java
@@ -6,8 +6,11 @@
 import org.hornbeampass.state.budget.HolderId;
 import org.hornbeampass.state.config.BudgetPreference;
 
+import java.util.Iterator;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
 
 /**
  * Moves tokens between this VM and its peers: asks, gives, and passes spending on to a home.
@@ -76,7 +79,7 @@
             long nowMs,
             Account account,
             BudgetPreference preference,
-            List<VmId> candidates,
+            Supplier<List<VmId>> candidates,
             Effects effects,
             OrganisationBudgets budgets) {
         AskRound round = account.asks();
@@ -98,7 +101,7 @@
             if (!round.mayStart(nowMs)) {
                 return;
             }
-            round.start(candidates);
+            round.start(candidates.get());
         }
         Optional<VmId> peer = round.next();
         if (peer.isEmpty()) {
@@ -134,23 +137,62 @@
                                                 budgets.onAskReply(at, account.key(), reply)));
     }
 
-    /** Answers a peer that asks: by the move it has not acknowledged, a new one, or a refusal. */
-    PeerMessage answer(long nowMs, Account account, AskGrant ask, boolean closing) {
-        Optional<MoveGrant> pending = account.moves().pending(ask.asker());
-        if (pending.isPresent()) {
-            return pending.get();
-        }
-        long give = closing ? 0 : give(nowMs, account, ask);
-        if (give < ask.atLeast()) {
-            account.peersWant(Math.max(account.peersWant(), ask.atLeast()));
+    /**
+     * Answers a peer that asks: by the move it has not acknowledged, by a new one, or, where this
+     * VM may draw soon, later.
+     */
+    void answer(
+            long nowMs,
+            Account account,
+            AskGrant ask,
+            boolean mayDraw,
+            Consumer<PeerMessage> reply,
+            Effects effects) {
+        DeferredAsk deferred =
+                new DeferredAsk(ask, nowMs + mContext.settings().askTimeoutMs() / 2, reply);
+        boolean room = account.deferred().size() < mContext.settings().maxWaiters();
+        if (mayDraw && room && ask.atLeast() > 0 && !canAnswer(account, ask)) {
+            account.deferred().add(deferred);
+            return;
         }
-        Optional<Parcel> parcel = account.holding().take(new HolderId(ask.asker(), 0), give, 0);
-        if (parcel.isEmpty()) {
-            return new AskRefused(ask.organisation(), ask.budget());
+        answer(nowMs, account, deferred, effects);
+    }
+
+    /** Answers the asks that wait, where there is enough by now or their time is over. */
+    void answerDeferred(long nowMs, Account account, boolean mayDraw, Effects effects) {
+        Iterator<DeferredAsk> each = account.deferred().iterator();
+        while (each.hasNext()) {
+            DeferredAsk deferred = each.next();
+            boolean over = !mayDraw || nowMs >= deferred.untilMs();
+            if (over || canAnswer(account, deferred.ask())) {
+                each.remove();
+                answer(nowMs, account, deferred, effects);
+            }
         }
-        MoveGrant move = account.moves().start(ask.asker(), parcel.get());
-        account.moves().sent(ask.asker(), nowMs + mContext.settings().askTimeoutMs());
-        return move;
+    }
+
+    private static boolean canAnswer(Account account, AskGrant ask) {
+        return account.moves().pending(ask.asker()).isPresent()
+                || (account.waiters().isEmpty() && account.holding().free() >= ask.atLeast());
+    }
+
+    private void answer(long nowMs, Account account, DeferredAsk deferred, Effects effects) {
+        AskGrant ask = deferred.ask();
+        PeerMessage message =
+                account.moves()
+                        .pending(ask.asker())
+                        .or(() -> startMove(nowMs, account, ask))
+                        .map(PeerMessage.class::cast)
+                        .orElseGet(() -> new AskRefused(ask.organisation(), ask.budget()));
+        effects.add(() -> deferred.reply().accept(message));
+    }
+
+    private Optional<MoveGrant> startMove(long nowMs, Account account, AskGrant ask) {
+        HolderId preferred = new HolderId(ask.asker(), 0);
+        Optional<Parcel> parcel = account.holding().take(preferred, give(nowMs, account, ask), 0);
+        parcel.ifPresent(
+                p -> account.moves().sent(ask.asker(), nowMs + mContext.settings().askTimeoutMs()));
+        return parcel.map(p -> account.moves().start(ask.asker(), p));
     }
 
     private long give(long nowMs, Account account, AskGrant ask) {
--- a/coordination/src/main/java/org/hornbeampass/coordination/budget/Holding.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/budget/Holding.java
@@ -38,9 +38,10 @@
     private long mReturned;
     private long mReturnedSeen;
     private long mReturnedAtRisk;
-    private boolean mAdoptionAtRisk;
     private long mSpent;
+    private long mSpentSeen;
     private long mSpentWritten;
+    private boolean mWriteAtRisk;
     private long mMovedIn;
     private long mRefundDue;
     private long mLost;
@@ -166,23 +167,30 @@
             if (mRegistered) {
                 reopen();
             }
+            mWriteAtRisk = false;
             return;
         }
         mRegistered = true;
+        mWriteAtRisk = false;
         mReturnedSeen = entry.returned();
+        mSpentSeen = entry.spent();
         mFree += entry.granted() - mGranted;
         mGranted = entry.granted();
         if (!mAdopting.isEmpty() && entry.movedIn() != mMovedIn) {
             mMovedIn = entry.movedIn();
             mAdopting.clear();
-            mAdoptionAtRisk = false;
         }
     }
 
+    /** Returns whether the platform may hold an entry, or a newer one than was seen. */
+    boolean mayHaveEntry() {
+        return mRegistered || mWriteAtRisk;
+    }
+
     /** Notes that a write with this holding's entry may take effect, now or late. */
     void noteAmbiguous() {
         mReturnedAtRisk = mReturned;
-        mAdoptionAtRisk = true;
+        mWriteAtRisk = true;
     }
 
     /**
@@ -192,11 +200,11 @@
     private void reopen() {
         mFree += mReturned - Math.max(mReturnedSeen, mReturnedAtRisk);
         HolderId closed = mHolder;
-        if (!mAdoptionAtRisk) {
+        if (!mWriteAtRisk) {
             mAdopting.forEach((from, tokens) -> mForeign.merge(from, tokens, Long::sum));
         }
         mAdopting.clear();
-        mSpent = Math.max(0, mSpent - mSpentWritten);
+        mSpent -= mWriteAtRisk ? Math.max(mSpentSeen, mSpentWritten) : mSpentSeen;
         long charged = mFree + mReserved + mSpent - foreignCharge();
         if (charged > 0) {
             mForeign.merge(closed, charged, Long::sum);
@@ -207,7 +215,8 @@
         mReturned = 0;
         mReturnedSeen = 0;
         mReturnedAtRisk = 0;
-        mAdoptionAtRisk = false;
+        mWriteAtRisk = false;
+        mSpentSeen = 0;
         mSpentWritten = 0;
         mMovedIn = 0;
         mLost = 0;
--- a/coordination/src/main/java/org/hornbeampass/coordination/budget/LedgerCheck.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/budget/LedgerCheck.java
@@ -31,11 +31,11 @@
                     record.settled() + " tokens settled of " + record.drawn() + " drawn");
         }
     },
-    /** No counter is negative. */
+    /** No counter is negative, but for one holder's spending, from which refunds are taken. */
     COUNTERS_NOT_NEGATIVE {
         @Override
         Optional<String> breach(BudgetKey key, BudgetRecord record) {
-            boolean below = record.paid() < 0 || negative(record.closed());
+            boolean below = record.paid() < 0 || record.settled() < 0 || negative(record.closed());
             for (HolderRecord holder : record.holders().values()) {
                 below |= negative(holder);
             }
@@ -61,7 +61,6 @@
     private static boolean negative(HolderRecord holder) {
         return holder.granted() < 0
                 || holder.returned() < 0
-                || holder.spent() < 0
                 || holder.movedIn() < 0
                 || holder.movedOut() < 0;
     }
--- a/coordination/src/main/java/org/hornbeampass/coordination/budget/LedgerPlan.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/budget/LedgerPlan.java
@@ -71,7 +71,8 @@
             giveBack(nowMs, account, budget);
         }
         HolderRecord known = seen.orElse(HolderRecord.NONE);
-        boolean report = mReportDue || mClosing || holding.returning();
+        boolean refunded = holding.unreportedSpent(known) < 0;
+        boolean report = mReportDue || mClosing || refunded || holding.returning();
         if (draw <= 0
                 && !(report && holding.unreported(known))
                 && !(mClosing && seen.isPresent())) {
--- a/coordination/src/main/java/org/hornbeampass/coordination/budget/LedgerSync.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/budget/LedgerSync.java
@@ -18,6 +18,7 @@
  */
 final class LedgerSync {
     private static final int MAX_CONFLICTS_IN_A_ROW = 3;
+    private static final int MAX_JITTER_DOUBLINGS = 2;
 
     private final OrganisationId mOrganisation;
     private final BudgetSettings mSettings;
@@ -159,7 +160,7 @@
 
     /** Spreads the VMs that lost the same race; the same at each run. */
     private long jitter(int attempt) {
-        long window = mSettings.backoffMinMs() << Math.min(attempt, 5);
+        long window = mSettings.backoffMinMs() << Math.min(attempt, MAX_JITTER_DOUBLINGS);
         int hash = (mJitterSeed * 31 + attempt) * 0x9E3779B9;
         return Integer.toUnsignedLong(hash ^ (hash >>> 15)) % window;
     }
--- a/coordination/src/main/java/org/hornbeampass/coordination/budget/OrganisationBudgets.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/budget/OrganisationBudgets.java
@@ -36,6 +36,8 @@
  * and callbacks run after it is released.
  */
 final class OrganisationBudgets {
+    private static final long IDLE_TICK_MS = 1_000;
+
     private final Object mLock = new Object();
     private final OrganisationId mOrganisation;
     private final BudgetContext mContext;
@@ -46,7 +48,10 @@
     private final GrantExchange mExchange;
     private BudgetPreference mPreference = BudgetPreference.AVOID_STRANDING;
     private boolean mClosing;
+    private boolean mDirty;
+    private long mNextIdleMs = Long.MIN_VALUE;
     private long mReportedMs = Long.MIN_VALUE / 2;
+    private long mWrittenMs = Long.MIN_VALUE / 2;
 
     OrganisationBudgets(OrganisationId organisation, BudgetContext context, AtomicLong numbers) {
         mOrganisation = organisation;
@@ -63,6 +68,7 @@
             if (mClosing) {
                 return Either.left(BudgetFailures.shuttingDown());
             }
+            mDirty = true;
             Account account = account(key);
             account.holding().demand().add(nowMs, tokens);
             Optional<Reservation> made = mAdmission.take(account, request, tokens);
@@ -125,6 +131,7 @@
     private void change(long nowMs, BudgetKey key, Consumer<Holding> action) {
         Effects effects = new Effects();
         synchronized (mLock) {
+            mDirty = true;
             Account account = account(key);
             action.accept(account.holding());
             mAdmission.serve(nowMs, account, effects);
@@ -138,11 +145,25 @@
     void tick(long nowMs) {
         Effects effects = new Effects();
         synchronized (mLock) {
+            if (!mDirty && nowMs < mNextIdleMs) {
+                return;
+            }
+            mNextIdleMs = nowMs + IDLE_TICK_MS;
+            mDirty = busy();
             advance(nowMs, effects);
         }
         effects.run();
     }
 
+    private boolean busy() {
+        for (Account account : mAccounts.values()) {
+            if (account.busy()) {
+                return true;
+            }
+        }
+        return mClosing;
+    }
+
     void close(long nowMs) {
         Effects effects = new Effects();
         synchronized (mLock) {
@@ -183,6 +204,7 @@
     void onVmGone(long nowMs, VmId vm) {
         Effects effects = new Effects();
         synchronized (mLock) {
+            mDirty = true;
             mGone.add(vm);
             for (Account account : mAccounts.values()) {
                 account.holding().noteLost(account.moves().forget(vm));
@@ -202,17 +224,22 @@
     void onAsk(long nowMs, AskGrant ask, Consumer<PeerMessage> reply) {
         Effects effects = new Effects();
         synchronized (mLock) {
+            mDirty = true;
             Account account = account(new BudgetKey(ask.organisation(), ask.budget()));
-            PeerMessage answer = mExchange.answer(nowMs, account, ask, mClosing);
-            effects.add(() -> reply.accept(answer));
+            mExchange.answer(nowMs, account, ask, mayDraw(), reply, effects);
             advance(nowMs, effects);
         }
         effects.run();
     }
 
+    private boolean mayDraw() {
+        return !mClosing && !mSync.unreachable() && mContext.isHome(mOrganisation);
+    }
+
     void onMove(long nowMs, MoveGrant move, Consumer<PeerMessage> reply) {
         Effects effects = new Effects();
         synchronized (mLock) {
+            mDirty = true;
             Account account = account(new BudgetKey(move.organisation(), move.budget()));
             MoveAck ack = mExchange.receive(nowMs, account, move);
             effects.add(() -> reply.accept(ack));
@@ -252,8 +279,10 @@
 
     /** Does whatever is due: serves and refuses waiters, calls the platform, asks peers. */
     private void advance(long nowMs, Effects effects) {
+        boolean mayDraw = mayDraw();
         for (Account account : mAccounts.values()) {
             mAdmission.serve(nowMs, account, effects);
+            mExchange.answerDeferred(nowMs, account, mayDraw, effects);
         }
         syncIfDue(nowMs, effects);
         boolean direct = mClosing || mContext.isHome(mOrganisation);
@@ -269,7 +298,8 @@
         if (direct && (waiting == 0 || !platformCannotHelp(nowMs, account, waiting))) {
             return;
         }
-        mExchange.ask(nowMs, account, mPreference, candidates(account, direct), effects, this);
+        mExchange.ask(
+                nowMs, account, mPreference, () -> candidates(account, direct), effects, this);
     }
 
     private boolean platformCannotHelp(long nowMs, Account account, long waiting) {
@@ -338,8 +368,8 @@
         if (next.isPresent()) {
             if (due) {
                 mReportedMs = nowMs;
-                mAccounts.values().forEach(a -> a.peersWant(0));
             }
+            mWrittenMs = nowMs;
             submitWrite(nowMs, plan, next.get(), effects);
             return;
         }
@@ -357,7 +387,8 @@
                         mPreference,
                         sharers,
                         mContext.settings().chunkTokens(),
-                        home);
+                        home,
+                        nowMs - mWrittenMs >= mContext.settings().refillIntervalMs());
         LedgerPlan plan = new LedgerPlan(base, drawing, due, mClosing);
         plan.closeGone(this::isGone);
         for (Account account : mAccounts.values()) {
@@ -378,7 +409,7 @@
     private boolean usesPlatform(Account account, boolean home) {
         return home
                 || mClosing
-                || account.holding().registered()
+                || account.holding().mayHaveEntry()
                 || (!account.waiters().isEmpty() && account.asks().failed());
     }
 
@@ -389,6 +420,7 @@
                     !account.waiters().isEmpty()
                             || account.peersWant() > 0
                             || account.holding().free() > 0
+                            || account.holding().mayHaveEntry()
                             || account.holding().unreported(HolderRecord.NONE)
                             || account.holding().demand().perMs(nowMs) > 0;
             if (wants && usesPlatform(account, home)) {
--- a/coordination/src/test/java/org/hornbeampass/coordination/budget/BudgetRun.java
+++ b/coordination/src/test/java/org/hornbeampass/coordination/budget/BudgetRun.java
@@ -23,6 +23,7 @@
 final class BudgetRun {
     private static final int MAX_NODES = 7;
     private static final long FRESH_MS = 2_600;
+    private static final long KEEP_MS = 10_000;
     private static final long SLACK_MS = 200;
 
     private final BudgetWorld mWorld;
@@ -30,20 +31,25 @@
     private final List<Long> mSettledAt = new ArrayList<>();
     private final Map<String, Long> mAsked = new HashMap<>();
     private final Set<String> mTopUpsDone = new HashSet<>();
-    private final Deque<long[]> mUnspent = new ArrayDeque<>();
+    private final Deque<Spendable> mSpendable = new ArrayDeque<>();
     private final List<String> mWrongRefusals = new ArrayList<>();
     private long mSpent;
     private long mEndedOnDead;
+    private long mRefunded;
     private long mAskedRequests;
     private final Map<RequestId, Waiting> mWaiting = new HashMap<>();
     private boolean mPaidWasSet;
     private boolean mLossPossible;
 
+    /** What could be spent in all by the record of a moment. */
+    private record Spendable(long atMs, long tokens) {}
+
     /** A request that has no answer yet. */
     private record Waiting(int vm, long untilMs) {}
 
     BudgetRun(int homes, BudgetMutant mutant, long seed) {
         mWorld = new BudgetWorld(3, GrantPolicy.DEMAND_HORIZON, homes, mutant, seed);
+        mWorld.onWrite(this::note);
     }
 
     BudgetWorld world() {
@@ -85,9 +91,9 @@
 
     private void note() {
         BudgetRecord record = record();
-        mUnspent.addLast(new long[] {mWorld.nowMs(), record.paid() - mSpent - record.writtenOff()});
-        while (mUnspent.size() > 1 && mUnspent.peekFirst()[0] < mWorld.nowMs() - 60_000) {
-            mUnspent.removeFirst();
+        mSpendable.addLast(new Spendable(mWorld.nowMs(), record.paid() - record.writtenOff()));
+        while (mSpendable.size() > 1 && mSpendable.peekFirst().atMs() < mWorld.nowMs() - KEEP_MS) {
+            mSpendable.removeFirst();
         }
     }
 
@@ -158,22 +164,23 @@
                 });
     }
 
+    /**
+     * Checks a refusal; a refund is known elsewhere only once it is reported, so it is left out.
+     */
     private void checkRefusal(long tokens, Failure failure) {
         if (failure.kind() != ErrorKind.BUDGET_EXHAUSTED) {
             return;
         }
-        BudgetRecord record = record();
-        long least = record.paid() - mSpent - record.writtenOff();
-        for (long[] each : mUnspent) {
-            if (each[0] >= mWorld.nowMs() - FRESH_MS) {
-                least = Math.min(least, each[1]);
-            }
-        }
-        if (!mUnspent.isEmpty()) {
-            least = Math.min(least, mUnspent.peekLast()[1]);
-        }
-        if (least >= tokens) {
-            mWrongRefusals.add(tokens + " refused as exhausted with " + least + " left");
+        note();
+        long least =
+                mSpendable.stream()
+                        .filter(s -> s.atMs() >= mWorld.nowMs() - FRESH_MS)
+                        .mapToLong(Spendable::tokens)
+                        .min()
+                        .orElse(0);
+        long left = least - mSpent - mRefunded;
+        if (left >= tokens) {
+            mWrongRefusals.add(tokens + " refused as exhausted with " + left + " left");
         }
     }
 
@@ -210,6 +217,7 @@
         node.mLedger.refund(mWorld.nowMs(), BudgetWorld.KEY, most);
         mSettledAt.set(index, mSettledAt.get(index) - most);
         mSpent -= most;
+        mRefunded += most;
         mLossPossible = true;
     }
 
@@ -236,7 +244,7 @@
         if (node.mDead || mWorld.size() >= MAX_NODES) {
             return;
         }
-        node.mDead = true;
+        mWorld.die(index);
         mLossPossible = true;
         if (restart) {
             mWorld.start(node.mId.name(), node.mId.incarnation() + 1 + mWorld.size());
--- a/coordination/src/test/java/org/hornbeampass/coordination/budget/BudgetWorld.java
+++ b/coordination/src/test/java/org/hornbeampass/coordination/budget/BudgetWorld.java
@@ -18,11 +18,17 @@
 import org.hornbeampass.state.budget.BudgetStatement;
 import org.hornbeampass.state.budget.LedgerRecord;
 import org.hornbeampass.state.budget.Reservation;
+import org.hornbeampass.state.config.ConfigSnapshot;
+import org.hornbeampass.state.config.OrganisationSpec;
+import org.hornbeampass.state.config.Parameters;
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
+import java.util.Optional;
 import java.util.PriorityQueue;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.BiConsumer;
@@ -38,6 +44,19 @@
     static final OrganisationId ORGANISATION = new OrganisationId("flights");
     static final BudgetKey KEY = new BudgetKey(ORGANISATION, new BudgetId("main"));
 
+    private static final ConfigSnapshot CONFIG =
+            new ConfigSnapshot(
+                    1,
+                    Map.of(),
+                    Map.of(
+                            ORGANISATION,
+                            new OrganisationSpec(
+                                    ORGANISATION,
+                                    "none",
+                                    Parameters.none(),
+                                    Set.of(KEY.budget()),
+                                    Map.of())),
+                    Map.of());
     private static final long CALL_MS = 2;
     private static final long TIMEOUT_MS = 500;
     private static final long TICK_MS = 100;
@@ -51,6 +70,9 @@
     private final BudgetMutant mMutant;
     private final Random mRandom;
     private PlatformFault mOperatorFault = PlatformFault.NONE;
+    private int mOperatorCallsLater;
+    private Optional<List<VmId>> mLive = Optional.empty();
+    private Runnable mOnWrite = () -> {};
     private long mNowMs;
     private long mOrder;
     private long mRequests;
@@ -109,6 +131,12 @@
         }
     }
 
+    /** Stops a VM's process for good. */
+    void die(int vm) {
+        mNodes.get(vm).mDead = true;
+        mLive = Optional.empty();
+    }
+
     /** Starts a VM, or its next incarnation. */
     int start(String name, long incarnation) {
         VmId id = new VmId(name, incarnation);
@@ -121,14 +149,27 @@
                         this,
                         BudgetSettings.defaults(),
                         mPolicy);
+        ledger.onConfig(mNowMs, CONFIG);
         mNodes.add(new Node(id, ledger));
+        mLive = Optional.empty();
         scheduleTick(index);
         return index;
     }
 
+    /** Sets what is run after each write to the store. */
+    void onWrite(Runnable action) {
+        mOnWrite = action;
+    }
+
     /** Sets what the operators' next platform call meets. */
     void operatorFault(PlatformFault fault) {
+        operatorFaultAt(0, fault);
+    }
+
+    /** Sets what one of the operators' platform calls meets, counted from the next one. */
+    void operatorFaultAt(int callsLater, PlatformFault fault) {
         mOperatorFault = fault;
+        mOperatorCallsLater = callsLater;
     }
 
     Node node(int vm) {
@@ -153,12 +194,16 @@
 
     @Override
     public List<VmId> live() {
-        return mNodes.stream().filter(n -> !n.mDead).map(n -> n.mId).toList();
+        if (mLive.isEmpty()) {
+            mLive = Optional.of(mNodes.stream().filter(n -> !n.mDead).map(n -> n.mId).toList());
+        }
+        return mLive.get();
     }
 
     @Override
     public List<VmId> homes(OrganisationId organisation) {
-        return live().stream().limit(mHomes).toList();
+        List<VmId> live = live();
+        return live.subList(0, Math.min(mHomes, live.size()));
     }
 
     private void scheduleTick(int vm) {
@@ -274,8 +319,8 @@
 
     private Platform operatorPlatform() {
         return (nowMs, call, done) -> {
-            PlatformFault fault = mOperatorFault;
-            mOperatorFault = PlatformFault.NONE;
+            boolean now = mOperatorCallsLater-- == 0;
+            PlatformFault fault = now ? mOperatorFault : PlatformFault.NONE;
             call(fault, call, r -> done.accept(mNowMs, r));
         };
     }
@@ -307,6 +352,9 @@
                 mNowMs,
                 call,
                 (at, r) -> {
+                    if (call.kind() == PlatformCall.Kind.WRITE) {
+                        mOnWrite.run();
+                    }
                     if (!lost) {
                         at(mNowMs + latency(), () -> reply.accept(r));
                     }
--- /dev/null
+++ b/coordination/src/test/resources/features/budgets.feature
@@ -0,0 +1,60 @@
+Feature: Prepaid budgets hold whatever fails
+
+  Scenario: A budget is topped up in the middle of a partition
+    Given 3 VMs and a budget of 1000 tokens
+    When a request of at most 300 tokens starts on VM 1
+    And VM 1 is cut off from all others
+    And 2 seconds pass
+    And an operator tops up by 5000 tokens, gets no reply and repeats it
+    Then 6000 tokens are paid
+    When a request of at most 2000 tokens starts on VM 2
+    Then the request is admitted
+    When a request of at most 3000 tokens starts on VM 1
+    Then the request is refused as BUDGET_UNREACHABLE
+    When the request on VM 1 ends with 250 tokens used
+    And VM 1 is reached again
+    And 30 seconds pass
+    Then 250 tokens are settled
+    And no tokens are written off
+    And the statement reconciles to the token and the audit finds nothing
+
+  Scenario: A VM dies in the middle of a stream
+    Given 3 VMs and a budget of 1000 tokens
+    When a request of at most 400 tokens starts on VM 1
+    And VM 1 dies
+    And VM 1 is declared gone
+    And 2 seconds pass
+    Then at least 400 tokens are written off
+    When a request of at most 700 tokens starts on VM 2
+    Then the request is refused as BUDGET_EXHAUSTED
+    When a request of at most 200 tokens starts on VM 2
+    Then the request is admitted
+    And the statement reconciles to the token and the audit finds nothing
+
+  Scenario: A VM is paused past the point where it was declared gone
+    Given 3 VMs and a budget of 1000 tokens
+    When a request of at most 400 tokens starts on VM 1
+    And VM 1 is paused
+    And VM 1 is declared gone
+    And 2 seconds pass
+    Then at least 400 tokens are written off
+    When VM 1 wakes up
+    And the request on VM 1 ends with 350 tokens used
+    And 30 seconds pass
+    Then 350 tokens are settled
+    And no tokens are written off
+    And the statement reconciles to the token and the audit finds nothing
+
+  Scenario: An operator lowers a budget below what is granted
+    Given 2 VMs and a budget of 1000 tokens
+    When a request of at most 700 tokens starts on VM 1
+    And an operator lowers the budget to 200 tokens
+    And 40 seconds pass
+    Then 700 tokens are paid
+    When a request of at most 100 tokens starts on VM 2
+    Then the request is refused as BUDGET_UNREACHABLE
+    When the request on VM 1 ends with 150 tokens used
+    And 60 seconds pass
+    Then 200 tokens are paid
+    And 150 tokens are settled
+    And the statement reconciles to the token and the audit finds nothing
