--- a/transport/src/main/java/org/hornbeampass/transport/http/HttpExchange.java
+++ b/transport/src/main/java/org/hornbeampass/transport/http/HttpExchange.java
@@ -16,6 +16,11 @@
     /** Returns the decoded path without the query, such as {@code /v1/models}. */
     String path();
 
+    /** Returns the path and the query as they came, still encoded. */
+    default String rawTarget() {
+        return path();
+    }
+
     /** Returns the first value of a query parameter. */
     Optional<String> query(String name);
 
@@ -57,7 +62,10 @@
     /** Ends a streamed answer properly, so that the caller can tell that it is whole. */
     void end();
 
-    /** Breaks a streamed answer off, so that the caller can tell that it is not whole. */
+    /**
+     * Breaks the answer off by closing the connection, before its start or within a stream, so that
+     * the caller can tell that it is not whole.
+     */
     void abort();
 
     /** Runs an action each time a slow caller has caught up. */
