Test peers over TLS

Cause: the handshake between routers had no test over TLS. Change: one test with the committed certificate, in both directions, and against a plain peer. Measured: not measured. Conclusion: peers speak TLS where settings give the files.

--- a/transport/src/test/java/org/hornbeampass/transport/peer/PeerTransportTest.java
+++ b/transport/src/test/java/org/hornbeampass/transport/peer/PeerTransportTest.java
@@ -11,6 +11,7 @@
 import org.hornbeampass.protocol.settings.Secret;
 import org.hornbeampass.state.ErrorKind;
 import org.hornbeampass.state.Failure;
+import org.hornbeampass.transport.tls.TestCertificate;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -42,6 +43,18 @@
         assertThat(b.counters().bytesReceived()).isEqualTo(a.counters().bytesSent()).isPositive();
     }
 
+    @Test
+    void request_isRepliedTo_overTls() throws Exception {
+        PeerTransport a = mFleet.start(PeerFleet.settings("vm-a").withTls(TestCertificate.both()));
+        PeerTransport b = mFleet.start(PeerFleet.settings("vm-b").withTls(TestCertificate.both()));
+        b.on(Question.class, (now, from, question, reply) -> reply.accept(new Reply("tls")));
+        PeerTransport plain = mFleet.start("vm-c");
+
+        assertThat(mFleet.ask(a, "vm-b", Question.of("?")))
+                .isEqualTo(Either.right(new Reply("tls")));
+        assertFails(mFleet.ask(plain, "vm-b", Question.of("?")), ErrorKind.NOT_READY);
+    }
+
     @Test
     void oneWay_arrives() throws Exception {
         PeerTransport a = mFleet.start("vm-a");
