Read bills, usage and the audit from the platform's records

Cause: operators ask what was billed, and whether every rule holds. The daemon answers with them in place of a refusal. Conclusion: single bills are listed since each shard's last checkpoint only; sums are whole.

--- a/cli/src/main/java/org/hornbeampass/cli/command/AuditCommand.java
+++ b/cli/src/main/java/org/hornbeampass/cli/command/AuditCommand.java
@@ -39,11 +39,19 @@
 
     private static String table(AuditView audit) {
         TextTable checked =
-                new TextTable("ORGANISATIONS", "BUDGETS", "BILLS", "BREACHES")
+                new TextTable(
+                                "ORGANISATIONS",
+                                "BUDGETS",
+                                "BILLS",
+                                "BILLED",
+                                "OPEN CLAIMS",
+                                "BREACHES")
                         .row(
                                 audit.organisations(),
                                 audit.budgets(),
                                 audit.bills(),
+                                audit.billedTokens(),
+                                audit.openClaims(),
                                 audit.breaches().size());
         if (audit.breaches().isEmpty()) {
             return checked.text();
--- a/cli/src/main/java/org/hornbeampass/cli/command/BillsCommand.java
+++ b/cli/src/main/java/org/hornbeampass/cli/command/BillsCommand.java
@@ -21,7 +21,11 @@
  */
 @Command(
         name = "bills",
-        description = "Lists an organisation's bills as the platform stores them.",
+        description = {
+            "Lists an organisation's newest bills as the platform stores them: those since the"
+                    + " last",
+            "checkpoint of each shard of the request log. `usage` sums all since the beginning."
+        },
         footer = {"%nExample:", "  hornbeamctl bills flight --limit 50"})
 public final class BillsCommand extends AdminCommand {
     @Parameters(paramLabel = "ORGANISATION", description = "The organisation.")
@@ -43,23 +47,15 @@
 
     private static String table(BillList list) {
         TextTable table =
-                new TextTable(
-                        "REQUEST",
-                        "BUDGET",
-                        "FOR",
-                        "UPSTREAM",
-                        "PROMPT",
-                        "COMPLETION",
-                        "BILLED AT");
+                new TextTable("REQUEST", "BUDGET", "ATTEMPT", "PROMPT", "COMPLETION", "ADMITTED");
         for (BillView bill : list.items()) {
             table.row(
                     bill.request(),
                     bill.budget(),
-                    bill.target(),
-                    bill.upstream(),
+                    bill.attempt(),
                     bill.promptTokens(),
                     bill.completionTokens(),
-                    Instant.ofEpochMilli(bill.billedAtMs()));
+                    Instant.ofEpochMilli(bill.admittedAtMs()));
         }
         return table.text();
     }
--- a/cli/src/main/java/org/hornbeampass/cli/command/UsageCommand.java
+++ b/cli/src/main/java/org/hornbeampass/cli/command/UsageCommand.java
@@ -19,7 +19,12 @@
  */
 @Command(
         name = "usage",
-        description = "Sums an organisation's bills by budget and by model or service.",
+        description = {
+            "Sums what an organisation was billed, budget by budget, since the beginning.",
+            "Not charged are further attempts of requests that had been billed; late are bills"
+                    + " that",
+            "came too late to be told from repeated ones, and were not charged either."
+        },
         footer = {"%nExample:", "  hornbeamctl usage flight"})
 public final class UsageCommand extends AdminCommand {
     @Parameters(paramLabel = "ORGANISATION", description = "The organisation.")
@@ -35,15 +40,23 @@
 
     private static String table(UsageView usage) {
         TextTable table =
-                new TextTable("BUDGET", "FOR", "REQUESTS", "PROMPT", "COMPLETION", "TOKENS");
+                new TextTable(
+                        "BUDGET",
+                        "BILLS",
+                        "TOKENS",
+                        "NOT CHARGED",
+                        "ITS TOKENS",
+                        "LATE",
+                        "ITS TOKENS");
         for (UsageLine line : usage.lines()) {
             table.row(
                     line.budget(),
-                    line.target(),
-                    line.requests(),
-                    line.promptTokens(),
-                    line.completionTokens(),
-                    line.tokens());
+                    line.bills(),
+                    line.tokens(),
+                    line.duplicates(),
+                    line.duplicateTokens(),
+                    line.late(),
+                    line.lateTokens());
         }
         return table.text();
     }
--- a/cli/src/test/java/org/hornbeampass/cli/CommandsTest.java
+++ b/cli/src/test/java/org/hornbeampass/cli/CommandsTest.java
@@ -271,13 +271,14 @@
         mServer.answer(
                 "GET /admin/v1/organisations/flight/usage",
                 new UsageView(
-                        ORGANISATION, List.of(new UsageLine(new BudgetId("main"), "m", 2, 30, 4))));
+                        ORGANISATION,
+                        List.of(new UsageLine(new BudgetId("main"), 2, 34, 1, 12, 0, 0))));
 
         assertThat(run("usage", "flight").out())
                 .isEqualTo(
                         """
-                        BUDGET  FOR  REQUESTS  PROMPT  COMPLETION  TOKENS
-                        main    m           2      30           4      34
+                        BUDGET  BILLS  TOKENS  NOT CHARGED  ITS TOKENS  LATE  ITS TOKENS
+                        main        2      34            1          12     0           0
                         """);
     }
 
@@ -292,9 +293,9 @@
         assertThat(run("bills", "flight").out())
                 .isEqualTo(
                         """
-                        REQUEST  BUDGET  FOR  UPSTREAM  PROMPT  COMPLETION  BILLED AT
-                        r1       main    m    u1            10           4  1970-01-01T00:00:05Z
-                        r2       main    m    u1            10           4  1970-01-01T00:00:05Z
+                        REQUEST  BUDGET  ATTEMPT   PROMPT  COMPLETION  ADMITTED
+                        r1       main    vm-1~1/1      10           4  1970-01-01T00:00:05Z
+                        r2       main    vm-1~1/1      10           4  1970-01-01T00:00:05Z
                         """);
     }
 
@@ -311,8 +312,8 @@
     void audit_withABreach_exitsNonZero() {
         AuditView.Breach breach =
                 new AuditView.Breach("spend_within_paid", "flight/main", "spent 12 of 10 paid");
-        mServer.answer("GET /admin/v1/audit", new AuditView(1, 1, 9, List.of(breach)))
-                .answer("GET /admin/v1/audit", new AuditView(1, 1, 9, List.of()));
+        mServer.answer("GET /admin/v1/audit", new AuditView(1, 1, 9, 12, 0, List.of(breach)))
+                .answer("GET /admin/v1/audit", new AuditView(1, 1, 9, 9, 0, List.of()));
 
         Run broken = run("audit");
         Run clean = run("audit");
@@ -381,8 +382,7 @@
                 ORGANISATION,
                 new RequestId(request),
                 new BudgetId("main"),
-                "m",
-                "u1",
+                "vm-1~1/1",
                 10,
                 4,
                 5_000);
--- a/cli/src/test/java/org/hornbeampass/cli/RouterFixture.java
+++ b/cli/src/test/java/org/hornbeampass/cli/RouterFixture.java
@@ -10,14 +10,17 @@
 import org.hornbeampass.coordination.peer.PeerMessage;
 import org.hornbeampass.coordination.peer.PeerNetwork;
 import org.hornbeampass.coordination.platform.MemoryPlatform;
+import org.hornbeampass.coordination.requests.LedgerSettings;
 import org.hornbeampass.router.admin.AdminHandler;
 import org.hornbeampass.router.admin.AdminPorts;
 import org.hornbeampass.router.admin.DrainControl;
 import org.hornbeampass.router.admin.KeyMaker;
 import org.hornbeampass.router.admin.LedgerAccounts;
+import org.hornbeampass.router.admin.LedgerAudit;
 import org.hornbeampass.router.admin.MemberFleet;
 import org.hornbeampass.router.admin.OperatorKey;
 import org.hornbeampass.router.admin.OperatorKeys;
+import org.hornbeampass.router.admin.RecordedBilling;
 import org.hornbeampass.router.admin.RouterDrains;
 import org.hornbeampass.router.admin.StoredConfiguration;
 import org.hornbeampass.state.Failure;
@@ -78,11 +81,16 @@
         for (int i = 0; i < MAX_TICKS && !mStore.ready(); i++) {
             mStore.tick(NOW_MS);
         }
+        StoredConfiguration configuration = new StoredConfiguration(mStore, 120_000);
+        BudgetAccounts accounts = new BudgetAccounts(vm, platform);
         AdminPorts ports =
                 new AdminPorts(
-                        new StoredConfiguration(mStore, 120_000),
-                        new LedgerAccounts(new BudgetAccounts(vm, platform)),
-                        new EmptyBilling(),
+                        configuration,
+                        new LedgerAccounts(accounts),
+                        new RecordedBilling(
+                                platform,
+                                LedgerSettings.standard(),
+                                new LedgerAudit(configuration, accounts)),
                         new MemberFleet(
                                 membership, mStore, new RouterDrains(membership, network, this)));
         OperatorKeys keys =
--- a/router/src/main/java/org/hornbeampass/router/admin/BillingEndpoints.java
+++ b/router/src/main/java/org/hornbeampass/router/admin/BillingEndpoints.java
@@ -96,7 +96,7 @@
                 usage.lines().stream().filter(l -> l.budget().equals(account.budget())).toList();
         return new StatementView.Line(
                 account,
-                drawn.stream().mapToLong(UsageLine::requests).sum(),
+                drawn.stream().mapToLong(UsageLine::bills).sum(),
                 drawn.stream().mapToLong(UsageLine::tokens).sum());
     }
 }
--- a/router/src/main/java/org/hornbeampass/router/admin/BillingPort.java
+++ b/router/src/main/java/org/hornbeampass/router/admin/BillingPort.java
@@ -18,7 +18,7 @@
  */
 public interface BillingPort {
     /**
-     * Reads a page of an organisation's bills.
+     * Reads a page of an organisation's newest bills that stand.
      *
      * @param nowMs the present time in milliseconds
      * @param organisation whose bills
@@ -33,7 +33,7 @@
             int limit,
             BiConsumer<Long, Either<Failure, Aged<BillList>>> done);
 
-    /** Sums an organisation's bills by budget and by model or service. */
+    /** Sums what an organisation was billed, budget by budget. */
     void usage(
             long nowMs,
             OrganisationId organisation,
--- a/router/src/main/java/org/hornbeampass/router/daemon/Coordination.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/Coordination.java
@@ -194,6 +194,11 @@
         return mBudgets;
     }
 
+    /** Returns the platform for reads that can wait. */
+    Platform backgroundPlatform() {
+        return mCalls.lane(CallPriority.BACKGROUND);
+    }
+
     BudgetAccounts accounts() {
         return mAccounts;
     }
--- a/router/src/main/java/org/hornbeampass/router/daemon/OperatorSide.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/OperatorSide.java
@@ -1,12 +1,15 @@
 package org.hornbeampass.router.daemon;
 
 import org.hornbeampass.coordination.drain.DrainOrder;
+import org.hornbeampass.coordination.requests.LedgerSettings;
 import org.hornbeampass.router.admin.AdminHandler;
 import org.hornbeampass.router.admin.AdminPorts;
 import org.hornbeampass.router.admin.DrainControl;
 import org.hornbeampass.router.admin.LedgerAccounts;
+import org.hornbeampass.router.admin.LedgerAudit;
 import org.hornbeampass.router.admin.MemberFleet;
 import org.hornbeampass.router.admin.OperatorKeys;
+import org.hornbeampass.router.admin.RecordedBilling;
 import org.hornbeampass.router.admin.RouterDrains;
 import org.hornbeampass.router.admin.StoredConfiguration;
 
@@ -31,11 +34,15 @@
             DrainControl control) {
         RouterDrains drains = new RouterDrains(parts.membership(), network.peers(), control);
         network.peers().on(DrainOrder.class, drains::onDrainOrder);
+        StoredConfiguration configuration = new StoredConfiguration(parts.config(), SILENT_MS);
         AdminPorts ports =
                 new AdminPorts(
-                        new StoredConfiguration(parts.config(), SILENT_MS),
+                        configuration,
                         new LedgerAccounts(parts.accounts()),
-                        new NoBilling(),
+                        new RecordedBilling(
+                                parts.backgroundPlatform(),
+                                LedgerSettings.standard(),
+                                new LedgerAudit(configuration, parts.accounts())),
                         new MemberFleet(parts.membership(), parts.config(), drains));
         OperatorKeys keys =
                 new OperatorKeys(
--- a/router/src/test/java/org/hornbeampass/router/admin/AdminMoneyTest.java
+++ b/router/src/test/java/org/hornbeampass/router/admin/AdminMoneyTest.java
@@ -131,8 +131,8 @@
                 .contains("r1")
                 .doesNotContain("r2");
         assertThat(send("GET", "/admin/v1/organisations/mould/usage", "").answer())
-                .contains("\"promptTokens\":30")
-                .doesNotContain("\"promptTokens\":10");
+                .contains("\"tokens\":36")
+                .doesNotContain("\"tokens\":14");
         assertThat(send("GET", "/admin/v1/organisations/none/bills", "").answer())
                 .contains("not_found");
     }
@@ -166,8 +166,7 @@
                 new OrganisationId(organisation),
                 new RequestId(request),
                 new BudgetId("main"),
-                "m",
-                "u1",
+                "vm-1~1/1",
                 prompt,
                 answer,
                 5);
--- a/router/src/test/java/org/hornbeampass/router/admin/MemoryBilling.java
+++ b/router/src/test/java/org/hornbeampass/router/admin/MemoryBilling.java
@@ -51,20 +51,15 @@
         List<UsageLine> lines =
                 mBills.stream()
                         .filter(b -> b.organisation().equals(organisation))
-                        .map(
-                                b ->
-                                        new UsageLine(
-                                                b.budget(),
-                                                b.target(),
-                                                1,
-                                                b.promptTokens(),
-                                                b.completionTokens()))
+                        .map(b -> new UsageLine(b.budget(), 1, b.tokens(), 0, 0, 0, 0))
                         .toList();
         done.accept(nowMs, Either.right(Aged.fresh(new UsageView(organisation, lines))));
     }
 
     @Override
     public void audit(long nowMs, BiConsumer<Long, Either<Failure, Aged<AuditView>>> done) {
-        done.accept(nowMs, Either.right(Aged.fresh(new AuditView(1, 1, mBills.size(), List.of()))));
+        done.accept(
+                nowMs,
+                Either.right(Aged.fresh(new AuditView(1, 1, mBills.size(), 0, 0, List.of()))));
     }
 }
--- a/standins/src/main/java/org/hornbeampass/standin/engine/EngineModel.java
+++ b/standins/src/main/java/org/hornbeampass/standin/engine/EngineModel.java
@@ -131,9 +131,6 @@
                 mTokensGenerated);
     }
 
-<<<<<<< HEAD
-    /** Returns the load as the engine reports it: as it was the lag ago. */
-=======
     /** Returns how many prompt blocks were asked for since the start. */
     public long blocksAsked() {
         return mBlocksAsked;
@@ -144,8 +141,7 @@
         return mBlocksCached;
     }
 
-    /** Returns the load as the engine reports it, with its lag. */
->>>>>>> routing
+    /** Returns the load as the engine reports it: as it was the lag ago. */
     public LoadReport reportedLoad(long nowMs) {
         return mReported.get(nowMs).describing(nowMs - mReported.lagMs());
     }
--- a/transport/src/main/java/org/hornbeampass/protocol/admin/AuditView.java
+++ b/transport/src/main/java/org/hornbeampass/protocol/admin/AuditView.java
@@ -9,10 +9,18 @@
  *
  * @param organisations how many organisations were checked
  * @param budgets how many budgets were checked
- * @param bills how many bills were checked
+ * @param bills how many bills stand
+ * @param billedTokens their tokens
+ * @param openClaims calls that may not be repeated and have no known outcome
  * @param breaches what was found; empty where every rule holds
  */
-public record AuditView(long organisations, long budgets, long bills, List<Breach> breaches) {
+public record AuditView(
+        long organisations,
+        long budgets,
+        long bills,
+        long billedTokens,
+        long openClaims,
+        List<Breach> breaches) {
     /** Copies the list. */
     public AuditView {
         breaches = List.copyOf(breaches);
--- a/transport/src/main/java/org/hornbeampass/protocol/admin/UsageLine.java
+++ b/transport/src/main/java/org/hornbeampass/protocol/admin/UsageLine.java
@@ -3,20 +3,23 @@
 import org.hornbeampass.state.BudgetId;
 
 /**
- * What an organisation used of one model or service from one budget.
+ * What was billed to one budget since the beginning.
  *
  * <p>Immutable; safe for use by any thread.
  *
- * @param budget the budget that was drawn on
- * @param target the model or the plain service
- * @param requests how many bills there are
- * @param promptTokens tokens of all prompts
- * @param completionTokens tokens of all answers
+ * @param budget the budget
+ * @param bills how many bills stand
+ * @param tokens their tokens
+ * @param duplicates how many further attempts of billed requests were not charged
+ * @param duplicateTokens the tokens that these used
+ * @param late how many bills came too late to be told from repeated ones, and were not charged
+ * @param lateTokens the tokens that these used
  */
 public record UsageLine(
-        BudgetId budget, String target, long requests, long promptTokens, long completionTokens) {
-    /** Returns the tokens that are billed. */
-    public long tokens() {
-        return promptTokens + completionTokens;
-    }
-}
+        BudgetId budget,
+        long bills,
+        long tokens,
+        long duplicates,
+        long duplicateTokens,
+        long late,
+        long lateTokens) {}
--- a/transport/src/main/java/org/hornbeampass/protocol/admin/UsageView.java
+++ b/transport/src/main/java/org/hornbeampass/protocol/admin/UsageView.java
@@ -5,12 +5,12 @@
 import java.util.List;
 
 /**
- * What an organisation has used, summed from its bills.
+ * What an organisation was billed, budget by budget.
  *
  * <p>Immutable; safe for use by any thread.
  *
  * @param organisation the organisation
- * @param lines one line for each budget and target, in their order
+ * @param lines one line for each budget that was drawn on, in their order
  */
 public record UsageView(OrganisationId organisation, List<UsageLine> lines) {
     /** Copies the list. */
