--- a/coordination/src/test/java/org/hornbeampass/coordination/fleet/FleetSteps.java
+++ b/coordination/src/test/java/org/hornbeampass/coordination/fleet/FleetSteps.java
@@ -38,6 +38,7 @@
 
     private final List<Either<Failure, Long>> mAnswers = new ArrayList<>();
     private FakeFleet mFleet;
+    private ConfigChange mLastAccepted;
 
     @Given("{int} VMs in {int} region(s)")
     public void vms(int count, int regions) {
@@ -164,8 +165,8 @@
 
     @Then("the accepted priority of template {string} is in force on all VMs within {int} s")
     public void acceptedInForce(String name, int seconds) {
-        int priority = mAnswers.get(0).isRight() ? 6 : 7;
-        inForce(priority, name, seconds);
+        ConfigChange.PutTemplate accepted = (ConfigChange.PutTemplate) mLastAccepted;
+        inForce(accepted.template().parameters().priority().get(), name, seconds);
     }
 
     @Then("the priority {int} of template {string} is in force on all VMs within {int} s")
@@ -269,7 +270,10 @@
                         mFleet.nowMs(),
                         change,
                         OptionalLong.empty(),
-                        (t, answer) -> mAnswers.add(answer));
+                        (t, answer) -> {
+                            mAnswers.add(answer);
+                            answer.peek(revision -> mLastAccepted = change);
+                        });
     }
 
     private List<VmId> answer(FakeRouter router) {
