Add the burn report and the check of a settings file

Cause: operators need to see what burns, and to check settings before a start. Change: routers count each ended request against the objectives of their settings and serve the counts at /admin/v1/slo; hornbeamctl burn adds several routers up, as a table, JSON or a page with plots; hornbeamctl check prints all faults of a settings file. Settings that may be left out are asked for first, since a missing section made the reader call them unknown. Conclusion: refusals before a request is admitted are not counted yet.

--- a/cli/src/main/java/org/hornbeampass/cli/ExitCodes.java
+++ b/cli/src/main/java/org/hornbeampass/cli/ExitCodes.java
@@ -11,7 +11,7 @@
     /** The command line itself is wrong. */
     public static final int USAGE = 2;
 
-    /** The audit found a breach, or a settings file has faults. */
+    /** The audit found a breach, or an objective burns. */
     public static final int FINDINGS = 11;
 
     private ExitCodes() {}
--- a/cli/src/main/java/org/hornbeampass/cli/Hornbeamctl.java
+++ b/cli/src/main/java/org/hornbeampass/cli/Hornbeamctl.java
@@ -4,6 +4,8 @@
 import org.hornbeampass.cli.command.AuditCommand;
 import org.hornbeampass.cli.command.BillsCommand;
 import org.hornbeampass.cli.command.BudgetCommand;
+import org.hornbeampass.cli.command.BurnCommand;
+import org.hornbeampass.cli.command.CheckCommand;
 import org.hornbeampass.cli.command.CompletionCommand;
 import org.hornbeampass.cli.command.DrainCommand;
 import org.hornbeampass.cli.command.OrganisationCommand;
@@ -54,6 +56,8 @@
             RevisionCommand.class,
             RoutersCommand.class,
             DrainCommand.class,
+            BurnCommand.class,
+            CheckCommand.class,
             CompletionCommand.class
         },
         exitCodeListHeading = "%nExit codes:%n",
@@ -69,7 +73,7 @@
             "8:try again later: not ready, overloaded or the platform is unavailable",
             "9:a deadline passed",
             "10:the outcome is unknown: look before it is sent again",
-            "11:the audit found a breach, or a settings file has faults"
+            "11:the audit found a breach, or an objective burns (burn --fail-on-alert)"
         })
 public final class Hornbeamctl implements Runnable {
     private final Surroundings mSurroundings;
--- a/cli/src/test/java/org/hornbeampass/cli/RouterFixture.java
+++ b/cli/src/test/java/org/hornbeampass/cli/RouterFixture.java
@@ -11,6 +11,7 @@
 import org.hornbeampass.coordination.peer.PeerNetwork;
 import org.hornbeampass.coordination.platform.MemoryPlatform;
 import org.hornbeampass.coordination.requests.LedgerSettings;
+import org.hornbeampass.coordination.slo.Objectives;
 import org.hornbeampass.router.admin.AdminHandler;
 import org.hornbeampass.router.admin.AdminPorts;
 import org.hornbeampass.router.admin.DrainControl;
@@ -21,6 +22,7 @@
 import org.hornbeampass.router.admin.OperatorKey;
 import org.hornbeampass.router.admin.OperatorKeys;
 import org.hornbeampass.router.admin.RecordedBilling;
+import org.hornbeampass.router.admin.RouterBurn;
 import org.hornbeampass.router.admin.RouterDrains;
 import org.hornbeampass.router.admin.StoredConfiguration;
 import org.hornbeampass.state.Failure;
@@ -92,7 +94,8 @@
                                 LedgerSettings.standard(),
                                 new LedgerAudit(configuration, accounts)),
                         new MemberFleet(
-                                membership, mStore, new RouterDrains(membership, network, this)));
+                                membership, mStore, new RouterDrains(membership, network, this)),
+                        new RouterBurn(NOW_MS, vm, configuration, Objectives.defaults()));
         OperatorKeys keys =
                 new OperatorKeys(List.of(new OperatorKey("olga", KeyMaker.hash(KEY))), Map::of);
         mServer =
--- a/router/src/main/java/org/hornbeampass/router/admin/AdminHandler.java
+++ b/router/src/main/java/org/hornbeampass/router/admin/AdminHandler.java
@@ -109,7 +109,7 @@
         routes.addAll(new UpstreamEndpoints(configuration, changes).routes());
         routes.addAll(new BudgetEndpoints(ports, changes, reader).routes());
         routes.addAll(new BillingEndpoints(ports.billing(), reader).routes());
-        routes.addAll(new FleetEndpoints(ports.fleet()).routes());
+        routes.addAll(new FleetEndpoints(ports.fleet(), ports.burn()).routes());
         return List.copyOf(routes);
     }
 }
--- a/router/src/main/java/org/hornbeampass/router/admin/AdminPorts.java
+++ b/router/src/main/java/org/hornbeampass/router/admin/AdminPorts.java
@@ -8,10 +8,12 @@
  * @param configuration templates, organisations and upstreams
  * @param accounts the budgets' accounts
  * @param billing bills, usage and the audit
- * @param fleet routers and upstreams at run time
+ * @param fleet the routers at run time
+ * @param burn service-level objectives
  */
 public record AdminPorts(
         ConfigurationPort configuration,
         AccountPort accounts,
         BillingPort billing,
-        FleetPort fleet) {}
+        FleetPort fleet,
+        BurnPort burn) {}
--- a/router/src/main/java/org/hornbeampass/router/admin/FleetEndpoints.java
+++ b/router/src/main/java/org/hornbeampass/router/admin/FleetEndpoints.java
@@ -5,21 +5,24 @@
 import java.util.List;
 
 /**
- * The endpoints for routers and for where a revision is in force.
+ * The endpoints for routers, for where a revision is in force, and for objectives.
  *
  * <p>Thread-safe: holds no state of its own.
  */
 final class FleetEndpoints {
     private final FleetPort mFleet;
+    private final BurnPort mBurn;
 
-    FleetEndpoints(FleetPort fleet) {
+    FleetEndpoints(FleetPort fleet, BurnPort burn) {
         mFleet = fleet;
+        mBurn = burn;
     }
 
     List<AdminRoute> routes() {
         return List.of(
                 new AdminRoute("GET", AdminPaths.ROUTERS, this::routers),
                 new AdminRoute("GET", AdminPaths.REVISION, this::revision),
+                new AdminRoute("GET", AdminPaths.SLO, this::burn),
                 new AdminRoute("POST", AdminPaths.ROUTERS + "/*/drain", this::drain));
     }
 
@@ -31,6 +34,10 @@
         reply.read(Aged.fresh(mFleet.revision(request.nowMs())));
     }
 
+    private void burn(AdminRequest request, AdminReply reply) {
+        reply.read(Aged.fresh(mBurn.burn(request.nowMs())));
+    }
+
     private void drain(AdminRequest request, AdminReply reply) {
         mFleet.drainRouter(
                 request.nowMs(),
--- a/router/src/main/java/org/hornbeampass/router/daemon/OperatorSide.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/OperatorSide.java
@@ -10,8 +10,10 @@
 import org.hornbeampass.router.admin.MemberFleet;
 import org.hornbeampass.router.admin.OperatorKeys;
 import org.hornbeampass.router.admin.RecordedBilling;
+import org.hornbeampass.router.admin.RouterBurn;
 import org.hornbeampass.router.admin.RouterDrains;
 import org.hornbeampass.router.admin.StoredConfiguration;
+import org.hornbeampass.router.serve.RouterMetrics;
 
 import java.security.SecureRandom;
 
@@ -31,10 +33,19 @@
             RouterSettings settings,
             Coordination parts,
             RouterNetwork network,
+            RouterMetrics metrics,
+            long nowMs,
             DrainControl control) {
         RouterDrains drains = new RouterDrains(parts.membership(), network.peers(), control);
         network.peers().on(DrainOrder.class, drains::onDrainOrder);
         StoredConfiguration configuration = new StoredConfiguration(parts.config(), SILENT_MS);
+        RouterBurn burn =
+                new RouterBurn(
+                        nowMs,
+                        parts.membership().view().self().vm(),
+                        configuration,
+                        settings.objectives());
+        metrics.onSample((sample, endedMs) -> burn.record(endedMs, sample));
         AdminPorts ports =
                 new AdminPorts(
                         configuration,
@@ -43,7 +54,8 @@
                                 parts.backgroundPlatform(),
                                 LedgerSettings.standard(),
                                 new LedgerAudit(configuration, parts.accounts())),
-                        new MemberFleet(parts.membership(), parts.config(), drains));
+                        new MemberFleet(parts.membership(), parts.config(), drains),
+                        burn);
         OperatorKeys keys =
                 new OperatorKeys(
                         settings.keys().operators(),
--- a/router/src/main/java/org/hornbeampass/router/daemon/RouterDaemon.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/RouterDaemon.java
@@ -61,7 +61,7 @@
         mShutdown = new Shutdown(mParts, mNetwork, mRunner, mTimers, settings.execution());
         PeerRoutes.register(mNetwork.peers(), mParts);
         mNetwork.callersHandler().set(frontDoor(settings));
-        OperatorSide.start(settings, mParts, mNetwork, new Drain());
+        OperatorSide.start(settings, mParts, mNetwork, mMetrics, nowMs, new Drain());
         mTicks = new TickLoop(mNetwork.control(), clock);
         mTicks.every(TickLoop.OFTEN_MS, mParts::tickOften);
         mTicks.every(TickLoop.SELDOM_MS, mParts::tick);
--- a/router/src/main/java/org/hornbeampass/router/daemon/RouterSettings.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/RouterSettings.java
@@ -2,6 +2,7 @@
 
 import org.hornbeampass.coordination.membership.Seed;
 import org.hornbeampass.coordination.platform.CallLimits;
+import org.hornbeampass.coordination.slo.Objectives;
 import org.hornbeampass.protocol.settings.Secret;
 import org.hornbeampass.router.admin.OperatorKey;
 import org.hornbeampass.router.front.FrontLimits;
@@ -30,6 +31,7 @@
  * @param seeds VMs to ask first
  * @param limits bounds and waits of requests
  * @param execution threads and shutdown
+ * @param objectives what is promised of requests, for the burn report
  */
 public record RouterSettings(
         Place place,
@@ -39,7 +41,21 @@
         CallLimits calls,
         List<Seed> seeds,
         Limits limits,
-        Execution execution) {
+        Execution execution,
+        Objectives objectives) {
+    /** Makes settings with the usual service-level objectives. */
+    public RouterSettings(
+            Place place,
+            Listen listen,
+            Keys keys,
+            PlatformSettings platform,
+            CallLimits calls,
+            List<Seed> seeds,
+            Limits limits,
+            Execution execution) {
+        this(place, listen, keys, platform, calls, seeds, limits, execution, Objectives.defaults());
+    }
+
     /** Copies the list. */
     public RouterSettings {
         seeds = List.copyOf(seeds);
--- a/router/src/main/java/org/hornbeampass/router/daemon/SettingsFile.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/SettingsFile.java
@@ -4,6 +4,7 @@
 
 import org.hornbeampass.coordination.membership.Seed;
 import org.hornbeampass.coordination.platform.CallLimits;
+import org.hornbeampass.coordination.slo.Objectives;
 import org.hornbeampass.protocol.openai.ChatLimits;
 import org.hornbeampass.protocol.settings.Faults;
 import org.hornbeampass.protocol.settings.Secret;
@@ -49,21 +50,34 @@
         return SettingsReader.read(source, text, SettingsFile::settings);
     }
 
+    /** Asks for what may be left out first, so that a fault elsewhere does not hide its names. */
     private static RouterSettings settings(SettingsNode node) {
-        return new RouterSettings(
-                place(node),
-                listen(node.requiredNode("listen")),
-                keys(node.requiredNode("keys")),
-                platform(node.requiredNode("platform")),
+        CallLimits calls =
                 node.optionalNode("platform_calls")
                         .map(SettingsFile::calls)
-                        .orElse(new CallLimits(250, 50, 10, 1, 2_000)),
-                node.list("seeds", SettingsFile::seed),
+                        .orElse(new CallLimits(250, 50, 10, 1, 2_000));
+        RouterSettings.Limits limits =
                 node.optionalNode("limits")
                         .map(SettingsFile::limits)
-                        .orElseGet(RouterSettings.Limits::defaults),
+                        .orElseGet(RouterSettings.Limits::defaults);
+        RouterSettings.Execution execution =
                 new RouterSettings.Execution(
-                        node.optionalInt("workers", defaultWorkers(), 1, 256), maxDrain(node)));
+                        node.optionalInt("workers", defaultWorkers(), 1, 256), maxDrain(node));
+        Objectives objectives =
+                node.optionalNode("objectives")
+                        .map(ObjectivesSettings::read)
+                        .orElseGet(Objectives::defaults);
+        List<Seed> seeds = node.list("seeds", SettingsFile::seed);
+        return new RouterSettings(
+                place(node),
+                listen(node.requiredNode("listen")),
+                keys(node.requiredNode("keys")),
+                platform(node.requiredNode("platform")),
+                calls,
+                seeds,
+                limits,
+                execution,
+                objectives);
     }
 
     private static int defaultWorkers() {
--- a/router/src/main/java/org/hornbeampass/router/flow/UpstreamPort.java
+++ b/router/src/main/java/org/hornbeampass/router/flow/UpstreamPort.java
@@ -3,6 +3,9 @@
 import io.vavr.control.Either;
 
 import org.hornbeampass.state.Failure;
+import org.hornbeampass.state.UpstreamId;
+
+import java.util.Optional;
 
 /**
  * The upstreams that one request may go to, as its flow sees them.
@@ -32,4 +35,9 @@
      * @return whether and when to try again
      */
     Retry afterFault(long nowMs, AttemptFault fault, Relayed relayed);
+
+    /** Returns the upstream of the newest attempt; empty where none was chosen. */
+    default Optional<UpstreamId> lastUpstream() {
+        return Optional.empty();
+    }
 }
--- a/router/src/main/java/org/hornbeampass/router/serve/FlowRecorder.java
+++ b/router/src/main/java/org/hornbeampass/router/serve/FlowRecorder.java
@@ -2,16 +2,20 @@
 
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.hornbeampass.coordination.slo.SloSample;
 import org.hornbeampass.router.flow.Bill;
 import org.hornbeampass.router.flow.BillResult;
 import org.hornbeampass.router.flow.FlowObserver;
 import org.hornbeampass.state.ErrorKind;
 import org.hornbeampass.state.OrganisationId;
 import org.hornbeampass.state.RequestId;
+import org.hornbeampass.state.UpstreamId;
 import org.hornbeampass.state.config.WorkKind;
 
 import java.util.Locale;
 import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.function.Supplier;
 
 /**
  * Writes one request's milestones to metrics and to the log.
@@ -26,13 +30,17 @@
     private final OrganisationId mOrganisation;
     private final RequestId mId;
     private final long mArrivedMs;
+    private final Supplier<Optional<UpstreamId>> mUpstream;
     private final Runnable mOnEnd;
+    private long mFirstPartMs;
     private long mLastPartMs;
+    private long mParts;
 
     /**
      * Makes the recorder of one request.
      *
      * @param arrivedMs when it arrived, in milliseconds
+     * @param upstream tells which upstream served it last
      * @param onEnd run once when it has ended
      */
     FlowRecorder(
@@ -41,18 +49,22 @@
             OrganisationId organisation,
             RequestId id,
             long arrivedMs,
+            Supplier<Optional<UpstreamId>> upstream,
             Runnable onEnd) {
         mMetrics = metrics;
         mKind = kind;
         mOrganisation = organisation;
         mId = id;
         mArrivedMs = arrivedMs;
+        mUpstream = upstream;
         mOnEnd = onEnd;
     }
 
     @Override
     public void onFirstPart(long nowMs) {
+        mFirstPartMs = nowMs;
         mLastPartMs = nowMs;
+        mParts = 1;
         mMetrics.firstPart(nowMs - mArrivedMs);
     }
 
@@ -60,6 +72,7 @@
     public void onPart(long nowMs) {
         mMetrics.betweenParts(nowMs - mLastPartMs);
         mLastPartMs = nowMs;
+        mParts++;
     }
 
     @Override
@@ -71,6 +84,7 @@
     public void onEnd(
             long nowMs, Optional<ErrorKind> error, Bill bill, Optional<BillResult> result) {
         mMetrics.ended(mKind, mOrganisation, error);
+        mMetrics.sample(nowMs, sample(error));
         if (result.isPresent()) {
             mMetrics.bill(result.get().name().toLowerCase(Locale.ROOT), 0);
         }
@@ -95,4 +109,16 @@
         }
         mOnEnd.run();
     }
+
+    private SloSample sample(Optional<ErrorKind> error) {
+        return new SloSample(
+                mOrganisation,
+                mParts > 0 ? OptionalLong.of(mFirstPartMs - mArrivedMs) : OptionalLong.empty(),
+                mParts > 1
+                        ? OptionalLong.of((mLastPartMs - mFirstPartMs) / (mParts - 1))
+                        : OptionalLong.empty(),
+                error,
+                mUpstream.get(),
+                Optional.empty());
+    }
 }
--- a/router/src/main/java/org/hornbeampass/router/serve/FlowRunner.java
+++ b/router/src/main/java/org/hornbeampass/router/serve/FlowRunner.java
@@ -171,6 +171,7 @@
                         admitted.key().organisation(),
                         admitted.key().request(),
                         admitted.nowMs(),
+                        route::lastUpstream,
                         mRunning::decrementAndGet);
         return new FlowPorts(
                 gate(admitted), budget, bill, route, caller, mParts.timers(), recorder);
--- a/router/src/main/java/org/hornbeampass/router/serve/RouterMetrics.java
+++ b/router/src/main/java/org/hornbeampass/router/serve/RouterMetrics.java
@@ -5,6 +5,7 @@
 import com.codahale.metrics.MetricRegistry;
 import com.codahale.metrics.UniformReservoir;
 
+import org.hornbeampass.coordination.slo.SloSample;
 import org.hornbeampass.state.ErrorKind;
 import org.hornbeampass.state.OrganisationId;
 import org.hornbeampass.state.config.WorkKind;
@@ -12,6 +13,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.ObjLongConsumer;
 
 /**
  * The metrics of the requests that a VM serves.
@@ -30,6 +32,7 @@
     private final Histogram mFirstPart;
     private final Histogram mBetweenParts;
     private final Histogram mBillWait;
+    private volatile ObjLongConsumer<SloSample> mSamples = (sample, nowMs) -> {};
 
     /** What requests are counted by. */
     private record EndKey(WorkKind kind, OrganisationId organisation, Optional<ErrorKind> error) {}
@@ -46,6 +49,16 @@
         return mRegistry.histogram(name, () -> new Histogram(new UniformReservoir(SAMPLES)));
     }
 
+    /** Sets who is told of each request that ended, for service-level objectives. */
+    public void onSample(ObjLongConsumer<SloSample> listener) {
+        mSamples = listener;
+    }
+
+    /** Tells of a request that ended. */
+    void sample(long nowMs, SloSample sample) {
+        mSamples.accept(sample, nowMs);
+    }
+
     /** Returns the registry. */
     public MetricRegistry registry() {
         return mRegistry;
--- a/router/src/main/java/org/hornbeampass/router/upstream/UpstreamRoute.java
+++ b/router/src/main/java/org/hornbeampass/router/upstream/UpstreamRoute.java
@@ -19,6 +19,7 @@
 import java.net.URI;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 
 /**
@@ -134,6 +135,11 @@
                 mCalls.settings().idleTimeoutMs());
     }
 
+    @Override
+    public final Optional<UpstreamId> lastUpstream() {
+        return Optional.ofNullable(mLast);
+    }
+
     final UpstreamCalls calls() {
         return mCalls;
     }
--- a/router/src/test/java/org/hornbeampass/router/admin/AdminHandlerTest.java
+++ b/router/src/test/java/org/hornbeampass/router/admin/AdminHandlerTest.java
@@ -2,13 +2,16 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import org.hornbeampass.coordination.slo.BurnReport;
 import org.hornbeampass.protocol.admin.AdminJson;
 import org.hornbeampass.protocol.admin.AdminPaths;
 import org.hornbeampass.protocol.admin.KeyCreated;
 import org.hornbeampass.protocol.admin.OrganisationView;
+import org.hornbeampass.protocol.admin.SloView;
 import org.hornbeampass.protocol.admin.TemplateList;
 import org.hornbeampass.state.ErrorKind;
 import org.hornbeampass.state.OrganisationId;
+import org.hornbeampass.state.VmId;
 import org.hornbeampass.state.config.ConfigChange;
 import org.hornbeampass.state.config.OrganisationSpec;
 import org.junit.jupiter.api.BeforeEach;
@@ -32,7 +35,13 @@
     void makeHandler() {
         AdminPorts ports =
                 new AdminPorts(
-                        mConfiguration, new MemoryAccounts(), new MemoryBilling(), new FakeFleet());
+                        mConfiguration,
+                        new MemoryAccounts(),
+                        new MemoryBilling(),
+                        new FakeFleet(),
+                        nowMs ->
+                                new SloView(
+                                        new VmId("vm-1", 7), nowMs, BurnReport.merged(List.of())));
         OperatorKeys keys =
                 new OperatorKeys(
                         List.of(new OperatorKey("olga", KeyMaker.hash(KEY))),
--- a/router/src/test/java/org/hornbeampass/router/admin/AdminMoneyTest.java
+++ b/router/src/test/java/org/hornbeampass/router/admin/AdminMoneyTest.java
@@ -2,10 +2,13 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import org.hornbeampass.coordination.slo.BurnReport;
 import org.hornbeampass.protocol.admin.BillView;
+import org.hornbeampass.protocol.admin.SloView;
 import org.hornbeampass.state.BudgetId;
 import org.hornbeampass.state.OrganisationId;
 import org.hornbeampass.state.RequestId;
+import org.hornbeampass.state.VmId;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
@@ -26,7 +29,14 @@
     @BeforeEach
     void makeOrganisations() {
         AdminPorts ports =
-                new AdminPorts(new MemoryConfiguration(), mAccounts, mBilling, new FakeFleet());
+                new AdminPorts(
+                        new MemoryConfiguration(),
+                        mAccounts,
+                        mBilling,
+                        new FakeFleet(),
+                        nowMs ->
+                                new SloView(
+                                        new VmId("vm-1", 7), nowMs, BurnReport.merged(List.of())));
         OperatorKeys keys =
                 new OperatorKeys(List.of(new OperatorKey("olga", KeyMaker.hash(KEY))), Map::of);
         mHandler = new AdminHandler(ports, keys, new SecureRandom());
@@ -157,6 +167,7 @@
     @Test
     void auditRoutersAndRevision_areRead() {
         assertThat(send("GET", "/admin/v1/audit", "").answer()).contains("\"breaches\":[]");
+        assertThat(send("GET", "/admin/v1/slo", "").answer()).contains("\"scopes\":[]");
         assertThat(send("GET", "/admin/v1/routers", "").answer()).contains("vm-1~7");
         assertThat(send("GET", "/admin/v1/revision", "").answer()).contains("\"everywhere\":3");
     }
