--- a/coordination/src/test/java/org/hornbeampass/coordination/requests/LedgerFleet.java
+++ b/coordination/src/test/java/org/hornbeampass/coordination/requests/LedgerFleet.java
@@ -14,6 +14,7 @@
 import org.hornbeampass.state.requests.CallOutcome;
 import org.hornbeampass.state.requests.Claim;
 import org.hornbeampass.state.requests.ClaimOutcome;
+import org.hornbeampass.state.requests.RequestAuditReport;
 import org.hornbeampass.state.requests.RequestKey;
 import org.hornbeampass.testing.FakePeerNetwork;
 import org.hornbeampass.testing.FakeVms;
@@ -198,4 +199,12 @@
                 });
         return billed;
     }
+
+    /** Reads the records past all faults. */
+    RequestAuditReport audit() {
+        AtomicReference<RequestAuditReport> report = new AtomicReference<>();
+        new RequestAudit(mPlatform.store(), mSettings, 100)
+                .run(mTime.nowMs(), (t, r) -> report.set(r.get()));
+        return report.get();
+    }
 }
