--- a/coordination/src/main/java/org/hornbeampass/coordination/limit/AdmissionQueue.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/limit/AdmissionQueue.java
@@ -24,6 +24,10 @@
     private static final long MIN_RETRY_MS = 1_000;
     private static final long MAX_RETRY_MS = 30_000;
     private static final long RETRY_SPREAD = 1_000;
+    private static final String SHED =
+            "too many requests wait; one of the lowest priority was refused";
+    private static final String HOPELESS =
+            "at the present rate the request can't be served before its deadline";
 
     private final Object mLock = new Object();
     private final int mMaxWaiting;
@@ -144,7 +148,7 @@
         }
         OptionalLong waitMs = mRate.waitMs(nowMs, mWaiting.sizeFrom(request.priority()) + 1);
         if (waitMs.isPresent() && waitMs.getAsLong() > request.deadline().remainingMs(nowMs)) {
-            answers.add(shed(nowMs, entry));
+            answers.add(refuse(nowMs, entry, HOPELESS));
             return;
         }
         mWaiting.add(entry.waiting());
@@ -152,7 +156,7 @@
         if (mWaiting.size() > mMaxWaiting) {
             Waiting victim = mWaiting.firstToShed().orElseThrow();
             mWaiting.remove(victim);
-            answers.add(shed(nowMs, mEntries.remove(victim.number())));
+            answers.add(refuse(nowMs, mEntries.remove(victim.number()), SHED));
         }
     }
 
@@ -177,15 +181,11 @@
         }
     }
 
-    private Answer shed(long nowMs, Entry entry) {
+    private Answer refuse(long nowMs, Entry entry, String why) {
         long waitMs = mRate.waitMs(nowMs, mWaiting.size() + 1).orElse(MIN_RETRY_MS);
         long bounded = Math.max(MIN_RETRY_MS, Math.min(MAX_RETRY_MS, waitMs));
         long spread = Math.floorMod(entry.waiting().number() * 0x9E3779B1L, RETRY_SPREAD);
-        Failure failure =
-                Failure.retryAfter(
-                        ErrorKind.OVERLOADED,
-                        "too many requests wait; one of the lowest priority was refused",
-                        bounded + spread);
+        Failure failure = Failure.retryAfter(ErrorKind.OVERLOADED, why, bounded + spread);
         return new Answer(entry.done(), Optional.of(failure));
     }
 
--- /dev/null
+++ b/coordination/src/test/java/org/hornbeampass/coordination/limit/AdmissionProperties.java
@@ -0,0 +1,165 @@
+package org.hornbeampass.coordination.limit;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+
+import org.hornbeampass.state.ErrorKind;
+import org.hornbeampass.state.Failure;
+import org.hornbeampass.state.OrganisationId;
+import org.junit.jupiter.api.Test;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.stream.LongStream;
+
+/** Schedules of arrivals, ends, give-ups and changes of capacity: bounds and order of shedding. */
+class AdmissionProperties {
+    private static final int EVENTS = 300;
+    private static final int MAX_WAITING = 6;
+
+    /** How requests reach the queue; mutants distort them. */
+    private enum Mutant {
+        NONE,
+        /** As if the lowest priority were the last to be shed. */
+        SHEDS_HIGHEST_FIRST,
+        /** As if a given-up request stayed in the queue. */
+        FORGETS_GIVE_UP,
+        /** As if the capacity were one more. */
+        CAPACITY_PLUS_ONE
+    }
+
+    /** One schedule with a plain model of the queue. */
+    private static final class Schedule {
+        private final SplittableRandom mRandom;
+        private final Mutant mMutant;
+        private final AdmissionQueue mQueue;
+        private final Map<Long, AdmissionRequest> mWaiting = new HashMap<>();
+        private int mCapacity = 3;
+        private int mAdmitted;
+        private Optional<String> mBroken = Optional.empty();
+
+        private Schedule(long seed, Mutant mutant) {
+            mRandom = new SplittableRandom(seed);
+            mMutant = mutant;
+            mQueue = new AdmissionQueue(real(mCapacity), MAX_WAITING);
+        }
+
+        private Optional<String> run() {
+            for (int now = 1; now <= EVENTS && mBroken.isEmpty(); now++) {
+                event(now);
+                mQueue.expire(now);
+                check(now);
+            }
+            return mBroken;
+        }
+
+        private void event(int nowMs) {
+            int kind = mRandom.nextInt(10);
+            if (kind < 5) {
+                submit(nowMs);
+            } else if (kind < 8 && mAdmitted > 0) {
+                mAdmitted--;
+                mQueue.release(nowMs);
+            } else if (kind == 8 && !mWaiting.isEmpty()) {
+                long number = mWaiting.keySet().iterator().next();
+                mWaiting.remove(number);
+                if (mMutant != Mutant.FORGETS_GIVE_UP) {
+                    mQueue.abandon(number);
+                }
+            } else if (kind == 9) {
+                mCapacity = mRandom.nextInt(5);
+                mQueue.setCapacity(nowMs, real(mCapacity));
+            }
+        }
+
+        private void submit(int nowMs) {
+            int priority = mRandom.nextInt(4);
+            Deadline deadline = new Deadline(nowMs + 1 + mRandom.nextInt(100));
+            OrganisationId org = new OrganisationId("o" + mRandom.nextInt(3));
+            AdmissionRequest request = new AdmissionRequest(org, priority, 1, 1, deadline);
+            boolean flip = mMutant == Mutant.SHEDS_HIGHEST_FIRST;
+            AdmissionRequest given =
+                    new AdmissionRequest(org, flip ? 9 - priority : priority, 1, 1, deadline);
+            long[] number = new long[1];
+            boolean[] answered = new boolean[1];
+            number[0] =
+                    mQueue.submit(
+                            nowMs,
+                            given,
+                            (now, failure) -> {
+                                answered[0] = true;
+                                answer(now, number[0], request, failure);
+                            });
+            if (!answered[0]) {
+                mWaiting.put(number[0], request);
+            }
+        }
+
+        private void answer(
+                long nowMs, long number, AdmissionRequest request, Optional<Failure> failure) {
+            boolean waited = number != 0 && mWaiting.remove(number) != null;
+            if (number != 0 && !waited) {
+                broken("an answer for a request that was answered or given up");
+            }
+            if (failure.isEmpty()) {
+                mAdmitted++;
+                if (mAdmitted > mCapacity) {
+                    broken("more admitted than the capacity");
+                }
+                if (request.deadline().passed(nowMs)) {
+                    broken("admitted after its deadline");
+                }
+            } else if (failure.get().kind() == ErrorKind.OVERLOADED) {
+                shed(request, failure.get());
+            }
+        }
+
+        private void shed(AdmissionRequest request, Failure failure) {
+            if (failure.retryAfterMs().isEmpty()) {
+                broken("shed without a time to retry");
+            }
+            boolean byPriority = failure.message().contains("priority");
+            boolean lowerWaits =
+                    mWaiting.values().stream().anyMatch(w -> w.priority() < request.priority());
+            if (byPriority && lowerWaits) {
+                broken("shed while a lower priority waits");
+            }
+        }
+
+        private void check(int nowMs) {
+            if (mQueue.waiting() != mWaiting.size() || mWaiting.size() > MAX_WAITING) {
+                broken("waiting " + mQueue.waiting() + " instead of " + mWaiting.size());
+            }
+            if (mWaiting.values().stream().anyMatch(w -> w.deadline().passed(nowMs))) {
+                broken("a late request still waits");
+            }
+        }
+
+        private void broken(String what) {
+            mBroken = mBroken.or(() -> Optional.of(what));
+        }
+
+        private int real(int capacity) {
+            return mMutant == Mutant.CAPACITY_PLUS_ONE ? capacity + 1 : capacity;
+        }
+    }
+
+    @Property(seed = "13", tries = 300)
+    void queue_keepsItsBounds(@ForAll long seed) {
+        assertThat(new Schedule(seed, Mutant.NONE).run()).isEmpty();
+    }
+
+    @Test
+    void mutants_areCaught() {
+        for (Mutant mutant : Mutant.values()) {
+            boolean caught =
+                    LongStream.range(0, 200)
+                            .anyMatch(seed -> new Schedule(seed, mutant).run().isPresent());
+            assertThat(caught).as(mutant.name()).isEqualTo(mutant != Mutant.NONE);
+        }
+    }
+}
--- /dev/null
+++ b/coordination/src/test/java/org/hornbeampass/coordination/orders/PlannerProperties.java
@@ -0,0 +1,158 @@
+package org.hornbeampass.coordination.orders;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+
+import org.hornbeampass.state.FailureDomain;
+import org.hornbeampass.state.ModelId;
+import org.hornbeampass.state.UpstreamId;
+import org.hornbeampass.state.upstream.IntendedState;
+import org.hornbeampass.state.upstream.WorkTarget;
+import org.junit.jupiter.api.Test;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.stream.LongStream;
+
+/**
+ * Schedules of changing demand, loads that take their time, and late orders of a deposed writer:
+ * the last ready copy stays.
+ */
+class PlannerProperties {
+    private static final int UPSTREAMS = 6;
+    private static final int STEPS = 40;
+    private static final int MAX_PER_ARTIFACT = 2;
+    private static final List<ModelId> MODELS = List.of(new ModelId("a"), new ModelId("b"));
+
+    /** What the planner is told; mutants distort it. */
+    private enum Mutant {
+        NONE,
+        /** As if all upstreams checked fencing numbers. */
+        TAKES_ALL_AS_FENCED,
+        /** As if a copy that loads were ready. */
+        TAKES_LOADING_AS_READY,
+        /** As if loads were not bounded. */
+        LOADS_ALL_AT_ONCE
+    }
+
+    /** One schedule over a small fleet. */
+    private static final class Schedule {
+        private final SplittableRandom mRandom;
+        private final Mutant mMutant;
+        private final OrderPlanner mPlanner;
+        private final List<OrderTarget> mFleet = new ArrayList<>();
+
+        private Schedule(long seed, Mutant mutant) {
+            mRandom = new SplittableRandom(seed);
+            mMutant = mutant;
+            int bound = mutant == Mutant.LOADS_ALL_AT_ONCE ? 99 : MAX_PER_ARTIFACT;
+            mPlanner = new OrderPlanner(bound, 99);
+            OrderGuard[] guards = OrderGuard.values();
+            for (int i = 0; i < UPSTREAMS; i++) {
+                mFleet.add(
+                        new OrderTarget(
+                                new UpstreamId("u" + i),
+                                new FailureDomain("d" + i % 3),
+                                guards[mRandom.nextInt(guards.length)],
+                                2,
+                                true,
+                                IntendedState.empty(),
+                                Set.of(),
+                                Set.of()));
+            }
+        }
+
+        private Optional<String> run() {
+            for (int step = 0; step < STEPS; step++) {
+                List<WantedCopies> wanted = new ArrayList<>();
+                for (ModelId model : MODELS) {
+                    int copies = 1 + mRandom.nextInt(4);
+                    wanted.add(new WantedCopies(WorkTarget.model(model), "1", copies));
+                }
+                for (PlannedOrder order : mPlanner.plan(told(), wanted)) {
+                    apply(order);
+                    if (order.action() == PlannedOrder.Action.UNLOAD && lost(order.target())) {
+                        return Optional.of("step " + step + ": last copy lost by " + order);
+                    }
+                }
+                for (WantedCopies want : wanted) {
+                    long loading = mFleet.stream().filter(u -> u.loading(want.target())).count();
+                    if (loading > MAX_PER_ARTIFACT) {
+                        return Optional.of("step " + step + ": " + loading + " loads at once");
+                    }
+                }
+                finishSome();
+            }
+            return Optional.empty();
+        }
+
+        /** Returns whether one late order could leave no ready copy. */
+        private boolean lost(WorkTarget target) {
+            long fenced = ready(target, OrderGuard.FENCED);
+            long unfenced = ready(target, OrderGuard.UNFENCED);
+            return fenced == 0 && unfenced <= 1;
+        }
+
+        private long ready(WorkTarget target, OrderGuard guard) {
+            return mFleet.stream().filter(u -> u.guard() == guard && u.serves(target)).count();
+        }
+
+        private void apply(PlannedOrder order) {
+            mFleet.replaceAll(u -> u.id().equals(order.upstream()) ? u.ordered(order.state()) : u);
+        }
+
+        private void finishSome() {
+            mFleet.replaceAll(
+                    u ->
+                            mRandom.nextInt(3) == 0
+                                    ? with(u, u.guard(), u.intended().models().keySet())
+                                    : u);
+        }
+
+        private List<OrderTarget> told() {
+            return mFleet.stream().map(this::told).toList();
+        }
+
+        private OrderTarget told(OrderTarget target) {
+            OrderGuard guard =
+                    mMutant == Mutant.TAKES_ALL_AS_FENCED ? OrderGuard.FENCED : target.guard();
+            Set<ModelId> ready =
+                    mMutant == Mutant.TAKES_LOADING_AS_READY
+                            ? target.intended().models().keySet()
+                            : target.readyModels();
+            return with(target, guard, ready);
+        }
+
+        private static OrderTarget with(OrderTarget target, OrderGuard guard, Set<ModelId> ready) {
+            return new OrderTarget(
+                    target.id(),
+                    target.domain(),
+                    guard,
+                    target.maxModels(),
+                    target.usable(),
+                    target.intended(),
+                    ready,
+                    Set.of());
+        }
+    }
+
+    @Property(seed = "14", tries = 300)
+    void lastReadyCopy_staysAndLoadsAreBounded(@ForAll long seed) {
+        assertThat(new Schedule(seed, Mutant.NONE).run()).isEmpty();
+    }
+
+    @Test
+    void mutants_areCaught() {
+        for (Mutant mutant : Mutant.values()) {
+            boolean caught =
+                    LongStream.range(0, 200)
+                            .anyMatch(seed -> new Schedule(seed, mutant).run().isPresent());
+            assertThat(caught).as(mutant.name()).isEqualTo(mutant != Mutant.NONE);
+        }
+    }
+}
--- /dev/null
+++ b/coordination/src/test/java/org/hornbeampass/coordination/routing/LifeProperties.java
@@ -0,0 +1,165 @@
+package org.hornbeampass.coordination.routing;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+
+import org.hornbeampass.coordination.upstream.RoutingSettings;
+import org.hornbeampass.coordination.upstream.UpstreamTable;
+import org.hornbeampass.state.upstream.Evidence;
+import org.hornbeampass.state.upstream.ListedUpstream;
+import org.hornbeampass.state.upstream.UpstreamList;
+import org.junit.jupiter.api.Test;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.stream.LongStream;
+
+/** Schedules of late news: an upstream whose life ended gets no new work, whatever comes later. */
+class LifeProperties {
+    private static final int RUNNERS = 4;
+    private static final int EVENTS = 60;
+
+    /** How the news reach the table; mutants distort them. */
+    private enum Delivery {
+        CORRECT,
+        /** As if the version of a list were not checked. */
+        EACH_LIST_IS_NEW,
+        /** As if a list that shows an upstream revived it. */
+        LIST_REVIVES,
+        /** As if an upstream's own word were not heard. */
+        WORD_IS_IGNORED
+    }
+
+    /** One schedule with a plain model of which lives have ended. */
+    private static final class Schedule {
+        private final SplittableRandom mRandom;
+        private final Delivery mDelivery;
+        private final UpstreamTable mTable =
+                new UpstreamTable(Fleet.placement(), RoutingSettings.defaults());
+        private final UpstreamChooser mChooser =
+                new UpstreamChooser(mTable, RoutingPolicy.RANDOM, 1);
+        private final long[] mSeen = new long[RUNNERS];
+        private final long[] mEnded = new long[RUNNERS];
+        private final boolean[] mListed = new boolean[RUNNERS];
+        private long mNewestList;
+        private long mDelivered;
+
+        private Schedule(long seed, Delivery delivery) {
+            mRandom = new SplittableRandom(seed);
+            mDelivery = delivery;
+            Arrays.fill(mEnded, -1);
+            mTable.applyConfig(0, Fleet.config(1, RUNNERS, 1_000));
+        }
+
+        private Optional<String> run() {
+            for (int now = 1; now <= EVENTS; now++) {
+                event(now);
+                for (int i = 0; i < 8; i++) {
+                    var choice = mChooser.choose(now, Fleet.query());
+                    if (choice.isRight()) {
+                        int n = number(choice.get());
+                        if (mSeen[n] <= mEnded[n]) {
+                            return Optional.of("runner " + n + " got work at " + now);
+                        }
+                    }
+                }
+            }
+            return Optional.empty();
+        }
+
+        private void event(long nowMs) {
+            int runner = mRandom.nextInt(RUNNERS);
+            long incarnation = Math.max(0, mSeen[runner] + mRandom.nextInt(3) - 1);
+            switch (mRandom.nextInt(5)) {
+                case 0 -> {
+                    mTable.onLoadReport(
+                            nowMs, Fleet.runner(runner), Fleet.report(nowMs, incarnation, 0));
+                    see(runner, incarnation);
+                }
+                case 1 -> word(nowMs, runner, incarnation);
+                case 2 -> {
+                    mTable.onLeaving(nowMs, Fleet.runner(runner), Evidence.OWN, incarnation);
+                    end(runner, incarnation);
+                }
+                default -> list(nowMs);
+            }
+        }
+
+        private void word(long nowMs, int runner, long incarnation) {
+            if (mDelivery != Delivery.WORD_IS_IGNORED) {
+                mTable.onLoadReport(nowMs, Fleet.runner(runner), Fleet.leaving(nowMs, incarnation));
+            }
+            end(runner, incarnation);
+        }
+
+        private void list(long nowMs) {
+            long version = Math.max(1, mNewestList + mRandom.nextInt(4) - 2);
+            boolean fresh = version > mNewestList;
+            List<ListedUpstream> lines = new ArrayList<>();
+            for (int i = 0; i < RUNNERS; i++) {
+                if (mRandom.nextInt(4) > 0) {
+                    long incarnation = Math.max(0, mSeen[i] + mRandom.nextInt(3) - 1);
+                    boolean leaving = mRandom.nextInt(4) == 0;
+                    lines.add(new ListedUpstream(Fleet.runner(i), incarnation, leaving));
+                    if (fresh) {
+                        listed(i, incarnation, leaving);
+                    }
+                }
+            }
+            deliver(nowMs, version, lines);
+            mNewestList = Math.max(mNewestList, version);
+        }
+
+        private void listed(int runner, long incarnation, boolean leaving) {
+            mListed[runner] = true;
+            see(runner, incarnation);
+            if (leaving) {
+                end(runner, incarnation);
+            }
+        }
+
+        private void deliver(long nowMs, long version, List<ListedUpstream> lines) {
+            mDelivered++;
+            if (mDelivery == Delivery.LIST_REVIVES) {
+                for (ListedUpstream each : lines) {
+                    mTable.onLoadReport(nowMs, each.id(), Fleet.report(nowMs, 1_000 + nowMs, 0));
+                }
+            }
+            boolean distorted = mDelivery == Delivery.EACH_LIST_IS_NEW;
+            mTable.onListed(nowMs, new UpstreamList(distorted ? mDelivered : version, lines));
+        }
+
+        private void see(int runner, long incarnation) {
+            mSeen[runner] = Math.max(mSeen[runner], incarnation);
+        }
+
+        private void end(int runner, long incarnation) {
+            see(runner, incarnation);
+            mEnded[runner] = Math.max(mEnded[runner], incarnation);
+        }
+
+        private static int number(UpstreamChoice choice) {
+            return Integer.parseInt(choice.upstream().value().substring("runner-".length()));
+        }
+    }
+
+    @Property(seed = "11", tries = 300)
+    void endedLife_neverGetsWork(@ForAll long seed) {
+        assertThat(new Schedule(seed, Delivery.CORRECT).run()).isEmpty();
+    }
+
+    @Test
+    void mutants_areCaught() {
+        for (Delivery mutant : Delivery.values()) {
+            boolean caught =
+                    LongStream.range(0, 300)
+                            .anyMatch(seed -> new Schedule(seed, mutant).run().isPresent());
+            assertThat(caught).as(mutant.name()).isEqualTo(mutant != Delivery.CORRECT);
+        }
+    }
+}
--- /dev/null
+++ b/experiment/src/main/java/org/hornbeampass/experiment/jmh/package-info.java
@@ -0,0 +1,2 @@
+/** Benchmarks of the library's hot decisions. */
+package org.hornbeampass.experiment.jmh;
