--- /dev/null
+++ b/coordination/src/main/java/org/hornbeampass/coordination/requests/RequestLedger.java
@@ -0,0 +1,328 @@
+package org.hornbeampass.coordination.requests;
+
+import io.vavr.control.Either;
+
+import org.hornbeampass.coordination.peer.PeerHandler;
+import org.hornbeampass.coordination.peer.PeerNetwork;
+import org.hornbeampass.coordination.platform.Platform;
+import org.hornbeampass.coordination.requests.RequestEntry.BillEntry;
+import org.hornbeampass.coordination.requests.RequestEntry.ClaimEntry;
+import org.hornbeampass.coordination.requests.RequestEntry.OutcomeEntry;
+import org.hornbeampass.coordination.requests.RequestEntry.WithdrawEntry;
+import org.hornbeampass.state.ErrorKind;
+import org.hornbeampass.state.Failure;
+import org.hornbeampass.state.VmId;
+import org.hornbeampass.state.requests.AttemptId;
+import org.hornbeampass.state.requests.Bill;
+import org.hornbeampass.state.requests.BillOutcome;
+import org.hornbeampass.state.requests.CallOutcome;
+import org.hornbeampass.state.requests.Claim;
+import org.hornbeampass.state.requests.ClaimOutcome;
+import org.hornbeampass.state.requests.RequestKey;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+import java.util.function.LongConsumer;
+import java.util.function.Predicate;
+
+/**
+ * One VM's door to the request log: bills, claims and outcomes of requests.
+ *
+ * <p>Invariants: a bill is answered only once it is durable; of all attempts of a remembered
+ * request exactly one is billed; a claim is granted to one attempt ever, and only once that is
+ * durable; an attempt whose claim was answered with a failure is never granted later, and its claim
+ * is withdrawn durably before the id may run elsewhere. What waits is kept in memory until it is
+ * decided; {@link #backlogFull} tells when no new work may be admitted.
+ *
+ * <p>Thread-safe: one lock guards all state, and it is the only lock; calls, messages and callbacks
+ * run without it.
+ */
+public final class RequestLedger {
+
+    private final LedgerSettings mSettings;
+    private final Object mLock = new Object();
+    private final ShardTraffic mTraffic;
+    private final ClaimWaits mClaims;
+    private final RepeatLimit mRepeats;
+    private final List<LongConsumer> mHandOvers = new ArrayList<>();
+
+    private int mWaiting;
+    private long mWaitingBytes;
+    private boolean mHandingOver;
+
+    /**
+     * Creates a ledger in which nothing waits.
+     *
+     * @param platform the platform that keeps the log
+     * @param background the same platform, for checkpoints and truncation, which can wait
+     * @param peers the other routers
+     * @param self this VM
+     * @param owners who usually writes each shard
+     * @param provedGone whether a VM's life is proved to be over
+     * @param settings shards, retention and batching
+     * @param seed seeds the jitter of retries
+     */
+    public RequestLedger(
+            Platform platform,
+            Platform background,
+            PeerNetwork peers,
+            VmId self,
+            ShardOwners owners,
+            Predicate<VmId> provedGone,
+            LedgerSettings settings,
+            long seed) {
+        mSettings = settings;
+        mClaims = new ClaimWaits(provedGone);
+        mRepeats = new RepeatLimit(settings.retention());
+        mTraffic =
+                new ShardTraffic(
+                        new ShardTraffic.Links(platform, background, peers),
+                        self,
+                        owners,
+                        settings,
+                        this::locked,
+                        new SplittableRandom(seed));
+    }
+
+    /**
+     * Says why a request must not be run, as far as this VM knows without asking.
+     *
+     * @param nowMs the present time in milliseconds
+     * @param key the request
+     * @return {@code IDEMPOTENCY_KEY_EXPIRED} where the key's own time is too old, or where too
+     *     many attempts of the request were answered without being billed
+     */
+    public Optional<Failure> refusal(long nowMs, RequestKey key) {
+        if (ClaimMemory.expired(key.request(), nowMs, mSettings.retention())) {
+            return Optional.of(
+                    Failure.of(
+                            ErrorKind.IDEMPOTENCY_KEY_EXPIRED,
+                            "the time in the key is too far from now; use a new key if the request"
+                                    + " is new"));
+        }
+        synchronized (mLock) {
+            if (!mRepeats.exhausted(nowMs, key)) {
+                return Optional.empty();
+            }
+        }
+        return Optional.of(
+                Failure.of(
+                        ErrorKind.IDEMPOTENCY_KEY_EXPIRED,
+                        "the request was answered too many times; use a new key"));
+    }
+
+    /**
+     * Records what an attempt used, durably.
+     *
+     * @param nowMs the present time in milliseconds
+     * @param bill the bill
+     * @param done takes the time in milliseconds and the outcome, once it is durable
+     */
+    public void bill(long nowMs, Bill bill, BiConsumer<Long, Either<Failure, BillOutcome>> done) {
+        locked(
+                deferred ->
+                        enqueue(
+                                nowMs,
+                                new BillEntry(bill),
+                                (atMs, decision) -> billed(atMs, bill, decision, done),
+                                deferred));
+    }
+
+    private void billed(
+            long nowMs,
+            Bill bill,
+            EntryDecision decision,
+            BiConsumer<Long, Either<Failure, BillOutcome>> done) {
+        synchronized (mLock) {
+            mRepeats.note(nowMs, bill.key(), decision.repeats());
+        }
+        boolean stands = decision.kind() == EntryDecision.Kind.BILLED;
+        done.accept(nowMs, Either.right(stands ? BillOutcome.BILLED : BillOutcome.DUPLICATE));
+    }
+
+    /**
+     * Asks for the right to run a call that may not be repeated. Answered with a failure, the call
+     * did not run and never will by this attempt: the caller may be told so.
+     *
+     * @param nowMs the present time in milliseconds
+     * @param claim the claim
+     * @param done takes the time in milliseconds and the outcome
+     */
+    public void claim(
+            long nowMs, Claim claim, BiConsumer<Long, Either<Failure, ClaimOutcome>> done) {
+        long deadlineMs = nowMs + mSettings.claimWaitMs();
+        locked(
+                deferred -> {
+                    ClaimWaits.Waiting waiting = mClaims.add(claim, deadlineMs, done);
+                    enqueue(
+                            nowMs,
+                            new ClaimEntry(claim),
+                            (atMs, decision) ->
+                                    locked(d -> mClaims.decided(atMs, waiting, decision, d)),
+                            deferred);
+                });
+    }
+
+    /**
+     * Gives up a claim whose attempt has sent nothing to an upstream and never will.
+     *
+     * @param nowMs the present time in milliseconds
+     * @param claim the claim
+     */
+    public void withdraw(long nowMs, Claim claim) {
+        locked(deferred -> enqueueWithdrawal(nowMs, claim, deferred));
+    }
+
+    private void enqueueWithdrawal(long nowMs, Claim claim, Deferred deferred) {
+        long atMs = Math.max(nowMs, claim.admittedAtMs());
+        AttemptId attempt = claim.attempt();
+        enqueue(
+                nowMs,
+                new WithdrawEntry(claim.key(), attempt, atMs),
+                (t, decision) -> {},
+                deferred);
+    }
+
+    /**
+     * Records the outcome of a call that was claimed, durably.
+     *
+     * @param nowMs the present time in milliseconds
+     * @param outcome the outcome
+     * @param done takes the time in milliseconds and whether it is recorded; it is not where the
+     *     attempt does not hold the claim
+     */
+    public void recordOutcome(
+            long nowMs, CallOutcome outcome, BiConsumer<Long, Either<Failure, Boolean>> done) {
+        locked(
+                deferred ->
+                        enqueue(
+                                nowMs,
+                                new OutcomeEntry(outcome),
+                                (atMs, decision) ->
+                                        done.accept(
+                                                atMs,
+                                                Either.right(
+                                                        decision.kind()
+                                                                == EntryDecision.Kind.DONE)),
+                                deferred));
+    }
+
+    private void enqueue(
+            long nowMs,
+            RequestEntry entry,
+            BiConsumer<Long, EntryDecision> done,
+            Deferred deferred) {
+        String text = EntryCodec.encode(entry);
+        boolean[] decided = new boolean[1];
+        Proposal proposal =
+                new Proposal(
+                        entry,
+                        text,
+                        true,
+                        (atMs, decision) -> {
+                            if (countDecided(decided, text)) {
+                                done.accept(atMs, decision);
+                            }
+                        });
+        mWaiting++;
+        mWaitingBytes += text.length();
+        mTraffic.add(nowMs, shardOf(entry.key()), proposal, deferred);
+    }
+
+    /** Counts an entry as no longer waiting; returns false where it was decided before. */
+    private boolean countDecided(boolean[] decided, String text) {
+        synchronized (mLock) {
+            if (decided[0]) {
+                return false;
+            }
+            decided[0] = true;
+            mWaiting--;
+            mWaitingBytes -= text.length();
+            return true;
+        }
+    }
+
+    private int shardOf(RequestKey key) {
+        return RequestFingerprint.shard(key.organisation(), key.request(), mSettings.shards());
+    }
+
+    /** Returns whether so much waits to become durable that new work must be refused. */
+    public boolean backlogFull() {
+        synchronized (mLock) {
+            return mWaiting >= mSettings.backlog().maxEntries()
+                    || mWaitingBytes >= mSettings.backlog().maxBytes();
+        }
+    }
+
+    /** Returns how many of this VM's own entries are not durable yet. */
+    public int waiting() {
+        synchronized (mLock) {
+            return mWaiting;
+        }
+    }
+
+    /**
+     * Sends, appends and times out what is due.
+     *
+     * @param nowMs the present time in milliseconds
+     */
+    public void tick(long nowMs) {
+        locked(
+                deferred -> {
+                    mClaims.expire(nowMs, deferred)
+                            .forEach(c -> enqueueWithdrawal(nowMs, c, deferred));
+                    mTraffic.tick(nowMs, deferred);
+                    finishHandOver(nowMs, deferred);
+                });
+    }
+
+    /** Returns the handler of other VMs' entries for shards that this VM owns. */
+    public PeerHandler<SubmitEntries> submitHandler() {
+        return (nowMs, from, message, reply) ->
+                locked(
+                        deferred -> {
+                            if (mHandingOver) {
+                                ShardTraffic.refuse(reply, deferred);
+                            } else {
+                                mTraffic.receive(nowMs, message, reply, deferred);
+                            }
+                        });
+    }
+
+    /**
+     * Stops taking entries of other VMs, and tells when nothing of this VM's own or of theirs waits
+     * any more; {@link #tick} must go on until then.
+     *
+     * @param nowMs the present time in milliseconds
+     * @param done takes the time in milliseconds at which all is durable
+     */
+    public void handOver(long nowMs, LongConsumer done) {
+        locked(
+                deferred -> {
+                    mHandingOver = true;
+                    mHandOvers.add(done);
+                    finishHandOver(nowMs, deferred);
+                });
+    }
+
+    private void finishHandOver(long nowMs, Deferred deferred) {
+        if (mHandOvers.isEmpty() || mWaiting > 0 || !mTraffic.idle()) {
+            return;
+        }
+        List<LongConsumer> waiting = List.copyOf(mHandOvers);
+        mHandOvers.clear();
+        waiting.forEach(w -> deferred.add(() -> w.accept(nowMs)));
+    }
+
+    private void locked(Consumer<Deferred> step) {
+        Deferred deferred = new Deferred();
+        synchronized (mLock) {
+            step.accept(deferred);
+        }
+        deferred.run();
+    }
+}
--- a/coordination/src/test/java/org/hornbeampass/coordination/budget/BudgetWorld.java
+++ b/coordination/src/test/java/org/hornbeampass/coordination/budget/BudgetWorld.java
@@ -18,10 +18,17 @@
 import org.hornbeampass.state.budget.BudgetStatement;
 import org.hornbeampass.state.budget.LedgerRecord;
 import org.hornbeampass.state.budget.Reservation;
+import org.hornbeampass.state.config.ConfigSnapshot;
+import org.hornbeampass.state.config.OrganisationSpec;
+import org.hornbeampass.state.config.Parameters;
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
+import java.util.Optional;
 import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.BiConsumer;
@@ -37,6 +44,19 @@
     static final OrganisationId ORGANISATION = new OrganisationId("flights");
     static final BudgetKey KEY = new BudgetKey(ORGANISATION, new BudgetId("main"));
 
+    private static final ConfigSnapshot CONFIG =
+            new ConfigSnapshot(
+                    1,
+                    Map.of(),
+                    Map.of(
+                            ORGANISATION,
+                            new OrganisationSpec(
+                                    ORGANISATION,
+                                    "none",
+                                    Parameters.none(),
+                                    Set.of(KEY.budget()),
+                                    Map.of())),
+                    Map.of());
     private static final long CALL_MS = 2;
     private static final long TIMEOUT_MS = 500;
     private static final long TICK_MS = 100;
@@ -46,7 +66,13 @@
     private final List<Node> mNodes = new ArrayList<>();
     private final GrantPolicy mPolicy;
     private final int mHomes;
-    private BudgetAccounts mAccounts;
+    private final BudgetAccounts mAccounts;
+    private final BudgetMutant mMutant;
+    private final Random mRandom;
+    private PlatformFault mOperatorFault = PlatformFault.NONE;
+    private int mOperatorCallsLater;
+    private Optional<List<VmId>> mLive = Optional.empty();
+    private Runnable mOnWrite = () -> {};
     private long mNowMs;
     private long mOrder;
     private long mRequests;
@@ -78,6 +104,7 @@
         PlatformFault mFault = PlatformFault.NONE;
         boolean mCutFromPlatform;
         boolean mCutFromPeers;
+        boolean mDropNextReply;
         boolean mPaused;
         boolean mDead;
         final List<Runnable> mHeld = new ArrayList<>();
@@ -89,14 +116,27 @@
     }
 
     BudgetWorld(int vms, GrantPolicy policy, int homes) {
+        this(vms, policy, homes, BudgetMutant.NONE, 0);
+    }
+
+    /** Creates a world in which one rule may be broken, with latencies drawn from a seed. */
+    BudgetWorld(int vms, GrantPolicy policy, int homes, BudgetMutant mutant, long seed) {
         mPolicy = policy;
         mHomes = homes;
-        mAccounts = new BudgetAccounts(new VmId("operator", 1), mStore);
+        mMutant = mutant;
+        mRandom = new Random(seed);
+        mAccounts = new BudgetAccounts(new VmId("operator", 1), operatorPlatform());
         for (int i = 0; i < vms; i++) {
             start("vm" + i, 1);
         }
     }
 
+    /** Stops a VM's process for good. */
+    void die(int vm) {
+        mNodes.get(vm).mDead = true;
+        mLive = Optional.empty();
+    }
+
     /** Starts a VM, or its next incarnation. */
     int start(String name, long incarnation) {
         VmId id = new VmId(name, incarnation);
@@ -109,14 +149,27 @@
                         this,
                         BudgetSettings.defaults(),
                         mPolicy);
+        ledger.onConfig(mNowMs, CONFIG);
         mNodes.add(new Node(id, ledger));
+        mLive = Optional.empty();
         scheduleTick(index);
         return index;
     }
 
-    /** Lets the operators' side see the store through another platform. */
-    void operatorsUse(java.util.function.UnaryOperator<Platform> faults) {
-        mAccounts = new BudgetAccounts(new VmId("operator", 2), faults.apply(mStore));
+    /** Sets what is run after each write to the store. */
+    void onWrite(Runnable action) {
+        mOnWrite = action;
+    }
+
+    /** Sets what the operators' next platform call meets. */
+    void operatorFault(PlatformFault fault) {
+        operatorFaultAt(0, fault);
+    }
+
+    /** Sets what one of the operators' platform calls meets, counted from the next one. */
+    void operatorFaultAt(int callsLater, PlatformFault fault) {
+        mOperatorFault = fault;
+        mOperatorCallsLater = callsLater;
     }
 
     Node node(int vm) {
@@ -141,19 +194,23 @@
 
     @Override
     public List<VmId> live() {
-        return mNodes.stream().filter(n -> !n.mDead).map(n -> n.mId).toList();
+        if (mLive.isEmpty()) {
+            mLive = Optional.of(mNodes.stream().filter(n -> !n.mDead).map(n -> n.mId).toList());
+        }
+        return mLive.get();
     }
 
     @Override
     public List<VmId> homes(OrganisationId organisation) {
-        return live().stream().limit(mHomes).toList();
+        List<VmId> live = live();
+        return live.subList(0, Math.min(mHomes, live.size()));
     }
 
     private void scheduleTick(int vm) {
         at(
                 mNowMs + TICK_MS,
                 () -> {
-                    if (mNodes.get(vm).mDead) {
+                    if (mNodes.get(vm).mDead || !mMutant.ticks()) {
                         return;
                     }
                     at(vm, () -> ledger(vm).tick(mNowMs));
@@ -183,7 +240,9 @@
         node.mPaused = false;
         List<Runnable> held = List.copyOf(node.mHeld);
         node.mHeld.clear();
-        held.forEach(Runnable::run);
+        if (!node.mDead) {
+            held.forEach(Runnable::run);
+        }
     }
 
     /** Runs all events of a span of time. */
@@ -224,26 +283,31 @@
     }
 
     Either<Failure, BudgetStatement> topUp(String id, long tokens) {
-        AtomicReference<Either<Failure, BudgetStatement>> result = new AtomicReference<>();
-        mAccounts.topUp(mNowMs, KEY, id, tokens, (at, r) -> result.set(r));
-        return result.get();
+        return await(done -> mAccounts.topUp(mNowMs, KEY, id, tokens, done));
     }
 
     Either<Failure, BudgetStatement> setPaid(long tokens) {
-        AtomicReference<Either<Failure, BudgetStatement>> result = new AtomicReference<>();
-        mAccounts.setPaid(mNowMs, KEY, tokens, (at, r) -> result.set(r));
+        return await(done -> mAccounts.setPaid(mNowMs, KEY, tokens, done));
+    }
+
+    Either<Failure, BudgetStatement> lower(long tokens) {
+        return await(done -> mAccounts.lower(mNowMs, KEY, tokens, done));
+    }
+
+    /** Starts something and runs until its outcome is there. */
+    <T> T await(Consumer<BiConsumer<Long, T>> start) {
+        AtomicReference<T> result = new AtomicReference<>();
+        start.accept((at, r) -> result.set(r));
+        for (int i = 0; i < 5_000 && result.get() == null; i++) {
+            run(2);
+        }
         return result.get();
     }
 
     /** Reserves with a wait of two seconds and runs until the outcome is there. */
     Either<Failure, Reservation> reserve(int vm, long tokens) {
-        AtomicReference<Either<Failure, Reservation>> result = new AtomicReference<>();
         RequestId id = new RequestId("r" + mRequests++);
-        ledger(vm).reserve(mNowMs, KEY, id, tokens, 2_000, (at, r) -> result.set(r));
-        for (int i = 0; i < 300 && result.get() == null; i++) {
-            run(10);
-        }
-        return result.get();
+        return await(done -> ledger(vm).reserve(mNowMs, KEY, id, tokens, 2_000, done));
     }
 
     boolean handOver(int vm) {
@@ -253,37 +317,55 @@
         return done.get();
     }
 
+    private Platform operatorPlatform() {
+        return (nowMs, call, done) -> {
+            boolean now = mOperatorCallsLater-- == 0;
+            PlatformFault fault = now ? mOperatorFault : PlatformFault.NONE;
+            call(fault, call, r -> done.accept(mNowMs, r));
+        };
+    }
+
     private Platform platformOf(int vm) {
         return (nowMs, call, done) -> {
             Node node = mNodes.get(vm);
             PlatformFault fault = node.mCutFromPlatform ? PlatformFault.LOST : node.mFault;
             node.mFault = PlatformFault.NONE;
-            BiConsumer<Long, PlatformReply> reply = (at, r) -> at(vm, () -> done.accept(mNowMs, r));
-            boolean lost = fault != PlatformFault.NONE;
-            if (lost) {
-                at(
-                        mNowMs + TIMEOUT_MS,
-                        () -> reply.accept(mNowMs, new PlatformReply.Unavailable("timeout")));
-            }
-            if (fault == PlatformFault.LOST) {
-                return;
-            }
-            long arrivesMs = fault == PlatformFault.LATE ? 3 * TIMEOUT_MS : CALL_MS;
-            at(mNowMs + arrivesMs, () -> apply(call, lost, reply));
+            call(fault, call, r -> at(vm, () -> done.accept(mNowMs, r)));
         };
     }
 
-    private void apply(PlatformCall call, boolean lost, BiConsumer<Long, PlatformReply> reply) {
-        mStore.submit(
+    private void call(PlatformFault fault, PlatformCall call, Consumer<PlatformReply> reply) {
+        boolean lost = fault != PlatformFault.NONE;
+        if (lost) {
+            at(mNowMs + TIMEOUT_MS, () -> reply.accept(new PlatformReply.Unavailable("timeout")));
+        }
+        if (fault == PlatformFault.LOST) {
+            return;
+        }
+        long arrivesMs = fault == PlatformFault.LATE ? 3 * TIMEOUT_MS : latency();
+        at(mNowMs + arrivesMs, () -> apply(call, lost, reply));
+    }
+
+    private void apply(PlatformCall call, boolean lost, Consumer<PlatformReply> reply) {
+        mMutant.submit(
+                mStore,
                 mNowMs,
                 call,
                 (at, r) -> {
+                    if (call.kind() == PlatformCall.Kind.WRITE) {
+                        mOnWrite.run();
+                    }
                     if (!lost) {
-                        at(mNowMs + CALL_MS, () -> reply.accept(mNowMs, r));
+                        at(mNowMs + latency(), () -> reply.accept(r));
                     }
                 });
     }
 
+    /** Mostly a few milliseconds, now and then longer than any timeout. */
+    private long latency() {
+        return mRandom.nextInt(50) == 0 ? 1_200 : CALL_MS + mRandom.nextInt(8);
+    }
+
     private int find(String name) {
         for (int i = mNodes.size() - 1; i >= 0; i--) {
             if (mNodes.get(i).mId.name().equals(name)) {
@@ -336,8 +418,10 @@
                 to,
                 request,
                 reply -> {
-                    if (linked(from, to)) {
-                        at(mNowMs + CALL_MS, () -> once.accept(Either.right(reply)));
+                    boolean dropped = mNodes.get(to).mDropNextReply;
+                    mNodes.get(to).mDropNextReply = false;
+                    if (linked(from, to) && !dropped) {
+                        at(mNowMs + latency(), () -> once.accept(Either.right(reply)));
                     }
                 });
     }
@@ -347,7 +431,8 @@
             return;
         }
         VmId sender = mNodes.get(from).mId;
-        at(mNowMs + CALL_MS, () -> at(to, () -> handle(to, sender, message, reply)));
+        PeerMessage sent = mMutant.sent(message, mOrder);
+        at(mNowMs + latency(), () -> at(to, () -> handle(to, sender, sent, reply)));
     }
 
     private void handle(int to, VmId from, PeerMessage message, Consumer<PeerMessage> reply) {
--- /dev/null
+++ b/transport/src/main/java/org/hornbeampass/protocol/peer/PeerMessageType.java
@@ -0,0 +1,76 @@
+package org.hornbeampass.protocol.peer;
+
+import org.hornbeampass.coordination.budget.AskGrant;
+import org.hornbeampass.coordination.budget.AskRefused;
+import org.hornbeampass.coordination.budget.MoveAck;
+import org.hornbeampass.coordination.budget.MoveGrant;
+import org.hornbeampass.coordination.config.PullReply;
+import org.hornbeampass.coordination.config.PullRequest;
+import org.hornbeampass.coordination.config.RevisionReport;
+import org.hornbeampass.coordination.config.RevisionsReply;
+import org.hornbeampass.coordination.config.RevisionsRequest;
+import org.hornbeampass.coordination.config.SnapshotPart;
+import org.hornbeampass.coordination.config.SnapshotRequest;
+import org.hornbeampass.coordination.drain.DrainAnswer;
+import org.hornbeampass.coordination.drain.DrainOrder;
+import org.hornbeampass.coordination.membership.Ack;
+import org.hornbeampass.coordination.membership.Gossip;
+import org.hornbeampass.coordination.membership.IndirectAck;
+import org.hornbeampass.coordination.membership.IndirectPing;
+import org.hornbeampass.coordination.membership.Ping;
+import org.hornbeampass.coordination.membership.SyncReply;
+import org.hornbeampass.coordination.membership.SyncRequest;
+import org.hornbeampass.coordination.peer.PeerMessage;
+import org.hornbeampass.coordination.requests.EntriesDecided;
+import org.hornbeampass.coordination.requests.EntriesRefused;
+import org.hornbeampass.coordination.requests.SubmitEntries;
+import org.hornbeampass.protocol.peer.PeerType.Form;
+
+/**
+ * The closed list of messages between routers.
+ *
+ * <p>Numbers are never given to another message: membership takes 1 to 19, configuration 20 to 39,
+ * budgets 40 to 59, requests 60 to 79, routing 80 to 94, operators 95 to 99. A router that does not
+ * know a number counts it and, for a request, answers that it is unsupported. Immutable; safe for
+ * use by any thread.
+ */
+public enum PeerMessageType {
+    PING(1, Ping.class, Form.REQUEST),
+    ACK(2, Ack.class, Form.REPLY),
+    INDIRECT_PING(3, IndirectPing.class, Form.REQUEST),
+    INDIRECT_ACK(4, IndirectAck.class, Form.REPLY),
+    SYNC_REQUEST(5, SyncRequest.class, Form.REQUEST),
+    SYNC_REPLY(6, SyncReply.class, Form.REPLY),
+    GOSSIP(7, Gossip.class, Form.ONE_WAY),
+    PULL_REQUEST(20, PullRequest.class, Form.REQUEST),
+    PULL_REPLY(21, PullReply.class, Form.REPLY),
+    SNAPSHOT_REQUEST(22, SnapshotRequest.class, Form.REQUEST),
+    SNAPSHOT_PART(23, SnapshotPart.class, Form.REPLY),
+    REVISION_REPORT(24, RevisionReport.class, Form.ONE_WAY),
+    REVISIONS_REQUEST(25, RevisionsRequest.class, Form.REQUEST),
+    REVISIONS_REPLY(26, RevisionsReply.class, Form.REPLY),
+    ASK_GRANT(40, AskGrant.class, Form.REQUEST),
+    ASK_REFUSED(41, AskRefused.class, Form.REPLY),
+    MOVE_GRANT(42, MoveGrant.class, Form.REQUEST),
+    MOVE_ACK(43, MoveAck.class, Form.ONE_WAY),
+    SUBMIT_ENTRIES(60, SubmitEntries.class, Form.REQUEST),
+    ENTRIES_DECIDED(61, EntriesDecided.class, Form.REPLY),
+    ENTRIES_REFUSED(62, EntriesRefused.class, Form.REPLY),
+    DRAIN_ORDER(95, DrainOrder.class, Form.REQUEST),
+    DRAIN_ANSWER(96, DrainAnswer.class, Form.REPLY);
+
+    private final int mNumber;
+    private final Class<? extends PeerMessage> mMessageClass;
+    private final Form mForm;
+
+    PeerMessageType(int number, Class<? extends PeerMessage> messageClass, Form form) {
+        mNumber = number;
+        mMessageClass = messageClass;
+        mForm = form;
+    }
+
+    /** Returns the message's number, record and form. */
+    public PeerType type() {
+        return new PeerType(mNumber, mMessageClass, mForm);
+    }
+}
