--- a/router/src/main/java/org/hornbeampass/router/daemon/RouterDaemon.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/RouterDaemon.java
@@ -2,6 +2,8 @@
 
 import com.codahale.metrics.MetricRegistry;
 
+import org.hornbeampass.coordination.budget.BudgetAccounts;
+import org.hornbeampass.coordination.config.ConfigStore;
 import org.hornbeampass.coordination.limit.RetryBudget;
 import org.hornbeampass.coordination.limit.RetryPolicy;
 import org.hornbeampass.router.admin.DrainControl;
@@ -18,9 +20,11 @@
 import org.hornbeampass.state.member.Member;
 import org.hornbeampass.state.member.MemberState;
 import org.hornbeampass.transport.Clock;
+import org.hornbeampass.transport.metrics.MetricsText;
 import org.hornbeampass.transport.platform.HttpPlatform;
 
 import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicReference;
@@ -123,7 +127,7 @@
                 mRunner,
                 mParts.addresses(),
                 this::notReady,
-                () -> MetricsPage.of(mMetrics.registry()),
+                () -> MetricsText.render(mMetrics.registry()).getBytes(StandardCharsets.UTF_8),
                 mMetrics::refused);
     }
 
@@ -139,6 +143,18 @@
         return mParts.config().notReady();
     }
 
+    /**
+     * Returns the configuration, for embedding programs that change it without the operators' API.
+     */
+    public ConfigStore configuration() {
+        return mParts.config();
+    }
+
+    /** Returns the operators' side of the budgets, for embedding programs. */
+    public BudgetAccounts accounts() {
+        return mParts.accounts();
+    }
+
     /** Returns the coordination parts. */
     Coordination parts() {
         return mParts;
--- a/router/src/main/java/org/hornbeampass/router/flow/ChatFlow.java
+++ b/router/src/main/java/org/hornbeampass/router/flow/ChatFlow.java
@@ -259,6 +259,7 @@
 
     private void bill(long nowMs) {
         mState = State.BILLING;
+        leaveQueue(nowMs);
         Bill bill = mMeter.bill();
         mPorts.bills()
                 .bill(nowMs, bill, (t, result) -> mEvents.run(() -> doBilled(t, bill, result)));
@@ -380,9 +381,7 @@
             mReserved = false;
             mPorts.budget().cancel(nowMs);
         }
-        if (mQueued) {
-            mPorts.admission().leave(nowMs);
-        }
+        leaveQueue(nowMs);
         answer(nowMs, bill);
         mPorts.observer().onEnd(nowMs, mFailure.map(Failure::kind), bill, result);
     }
@@ -419,6 +418,14 @@
         return new UsageMeter(mPlan.promptBound(), mPlan.completionLimit());
     }
 
+    /** Gives the turn back as soon as the upstream's work is over; the bill holds no place. */
+    private void leaveQueue(long nowMs) {
+        if (mQueued) {
+            mQueued = false;
+            mPorts.admission().leave(nowMs);
+        }
+    }
+
     private static String lateMessage() {
         return "the deadline has passed; allow more time or send it again";
     }
--- a/router/src/main/java/org/hornbeampass/router/flow/ServiceFlow.java
+++ b/router/src/main/java/org/hornbeampass/router/flow/ServiceFlow.java
@@ -187,6 +187,7 @@
     /** Bills the call itself: plain services use no tokens. */
     private void bill(long nowMs) {
         mState = State.BILLING;
+        leaveQueue(nowMs);
         mPorts.bills()
                 .bill(nowMs, Bill.NOTHING, (t, result) -> mEvents.run(() -> doBilled(t, result)));
     }
@@ -284,9 +285,7 @@
         if (mClaimed && !mMayHaveRun) {
             mClaims.release(nowMs);
         }
-        if (mQueued) {
-            mPorts.admission().leave(nowMs);
-        }
+        leaveQueue(nowMs);
         if (mFailure.isPresent()) {
             mPorts.caller().fail(mFailure.get());
         } else if (mAnswer.isPresent()) {
@@ -297,6 +296,14 @@
         mPorts.observer().onEnd(nowMs, mFailure.map(Failure::kind), Bill.NOTHING, result);
     }
 
+    /** Gives the turn back as soon as the upstream's work is over; the bill holds no place. */
+    private void leaveQueue(long nowMs) {
+        if (mQueued) {
+            mQueued = false;
+            mPorts.admission().leave(nowMs);
+        }
+    }
+
     private static String lateMessage() {
         return "the deadline has passed; allow more time or send it again";
     }
--- a/router/src/main/java/org/hornbeampass/router/serve/FlowRecorder.java
+++ b/router/src/main/java/org/hornbeampass/router/serve/FlowRecorder.java
@@ -1,5 +1,7 @@
 package org.hornbeampass.router.serve;
 
+import org.apache.logging.log4j.CloseableThreadContext;
+import org.apache.logging.log4j.Level;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.hornbeampass.router.flow.Bill;
@@ -8,6 +10,7 @@
 import org.hornbeampass.state.ErrorKind;
 import org.hornbeampass.state.OrganisationId;
 import org.hornbeampass.state.RequestId;
+import org.hornbeampass.state.RunState;
 import org.hornbeampass.state.config.WorkKind;
 
 import java.util.Locale;
@@ -64,7 +67,12 @@
 
     @Override
     public void onInternalFault(RuntimeException fault) {
-        LOG.error("request {} of {} met an internal fault", mId, mOrganisation, fault);
+        CloseableThreadContext.Instance context = context();
+        try {
+            LOG.error("the request met an internal fault", fault);
+        } finally {
+            context.close();
+        }
     }
 
     @Override
@@ -77,22 +85,38 @@
         if (result.isPresent() && result.get() != BillResult.DUPLICATE) {
             mMetrics.billed(mOrganisation, bill.totalTokens());
         }
-        if (error.isPresent()) {
-            LOG.info(
-                    "request {} of {} ended with {} after {} ms",
-                    mId,
-                    mOrganisation,
-                    error.get(),
-                    nowMs - mArrivedMs);
-        } else {
-            LOG.debug(
-                    "request {} of {} ended after {} ms, {} + {} tokens",
-                    mId,
-                    mOrganisation,
+        log(nowMs, error, bill);
+        mOnEnd.run();
+    }
+
+    /**
+     * Writes one line; a refusal of a request that did not run is counted, and logged in detail.
+     */
+    private void log(long nowMs, Optional<ErrorKind> error, Bill bill) {
+        Level level =
+                error.filter(k -> k.runState() != RunState.NOT_RUN).isPresent()
+                        ? Level.INFO
+                        : Level.DEBUG;
+        if (!LOG.isEnabled(level)) {
+            return;
+        }
+        CloseableThreadContext.Instance context = context();
+        try {
+            LOG.log(
+                    level,
+                    "{} ended with {} after {} ms, {} + {} tokens",
+                    mKind,
+                    error.map(ErrorKind::code).orElse("its whole answer"),
                     nowMs - mArrivedMs,
                     bill.promptTokens(),
                     bill.completionTokens());
+        } finally {
+            context.close();
         }
-        mOnEnd.run();
+    }
+
+    private CloseableThreadContext.Instance context() {
+        return CloseableThreadContext.put("request_id", mId.value())
+                .put("organisation", mOrganisation.value());
     }
 }
--- a/standins/src/main/java/org/hornbeampass/standin/engine/EngineModel.java
+++ b/standins/src/main/java/org/hornbeampass/standin/engine/EngineModel.java
@@ -36,6 +36,8 @@
     private boolean mFrozen;
     private long mArrivals;
     private long mTokensGenerated;
+    private long mBlocksAsked;
+    private long mBlocksCached;
 
     /** What became of an offered job. */
     public enum Offer {
@@ -129,6 +131,16 @@
                 mTokensGenerated);
     }
 
+    /** Returns how many prompt blocks were asked for since the start. */
+    public long blocksAsked() {
+        return mBlocksAsked;
+    }
+
+    /** Returns how many of them the prefix cache held. */
+    public long blocksCached() {
+        return mBlocksCached;
+    }
+
     /** Returns the load as the engine reports it: as it was the lag ago. */
     public LoadReport reportedLoad(long nowMs) {
         return mReported.get(nowMs).describing(nowMs - mReported.lagMs());
@@ -171,7 +183,11 @@
     private void admitWaiting() {
         while (mRunning.size() < mTiming.maxBatch() && !mWaiting.isEmpty()) {
             Sequence sequence = mWaiting.remove();
-            sequence.admit(mCache.hit(sequence.job().prompt().blockHashes()));
+            long[] hashes = sequence.job().prompt().blockHashes();
+            int cached = mCache.hit(hashes);
+            mBlocksAsked += hashes.length;
+            mBlocksCached += cached;
+            sequence.admit(cached);
             mRunning.put(sequence.job().attemptId(), sequence);
         }
     }
