--- a/coordination/src/test/java/org/hornbeampass/coordination/requests/LedgerFleet.java
+++ b/coordination/src/test/java/org/hornbeampass/coordination/requests/LedgerFleet.java
@@ -2,6 +2,7 @@
 
 import io.vavr.control.Either;
 
+import org.hornbeampass.coordination.platform.Platform;
 import org.hornbeampass.state.BudgetId;
 import org.hornbeampass.state.Failure;
 import org.hornbeampass.state.OrganisationId;
@@ -13,6 +14,7 @@
 import org.hornbeampass.state.requests.CallOutcome;
 import org.hornbeampass.state.requests.Claim;
 import org.hornbeampass.state.requests.ClaimOutcome;
+import org.hornbeampass.state.requests.RequestAuditReport;
 import org.hornbeampass.state.requests.RequestKey;
 import org.hornbeampass.testing.FakePeerNetwork;
 import org.hornbeampass.testing.FakeVms;
@@ -27,6 +29,7 @@
 import java.util.Optional;
 import java.util.TreeSet;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.UnaryOperator;
 
 /**
  * A few VMs with ledgers in virtual time, and what each attempt was told.
@@ -51,12 +54,19 @@
 
     private final LedgerSettings mSettings;
     private final long mSeed;
+    private final UnaryOperator<Platform> mPlatformRule;
     private final Map<VmId, RequestLedger> mLedgers = new LinkedHashMap<>();
     private final Map<VmId, TreeSet<VmId>> mMembers = new HashMap<>();
     private long mAttempts;
 
     LedgerFleet(long seed, LedgerSettings settings) {
+        this(seed, settings, platform -> platform);
+    }
+
+    /** Creates a fleet whose VMs see the platform through a rule, such as a broken one. */
+    LedgerFleet(long seed, LedgerSettings settings, UnaryOperator<Platform> platformRule) {
         mSeed = seed;
+        mPlatformRule = platformRule;
         mSettings = settings;
         mPlatform = new FaultyPlatform(mTime, mVms, seed);
         mPeers = new FakePeerNetwork(mTime, mVms, seed + 1);
@@ -87,8 +97,8 @@
         mMembers.put(vm, members);
         RequestLedger ledger =
                 new RequestLedger(
-                        mPlatform.connect(vm),
-                        mPlatform.connect(vm),
+                        mPlatformRule.apply(mPlatform.connect(vm)),
+                        mPlatformRule.apply(mPlatform.connect(vm)),
                         mPeers.connect(vm),
                         vm,
                         ShardOwners.rendezvous(() -> mMembers.get(vm)),
@@ -189,4 +199,12 @@
                 });
         return billed;
     }
+
+    /** Reads the records past all faults. */
+    RequestAuditReport audit() {
+        AtomicReference<RequestAuditReport> report = new AtomicReference<>();
+        new RequestAudit(mPlatform.store(), mSettings, 100)
+                .run(mTime.nowMs(), (t, r) -> report.set(r.get()));
+        return report.get();
+    }
 }
