--- a/coordination/src/main/java/org/hornbeampass/coordination/budget/DemandRate.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/budget/DemandRate.java
@@ -13,7 +13,6 @@
     private long mUpdatedMs;
     private long mLargest;
     private boolean mStarted;
-    private long mStartedMs;
 
     /** Notes tokens asked for. */
     void add(long nowMs, long tokens) {
@@ -35,8 +34,7 @@
             mLargest = 0;
             return 0;
         }
-        double seenMs = Math.max(TIME_CONSTANT_MS / 6, (double) (nowMs - mStartedMs));
-        return mWeight / Math.min(TIME_CONSTANT_MS, seenMs);
+        return mWeight / TIME_CONSTANT_MS;
     }
 
     /** Returns the largest single demand since there last was none. */
@@ -47,7 +45,6 @@
     private void decay(long nowMs) {
         if (!mStarted) {
             mStarted = true;
-            mStartedMs = nowMs;
             mUpdatedMs = nowMs;
             return;
         }
--- a/coordination/src/main/java/org/hornbeampass/coordination/budget/GrantExchange.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/budget/GrantExchange.java
@@ -212,7 +212,6 @@
         if (mine && account.moves().receive(move)) {
             Holding holding = account.holding();
             holding.put(move.parcel());
-            holding.noteLost(-account.moves().found(move));
             holding.demand().addFlow(nowMs, move.spent());
         }
         return new MoveAck(
--- a/coordination/src/main/java/org/hornbeampass/coordination/budget/Holding.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/budget/Holding.java
@@ -41,10 +41,12 @@
     private long mSpent;
     private long mSpentSeen;
     private long mSpentWritten;
+    private long mSpentHigh;
+    private long mHoldBack;
     private boolean mWriteAtRisk;
+    private boolean mEverAtRisk;
     private long mMovedIn;
     private long mRefundDue;
-    private long mLost;
     private long mOverrun;
 
     Holding(BudgetKey key, HolderId holder) {
@@ -114,13 +116,16 @@
         mReserved -= tokens;
         mFree += tokens - used;
         spend(used);
+        setAside();
     }
 
     private void spend(long used) {
-        long netted = Math.min(used, mRefundDue);
+        long covered = Math.min(used, mHoldBack);
+        mHoldBack -= covered;
+        long netted = Math.min(used - covered, mRefundDue);
         mRefundDue -= netted;
         mFree += netted;
-        mSpent += used - netted;
+        mSpent += used - covered - netted;
     }
 
     /** Takes settled tokens back as unspent; what was already reported elsewhere nets later. */
@@ -142,7 +147,6 @@
     boolean unreported(HolderRecord seen) {
         return seen.spent() != mSpent
                 || seen.returned() != mReturned
-                || seen.lost() != mLost
                 || !mForeign.isEmpty()
                 || !mAdopting.isEmpty();
     }
@@ -191,6 +195,7 @@
     void noteAmbiguous() {
         mReturnedAtRisk = mReturned;
         mWriteAtRisk = true;
+        mEverAtRisk = true;
     }
 
     /**
@@ -204,7 +209,7 @@
             mAdopting.forEach((from, tokens) -> mForeign.merge(from, tokens, Long::sum));
         }
         mAdopting.clear();
-        mSpent -= mWriteAtRisk ? Math.max(mSpentSeen, mSpentWritten) : mSpentSeen;
+        carrySpending();
         long charged = mFree + mReserved + mSpent - foreignCharge();
         if (charged > 0) {
             mForeign.merge(closed, charged, Long::sum);
@@ -216,10 +221,46 @@
         mReturnedSeen = 0;
         mReturnedAtRisk = 0;
         mWriteAtRisk = false;
+        mEverAtRisk = false;
         mSpentSeen = 0;
+        mSpentHigh = 0;
         mSpentWritten = 0;
         mMovedIn = 0;
-        mLost = 0;
+    }
+
+    /**
+     * Keeps what the closed entry does not say to be spent. Where it may or may not hold the last
+     * write, the larger figure is taken, and tokens refunded since are set aside until they net
+     * with later spending: so they are never counted as settled and given back as well.
+     */
+    private void carrySpending() {
+        if (!mEverAtRisk) {
+            mSpent -= mSpentSeen;
+            return;
+        }
+        mSpent -= mSpentHigh;
+        if (mSpent < 0) {
+            mHoldBack -= mSpent;
+            mSpent = 0;
+            setAside();
+        }
+    }
+
+    /** Takes free tokens out of use, up to what is to be held back. */
+    private void setAside() {
+        long aside = Math.min(mFree, mHoldBack);
+        mFree -= aside;
+        mHoldBack -= aside;
+        mRefundDue += aside;
+    }
+
+    /** Notes that the last write took effect as it was planned. */
+    void noteWritten() {
+        mWriteAtRisk = false;
+        mSpentSeen = mSpentWritten;
+        mReturnedSeen = mReturned;
+        mMovedIn += adoptingTotal();
+        mAdopting.clear();
     }
 
     /**
@@ -234,6 +275,7 @@
         }
         HolderRecord now = seen.get();
         mSpentWritten = mSpent;
+        mSpentHigh = Math.max(mSpentHigh, mSpent);
         return new HolderRecord(
                 now.granted() + draw,
                 mReturned,
@@ -242,7 +284,7 @@
                 now.movedOut(),
                 mReserved,
                 mFree + draw,
-                mLost);
+                0);
     }
 
     /**
@@ -301,11 +343,6 @@
         }
     }
 
-    /** Notes what was lent to a VM that is proved gone, or came back from it. */
-    void noteLost(long tokens) {
-        mLost = Math.max(0, mLost + tokens);
-    }
-
     private Optional<HolderId> chargeToMove(HolderId preferred) {
         if (mForeign.containsKey(preferred)) {
             return Optional.of(preferred);
--- a/coordination/src/main/java/org/hornbeampass/coordination/budget/LedgerPlan.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/budget/LedgerPlan.java
@@ -112,7 +112,6 @@
         if (mClosing && seen.isPresent() && holding.reserved() == 0) {
             open.remove(holding.holder());
             closed = closed.plusClosed(entry);
-            holding.noteAmbiguous();
         } else {
             open.put(holding.holder(), entry);
         }
--- a/coordination/src/main/java/org/hornbeampass/coordination/budget/OrganisationBudgets.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/budget/OrganisationBudgets.java
@@ -176,14 +176,12 @@
         effects.run();
     }
 
-    /** Refuses all from the start; for an organisation first met during a shutdown. */
     void startClosing() {
         synchronized (mLock) {
             mClosing = true;
         }
     }
 
-    /** Returns whether nothing is held, reserved or unreported here. */
     boolean handedOver() {
         synchronized (mLock) {
             for (Account account : mAccounts.values()) {
@@ -207,7 +205,7 @@
             mDirty = true;
             mGone.add(vm);
             for (Account account : mAccounts.values()) {
-                account.holding().noteLost(account.moves().forget(vm));
+                account.moves().forget(vm);
             }
             mSync.expire();
             advance(nowMs, effects);
@@ -323,9 +321,8 @@
                     .filter(e -> e.getValue().free() > 0)
                     .sorted((a, b) -> Long.compare(b.getValue().free(), a.getValue().free()))
                     .forEach(e -> order.add(e.getKey().vm()));
-        } else {
-            order.addAll(live);
         }
+        order.addAll(live);
         order.remove(mContext.self());
         order.retainAll(live);
         return List.copyOf(order);
@@ -477,6 +474,9 @@
             if (reply instanceof PlatformReply.Unavailable) {
                 plan.written().forEach(Holding::noteAmbiguous);
             }
+            if (reply instanceof PlatformReply.Written) {
+                plan.written().forEach(Holding::noteWritten);
+            }
             if (mSync.writeDone(submittedMs, nowMs, written, reply)) {
                 see();
             }
--- a/coordination/src/main/java/org/hornbeampass/coordination/budget/PeerMoves.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/budget/PeerMoves.java
@@ -23,8 +23,6 @@
     private final Map<VmId, Long> mRetryAtMs = new HashMap<>();
     private final Map<VmId, Long> mSent = new HashMap<>();
     private final Map<VmId, Long> mReceived = new HashMap<>();
-    private final Map<VmId, Long> mLent = new HashMap<>();
-    private final Map<VmId, Long> mLost = new HashMap<>();
     private long mNextPassMs = Long.MIN_VALUE;
 
     PeerMoves(BudgetKey key, VmId self) {
@@ -56,7 +54,6 @@
                         parcel.free(),
                         parcel.spent());
         mPending.put(receiver, move);
-        mLent.merge(receiver, parcel.free() + parcel.spent(), Long::sum);
         return move;
     }
 
@@ -92,30 +89,13 @@
             return false;
         }
         mReceived.put(move.giver(), move.sequence());
-        mLent.merge(move.giver(), -move.free() - move.spent(), Long::sum);
         return true;
     }
 
-    /** Forgets a VM that is proved gone and returns what was lent to it and not given back. */
-    long forget(VmId gone) {
+    /** Forgets a VM that is proved gone: what was on its way to it stays charged as it was. */
+    void forget(VmId gone) {
         mPending.remove(gone);
         mRetryAtMs.remove(gone);
-        Long lent = mLent.remove(gone);
-        if (lent == null || lent <= 0) {
-            return 0;
-        }
-        mLost.put(gone, lent);
-        return lent;
-    }
-
-    /** Returns how much of a move that came in had been counted as lost with its giver. */
-    long found(MoveGrant move) {
-        long lost = mLost.getOrDefault(move.giver(), 0L);
-        long found = Math.min(lost, move.free() + move.spent());
-        if (found > 0) {
-            mLost.put(move.giver(), lost - found);
-        }
-        return found;
     }
 
     /** Returns whether it is time to pass spending on, and puts the next time off. */
