Hold a producer back by what waits for the event loop

Cause: HttpExchange.write said whether the channel is writable, but not what had been put and not yet reached the event loop. While the loop's thread waits for a processor, a producer is told to go on without a bound. NettyHttpClientTest.pausedCall timed out by it: the test then sends gigabytes. Change: AnswerQueue counts the waiting bytes and refuses from 128 KB on; a refusal is noted before the second look, and the loop reports it after it has taken the parts, so that no producer waits for ever. The loop on the new code: not measured. Conclusion: a real fault of back pressure, not of pause and resume in the client.

--- a/transport/src/main/java/org/hornbeampass/transport/http/AnswerPart.java
+++ b/transport/src/main/java/org/hornbeampass/transport/http/AnswerPart.java
@@ -27,6 +27,11 @@
     /** Whether nothing follows it. */
     boolean last();
 
+    /** How many bytes of the answer's body it holds. */
+    default int size() {
+        return 0;
+    }
+
     /** Whether the handler wants the connection closed after the answer. */
     default boolean closes() {
         return false;
@@ -44,6 +49,11 @@
     /** A whole answer. */
     record Whole(ServerExchange exchange, int status, Map<String, String> headers, byte[] body)
             implements AnswerPart {
+        @Override
+        public int size() {
+            return body.length;
+        }
+
         @Override
         public boolean closes() {
             return saysClose(headers);
@@ -95,6 +105,11 @@
 
     /** Some bytes of a streamed answer. */
     record Chunk(ServerExchange exchange, byte[] bytes) implements AnswerPart {
+        @Override
+        public int size() {
+            return bytes.length;
+        }
+
         @Override
         public boolean last() {
             return false;
--- a/transport/src/main/java/org/hornbeampass/transport/http/ServerConnection.java
+++ b/transport/src/main/java/org/hornbeampass/transport/http/ServerConnection.java
@@ -17,7 +17,6 @@
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.Future;
 
-import org.agrona.concurrent.ManyToOneConcurrentLinkedQueue;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.hornbeampass.protocol.http.ErrorAnswer;
@@ -28,7 +27,6 @@
 
 import java.util.ArrayDeque;
 import java.util.Optional;
-import java.util.Queue;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -39,8 +37,9 @@
  *
  * <p>Invariants: at most one request is with the handler; requests that arrive meanwhile wait, and
  * nothing more is read while one waits, so that what waits is bounded by one read of the socket.
- * Parts of an answer that were put since the last turn of the event loop go out with one flush. All
- * state belongs to the event loop, but for the queue of parts, which any thread adds to.
+ * Parts of an answer that were put since the last turn of the event loop go out with one flush;
+ * what waits for that turn is bounded where producers pause when they are told to. All state
+ * belongs to the event loop, but for the queue of parts, which any thread adds to.
  */
 final class ServerConnection extends ChannelDuplexHandler {
     private static final Logger LOG = LogManager.getLogger(ServerConnection.class);
@@ -50,7 +49,7 @@
     private final Clock mClock;
     private final ServerStatus mStatus;
     private final ConnectionDeadline mDeadline;
-    private final Queue<AnswerPart> mParts = new ManyToOneConcurrentLinkedQueue<>();
+    private final AnswerQueue mParts = new AnswerQueue();
     private final AtomicBoolean mSendScheduled = new AtomicBoolean();
     private final ArrayDeque<HttpObject> mWaiting = new ArrayDeque<>();
     private volatile Channel mChannel;
@@ -82,10 +81,13 @@
         };
     }
 
-    /** Returns whether the caller takes bytes as fast as they are put; on any thread. */
+    /**
+     * Returns whether the event loop and the caller take bytes as fast as they are put; on any
+     * thread. Where not, the exchange hears of it when they have caught up.
+     */
     boolean writable() {
         Channel channel = mChannel;
-        return channel != null && channel.isWritable();
+        return channel != null && mParts.hasRoom() && channel.isWritable();
     }
 
     /** Takes a part of an answer; on any thread. */
@@ -149,6 +151,7 @@
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext context) {
         if (context.channel().isWritable()) {
+            mParts.takeRefused();
             mAnswering.ifPresent(ServerExchange::becameWritable);
         }
     }
@@ -251,15 +254,18 @@
     private void sendParts() {
         mSendScheduled.set(false);
         boolean any = false;
-        for (AnswerPart part = mParts.poll(); part != null; part = mParts.poll()) {
-            if (mAnswering.isPresent() && mAnswering.get() == part.exchange()) {
-                send(part);
+        for (var part = mParts.poll(); part.isPresent(); part = mParts.poll()) {
+            if (mAnswering.isPresent() && mAnswering.get() == part.get().exchange()) {
+                send(part.get());
                 any = true;
             }
         }
         if (any) {
             mChannel.flush();
         }
+        if (mChannel.isWritable() && mParts.takeRefused()) {
+            mAnswering.ifPresent(ServerExchange::becameWritable);
+        }
     }
 
     private void send(AnswerPart part) {
--- a/transport/src/test/java/org/hornbeampass/transport/http/ServerConnectionTest.java
+++ b/transport/src/test/java/org/hornbeampass/transport/http/ServerConnectionTest.java
@@ -10,6 +10,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /** Tests {@link ServerConnection}: bytes and time in, answers and closing out. */
 class ServerConnectionTest {
@@ -267,4 +268,24 @@
         }
         return exchange;
     }
+
+    @Test
+    void producerAheadOfTheEventLoop_isHeldBack_andToldToGoOn() {
+        mServer.send(GET);
+        HttpExchange exchange = mServer.arrived().get(0);
+        AtomicInteger caughtUp = new AtomicInteger();
+        exchange.onWritable(caughtUp::incrementAndGet);
+        exchange.startStream(200, Map.of());
+        byte[] chunk = new byte[32 << 10];
+        List<Boolean> keepsUp = new ArrayList<>();
+        for (int i = 0; i < 4; i++) {
+            keepsUp.add(exchange.write(chunk));
+        }
+
+        assertThat(keepsUp).containsExactly(true, true, true, false);
+        assertThat(caughtUp).hasValue(0);
+        assertThat(mServer.received()).startsWith("HTTP/1.1 200 OK");
+        assertThat(caughtUp).hasValue(1);
+        assertThat(exchange.write(chunk)).isTrue();
+    }
 }
