--- a/router/src/main/java/org/hornbeampass/router/daemon/RouterDaemon.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/RouterDaemon.java
@@ -14,6 +14,7 @@
 import org.hornbeampass.router.serve.ServeParts;
 import org.hornbeampass.router.serve.WheelTimers;
 import org.hornbeampass.router.upstream.UpstreamCalls;
+import org.hornbeampass.router.upstream.UpstreamNews;
 import org.hornbeampass.state.ErrorKind;
 import org.hornbeampass.state.Failure;
 import org.hornbeampass.state.VmId;
@@ -26,7 +27,9 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
+import java.util.Random;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicReference;
 
 /**
@@ -44,6 +47,7 @@
     private final RouterMetrics mMetrics;
     private final TickLoop mTicks;
     private final Shutdown mShutdown;
+    private final AtomicBoolean mClosed = new AtomicBoolean();
 
     private RouterDaemon(RouterSettings settings, Clock clock) {
         mClock = clock;
@@ -69,6 +73,16 @@
         mTicks = new TickLoop(mNetwork.control(), clock);
         mTicks.every(TickLoop.OFTEN_MS, mParts::tickOften);
         mTicks.every(TickLoop.SELDOM_MS, mParts::tick);
+        UpstreamNews news =
+                new UpstreamNews(
+                        mParts.table(), mParts.config()::snapshot, mNetwork.platform(), clock);
+        mTicks.every(TickLoop.SELDOM_MS, news::tick);
+        VmList list =
+                new VmList(mParts.membership(), mParts.backgroundPlatform(), new Random(nowMs));
+        mTicks.every(TickLoop.SELDOM_MS, list::tick);
+        mTicks.every(TickLoop.SELDOM_MS, this::endWhereSuperseded);
+        ControlMetrics.register(
+                mMetrics.registry(), mParts, mNetwork.peers().counters(), news, mRunner);
     }
 
     /**
@@ -80,6 +94,13 @@
         return new RouterDaemon(settings, Clock.monotonic());
     }
 
+    /** Shuts down where a newer life of this VM's name runs, since two must not share it. */
+    private void endWhereSuperseded(long nowMs) {
+        if (mParts.membership().superseded()) {
+            var unused = mShutdown.begin(nowMs);
+        }
+    }
+
     private Member self(RouterSettings settings) {
         RouterSettings.Listen listen = settings.listen();
         return new Member(
@@ -216,6 +237,9 @@
     /** Closes at once, as a crash would: requests in progress are cut, grants are not returned. */
     @Override
     public void close() {
+        if (!mClosed.compareAndSet(false, true)) {
+            return; // Closed loops would never complete a second close.
+        }
         mTicks.close();
         mTimers.close();
         mNetwork.close();
--- a/router/src/test/java/org/hornbeampass/router/daemon/TestFleet.java
+++ b/router/src/test/java/org/hornbeampass/router/daemon/TestFleet.java
@@ -1,5 +1,6 @@
 package org.hornbeampass.router.daemon;
 
+import org.hornbeampass.coordination.budget.BudgetAccounts;
 import org.hornbeampass.coordination.platform.CallLimits;
 import org.hornbeampass.protocol.settings.Secret;
 import org.hornbeampass.standin.engine.EngineSettings;
@@ -14,6 +15,7 @@
 import org.hornbeampass.state.OrganisationId;
 import org.hornbeampass.state.Region;
 import org.hornbeampass.state.UpstreamId;
+import org.hornbeampass.state.VmId;
 import org.hornbeampass.state.config.ConfigChange;
 import org.hornbeampass.state.config.OrganisationSpec;
 import org.hornbeampass.state.config.Parameters;
@@ -149,19 +151,14 @@
         }
     }
 
-    /** Returns the tokens of the budget that bills have settled, as the platform's record says. */
-    static long spent(RouterDaemon router) {
+    /** Returns the tokens of the budget that are spent, as the platform's record says. */
+    long spent() {
         CompletableFuture<Long> done = new CompletableFuture<>();
-        router.parts()
-                .accounts()
+        new BudgetAccounts(new VmId("reader", 1), mPlatform.objects())
                 .statement(
-                        System.currentTimeMillis(),
+                        0,
                         ORGANISATION,
-                        (t, statements) ->
-                                done.complete(
-                                        statements.isLeft()
-                                                ? -1L
-                                                : statements.get().get(0).settled()));
+                        (t, statements) -> done.complete(statements.get().get(0).settled()));
         return done.orTimeout(WAIT_MS, TimeUnit.MILLISECONDS).join();
     }
 
--- a/router/src/test/java/org/hornbeampass/router/daemon/WholePathTest.java
+++ b/router/src/test/java/org/hornbeampass/router/daemon/WholePathTest.java
@@ -5,7 +5,9 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 
+import org.hornbeampass.standin.admin.FaultRule;
 import org.hornbeampass.standin.engine.AnswerText;
+import org.hornbeampass.standin.engine.EngineFault;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -15,7 +17,10 @@
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.List;
+import java.util.stream.Collectors;
 
 /** The whole path over real sockets: a caller, a router, an engine, a service and a platform. */
 class WholePathTest {
@@ -27,7 +32,7 @@
 
     @BeforeEach
     void start() {
-        mFleet = new TestFleet(1);
+        mFleet = new TestFleet(2);
         mRouter = mFleet.startRouter("vm-1");
         mFleet.setUp(1_000_000);
     }
@@ -51,16 +56,56 @@
         assertThat(response.statusCode()).isEqualTo(200);
         assertThat(response.headers().firstValue("x-request-id")).isPresent();
         assertThat(events).last().isEqualTo("[DONE]");
-        StringBuilder text = new StringBuilder();
-        long billed = 0;
-        for (String event : events.subList(0, events.size() - 1)) {
-            JsonNode chunk = MAPPER.readTree(event);
-            text.append(chunk.path("choices").path(0).path("delta").path("content").asText(""));
-            billed += chunk.path("usage").path("total_tokens").asLong(0);
-        }
-        assertThat(AnswerText.problem("a", 40, text.toString())).isEmpty();
-        long settled = billed;
-        TestFleet.await(() -> spent() == settled);
+        String body = events.stream().map(e -> "data: " + e + "\n").collect(Collectors.joining());
+        long billed = usage(body);
+        assertThat(AnswerText.problem("a", 40, text(body))).isEmpty();
+        assertThat(billed).isPositive();
+        assertThat(spentAfterShutdown()).isEqualTo(billed);
+    }
+
+    @Test
+    void streamThatAnUpstreamDrops_goesOnAtItsExactTokenAndIsBilledOnce() throws Exception {
+        mFleet.mEngines.forEach(e -> e.faults().set(EngineFault.DROP_STREAM, FaultRule.next(1, 5)));
+        HttpResponse<String> response = send(chat(true, "[[id=d]][[tokens=20]]"));
+        assertThat(AnswerText.problem("d", 20, text(response.body()))).isEmpty();
+        assertThat(response.body()).endsWith("data: [DONE]\n\n");
+        assertThat(spentAfterShutdown()).isEqualTo(usage(response.body()));
+    }
+
+    @Test
+    void shutdown_finishesTheStreamAndRefusesNewRequests() throws Exception {
+        HttpResponse<java.io.InputStream> open =
+                mClient.send(
+                        chat(true, "[[id=e]][[tokens=80]]"),
+                        HttpResponse.BodyHandlers.ofInputStream());
+        var stopped = mRouter.shutDown();
+        HttpResponse<String> refused = send(chat(false, "[[tokens=1]]"));
+        assertThat(refused.statusCode()).isEqualTo(503);
+        assertThat(refused.body()).contains("shutting_down").contains("\"run_state\":\"not_run\"");
+        String body = new String(open.body().readAllBytes(), StandardCharsets.UTF_8);
+        assertThat(AnswerText.problem("e", 80, text(body))).isEmpty();
+        assertThat(body).endsWith("data: [DONE]\n\n");
+        stopped.join();
+        assertThat(mFleet.spent()).isEqualTo(usage(body));
+    }
+
+    @Test
+    void idempotencyKeyAtTwoRouters_isBilledOnce() throws Exception {
+        RouterDaemon second = mFleet.startRouter("vm-2");
+        TestFleet.await(
+                () ->
+                        second.parts().config().snapshot().revision()
+                                >= mRouter.parts().config().snapshot().revision());
+        String prompt = "[[id=f]][[tokens=9]]";
+        HttpResponse<String> here = send(chat(mRouter, false, prompt, "key-f"));
+        HttpResponse<String> there = send(chat(second, false, prompt, "key-f"));
+        assertThat(here.statusCode()).isEqualTo(200);
+        assertThat(there.statusCode()).isEqualTo(200);
+        mRouter.shutDown().join();
+        second.shutDown().join();
+        assertThat(mFleet.spent())
+                .isEqualTo(
+                        MAPPER.readTree(here.body()).path("usage").path("total_tokens").asLong());
     }
 
     @Test
@@ -79,7 +124,7 @@
                                         .asText()))
                 .isEmpty();
         long used = answer.path("usage").path("total_tokens").asLong();
-        TestFleet.await(() -> spent() == used);
+        assertThat(spentAfterShutdown()).isEqualTo(used);
     }
 
     @Test
@@ -114,8 +159,38 @@
         assertThat(send(request).statusCode()).isEqualTo(401);
     }
 
-    private long spent() {
-        return TestFleet.spent(mRouter);
+    /** Returns what the platform's record says is spent, once the router has handed all over. */
+    private long spentAfterShutdown() {
+        mRouter.shutDown().join();
+        return mFleet.spent();
+    }
+
+    /** Returns the generated text of a streamed answer. */
+    private static String text(String stream) throws IOException {
+        StringBuilder text = new StringBuilder();
+        for (JsonNode chunk : chunks(stream)) {
+            text.append(chunk.path("choices").path(0).path("delta").path("content").asText(""));
+        }
+        return text.toString();
+    }
+
+    /** Returns the tokens that a streamed answer says it used. */
+    private static long usage(String stream) throws IOException {
+        long tokens = 0;
+        for (JsonNode chunk : chunks(stream)) {
+            tokens += chunk.path("usage").path("total_tokens").asLong(0);
+        }
+        return tokens;
+    }
+
+    private static List<JsonNode> chunks(String stream) throws IOException {
+        List<JsonNode> chunks = new ArrayList<>();
+        for (String line : stream.split("\n", -1)) {
+            if (line.startsWith("data: {")) {
+                chunks.add(MAPPER.readTree(line.substring("data: ".length())));
+            }
+        }
+        return chunks;
     }
 
     private HttpResponse<String> send(HttpRequest request)
@@ -130,6 +205,11 @@
     }
 
     private HttpRequest chat(boolean stream, String prompt) {
+        return chat(mRouter, stream, prompt, "");
+    }
+
+    private static HttpRequest chat(
+            RouterDaemon router, boolean stream, String prompt, String idempotencyKey) {
         String body =
                 "{\"model\":\"desk\",\"stream\":"
                         + stream
@@ -137,10 +217,13 @@
                         + "\"messages\":[{\"role\":\"user\",\"content\":\""
                         + prompt
                         + "\"}]}";
-        return HttpRequest.newBuilder(uri("/v1/chat/completions"))
-                .header("authorization", "Bearer " + TestFleet.KEY)
-                .POST(HttpRequest.BodyPublishers.ofString(body))
-                .build();
+        HttpRequest.Builder request =
+                HttpRequest.newBuilder(uri(router, "/v1/chat/completions"))
+                        .header("authorization", "Bearer " + TestFleet.KEY)
+                        .POST(HttpRequest.BodyPublishers.ofString(body));
+        return idempotencyKey.isEmpty()
+                ? request.build()
+                : request.header("idempotency-key", idempotencyKey).build();
     }
 
     private HttpRequest service(String key, String body) {
@@ -152,6 +235,10 @@
     }
 
     private URI uri(String path) {
-        return URI.create("http://127.0.0.1:" + mRouter.callersAddress().getPort() + path);
+        return uri(mRouter, path);
+    }
+
+    private static URI uri(RouterDaemon router, String path) {
+        return URI.create("http://127.0.0.1:" + router.callersAddress().getPort() + path);
     }
 }
