--- a/coordination/src/main/java/org/hornbeampass/coordination/routing/Candidates.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/routing/Candidates.java
@@ -5,6 +5,8 @@
 import org.hornbeampass.coordination.upstream.UpstreamState;
 import org.hornbeampass.state.upstream.PrefixDigests;
 
+import java.util.SplittableRandom;
+
 /**
  * The upstreams that one attempt may go to, gathered anew for each choice in reused arrays.
  *
@@ -12,6 +14,7 @@
  * Guarded by the table's lock.
  */
 final class Candidates {
+    private static final int MAX_CANDIDATES = 16;
     private static final double STALL_RATIO = 8;
     private static final double MIN_STALL_MS = 1_000;
 
@@ -32,8 +35,16 @@
         EJECTED_TOO
     }
 
-    /** Gathers the upstreams of a group that an attempt may go to. */
-    void gather(long nowMs, UpstreamGroup group, RoutingQuery query, Sieve sieve) {
+    /**
+     * Gathers upstreams of a group that an attempt may go to: all of a small group; of a large one
+     * the prompt's home and a sample.
+     */
+    void gather(
+            long nowMs,
+            UpstreamGroup group,
+            RoutingQuery query,
+            Sieve sieve,
+            SplittableRandom random) {
         if (mStates.length < group.size()) {
             mStates = new UpstreamState[group.size()];
             mHashes = new long[group.size()];
@@ -42,17 +53,39 @@
         mBusy = 0;
         mUnhealthy = 0;
         mPrefix = query.prefix();
-        double stallMs = stallMs(group);
-        for (int i = 0; i < group.size(); i++) {
-            UpstreamState state = group.member(i);
-            if (suitable(state, query) && admitted(nowMs, state, sieve, stallMs)) {
-                mStates[mSize] = state;
-                mHashes[mSize] = group.hash(i);
-                mSize++;
+        double stallMs = Math.max(MIN_STALL_MS, STALL_RATIO * group.meanFirstTokenMs(nowMs));
+        boolean sampled = group.size() > MAX_CANDIDATES;
+        int home = sampled && mPrefix.size() > 0 ? group.best(PredictedWait.head(mPrefix)) : -1;
+        if (home >= 0) {
+            consider(nowMs, group, home, query, sieve, stallMs);
+        }
+        int first = sampled ? random.nextInt(group.size()) : 0;
+        for (int step = 0; step < group.size(); step++) {
+            if (sampled && mSize >= MAX_CANDIDATES) {
+                return;
+            }
+            int index = (first + step) % group.size();
+            if (index != home) {
+                consider(nowMs, group, index, query, sieve, stallMs);
             }
         }
     }
 
+    private void consider(
+            long nowMs,
+            UpstreamGroup group,
+            int index,
+            RoutingQuery query,
+            Sieve sieve,
+            double stallMs) {
+        UpstreamState state = group.member(index);
+        if (suitable(state, query) && admitted(nowMs, state, sieve, stallMs)) {
+            mStates[mSize] = state;
+            mHashes[mSize] = group.hash(index);
+            mSize++;
+        }
+    }
+
     /** Returns the number of upstreams that are left. */
     int size() {
         return mSize;
@@ -105,15 +138,4 @@
         }
         return true;
     }
-
-    private static double stallMs(UpstreamGroup group) {
-        double sum = 0;
-        int known = 0;
-        for (int i = 0; i < group.size(); i++) {
-            double ms = group.member(i).load().firstTokenMs();
-            sum += ms;
-            known += ms > 0 ? 1 : 0;
-        }
-        return known == 0 ? MIN_STALL_MS : Math.max(MIN_STALL_MS, STALL_RATIO * sum / known);
-    }
 }
--- a/coordination/src/main/java/org/hornbeampass/coordination/routing/PredictedWait.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/routing/PredictedWait.java
@@ -113,13 +113,18 @@
         return CACHED_SAVING * share + (home ? HOME_SAVING * (1 - share) : 0);
     }
 
+    /** Returns the digest by which a prompt finds its home; the prompt has a block at least. */
+    static long head(PrefixDigests prefix) {
+        return prefix.at(Math.min(HOME_BLOCKS, prefix.size()) - 1);
+    }
+
     /** Returns the candidate to which all VMs send a prompt that no one is known to hold. */
     private static int home(Candidates candidates) {
         PrefixDigests prefix = candidates.prefix();
         if (prefix.size() == 0) {
             return -1;
         }
-        long head = prefix.at(Math.min(HOME_BLOCKS, prefix.size()) - 1);
+        long head = head(prefix);
         int home = 0;
         long best = Long.MIN_VALUE;
         for (int i = 0; i < candidates.size(); i++) {
--- a/coordination/src/main/java/org/hornbeampass/coordination/routing/UpstreamChooser.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/routing/UpstreamChooser.java
@@ -160,7 +160,7 @@
 
     private void gather(long nowMs, UpstreamGroup group, RoutingQuery query) {
         for (Candidates.Sieve sieve : SIEVES) {
-            mCandidates.gather(nowMs, group, query, sieve);
+            mCandidates.gather(nowMs, group, query, sieve, mRandom);
             if (mCandidates.size() > 0 || mCandidates.busy() > 0 || mCandidates.unhealthy() == 0) {
                 return;
             }
--- a/coordination/src/main/java/org/hornbeampass/coordination/upstream/UpstreamGroup.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/upstream/UpstreamGroup.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Optional;
 
 /**
  * The upstreams of one model or service that this VM sends to.
@@ -13,8 +14,12 @@
  * guarded by the table's lock.
  */
 public final class UpstreamGroup {
+    private static final long MEAN_AGE_MS = 50;
+
     private final UpstreamState[] mMembers;
     private final long[] mHashes;
+    private double mMeanFirstTokenMs;
+    private long mMeanAtMs = Long.MIN_VALUE;
 
     private UpstreamGroup(List<UpstreamState> members) {
         mMembers = members.toArray(new UpstreamState[0]);
@@ -62,13 +67,46 @@
         return mHashes[index];
     }
 
+    /**
+     * Returns the member that ranks first for a key by rendezvous hashing; there is one at least.
+     */
+    public int best(long key) {
+        int best = 0;
+        long bestScore = Long.MIN_VALUE;
+        for (int i = 0; i < mHashes.length; i++) {
+            long score = Rendezvous.score(key, mHashes[i]);
+            if (score > bestScore) {
+                bestScore = score;
+                best = i;
+            }
+        }
+        return best;
+    }
+
+    /**
+     * Returns the members' mean time to first token, at most {@value #MEAN_AGE_MS} ms old; 0 where
+     * none is known.
+     */
+    public double meanFirstTokenMs(long nowMs) {
+        if (mMeanAtMs == Long.MIN_VALUE || nowMs - mMeanAtMs >= MEAN_AGE_MS) {
+            mMeanFirstTokenMs = meanFirstTokenMs(Optional.empty());
+            mMeanAtMs = nowMs;
+        }
+        return mMeanFirstTokenMs;
+    }
+
     /** Returns the mean time to first token of the other members; 0 where none is known. */
     double meanFirstTokenMs(UpstreamState except) {
+        return meanFirstTokenMs(Optional.of(except));
+    }
+
+    private double meanFirstTokenMs(Optional<UpstreamState> except) {
+        UpstreamState left = except.orElse(null);
         double sum = 0;
         int known = 0;
         for (UpstreamState member : mMembers) {
             double ms = member.load().firstTokenMs();
-            if (member != except && ms > 0) {
+            if (member != left && ms > 0) {
                 sum += ms;
                 known++;
             }
