--- a/cli/src/main/java/org/hornbeampass/cli/command/BurnPage.java
+++ b/cli/src/main/java/org/hornbeampass/cli/command/BurnPage.java
@@ -71,6 +71,9 @@
                         .build();
         chart.getStyler().setLegendPosition(Styler.LegendPosition.OutsideE);
         chart.getStyler().setYAxisMin(0.0);
+        chart.getStyler().setXAxisMin(-window.lengthMs() / MS_PER_HOUR);
+        chart.getStyler().setXAxisMax(0.0);
+        chart.getStyler().setXAxisDecimalPattern("0.0");
         boolean any = false;
         for (Objective objective : Objective.values()) {
             any |= series(chart, objective, window, widthMs);
--- a/cli/src/main/java/org/hornbeampass/cli/command/ObjectEditor.java
+++ b/cli/src/main/java/org/hornbeampass/cli/command/ObjectEditor.java
@@ -96,10 +96,10 @@
         }
         session.explain(Fields.differences(wanted, theirs));
         session.note(
-                "to put your change on top of theirs, run the same command again; with"
-                        + " --if-revision "
+                "to put your change on top of theirs, run the command again without --if-revision,"
+                        + " or with --if-revision "
                         + mRevision.applyAsLong(current)
-                        + " it is refused should they change it once more");
+                        + ", which refuses it should they change it once more");
         return Either.left(conflict);
     }
 
--- a/cli/src/main/java/org/hornbeampass/cli/command/UpstreamCommand.java
+++ b/cli/src/main/java/org/hornbeampass/cli/command/UpstreamCommand.java
@@ -121,7 +121,8 @@
                             "DOMAIN",
                             "REGION",
                             "MAX",
-                            "FENCING");
+                            "FENCING",
+                            "STATE");
             for (UpstreamView view : list.items()) {
                 UpstreamSpec u = view.spec();
                 table.row(
--- a/cli/src/test/java/org/hornbeampass/cli/OperatorPathTest.java
+++ b/cli/src/test/java/org/hornbeampass/cli/OperatorPathTest.java
@@ -97,6 +97,9 @@
                 "sicily");
         done("upstream", "drain", "runner-1");
         assertThat(draining()).isTrue();
+        assertThat(done("upstream", "list").out())
+                .containsPattern("(?m)STATE$")
+                .containsPattern("(?m)^runner-1 +2 .* 256 +ignored +draining$");
         done("upstream", "set", "runner-1", "--draining", "false");
         assertThat(draining()).isFalse();
 
