--- a/router/src/main/java/org/hornbeampass/router/daemon/RouterDaemon.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/RouterDaemon.java
@@ -217,7 +217,7 @@
     @Override
     public void close() {
         mTicks.close();
-        mTimers.close();
         mNetwork.close();
+        mTimers.close();
     }
 }
