--- a/router/src/main/java/org/hornbeampass/router/daemon/RouterDaemon.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/RouterDaemon.java
@@ -69,7 +69,7 @@
         mShutdown = new Shutdown(mParts, mNetwork, mRunner, mTimers, settings.execution());
         PeerRoutes.register(mNetwork.peers(), mParts);
         mNetwork.callersHandler().set(frontDoor(settings));
-        OperatorSide.start(settings, mParts, mNetwork, new Drain());
+        OperatorSide.start(settings, mParts, mNetwork, mMetrics, nowMs, new Drain());
         mTicks = new TickLoop(mNetwork.control(), clock);
         mTicks.every(TickLoop.OFTEN_MS, mParts::tickOften);
         mTicks.every(TickLoop.SELDOM_MS, mParts::tick);
@@ -241,7 +241,7 @@
             return; // Closed loops would never complete a second close.
         }
         mTicks.close();
-        mTimers.close();
         mNetwork.close();
+        mTimers.close();
     }
 }
