--- a/experiment/src/main/java/org/hornbeampass/experiment/caller/ChatCaller.java
+++ b/experiment/src/main/java/org/hornbeampass/experiment/caller/ChatCaller.java
@@ -2,14 +2,13 @@
 
 import org.hornbeampass.transport.http.HttpClient;
 
-import java.net.URI;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.DoubleConsumer;
 import java.util.function.IntFunction;
 
 /**
@@ -19,14 +18,15 @@
  * <p>Thread-safe.
  */
 public final class ChatCaller {
-    private static final long CONNECT_TIMEOUT_MS = 2_000;
-    private static final long IDLE_TIMEOUT_MS = 60_000;
+    static final long CONNECT_TIMEOUT_MS = 2_000;
+    static final long IDLE_TIMEOUT_MS = 60_000;
     private static final long DEFAULT_RETRY_MS = 100;
     private static final long MAX_RETRY_MS = 5_000;
 
     private final HttpClient mClient;
     private final ScheduledExecutorService mTimer;
     private final int mMaxTries;
+    private final DoubleConsumer mOnGap;
 
     /**
      * Makes a caller.
@@ -36,9 +36,23 @@
      * @param maxTries the largest number of tries of one request, from 1
      */
     public ChatCaller(HttpClient client, ScheduledExecutorService timer, int maxTries) {
+        this(client, timer, maxTries, gapMs -> {});
+    }
+
+    /**
+     * Makes a caller that tells of the time between tokens.
+     *
+     * @param client the client to send with
+     * @param timer runs retries
+     * @param maxTries the largest number of tries of one request, from 1
+     * @param onGap told of each time between two tokens, in milliseconds; must be thread-safe
+     */
+    public ChatCaller(
+            HttpClient client, ScheduledExecutorService timer, int maxTries, DoubleConsumer onGap) {
         mClient = client;
         mTimer = timer;
         mMaxTries = maxTries;
+        mOnGap = onGap;
     }
 
     /**
@@ -50,14 +64,14 @@
      * @return the receipts of all tries, the last one's last
      */
     public CompletableFuture<List<ChatReceipt>> send(
-            ChatRequest request, IntFunction<String> address, long dueNanos) {
+            CallerRequest request, IntFunction<String> address, long dueNanos) {
         CompletableFuture<List<ChatReceipt>> done = new CompletableFuture<>();
         attempt(request, address, dueNanos, new ArrayList<>(), done);
         return done;
     }
 
     private void attempt(
-            ChatRequest request,
+            CallerRequest request,
             IntFunction<String> address,
             long dueNanos,
             List<ChatReceipt> receipts,
@@ -69,8 +83,9 @@
                         router,
                         dueNanos,
                         System::nanoTime,
+                        mOnGap,
                         receipt -> onReceipt(receipt, address, dueNanos, receipts, done));
-        mClient.send(httpRequest(request, router), listener);
+        mClient.send(request.to(router), listener);
     }
 
     private void onReceipt(
@@ -99,20 +114,4 @@
         long asked = receipt.retryAfterMs() > 0 ? receipt.retryAfterMs() : DEFAULT_RETRY_MS * tries;
         return Math.min(asked, MAX_RETRY_MS);
     }
-
-    private static HttpClient.Request httpRequest(ChatRequest request, String router) {
-        return new HttpClient.Request(
-                "POST",
-                URI.create("http://" + router + "/v1/chat/completions"),
-                Map.of(
-                        "authorization",
-                        "Bearer " + request.key(),
-                        "content-type",
-                        "application/json",
-                        "idempotency-key",
-                        request.idempotencyKey()),
-                request.body(),
-                CONNECT_TIMEOUT_MS,
-                IDLE_TIMEOUT_MS);
-    }
 }
--- a/experiment/src/main/java/org/hornbeampass/experiment/caller/ChatReceipt.java
+++ b/experiment/src/main/java/org/hornbeampass/experiment/caller/ChatReceipt.java
@@ -19,9 +19,10 @@
  * @param whole whether the answer ended properly
  * @param firstTokenMs from the time it should have been sent to its first token; -1 without one
  * @param totalMs from the time it should have been sent to the end of the try
+ * @param sent whether any byte of the request may have reached the router
  */
 public record ChatReceipt(
-        ChatRequest request,
+        CallerRequest request,
         String router,
         int status,
         Optional<String> errorCode,
@@ -32,7 +33,8 @@
         Optional<Usage> usage,
         boolean whole,
         double firstTokenMs,
-        double totalMs) {
+        double totalMs,
+        boolean sent) {
     /**
      * Tokens used, as an answer says.
      *
@@ -48,6 +50,6 @@
 
     /** Returns whether the answer arrived whole and without an error. */
     public boolean served() {
-        return status == 200 && whole && errorCode.isEmpty();
+        return status / 100 == 2 && whole && errorCode.isEmpty();
     }
 }
--- a/experiment/src/main/java/org/hornbeampass/experiment/caller/ChatRequest.java
+++ b/experiment/src/main/java/org/hornbeampass/experiment/caller/ChatRequest.java
@@ -3,7 +3,11 @@
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 
+import org.hornbeampass.transport.http.HttpClient;
+
+import java.net.URI;
 import java.nio.charset.StandardCharsets;
+import java.util.Map;
 
 /**
  * One chat completion that a caller asks for, the same over all its retries.
@@ -18,6 +22,7 @@
  * @param tokens how long the answer is meant to be
  * @param maxTokens the token limit sent along
  * @param stream whether the answer is to be streamed
+ * @param promptWords how many words stand before the question, the same in each prompt
  */
 public record ChatRequest(
         String key,
@@ -26,7 +31,31 @@
         String model,
         int tokens,
         int maxTokens,
-        boolean stream) {
+        boolean stream,
+        int promptWords)
+        implements CallerRequest {
+    @Override
+    public boolean chat() {
+        return true;
+    }
+
+    @Override
+    public HttpClient.Request to(String router) {
+        return new HttpClient.Request(
+                "POST",
+                URI.create("http://" + router + "/v1/chat/completions"),
+                Map.of(
+                        "authorization",
+                        "Bearer " + key,
+                        "content-type",
+                        "application/json",
+                        "idempotency-key",
+                        idempotencyKey),
+                body(),
+                ChatCaller.CONNECT_TIMEOUT_MS,
+                ChatCaller.IDLE_TIMEOUT_MS);
+    }
+
     /** Returns the request's body in the shape that OpenAI clients speak. */
     byte[] body() {
         ObjectNode body = JsonNodeFactory.instance.objectNode();
@@ -38,7 +67,14 @@
         }
         ObjectNode message = body.putArray("messages").addObject();
         message.put("role", "user");
-        message.put("content", "[[id=" + tag + "]] [[tokens=" + tokens + "]] brief me");
+        message.put(
+                "content",
+                "wind ".repeat(promptWords)
+                        + "[[id="
+                        + tag
+                        + "]] [[tokens="
+                        + tokens
+                        + "]] brief me");
         return body.toString().getBytes(StandardCharsets.UTF_8);
     }
 }
--- a/experiment/src/main/java/org/hornbeampass/experiment/caller/ChatTry.java
+++ b/experiment/src/main/java/org/hornbeampass/experiment/caller/ChatTry.java
@@ -11,6 +11,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
+import java.util.function.DoubleConsumer;
 import java.util.function.LongSupplier;
 
 /**
@@ -23,10 +24,11 @@
     private static final double NANOS_PER_MS = 1e6;
     private static final String DONE = "[DONE]";
 
-    private final ChatRequest mRequest;
+    private final CallerRequest mRequest;
     private final String mRouter;
     private final long mDueNanos;
     private final LongSupplier mNanoTime;
+    private final DoubleConsumer mOnGap;
     private final Consumer<ChatReceipt> mOnReceipt;
     private final StringBuilder mText = new StringBuilder();
     private final ByteArrayOutputStream mBody = new ByteArrayOutputStream();
@@ -40,17 +42,21 @@
     private boolean mStreamed;
     private boolean mDone;
     private double mFirstTokenMs = -1;
+    private double mLastTokenMs = -1;
+    private boolean mSent = true;
 
     ChatTry(
-            ChatRequest request,
+            CallerRequest request,
             String router,
             long dueNanos,
             LongSupplier nanoTime,
+            DoubleConsumer onGap,
             Consumer<ChatReceipt> onReceipt) {
         mRequest = request;
         mRouter = router;
         mDueNanos = dueNanos;
         mNanoTime = nanoTime;
+        mOnGap = onGap;
         mOnReceipt = onReceipt;
     }
 
@@ -75,12 +81,13 @@
         if (!mStreamed) {
             onWholeBody(mBody.toString(StandardCharsets.UTF_8));
         }
-        complete(mStreamed ? mDone : mStatus == 200);
+        complete(mStreamed ? mDone : mStatus / 100 == 2);
     }
 
     @Override
     public void onFailure(boolean sent, String reason) {
         mErrorCode = mErrorCode.or(() -> Optional.of("connection_lost"));
+        mSent = sent || mStatus != 0;
         complete(false);
     }
 
@@ -95,19 +102,32 @@
             return;
         }
         String piece = event.at("/choices/0/delta/content").asText("");
-        if (!piece.isEmpty() && mFirstTokenMs < 0) {
-            mFirstTokenMs = sinceDueMs();
+        if (!piece.isEmpty()) {
+            onToken(sinceDueMs());
         }
         mText.append(piece);
         readUsage(event);
     }
 
+    private void onToken(double atMs) {
+        if (mFirstTokenMs < 0) {
+            mFirstTokenMs = atMs;
+        } else {
+            mOnGap.accept(atMs - mLastTokenMs);
+        }
+        mLastTokenMs = atMs;
+    }
+
     private void onWholeBody(String body) {
         JsonNode answer = parse(body);
         if (answer.has("error")) {
             onError(answer.get("error"));
             return;
         }
+        if (!mRequest.chat()) {
+            mText.append(body);
+            return;
+        }
         mText.append(answer.at("/choices/0/message/content").asText(""));
         mFirstTokenMs = sinceDueMs();
         readUsage(answer);
@@ -156,6 +176,7 @@
                         mUsage,
                         whole,
                         mFirstTokenMs,
-                        sinceDueMs()));
+                        sinceDueMs(),
+                        mSent));
     }
 }
--- a/experiment/src/main/java/org/hornbeampass/experiment/demo/DemoLoad.java
+++ b/experiment/src/main/java/org/hornbeampass/experiment/demo/DemoLoad.java
@@ -78,7 +78,8 @@
                         mFleet.spec().model(),
                         organisation.answerTokens(),
                         MAX_TOKENS,
-                        number % 4 != 0);
+                        number % 4 != 0,
+                        0);
         int routers = mFleet.routers().size();
         CompletableFuture<Void> unused =
                 mCaller.send(
--- a/experiment/src/main/java/org/hornbeampass/experiment/fleet/Fleet.java
+++ b/experiment/src/main/java/org/hornbeampass/experiment/fleet/Fleet.java
@@ -21,6 +21,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.BooleanSupplier;
@@ -29,7 +30,8 @@
 /**
  * A platform, engines, plain services and routers in one JVM, all on loopback at free ports.
  *
- * <p>A router's place in the list stays its own when it is replaced. For use by one thread.
+ * <p>A router's place in the list stays its own when it is replaced. Thread-safe, so long as no two
+ * threads stop or start the same router.
  */
 public final class Fleet implements AutoCloseable {
     /** The operator's key of every router here. */
@@ -38,13 +40,16 @@
     private static final String CLUSTER_KEY = "cluster-key-of-the-demo-fleet";
     private static final String PLATFORM_KEY = "platform-key-of-the-demo";
     private static final long WAIT_MS = 30_000;
+    private static final long SHUTDOWN_MS = 120_000;
     private static final int SEEDS = 3;
+    private static final String VM_PREFIX = "vm-";
 
     private final FleetSpec mSpec;
     private final PlatformStandIn mPlatform;
     private final List<EngineStandIn> mEngines = new ArrayList<>();
     private final List<ServiceStandIn> mServices = new ArrayList<>();
-    private final List<RouterDaemon> mRouters = new ArrayList<>();
+    private final List<RouterDaemon> mRouters = new CopyOnWriteArrayList<>();
+    private final LinkTable mLinks = new LinkTable();
 
     private Fleet(FleetSpec spec) {
         mSpec = spec;
@@ -64,7 +69,7 @@
             fleet.mServices.add(ServiceStandIn.start(ServiceSettings.defaults()));
         }
         for (int i = 0; i < spec.routers(); i++) {
-            fleet.mRouters.add(RouterDaemon.start(fleet.settings(i)));
+            fleet.mRouters.add(fleet.startRouter(i));
         }
         fleet.awaitReady();
         return fleet;
@@ -90,7 +95,7 @@
         InetSocketAddress any = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
         return new RouterSettings(
                 new RouterSettings.Place(
-                        "vm-" + n, OptionalLong.empty(), mSpec.region(), mSpec.domain(n)),
+                        vmName(n), OptionalLong.empty(), mSpec.region(), mSpec.domain(n)),
                 new RouterSettings.Listen(
                         any,
                         any,
@@ -134,16 +139,45 @@
                 () -> mRouters.stream().allMatch(r -> r.notReady().isEmpty()));
     }
 
+    private RouterDaemon startRouter(int n) {
+        return RouterDaemon.start(settings(n), mLinks.hooks(vmName(n)));
+    }
+
     /** Closes a router as a crash would and starts it anew under its name. */
     public void replaceAfterCrash(int n) {
+        crash(n);
+        replace(n);
+    }
+
+    /** Closes a router as a crash would. */
+    public void crash(int n) {
         mRouters.get(n).close();
-        mRouters.set(n, RouterDaemon.start(settings(n)));
+    }
+
+    /** Starts a router that was closed anew under its name. */
+    public void replace(int n) {
+        mRouters.set(n, startRouter(n));
     }
 
     /** Shuts a router down gracefully and starts it anew under its name. */
     public void restart(int n) {
-        mRouters.get(n).shutDown().orTimeout(WAIT_MS, TimeUnit.MILLISECONDS).join();
-        mRouters.set(n, RouterDaemon.start(settings(n)));
+        shutDown(n);
+        replace(n);
+    }
+
+    /** Shuts a router down gracefully, without a bound on how long its requests take. */
+    public void shutDown(int n) {
+        mRouters.get(n).shutDown().orTimeout(SHUTDOWN_MS, TimeUnit.MILLISECONDS).join();
+    }
+
+    /** Returns the VM name of the nth router. */
+    public static String vmName(int n) {
+        return VM_PREFIX + n;
+    }
+
+    /** Returns which links are cut. */
+    public LinkTable links() {
+        return mLinks;
     }
 
     /** Returns a console that reaches each router. */
@@ -199,6 +233,7 @@
     @Override
     public void close() {
         mRouters.forEach(RouterDaemon::close);
+        mLinks.close();
         mEngines.forEach(EngineStandIn::close);
         mServices.forEach(ServiceStandIn::close);
         mPlatform.close();
--- a/experiment/src/main/java/org/hornbeampass/experiment/fleet/Operator.java
+++ b/experiment/src/main/java/org/hornbeampass/experiment/fleet/Operator.java
@@ -15,7 +15,10 @@
     /** The budget that each organisation here draws on. */
     public static final String BUDGET = "main";
 
-    private static final String TEMPLATE = "standard";
+    /** The template from which each organisation here is made. */
+    public static final String TEMPLATE = "standard";
+
+    private static final int DEFAULT_PRIORITY = 5;
     private static final ObjectMapper MAPPER = new ObjectMapper();
 
     private final Fleet mFleet;
@@ -71,6 +74,12 @@
 
     /** Creates an organisation with a paid budget and returns its caller's key. */
     public String createOrganisation(String name, String preference, long paidTokens) {
+        return createOrganisation(name, preference, DEFAULT_PRIORITY, paidTokens);
+    }
+
+    /** Creates an organisation with a priority and a paid budget; returns its caller's key. */
+    public String createOrganisation(
+            String name, String preference, int priority, long paidTokens) {
         mConsole.run(
                 "organisation",
                 "create",
@@ -80,7 +89,9 @@
                 "--budget",
                 BUDGET,
                 "--budget-preference",
-                preference);
+                preference,
+                "--priority",
+                Integer.toString(priority));
         JsonNode key = json("organisation", "key", "add", name, "callers", "--output", "json");
         topUp(name, "first", paidTokens);
         return key.path("key").asText();
@@ -111,7 +122,8 @@
         return mConsole.run(words);
     }
 
-    private JsonNode json(String... words) {
+    /** Returns a command's printed JSON. */
+    public JsonNode json(String... words) {
         String printed = mConsole.run(words);
         try {
             return MAPPER.readTree(printed);
--- a/experiment/src/test/java/org/hornbeampass/experiment/caller/ChatTryTest.java
+++ b/experiment/src/test/java/org/hornbeampass/experiment/caller/ChatTryTest.java
@@ -20,10 +20,12 @@
                     + "data: {\"choices\":[],\"usage\":{\"prompt_tokens\":3,"
                     + "\"completion_tokens\":2}}\n\n";
     private static final ChatRequest REQUEST =
-            new ChatRequest("key", "id", "a", "model", 2, 10, true);
+            new ChatRequest("key", "id", "a", "model", 2, 10, true, 0);
 
+    private final List<Double> mGaps = new ArrayList<>();
     private final List<ChatReceipt> mReceipts = new ArrayList<>();
-    private final ChatTry mTry = new ChatTry(REQUEST, "vm:1", 0, () -> 5_000_000, mReceipts::add);
+    private final ChatTry mTry =
+            new ChatTry(REQUEST, "vm:1", 0, () -> 5_000_000, mGaps::add, mReceipts::add);
 
     @Test
     void wholeStream_cutAtEveryByte_isServed() {
@@ -38,6 +40,7 @@
         assertThat(mReceipts.get(0).text()).isEqualTo("ra:0 ra:1 ");
         assertThat(mReceipts.get(0).usage()).contains(new ChatReceipt.Usage(3, 2));
         assertThat(mReceipts.get(0).firstTokenMs()).isEqualTo(5.0);
+        assertThat(mGaps).containsExactly(0.0);
     }
 
     @Test
--- a/router/src/main/java/org/hornbeampass/router/daemon/Coordination.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/Coordination.java
@@ -77,7 +77,7 @@
         mMembership =
                 new Membership(
                         self,
-                        network.peers(),
+                        network.peerNetwork(),
                         settings.seeds(),
                         MembershipSettings.defaults(),
                         random);
@@ -85,7 +85,7 @@
                 new ConfigStore(
                         vm,
                         mCalls.lane(CallPriority.NORMAL),
-                        network.peers(),
+                        network.peerNetwork(),
                         mMembership,
                         ConfigSettings.defaults(),
                         new Random(random.nextLong()));
@@ -99,7 +99,7 @@
                 new BudgetLedger(
                         vm,
                         mCalls.lane(CallPriority.URGENT),
-                        network.peers(),
+                        network.peerNetwork(),
                         new MembershipHomes(mMembership, mAddresses),
                         BudgetSettings.defaults(),
                         GrantPolicy.DEMAND_HORIZON);
@@ -108,7 +108,7 @@
                 new RequestLedger(
                         mCalls.lane(CallPriority.URGENT),
                         mCalls.lane(CallPriority.BACKGROUND),
-                        network.peers(),
+                        network.peerNetwork(),
                         vm,
                         ShardOwners.rendezvous(this::liveVms),
                         mMembership::isProvedGone,
--- a/router/src/main/java/org/hornbeampass/router/daemon/OperatorSide.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/OperatorSide.java
@@ -32,7 +32,7 @@
             Coordination parts,
             RouterNetwork network,
             DrainControl control) {
-        RouterDrains drains = new RouterDrains(parts.membership(), network.peers(), control);
+        RouterDrains drains = new RouterDrains(parts.membership(), network.peerNetwork(), control);
         network.peers().on(DrainOrder.class, drains::onDrainOrder);
         StoredConfiguration configuration = new StoredConfiguration(parts.config(), SILENT_MS);
         AdminPorts ports =
--- a/router/src/main/java/org/hornbeampass/router/daemon/RouterDaemon.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/RouterDaemon.java
@@ -23,7 +23,9 @@
 import java.net.InetSocketAddress;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.concurrent.locks.LockSupport;
 
 /**
  * One router: all its parts, from start to shutdown.
@@ -41,19 +43,22 @@
     private final TickLoop mTicks;
     private final Shutdown mShutdown;
 
-    private RouterDaemon(RouterSettings settings, Clock clock) {
+    private RouterDaemon(RouterSettings settings, RouterHooks hooks, Clock clock) {
         mClock = clock;
         long nowMs = clock.nowMs();
         mVm = new VmId(settings.place().name(), settings.place().incarnation().orElse(nowMs));
         AtomicReference<Coordination> parts = new AtomicReference<>();
-        mNetwork = new RouterNetwork(mVm, settings, clock, name -> PeerAddresses.of(parts, name));
+        mNetwork =
+                new RouterNetwork(
+                        mVm, settings, clock, name -> PeerAddresses.of(parts, name), hooks);
         mTimers = new WheelTimers(clock, mVm.name() + "-timers");
         mMetrics = new RouterMetrics(new MetricRegistry());
         mParts =
                 new Coordination(
                         self(settings),
                         settings,
-                        new HttpPlatform(mNetwork.platform(), settings.platform(), clock),
+                        hooks.platform(
+                                new HttpPlatform(mNetwork.platform(), settings.platform(), clock)),
                         mNetwork,
                         nowMs);
         parts.set(mParts);
@@ -73,7 +78,25 @@
      * @throws IllegalStateException if an address can't be listened on
      */
     public static RouterDaemon start(RouterSettings settings) {
-        return new RouterDaemon(settings, Clock.monotonic());
+        return start(settings, RouterHooks.NONE);
+    }
+
+    /**
+     * Starts a router whose links an experiment may cut.
+     *
+     * @throws IllegalStateException if an address can't be listened on
+     */
+    public static RouterDaemon start(RouterSettings settings, RouterHooks hooks) {
+        return new RouterDaemon(settings, hooks, Clock.monotonic());
+    }
+
+    /**
+     * Pauses all threads of this router for a time, as the pause of a VM would; for experiments.
+     */
+    public void pause(long ms) {
+        mNetwork.pause(ms);
+        var unused =
+                mTimers.at(0, 0, t -> LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(ms)));
     }
 
     private Member self(RouterSettings settings) {
--- a/router/src/main/java/org/hornbeampass/router/daemon/RouterNetwork.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/RouterNetwork.java
@@ -1,5 +1,8 @@
 package org.hornbeampass.router.daemon;
 
+import io.netty.util.concurrent.EventExecutor;
+
+import org.hornbeampass.coordination.peer.PeerNetwork;
 import org.hornbeampass.state.VmId;
 import org.hornbeampass.transport.Clock;
 import org.hornbeampass.transport.EventLoops;
@@ -13,7 +16,10 @@
 import org.hornbeampass.transport.peer.PeerTransport;
 
 import java.net.InetSocketAddress;
+import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 import java.util.function.Function;
 
 /**
@@ -34,6 +40,7 @@
     private final HttpServer mCallers;
     private final HttpServer mOperators;
     private final PeerTransport mPeers;
+    private final PeerNetwork mPeerNetwork;
     private final HttpClient mUpstreams;
     private final HttpClient mPlatform;
     private final LateHandler mCallersHandler = new LateHandler();
@@ -43,12 +50,14 @@
      * Starts listening.
      *
      * @param addresses gives the address of another router by its name
+     * @param hooks where links to other routers may be cut
      */
     RouterNetwork(
             VmId self,
             RouterSettings settings,
             Clock clock,
-            Function<String, Optional<InetSocketAddress>> addresses) {
+            Function<String, Optional<InetSocketAddress>> addresses,
+            RouterHooks hooks) {
         mServing = EventLoops.create(settings.execution().workers(), self.name() + "-serving");
         mControl = EventLoops.create(CONTROL_THREADS, self.name() + "-control");
         RouterSettings.Listen listen = settings.listen();
@@ -65,6 +74,10 @@
                         listen.peerTls().map(peers::withTls).orElse(peers),
                         clock,
                         addresses);
+        mPeerNetwork =
+                hooks == RouterHooks.NONE
+                        ? mPeers
+                        : new HookedPeers(mPeers, hooks, mControl, clock);
         mUpstreams =
                 NettyHttpClient.create(
                         mServing,
@@ -97,6 +110,20 @@
         return mPeers;
     }
 
+    /** Returns the links to other routers, as the hooks leave them. */
+    PeerNetwork peerNetwork() {
+        return mPeerNetwork;
+    }
+
+    /** Blocks every event loop for a time, as the pause of a VM would. */
+    void pause(long ms) {
+        for (EventLoops loops : List.of(mServing, mControl)) {
+            for (EventExecutor loop : loops.group()) {
+                loop.execute(() -> LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(ms)));
+            }
+        }
+    }
+
     HttpClient upstreams() {
         return mUpstreams;
     }
--- a/standins/src/main/java/org/hornbeampass/standin/engine/EngineStandIn.java
+++ b/standins/src/main/java/org/hornbeampass/standin/engine/EngineStandIn.java
@@ -22,6 +22,7 @@
 import java.util.Map;
 import java.util.OptionalInt;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 import java.util.function.ObjLongConsumer;
 
@@ -48,6 +49,7 @@
     private final HttpClient mClient;
     private final WeightSource mWeights;
     private final HttpServer mServer;
+    private final AtomicLong mRefusedLeaving = new AtomicLong();
     private boolean mLeaving;
 
     /**
@@ -133,6 +135,11 @@
                 });
     }
 
+    /** Returns how many completions were sent here while it was leaving, and refused. */
+    public long refusedWhileLeaving() {
+        return mRefusedLeaving.get();
+    }
+
     /** Returns the runs of one request, or of all for an empty id. */
     public CompletableFuture<RunLedger.Report> runs(String requestId) {
         return onLoop((now, done) -> done.complete(mCompletions.ledger().report(requestId)));
@@ -203,6 +210,7 @@
 
     private void complete(HttpExchange exchange, long nowMs) {
         if (mLeaving) {
+            mRefusedLeaving.incrementAndGet();
             exchange.respond(
                     STATUS_UNAVAILABLE,
                     LEAVING_HEADERS,
