--- a/router/src/main/java/org/hornbeampass/router/daemon/RouterDaemon.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/RouterDaemon.java
@@ -2,6 +2,8 @@
 
 import com.codahale.metrics.MetricRegistry;
 
+import org.hornbeampass.coordination.budget.BudgetAccounts;
+import org.hornbeampass.coordination.config.ConfigStore;
 import org.hornbeampass.coordination.limit.RetryBudget;
 import org.hornbeampass.coordination.limit.RetryPolicy;
 import org.hornbeampass.router.admin.DrainControl;
@@ -18,9 +20,11 @@
 import org.hornbeampass.state.member.Member;
 import org.hornbeampass.state.member.MemberState;
 import org.hornbeampass.transport.Clock;
+import org.hornbeampass.transport.metrics.MetricsText;
 import org.hornbeampass.transport.platform.HttpPlatform;
 
 import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -66,7 +70,7 @@
         mShutdown = new Shutdown(mParts, mNetwork, mRunner, mTimers, settings.execution());
         PeerRoutes.register(mNetwork.peers(), mParts);
         mNetwork.callersHandler().set(frontDoor(settings));
-        OperatorSide.start(settings, mParts, mNetwork, new Drain());
+        OperatorSide.start(settings, mParts, mNetwork, mMetrics, nowMs, new Drain());
         mTicks = new TickLoop(mNetwork.control(), clock);
         mTicks.every(TickLoop.OFTEN_MS, mParts::tickOften);
         mTicks.every(TickLoop.SELDOM_MS, mParts::tick);
@@ -146,7 +150,7 @@
                 mRunner,
                 mParts.addresses(),
                 this::notReady,
-                () -> MetricsPage.of(mMetrics.registry()),
+                () -> MetricsText.render(mMetrics.registry()).getBytes(StandardCharsets.UTF_8),
                 mMetrics::refused);
     }
 
@@ -162,6 +166,18 @@
         return mParts.config().notReady();
     }
 
+    /**
+     * Returns the configuration, for embedding programs that change it without the operators' API.
+     */
+    public ConfigStore configuration() {
+        return mParts.config();
+    }
+
+    /** Returns the operators' side of the budgets, for embedding programs. */
+    public BudgetAccounts accounts() {
+        return mParts.accounts();
+    }
+
     /** Returns the coordination parts. */
     Coordination parts() {
         return mParts;
@@ -224,7 +240,7 @@
     @Override
     public void close() {
         mTicks.close();
-        mTimers.close();
         mNetwork.close();
+        mTimers.close();
     }
 }
--- a/router/src/main/java/org/hornbeampass/router/serve/FlowRecorder.java
+++ b/router/src/main/java/org/hornbeampass/router/serve/FlowRecorder.java
@@ -1,17 +1,24 @@
 package org.hornbeampass.router.serve;
 
+import org.apache.logging.log4j.CloseableThreadContext;
+import org.apache.logging.log4j.Level;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.hornbeampass.coordination.slo.SloSample;
 import org.hornbeampass.router.flow.Bill;
 import org.hornbeampass.router.flow.BillResult;
 import org.hornbeampass.router.flow.FlowObserver;
 import org.hornbeampass.state.ErrorKind;
 import org.hornbeampass.state.OrganisationId;
 import org.hornbeampass.state.RequestId;
+import org.hornbeampass.state.RunState;
+import org.hornbeampass.state.UpstreamId;
 import org.hornbeampass.state.config.WorkKind;
 
 import java.util.Locale;
 import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.function.Supplier;
 
 /**
  * Writes one request's milestones to metrics and to the log.
@@ -26,13 +33,17 @@
     private final OrganisationId mOrganisation;
     private final RequestId mId;
     private final long mArrivedMs;
+    private final Supplier<Optional<UpstreamId>> mUpstream;
     private final Runnable mOnEnd;
+    private long mFirstPartMs;
     private long mLastPartMs;
+    private long mParts;
 
     /**
      * Makes the recorder of one request.
      *
      * @param arrivedMs when it arrived, in milliseconds
+     * @param upstream tells which upstream served it last
      * @param onEnd run once when it has ended
      */
     FlowRecorder(
@@ -41,18 +52,22 @@
             OrganisationId organisation,
             RequestId id,
             long arrivedMs,
+            Supplier<Optional<UpstreamId>> upstream,
             Runnable onEnd) {
         mMetrics = metrics;
         mKind = kind;
         mOrganisation = organisation;
         mId = id;
         mArrivedMs = arrivedMs;
+        mUpstream = upstream;
         mOnEnd = onEnd;
     }
 
     @Override
     public void onFirstPart(long nowMs) {
+        mFirstPartMs = nowMs;
         mLastPartMs = nowMs;
+        mParts = 1;
         mMetrics.firstPart(nowMs - mArrivedMs);
     }
 
@@ -60,39 +75,74 @@
     public void onPart(long nowMs) {
         mMetrics.betweenParts(nowMs - mLastPartMs);
         mLastPartMs = nowMs;
+        mParts++;
     }
 
     @Override
     public void onInternalFault(RuntimeException fault) {
-        LOG.error("request {} of {} met an internal fault", mId, mOrganisation, fault);
+        CloseableThreadContext.Instance context = context();
+        try {
+            LOG.error("the request met an internal fault", fault);
+        } finally {
+            context.close();
+        }
     }
 
     @Override
     public void onEnd(
             long nowMs, Optional<ErrorKind> error, Bill bill, Optional<BillResult> result) {
         mMetrics.ended(mKind, mOrganisation, error);
+        mMetrics.sample(nowMs, sample(error));
         if (result.isPresent()) {
             mMetrics.bill(result.get().name().toLowerCase(Locale.ROOT), 0);
         }
         if (result.isPresent() && result.get() != BillResult.DUPLICATE) {
             mMetrics.billed(mOrganisation, bill.totalTokens());
         }
-        if (error.isPresent()) {
-            LOG.info(
-                    "request {} of {} ended with {} after {} ms",
-                    mId,
-                    mOrganisation,
-                    error.get(),
-                    nowMs - mArrivedMs);
-        } else {
-            LOG.debug(
-                    "request {} of {} ended after {} ms, {} + {} tokens",
-                    mId,
-                    mOrganisation,
+        log(nowMs, error, bill);
+        mOnEnd.run();
+    }
+
+    /**
+     * Writes one line; a refusal of a request that did not run is counted, and logged in detail.
+     */
+    private void log(long nowMs, Optional<ErrorKind> error, Bill bill) {
+        Level level =
+                error.filter(k -> k.runState() != RunState.NOT_RUN).isPresent()
+                        ? Level.INFO
+                        : Level.DEBUG;
+        if (!LOG.isEnabled(level)) {
+            return;
+        }
+        CloseableThreadContext.Instance context = context();
+        try {
+            LOG.log(
+                    level,
+                    "{} ended with {} after {} ms, {} + {} tokens",
+                    mKind,
+                    error.map(ErrorKind::code).orElse("its whole answer"),
                     nowMs - mArrivedMs,
                     bill.promptTokens(),
                     bill.completionTokens());
+        } finally {
+            context.close();
         }
-        mOnEnd.run();
+    }
+
+    private CloseableThreadContext.Instance context() {
+        return CloseableThreadContext.put("request_id", mId.value())
+                .put("organisation", mOrganisation.value());
+    }
+
+    private SloSample sample(Optional<ErrorKind> error) {
+        return new SloSample(
+                mOrganisation,
+                mParts > 0 ? OptionalLong.of(mFirstPartMs - mArrivedMs) : OptionalLong.empty(),
+                mParts > 1
+                        ? OptionalLong.of((mLastPartMs - mFirstPartMs) / (mParts - 1))
+                        : OptionalLong.empty(),
+                error,
+                mUpstream.get(),
+                Optional.empty());
     }
 }
