Keep refunded tokens on their VM until the record shows the refund

Cause: a VM that closed its own entry by a write of unknown effect refunded tokens which that write counted as spent, and gave them to a peer before it saw the closing. Change: Holding.take leaves out free tokens by which the record's entry may exceed what is spent here. A write that is known to have taken effect ends the doubt about earlier ones, since they expected an older version. Conclusion: mended for this cause. Refunded tokens that a closed entry counts as spent are still set aside until they net with later spending.

--- a/coordination/src/main/java/org/hornbeampass/coordination/budget/Holding.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/budget/Holding.java
@@ -254,10 +254,15 @@
         mRefundDue += aside;
     }
 
-    /** Notes that the last write took effect as it was planned. */
+    /**
+     * Notes that the last write took effect as it was planned: earlier ones of unknown effect
+     * expected an older version, so they can't take effect any more.
+     */
     void noteWritten() {
         mWriteAtRisk = false;
+        mEverAtRisk = false;
         mSpentSeen = mSpentWritten;
+        mSpentHigh = mSpentWritten;
         mReturnedSeen = mReturned;
         mMovedIn += adoptingTotal();
         mAdopting.clear();
@@ -314,7 +319,7 @@
      */
     Optional<Parcel> take(HolderId preferred, long free, long spent) {
         if (mRegistered) {
-            long given = Math.max(0, Math.min(free, mFree));
+            long given = Math.max(0, Math.min(free, mFree - refundedUnseen()));
             mFree -= given;
             return given == 0 ? Optional.empty() : Optional.of(new Parcel(mHolder, given, 0));
         }
@@ -334,6 +339,15 @@
         return Optional.of(new Parcel(charge.get(), givenFree, givenSpent));
     }
 
+    /**
+     * Returns refunded tokens that the record may still say to be spent. They stay here until a
+     * write is known to have lowered that figure: if the entry is closed first, nobody else may
+     * spend or return what it counts as settled.
+     */
+    private long refundedUnseen() {
+        return Math.max(0, Math.max(mSpentSeen, mSpentHigh) - mSpent);
+    }
+
     /** Adds what another VM moved here. */
     void put(Parcel parcel) {
         mFree += parcel.free();
--- a/coordination/src/test/java/org/hornbeampass/coordination/budget/BudgetTrapsTest.java
+++ b/coordination/src/test/java/org/hornbeampass/coordination/budget/BudgetTrapsTest.java
@@ -169,6 +169,21 @@
         assertThat(world.statement().available()).isEqualTo(1_000);
     }
 
+    @Test
+    void refund_duringAnAmbiguousWrite_isNotHandedOnBeforeTheRecordShowsIt() {
+        BudgetWorld world = world(2, 1);
+        Reservation made = world.reserve(0, 288).get();
+        world.run(20_000);
+        world.ledger(0).settle(world.nowMs(), made, 231);
+        world.node(0).mFault = PlatformFault.REPLY_LOST;
+        world.ledger(0).handOver(world.nowMs(), at -> {});
+        world.ledger(0).refund(world.nowMs(), BudgetWorld.KEY, 156);
+        Reservation other = world.reserve(1, 456).get();
+        world.ledger(1).settle(world.nowMs(), other, 0);
+        world.handOver(1);
+        assertThat(BudgetAccounts.audit(BudgetWorld.ORGANISATION, world.record())).isEmpty();
+    }
+
     @Test
     void topUp_met390VmsAtOnce_isSharedWithABoundedNumberOfCalls() {
         BudgetWorld world = new BudgetWorld(390, GrantPolicy.DEMAND_HORIZON, 9);
