--- a/router/src/main/java/org/hornbeampass/router/daemon/OperatorSide.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/OperatorSide.java
@@ -36,7 +36,7 @@
             RouterMetrics metrics,
             long nowMs,
             DrainControl control) {
-        RouterDrains drains = new RouterDrains(parts.membership(), network.peers(), control);
+        RouterDrains drains = new RouterDrains(parts.membership(), network.peerNetwork(), control);
         network.peers().on(DrainOrder.class, drains::onDrainOrder);
         StoredConfiguration configuration = new StoredConfiguration(parts.config(), SILENT_MS);
         RouterBurn burn =
--- a/router/src/main/java/org/hornbeampass/router/daemon/RouterDaemon.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/RouterDaemon.java
@@ -14,6 +14,7 @@
 import org.hornbeampass.router.serve.ServeParts;
 import org.hornbeampass.router.serve.WheelTimers;
 import org.hornbeampass.router.upstream.UpstreamCalls;
+import org.hornbeampass.router.upstream.UpstreamNews;
 import org.hornbeampass.state.ErrorKind;
 import org.hornbeampass.state.Failure;
 import org.hornbeampass.state.VmId;
@@ -26,8 +27,12 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
+import java.util.Random;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.concurrent.locks.LockSupport;
 
 /**
  * One router: all its parts, from start to shutdown.
@@ -44,20 +49,24 @@
     private final RouterMetrics mMetrics;
     private final TickLoop mTicks;
     private final Shutdown mShutdown;
+    private final AtomicBoolean mClosed = new AtomicBoolean();
 
-    private RouterDaemon(RouterSettings settings, Clock clock) {
+    private RouterDaemon(RouterSettings settings, RouterHooks hooks, Clock clock) {
         mClock = clock;
         long nowMs = clock.nowMs();
         mVm = new VmId(settings.place().name(), settings.place().incarnation().orElse(nowMs));
         AtomicReference<Coordination> parts = new AtomicReference<>();
-        mNetwork = new RouterNetwork(mVm, settings, clock, name -> PeerAddresses.of(parts, name));
+        mNetwork =
+                new RouterNetwork(
+                        mVm, settings, clock, name -> PeerAddresses.of(parts, name), hooks);
         mTimers = new WheelTimers(clock, mVm.name() + "-timers");
         mMetrics = new RouterMetrics(new MetricRegistry());
         mParts =
                 new Coordination(
                         self(settings),
                         settings,
-                        new HttpPlatform(mNetwork.platform(), settings.platform(), clock),
+                        hooks.platform(
+                                new HttpPlatform(mNetwork.platform(), settings.platform(), clock)),
                         mNetwork,
                         nowMs);
         parts.set(mParts);
@@ -69,6 +78,16 @@
         mTicks = new TickLoop(mNetwork.control(), clock);
         mTicks.every(TickLoop.OFTEN_MS, mParts::tickOften);
         mTicks.every(TickLoop.SELDOM_MS, mParts::tick);
+        UpstreamNews news =
+                new UpstreamNews(
+                        mParts.table(), mParts.config()::snapshot, mNetwork.platform(), clock);
+        mTicks.every(TickLoop.SELDOM_MS, news::tick);
+        VmList list =
+                new VmList(mParts.membership(), mParts.backgroundPlatform(), new Random(nowMs));
+        mTicks.every(TickLoop.SELDOM_MS, list::tick);
+        mTicks.every(TickLoop.SELDOM_MS, this::endWhereSuperseded);
+        ControlMetrics.register(
+                mMetrics.registry(), mParts, mNetwork.peers().counters(), news, mRunner);
     }
 
     /**
@@ -77,7 +96,32 @@
      * @throws IllegalStateException if an address can't be listened on
      */
     public static RouterDaemon start(RouterSettings settings) {
-        return new RouterDaemon(settings, Clock.monotonic());
+        return start(settings, RouterHooks.NONE);
+    }
+
+    /**
+     * Starts a router whose links an experiment may cut.
+     *
+     * @throws IllegalStateException if an address can't be listened on
+     */
+    public static RouterDaemon start(RouterSettings settings, RouterHooks hooks) {
+        return new RouterDaemon(settings, hooks, Clock.monotonic());
+    }
+
+    /**
+     * Pauses all threads of this router for a time, as the pause of a VM would; for experiments.
+     */
+    public void pause(long ms) {
+        mNetwork.pause(ms);
+        var unused =
+                mTimers.at(0, 0, t -> LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(ms)));
+    }
+
+    /** Shuts down where a newer life of this VM's name runs, since two must not share it. */
+    private void endWhereSuperseded(long nowMs) {
+        if (mParts.membership().superseded()) {
+            var unused = mShutdown.begin(nowMs);
+        }
     }
 
     private Member self(RouterSettings settings) {
@@ -216,8 +260,11 @@
     /** Closes at once, as a crash would: requests in progress are cut, grants are not returned. */
     @Override
     public void close() {
+        if (!mClosed.compareAndSet(false, true)) {
+            return; // Closed loops would never complete a second close.
+        }
         mTicks.close();
-        mTimers.close();
         mNetwork.close();
+        mTimers.close();
     }
 }
