Raise a request's bill to the largest usage of its attempts

Cause: a stream that was broken off after one token was billed for that token, and the whole answer to the retry was a duplicate and refunded, so a caller could have whole answers almost free. Change: the log decides a later, larger bill of an id as RAISED with the difference, which is all that its router settles; the settlement of the first stays. The decision and the difference of each attempt are remembered, so an entry sent again is decided alike. Ids are kept in one table of four longs a row, which the checkpoint's parts follow. BillReader shows a raised bill as one line, RequestAudit counts its amount once. The late answer of a queued bill refunds what was settled beyond the charge. Memory of an id: not measured yet.

--- a/coordination/src/main/java/org/hornbeampass/coordination/requests/BillMemory.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/requests/BillMemory.java
@@ -1,34 +1,34 @@
 package org.hornbeampass.coordination.requests;
 
-import org.agrona.collections.Long2LongHashMap;
-
 import java.util.ArrayDeque;
 import java.util.Deque;
-import java.util.HashMap;
 import java.util.Iterator;
-import java.util.Map;
-import java.util.OptionalLong;
+import java.util.Optional;
 
 /**
  * The ids of bills that a shard remembers, in generations that are forgotten whole.
  *
  * <p>Invariants: only the open generation changes; a closed one is forgotten once {@code
  * rememberMs} of active time have passed since it was closed; an id in more than one generation has
- * its newest value. A value is an attempt's mark in the upper 56 bits and a count in the lowest 8;
- * it is never 0. Not thread-safe; the ledger's lock guards it.
+ * its newest value and amount. A value is an attempt's mark in the upper 56 bits and a count in the
+ * lowest 8; it is never 0. Not thread-safe; the ledger's lock guards it.
  */
 final class BillMemory {
-    private static final long NONE = 0;
-
     private final Deque<Generation> mClosed = new ArrayDeque<>();
     private Generation mOpen;
 
+    /**
+     * What is remembered of one id.
+     *
+     * @param value a mark in the upper 56 bits and a count in the lowest 8; never 0
+     * @param amount tokens
+     */
+    record Entry(long value, long amount) {}
+
     /** The ids billed within one stretch of active time. */
     static final class Generation {
         private final long mNumber;
-        private final Long2LongHashMap mLow = new Long2LongHashMap(NONE);
-        private final Long2LongHashMap mValues = new Long2LongHashMap(NONE);
-        private final Map<RequestFingerprint, Long> mCollided = new HashMap<>();
+        private final IdTable mIds = new IdTable();
 
         Generation(long number) {
             mNumber = number;
@@ -39,63 +39,43 @@
         }
 
         int size() {
-            return mValues.size() + mCollided.size();
+            return mIds.size();
         }
 
-        long get(RequestFingerprint id) {
-            long value = mValues.get(id.high());
-            if (value == NONE) {
-                return NONE;
-            }
-            return mLow.get(id.high()) == id.low() ? value : mCollided.getOrDefault(id, NONE);
+        void put(RequestFingerprint id, Entry entry) {
+            mIds.put(id, entry);
         }
 
-        void put(RequestFingerprint id, long value) {
-            boolean taken = mValues.get(id.high()) != NONE && mLow.get(id.high()) != id.low();
-            if (taken) {
-                mCollided.put(id, value);
-                return;
-            }
-            mLow.put(id.high(), id.low());
-            mValues.put(id.high(), value);
-        }
-
-        /** Hands every id and value to a visitor, in no order. */
+        /** Hands every id and entry to a visitor, in no order. */
         void forEach(Visitor visitor) {
-            Long2LongHashMap.EntryIterator each = mValues.entrySet().iterator();
-            while (each.hasNext()) {
-                each.next();
-                long high = each.getLongKey();
-                visitor.visit(new RequestFingerprint(high, mLow.get(high)), each.getLongValue());
-            }
-            mCollided.forEach(visitor::visit);
+            mIds.forEach(visitor);
         }
     }
 
     /** Takes one remembered id. */
     @FunctionalInterface
     interface Visitor {
-        /** Takes an id and its value. */
-        void visit(RequestFingerprint id, long value);
+        /** Takes an id and its entry. */
+        void visit(RequestFingerprint id, Entry entry);
     }
 
     BillMemory(long openNumber) {
         mOpen = new Generation(openNumber);
     }
 
-    /** Returns the value of an id, if it is remembered. */
-    OptionalLong find(RequestFingerprint id) {
-        long value = mOpen.get(id);
+    /** Returns the entry of an id, if it is remembered. */
+    Optional<Entry> find(RequestFingerprint id) {
+        Optional<Entry> entry = mOpen.mIds.get(id);
         Iterator<Generation> newestFirst = mClosed.descendingIterator();
-        while (value == NONE && newestFirst.hasNext()) {
-            value = newestFirst.next().get(id);
+        while (entry.isEmpty() && newestFirst.hasNext()) {
+            entry = newestFirst.next().mIds.get(id);
         }
-        return value == NONE ? OptionalLong.empty() : OptionalLong.of(value);
+        return entry;
     }
 
-    /** Remembers an id's value, from now on. */
-    void put(RequestFingerprint id, long value) {
-        mOpen.put(id, value);
+    /** Remembers an id's value and amount, from now on. */
+    void put(RequestFingerprint id, long value, long amount) {
+        mOpen.put(id, new Entry(value, amount));
     }
 
     /** Closes the open generation where a later one has begun; forgets the old ones. */
@@ -103,6 +83,7 @@
         if (number <= mOpen.number()) {
             return false;
         }
+        mOpen.mIds.trim();
         mClosed.addLast(mOpen);
         mOpen = new Generation(number);
         while (!mClosed.isEmpty()
@@ -117,6 +98,11 @@
         mClosed.addLast(generation);
     }
 
+    /** Gives back the room that the closed generations don't need, once all are read. */
+    void trimClosed() {
+        mClosed.forEach(generation -> generation.mIds.trim());
+    }
+
     /** Returns the closed generations, the oldest first. */
     Iterable<Generation> closed() {
         return mClosed;
--- a/coordination/src/main/java/org/hornbeampass/coordination/requests/BillReader.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/requests/BillReader.java
@@ -9,9 +9,12 @@
 import org.hornbeampass.state.Failure;
 import org.hornbeampass.state.OrganisationId;
 import org.hornbeampass.state.requests.Bill;
+import org.hornbeampass.state.requests.RequestKey;
 
+import java.util.HashMap;
 import java.util.Iterator;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
 import java.util.function.BiConsumer;
@@ -20,7 +23,9 @@
  * Reads an organisation's newest bills that stand from the platform's records alone: those since
  * the last checkpoint of each shard; older ones are only in the totals of {@link RequestAudit}.
  *
- * <p>What it holds at one time is one shard's memory, one page of its log and one page of bills.
+ * <p>A raised bill is one line with the raised amount, at the place of the first attempt's
+ * admission where that is since the checkpoint. What the reader holds at one time is one shard's
+ * memory, the organisation's bills in one shard's log, one page of that log and one page of bills.
  * One run per instance; each step follows the reply of the last one, so it needs no lock.
  */
 public final class BillReader {
@@ -33,6 +38,7 @@
     private final String mAfter;
     private final int mLimit;
     private final TreeMap<String, Bill> mPage = new TreeMap<>();
+    private final Map<RequestKey, Bill> mFirst = new HashMap<>();
     private int mRestarts;
 
     /**
@@ -100,6 +106,7 @@
             BiConsumer<Long, Either<Failure, BillPage>> done) {
         if (batches.isEmpty()) {
             mRestarts = 0;
+            mFirst.clear();
             shard(nowMs, shard + 1, done);
             return;
         }
@@ -115,21 +122,37 @@
     }
 
     private void take(RequestEntry entry, EntryDecision decision) {
-        boolean stands = decision.kind() == EntryDecision.Kind.BILLED;
-        if (!stands || !(entry instanceof RequestEntry.BillEntry known)) {
+        boolean stands =
+                decision.kind() == EntryDecision.Kind.BILLED
+                        || decision.kind() == EntryDecision.Kind.RAISED;
+        if (!stands
+                || !(entry instanceof RequestEntry.BillEntry known)
+                || !known.key().organisation().equals(mOrganisation)) {
             return;
         }
-        Bill bill = known.bill();
+        Bill first = mFirst.computeIfAbsent(known.key(), k -> known.bill());
+        Bill bill = standing(first, known.bill());
         String place = place(bill);
-        if (!bill.key().organisation().equals(mOrganisation) || place.compareTo(mAfter) <= 0) {
+        if (place.compareTo(mAfter) <= 0) {
             return;
         }
-        mPage.put(place, bill);
+        mPage.merge(place, bill, (before, now) -> now.tokens() > before.tokens() ? now : before);
         if (mPage.size() > mLimit + 1) {
             mPage.pollLastEntry();
         }
     }
 
+    /** Returns a raised bill as it stands, at the place of the first. */
+    private static Bill standing(Bill first, Bill raised) {
+        return new Bill(
+                first.key(),
+                first.budget(),
+                raised.attempt(),
+                raised.promptTokens(),
+                raised.completionTokens(),
+                first.admittedAtMs());
+    }
+
     /** Returns a bill's place in the order of admission. */
     private static String place(Bill bill) {
         return String.format(
--- a/coordination/src/main/java/org/hornbeampass/coordination/requests/CheckpointLoader.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/requests/CheckpointLoader.java
@@ -103,6 +103,7 @@
     private void readNext(long nowMs, ShardState state) {
         Part part = mParts.pollFirst();
         if (part == null) {
+            state.bills().trimClosed();
             mDone.accept(nowMs, Either.right(state));
             return;
         }
--- a/coordination/src/main/java/org/hornbeampass/coordination/requests/CheckpointParts.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/requests/CheckpointParts.java
@@ -14,6 +14,7 @@
 
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
@@ -25,20 +26,20 @@
  * state.
  */
 final class CheckpointParts {
-    /** How many ids go into one part: 720,000 bytes, 960,000 in Base64. */
-    static final int IDS_PER_PART = 30_000;
+    /** How many ids go into one part: 704,000 bytes, 940,000 in Base64. */
+    static final int IDS_PER_PART = 22_000;
 
-    private static final int ID_BYTES = 3 * Long.BYTES;
+    private static final int ID_BYTES = 4 * Long.BYTES;
     private static final int MAX_CHARS = 400_000;
 
     private CheckpointParts() {}
 
     /**
-     * Ids of bills, three longs each: high, low and value.
+     * Ids of bills, four longs each: high, low, value and amount.
      *
-     * @param ids the bytes
+     * @param rows the bytes
      */
-    private record IdPart(byte[] ids) {}
+    private record IdPart(byte[] rows) {}
 
     /**
      * When an attempt gave up.
@@ -77,13 +78,15 @@
     /** Returns a closed generation's ids, in their order. */
     static List<String> ofGeneration(BillMemory.Generation generation) {
         List<long[]> ids = new ArrayList<>(generation.size());
-        generation.forEach((id, value) -> ids.add(new long[] {id.high(), id.low(), value}));
+        generation.forEach(
+                (id, entry) ->
+                        ids.add(new long[] {id.high(), id.low(), entry.value(), entry.amount()}));
         ids.sort(Comparator.<long[]>comparingLong(i -> i[0]).thenComparingLong(i -> i[1]));
         List<String> parts = new ArrayList<>();
         for (int from = 0; from < ids.size(); from += IDS_PER_PART) {
             int to = Math.min(ids.size(), from + IDS_PER_PART);
             ByteBuffer bytes = ByteBuffer.allocate((to - from) * ID_BYTES);
-            ids.subList(from, to).forEach(i -> bytes.putLong(i[0]).putLong(i[1]).putLong(i[2]));
+            ids.subList(from, to).forEach(row -> Arrays.stream(row).forEach(bytes::putLong));
             parts.add(Json.encode(new IdPart(bytes.array())));
         }
         return parts;
@@ -94,11 +97,13 @@
         return Json.decode(text, IdPart.class)
                 .map(
                         part -> {
-                            ByteBuffer bytes = ByteBuffer.wrap(part.ids());
+                            ByteBuffer bytes = ByteBuffer.wrap(part.rows());
                             while (bytes.remaining() >= ID_BYTES) {
                                 long high = bytes.getLong();
                                 long low = bytes.getLong();
-                                into.put(new RequestFingerprint(high, low), bytes.getLong());
+                                into.put(
+                                        new RequestFingerprint(high, low),
+                                        new BillMemory.Entry(bytes.getLong(), bytes.getLong()));
                             }
                             return true;
                         });
--- a/coordination/src/main/java/org/hornbeampass/coordination/requests/EntryDecision.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/requests/EntryDecision.java
@@ -14,18 +14,25 @@
  * <p>Immutable; safe for use by any thread.
  *
  * @param kind the decision
- * @param repeats how many bills of the same request were decided as duplicates so far
+ * @param repeats how many further bills of the same request were decided so far
+ * @param charged how many tokens the bill's attempt has to settle; 0 for other entries
  * @param holder the VM whose attempt holds the claim, where another one does
  * @param outcome the recorded outcome, where there is one
  */
 @JsonFormat(shape = JsonFormat.Shape.ARRAY)
 public record EntryDecision(
-        Kind kind, int repeats, Optional<VmId> holder, Optional<CallOutcome> outcome) {
+        Kind kind,
+        int repeats,
+        long charged,
+        Optional<VmId> holder,
+        Optional<CallOutcome> outcome) {
     /** The decisions. */
     public enum Kind {
         /** The bill stands. */
         BILLED,
-        /** Another attempt's bill stands. */
+        /** The request's bill is raised to this one's amount. */
+        RAISED,
+        /** Another attempt's bill of the same or a larger amount stands. */
         DUPLICATE,
         /** The bill came so late that it can't be told from a repeated one; it is not charged. */
         LATE,
@@ -57,18 +64,18 @@
     }
 
     static EntryDecision of(Kind kind) {
-        return new EntryDecision(kind, 0, Optional.empty(), Optional.empty());
+        return new EntryDecision(kind, 0, 0, Optional.empty(), Optional.empty());
     }
 
-    static EntryDecision ofBill(Kind kind, int repeats) {
-        return new EntryDecision(kind, repeats, Optional.empty(), Optional.empty());
+    static EntryDecision ofBill(Kind kind, int repeats, long charged) {
+        return new EntryDecision(kind, repeats, charged, Optional.empty(), Optional.empty());
     }
 
     static EntryDecision held(VmId holder) {
-        return new EntryDecision(Kind.HELD, 0, Optional.of(holder), Optional.empty());
+        return new EntryDecision(Kind.HELD, 0, 0, Optional.of(holder), Optional.empty());
     }
 
     static EntryDecision recorded(CallOutcome outcome) {
-        return new EntryDecision(Kind.RECORDED, 0, Optional.empty(), Optional.of(outcome));
+        return new EntryDecision(Kind.RECORDED, 0, 0, Optional.empty(), Optional.of(outcome));
     }
 }
--- a/coordination/src/main/java/org/hornbeampass/coordination/requests/RequestLedger.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/requests/RequestLedger.java
@@ -14,6 +14,7 @@
 import org.hornbeampass.state.VmId;
 import org.hornbeampass.state.requests.AttemptId;
 import org.hornbeampass.state.requests.Bill;
+import org.hornbeampass.state.requests.BillCharge;
 import org.hornbeampass.state.requests.BillOutcome;
 import org.hornbeampass.state.requests.CallOutcome;
 import org.hornbeampass.state.requests.Claim;
@@ -32,11 +33,12 @@
 /**
  * One VM's door to the request log: bills, claims and outcomes of requests.
  *
- * <p>Invariants: a bill is answered only once it is durable; of all attempts of a remembered
- * request exactly one is billed; a claim is granted to one attempt ever, and only once that is
- * durable; an attempt whose claim was answered with a failure is never granted later, and its claim
- * is withdrawn durably before the id may run elsewhere. What waits is kept in memory until it is
- * decided; {@link #backlogFull} tells when no new work may be admitted.
+ * <p>Invariants: a bill is answered only once it is durable; a remembered request has exactly one
+ * bill, of the largest amount that an attempt of it used, and what its attempts are told to settle
+ * sums to it; a claim is granted to one attempt ever, and only once that is durable; an attempt
+ * whose claim was answered with a failure is never granted later, and its claim is withdrawn
+ * durably before the id may run elsewhere. What waits is kept in memory until it is decided; {@link
+ * #backlogFull} tells when no new work may be admitted.
  *
  * <p>Thread-safe: one lock guards all state, and it is the only lock; calls, messages and callbacks
  * run without it.
@@ -120,9 +122,10 @@
      *
      * @param nowMs the present time in milliseconds
      * @param bill the bill
-     * @param done takes the time in milliseconds and the outcome, once it is durable
+     * @param done takes the time in milliseconds, the outcome and what to settle, once it is
+     *     durable
      */
-    public void bill(long nowMs, Bill bill, BiConsumer<Long, Either<Failure, BillOutcome>> done) {
+    public void bill(long nowMs, Bill bill, BiConsumer<Long, Either<Failure, BillCharge>> done) {
         locked(
                 deferred ->
                         enqueue(
@@ -136,12 +139,17 @@
             long nowMs,
             Bill bill,
             EntryDecision decision,
-            BiConsumer<Long, Either<Failure, BillOutcome>> done) {
+            BiConsumer<Long, Either<Failure, BillCharge>> done) {
         synchronized (mLock) {
             mRepeats.note(nowMs, bill.key(), decision.repeats());
         }
-        boolean stands = decision.kind() == EntryDecision.Kind.BILLED;
-        done.accept(nowMs, Either.right(stands ? BillOutcome.BILLED : BillOutcome.DUPLICATE));
+        BillOutcome outcome =
+                switch (decision.kind()) {
+                    case BILLED -> BillOutcome.BILLED;
+                    case RAISED -> BillOutcome.RAISED;
+                    default -> BillOutcome.DUPLICATE;
+                };
+        done.accept(nowMs, Either.right(new BillCharge(outcome, decision.charged())));
     }
 
     /**
--- a/coordination/src/main/java/org/hornbeampass/coordination/requests/ShardState.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/requests/ShardState.java
@@ -24,14 +24,17 @@
  *
  * <p>A pure function of the log: every VM that applies the same batches in their order comes to the
  * same decisions, whoever wrote them, so it does not matter that two VMs think they own the shard.
- * Invariants: one bill of a remembered id stands; one attempt holds a claim; an entry that is
- * applied again is decided as before. Not thread-safe; the ledger's lock guards it.
+ * Invariants: a remembered id has one bill, of the largest amount that was billed for it; one
+ * attempt holds a claim; an entry that is applied again is decided as before. Not thread-safe; the
+ * ledger's lock guards it.
  */
 final class ShardState {
     private static final int COUNT_BITS = 8;
     private static final long COUNT_MASK = 0xff;
     private static final int MAX_COUNT = 0xfe;
     private static final int LATE_COUNT = 0xff;
+    private static final long DUPLICATE_MARK = 1;
+    private static final long RAISED_MARK = 2;
 
     private final Retention mRetention;
     private final ActiveClock mClock;
@@ -176,57 +179,79 @@
     }
 
     private Optional<EntryDecision> knownBill(Bill bill) {
-        OptionalLong first = mBills.find(RequestFingerprint.of(bill.key()));
-        if (first.isPresent()
-                && first.getAsLong() >>> COUNT_BITS == RequestFingerprint.mark(bill.attempt())) {
-            return Optional.of(EntryDecision.ofBill(Kind.BILLED, count(first.getAsLong())));
+        Optional<BillMemory.Entry> first = mBills.find(RequestFingerprint.of(bill.key()));
+        long mark = RequestFingerprint.mark(bill.attempt());
+        if (first.isPresent() && mark(first.get()) == mark) {
+            int repeats = count(first.get());
+            return Optional.of(EntryDecision.ofBill(Kind.BILLED, repeats, bill.tokens()));
         }
-        boolean late = late(bill.admittedAtMs());
-        if (first.isEmpty() && !late) {
+        if (first.isEmpty() && !late(bill.admittedAtMs())) {
             return Optional.empty();
         }
-        OptionalLong attempt = mBills.find(RequestFingerprint.of(bill.key(), bill.attempt()));
-        if (attempt.isEmpty()) {
-            return Optional.empty();
+        return mBills.find(RequestFingerprint.of(bill.key(), bill.attempt()))
+                .map(ShardState::onRepeat);
+    }
+
+    private static EntryDecision onRepeat(BillMemory.Entry attempt) {
+        int count = count(attempt);
+        if (count == LATE_COUNT) {
+            return EntryDecision.of(Kind.LATE);
         }
-        int count = count(attempt.getAsLong());
-        return Optional.of(
-                count == LATE_COUNT
-                        ? EntryDecision.of(Kind.LATE)
-                        : EntryDecision.ofBill(Kind.DUPLICATE, count));
+        Kind kind = mark(attempt) == RAISED_MARK ? Kind.RAISED : Kind.DUPLICATE;
+        return EntryDecision.ofBill(kind, count, attempt.amount());
     }
 
     private EntryDecision applyBill(Bill bill) {
         RequestFingerprint id = RequestFingerprint.of(bill.key());
-        OptionalLong first = mBills.find(id);
-        if (first.isEmpty() && late(bill.admittedAtMs())) {
-            rememberAttempt(bill, LATE_COUNT);
+        Optional<BillMemory.Entry> first = mBills.find(id);
+        if (first.isPresent()) {
+            return applyRepeat(bill, id, first.get());
+        }
+        if (late(bill.admittedAtMs())) {
+            rememberAttempt(bill, DUPLICATE_MARK, LATE_COUNT, 0);
             total(bill, BudgetTotals.ofLate(bill.tokens()));
             return EntryDecision.of(Kind.LATE);
         }
-        if (first.isEmpty()) {
-            mBills.put(id, RequestFingerprint.mark(bill.attempt()) << COUNT_BITS);
-            total(bill, BudgetTotals.ofBilled(bill.tokens()));
-            return EntryDecision.ofBill(Kind.BILLED, 0);
-        }
-        long value = first.getAsLong();
-        int repeats = Math.min(MAX_COUNT, count(value) + 1);
-        mBills.put(id, (value & ~COUNT_MASK) | repeats);
-        rememberAttempt(bill, repeats);
-        total(bill, BudgetTotals.ofDuplicate(bill.tokens()));
-        return EntryDecision.ofBill(Kind.DUPLICATE, repeats);
+        mBills.put(id, value(RequestFingerprint.mark(bill.attempt()), 0), bill.tokens());
+        total(bill, BudgetTotals.ofBilled(bill.tokens()));
+        return EntryDecision.ofBill(Kind.BILLED, 0, bill.tokens());
     }
 
-    private void rememberAttempt(Bill bill, int count) {
-        mBills.put(RequestFingerprint.of(bill.key(), bill.attempt()), (1L << COUNT_BITS) | count);
+    /** Decides a further attempt's bill: it raises the request's bill where it is larger. */
+    private EntryDecision applyRepeat(Bill bill, RequestFingerprint id, BillMemory.Entry first) {
+        int repeats = Math.min(MAX_COUNT, count(first) + 1);
+        long raisedTo = Math.max(first.amount(), bill.tokens());
+        long charged = raisedTo - first.amount();
+        boolean raised = charged > 0;
+        mBills.put(id, value(mark(first), repeats), raisedTo);
+        rememberAttempt(bill, raised ? RAISED_MARK : DUPLICATE_MARK, repeats, charged);
+        total(
+                bill,
+                raised
+                        ? BudgetTotals.ofRaised(bill.tokens(), charged)
+                        : BudgetTotals.ofDuplicate(bill.tokens()));
+        return EntryDecision.ofBill(raised ? Kind.RAISED : Kind.DUPLICATE, repeats, charged);
     }
 
-    private void total(Bill bill, BudgetTotals more) {
-        mTotals.merge(bill.budgetKey(), more, BudgetTotals::plus);
+    private void rememberAttempt(Bill bill, long mark, int count, long charged) {
+        RequestFingerprint attempt = RequestFingerprint.of(bill.key(), bill.attempt());
+        mBills.put(attempt, value(mark, count), charged);
     }
 
-    private static int count(long value) {
-        return (int) (value & COUNT_MASK);
+    private static long value(long mark, int count) {
+        return (mark << COUNT_BITS) | count;
+    }
+
+    private static long mark(BillMemory.Entry entry) {
+        return entry.value() >>> COUNT_BITS;
+    }
+
+    private static int count(BillMemory.Entry entry) {
+        return (int) (entry.value() & COUNT_MASK);
+    }
+
+    private void total(Bill bill, BudgetTotals more) {
+        mTotals.merge(bill.budgetKey(), more, BudgetTotals::plus);
     }
 
     private boolean late(long admittedAtMs) {
--- a/coordination/src/main/java/org/hornbeampass/state/requests/BillOutcome.java
+++ b/coordination/src/main/java/org/hornbeampass/state/requests/BillOutcome.java
@@ -6,8 +6,10 @@
  * <p>Immutable; safe for use by any thread.
  */
 public enum BillOutcome {
-    /** The bill stands: the budget is charged. */
+    /** The bill is the first of its request and stands: the budget is charged. */
     BILLED,
-    /** Another attempt of the same request is charged: this attempt's draw is refunded. */
+    /** The request was billed less before: its bill is raised to this attempt's amount. */
+    RAISED,
+    /** The request was billed as much or more before: this attempt's draw is refunded. */
     DUPLICATE
 }
--- a/coordination/src/main/java/org/hornbeampass/state/requests/BudgetTotals.java
+++ b/coordination/src/main/java/org/hornbeampass/state/requests/BudgetTotals.java
@@ -8,10 +8,10 @@
  * <p>Invariant: no part is negative; sums that would overflow throw. Immutable; safe for use by any
  * thread.
  *
- * @param bills how many bills stand
- * @param tokens their tokens
- * @param duplicates how many further attempts of billed requests were not charged
- * @param duplicateTokens the tokens that these used
+ * @param bills how many bills stand; a raised bill is one bill
+ * @param tokens their tokens; of a raised bill the raised amount, once
+ * @param duplicates how many further attempts there were of billed requests
+ * @param duplicateTokens the tokens of these attempts that were not charged
  * @param late how many bills came too late to be told from repeated ones, and were not charged
  * @param lateTokens the tokens that these used
  */
@@ -36,6 +36,11 @@
         return new BudgetTotals(0, 0, 1, usedTokens, 0, 0);
     }
 
+    /** Returns the totals of one further attempt that raised its request's bill. */
+    public static BudgetTotals ofRaised(long usedTokens, long chargedTokens) {
+        return new BudgetTotals(0, chargedTokens, 1, usedTokens - chargedTokens, 0, 0);
+    }
+
     /** Returns the totals of one late bill that is not charged. */
     public static BudgetTotals ofLate(long usedTokens) {
         return new BudgetTotals(0, 0, 0, 0, 1, usedTokens);
--- a/coordination/src/test/java/org/hornbeampass/coordination/requests/CheckpointTest.java
+++ b/coordination/src/test/java/org/hornbeampass/coordination/requests/CheckpointTest.java
@@ -57,6 +57,26 @@
         assertThat(mFleet.claimStatus(released)).contains(ClaimOutcome.Status.RECORDED);
     }
 
+    @Test
+    void new_vm_raises_a_bill_that_the_checkpoint_holds_once() {
+        bills(mA, "r", 20);
+        AttemptId raised = mFleet.bill(mA, "r101", 4);
+        bills(mA, "s", 4);
+        mFleet.kill(mA);
+        VmId b = mFleet.start("b", 1);
+        mFleet.mTime.runFor(MINUTE_MS);
+
+        AttemptId more = mFleet.bill(b, "r100", 7);
+        AttemptId less = mFleet.bill(b, "r101", 3);
+        mFleet.submit(b, mFleet.mBills.get(raised));
+        mFleet.mTime.runFor(MINUTE_MS);
+
+        assertThat(mFleet.charged(more)).isEqualTo(6);
+        assertThat(mFleet.billOutcome(less)).contains(BillOutcome.DUPLICATE);
+        assertThat(mFleet.charged(raised)).isEqualTo(3);
+        assertThat(mFleet.audit().sum().tokens()).isEqualTo(mFleet.settled());
+    }
+
     @Test
     void vm_that_was_paused_past_a_truncation_starts_from_the_checkpoint() {
         VmId b = mFleet.start("b", 1);
--- a/coordination/src/test/java/org/hornbeampass/coordination/requests/ShardStateTest.java
+++ b/coordination/src/test/java/org/hornbeampass/coordination/requests/ShardStateTest.java
@@ -7,6 +7,7 @@
 import org.hornbeampass.coordination.requests.RequestEntry.ClaimEntry;
 import org.hornbeampass.coordination.requests.RequestEntry.OutcomeEntry;
 import org.hornbeampass.coordination.requests.RequestEntry.WithdrawEntry;
+import org.hornbeampass.state.BudgetId;
 import org.hornbeampass.state.BudgetKey;
 import org.hornbeampass.state.VmId;
 import org.hornbeampass.state.requests.AttemptId;
@@ -40,6 +41,39 @@
                         new BudgetTotals(1, 3, 1, 3, 0, 0));
     }
 
+    @Test
+    void larger_bill_raises_by_the_difference_and_sent_again_is_decided_alike() {
+        at(START_MS);
+        bill("r", ONE, START_MS);
+
+        EntryDecision raised = mState.apply(billEntry("r", TWO, 7));
+        EntryDecision again = mState.apply(billEntry("r", TWO, 7));
+        EntryDecision first = mState.apply(billEntry("r", ONE, 2));
+        EntryDecision less = mState.apply(billEntry("r", THREE, 6));
+
+        assertThat(raised).isEqualTo(EntryDecision.ofBill(Kind.RAISED, 1, 5));
+        assertThat(again).isEqualTo(raised);
+        assertThat(mState.known(billEntry("r", TWO, 7))).contains(raised);
+        assertThat(first).isEqualTo(EntryDecision.ofBill(Kind.BILLED, 1, 3));
+        assertThat(less).isEqualTo(EntryDecision.ofBill(Kind.DUPLICATE, 2, 0));
+        assertThat(mState.totals().values()).containsExactly(new BudgetTotals(1, 8, 2, 10, 0, 0));
+    }
+
+    @Test
+    void raise_that_names_another_budget_is_charged_to_that_budget() {
+        at(START_MS);
+        bill("r", ONE, START_MS);
+        BudgetId other = new BudgetId("other");
+
+        mState.apply(
+                new BillEntry(new Bill(LedgerFleet.key("r", "body"), other, TWO, 1, 7, START_MS)));
+
+        assertThat(mState.totals())
+                .containsEntry(
+                        new BudgetKey(LedgerFleet.ORGANISATION, other),
+                        new BudgetTotals(0, 5, 1, 3, 0, 0));
+    }
+
     @Test
     void same_id_with_another_body_is_another_repeatable_request() {
         at(START_MS);
@@ -164,6 +198,17 @@
         return mState.apply(billEntry(id, "body", attempt, admittedAtMs)).kind();
     }
 
+    private static BillEntry billEntry(String id, AttemptId attempt, long completion) {
+        return new BillEntry(
+                new Bill(
+                        LedgerFleet.key(id, "body"),
+                        LedgerFleet.BUDGET,
+                        attempt,
+                        1,
+                        completion,
+                        START_MS));
+    }
+
     private static BillEntry billEntry(
             String id, String body, AttemptId attempt, long admittedAtMs) {
         return new BillEntry(
--- a/router/src/main/java/org/hornbeampass/router/flow/BillPort.java
+++ b/router/src/main/java/org/hornbeampass/router/flow/BillPort.java
@@ -18,11 +18,13 @@
      * Bills, and waits for the bill to be durable within a bound.
      *
      * <p>Where the bound passes first the reply is {@link BillResult#QUEUED}; should the bill turn
-     * out to be a duplicate later, the port itself refunds what was settled.
+     * out to be a duplicate or to raise another one later, the port itself refunds what was settled
+     * beyond its charge.
      *
      * @param nowMs the present time in milliseconds
      * @param bill what to bill
-     * @param done told exactly once the time and what came of it, at the bound at the latest
+     * @param done told exactly once the time, what came of it and what to settle, at the bound at
+     *     the latest
      */
-    void bill(long nowMs, Bill bill, BiConsumer<Long, BillResult> done);
+    void bill(long nowMs, Bill bill, BiConsumer<Long, Charge> done);
 }
--- a/router/src/main/java/org/hornbeampass/router/flow/ChatFlow.java
+++ b/router/src/main/java/org/hornbeampass/router/flow/ChatFlow.java
@@ -262,20 +262,20 @@
         leaveQueue(nowMs);
         Bill bill = mMeter.bill();
         mPorts.bills()
-                .bill(nowMs, bill, (t, result) -> mEvents.run(() -> doBilled(t, bill, result)));
+                .bill(nowMs, bill, (t, charge) -> mEvents.run(() -> doBilled(t, bill, charge)));
     }
 
-    private void doBilled(long nowMs, Bill bill, BillResult result) {
+    private void doBilled(long nowMs, Bill bill, Charge charge) {
         if (mState != State.BILLING) {
             return;
         }
         mReserved = false;
-        if (result == BillResult.DUPLICATE) {
+        if (charge.result() == BillResult.DUPLICATE) {
             mPorts.budget().cancel(nowMs);
         } else {
-            mPorts.budget().settle(nowMs, bill.totalTokens());
+            mPorts.budget().settle(nowMs, charge.tokens());
         }
-        end(nowMs, bill, Optional.of(result));
+        end(nowMs, bill, Optional.of(charge));
     }
 
     private void doFault(long nowMs, AttemptFault fault) {
@@ -373,7 +373,7 @@
         }
     }
 
-    private void end(long nowMs, Bill bill, Optional<BillResult> result) {
+    private void end(long nowMs, Bill bill, Optional<Charge> charge) {
         mState = State.ENDED;
         mDeadline.run();
         mRetryTimer.run();
@@ -383,7 +383,7 @@
         }
         leaveQueue(nowMs);
         answer(nowMs, bill);
-        mPorts.observer().onEnd(nowMs, mFailure.map(Failure::kind), bill, result);
+        mPorts.observer().onEnd(nowMs, mFailure.map(Failure::kind), bill, charge);
     }
 
     private void answer(long nowMs, Bill bill) {
--- a/router/src/main/java/org/hornbeampass/router/flow/FlowObserver.java
+++ b/router/src/main/java/org/hornbeampass/router/flow/FlowObserver.java
@@ -25,7 +25,7 @@
      * @param nowMs the present time in milliseconds
      * @param error how it failed; empty where it was answered whole
      * @param bill what was billed
-     * @param result what came of the bill; empty where none was due
+     * @param charge what came of the bill; empty where none was due
      */
-    void onEnd(long nowMs, Optional<ErrorKind> error, Bill bill, Optional<BillResult> result);
+    void onEnd(long nowMs, Optional<ErrorKind> error, Bill bill, Optional<Charge> charge);
 }
--- a/router/src/main/java/org/hornbeampass/router/flow/ServiceFlow.java
+++ b/router/src/main/java/org/hornbeampass/router/flow/ServiceFlow.java
@@ -189,12 +189,12 @@
         mState = State.BILLING;
         leaveQueue(nowMs);
         mPorts.bills()
-                .bill(nowMs, Bill.NOTHING, (t, result) -> mEvents.run(() -> doBilled(t, result)));
+                .bill(nowMs, Bill.NOTHING, (t, charge) -> mEvents.run(() -> doBilled(t, charge)));
     }
 
-    private void doBilled(long nowMs, BillResult result) {
+    private void doBilled(long nowMs, Charge charge) {
         if (mState == State.BILLING) {
-            end(nowMs, Optional.of(result));
+            end(nowMs, Optional.of(charge));
         }
     }
 
@@ -278,7 +278,7 @@
         end(nowMs, Optional.empty());
     }
 
-    private void end(long nowMs, Optional<BillResult> result) {
+    private void end(long nowMs, Optional<Charge> charge) {
         mState = State.ENDED;
         mDeadline.run();
         mRetryTimer.run();
@@ -293,7 +293,7 @@
             mPorts.observer().onFirstPart(nowMs);
             mPorts.caller().respond(answer.status(), answer.contentType(), answer.body());
         }
-        mPorts.observer().onEnd(nowMs, mFailure.map(Failure::kind), Bill.NOTHING, result);
+        mPorts.observer().onEnd(nowMs, mFailure.map(Failure::kind), Bill.NOTHING, charge);
     }
 
     /** Gives the turn back as soon as the upstream's work is over; the bill holds no place. */
--- a/router/src/main/java/org/hornbeampass/router/serve/FlowRecorder.java
+++ b/router/src/main/java/org/hornbeampass/router/serve/FlowRecorder.java
@@ -7,6 +7,7 @@
 import org.hornbeampass.coordination.slo.SloSample;
 import org.hornbeampass.router.flow.Bill;
 import org.hornbeampass.router.flow.BillResult;
+import org.hornbeampass.router.flow.Charge;
 import org.hornbeampass.router.flow.FlowObserver;
 import org.hornbeampass.state.ErrorKind;
 import org.hornbeampass.state.OrganisationId;
@@ -89,20 +90,21 @@
     }
 
     @Override
-    public void onEnd(
-            long nowMs, Optional<ErrorKind> error, Bill bill, Optional<BillResult> result) {
+    public void onEnd(long nowMs, Optional<ErrorKind> error, Bill bill, Optional<Charge> charge) {
         mMetrics.ended(mKind, mOrganisation, error);
         mMetrics.sample(nowMs, sample(error));
-        if (result.isPresent()) {
-            mMetrics.bill(result.get().name().toLowerCase(Locale.ROOT), 0);
-        }
-        if (result.isPresent() && result.get() != BillResult.DUPLICATE) {
-            mMetrics.billed(mOrganisation, bill.totalTokens());
-        }
+        charge.ifPresent(this::count);
         log(nowMs, error, bill);
         mOnEnd.run();
     }
 
+    private void count(Charge charge) {
+        mMetrics.bill(charge.result().name().toLowerCase(Locale.ROOT), 0);
+        if (charge.result() != BillResult.DUPLICATE) {
+            mMetrics.billed(mOrganisation, charge.tokens());
+        }
+    }
+
     /**
      * Writes one line; a refusal of a request that did not run is counted, and logged in detail.
      */
--- a/router/src/main/java/org/hornbeampass/router/serve/FlowRunner.java
+++ b/router/src/main/java/org/hornbeampass/router/serve/FlowRunner.java
@@ -162,7 +162,7 @@
                         new LedgerBill.Wait(
                                 mParts.timers(),
                                 mParts.settings().billWaitMs(),
-                                (late, t) -> budget.refundLate(t, late.totalTokens())));
+                                budget::refundLate));
         mRunning.incrementAndGet();
         FlowRecorder recorder =
                 new FlowRecorder(
--- a/router/src/main/java/org/hornbeampass/router/serve/LedgerBill.java
+++ b/router/src/main/java/org/hornbeampass/router/serve/LedgerBill.java
@@ -6,24 +6,24 @@
 import org.hornbeampass.router.flow.Bill;
 import org.hornbeampass.router.flow.BillPort;
 import org.hornbeampass.router.flow.BillResult;
+import org.hornbeampass.router.flow.Charge;
 import org.hornbeampass.router.flow.TimerPort;
 import org.hornbeampass.state.BudgetId;
 import org.hornbeampass.state.ErrorKind;
 import org.hornbeampass.state.Failure;
 import org.hornbeampass.state.requests.AttemptId;
-import org.hornbeampass.state.requests.BillOutcome;
+import org.hornbeampass.state.requests.BillCharge;
 import org.hornbeampass.state.requests.RequestKey;
 
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.BiConsumer;
-import java.util.function.ObjLongConsumer;
 
 /**
  * Binds one request's flow to the VM's request ledger, for its bill.
  *
- * <p>Invariant: the flow is answered exactly once, at the bound at the latest; a duplicate that is
- * known only after that is refunded. Thread-safe.
+ * <p>Invariant: the flow is answered exactly once, at the bound at the latest; what is settled
+ * beyond a charge that is known only after that is refunded. Thread-safe.
  */
 final class LedgerBill implements BillPort {
     private static final long BACKLOG_RETRY_MS = 5_000;
@@ -40,10 +40,10 @@
      *
      * @param timers bounds the wait
      * @param boundMs the bound in milliseconds
-     * @param onLateDuplicate takes the tokens of a duplicate that came after the bound, and the
-     *     time
+     * @param onLateRefund takes the time and how many tokens were settled too many, where the
+     *     charge came after the bound
      */
-    record Wait(TimerPort timers, long boundMs, ObjLongConsumer<Bill> onLateDuplicate) {}
+    record Wait(TimerPort timers, long boundMs, BiConsumer<Long, Long> onLateRefund) {}
 
     LedgerBill(
             RequestLedger ledger,
@@ -73,7 +73,7 @@
     }
 
     @Override
-    public void bill(long nowMs, Bill bill, BiConsumer<Long, BillResult> done) {
+    public void bill(long nowMs, Bill bill, BiConsumer<Long, Charge> done) {
         AtomicBoolean answered = new AtomicBoolean();
         Runnable timer =
                 mWait.timers()
@@ -82,7 +82,7 @@
                                 nowMs + mWait.boundMs(),
                                 t -> {
                                     if (answered.compareAndSet(false, true)) {
-                                        done.accept(t, BillResult.QUEUED);
+                                        done.accept(t, Charge.whole(BillResult.QUEUED, bill));
                                     }
                                 });
         org.hornbeampass.state.requests.Bill entry =
@@ -98,19 +98,25 @@
                 entry,
                 (t, outcome) -> {
                     timer.run();
-                    BillResult result = result(outcome);
+                    Charge charge = charge(bill, outcome);
                     if (answered.compareAndSet(false, true)) {
-                        done.accept(t, result);
-                    } else if (result == BillResult.DUPLICATE) {
-                        mWait.onLateDuplicate().accept(bill, t);
+                        done.accept(t, charge);
+                    } else if (charge.tokens() < bill.totalTokens()) {
+                        mWait.onLateRefund().accept(t, bill.totalTokens() - charge.tokens());
                     }
                 });
     }
 
-    private static BillResult result(Either<Failure, BillOutcome> outcome) {
-        if (outcome.isLeft()) {
-            return BillResult.QUEUED;
+    private static Charge charge(Bill bill, Either<Failure, BillCharge> decided) {
+        if (decided.isLeft()) {
+            return Charge.whole(BillResult.QUEUED, bill);
         }
-        return outcome.get() == BillOutcome.BILLED ? BillResult.FIRST : BillResult.DUPLICATE;
+        BillResult result =
+                switch (decided.get().outcome()) {
+                    case BILLED -> BillResult.FIRST;
+                    case RAISED -> BillResult.RAISED;
+                    case DUPLICATE -> BillResult.DUPLICATE;
+                };
+        return new Charge(result, decided.get().tokens());
     }
 }
