Refuse asks and moves that name another VM than their sender

Cause: onAsk and onMove did not compare the authenticated sender with the asker or giver named. Change: an ask that names another asker is answered by AskRefused, a move that names another giver is ignored without an acknowledgement; both are counted (BudgetLedger.senderMismatches). Measured: two new tests in BudgetTrapsTest; verify of coordination passes. Speed not measured. Conclusion: done; the counter is not yet shown by the metrics.

--- a/coordination/src/main/java/org/hornbeampass/coordination/budget/BudgetLedger.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/budget/BudgetLedger.java
@@ -36,6 +36,7 @@
 
     private final BudgetContext mContext;
     private final AtomicLong mNumbers = new AtomicLong();
+    private final AtomicLong mSenderMismatches = new AtomicLong();
     private final Map<OrganisationId, OrganisationBudgets> mOrganisations =
             new ConcurrentHashMap<>();
     private final AtomicReference<ConfigSnapshot> mConfig =
@@ -187,13 +188,22 @@
         mOrganisations.forEach((id, budgets) -> budgets.onPreference(preference(id)));
     }
 
-    /** Handles {@link AskGrant}. */
+    /** Handles {@link AskGrant}; refuses one whose asker is not its sender. */
     public void onAsk(long nowMs, VmId from, AskGrant ask, Consumer<PeerMessage> reply) {
+        if (!from.equals(ask.asker())) {
+            mSenderMismatches.incrementAndGet();
+            reply.accept(new AskRefused(ask.organisation(), ask.budget()));
+            return;
+        }
         organisation(ask.organisation()).onAsk(nowMs, ask, reply);
     }
 
-    /** Handles {@link MoveGrant}. */
+    /** Handles {@link MoveGrant}; ignores one whose giver is not its sender. */
     public void onMove(long nowMs, VmId from, MoveGrant move, Consumer<PeerMessage> reply) {
+        if (!from.equals(move.giver())) {
+            mSenderMismatches.incrementAndGet();
+            return;
+        }
         organisation(move.organisation()).onMove(nowMs, move, reply);
     }
 
@@ -227,6 +237,11 @@
         return opened;
     }
 
+    /** Returns the number of asks and moves that named another VM than their sender. */
+    public long senderMismatches() {
+        return mSenderMismatches.get();
+    }
+
     private BudgetPreference preference(OrganisationId id) {
         return mConfig.get()
                 .terms(id)
--- a/coordination/src/test/java/org/hornbeampass/coordination/budget/BudgetTrapsTest.java
+++ b/coordination/src/test/java/org/hornbeampass/coordination/budget/BudgetTrapsTest.java
@@ -3,16 +3,22 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import org.hornbeampass.coordination.budget.BudgetWorld.PlatformFault;
+import org.hornbeampass.coordination.peer.PeerMessage;
 import org.hornbeampass.state.ErrorKind;
 import org.hornbeampass.state.Failure;
 import org.hornbeampass.state.RequestId;
+import org.hornbeampass.state.VmId;
 import org.hornbeampass.state.budget.BudgetRecord;
 import org.hornbeampass.state.budget.BudgetStatement;
+import org.hornbeampass.state.budget.HolderId;
 import org.hornbeampass.state.budget.Reservation;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
+import java.util.ArrayList;
+import java.util.List;
+
 /** Brings about, one by one, the failures that the budgets are built against. */
 class BudgetTrapsTest {
     private static BudgetWorld world(int vms, int homes) {
@@ -184,6 +190,46 @@
         assertThat(BudgetAccounts.audit(BudgetWorld.ORGANISATION, world.record())).isEmpty();
     }
 
+    @Test
+    void ask_namingAnotherAsker_isRefusedAndCounted() {
+        BudgetWorld world = world(2, 2);
+        world.ledger(0).cancel(world.nowMs(), world.reserve(0, 100).get());
+        VmId named = world.node(1).mId;
+        AskGrant ask =
+                new AskGrant(BudgetWorld.ORGANISATION, BudgetWorld.KEY.budget(), named, 10, 10);
+        List<PeerMessage> replies = new ArrayList<>();
+        world.ledger(0).onAsk(world.nowMs(), new VmId("other", 1), ask, replies::add);
+        assertThat(replies)
+                .containsExactly(
+                        new AskRefused(BudgetWorld.ORGANISATION, BudgetWorld.KEY.budget()));
+        assertThat(world.ledger(0).senderMismatches()).isEqualTo(1);
+        world.ledger(0).onAsk(world.nowMs(), named, ask, replies::add);
+        assertThat(replies.get(1)).isInstanceOf(MoveGrant.class);
+        assertThat(world.ledger(0).senderMismatches()).isEqualTo(1);
+    }
+
+    @Test
+    void move_namingAnotherGiver_isIgnoredAndCounted() {
+        BudgetWorld world = world(2, 2);
+        VmId giver = world.node(1).mId;
+        MoveGrant move =
+                new MoveGrant(
+                        BudgetWorld.ORGANISATION,
+                        BudgetWorld.KEY.budget(),
+                        giver,
+                        world.node(0).mId,
+                        1,
+                        new HolderId(giver, 0),
+                        500,
+                        0);
+        List<PeerMessage> replies = new ArrayList<>();
+        VmId otherIncarnation = new VmId(giver.name(), giver.incarnation() + 1);
+        world.ledger(0).onMove(world.nowMs(), otherIncarnation, move, replies::add);
+        assertThat(replies).isEmpty();
+        assertThat(world.ledger(0).view(BudgetWorld.KEY)).isEmpty();
+        assertThat(world.ledger(0).senderMismatches()).isEqualTo(1);
+    }
+
     @Test
     void topUp_met390VmsAtOnce_isSharedWithABoundedNumberOfCalls() {
         BudgetWorld world = new BudgetWorld(390, GrantPolicy.DEMAND_HORIZON, 9);
