--- a/coordination/src/main/java/org/hornbeampass/coordination/requests/RequestLedger.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/requests/RequestLedger.java
@@ -30,7 +30,7 @@
 import java.util.function.Predicate;
 
 /**
- * One VM's door to the request log: bills, claims and outcomes of requests.
+ * One VM's access to the request log: bills, claims and outcomes of requests.
  *
  * <p>Invariants: a bill is answered only once it is durable; of all attempts of a remembered
  * request exactly one is billed; a claim is granted to one attempt ever, and only once that is
--- a/coordination/src/test/java/org/hornbeampass/coordination/budget/BudgetRun.java
+++ b/coordination/src/test/java/org/hornbeampass/coordination/budget/BudgetRun.java
@@ -16,7 +16,7 @@
 import java.util.Set;
 
 /**
- * Runs a schedule and keeps books of its own of what was really spent.
+ * Runs a schedule and keeps accounts of its own of what was really spent.
  *
  * <p>Not thread-safe.
  */
--- a/experiment/src/main/java/org/hornbeampass/experiment/path/PathUnderLoad.java
+++ b/experiment/src/main/java/org/hornbeampass/experiment/path/PathUnderLoad.java
@@ -2,6 +2,7 @@
 
 import org.hornbeampass.coordination.platform.CallLimits;
 import org.hornbeampass.protocol.settings.Secret;
+import org.hornbeampass.router.admin.KeyMaker;
 import org.hornbeampass.router.daemon.RouterDaemon;
 import org.hornbeampass.router.daemon.RouterSettings;
 import org.hornbeampass.standin.platform.PlatformStandIn;
@@ -24,10 +25,6 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.URI;
-import java.nio.charset.StandardCharsets;
-import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
-import java.util.HexFormat;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -73,7 +70,7 @@
                                 "load",
                                 Parameters.none(),
                                 Set.of(BUDGET.budget()),
-                                Map.of("first", sha256(KEY)))));
+                                Map.of("first", KeyMaker.hash(KEY)))));
         CompletableFuture<Boolean> paid = new CompletableFuture<>();
         mRouter.accounts()
                 .topUp(
@@ -147,17 +144,6 @@
                 new RouterSettings.Execution(workers, OptionalLong.empty()));
     }
 
-    private static String sha256(String key) {
-        try {
-            return HexFormat.of()
-                    .formatHex(
-                            MessageDigest.getInstance("SHA-256")
-                                    .digest(key.getBytes(StandardCharsets.UTF_8)));
-        } catch (NoSuchAlgorithmException e) {
-            throw new IllegalStateException("each Java runtime has SHA-256", e);
-        }
-    }
-
     String uri() {
         return "http://127.0.0.1:" + mRouter.callersAddress().getPort();
     }
