--- a/coordination/src/main/java/org/hornbeampass/coordination/requests/RequestLedger.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/requests/RequestLedger.java
@@ -31,7 +31,7 @@
 import java.util.function.Predicate;
 
 /**
- * One VM's door to the request log: bills, claims and outcomes of requests.
+ * One VM's access to the request log: bills, claims and outcomes of requests.
  *
  * <p>Invariants: a bill is answered only once it is durable; a remembered request has exactly one
  * bill, of the largest amount that an attempt of it used, and what its attempts are told to settle
