Keep VMs out whose settings of the request log are not the fleet's

Cause: shards and retention must be the same on all VMs, or two VMs place and decide one log differently; nothing checked it. Until a VM has read them it opens no shard, sends no entry and refuses those of others; one that differs never becomes ready. A test that cut a VM off before it had ever reached the platform now lets it become ready first, as a router does before it takes requests.

--- a/coordination/src/main/java/org/hornbeampass/coordination/requests/LedgerSettings.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/requests/LedgerSettings.java
@@ -1,7 +1,8 @@
 package org.hornbeampass.coordination.requests;
 
 /**
- * How the request log is sharded and written; shards and retention must be the same on all VMs.
+ * How the request log is sharded and written; shards and retention must be the same on all VMs,
+ * which {@link RequestLedger#notReady} checks.
  *
  * <p>Immutable; safe for use by any thread.
  *
--- a/coordination/src/main/java/org/hornbeampass/coordination/requests/RequestLedger.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/requests/RequestLedger.java
@@ -48,6 +48,7 @@
     private final LedgerSettings mSettings;
     private final Object mLock = new Object();
     private final ShardTraffic mTraffic;
+    private final SettingsAgreement mAgreement;
     private final ClaimWaits mClaims;
     private final RepeatLimit mRepeats;
     private final List<LongConsumer> mHandOvers = new ArrayList<>();
@@ -80,6 +81,8 @@
         mSettings = settings;
         mClaims = new ClaimWaits(provedGone);
         mRepeats = new RepeatLimit(settings.retention());
+        SplittableRandom random = new SplittableRandom(seed);
+        mAgreement = new SettingsAgreement(platform, settings, this::locked, random.split());
         mTraffic =
                 new ShardTraffic(
                         new ShardTraffic.Links(platform, background, peers),
@@ -87,7 +90,18 @@
                         owners,
                         settings,
                         this::locked,
-                        new SplittableRandom(seed));
+                        mAgreement::same,
+                        random);
+    }
+
+    /**
+     * Says why this VM must not take requests yet, or at all: the fleet's settings of the log are
+     * not read yet, or are not this VM's. Until then nothing is read from the log or written to it.
+     */
+    public Optional<Failure> notReady() {
+        synchronized (mLock) {
+            return mAgreement.notReady();
+        }
     }
 
     /**
@@ -281,6 +295,7 @@
     public void tick(long nowMs) {
         locked(
                 deferred -> {
+                    mAgreement.step(nowMs, deferred);
                     mClaims.expire(nowMs, deferred)
                             .forEach(c -> enqueueWithdrawal(nowMs, c, deferred));
                     mTraffic.tick(nowMs, deferred);
--- a/coordination/src/main/java/org/hornbeampass/coordination/requests/ShardTraffic.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/requests/ShardTraffic.java
@@ -11,6 +11,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.SplittableRandom;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 
 /**
@@ -19,7 +20,9 @@
  * <p>Which way an entry goes: to the shard's owner; into this VM's own copy where it is the owner
  * or the owner can't be reached; to the next VM in line where this VM is the owner but the platform
  * does not answer it. Copies of owned shards are opened a few at a time, so that a VM that starts,
- * or all at once, read within a bound. Not thread-safe; the ledger's lock guards it.
+ * or all at once, read within a bound. While it is not known that this VM has the fleet's settings,
+ * its own entries wait, others' are refused and no shard is opened. Not thread-safe; the ledger's
+ * lock guards it.
  */
 final class ShardTraffic {
     private static final long HOLD_MS = 1_500;
@@ -33,6 +36,7 @@
     private final ShardOwners mOwners;
     private final LedgerSettings mSettings;
     private final Deferred.Guard mGuard;
+    private final BooleanSupplier mOpen;
     private final SplittableRandom mRandom;
     private final Map<Integer, Place> mPlaces = new HashMap<>();
     private final List<EntryReception> mReceptions = new ArrayList<>();
@@ -72,12 +76,14 @@
             ShardOwners owners,
             LedgerSettings settings,
             Deferred.Guard guard,
+            BooleanSupplier open,
             SplittableRandom random) {
         mLinks = links;
         mSelf = self;
         mOwners = owners;
         mSettings = settings;
         mGuard = guard;
+        mOpen = open;
         mRandom = random;
         for (int shard = 0; shard < settings.shards(); shard++) {
             ShardOutbox outbox = new ShardOutbox(shard, links.peers(), guard, random.split());
@@ -118,7 +124,7 @@
 
     private void forward(long nowMs, int shard, Place place, Deferred deferred) {
         ShardOutbox outbox = place.mOutbox;
-        if (outbox.isEmpty()) {
+        if (!mOpen.getAsBoolean() || outbox.isEmpty()) {
             return;
         }
         boolean owned = place.ownedBy(mSelf);
@@ -156,7 +162,7 @@
     private void keep(long nowMs, int shard, Place place, Deferred deferred) {
         boolean owned = place.ownedBy(mSelf);
         if (place.mReplica.isEmpty()) {
-            if (owned && loading() < MAX_LOADING) {
+            if (owned && mOpen.getAsBoolean() && loading() < MAX_LOADING) {
                 replica(nowMs, shard, place).step(nowMs, deferred);
             }
             return;
@@ -186,7 +192,10 @@
         List<RequestEntry> entries = new ArrayList<>();
         message.entries().forEach(t -> EntryCodec.decode(t).forEach(entries::add));
         Place place = mPlaces.get(message.shard());
-        if (place == null || entries.isEmpty() || entries.size() != message.entries().size()) {
+        if (!mOpen.getAsBoolean()
+                || place == null
+                || entries.isEmpty()
+                || entries.size() != message.entries().size()) {
             refuse(reply, deferred);
             return;
         }
--- a/coordination/src/test/java/org/hornbeampass/coordination/requests/RequestLedgerTest.java
+++ b/coordination/src/test/java/org/hornbeampass/coordination/requests/RequestLedgerTest.java
@@ -107,6 +107,7 @@
 
     @Test
     void vm_cut_off_from_the_platform_bills_through_its_peers() {
+        mFleet.mTime.runFor(1_000);
         mFleet.mPlatform.cut(mA);
         AttemptId one = mFleet.bill(mA, "r1", 10);
         AttemptId two = mFleet.bill(mA, "r2", 10);
--- a/router/src/main/java/org/hornbeampass/router/daemon/Hornbeampassd.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/Hornbeampassd.java
@@ -3,6 +3,7 @@
 import io.vavr.control.Either;
 
 import org.hornbeampass.protocol.settings.Faults;
+import org.hornbeampass.state.Failure;
 
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
@@ -14,6 +15,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.Optional;
 import java.util.concurrent.Callable;
 
 /**
@@ -88,7 +90,12 @@
         }
         Thread hook = new Thread(() -> onSignal(daemon), "shutdown");
         Runtime.getRuntime().addShutdownHook(hook);
-        while (daemon.notReady().isPresent()) {
+        String told = "";
+        for (Optional<Failure> why = daemon.notReady(); why.isPresent(); why = daemon.notReady()) {
+            if (!told.equals(why.get().message())) {
+                told = why.get().message();
+                mErr.println("not ready: " + told);
+            }
             Thread.sleep(READY_POLL_MS);
         }
         mOut.println(
