Bound what membership sends after many deaths at once

Cause: by bytes per kind, after 49 deaths of 390 VMs over half of the mean of 8.3 KB/s was comparisons of tables that began while the news was still under way, and 0.9 KB/s was accusations that do not count, passed at once to dead VMs; each of these also used up sends of the queued news. Change: a comparison waits until both digests stand still for settleMs, or differ for four times as long; refused accusations wait in a queue, one per VM, and leave at two a second without other news; a VM that joins asks another live VM for each further part.

--- a/coordination/src/main/java/org/hornbeampass/coordination/membership/Membership.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/membership/Membership.java
@@ -194,6 +194,7 @@
         askCandidate(nowMs);
         mSync.tick(nowMs, out);
         spreadNews(out);
+        mCore.passRefused(nowMs, out);
         if (nowMs >= mNextHousekeepingMs) {
             mNextHousekeepingMs = nowMs + HOUSEKEEPING_MS;
             housekeeping(nowMs);
@@ -274,7 +275,7 @@
         locked(
                 nowMs,
                 out -> {
-                    absorb(nowMs, from, ping.rumours(), out);
+                    absorb(nowMs, from, ping.rumours());
                     Ack ack = new Ack(mCore.rumoursFor(from));
                     out.add(() -> reply.accept(ack));
                 });
@@ -282,7 +283,7 @@
 
     /** Handles {@link Gossip}, which has no reply; a {@code PeerHandler}. */
     public void onGossip(long nowMs, VmId from, Gossip gossip, Consumer<PeerMessage> reply) {
-        locked(nowMs, out -> absorb(nowMs, from, gossip.rumours(), out));
+        locked(nowMs, o -> absorb(nowMs, from, gossip.rumours()));
     }
 
     /** Handles {@link IndirectPing}: probes the third VM and tells what came of it. */
@@ -291,7 +292,7 @@
         locked(
                 nowMs,
                 out -> {
-                    absorb(nowMs, from, ping.rumours(), out);
+                    absorb(nowMs, from, ping.rumours());
                     String target = ping.target();
                     Ping probe =
                             new Ping(
@@ -332,15 +333,15 @@
         locked(
                 nowMs,
                 out -> {
-                    mCore.merge(nowMs, request.self(), Optional.empty(), out);
+                    mCore.merge(nowMs, request.self(), Optional.empty());
                     mCore.heardFrom(nowMs, from);
                     SyncReply answer = mSync.answer(request);
                     out.add(() -> reply.accept(answer));
                 });
     }
 
-    private void absorb(long nowMs, VmId from, Rumours rumours, Outbox out) {
-        if (mCore.absorb(nowMs, from, rumours, out)) {
+    private void absorb(long nowMs, VmId from, Rumours rumours) {
+        if (mCore.absorb(nowMs, from, rumours)) {
             mSync.want(from.name());
         }
         mSync.compare(nowMs, from.name(), rumours.digest());
--- a/coordination/src/main/java/org/hornbeampass/coordination/membership/MembershipCore.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/membership/MembershipCore.java
@@ -28,6 +28,7 @@
     final MemberTable mTable;
     private final UpdateQueue mQueue;
     private final Map<String, Long> mHeardRevisions = new TreeMap<>();
+    final RefusedAccusations mRefused = new RefusedAccusations();
     private final List<VmId> mProvedGone = new ArrayList<>();
     private final List<HeardRevision> mNewRevisions = new ArrayList<>();
     private final List<VmId> mNewSuspects = new ArrayList<>();
@@ -75,13 +76,23 @@
         return new Rumours(mTable.digest(), mRevision, updates);
     }
 
+    /** Passes the refused accusation that waits longest to the VM accused, without other news. */
+    void passRefused(long nowMs, Outbox out) {
+        Optional<MemberUpdate> refused = mRefused.next(nowMs, mTable);
+        if (refused.isEmpty()) {
+            return;
+        }
+        Rumours told = new Rumours(mTable.digest(), mRevision, List.of(refused.get()));
+        out.add(() -> mNetwork.send(refused.get().name(), new Gossip(told)));
+    }
+
     /** Takes in what a peer sent; returns whether the two tables should be compared. */
-    boolean absorb(long nowMs, VmId from, Rumours rumours, Outbox out) {
+    boolean absorb(long nowMs, VmId from, Rumours rumours) {
         boolean unknown = !heardFrom(nowMs, from);
         Optional<Region> region = mTable.regionOf(from.name());
         boolean lacks = false;
         for (MemberUpdate update : rumours.updates()) {
-            lacks |= merge(nowMs, update, region, out) == MergeResult.LACKS_DETAILS;
+            lacks |= merge(nowMs, update, region) == MergeResult.LACKS_DETAILS;
         }
         hearRevision(from, rumours.revision());
         return unknown || lacks;
@@ -110,7 +121,7 @@
         }
     }
 
-    MergeResult merge(long nowMs, MemberUpdate update, Optional<Region> senderRegion, Outbox out) {
+    MergeResult merge(long nowMs, MemberUpdate update, Optional<Region> senderRegion) {
         if (!update.wellFormed()) {
             return MergeResult.KNOWN;
         }
@@ -120,10 +131,7 @@
             case CHANGED -> changed(update, before);
             case ACCUSES_SELF -> refute(nowMs, update);
             case SUPERSEDES_SELF -> mSuperseded = true;
-            case REFUSED -> {
-                Rumours told = rumours(List.of(update));
-                out.add(() -> mNetwork.send(update.name(), new Gossip(told)));
-            }
+            case REFUSED -> mRefused.add(update);
             case KNOWN -> noteTold(update);
             default -> {}
         }
--- a/coordination/src/main/java/org/hornbeampass/coordination/membership/Prober.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/membership/Prober.java
@@ -126,7 +126,7 @@
             long nowMs, VmId target, int epoch, Either<Failure, PeerMessage> reply, Outbox out) {
         if (reply.isRight() && reply.get() instanceof Ack ack) {
             mOwnFaults = 0;
-            answered(nowMs, target, ack.rumours(), out);
+            answered(nowMs, target, ack.rumours());
             return;
         }
         Optional<MemberEntry> entry = mCore.mTable.entry(target.name());
@@ -137,8 +137,8 @@
         askRelays(nowMs, entry.get(), out);
     }
 
-    private void answered(long nowMs, VmId target, Rumours rumours, Outbox out) {
-        if (mCore.absorb(nowMs, target, rumours, out)) {
+    private void answered(long nowMs, VmId target, Rumours rumours) {
+        if (mCore.absorb(nowMs, target, rumours)) {
             mSync.want(target.name());
         }
         mSync.compare(nowMs, target.name(), rumours.digest());
@@ -164,7 +164,7 @@
                                     (atMs, reply) ->
                                             mCore.mGuard.run(
                                                     atMs,
-                                                    o -> relayed(atMs, relay, round, reply, o))));
+                                                    o -> relayed(atMs, relay, round, reply))));
         }
     }
 
@@ -192,16 +192,12 @@
     }
 
     private void relayed(
-            long nowMs,
-            VmId relay,
-            RelayRound round,
-            Either<Failure, PeerMessage> reply,
-            Outbox out) {
+            long nowMs, VmId relay, RelayRound round, Either<Failure, PeerMessage> reply) {
         round.mOpen--;
         if (reply.isRight() && reply.get() instanceof IndirectAck ack) {
             round.mAnswered++;
             round.mReached |= ack.reached();
-            answered(nowMs, relay, ack.rumours(), out);
+            answered(nowMs, relay, ack.rumours());
         }
         if (round.mOpen > 0 || round.mEpoch != mEpoch) {
             return;
--- a/coordination/src/main/java/org/hornbeampass/coordination/membership/TableSync.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/membership/TableSync.java
@@ -20,13 +20,22 @@
  */
 final class TableSync {
     private static final long REPLY_TIMEOUT_MS = 2_000;
+    private static final int UNSETTLED_TIMES = 4;
 
     private final MembershipCore mCore;
-    private final Map<String, Long> mDiffersSinceMs = new HashMap<>();
+    private final Map<String, Difference> mDifferences = new HashMap<>();
     private Optional<String> mWanted = Optional.empty();
     private long mNextMs;
     private int mStart;
 
+    /** Two digests that differ: since when at all, and since when both stand still. */
+    private record Difference(long own, long theirs, long sinceMs, long stillSinceMs) {
+        Difference next(long nowMs, long nextOwn, long nextTheirs) {
+            boolean still = own == nextOwn && theirs == nextTheirs;
+            return new Difference(nextOwn, nextTheirs, sinceMs, still ? stillSinceMs : nowMs);
+        }
+    }
+
     TableSync(MembershipCore core) {
         mCore = core;
     }
@@ -40,15 +49,28 @@
         return mWanted.isEmpty();
     }
 
-    /** Notes a peer's digest; wants a comparison where it differs for longer than news takes. */
+    /**
+     * Notes a peer's digest; wants a comparison where the two differ and neither changes for longer
+     * than news takes, or where they differ for long although both change.
+     */
     void compare(long nowMs, String peer, long digest) {
-        if (digest == mCore.mTable.digest()) {
-            mDiffersSinceMs.remove(peer);
+        long own = mCore.mTable.digest();
+        if (digest == own) {
+            mDifferences.remove(peer);
             return;
         }
-        Long sinceMs = mDiffersSinceMs.putIfAbsent(peer, nowMs);
-        if (sinceMs != null && nowMs - sinceMs >= mCore.mSettings.settleMs() && idle()) {
-            mDiffersSinceMs.put(peer, nowMs);
+        Difference before = mDifferences.get(peer);
+        Difference now =
+                before == null
+                        ? new Difference(own, digest, nowMs, nowMs)
+                        : before.next(nowMs, own, digest);
+        mDifferences.put(peer, now);
+        long settleMs = mCore.mSettings.settleMs();
+        boolean due =
+                nowMs - now.stillSinceMs() >= settleMs
+                        || nowMs - now.sinceMs() >= UNSETTLED_TIMES * settleMs;
+        if (due && idle()) {
+            mDifferences.put(peer, new Difference(own, digest, nowMs, nowMs));
             want(peer);
         }
     }
@@ -56,7 +78,7 @@
     /** Drops the digests of peers that are no longer in contact. */
     void forgetOld(long nowMs) {
         long keepMs = 10 * mCore.mSettings.settleMs();
-        mDiffersSinceMs.values().removeIf(since -> nowMs - since > keepMs);
+        mDifferences.values().removeIf(d -> nowMs - d.sinceMs() > keepMs);
     }
 
     void tick(long nowMs, Outbox out) {
@@ -89,17 +111,28 @@
         sync.entries().forEach(e -> theirs.put(e.name(), e));
         MemberUpdate peerSelf = theirs.get(peer);
         if (peerSelf != null) {
-            mCore.merge(nowMs, peerSelf, Optional.empty(), out);
+            mCore.merge(nowMs, peerSelf, Optional.empty());
         }
         Optional<Region> region = mCore.mTable.regionOf(peer);
-        sync.entries().forEach(e -> mCore.merge(nowMs, e, region, out));
+        sync.entries().forEach(e -> mCore.merge(nowMs, e, region));
         push(peer, sync.covered(), theirs, out);
         mStart = (mStart + Integer.bitCount(sync.covered())) % MemberTable.BUCKETS;
         if (sync.more() && idle()) {
-            want(peer);
+            want(anyLive().orElse(peer));
         }
     }
 
+    /** Chooses who is asked for the rest, so that VMs that join don't all load the same seed. */
+    private Optional<String> anyLive() {
+        List<MemberEntry> live =
+                mCore.mTable.entries().stream()
+                        .filter(e -> e.health() == Health.LIVE && e != mCore.mTable.self())
+                        .toList();
+        return live.isEmpty()
+                ? Optional.empty()
+                : Optional.of(live.get(mCore.mRandom.nextInt(live.size())).name());
+    }
+
     /** Sends the peer what it lacks in the buckets that its reply covered. */
     private void push(String peer, int covered, Map<String, MemberUpdate> theirs, Outbox out) {
         List<MemberUpdate> newer = new ArrayList<>();
--- a/experiment/src/main/java/org/hornbeampass/experiment/membership/CountingNetwork.java
+++ b/experiment/src/main/java/org/hornbeampass/experiment/membership/CountingNetwork.java
@@ -30,6 +30,8 @@
 final class CountingNetwork {
     private static final int SAME_REGION_MS = 2;
     private static final int OTHER_REGION_MS = 40;
+    private static final String SENT = "sent";
+    private static final String SENT_TO_DEAD = "sent to dead VMs";
 
     private final EventQueue mEvents;
     private final Random mRandom;
@@ -45,6 +47,7 @@
         private long mSent;
         private long mReceived;
         private long mMessages;
+        private final Map<String, Long> mBytesByKind = new TreeMap<>();
 
         private Node(Member self) {
             mSelf = self;
@@ -61,6 +64,15 @@
         long messages() {
             return mMessages;
         }
+
+        /** Returns the bytes by direction and type of message, as in {@code "sent Ping"}. */
+        Map<String, Long> bytesByKind() {
+            return Map.copyOf(mBytesByKind);
+        }
+
+        private void count(String direction, Class<?> type, int size) {
+            mBytesByKind.merge(direction + " " + type.getSimpleName(), (long) size, Long::sum);
+        }
     }
 
     CountingNetwork(EventQueue events, long seed) {
@@ -143,8 +155,8 @@
 
     private void transmit(
             Node from, String toName, PeerMessage message, Consumer<PeerMessage> reply) {
-        byte[] bytes = sent(from, message);
         Node to = mNodes.get(toName);
+        byte[] bytes = sent(from, message, to == null ? SENT_TO_DEAD : SENT);
         if (to == null || cut(from, to)) {
             return;
         }
@@ -167,7 +179,7 @@
                 sender,
                 message,
                 answer -> {
-                    byte[] bytes = sent(to, answer);
+                    byte[] bytes = sent(to, answer, SENT);
                     if (cut(from, to)) {
                         return;
                     }
@@ -181,17 +193,20 @@
                 });
     }
 
-    private byte[] sent(Node node, PeerMessage message) {
+    private byte[] sent(Node node, PeerMessage message, String direction) {
         byte[] bytes = mCodec.encode(message);
         int size = bytes.length + WireCodec.HEADER_BYTES;
         node.mSent += size;
         node.mMessages++;
         mBytesByType.merge(message.getClass().getSimpleName(), (long) size, Long::sum);
+        node.count(direction, message.getClass(), size);
         return bytes;
     }
 
     private PeerMessage received(Node node, byte[] bytes, Class<? extends PeerMessage> type) {
-        node.mReceived += bytes.length + WireCodec.HEADER_BYTES;
+        int size = bytes.length + WireCodec.HEADER_BYTES;
+        node.mReceived += size;
+        node.count("received", type, size);
         return mCodec.decode(bytes, type);
     }
 
