--- a/experiment/src/main/java/org/hornbeampass/experiment/fleet/Fleet.java
+++ b/experiment/src/main/java/org/hornbeampass/experiment/fleet/Fleet.java
@@ -26,6 +26,7 @@
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.BooleanSupplier;
 import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 
 /**
  * A platform, engines, plain services and routers in one JVM, all on loopback at free ports.
@@ -149,9 +150,22 @@
         replace(n);
     }
 
-    /** Closes a router as a crash would. */
+    /**
+     * Closes a router as the death of its VM would: its links are cut first, so that nothing that
+     * it still does while it is closed reaches another router or the platform.
+     */
     public void crash(int n) {
+        List<String> self = List.of(vmName(n));
+        List<String> all = IntStream.range(0, mSpec.routers()).mapToObj(Fleet::vmName).toList();
+        setCut(self, all, true);
         mRouters.get(n).close();
+        setCut(self, all, false);
+    }
+
+    private void setCut(List<String> some, List<String> others, boolean cut) {
+        mLinks.setPlatformCut(some, cut);
+        mLinks.setCut(some, others, cut);
+        mLinks.setCut(others, some, cut);
     }
 
     /** Starts a router that was closed anew under its name. */
