Ask the VMs that hold lent tokens, and end rounds that nobody waits for

A home's round of asks was left running when its requests were served, so that the next request went on with the last peers, failed, and all requests of the next second were refused at once. Asks to peers out of reach (1 s each) and asks put off by other homes that could draw nothing took up the rest of the 2 s wait. Change: a round ends when nobody waits and fails only if no peer gave; peers that gave no reply are asked last by all budgets of the VM; a home asks the VMs it lent to first, and answers asks at once where the platform can't help. The choice of peers moves into AskCandidates.

--- a/coordination/src/main/java/org/hornbeampass/coordination/budget/Account.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/budget/Account.java
@@ -6,6 +6,7 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.Set;
 
 /**
  * One budget on this VM: what it holds, who waits, and its dealings with peers.
@@ -16,10 +17,11 @@
     private final Holding mHolding;
     private final PeerMoves mMoves;
     private final Deque<Waiter> mWaiters = new ArrayDeque<>();
-    private final AskRound mAsks = new AskRound();
+    private final AskRound mAsks;
     private final Deque<DeferredAsk> mDeferred = new ArrayDeque<>();
 
-    Account(BudgetKey key, VmId self) {
+    Account(BudgetKey key, VmId self, Set<VmId> silentPeers) {
+        mAsks = new AskRound(silentPeers);
         mHolding = new Holding(key, new HolderId(self, 0));
         mMoves = new PeerMoves(key, self);
     }
--- /dev/null
+++ b/coordination/src/main/java/org/hornbeampass/coordination/budget/AskCandidates.java
@@ -0,0 +1,45 @@
+package org.hornbeampass.coordination.budget;
+
+import org.hornbeampass.state.VmId;
+import org.hornbeampass.state.budget.LedgerRecord;
+
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * Decides whom a VM asks for tokens, and in which order.
+ *
+ * <p>Stateless; called under the organisation's lock.
+ */
+final class AskCandidates {
+    private AskCandidates() {}
+
+    /**
+     * Returns the homes, or for a home the VMs that it lent to; then holders with most unspent by
+     * the record; then the rest. Only VMs believed to be live, and not this one.
+     *
+     * @param direct whether this VM draws from the platform itself
+     * @param record the organisation's record, where it is known
+     */
+    static List<VmId> of(
+            BudgetContext context, Account account, boolean direct, Optional<LedgerRecord> record) {
+        List<VmId> live = context.homes().live();
+        Set<VmId> order = new LinkedHashSet<>();
+        order.addAll(
+                direct
+                        ? account.moves().receivers()
+                        : context.homes().homes(account.key().organisation()));
+        if (record.isPresent()) {
+            record.get().budget(account.key().budget()).holders().entrySet().stream()
+                    .filter(e -> e.getValue().free() > 0)
+                    .sorted((a, b) -> Long.compare(b.getValue().free(), a.getValue().free()))
+                    .forEach(e -> order.add(e.getKey().vm()));
+        }
+        order.addAll(live);
+        order.remove(context.self());
+        order.retainAll(live);
+        return List.copyOf(order);
+    }
+}
--- a/coordination/src/main/java/org/hornbeampass/coordination/budget/BudgetContext.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/budget/BudgetContext.java
@@ -5,10 +5,12 @@
 import org.hornbeampass.state.OrganisationId;
 import org.hornbeampass.state.VmId;
 
+import java.util.Set;
+
 /**
  * What all organisations' budgets on one VM share.
  *
- * <p>Immutable; its parts are thread-safe.
+ * <p>Immutable but for {@code silentPeers}; its parts are thread-safe.
  *
  * @param self this VM
  * @param platform the platform
@@ -16,6 +18,7 @@
  * @param homes who is live, and who draws for whom
  * @param settings times and bounds
  * @param policy how much is drawn
+ * @param silentPeers the peers that gave no reply when they were last asked for tokens
  */
 record BudgetContext(
         VmId self,
@@ -23,7 +26,8 @@
         PeerNetwork peers,
         BudgetHomes homes,
         BudgetSettings settings,
-        GrantPolicy policy) {
+        GrantPolicy policy,
+        Set<VmId> silentPeers) {
     /** Returns whether this VM draws from the platform for an organisation in the usual case. */
     boolean isHome(OrganisationId organisation) {
         return homes.homes(organisation).contains(self);
--- a/coordination/src/main/java/org/hornbeampass/coordination/budget/BudgetLedger.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/budget/BudgetLedger.java
@@ -61,7 +61,15 @@
             BudgetHomes homes,
             BudgetSettings settings,
             GrantPolicy policy) {
-        mContext = new BudgetContext(self, platform, peers, homes, settings, policy);
+        mContext =
+                new BudgetContext(
+                        self,
+                        platform,
+                        peers,
+                        homes,
+                        settings,
+                        policy,
+                        ConcurrentHashMap.newKeySet());
     }
 
     /**
--- a/coordination/src/main/java/org/hornbeampass/coordination/budget/GrantExchange.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/budget/GrantExchange.java
@@ -105,7 +105,8 @@
         }
         Optional<VmId> peer = round.next();
         if (peer.isEmpty()) {
-            round.end(nowMs + mContext.settings().askTimeoutMs(), waiting > 0);
+            boolean failed = waiting > 0 && !round.anyGiven();
+            round.end(nowMs + (failed ? mContext.settings().askTimeoutMs() : 0), failed);
             return;
         }
         AskGrant ask =
--- a/coordination/src/main/java/org/hornbeampass/coordination/budget/OrganisationBudgets.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/budget/OrganisationBudgets.java
@@ -20,8 +20,6 @@
 import org.hornbeampass.state.config.BudgetPreference;
 
 import java.util.HashSet;
-import java.util.LinkedHashSet;
-import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicLong;
@@ -204,6 +202,7 @@
         synchronized (mLock) {
             mDirty = true;
             mGone.add(vm);
+            mContext.silentPeers().remove(vm);
             for (Account account : mAccounts.values()) {
                 account.moves().forget(vm);
             }
@@ -224,7 +223,8 @@
         synchronized (mLock) {
             mDirty = true;
             Account account = account(new BudgetKey(ask.organisation(), ask.budget()));
-            mExchange.answer(nowMs, account, ask, mayDraw(), reply, effects);
+            boolean later = mayDraw() && !platformCannotHelp(nowMs, account, ask.atLeast());
+            mExchange.answer(nowMs, account, ask, later, reply, effects);
             advance(nowMs, effects);
         }
         effects.run();
@@ -269,7 +269,7 @@
     private Account account(BudgetKey key) {
         Account account = mAccounts.get(key.budget());
         if (account == null) {
-            account = new Account(key, mContext.self());
+            account = new Account(key, mContext.self(), mContext.silentPeers());
             mAccounts.put(key.budget(), account);
         }
         return account;
@@ -294,10 +294,16 @@
     private void askIfNeeded(long nowMs, Account account, boolean direct, Effects effects) {
         long waiting = account.waitingTokens();
         if (direct && (waiting == 0 || !platformCannotHelp(nowMs, account, waiting))) {
+            account.asks().endUnneeded(nowMs);
             return;
         }
         mExchange.ask(
-                nowMs, account, mPreference, () -> candidates(account, direct), effects, this);
+                nowMs,
+                account,
+                mPreference,
+                () -> AskCandidates.of(mContext, account, direct, mSync.base()),
+                effects,
+                this);
     }
 
     private boolean platformCannotHelp(long nowMs, Account account, long waiting) {
@@ -309,32 +315,14 @@
                 && mSync.base().get().budget(account.key().budget()).available() < missing;
     }
 
-    /** Returns whom to ask: homes, then holders with most unspent by the record, then the rest. */
-    private List<VmId> candidates(Account account, boolean direct) {
-        List<VmId> live = mContext.homes().live();
-        Set<VmId> order = new LinkedHashSet<>();
-        if (!direct) {
-            order.addAll(mContext.homes().homes(mOrganisation));
-        }
-        if (mSync.base().isPresent()) {
-            mSync.base().get().budget(account.key().budget()).holders().entrySet().stream()
-                    .filter(e -> e.getValue().free() > 0)
-                    .sorted((a, b) -> Long.compare(b.getValue().free(), a.getValue().free()))
-                    .forEach(e -> order.add(e.getKey().vm()));
-        }
-        order.addAll(live);
-        order.remove(mContext.self());
-        order.retainAll(live);
-        return List.copyOf(order);
-    }
-
     void onAskReply(long nowMs, BudgetKey key, Either<Failure, PeerMessage> reply) {
         Effects effects = new Effects();
         synchronized (mLock) {
             Account account = account(key);
-            account.asks().answered();
+            account.asks().answered(reply.isRight());
             if (reply.isRight() && reply.get() instanceof MoveGrant move) {
                 MoveAck ack = mExchange.receive(nowMs, account, move);
+                account.asks().given();
                 String giver = move.giver().name();
                 effects.add(() -> mContext.peers().send(giver, ack));
             }
--- a/coordination/src/main/java/org/hornbeampass/coordination/budget/PeerMoves.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/budget/PeerMoves.java
@@ -35,6 +35,17 @@
         return Optional.ofNullable(mPending.get(receiver));
     }
 
+    /** Returns the VMs that tokens were moved to, those with most moves first. */
+    List<VmId> receivers() {
+        return mSent.entrySet().stream()
+                .sorted(
+                        Map.Entry.<VmId, Long>comparingByValue()
+                                .reversed()
+                                .thenComparing(e -> e.getKey().name()))
+                .map(Map.Entry::getKey)
+                .toList();
+    }
+
     /** Returns whether any move is not acknowledged yet. */
     boolean anyPending() {
         return !mPending.isEmpty();
--- /dev/null
+++ b/coordination/src/test/java/org/hornbeampass/coordination/budget/AskRoundTest.java
@@ -0,0 +1,64 @@
+package org.hornbeampass.coordination.budget;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.hornbeampass.state.VmId;
+import org.junit.jupiter.api.Test;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+/** Shows whom a round asks, and when it counts as failed. */
+class AskRoundTest {
+    private static final VmId A = new VmId("a", 1);
+    private static final VmId B = new VmId("b", 1);
+
+    private final Set<VmId> mSilent = new HashSet<>();
+    private final AskRound mRound = new AskRound(mSilent);
+
+    @Test
+    void roundNobodyWaitsFor_endsUnfailed_andTheNextBeginsWithTheFirstPeer() {
+        mRound.start(List.of(A, B));
+        assertThat(mRound.next()).contains(A);
+        mRound.answered(true);
+        mRound.endUnneeded(5);
+        assertThat(mRound.running()).isFalse();
+        assertThat(mRound.failed()).isFalse();
+        assertThat(mRound.mayStart(5)).isTrue();
+        mRound.start(List.of(A, B));
+        assertThat(mRound.next()).contains(A);
+    }
+
+    @Test
+    void roundWithAnAskUnderWay_isNotEnded() {
+        mRound.start(List.of(A, B));
+        mRound.next();
+        mRound.endUnneeded(5);
+        assertThat(mRound.running()).isTrue();
+    }
+
+    @Test
+    void silentPeer_isAskedLast_alsoByOtherRounds_untilItReplies() {
+        mRound.start(List.of(A, B));
+        mRound.next();
+        mRound.answered(false);
+        AskRound other = new AskRound(mSilent);
+        other.start(List.of(A, B));
+        assertThat(other.next()).contains(B);
+        other.answered(true);
+        assertThat(other.next()).contains(A);
+        other.answered(true);
+        other.start(List.of(A, B));
+        assertThat(other.next()).contains(A);
+    }
+
+    @Test
+    void given_isForgottenByTheNextRound() {
+        mRound.start(List.of(A));
+        mRound.given();
+        assertThat(mRound.anyGiven()).isTrue();
+        mRound.start(List.of(A));
+        assertThat(mRound.anyGiven()).isFalse();
+    }
+}
