Give an unreachable shard owner up before answers go without their bills

Cause: a bill waited 2.5 s for an owner that was cut off, an answer only 2 s for its bill; where the router then died, the answer was free.

Change: the outbox gives an owner 1 s, then appends itself; a test that fails without it.

Conclusion: an outage of the platform followed by a death still leaves answers without bills.

--- a/coordination/src/main/java/org/hornbeampass/coordination/requests/ShardOutbox.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/requests/ShardOutbox.java
@@ -29,8 +29,8 @@
     private static final int MAX_OPEN = 4;
     private static final int MAX_ENTRIES = 1_000;
     private static final int MAX_BYTES = 256 << 10;
-    private static final long REPLY_TIMEOUT_MS = 2_500;
-    private static final long UNREACHABLE_MS = 2_000;
+    private static final long REPLY_TIMEOUT_MS = 1_000;
+    private static final long UNREACHABLE_MS = 1_000;
     private static final long REFUSED_MS = 8_000;
     private static final long DIRECT_MS = 5_000;
 
--- a/coordination/src/test/java/org/hornbeampass/coordination/requests/RequestLedgerTest.java
+++ b/coordination/src/test/java/org/hornbeampass/coordination/requests/RequestLedgerTest.java
@@ -10,6 +10,8 @@
 import org.hornbeampass.state.requests.ClaimOutcome;
 import org.junit.jupiter.api.Test;
 
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.AtomicReference;
 
@@ -105,6 +107,20 @@
         assertThat(mFleet.billed()).containsExactlyInAnyOrder(one, two, three);
     }
 
+    @Test
+    void vm_cut_off_from_the_owners_bills_before_an_answer_goes_without_its_bill() {
+        long routersWaitMs = 2_000;
+        mFleet.mPeers.cut("a", "b");
+        mFleet.mPeers.cut("a", "c");
+        List<AttemptId> bills = new ArrayList<>();
+        for (int i = 0; i < 12; i++) {
+            bills.add(mFleet.bill(mA, "r" + i, 10));
+        }
+        mFleet.mTime.runFor(routersWaitMs);
+
+        assertThat(mFleet.billed()).containsExactlyInAnyOrderElementsOf(bills);
+    }
+
     @Test
     void vm_cut_off_from_the_platform_bills_through_its_peers() {
         mFleet.mPlatform.cut(mA);
