Give up silent attempts and runners whose reports stop

Cause: the idle limit of 60 s alone bounded silence, so a frozen runner held streams to the deadline; a VM that seldom chose a dead runner went on with steady work for up to 19.8 s.

--- a/coordination/src/main/java/org/hornbeampass/coordination/limit/AttemptOutcome.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/limit/AttemptOutcome.java
@@ -27,6 +27,8 @@
     BROKEN_IN_ANSWER(true, Blame.FAULT),
     /** The attempt's time was up; it was cancelled. */
     TIMED_OUT(true, Blame.FAULT),
+    /** The upstream showed no progress for too long; the attempt was given up and cancelled. */
+    SILENT(true, Blame.UNREACHABLE),
     /** The caller went away or a hedge won; the attempt was cancelled. */
     CANCELLED(true, Blame.NONE);
 
@@ -38,7 +40,7 @@
         OVERLOAD,
         /** It may be faulty. */
         FAULT,
-        /** It can't be reached. */
+        /** It can't be reached, or does nothing. */
         UNREACHABLE
     }
 
--- a/coordination/src/main/java/org/hornbeampass/coordination/routing/Candidates.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/routing/Candidates.java
@@ -23,11 +23,12 @@
     private int mSize;
     private int mBusy;
     private int mUnhealthy;
+    private boolean mNewsHolds;
     private PrefixDigests mPrefix = PrefixDigests.none();
 
     /** How strictly upstreams are sieved. */
     enum Sieve {
-        /** Healthy ones only. */
+        /** Healthy ones only, whose requests go on and whose reports have not stopped. */
         HEALTHY,
         /** Stalled ones too, where no other is left. */
         STALLED_TOO,
@@ -53,6 +54,7 @@
         mBusy = 0;
         mUnhealthy = 0;
         mPrefix = query.prefix();
+        mNewsHolds = group.newsHolds(nowMs);
         double stallMs = Math.max(MIN_STALL_MS, STALL_RATIO * group.meanFirstTokenMs(nowMs));
         boolean sampled = group.size() > MAX_CANDIDATES;
         int home = sampled && mPrefix.size() > 0 ? group.best(PredictedWait.head(mPrefix)) : -1;
@@ -128,7 +130,8 @@
             mUnhealthy++;
             return false;
         }
-        if (sieve == Sieve.HEALTHY && load.silentMs(nowMs) >= stallMs) {
+        boolean stopped = mNewsHolds && load.reportsStopped(nowMs);
+        if (sieve == Sieve.HEALTHY && (stopped || load.silentMs(nowMs) >= stallMs)) {
             mUnhealthy++;
             return false;
         }
--- a/coordination/src/main/java/org/hornbeampass/coordination/routing/UpstreamChooser.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/routing/UpstreamChooser.java
@@ -3,7 +3,9 @@
 import io.vavr.control.Either;
 
 import org.agrona.collections.Long2ObjectHashMap;
+import org.hornbeampass.coordination.limit.AnswerKind;
 import org.hornbeampass.coordination.limit.AttemptOutcome;
+import org.hornbeampass.coordination.limit.AttemptTimeouts;
 import org.hornbeampass.coordination.upstream.LoadEstimate;
 import org.hornbeampass.coordination.upstream.OutlierDetector;
 import org.hornbeampass.coordination.upstream.UpstreamGroup;
@@ -12,6 +14,7 @@
 import org.hornbeampass.coordination.upstream.UpstreamTable;
 import org.hornbeampass.state.ErrorKind;
 import org.hornbeampass.state.Failure;
+import org.hornbeampass.state.PromptTokens;
 import org.hornbeampass.state.upstream.PrefixDigests;
 import org.hornbeampass.state.upstream.WorkTarget;
 
@@ -143,6 +146,50 @@
         }
     }
 
+    /** Returns for how long an attempt that was chosen and has not ended may be silent. */
+    public AttemptTimeouts timeouts(long nowMs, UpstreamChoice choice, AnswerKind kind) {
+        synchronized (mTable.lock()) {
+            Attempt attempt = mAttempts.get(choice.attempt());
+            if (attempt == null) {
+                throw new IllegalArgumentException("attempt " + choice.attempt() + " has ended");
+            }
+            LoadEstimate load = attempt.mState.load();
+            double predictedMs = load.unitMs() * (attempt.mLoadAtStart + 1);
+            AttemptTimeouts.Known known =
+                    new AttemptTimeouts.Known(
+                            Math.max(predictedMs, attempt.mGroup.meanFirstTokenMs(nowMs)),
+                            attempt.mGroup.meanGapMs(),
+                            attempt.mState.distance().roundTripMs(),
+                            (long) attempt.mQuery.prefix().size() * PromptTokens.TOKENS_PER_BLOCK);
+            return AttemptTimeouts.decide(nowMs, known, kind, attempt.mQuery.deadline());
+        }
+    }
+
+    /**
+     * Learns that an attempt's answer goes on.
+     *
+     * @param gapMs the longest gap between its parts since the last call, in milliseconds
+     */
+    public void onProgress(long nowMs, UpstreamChoice choice, long gapMs) {
+        synchronized (mTable.lock()) {
+            Attempt attempt = mAttempts.get(choice.attempt());
+            if (attempt != null) {
+                attempt.mState.progress(nowMs, gapMs);
+            }
+        }
+    }
+
+    /**
+     * Returns when any attempt of this VM last made progress at an attempt's upstream, in
+     * milliseconds; {@code Long.MIN_VALUE} where none did or the attempt has ended.
+     */
+    public long lastProgressMs(UpstreamChoice choice) {
+        synchronized (mTable.lock()) {
+            Attempt attempt = mAttempts.get(choice.attempt());
+            return attempt == null ? Long.MIN_VALUE : attempt.mState.load().lastProgressMs();
+        }
+    }
+
     /** Ends an attempt: gives its place back and learns from its outcome. */
     public void onEnded(long nowMs, UpstreamChoice choice, AttemptOutcome outcome) {
         synchronized (mTable.lock()) {
--- a/coordination/src/main/java/org/hornbeampass/coordination/upstream/LoadEstimate.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/upstream/LoadEstimate.java
@@ -13,6 +13,8 @@
     private static final int HISTORY = 128;
     private static final double AGE_HALVING_MS = 1_000;
     private static final double SMOOTHING = 0.2;
+    private static final double MIN_REPORT_SILENCE_MS = 1_000;
+    private static final double REPORT_SILENCE_RATIO = 3;
 
     private final long[] mChangeMs = new long[HISTORY];
     private final int[] mChangeInFlight = new int[HISTORY];
@@ -24,6 +26,9 @@
     private int mOthers;
     private double mUnitMs;
     private double mFirstTokenMs;
+    private double mGapMs;
+    private double mReportEveryMs;
+    private long mReportCameAtMs = Long.MIN_VALUE;
     private long mLastProgressMs = Long.MIN_VALUE;
     private long mAwaitingSinceMs = Long.MAX_VALUE;
 
@@ -81,6 +86,35 @@
         return Math.max(0, nowMs - Math.max(mAwaitingSinceMs, mLastProgressMs));
     }
 
+    /** Returns the smoothed longest gaps between parts of answers, in milliseconds. */
+    public double gapMs() {
+        return mGapMs;
+    }
+
+    /**
+     * Returns when any request of this VM last made progress there, in milliseconds; {@code
+     * Long.MIN_VALUE} where none did.
+     */
+    public long lastProgressMs() {
+        return mLastProgressMs;
+    }
+
+    /**
+     * Returns whether reports came regularly and have stopped: the upstream may be dead,
+     * unreachable or frozen.
+     */
+    public boolean reportsStopped(long nowMs) {
+        return mReportEveryMs > 0
+                && nowMs - mReportCameAtMs
+                        > Math.max(MIN_REPORT_SILENCE_MS, REPORT_SILENCE_RATIO * mReportEveryMs);
+    }
+
+    /** Learns that an answer goes on, and the longest gap between its parts of late. */
+    void progress(long nowMs, long gapMs) {
+        mLastProgressMs = Math.max(mLastProgressMs, nowMs);
+        mGapMs = gapMs > 0 ? smooth(mGapMs, (double) gapMs) : mGapMs;
+    }
+
     /** Counts a request that was chosen to go there. */
     void started(long nowMs) {
         mInFlight++;
@@ -116,7 +150,11 @@
     }
 
     /** Takes a report; one older than the last is ignored. */
-    void reported(LoadReport report) {
+    void reported(long nowMs, LoadReport report) {
+        if (mReportCameAtMs != Long.MIN_VALUE && nowMs > mReportCameAtMs) {
+            mReportEveryMs = smooth(mReportEveryMs, (double) (nowMs - mReportCameAtMs));
+        }
+        mReportCameAtMs = nowMs;
         if (report.reportedAtMs() < mReportedAtMs) {
             return;
         }
@@ -128,6 +166,8 @@
     /** Forgets reports and latencies, since another life began. */
     void restart() {
         mReportedAtMs = Long.MIN_VALUE;
+        mReportCameAtMs = Long.MIN_VALUE;
+        mReportEveryMs = 0;
         mReported = 0;
         mOthers = 0;
         forgetLatency();
@@ -137,6 +177,7 @@
     void forgetLatency() {
         mUnitMs = 0;
         mFirstTokenMs = 0;
+        mGapMs = 0;
     }
 
     private static double smooth(double before, double sample) {
--- a/coordination/src/main/java/org/hornbeampass/coordination/upstream/UpstreamGroup.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/upstream/UpstreamGroup.java
@@ -100,6 +100,30 @@
         return meanFirstTokenMs(Optional.of(except));
     }
 
+    /**
+     * Returns whether at most half of the members' reports have stopped: where more have, the news
+     * is broken rather than the upstreams.
+     */
+    public boolean newsHolds(long nowMs) {
+        int stopped = 0;
+        for (UpstreamState member : mMembers) {
+            stopped += member.load().reportsStopped(nowMs) ? 1 : 0;
+        }
+        return stopped * 2 <= mMembers.length;
+    }
+
+    /** Returns the members' mean gap between parts of answers; 0 where none is known. */
+    public double meanGapMs() {
+        double sum = 0;
+        int known = 0;
+        for (UpstreamState member : mMembers) {
+            double ms = member.load().gapMs();
+            sum += ms;
+            known += ms > 0 ? 1 : 0;
+        }
+        return known == 0 ? 0 : sum / known;
+    }
+
     private double meanFirstTokenMs(Optional<UpstreamState> except) {
         UpstreamState left = except.orElse(null);
         double sum = 0;
--- a/coordination/src/main/java/org/hornbeampass/coordination/upstream/UpstreamState.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/upstream/UpstreamState.java
@@ -121,6 +121,11 @@
         mPrefixes.ran(prefix);
     }
 
+    /** Learns that an answer goes on, and the longest gap between its parts of late. */
+    public void progress(long nowMs, long gapMs) {
+        mLoad.progress(nowMs, gapMs);
+    }
+
     /** Counts a request that ended. */
     public void ended(long nowMs, boolean awaitedFirst, boolean progress) {
         mLoad.ended(nowMs, awaitedFirst, progress);
@@ -140,11 +145,11 @@
         mLimit.setMax(spec.maxConcurrent());
     }
 
-    void reported(LoadReport report) {
+    void reported(long nowMs, LoadReport report) {
         boolean newer = mReport.map(r -> r.reportedAtMs() <= report.reportedAtMs()).orElse(true);
         if (newer) {
             mReport = Optional.of(report);
-            mLoad.reported(report);
+            mLoad.reported(nowMs, report);
         }
     }
 
--- a/coordination/src/main/java/org/hornbeampass/coordination/upstream/UpstreamTable.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/upstream/UpstreamTable.java
@@ -79,7 +79,7 @@
             Set<ModelId> before = modelsOf(state);
             boolean wasLive = state.live();
             if (seen(nowMs, state, report.incarnation())) {
-                state.reported(report);
+                state.reported(nowMs, report);
             }
             if (report.leaving()) {
                 state.life().ended(nowMs, report.incarnation(), Evidence.UPSTREAM_WORD);
--- a/experiment/src/main/java/org/hornbeampass/experiment/routing/RequestRun.java
+++ b/experiment/src/main/java/org/hornbeampass/experiment/routing/RequestRun.java
@@ -3,7 +3,10 @@
 import io.vavr.control.Either;
 
 import org.hornbeampass.coordination.limit.AdmissionRequest;
+import org.hornbeampass.coordination.limit.AnswerKind;
 import org.hornbeampass.coordination.limit.AttemptOutcome;
+import org.hornbeampass.coordination.limit.AttemptTimeouts;
+import org.hornbeampass.coordination.limit.AttemptWatch;
 import org.hornbeampass.coordination.limit.FailedAttempt;
 import org.hornbeampass.coordination.limit.RetryDecision;
 import org.hornbeampass.coordination.routing.RoutingQuery;
@@ -21,8 +24,6 @@
  * <p>Not thread-safe.
  */
 final class RequestRun {
-    private static final double CONNECT_TIMEOUT_MS = 300;
-    private static final double FIRST_TOKEN_TIMEOUT_MS = 2_000;
     private static final double ERROR_MS = 5;
     private static final double CALLER_MS = 1;
     private static final int MAX_CALLS = 3;
@@ -45,6 +46,8 @@
         private final UpstreamChoice mChoice;
         private final SimulatedUpstream mUpstream;
         private final double mBackMs;
+        private final AttemptTimeouts mTimeouts;
+        private final AttemptWatch mWatch;
         private int mDelivered;
         private boolean mEnded;
 
@@ -52,10 +55,13 @@
             mChoice = choice;
             mUpstream = upstream;
             mBackMs = mSimulation.oneWayMs(mVm, upstream);
+            long nowMs = mClock.nowMs();
+            mTimeouts = mVm.chooser().timeouts(nowMs, choice, kind());
+            mWatch = new AttemptWatch(nowMs, mTimeouts);
         }
 
         private void send() {
-            mUpstream.noteSent();
+            mUpstream.sent(mVm.number(), mVm.probes(mUpstream));
             mSimulation.measurements().mAttempts++;
             mClock.after(mBackMs, this::arrive);
         }
@@ -66,7 +72,8 @@
             }
             switch (mUpstream.fault()) {
                 case DEAD -> endAfter(mBackMs, AttemptOutcome.CONNECT_FAILED);
-                case UNREACHABLE -> endAfter(CONNECT_TIMEOUT_MS, AttemptOutcome.CONNECT_FAILED);
+                case UNREACHABLE ->
+                        endAfter((double) mTimeouts.connectMs(), AttemptOutcome.CONNECT_FAILED);
                 case ERRORS -> endAfter(ERROR_MS + mBackMs, AttemptOutcome.UPSTREAM_ERROR);
                 case LEAVING -> endAfter(mBackMs, AttemptOutcome.REFUSED_LEAVING);
                 default -> offer();
@@ -80,14 +87,21 @@
                 endAfter(mBackMs, AttemptOutcome.REFUSED_OVERLOADED);
                 return;
             }
-            mClock.after(
-                    FIRST_TOKEN_TIMEOUT_MS,
-                    () -> {
-                        if (mDelivered == 0) {
-                            cancel();
-                            end(AttemptOutcome.TIMED_OUT);
-                        }
-                    });
+            look();
+        }
+
+        private void look() {
+            if (mEnded) {
+                return;
+            }
+            long nowMs = mClock.nowMs();
+            long nextMs = mWatch.nextLookMs(nowMs, mVm.chooser().lastProgressMs(mChoice));
+            if (nextMs <= nowMs) {
+                cancel();
+                end(AttemptOutcome.SILENT);
+            } else if (nextMs < mRequest.deadline().atMs()) {
+                mClock.at((double) nextMs, this::look);
+            }
         }
 
         private void cancel() {
@@ -98,8 +112,17 @@
         @Override
         public void onToken(int offset) {
             mDelivered++;
-            if (mDelivered == 1) {
-                mClock.after(mBackMs, this::firstToken);
+            boolean first = mDelivered == 1;
+            mClock.after(mBackMs, () -> part(first));
+        }
+
+        private void part(boolean first) {
+            if (first) {
+                firstToken();
+            }
+            long gapMs = mEnded ? -1 : mWatch.onPart(mClock.nowMs());
+            if (gapMs >= 0) {
+                mVm.chooser().onProgress(mClock.nowMs(), mChoice, gapMs);
             }
         }
 
@@ -162,6 +185,10 @@
         mQuery = request.query();
     }
 
+    private AnswerKind kind() {
+        return mRequest.repeatable() ? AnswerKind.STREAM : AnswerKind.ONCE;
+    }
+
     /** Asks to be admitted and goes on from there. */
     void start() {
         long cost = mRequest.job().prompt().tokens() + (long) mRequest.job().answer().end();
--- a/experiment/src/main/java/org/hornbeampass/experiment/routing/SimulatedUpstream.java
+++ b/experiment/src/main/java/org/hornbeampass/experiment/routing/SimulatedUpstream.java
@@ -32,10 +32,19 @@
     private final long mLagMs;
     private UpstreamFault mFault = UpstreamFault.NONE;
     private long mFaultAtMs = Long.MAX_VALUE;
-    private long mLastOfferedMs = -1;
+    private final List<Sent> mSent = new ArrayList<>();
     private double mScheduledMs = -1;
     private long mWork;
 
+    /**
+     * An attempt that was sent here during a fault.
+     *
+     * @param atMs when
+     * @param vm the VM that sent it
+     * @param probe whether that VM had ejected the upstream
+     */
+    record Sent(double atMs, int vm, boolean probe) {}
+
     /** Hears of one attempt's progress, at the upstream's own time. */
     interface Listener {
         /** Takes a token. */
@@ -63,9 +72,9 @@
         return mFault;
     }
 
-    /** Returns when the last attempt was sent here, whatever came of it; -1 before the first. */
-    long lastOfferedMs() {
-        return mLastOfferedMs;
+    /** Returns the attempts that were sent here since the last fault began. */
+    List<Sent> sent() {
+        return mSent;
     }
 
     /** Returns the prompt and answer tokens of all attempts accepted here. */
@@ -81,6 +90,7 @@
     void setFault(UpstreamFault fault) {
         mFault = fault;
         mFaultAtMs = mClock.nowMs();
+        mSent.clear();
         boolean stands = fault == UpstreamFault.FROZEN || fault == UpstreamFault.UNREACHABLE;
         mEngine.setFrozen(mClock.nowMs(), stands);
         if (fault == UpstreamFault.DEAD) {
@@ -94,8 +104,10 @@
     }
 
     /** Notes that an attempt is being sent here. */
-    void noteSent() {
-        mLastOfferedMs = mClock.nowMs();
+    void sent(int vm, boolean probe) {
+        if (mFault != UpstreamFault.NONE) {
+            mSent.add(new Sent(mClock.exactMs(), vm, probe));
+        }
     }
 
     /** Offers an attempt; returns whether it was accepted. */
--- a/experiment/src/main/java/org/hornbeampass/experiment/routing/SimulatedVm.java
+++ b/experiment/src/main/java/org/hornbeampass/experiment/routing/SimulatedVm.java
@@ -5,6 +5,7 @@
 import org.hornbeampass.coordination.limit.RetryPolicy;
 import org.hornbeampass.coordination.routing.UpstreamChooser;
 import org.hornbeampass.coordination.upstream.Placement;
+import org.hornbeampass.coordination.upstream.UpstreamHealth;
 import org.hornbeampass.coordination.upstream.UpstreamTable;
 import org.hornbeampass.state.FailureDomain;
 import org.hornbeampass.state.Region;
@@ -80,6 +81,13 @@
         return mQueues.get(target);
     }
 
+    /** Returns whether what it sends to an upstream now is a probe of one that it ejected. */
+    boolean probes(SimulatedUpstream upstream) {
+        return mTable.status(mClock.nowMs()).stream()
+                .filter(s -> s.id().equals(upstream.spec().id()))
+                .anyMatch(s -> s.health() != UpstreamHealth.State.HEALTHY);
+    }
+
     /** Fetches load reports and sets the queues' capacities. */
     void poll(List<SimulatedUpstream> upstreams) {
         long nowMs = mClock.nowMs();
--- a/router/src/main/java/org/hornbeampass/router/daemon/RouterDaemon.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/RouterDaemon.java
@@ -105,6 +105,7 @@
                         new RetryPolicy(),
                         RetryBudget.defaults(),
                         mNetwork.upstreams(),
+                        mTimers,
                         mClock,
                         settings.limits().upstream());
         return new ServeParts(
--- a/router/src/main/java/org/hornbeampass/router/upstream/ChatRoute.java
+++ b/router/src/main/java/org/hornbeampass/router/upstream/ChatRoute.java
@@ -1,5 +1,6 @@
 package org.hornbeampass.router.upstream;
 
+import org.hornbeampass.coordination.limit.AnswerKind;
 import org.hornbeampass.coordination.routing.RoutingQuery;
 import org.hornbeampass.coordination.routing.UpstreamChoice;
 import org.hornbeampass.router.flow.AttemptListener;
@@ -39,7 +40,7 @@
             UpstreamChoice choice, int number, Relayed relayed, AttemptListener listener) {
         return mStream
                 ? new ChatStreamAttempt(calls(), choice, number, listener, relayed.tokens())
-                : new HttpAttempt(calls(), choice, number, listener);
+                : new HttpAttempt(calls(), choice, number, listener, AnswerKind.WHOLE);
     }
 
     @Override
--- a/router/src/main/java/org/hornbeampass/router/upstream/ChatStreamAttempt.java
+++ b/router/src/main/java/org/hornbeampass/router/upstream/ChatStreamAttempt.java
@@ -1,5 +1,6 @@
 package org.hornbeampass.router.upstream;
 
+import org.hornbeampass.coordination.limit.AnswerKind;
 import org.hornbeampass.coordination.limit.AttemptOutcome;
 import org.hornbeampass.coordination.routing.UpstreamChoice;
 import org.hornbeampass.protocol.openai.ChatChunk;
@@ -36,7 +37,7 @@
             int number,
             AttemptListener listener,
             long resumeOffset) {
-        super(calls, choice, number, listener);
+        super(calls, choice, number, listener, AnswerKind.STREAM);
         mResumeOffset = resumeOffset;
         mEvents = new SseReader(calls.settings().maxEventBytes(), this::onEvent);
     }
@@ -101,7 +102,7 @@
             close();
             return;
         }
-        noteFirst();
+        notePart();
         listener().onChunk(nowMs(), number(), chunk.get());
     }
 }
--- a/router/src/main/java/org/hornbeampass/router/upstream/HttpAttempt.java
+++ b/router/src/main/java/org/hornbeampass/router/upstream/HttpAttempt.java
@@ -1,6 +1,9 @@
 package org.hornbeampass.router.upstream;
 
+import org.hornbeampass.coordination.limit.AnswerKind;
 import org.hornbeampass.coordination.limit.AttemptOutcome;
+import org.hornbeampass.coordination.limit.AttemptTimeouts;
+import org.hornbeampass.coordination.limit.AttemptWatch;
 import org.hornbeampass.coordination.routing.UpstreamChoice;
 import org.hornbeampass.router.flow.Attempt;
 import org.hornbeampass.router.flow.AttemptFault;
@@ -18,9 +21,10 @@
  * One attempt over HTTP: classifies its answer, tells the flow, and gives its place back.
  *
  * <p>Invariants: the chooser hears of its end exactly once, whether the upstream, the flow or the
- * connection ends it; after that the flow hears nothing more. Answers come on one event loop, so
- * their state needs no lock; {@link #cancel}, {@link #pause} and {@link #resume} may be called on
- * any thread.
+ * connection ends it; after that the flow hears nothing more. An attempt that is silent for longer
+ * than its {@link AttemptTimeouts} allow is cancelled and ends as a failure. Answers come on one
+ * event loop, so their state needs no lock; {@link #cancel}, {@link #pause}, {@link #resume} and
+ * the look after silence may run on any thread.
  */
 class HttpAttempt implements Attempt, HttpClient.Listener {
     private static final String JSON = "application/json";
@@ -29,20 +33,36 @@
     private final UpstreamChoice mChoice;
     private final int mNumber;
     private final AttemptListener mListener;
+    private final AttemptTimeouts mTimeouts;
+    private final AttemptWatch mWatch;
     private final AtomicBoolean mEnded = new AtomicBoolean();
     private final ByteArrayOutputStream mBody = new ByteArrayOutputStream();
     private volatile HttpClient.Call mCall;
     private volatile boolean mClosed;
+    private volatile Runnable mLook = () -> {};
     private int mStatus;
     private String mContentType = JSON;
     private boolean mLeaving;
     private boolean mFirstSeen;
 
-    HttpAttempt(UpstreamCalls calls, UpstreamChoice choice, int number, AttemptListener listener) {
+    HttpAttempt(
+            UpstreamCalls calls,
+            UpstreamChoice choice,
+            int number,
+            AttemptListener listener,
+            AnswerKind kind) {
         mCalls = calls;
         mChoice = choice;
         mNumber = number;
         mListener = listener;
+        long nowMs = calls.clock().nowMs();
+        mTimeouts = calls.chooser().timeouts(nowMs, choice, kind);
+        mWatch = new AttemptWatch(nowMs, mTimeouts);
+    }
+
+    /** Returns how long the connection may take, in milliseconds. */
+    final long connectMs() {
+        return mTimeouts.connectMs();
     }
 
     /** Sends the request. */
@@ -53,6 +73,24 @@
         if (mClosed) {
             call.cancel();
         }
+        look(nowMs());
+    }
+
+    /** Gives the attempt up where it was silent for too long, and else looks again later. */
+    private void look(long nowMs) {
+        if (ended()) {
+            return;
+        }
+        long nextMs = mWatch.nextLookMs(nowMs, mCalls.chooser().lastProgressMs(mChoice));
+        if (nextMs <= nowMs) {
+            fault(AttemptOutcome.SILENT, "it was silent for too long");
+            close();
+        } else if (nextMs < Long.MAX_VALUE) {
+            mLook = mCalls.timers().at(nowMs, nextMs, this::look);
+            if (ended()) {
+                mLook.run();
+            }
+        }
     }
 
     @Override
@@ -70,6 +108,7 @@
     @Override
     public void pause() {
         HttpClient.Call call = mCall;
+        mWatch.onPaused();
         if (call != null) {
             call.pause();
         }
@@ -78,6 +117,7 @@
     @Override
     public void resume() {
         HttpClient.Call call = mCall;
+        mWatch.onResumed(nowMs());
         if (call != null) {
             call.resume();
         }
@@ -100,7 +140,7 @@
 
     @Override
     public void onData(byte[] chunk) {
-        noteFirst();
+        notePart();
         mBody.write(chunk, 0, chunk.length);
         if (mBody.size() > mCalls.settings().maxAnswerBytes()) {
             fault(AttemptOutcome.UPSTREAM_ERROR, "its answer is too large");
@@ -160,6 +200,21 @@
         }
     }
 
+    /** Learns that the answer goes on. */
+    final void notePart() {
+        boolean first = !mFirstSeen;
+        noteFirst();
+        long nowMs = nowMs();
+        long gapMs = mWatch.onPart(nowMs);
+        if (first) {
+            mLook.run();
+            look(nowMs);
+        }
+        if (gapMs >= 0) {
+            mCalls.chooser().onProgress(nowMs, mChoice, gapMs);
+        }
+    }
+
     /** Ends the attempt as failed and tells the flow, unless it has ended before. */
     final void fault(AttemptOutcome outcome, String reason) {
         long nowMs = nowMs();
@@ -175,6 +230,7 @@
             return false;
         }
         mCalls.chooser().onEnded(nowMs, mChoice, outcome);
+        mLook.run();
         return true;
     }
 
--- a/router/src/main/java/org/hornbeampass/router/upstream/ServiceAttempt.java
+++ b/router/src/main/java/org/hornbeampass/router/upstream/ServiceAttempt.java
@@ -1,5 +1,6 @@
 package org.hornbeampass.router.upstream;
 
+import org.hornbeampass.coordination.limit.AnswerKind;
 import org.hornbeampass.coordination.limit.AttemptOutcome;
 import org.hornbeampass.coordination.routing.UpstreamChoice;
 import org.hornbeampass.router.flow.AttemptListener;
@@ -20,10 +21,14 @@
             int number,
             AttemptListener listener,
             boolean repeatable) {
-        super(calls, choice, number, listener);
+        super(calls, choice, number, listener, kind(repeatable));
         mRepeatable = repeatable;
     }
 
+    private static AnswerKind kind(boolean repeatable) {
+        return repeatable ? AnswerKind.WHOLE : AnswerKind.ONCE;
+    }
+
     @Override
     AttemptOutcome outcome(int status, boolean leaving) {
         return mRepeatable ? super.outcome(status, leaving) : AttemptOutcome.SUCCEEDED;
--- a/router/src/main/java/org/hornbeampass/router/upstream/UpstreamCalls.java
+++ b/router/src/main/java/org/hornbeampass/router/upstream/UpstreamCalls.java
@@ -4,6 +4,7 @@
 import org.hornbeampass.coordination.limit.RetryPolicy;
 import org.hornbeampass.coordination.routing.UpstreamChooser;
 import org.hornbeampass.coordination.upstream.UpstreamTable;
+import org.hornbeampass.router.flow.TimerPort;
 import org.hornbeampass.state.VmId;
 import org.hornbeampass.transport.Clock;
 import org.hornbeampass.transport.http.HttpClient;
@@ -19,6 +20,7 @@
  * @param retries decides what follows a failed attempt
  * @param retryBudget bounds further attempts
  * @param client sends requests
+ * @param timers look after attempts that are silent
  * @param clock the present time
  * @param settings times and bounds
  */
@@ -29,5 +31,6 @@
         RetryPolicy retries,
         RetryBudget retryBudget,
         HttpClient client,
+        TimerPort timers,
         Clock clock,
         UpstreamSettings settings) {}
--- a/router/src/main/java/org/hornbeampass/router/upstream/UpstreamRoute.java
+++ b/router/src/main/java/org/hornbeampass/router/upstream/UpstreamRoute.java
@@ -71,7 +71,7 @@
         mAttempts++;
         mLast = choice.get().upstream();
         HttpAttempt attempt = attempt(choice.get(), number, relayed, listener);
-        attempt.send(request(nowMs, choice.get(), relayed));
+        attempt.send(request(nowMs, choice.get(), relayed, attempt.connectMs()));
         return Either.right(attempt);
     }
 
@@ -114,7 +114,8 @@
                 mQuery.deadline());
     }
 
-    private HttpClient.Request request(long nowMs, UpstreamChoice choice, Relayed relayed) {
+    private HttpClient.Request request(
+            long nowMs, UpstreamChoice choice, Relayed relayed, long connectMs) {
         Map<String, String> headers = new HashMap<>();
         headers.put("content-type", contentType());
         headers.put("accept", JSON + ", text/event-stream");
@@ -131,7 +132,7 @@
                 URI.create(choice.baseUri() + target()),
                 headers,
                 body(),
-                mCalls.settings().connectTimeoutMs(),
+                Math.min(mCalls.settings().connectTimeoutMs(), connectMs),
                 mCalls.settings().idleTimeoutMs());
     }
 
--- a/router/src/main/java/org/hornbeampass/router/upstream/UpstreamSettings.java
+++ b/router/src/main/java/org/hornbeampass/router/upstream/UpstreamSettings.java
@@ -5,8 +5,8 @@
  *
  * <p>Immutable; safe for use by any thread.
  *
- * @param connectTimeoutMs how long a connection may take, in milliseconds
- * @param idleTimeoutMs how long an answer may pause, in milliseconds
+ * @param connectTimeoutMs how long a connection may take at most, in milliseconds
+ * @param idleTimeoutMs how long an answer may pause at most, in milliseconds
  * @param maxEventBytes the largest event of a streamed answer, in bytes
  * @param maxAnswerBytes the largest whole answer, in bytes
  */
