Log what breaks a connection, unless it is the network

Change: anything but an I/O error on a caller's connection is logged as an error. Measured: verify -pl transport -am: 600 tests, 0 failed, 1 skipped. Conclusion: such a fault now shows at once.

--- a/transport/src/main/java/org/hornbeampass/transport/http/ServerConnection.java
+++ b/transport/src/main/java/org/hornbeampass/transport/http/ServerConnection.java
@@ -17,6 +17,7 @@
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.Future;
 
+import org.apache.logging.log4j.Level;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.hornbeampass.protocol.http.ErrorAnswer;
@@ -25,6 +26,7 @@
 import org.hornbeampass.transport.Channels;
 import org.hornbeampass.transport.Clock;
 
+import java.io.IOException;
 import java.util.ArrayDeque;
 import java.util.Optional;
 import java.util.concurrent.RejectedExecutionException;
@@ -158,7 +160,8 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-        LOG.debug("connection of {} failed", mRemoteAddress, cause);
+        Level level = cause instanceof IOException ? Level.DEBUG : Level.ERROR;
+        LOG.log(level, "connection of {} failed", mRemoteAddress, cause);
         Channels.close(mChannel);
     }
 
