--- /dev/null
+++ b/coordination/src/main/java/org/hornbeampass/coordination/escrow/EscrowBook.java
@@ -0,0 +1,126 @@
+package org.hornbeampass.coordination.escrow;
+
+import org.hornbeampass.coordination.platform.Platform;
+import org.hornbeampass.state.service.PrepaidOrganisation;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.IntSupplier;
+
+/**
+ * The prepaid budgets as one incarnation of a VM holds them.
+ *
+ * <p>Invariants: a request is admitted only on tokens that the store is known to hold for this
+ * incarnation, and no clock, lease or peer ever makes tokens free again, so that an organisation
+ * can't overspend whatever fails; a request's tokens are reserved at their most before it is sent
+ * and settled once. Confined to one thread: the platform must reply on it.
+ */
+public final class EscrowBook {
+    private final EscrowOwner mOwner;
+    private final List<EscrowShard> mShards = new ArrayList<>();
+    private final Map<String, Long> mPrepaid = new HashMap<>();
+
+    /**
+     * Makes a book without grants.
+     *
+     * @param platform the store; must reply on this book's thread
+     * @param owner who holds the grants
+     * @param shards in how many records the organisations are kept; the same on all VMs for ever
+     * @param vms how many VMs share the budgets now
+     * @param listener hears of each change of a grant
+     */
+    public EscrowBook(
+            Platform platform,
+            EscrowOwner owner,
+            int shards,
+            IntSupplier vms,
+            GrantListener listener) {
+        mOwner = owner;
+        for (int i = 0; i < shards; i++) {
+            mShards.add(new EscrowShard(platform, owner, i, vms, listener));
+        }
+    }
+
+    /** Returns who holds the grants. */
+    public EscrowOwner owner() {
+        return mOwner;
+    }
+
+    /** Takes the budgets of a newer configuration: levels, not increments. */
+    public void onOrganisations(List<PrepaidOrganisation> organisations) {
+        mPrepaid.clear();
+        for (PrepaidOrganisation each : organisations) {
+            each.prepaidTokens().ifPresent(t -> mPrepaid.put(each.name(), t));
+        }
+        mPrepaid.forEach((name, tokens) -> shard(name).setPrepaid(name, tokens));
+    }
+
+    /**
+     * Reserves the most tokens that a request may use.
+     *
+     * @param nowMs the present time in milliseconds
+     * @param organisation the organisation's name
+     * @param tokens how many
+     */
+    public Admission admit(long nowMs, String organisation, long tokens) {
+        if (tokens == 0 || !mPrepaid.containsKey(organisation)) {
+            return Admission.RESERVED;
+        }
+        return shard(organisation).admit(nowMs, organisation, tokens);
+    }
+
+    /**
+     * Settles a request: what it did not use is free again.
+     *
+     * @param organisation the organisation's name
+     * @param reserved what was reserved for it
+     * @param used what it used
+     */
+    public void settle(String organisation, long reserved, long used) {
+        if (reserved > 0 && mPrepaid.containsKey(organisation)) {
+            shard(organisation).settle(organisation, reserved, used);
+        }
+    }
+
+    /** Runs an action once after the next exchange about an organisation's budget. */
+    public void afterNextExchange(long nowMs, String organisation, Runnable action) {
+        shard(organisation).afterNextExchange(nowMs, action);
+    }
+
+    /** Starts what is due. */
+    public void tick(long nowMs) {
+        mShards.forEach(s -> s.tick(nowMs));
+    }
+
+    /** Gives back all that is not in use, now and at each tick from now on. */
+    public void giveBack(long nowMs) {
+        mShards.forEach(s -> s.giveBack(nowMs));
+    }
+
+    /** Returns whether nothing is left to give back. */
+    public boolean givenBack() {
+        return mShards.stream().allMatch(EscrowShard::givenBack);
+    }
+
+    /** Returns the free, granted and spent tokens of each organisation, for metrics. */
+    public Map<String, Holding> holdings() {
+        Map<String, Holding> holdings = new HashMap<>();
+        mShards.forEach(s -> s.addHoldings(holdings));
+        return holdings;
+    }
+
+    /**
+     * What this VM holds of one budget.
+     *
+     * @param granted all tokens granted to this incarnation
+     * @param free those that can be reserved
+     * @param spent those that requests used
+     */
+    public record Holding(long granted, long free, long spent) {}
+
+    private EscrowShard shard(String organisation) {
+        return mShards.get(Math.floorMod(organisation.hashCode(), mShards.size()));
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/hornbeampass/coordination/escrow/EscrowShard.java
@@ -0,0 +1,332 @@
+package org.hornbeampass.coordination.escrow;
+
+import org.hornbeampass.coordination.platform.Platform;
+import org.hornbeampass.coordination.platform.PlatformCall;
+import org.hornbeampass.coordination.platform.PlatformReply;
+import org.hornbeampass.coordination.platform.PlatformReply.StoredObject;
+import org.hornbeampass.state.Json;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.IntSupplier;
+
+/**
+ * The budgets that lie in one record of the store.
+ *
+ * <p>Invariants: at most one call is open; a limit is raised only once the store is known to hold
+ * the grant, and lowered before the lower grant is sent; while a write may still be carried out, no
+ * read of the version on which it was based raises a limit. Confined to one thread.
+ */
+final class EscrowShard {
+    /** How long to wait after a failed call; calls are priced, and outages last seconds. */
+    private static final long RETRY_MS = 400;
+
+    /** How often spending is reported while there is some, so that a budget's end is known. */
+    private static final long REPORT_MS = 3_000;
+
+    /** How old the last word of the store may be for a proof that a budget is used up. */
+    private static final long PROOF_MS = 4_000;
+
+    /** The shortest pause between exchanges that no request waits for. */
+    private static final long PAUSE_MS = 500;
+
+    private final Platform mPlatform;
+    private final EscrowOwner mOwner;
+    private final String mKey;
+    private final IntSupplier mVms;
+    private final GrantListener mListener;
+    private final GrantPolicy mPolicy = GrantPolicy.DEMAND_HORIZON;
+    private final Map<String, EscrowAccount> mAccounts = new HashMap<>();
+    private final Map<String, Long> mPrepaid = new HashMap<>();
+    private final List<Runnable> mWaiting = new ArrayList<>();
+
+    private boolean mOpen;
+    private boolean mKnown;
+    private boolean mMustCreate;
+    private boolean mGivingBack;
+    private boolean mGivenBack;
+    private long mVersion;
+    private long mUncertainBase = -1;
+    private EscrowRecord mRecord = EscrowRecord.empty();
+    private EscrowRecord mWritten = EscrowRecord.empty();
+    private long mNotBeforeMs = Long.MIN_VALUE;
+    private long mHeardMs = Long.MIN_VALUE / 2;
+    private long mExchangedMs = Long.MIN_VALUE / 2;
+
+    EscrowShard(
+            Platform platform,
+            EscrowOwner owner,
+            int number,
+            IntSupplier vms,
+            GrantListener listener) {
+        mListener = listener;
+        mPlatform = platform;
+        mOwner = owner;
+        mKey = "budgets/shard-" + number;
+        mVms = vms;
+    }
+
+    void setPrepaid(String organisation, long tokens) {
+        mPrepaid.put(organisation, tokens);
+        mAccounts.computeIfAbsent(organisation, o -> new EscrowAccount());
+    }
+
+    Admission admit(long nowMs, String organisation, long tokens) {
+        EscrowAccount account = mAccounts.get(organisation);
+        if (account.reserve(nowMs, tokens)) {
+            return Admission.RESERVED;
+        }
+        boolean fresh = nowMs - mHeardMs < PROOF_MS;
+        return fresh && tokens > account.situation().certain()
+                ? Admission.EXHAUSTED
+                : Admission.SHORT;
+    }
+
+    void settle(String organisation, long reserved, long used) {
+        mAccounts.get(organisation).settle(reserved, used);
+    }
+
+    void afterNextExchange(long nowMs, Runnable action) {
+        mWaiting.add(action);
+        tick(nowMs);
+    }
+
+    void giveBack(long nowMs) {
+        mGivingBack = true;
+        mGivenBack = false;
+        tick(nowMs);
+    }
+
+    boolean givenBack() {
+        return mGivenBack || mAccounts.values().stream().allMatch(a -> a.limit() == 0);
+    }
+
+    void addHoldings(Map<String, EscrowBook.Holding> holdings) {
+        mAccounts.forEach(
+                (name, a) ->
+                        holdings.put(name, new EscrowBook.Holding(a.limit(), a.free(), a.spent())));
+    }
+
+    void tick(long nowMs) {
+        if (mOpen || mPrepaid.isEmpty() || nowMs < mNotBeforeMs || !due(nowMs)) {
+            return;
+        }
+        if (!mKnown) {
+            submit(nowMs, new PlatformCall.Get(mKey));
+            return;
+        }
+        write(nowMs);
+    }
+
+    private boolean due(long nowMs) {
+        if (mGivingBack) {
+            return !givenBack();
+        }
+        boolean waited = mAccounts.values().stream().anyMatch(EscrowAccount::isShort);
+        if (waited || !mWaiting.isEmpty()) {
+            return nowMs - mExchangedMs >= PAUSE_MS / 4;
+        }
+        if (nowMs - mExchangedMs < PAUSE_MS) {
+            return false;
+        }
+        boolean report = nowMs - mExchangedMs >= REPORT_MS;
+        return mPrepaid.keySet().stream().anyMatch(o -> wants(nowMs, o, report));
+    }
+
+    private boolean wants(long nowMs, String organisation, boolean report) {
+        EscrowAccount account = mAccounts.get(organisation);
+        if (account.situation().equals(EscrowAccount.Situation.UNKNOWN)) {
+            return true;
+        }
+        if (report && account.spent() > account.reportedSpent()) {
+            return true;
+        }
+        long target = target(nowMs, organisation, mRecord);
+        long unallocated = account.situation().unallocated();
+        boolean low = account.free() < target / 2 && unallocated > 0;
+        boolean hoards = account.free() > 2 * target && unallocated <= 0;
+        return low || hoards;
+    }
+
+    private long target(long nowMs, String organisation, EscrowRecord record) {
+        EscrowAccount account = mAccounts.get(organisation);
+        EscrowRecord.Organisation stored = record.organisation(organisation);
+        long unreported = account.spent() - account.reportedSpent();
+        long left =
+                mPrepaid.get(organisation)
+                        - stored.closed()
+                        - (stored.spent() - stored.closedSpent())
+                        - unreported;
+        if (left <= 0) {
+            return 0;
+        }
+        return mPolicy.target(
+                new GrantPolicy.Inputs(
+                        left,
+                        Math.max(1, mVms.getAsInt()),
+                        account.demandPerMs(nowMs),
+                        account.largest()));
+    }
+
+    private void write(long nowMs) {
+        EscrowRecord next = mRecord.copy();
+        for (String organisation : mPrepaid.keySet()) {
+            next.organisations().put(organisation, changed(nowMs, organisation));
+        }
+        for (String organisation : mPrepaid.keySet()) {
+            EscrowAccount account = mAccounts.get(organisation);
+            account.setLimit(Math.min(account.limit(), ownGrant(next, organisation)));
+        }
+        mUncertainBase = mVersion;
+        mWritten = next;
+        String value = Json.encode(next);
+        submit(
+                nowMs,
+                mMustCreate
+                        ? new PlatformCall.Create(mKey, value)
+                        : new PlatformCall.Update(mKey, value, mVersion));
+    }
+
+    private long ownGrant(EscrowRecord record, String organisation) {
+        EscrowRecord.Holder own =
+                record.organisation(organisation).holders().get(mOwner.incarnation());
+        return own == null ? 0 : own.granted();
+    }
+
+    /** Returns an organisation's grants with this VM's wishes, reports and former lives in them. */
+    private EscrowRecord.Organisation changed(long nowMs, String organisation) {
+        EscrowRecord.Organisation stored = mRecord.organisation(organisation);
+        EscrowAccount account = mAccounts.get(organisation);
+        TreeMap<String, EscrowRecord.Holder> holders = new TreeMap<>(stored.holders());
+        long closed = stored.closed();
+        long closedSpent = stored.closedSpent();
+        for (var entry : stored.holders().entrySet()) {
+            boolean formerLife =
+                    entry.getValue().vm().equals(mOwner.vm())
+                            && !entry.getKey().equals(mOwner.incarnation());
+            if (formerLife) {
+                closed += entry.getValue().granted();
+                closedSpent += entry.getValue().spent();
+                holders.remove(entry.getKey());
+            }
+        }
+        long room = mPrepaid.get(organisation) - stored.granted();
+        long granted = wanted(nowMs, organisation, room);
+        if (granted > 0 || account.spent() > 0) {
+            holders.put(
+                    mOwner.incarnation(),
+                    new EscrowRecord.Holder(mOwner.vm(), granted, account.spent()));
+        }
+        return new EscrowRecord.Organisation(closed, closedSpent, holders);
+    }
+
+    private long wanted(long nowMs, String organisation, long room) {
+        EscrowAccount account = mAccounts.get(organisation);
+        long held = ownGrant(mRecord, organisation);
+        if (mGivingBack) {
+            return Math.min(held, account.used());
+        }
+        long target = target(nowMs, organisation, mRecord);
+        long aim = account.used() + target;
+        if (aim > held) {
+            return held + Math.max(0, Math.min(aim - held, room));
+        }
+        boolean scarce = room < target;
+        return scarce ? Math.max(aim, account.used()) : held;
+    }
+
+    private void submit(long nowMs, PlatformCall call) {
+        mOpen = true;
+        mPlatform.submit(nowMs, call, this::replied);
+    }
+
+    private void replied(long nowMs, PlatformReply reply) {
+        mOpen = false;
+        if (reply instanceof PlatformReply.Written written) {
+            mHeardMs = nowMs;
+            mUncertainBase = -1;
+            mMustCreate = false;
+            mVersion = written.version();
+            mRecord = mWritten;
+            mGivenBack = mGivingBack;
+            settled(nowMs);
+            return;
+        }
+        if (reply instanceof PlatformReply.Found found) {
+            take(nowMs, found.object());
+            return;
+        }
+        if (reply instanceof PlatformReply.Missing) {
+            mHeardMs = nowMs;
+            mKnown = true;
+            mMustCreate = true;
+            write(nowMs);
+            return;
+        }
+        if (reply instanceof PlatformReply.Conflict conflict && conflict.current().isPresent()) {
+            mMustCreate = false;
+            take(nowMs, conflict.current().get());
+            return;
+        }
+        mKnown = false;
+        mNotBeforeMs = nowMs + RETRY_MS;
+        runWaiting();
+    }
+
+    /** Takes the record in as it is, and goes on with a write where one is due. */
+    private void take(long nowMs, StoredObject object) {
+        var decoded = Json.decode(object.value(), EscrowRecord.class);
+        if (decoded.isLeft()) {
+            throw new IllegalStateException(mKey + ": " + decoded.getLeft().message());
+        }
+        mHeardMs = nowMs;
+        mKnown = true;
+        mVersion = object.version();
+        mRecord = decoded.get();
+        adopt(nowMs, mVersion == mUncertainBase);
+        write(nowMs);
+    }
+
+    private void settled(long nowMs) {
+        mExchangedMs = nowMs;
+        adopt(nowMs, false);
+        runWaiting();
+    }
+
+    private void adopt(long nowMs, boolean writeStillOpen) {
+        mPrepaid.forEach(
+                (name, prepaid) -> {
+                    EscrowRecord.Organisation stored = mRecord.organisation(name);
+                    EscrowRecord.Holder own = stored.holders().get(mOwner.incarnation());
+                    long granted = own == null ? 0 : own.granted();
+                    EscrowAccount account = mAccounts.get(name);
+                    long before = account.granted();
+                    account.onStored(
+                            granted,
+                            writeStillOpen ? Math.min(granted, account.limit()) : granted,
+                            own == null ? 0 : own.spent(),
+                            new EscrowAccount.Situation(
+                                    prepaid - stored.granted(), prepaid - stored.spent()));
+                    if (before != granted) {
+                        mListener.onGrant(
+                                nowMs,
+                                name,
+                                new GrantListener.Change(
+                                        before,
+                                        granted,
+                                        account.free(),
+                                        account.situation().unallocated(),
+                                        account.situation().certain()));
+                    }
+                });
+    }
+
+    private void runWaiting() {
+        List<Runnable> waiting = List.copyOf(mWaiting);
+        mWaiting.clear();
+        waiting.forEach(Runnable::run);
+    }
+}
--- a/coordination/src/main/java/org/hornbeampass/coordination/platform/WatchedView.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/platform/WatchedView.java
@@ -28,11 +28,13 @@
 public final class WatchedView {
     private static final int PAGE_SIZE = 500;
     private static final RetryPolicy BACKOFF = new RetryPolicy(100, 10_000, Integer.MAX_VALUE);
+    private static final long NEVER = Long.MIN_VALUE;
 
     private final Platform mPlatform;
     private final String mPrefix;
     private final Duration mWatchTime;
     private final BiConsumer<Long, Change> mListener;
+    private final RetryPolicy mBackoff;
     private final Object mLock = new Object();
     private final SplittableRandom mRandom;
     private final TreeMap<String, StoredObject> mObjects = new TreeMap<>();
@@ -47,6 +49,8 @@
     private long mUpToVersion;
     private long mRetryAtMs = Long.MIN_VALUE;
     private int mFailures;
+    private long mFailingSinceMs = NEVER;
+    private long mFailedMs = NEVER;
 
     /**
      * Creates a view that starts with the first {@link #tick}.
@@ -63,9 +67,30 @@
             Duration watchTime,
             long seed,
             BiConsumer<Long, Change> listener) {
+        this(platform, prefix, watchTime, BACKOFF, seed, listener);
+    }
+
+    /**
+     * Creates a view with a backoff of its own.
+     *
+     * @param platform the platform that is watched
+     * @param prefix the prefix that the keys share
+     * @param watchTime how long one watch waits
+     * @param backoff the waits after failed calls
+     * @param seed seeds the jitter of the backoff
+     * @param listener takes the time in milliseconds and each change of the view, in order
+     */
+    public WatchedView(
+            Platform platform,
+            String prefix,
+            Duration watchTime,
+            RetryPolicy backoff,
+            long seed,
+            BiConsumer<Long, Change> listener) {
         mPlatform = platform;
         mPrefix = prefix;
         mWatchTime = watchTime;
+        mBackoff = backoff;
         mRandom = new SplittableRandom(seed);
         mListener = listener;
     }
@@ -91,6 +116,48 @@
         }
     }
 
+    /** Returns the store's version up to which this view is informed. */
+    public long upToVersion() {
+        synchronized (mLock) {
+            return mUpToVersion;
+        }
+    }
+
+    /** Returns for how long all calls have failed, in milliseconds; 0 where the last one worked. */
+    public long failingForMs(long nowMs) {
+        synchronized (mLock) {
+            return mFailingSinceMs == NEVER ? 0 : nowMs - mFailingSinceMs;
+        }
+    }
+
+    /** Returns whether a call failed within a time before now, in milliseconds. */
+    public boolean failedWithin(long nowMs, long ms) {
+        synchronized (mLock) {
+            return mFailedMs != NEVER && nowMs - mFailedMs < ms;
+        }
+    }
+
+    /**
+     * Takes a whole listing that another VM has seen; ignored unless it is newer than this view.
+     *
+     * @param nowMs the present time in milliseconds
+     * @param objects all objects below the prefix
+     * @param storeVersion the store's version of the listing
+     */
+    public void offer(long nowMs, List<StoredObject> objects, long storeVersion) {
+        List<Change> shown = new ArrayList<>();
+        synchronized (mLock) {
+            if (mStopped || storeVersion <= mUpToVersion) {
+                return;
+            }
+            mListing.clear();
+            mListing.addAll(objects);
+            mListedFrom = storeVersion;
+            completeListing(shown);
+        }
+        shown.forEach(c -> mListener.accept(nowMs, c));
+    }
+
     /** Stops: no further call is made, and replies still to come are ignored. */
     public void stop() {
         synchronized (mLock) {
@@ -131,6 +198,9 @@
             if (mStopped) {
                 return;
             }
+            if (answered(reply)) {
+                mFailingSinceMs = NEVER;
+            }
             again = accept(nowMs, reply, shown);
         }
         shown.forEach(c -> mListener.accept(nowMs, c));
@@ -157,14 +227,18 @@
             return true;
         }
         mFailures++;
-        mRetryAtMs = nowMs + BACKOFF.waitMs(mFailures, mRandom);
+        mFailedMs = nowMs;
+        if (mFailingSinceMs == NEVER) {
+            mFailingSinceMs = nowMs;
+        }
+        mRetryAtMs = nowMs + mBackoff.waitMs(mFailures, mRandom);
         return false;
     }
 
     private boolean listed(long nowMs, PlatformReply.Listed page, List<Change> shown) {
         if (page.storeVersion() < mUpToVersion) {
             listAnew();
-            mRetryAtMs = nowMs + BACKOFF.waitMs(1, mRandom);
+            mRetryAtMs = nowMs + mBackoff.waitMs(1, mRandom);
             return false;
         }
         if (mListing.isEmpty()) {
@@ -174,6 +248,11 @@
         if (page.more()) {
             return true;
         }
+        completeListing(shown);
+        return true;
+    }
+
+    private void completeListing(List<Change> shown) {
         removeUnlisted(shown);
         mListing.forEach(
                 o -> apply(new Change(o.key(), Optional.of(o.value()), o.version()), shown));
@@ -181,7 +260,10 @@
         mReady = true;
         mListNext = false;
         mListing.clear();
-        return true;
+    }
+
+    private static boolean answered(PlatformReply reply) {
+        return reply instanceof PlatformReply.Listed || reply instanceof PlatformReply.Changed;
     }
 
     private void listAnew() {
--- /dev/null
+++ b/coordination/src/main/java/org/hornbeampass/coordination/service/UpstreamBoard.java
@@ -0,0 +1,204 @@
+package org.hornbeampass.coordination.service;
+
+import org.hornbeampass.state.service.Prompt;
+import org.hornbeampass.state.service.ServiceSpec;
+import org.hornbeampass.state.service.UpstreamEntry;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+
+/**
+ * All registered upstreams, and the choice of one for each request.
+ *
+ * <p>Invariants: an upstream that is leaving or gone is never chosen; one that is paused after
+ * failures is chosen only where all usable ones of its service are. Confined to one thread.
+ */
+public final class UpstreamBoard {
+    /**
+     * How long an entry that is missing after an outage of the platform may still come back, in
+     * milliseconds; the platform's own entries are back within two seconds.
+     */
+    static final long MISSING_GRACE_MS = 1_900;
+
+    /** Prompt tokens that an engine reads in a millisecond, until its own speed is observed. */
+    private static final double TOKENS_PER_MS = 50;
+
+    /**
+     * By how much this VM's own load stands for that of the other VMs, which it does not see:
+     * callers choose VMs at random, so that loads are alike.
+     */
+    private static final double UNSEEN_LOAD = 2.0;
+
+    /** What one running request adds to another's wait at an engine, in milliseconds. */
+    private static final double RUNNING_COST_MS = 2.0;
+
+    /** What a certain failure costs in the comparison, in milliseconds: about a repeated wait. */
+    private static final double FAILURE_COST_MS = 3_000;
+
+    /** Breaks ties between upstreams at random, in milliseconds. */
+    private static final double TIE_MS = 4.0;
+
+    private final Map<String, UpstreamInstance> mById = new HashMap<>();
+    private final Map<String, List<UpstreamInstance>> mByService = new HashMap<>();
+    private final RandomGenerator mRandom;
+
+    /** Makes an empty board; the generator spreads ties. */
+    public UpstreamBoard(RandomGenerator random) {
+        mRandom = random;
+    }
+
+    /** Takes an entry as the platform shows it. */
+    public void onEntry(UpstreamEntry entry) {
+        UpstreamInstance known = mById.get(entry.id());
+        if (known != null) {
+            known.update(entry);
+            return;
+        }
+        UpstreamInstance added = new UpstreamInstance(entry);
+        mById.put(entry.id(), added);
+        mByService.computeIfAbsent(entry.service(), s -> new ArrayList<>()).add(added);
+    }
+
+    /**
+     * Takes the removal of an entry.
+     *
+     * @param nowMs the present time in milliseconds
+     * @param id the upstream's identity
+     * @param afterOutage whether the platform was out of reach a moment ago, so that entries may
+     *     have lapsed which will be back
+     */
+    public void onRemoved(long nowMs, String id, boolean afterOutage) {
+        UpstreamInstance known = mById.get(id);
+        if (known != null) {
+            known.markGoneAt(afterOutage ? nowMs + MISSING_GRACE_MS : nowMs);
+        }
+    }
+
+    /** Takes the word of whoever listens at an address that it is not this upstream. */
+    public void onMismatch(long nowMs, UpstreamInstance instance) {
+        instance.markGoneAt(nowMs);
+    }
+
+    /** Takes the word of an upstream that it is leaving. */
+    public void onLeaving(UpstreamInstance instance) {
+        instance.markLeaving();
+    }
+
+    /** Forgets upstreams that are gone and have no request in progress. */
+    public void tick(long nowMs) {
+        mById.values().removeIf(i -> i.gone(nowMs) && i.inFlight() == 0);
+        for (List<UpstreamInstance> instances : mByService.values()) {
+            instances.removeIf(i -> i.gone(nowMs) && i.inFlight() == 0);
+        }
+    }
+
+    /** Returns the addresses at which connections may be kept. */
+    public Collection<InetSocketAddress> addresses(long nowMs) {
+        return mById.values().stream()
+                .filter(i -> i.usable(nowMs))
+                .map(i -> i.entry().address())
+                .toList();
+    }
+
+    /** Returns how many upstreams of a service may take requests. */
+    public int usable(long nowMs, String service) {
+        int count = 0;
+        for (UpstreamInstance instance : mByService.getOrDefault(service, List.of())) {
+            if (instance.usable(nowMs)) {
+                count++;
+            }
+        }
+        return count;
+    }
+
+    /**
+     * Chooses the upstream of a request.
+     *
+     * @param nowMs the present time in milliseconds
+     * @param service the service
+     * @param prompt what the request reads
+     * @param tried upstreams that the request was sent to before
+     */
+    public Optional<UpstreamInstance> choose(
+            long nowMs, ServiceSpec service, Prompt prompt, Set<String> tried) {
+        List<UpstreamInstance> instances = mByService.getOrDefault(service.name(), List.of());
+        Optional<UpstreamInstance> best = best(nowMs, service, prompt, tried, instances, false);
+        return best.isPresent() ? best : best(nowMs, service, prompt, tried, instances, true);
+    }
+
+    private Optional<UpstreamInstance> best(
+            long nowMs,
+            ServiceSpec service,
+            Prompt prompt,
+            Set<String> tried,
+            List<UpstreamInstance> instances,
+            boolean alsoPaused) {
+        Optional<UpstreamInstance> home = home(nowMs, prompt, instances);
+        double lowest = Double.MAX_VALUE;
+        UpstreamInstance best = null;
+        for (UpstreamInstance each : instances) {
+            boolean open = each.usable(nowMs) && (alsoPaused || !each.paused(nowMs));
+            if (!open || tried.contains(each.id())) {
+                continue;
+            }
+            double cost =
+                    service.engine().isPresent()
+                            ? engineCost(nowMs, each, prompt, home)
+                            : plainCost(nowMs, each);
+            if (cost < lowest) {
+                lowest = cost;
+                best = each;
+            }
+        }
+        return Optional.ofNullable(best);
+    }
+
+    /** Returns where the shared parts of a prompt most likely lie: the same upstream on all VMs. */
+    private static Optional<UpstreamInstance> home(
+            long nowMs, Prompt prompt, List<UpstreamInstance> instances) {
+        long key = prompt.sharedHash();
+        if (key == 0) {
+            return Optional.empty();
+        }
+        long highest = Long.MIN_VALUE;
+        UpstreamInstance home = null;
+        for (UpstreamInstance each : instances) {
+            long rank = mix(key ^ (each.id().hashCode() * 0x9E3779B97F4A7C15L));
+            if (each.usable(nowMs) && rank > highest) {
+                highest = rank;
+                home = each;
+            }
+        }
+        return Optional.ofNullable(home);
+    }
+
+    private static long mix(long value) {
+        long mixed = (value ^ (value >>> 33)) * 0xFF51AFD7ED558CCDL;
+        mixed = (mixed ^ (mixed >>> 33)) * 0xC4CEB9FE1A85EC53L;
+        return mixed ^ (mixed >>> 33);
+    }
+
+    private double engineCost(
+            long nowMs, UpstreamInstance each, Prompt prompt, Optional<UpstreamInstance> home) {
+        boolean cached = home.isPresent() && home.get() == each;
+        long toRead = prompt.promptTokens() - (cached ? prompt.sharedTokens() : 0);
+        double waitMs = (toRead + UNSEEN_LOAD * each.unreadTokens()) / TOKENS_PER_MS;
+        double runningMs = UNSEEN_LOAD * RUNNING_COST_MS * each.inFlight();
+        return waitMs + runningMs + common(nowMs, each);
+    }
+
+    private double plainCost(long nowMs, UpstreamInstance each) {
+        return (each.inFlight() + 0.5) * Math.max(1, each.latencyMs()) + common(nowMs, each);
+    }
+
+    private double common(long nowMs, UpstreamInstance each) {
+        return each.failureShare(nowMs) * FAILURE_COST_MS + mRandom.nextDouble() * TIE_MS;
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/hornbeampass/coordination/service/UpstreamInstance.java
@@ -0,0 +1,165 @@
+package org.hornbeampass.coordination.service;
+
+import org.hornbeampass.state.service.UpstreamEntry;
+
+/**
+ * One upstream as this VM sees it: its entry, the requests that this VM has in progress there, and
+ * what they have shown of it.
+ *
+ * <p>Invariant: once seen leaving or gone it takes no new request, whatever later entries say.
+ * Confined to one thread.
+ */
+public final class UpstreamInstance {
+    /** How fast evidence fades: the weight of one answer after this many milliseconds is 1/e. */
+    private static final double EVIDENCE_MS = 4_000;
+
+    /** The first pause after failures without an answer; doubled for each further one. */
+    private static final long FIRST_PAUSE_MS = 500;
+
+    /** The longest pause: a sound upstream is back in use within this time. */
+    private static final long MAX_PAUSE_MS = 4_000;
+
+    /** Failures in a row after which an upstream is paused; one alone may be a lost packet. */
+    private static final int FAILURES_BEFORE_PAUSE = 2;
+
+    private static final double LATENCY_WEIGHT = 0.2;
+
+    private UpstreamEntry mEntry;
+    private boolean mLeaving;
+    private long mGoneAtMs = Long.MAX_VALUE;
+    private int mInFlight;
+    private long mUnreadTokens;
+    private int mFailuresInRow;
+    private long mPausedUntilMs = Long.MIN_VALUE;
+    private double mGood;
+    private double mBad;
+    private long mEvidenceAtMs;
+    private double mLatencyMs;
+
+    UpstreamInstance(UpstreamEntry entry) {
+        mEntry = entry;
+        mLeaving = entry.leaving();
+    }
+
+    /** Returns its entry as last seen. */
+    public UpstreamEntry entry() {
+        return mEntry;
+    }
+
+    /** Returns its identity. */
+    public String id() {
+        return mEntry.id();
+    }
+
+    void update(UpstreamEntry entry) {
+        mEntry = entry;
+        mLeaving |= entry.leaving();
+        mGoneAtMs = Long.MAX_VALUE;
+    }
+
+    void markLeaving() {
+        mLeaving = true;
+    }
+
+    /** Takes it out of use at a time in milliseconds, unless its entry is seen again before. */
+    void markGoneAt(long atMs) {
+        mGoneAtMs = Math.min(mGoneAtMs, atMs);
+    }
+
+    /** Returns whether its entry has been missing for so long that it counts as gone. */
+    boolean gone(long nowMs) {
+        return nowMs >= mGoneAtMs;
+    }
+
+    /** Returns whether it may take new requests at all. */
+    public boolean usable(long nowMs) {
+        return !mLeaving && !gone(nowMs);
+    }
+
+    /** Returns whether it is left alone for a while after failures. */
+    public boolean paused(long nowMs) {
+        return nowMs < mPausedUntilMs;
+    }
+
+    /** Returns how many of this VM's requests are in progress there. */
+    public int inFlight() {
+        return mInFlight;
+    }
+
+    /** Returns the prompt tokens of this VM's requests there that have not begun to answer. */
+    public long unreadTokens() {
+        return mUnreadTokens;
+    }
+
+    /** Counts a request that is sent there, with the prompt tokens that must be read for it. */
+    public void onSent(long tokens) {
+        mInFlight++;
+        mUnreadTokens += tokens;
+    }
+
+    /** Counts the beginning of an answer, with the tokens given to {@link #onSent}. */
+    public void onPromptRead(long tokens) {
+        mUnreadTokens = Math.max(0, mUnreadTokens - tokens);
+    }
+
+    /** Counts the end of a request, whatever it was. */
+    public void onEnded() {
+        mInFlight = Math.max(0, mInFlight - 1);
+    }
+
+    /**
+     * Takes a good answer as evidence.
+     *
+     * @param nowMs the present time in milliseconds
+     * @param latencyMs how long it took to its first byte, in milliseconds
+     */
+    public void onGood(long nowMs, double latencyMs) {
+        fade(nowMs);
+        mGood++;
+        mFailuresInRow = 0;
+        mPausedUntilMs = Long.MIN_VALUE;
+        mLatencyMs += mLatencyMs == 0 ? latencyMs : LATENCY_WEIGHT * (latencyMs - mLatencyMs);
+    }
+
+    /** Takes an answer that reports a failure as evidence. */
+    public void onBad(long nowMs) {
+        fade(nowMs);
+        mBad++;
+        mFailuresInRow = 0;
+    }
+
+    /** Takes a connection or an answer that did not come about as evidence. */
+    public void onSilent(long nowMs) {
+        fade(nowMs);
+        mBad++;
+        mFailuresInRow++;
+        if (mFailuresInRow < FAILURES_BEFORE_PAUSE) {
+            return;
+        }
+        int doublings = Math.min(8, mFailuresInRow - FAILURES_BEFORE_PAUSE);
+        mPausedUntilMs = nowMs + Math.min(MAX_PAUSE_MS, FIRST_PAUSE_MS << doublings);
+    }
+
+    /** Takes the word of an upstream that it has no room; it gets new requests again soon. */
+    public void onFull(long nowMs, long pauseMs) {
+        mPausedUntilMs = Math.max(mPausedUntilMs, nowMs + pauseMs);
+    }
+
+    /** Returns the share of recent answers that failed, drawn towards 0 while there are few. */
+    public double failureShare(long nowMs) {
+        fade(nowMs);
+        return mBad / (mGood + mBad + 2);
+    }
+
+    /** Returns the usual time to the first byte in milliseconds; 0 where none was seen. */
+    public double latencyMs() {
+        return mLatencyMs;
+    }
+
+    private void fade(long nowMs) {
+        double kept = Math.exp(-(nowMs - mEvidenceAtMs) / EVIDENCE_MS);
+        mGood *= kept;
+        mBad *= kept;
+        mEvidenceAtMs = nowMs;
+    }
+}
--- a/coordination/src/main/java/org/hornbeampass/state/ErrorKind.java
+++ b/coordination/src/main/java/org/hornbeampass/state/ErrorKind.java
@@ -16,6 +16,8 @@
     MALFORMED_REQUEST(400, "invalid_request_error", false, NOT_RUN, 3),
     FIELD_INVALID(400, "invalid_request_error", false, NOT_RUN, 3),
     REQUEST_TOO_LARGE(413, "invalid_request_error", false, NOT_RUN, 3),
+    HEAD_TOO_LARGE(431, "invalid_request_error", false, NOT_RUN, 3),
+    REQUEST_TOO_SLOW(408, "invalid_request_error", true, NOT_RUN, 3),
     KEY_MISSING_OR_UNKNOWN(401, "authentication_error", false, NOT_RUN, 4),
     NOT_PERMITTED(403, "permission_error", false, NOT_RUN, 4),
     MODEL_UNKNOWN(404, "not_found_error", false, NOT_RUN, 5),
--- /dev/null
+++ b/router/src/main/java/org/hornbeampass/router/daemon/FleetView.java
@@ -0,0 +1,179 @@
+package org.hornbeampass.router.daemon;
+
+import org.hornbeampass.coordination.membership.Membership;
+import org.hornbeampass.coordination.membership.MembershipSettings;
+import org.hornbeampass.coordination.membership.Seed;
+import org.hornbeampass.coordination.peer.PeerNetwork;
+import org.hornbeampass.coordination.platform.Platform;
+import org.hornbeampass.coordination.platform.PlatformCall;
+import org.hornbeampass.coordination.platform.PlatformReply;
+import org.hornbeampass.state.Json;
+import org.hornbeampass.state.VmId;
+import org.hornbeampass.state.member.ListedVm;
+import org.hornbeampass.state.member.Member;
+import org.hornbeampass.state.member.MemberState;
+import org.hornbeampass.state.member.MembershipView;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+
+/**
+ * Which VMs of the fleet are up, for address answers and for shares of fleet-wide bounds.
+ *
+ * <p>VMs are named by their IP numbers among each other, so that a seed's name is known from its
+ * address. Confined to one event loop.
+ */
+final class FleetView {
+    private static final String PREFIX = "vms/";
+
+    /** How long to wait before registering again after a failed call, in milliseconds. */
+    private static final long RETRY_MS = 1_000;
+
+    /** How long it takes a new VM to hear of all others, in milliseconds. */
+    private static final long SETTLE_MS = 4_000;
+
+    /**
+     * How many VMs are taken to share the fleet's bounds until a new VM has heard of the others: a
+     * VM that thinks that it is alone takes whole budgets, and leaves none to the others.
+     */
+    private static final int VMS_UNTIL_KNOWN = 8;
+
+    private final Platform mPlatform;
+    private final Membership mMembership;
+    private final VmList mList;
+    private final ListedVm mSelf;
+    private boolean mRegistered;
+    private boolean mOpen;
+    private long mNextMs;
+    private int mMostVms = 1;
+    private long mStartedMs = -1;
+    private boolean mSettled;
+
+    FleetView(
+            RelayDaemonSettings settings,
+            VmId vm,
+            PeerNetwork peers,
+            Platform platform,
+            Random random) {
+        mPlatform = platform;
+        Member self =
+                new Member(
+                        vm,
+                        text(settings.listen().callers()),
+                        text(settings.listen().peers()),
+                        settings.region(),
+                        settings.domain(),
+                        MemberState.LIVE);
+        mSelf =
+                new ListedVm(
+                        vm,
+                        self.httpAddress(),
+                        self.peerAddress(),
+                        self.region(),
+                        self.domain(),
+                        false);
+        List<Seed> seeds =
+                settings.seeds().stream()
+                        .filter(s -> !s.equals(settings.listen().peers()))
+                        .map(s -> new Seed(s.getAddress().getHostAddress(), text(s)))
+                        .toList();
+        mMembership = new Membership(self, peers, seeds, MembershipSettings.defaults(), random);
+        mList = new VmList(mMembership, platform, random);
+    }
+
+    private static String text(InetSocketAddress address) {
+        return address.getAddress().getHostAddress() + ":" + address.getPort();
+    }
+
+    Membership membership() {
+        return mMembership;
+    }
+
+    Optional<InetSocketAddress> peerAddress(String name) {
+        return mMembership.peerAddress(name).flatMap(PeerAddresses::parse);
+    }
+
+    void tick(long nowMs) {
+        mStartedMs = mStartedMs < 0 ? nowMs : mStartedMs;
+        mSettled |= nowMs - mStartedMs >= SETTLE_MS;
+        mMembership.tick(nowMs);
+        if (!mRegistered && !mOpen && nowMs >= mNextMs) {
+            register(nowMs);
+        }
+        if (mRegistered) {
+            mList.tick(nowMs);
+        }
+    }
+
+    /** Puts this VM on the list, over the entry of its former life. */
+    private void register(long nowMs) {
+        mOpen = true;
+        String key = PREFIX + mSelf.vm().name();
+        mPlatform.submit(
+                nowMs,
+                new PlatformCall.Create(key, Json.encode(mSelf)),
+                (t, reply) -> onRegistered(t, key, reply));
+    }
+
+    private void onRegistered(long nowMs, String key, PlatformReply reply) {
+        if (reply instanceof PlatformReply.Conflict conflict && conflict.current().isPresent()) {
+            mPlatform.submit(
+                    nowMs,
+                    new PlatformCall.Update(
+                            key, Json.encode(mSelf), conflict.current().get().version()),
+                    (t, second) -> done(t, second));
+            return;
+        }
+        done(nowMs, reply);
+    }
+
+    private void done(long nowMs, PlatformReply reply) {
+        mOpen = false;
+        mRegistered = reply instanceof PlatformReply.Written;
+        mNextMs = nowMs + RETRY_MS;
+    }
+
+    /** Returns how many VMs share the fleet's bounds: all that were up of late. */
+    int vms() {
+        MembershipView view = mMembership.view();
+        int known = view.members().size() - view.leaving().size() - view.gone().size();
+        mMostVms = Math.max(mMostVms, known);
+        return mSettled ? mMostVms : Math.max(mMostVms, VMS_UNTIL_KNOWN);
+    }
+
+    /** Returns the names of other VMs that are up. */
+    List<String> others() {
+        MembershipView view = mMembership.view();
+        return view.live().stream()
+                .map(Member::name)
+                .filter(n -> !n.equals(mSelf.vm().name()))
+                .toList();
+    }
+
+    /**
+     * Returns the addresses that callers should use. Where most VMs seem to be gone at once, it is
+     * this VM that is cut off: callers may still reach the others, which stay in the answer.
+     */
+    List<InetSocketAddress> callersAddresses(boolean withSelf) {
+        MembershipView view = mMembership.view();
+        List<Member> usable = new ArrayList<>(view.live());
+        int others = view.members().size() - view.leaving().size() - 1;
+        boolean cutOff = usable.size() - 1 < others / 2.0;
+        if (cutOff) {
+            usable.addAll(view.suspect());
+            usable.addAll(view.gone());
+        }
+        return usable.stream()
+                .filter(m -> withSelf || !m.vm().equals(mSelf.vm()))
+                .map(m -> PeerAddresses.parse(m.httpAddress()))
+                .flatMap(Optional::stream)
+                .toList();
+    }
+
+    void leave(long nowMs) {
+        mMembership.leave(nowMs);
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/hornbeampass/router/daemon/RelayDaemon.java
@@ -0,0 +1,352 @@
+package org.hornbeampass.router.daemon;
+
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.MetricRegistry;
+
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.HttpRequest;
+
+import org.hornbeampass.coordination.escrow.EscrowBook;
+import org.hornbeampass.coordination.escrow.EscrowOwner;
+import org.hornbeampass.coordination.escrow.GrantListener;
+import org.hornbeampass.coordination.membership.Gossip;
+import org.hornbeampass.coordination.membership.IndirectPing;
+import org.hornbeampass.coordination.membership.Ping;
+import org.hornbeampass.coordination.membership.SyncRequest;
+import org.hornbeampass.coordination.news.NewsExchange;
+import org.hornbeampass.coordination.news.NewsRequest;
+import org.hornbeampass.coordination.platform.Platform;
+import org.hornbeampass.coordination.platform.PlatformReply.Change;
+import org.hornbeampass.coordination.platform.RetryPolicy;
+import org.hornbeampass.coordination.platform.WatchedView;
+import org.hornbeampass.coordination.service.RouteTable;
+import org.hornbeampass.coordination.service.UpstreamBoard;
+import org.hornbeampass.router.relay.RelayHandler;
+import org.hornbeampass.router.relay.RelayLog;
+import org.hornbeampass.router.relay.RelayParts;
+import org.hornbeampass.router.relay.WireFormat;
+import org.hornbeampass.state.VmId;
+import org.hornbeampass.state.service.CallerLimits;
+import org.hornbeampass.transport.Clock;
+import org.hornbeampass.transport.EventLoops;
+import org.hornbeampass.transport.http.HttpClient;
+import org.hornbeampass.transport.http.HttpClientSettings;
+import org.hornbeampass.transport.http.NettyHttpClient;
+import org.hornbeampass.transport.metrics.MetricsText;
+import org.hornbeampass.transport.peer.PeerSettings;
+import org.hornbeampass.transport.peer.PeerTransport;
+import org.hornbeampass.transport.relay.CallerConnection;
+import org.hornbeampass.transport.relay.CallerHandler;
+import org.hornbeampass.transport.relay.CallerListener;
+import org.hornbeampass.transport.relay.CallerServer;
+import org.hornbeampass.transport.relay.UpstreamPool;
+
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.security.SecureRandom;
+import java.time.Duration;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.BiConsumer;
+
+/**
+ * One router that passes requests on to services: all its parts, from start to shutdown.
+ *
+ * <p>All parts run on one event loop, since a VM has less than one core; nothing is shared with
+ * another thread but the request to shut down. Thread-safe.
+ */
+public final class RelayDaemon {
+    /** How often decisions that wait for time are looked at, in milliseconds. */
+    private static final long TICK_MS = 100;
+
+    /**
+     * How long a watch waits, in milliseconds: a connection that went silent is noticed this late,
+     * and a configuration must be in force within two seconds once a VM is in touch for three.
+     */
+    private static final long WATCH_MS = 2_500;
+
+    /** Waits after failed calls: several a second would be charged, ten seconds would be late. */
+    private static final RetryPolicy NEWS_BACKOFF = new RetryPolicy(150, 700, Integer.MAX_VALUE);
+
+    /** How long after an outage entries may be missing that will be back, in milliseconds. */
+    private static final long AFTER_OUTAGE_MS = 2_500;
+
+    private final RelayDaemonSettings mSettings;
+    private final WireFormat mWire;
+    private final Clock mClock = Clock.monotonic();
+    private final EventLoops mLoops = EventLoops.create(1, "relay");
+    private final MetricRegistry mMetrics = new MetricRegistry();
+    private final RelayLog mLog = new RelayLog(mMetrics);
+    private final Random mRandom = new SecureRandom();
+    private final UpstreamBoard mBoard = new UpstreamBoard(mRandom);
+    private final FleetView mFleet;
+    private final PeerTransport mPeers;
+    private final WatchedView mConfig;
+    private final WatchedView mUpstreams;
+    private final NewsExchange mNews;
+    private final EscrowBook mBudgets;
+    private final UpstreamPool mPool;
+    private final RelayParts mParts;
+    private final CallerServer mCallers;
+    private final RelayShutdown mShutdown;
+
+    private RelayDaemon(RelayDaemonSettings settings, WireFormat wire, PlatformFactory platforms) {
+        mSettings = settings;
+        mWire = wire;
+        HttpClient client =
+                NettyHttpClient.create(
+                        mLoops, HttpClientSettings.STANDARD.withPool(16, 64), mClock);
+        Platform platform = platforms.create(client, settings.platform(), mClock);
+        String ip = settings.listen().peers().getAddress().getHostAddress();
+        VmId vm = new VmId(ip, System.currentTimeMillis());
+        mPeers =
+                PeerTransport.start(
+                        mLoops,
+                        PeerSettings.of(vm, settings.listen().peers(), settings.cluster()),
+                        mClock,
+                        name -> fleet().flatMap(f -> f.peerAddress(name)));
+        mFleet = new FleetView(settings, vm, mPeers, platform, new Random(mRandom.nextLong()));
+        mConfig = view(platform, wire.configPrefix(), this::onConfig);
+        mUpstreams = view(platform, wire.upstreamPrefix(), this::onUpstream);
+        mNews =
+                new NewsExchange(
+                        Map.of(wire.configPrefix(), mConfig, wire.upstreamPrefix(), mUpstreams),
+                        mPeers,
+                        mFleet::others,
+                        mRandom);
+        mBudgets =
+                new EscrowBook(
+                        platform,
+                        new EscrowOwner(ip, Long.toHexString(mRandom.nextLong())),
+                        settings.budgetShards(),
+                        mFleet::vms,
+                        this::onGrant);
+        mPool = new UpstreamPool(mLoops, mClock);
+        mParts =
+                new RelayParts(
+                        wire,
+                        settings.relay(),
+                        loop(),
+                        mClock,
+                        mBoard,
+                        mPool,
+                        mBudgets,
+                        mLog,
+                        mRandom,
+                        mFleet::vms);
+        registerPeers();
+        registerMetrics();
+        mCallers =
+                CallerServer.start(
+                        mLoops,
+                        settings.listen().callers(),
+                        mClock,
+                        new RelayHandler(mParts),
+                        this::limits);
+        mShutdown = new RelayShutdown(settings.graceMs(), mCallers, mBudgets, mFleet, mParts);
+        listen();
+        TickLoop ticks = new TickLoop(mLoops, mClock);
+        ticks.every(TICK_MS, this::tick);
+    }
+
+    /**
+     * Starts a daemon; it is ready once a configuration is known.
+     *
+     * @throws IllegalStateException if an address can't be listened on
+     */
+    public static RelayDaemon start(
+            RelayDaemonSettings settings, WireFormat wire, PlatformFactory platforms) {
+        return new RelayDaemon(settings, wire, platforms);
+    }
+
+    private Optional<FleetView> fleet() {
+        return Optional.ofNullable(mFleet);
+    }
+
+    private EventLoop loop() {
+        return mLoops.group().next();
+    }
+
+    private WatchedView view(Platform platform, String prefix, BiConsumer<Long, Change> taker) {
+        return new WatchedView(
+                platform,
+                prefix,
+                Duration.ofMillis(WATCH_MS),
+                NEWS_BACKOFF,
+                mRandom.nextLong(),
+                taker);
+    }
+
+    private void registerPeers() {
+        var membership = mFleet.membership();
+        mPeers.on(Ping.class, membership::onPing);
+        mPeers.on(Gossip.class, membership::onGossip);
+        mPeers.on(IndirectPing.class, membership::onIndirectPing);
+        mPeers.on(SyncRequest.class, membership::onSyncRequest);
+        mPeers.on(NewsRequest.class, mNews::onRequest);
+    }
+
+    private void registerMetrics() {
+        mMetrics.register("config_version", (Gauge<Long>) this::configVersion);
+        mMetrics.register("vms", (Gauge<Integer>) mFleet::vms);
+        mMetrics.register("caller_connections", (Gauge<Integer>) this::connections);
+        mMetrics.register("upstream_connections_opened", (Gauge<Long>) mPool::opened);
+    }
+
+    private int connections() {
+        return mCallers.connections();
+    }
+
+    private long configVersion() {
+        return mParts.routes().map(r -> r.config().version()).orElse(0L);
+    }
+
+    private CallerLimits limits() {
+        return mParts.routes().map(r -> r.config().limits()).orElse(CallerLimits.DEFAULT);
+    }
+
+    private void listen() {
+        serve(mSettings.listen().directory(), this::onDirectory);
+        serve(mSettings.listen().readiness(), this::onReadiness);
+        mSettings.listen().metrics().ifPresent(a -> serve(a, this::onMetrics));
+    }
+
+    private void serve(InetSocketAddress address, CallerHandler handler) {
+        CallerServer.start(mLoops, address, mClock, handler, this::limits);
+    }
+
+    private CallerListener onDirectory(long nowMs, CallerConnection caller, HttpRequest head) {
+        if (!mWire.asksForAddresses(head)) {
+            respond(caller, 404, "{}");
+            return CallerListener.IGNORING;
+        }
+        String body =
+                mWire.addresses(
+                        mFleet.callersAddresses(ready()), mSettings.keepAddressesMs() / 1_000.0);
+        respond(caller, 200, body);
+        return CallerListener.IGNORING;
+    }
+
+    private CallerListener onReadiness(long nowMs, CallerConnection caller, HttpRequest head) {
+        respond(caller, ready() && mWire.asksForReadiness(head) ? 200 : 503, "{}");
+        return CallerListener.IGNORING;
+    }
+
+    private CallerListener onMetrics(long nowMs, CallerConnection caller, HttpRequest head) {
+        caller.respond(
+                200,
+                Map.of("content-type", MetricsText.CONTENT_TYPE),
+                MetricsText.render(mMetrics).getBytes(StandardCharsets.UTF_8));
+        return CallerListener.IGNORING;
+    }
+
+    private static void respond(CallerConnection caller, int status, String json) {
+        caller.respond(
+                status,
+                Map.of("content-type", "application/json"),
+                json.getBytes(StandardCharsets.UTF_8));
+    }
+
+    private boolean ready() {
+        return mParts.routes().isPresent() && !mShutdown.begun();
+    }
+
+    private void tick(long nowMs) {
+        mFleet.tick(nowMs);
+        mConfig.tick(nowMs);
+        mUpstreams.tick(nowMs);
+        mNews.tick(nowMs);
+        mBudgets.tick(nowMs);
+        mBoard.tick(nowMs);
+        mPool.tick(nowMs);
+        mCallers.tick(nowMs);
+        mShutdown.tick(nowMs);
+    }
+
+    private void onConfig(long nowMs, Change change) {
+        if (!change.key().equals(mWire.configKey()) || change.value().isEmpty()) {
+            return;
+        }
+        var read = mWire.readConfig(change.value().get());
+        if (read.isLeft()) {
+            mLog.believes(
+                    nowMs,
+                    "config-not-understood",
+                    "\"reason\":\"" + read.getLeft().message().replace('"', '\'') + "\"");
+            return;
+        }
+        if (read.get().version() < configVersion()) {
+            mLog.believes(nowMs, "config-too-old", "\"version\":" + read.get().version());
+            return;
+        }
+        mParts.setRoutes(new RouteTable(read.get()));
+        mBudgets.onOrganisations(read.get().organisations());
+        mBudgets.tick(nowMs);
+        mLog.believes(
+                nowMs,
+                "config-in-force",
+                "\"version\":" + read.get().version() + ",\"revision\":" + change.version());
+    }
+
+    private void onGrant(long nowMs, String organisation, GrantListener.Change change) {
+        mLog.believes(
+                nowMs,
+                change.after() >= change.before() ? "grant-taken" : "grant-returned",
+                "\"organisation\":\""
+                        + organisation
+                        + "\",\"before\":"
+                        + change.before()
+                        + ",\"after\":"
+                        + change.after()
+                        + ",\"free\":"
+                        + change.free()
+                        + ",\"unallocated\":"
+                        + change.unallocated()
+                        + ",\"unspent\":"
+                        + change.unspent());
+    }
+
+    private void onUpstream(long nowMs, Change change) {
+        if (change.value().isEmpty()) {
+            String id = change.key().substring(mWire.upstreamPrefix().length());
+            boolean afterOutage = mUpstreams.failedWithin(nowMs, AFTER_OUTAGE_MS);
+            mBoard.onRemoved(nowMs, id, afterOutage);
+            mLog.believes(
+                    nowMs,
+                    "upstream-removed",
+                    "\"upstream\":\"" + id + "\",\"after_outage\":" + afterOutage);
+            return;
+        }
+        var read = mWire.readUpstream(change.key(), change.value().get());
+        if (read.isLeft()) {
+            mLog.believes(
+                    nowMs,
+                    "upstream-not-understood",
+                    "\"reason\":\"" + read.getLeft().message().replace('"', '\'') + "\"");
+            return;
+        }
+        mBoard.onEntry(read.get());
+        mLog.believes(
+                nowMs,
+                "upstream-listed",
+                "\"upstream\":\""
+                        + read.get().id()
+                        + "\",\"leaving\":"
+                        + read.get().leaving()
+                        + ",\"revision\":"
+                        + change.version());
+    }
+
+    /** Begins the graceful shutdown; completed when all is done that can be done. */
+    public CompletableFuture<Void> shutDown() {
+        loop().execute(() -> mShutdown.begin(mClock.nowMs()));
+        return mShutdown.done();
+    }
+
+    /** Returns the future that is completed once a shutdown is done. */
+    CompletableFuture<Void> shutDownFuture() {
+        return mShutdown.done();
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/hornbeampass/router/daemon/RelayDaemonCommand.java
@@ -0,0 +1,83 @@
+package org.hornbeampass.router.daemon;
+
+import io.vavr.control.Either;
+
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.hornbeampass.protocol.settings.Faults;
+import org.hornbeampass.router.relay.WireFormat;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+
+/**
+ * The command that runs a relay daemon until it is told to stop.
+ *
+ * <p>SIGTERM and SIGINT start the graceful shutdown; SIGHUP makes it read its settings again.
+ * Stateless; safe for use by any thread.
+ */
+public final class RelayDaemonCommand {
+    private static final Logger LOG = LogManager.getLogger("decisions");
+    private static final int EXIT_USAGE = 2;
+    private static final int EXIT_SETTINGS = 3;
+    private static final int EXIT_LISTEN = 8;
+    private static final String CHECK = "--check";
+
+    private RelayDaemonCommand() {}
+
+    /**
+     * Runs the command.
+     *
+     * @param args the settings file, after {@code --check} where it is only to be checked
+     * @param wire the installation's words
+     * @param platforms makes the client of the installation's store
+     * @return the exit code
+     */
+    public static int run(String[] args, WireFormat wire, PlatformFactory platforms) {
+        boolean check = args.length == 2 && args[0].equals(CHECK);
+        if (args.length != 1 && !check) {
+            System.err.println("usage: [--check] SETTINGS");
+            return EXIT_USAGE;
+        }
+        Path file = Path.of(args[args.length - 1]);
+        String text;
+        try {
+            text = Files.readString(file);
+        } catch (IOException e) {
+            System.err.println(file + " can't be read; check its path and its rights");
+            return EXIT_SETTINGS;
+        }
+        Either<Faults, RelayDaemonSettings> settings =
+                RelaySettingsFile.read(file.toString(), text);
+        if (settings.isLeft()) {
+            settings.getLeft().lines().forEach(System.err::println);
+            return EXIT_SETTINGS;
+        }
+        return check ? 0 : run(file, settings.get(), wire, platforms);
+    }
+
+    private static int run(
+            Path file, RelayDaemonSettings settings, WireFormat wire, PlatformFactory platforms) {
+        HangUp.handle(new SettingsReload(file, settings));
+        RelayDaemon daemon;
+        try {
+            daemon = RelayDaemon.start(settings, wire, platforms);
+        } catch (IllegalStateException e) {
+            System.err.println(e.getMessage());
+            return EXIT_LISTEN;
+        }
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> onSignal(daemon), "shutdown"));
+        LOG.info("{\"kind\":\"started\",\"vm\":\"{}\"}", settings.name());
+        daemon.shutDownFuture().join();
+        return 0;
+    }
+
+    /** Runs when the process is to end: holds it until the graceful shutdown is done. */
+    private static void onSignal(RelayDaemon daemon) {
+        LOG.info("{\"kind\":\"stopping\"}");
+        daemon.shutDown().join();
+        LOG.info("{\"kind\":\"stopped\"}");
+        Runtime.getRuntime().halt(0);
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/hornbeampass/router/daemon/RelaySettingsFile.java
@@ -0,0 +1,74 @@
+package org.hornbeampass.router.daemon;
+
+import io.vavr.control.Either;
+
+import org.hornbeampass.protocol.settings.Faults;
+import org.hornbeampass.protocol.settings.Secret;
+import org.hornbeampass.protocol.settings.SettingsNode;
+import org.hornbeampass.protocol.settings.SettingsReader;
+import org.hornbeampass.router.relay.RelaySettings;
+import org.hornbeampass.state.FailureDomain;
+import org.hornbeampass.state.Region;
+
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * Reads a relay daemon's settings from JSON with comments.
+ *
+ * <p>All faults are reported at once, each with its place and its mend. Stateless; safe for use by
+ * any thread.
+ */
+public final class RelaySettingsFile {
+    private static final long SECOND_MS = 1_000;
+    private static final long HOUR_MS = 3_600_000;
+
+    private RelaySettingsFile() {}
+
+    /**
+     * Reads a text.
+     *
+     * @param source its name in messages
+     * @param text the settings
+     */
+    public static Either<Faults, RelayDaemonSettings> read(String source, String text) {
+        return SettingsReader.read(source, text, RelaySettingsFile::settings);
+    }
+
+    private static RelayDaemonSettings settings(SettingsNode node) {
+        List<InetSocketAddress> seeds =
+                node.optionalStrings("seeds").stream()
+                        .map(PeerAddresses::parse)
+                        .flatMap(Optional::stream)
+                        .toList();
+        return new RelayDaemonSettings(
+                node.requiredString("name"),
+                new Region(node.requiredString("region")),
+                new FailureDomain(node.requiredString("failure_domain")),
+                listen(node.requiredNode("listen")),
+                node.requiredUri("platform"),
+                Secret.of(node.requiredString("cluster_key")),
+                seeds,
+                retries(node.requiredNode("retries")),
+                node.optionalDuration("grace", 8 * SECOND_MS, 0, HOUR_MS),
+                node.optionalDuration("keep_addresses", 2 * SECOND_MS, 1, HOUR_MS),
+                node.optionalInt("budget_shards", 2, 1, 4_096));
+    }
+
+    private static RelayDaemonSettings.Listen listen(SettingsNode node) {
+        return new RelayDaemonSettings.Listen(
+                node.requiredAddress("callers"),
+                node.requiredAddress("directory"),
+                node.requiredAddress("readiness"),
+                node.requiredAddress("peers"),
+                node.optionalAddress("metrics"));
+    }
+
+    private static RelaySettings retries(SettingsNode node) {
+        return new RelaySettings(
+                node.optionalDouble("ratio", 0.1, 0, 10),
+                node.optionalDouble("extra", 10, 0, 1_000_000),
+                node.optionalDuration("window", 10 * SECOND_MS, 1, HOUR_MS));
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/hornbeampass/router/relay/AnswerClass.java
@@ -0,0 +1,21 @@
+package org.hornbeampass.router.relay;
+
+/**
+ * What the head of an upstream's answer says about the request that it answers.
+ *
+ * <p>Immutable; safe for use by any thread.
+ */
+public enum AnswerClass {
+    /** The request was run well. */
+    GOOD,
+    /** The request was run, and failed. */
+    FAILED,
+    /** The upstream had no room, and did not run it. */
+    NOT_RUN,
+    /** Another upstream has this address by now, and did not run it. */
+    ANOTHER_UPSTREAM,
+    /** It claims success but lacks what proves it, and is not passed on. */
+    SPOILED,
+    /** It answers another request. */
+    UNRELATED
+}
--- /dev/null
+++ b/router/src/main/java/org/hornbeampass/router/relay/CallerHead.java
@@ -0,0 +1,26 @@
+package org.hornbeampass.router.relay;
+
+import org.hornbeampass.state.service.Prompt;
+
+import java.util.Optional;
+import java.util.OptionalLong;
+
+/**
+ * What a request's head says, apart from method, path and body.
+ *
+ * <p>Immutable; safe for use by any thread.
+ *
+ * @param id names this attempt of the caller; no two attempts share one
+ * @param host the host asked for
+ * @param budgetMs how long the caller waits, in milliseconds from the head's arrival
+ * @param key the key that the caller shows
+ * @param prompt what a model reads and may write for it
+ * @param resumesAfter the last event that the caller has, where it goes on with a stream
+ */
+public record CallerHead(
+        String id,
+        String host,
+        OptionalLong budgetMs,
+        Optional<String> key,
+        Prompt prompt,
+        OptionalLong resumesAfter) {}
--- /dev/null
+++ b/router/src/main/java/org/hornbeampass/router/relay/EndToEndHeaders.java
@@ -0,0 +1,57 @@
+package org.hornbeampass.router.relay;
+
+import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * Tells the headers of a message from those of the connection that carried it.
+ *
+ * <p>Stateless; safe for use by any thread.
+ */
+final class EndToEndHeaders {
+    private static final Set<String> OF_THE_CONNECTION =
+            Set.of(
+                    "connection",
+                    "keep-alive",
+                    "proxy-connection",
+                    "proxy-authenticate",
+                    "proxy-authorization",
+                    "te",
+                    "trailer",
+                    "transfer-encoding",
+                    "upgrade",
+                    "expect");
+
+    private EndToEndHeaders() {}
+
+    /** Returns a copy of the headers without those that concern one connection only. */
+    static HttpHeaders of(HttpHeaders headers) {
+        HttpHeaders copy =
+                DefaultHttpHeadersFactory.headersFactory().withValidation(false).newHeaders();
+        List<String> named = headers.getAll(HttpHeaderNames.CONNECTION);
+        for (Map.Entry<String, String> entry : headers) {
+            String name = entry.getKey().toLowerCase(Locale.ROOT);
+            if (!OF_THE_CONNECTION.contains(name) && !isNamed(named, name)) {
+                copy.add(entry.getKey(), entry.getValue());
+            }
+        }
+        return copy;
+    }
+
+    private static boolean isNamed(List<String> connection, String name) {
+        for (String value : connection) {
+            for (String each : value.split(",", -1)) {
+                if (each.strip().equalsIgnoreCase(name)) {
+                    return true;
+                }
+            }
+        }
+        return false;
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/hornbeampass/router/relay/HeldAnswer.java
@@ -0,0 +1,80 @@
+package org.hornbeampass.router.relay;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.HttpResponse;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * An answer in one piece, held until it is whole, so that a broken one is never begun.
+ *
+ * <p>Invariant: an answer larger than the bound is passed on as it comes from then on. Confined to
+ * one event loop.
+ */
+final class HeldAnswer {
+    private static final long MAX_HELD_BYTES = 64 << 10;
+
+    private final RelayCall mCall;
+    private final List<ByteBuf> mParts = new ArrayList<>();
+    private Optional<HttpResponse> mHead = Optional.empty();
+    private long mBytes;
+    private boolean mPassedOn;
+
+    HeldAnswer(RelayCall call) {
+        mCall = call;
+    }
+
+    /** Begins with an answer. */
+    void start(HttpResponse head) {
+        reset();
+        mHead = Optional.of(head);
+    }
+
+    boolean started() {
+        return mHead.isPresent();
+    }
+
+    /** Returns whether the caller has got a part of it. */
+    boolean passedOn() {
+        return mPassedOn;
+    }
+
+    /** Takes a part; returns whether the head was written for it. */
+    boolean take(ByteBuf part) {
+        mParts.add(part);
+        mBytes += part.readableBytes();
+        if (mPassedOn || mBytes > MAX_HELD_BYTES) {
+            passOn();
+        }
+        return mPassedOn;
+    }
+
+    /** Writes what is held; the end is the caller's to write. */
+    void end() {
+        passOn();
+    }
+
+    private void passOn() {
+        if (!mPassedOn) {
+            mPassedOn = true;
+            mCall.sendHead(mHead.orElseThrow());
+        }
+        mParts.forEach(p -> mCall.caller().sendPart(new DefaultHttpContent(p)));
+        mParts.clear();
+    }
+
+    /** Drops an answer that was not passed on. */
+    void reset() {
+        release();
+        mHead = Optional.empty();
+        mBytes = 0;
+    }
+
+    void release() {
+        mParts.forEach(ByteBuf::release);
+        mParts.clear();
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/hornbeampass/router/relay/RelayAttempts.java
@@ -0,0 +1,497 @@
+package org.hornbeampass.router.relay;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpVersion;
+
+import org.hornbeampass.coordination.service.UpstreamInstance;
+import org.hornbeampass.state.ErrorKind;
+import org.hornbeampass.state.Failure;
+import org.hornbeampass.state.service.RouteKind;
+import org.hornbeampass.transport.relay.UpstreamConnection;
+import org.hornbeampass.transport.relay.UpstreamListener;
+
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * Sends one admitted request to upstreams, one after another, and passes the answer on.
+ *
+ * <p>Invariants: at most one upstream works on it at a time; the number of sends stays within the
+ * route's, sends to an upstream that turned out to be another one not counted; after the first send
+ * each further one is taken out of the fleet's budget. Confined to one event loop.
+ */
+final class RelayAttempts implements UpstreamListener {
+    private final RelayParts mParts;
+    private final RelayCall mCall;
+    private final RelayPlan mPlan;
+    private final RequestBody mBody;
+    private final AnswerStream mStream;
+    private final HeldAnswer mHeld;
+    private final Set<String> mTried = new HashSet<>();
+    private Optional<InstanceUse> mUse = Optional.empty();
+    private Optional<UpstreamConnection> mConnection = Optional.empty();
+    private Runnable mSilenceTimer = () -> {};
+    private int mSends;
+    private int mUnreachable;
+    private int mMismatches;
+
+    /** How many sends may have run: all but those that an upstream said it did not run. */
+    private int mRuns;
+
+    private boolean mHeadSent;
+    private boolean mBodySent;
+    private long mSentMs;
+    private long mFirstByteMs = -1;
+
+    RelayAttempts(RelayParts parts, RelayCall call, RelayPlan plan, RequestBody body) {
+        mParts = parts;
+        mCall = call;
+        mPlan = plan;
+        mBody = body;
+        mStream =
+                new AnswerStream(
+                        call.caller(),
+                        plan.route().resumable(),
+                        plan.head().resumesAfter().orElse(-1));
+        mHeld = new HeldAnswer(call);
+    }
+
+    /** Begins with the first upstream. */
+    void start(long nowMs) {
+        attempt(nowMs);
+    }
+
+    private void attempt(long nowMs) {
+        Optional<UpstreamInstance> chosen =
+                mParts.board().choose(nowMs, mPlan.service(), mPlan.head().prompt(), mTried);
+        if (chosen.isEmpty()) {
+            giveUp(nowMs, "no upstream takes requests now");
+            return;
+        }
+        if (mSends > 0 && !mParts.takeRetry(nowMs, mPlan.service().name())) {
+            giveUp(nowMs, "too many requests are sent again now");
+            return;
+        }
+        UpstreamInstance instance = chosen.get();
+        mTried.add(instance.id());
+        InstanceUse use = new InstanceUse(instance, mPlan.head().prompt().promptTokens());
+        mUse = Optional.of(use);
+        long leftMs = mPlan.deadlineMs() - nowMs;
+        long maxIdleMs =
+                mPlan.route().mayRunAgain() ? Long.MAX_VALUE : RelayBounds.CAUTIOUS_IDLE_MS;
+        mParts.pool()
+                .connect(
+                        nowMs,
+                        instance.entry().address(),
+                        maxIdleMs,
+                        (int) Math.max(1, Math.min(RelayBounds.CONNECT_TIMEOUT_MS, leftMs)),
+                        connection -> onConnected(use, connection));
+    }
+
+    private void onConnected(InstanceUse use, Optional<UpstreamConnection> connection) {
+        long nowMs = mParts.clock().nowMs();
+        UpstreamInstance instance = use.instance();
+        boolean current = mUse.equals(Optional.of(use)) && !mCall.ended();
+        if (!current) {
+            connection.ifPresent(UpstreamConnection::cancel);
+            return;
+        }
+        if (connection.isEmpty()) {
+            instance.onSilent(nowMs);
+            leaveInstance();
+            mUnreachable++;
+            mParts.log().decided(nowMs, id(), "unreachable", use.fields());
+            if (mUnreachable >= RelayBounds.MAX_UNREACHABLE) {
+                giveUp(nowMs, "the upstreams can't be reached");
+            } else {
+                attempt(nowMs);
+            }
+            return;
+        }
+        boolean leftMeanwhile = !instance.usable(nowMs);
+        if (leftMeanwhile) {
+            connection.get().cancel();
+            leaveInstance();
+            attempt(nowMs);
+            return;
+        }
+        send(nowMs, instance, connection.get());
+    }
+
+    private void send(long nowMs, UpstreamInstance instance, UpstreamConnection connection) {
+        mConnection = Optional.of(connection);
+        if (mSends == 0) {
+            mParts.countFirst(nowMs, mPlan.service().name());
+        }
+        mSends++;
+        mRuns++;
+        mSentMs = nowMs;
+        mBodySent = false;
+        connection.start(
+                mPlan.upstreamHead(nowMs, mParts.wire(), instance.id(), mStream.lastId()), this);
+        sendBody();
+        watchSilence(mPlan.route().objectiveMs() * RelayBounds.SILENCE_OBJECTIVES);
+    }
+
+    /** Sends what has come of the body. */
+    void onBody(long nowMs) {
+        if (mConnection.isPresent() && !mBodySent) {
+            sendBody();
+        }
+    }
+
+    private void sendBody() {
+        UpstreamConnection connection = mConnection.orElseThrow();
+        for (ByteBuf part : mBody.take()) {
+            connection.sendPart(part);
+        }
+        if (mBody.whole()) {
+            mBodySent = true;
+            connection.sendEnd();
+            return;
+        }
+        connection.flush();
+        if (!connection.writable()) {
+            mCall.caller().reading(false);
+        }
+    }
+
+    @Override
+    public void onUpstreamWritable(long nowMs) {
+        mCall.caller().reading(true);
+    }
+
+    @Override
+    public boolean onHead(long nowMs, HttpResponse head) {
+        AnswerClass answer = mParts.wire().readAnswer(head, mPlan.head().id());
+        if (answer == AnswerClass.UNRELATED) {
+            mParts.log().decided(nowMs, id(), "unrelated-answer", mUse.get().fields());
+            return false;
+        }
+        mSilenceTimer.run();
+        if (answer == AnswerClass.NOT_RUN || answer == AnswerClass.ANOTHER_UPSTREAM) {
+            onNotRun(nowMs, answer);
+            return true;
+        }
+        if (answer == AnswerClass.SPOILED) {
+            mUse.get().instance().onBad(nowMs);
+            dropConnectionOnly();
+            onLost(nowMs, "its answer lacks what proves it");
+            return true;
+        }
+        onRun(nowMs, head, answer);
+        return true;
+    }
+
+    private void onNotRun(long nowMs, AnswerClass answer) {
+        UpstreamInstance instance = mUse.orElseThrow().instance();
+        mRuns--;
+        if (answer == AnswerClass.ANOTHER_UPSTREAM) {
+            mParts.board().onMismatch(nowMs, instance);
+            mMismatches++;
+        } else {
+            instance.onFull(nowMs, RelayBounds.FULL_PAUSE_MS);
+        }
+        mParts.log()
+                .decided(
+                        nowMs,
+                        id(),
+                        answer == AnswerClass.NOT_RUN ? "upstream-full" : "upstream-replaced",
+                        mUse.get().fields());
+        dropConnection();
+        boolean mayGoOn =
+                mMismatches <= RelayBounds.MAX_MISMATCHES
+                        && mSends - mMismatches < mPlan.route().maxAttempts()
+                        && mBody.complete();
+        if (mayGoOn) {
+            attempt(nowMs);
+        } else {
+            giveUp(nowMs, "the upstreams have no room now");
+        }
+    }
+
+    private void onRun(long nowMs, HttpResponse head, AnswerClass answer) {
+        UpstreamInstance instance = mUse.orElseThrow().instance();
+        if (answer == AnswerClass.FAILED) {
+            instance.onBad(nowMs);
+            if (mayRunAgain() && !mHeadSent) {
+                mParts.log()
+                        .decided(
+                                nowMs,
+                                id(),
+                                "upstream-failed",
+                                mUse.get().fields() + ",\"status\":" + head.status().code());
+                Optional<UpstreamInstance> other =
+                        mParts.board()
+                                .choose(nowMs, mPlan.service(), mPlan.head().prompt(), mTried);
+                if (other.isPresent()) {
+                    dropConnection();
+                    attempt(nowMs);
+                    return;
+                }
+            }
+        }
+        if (mFirstByteMs < 0) {
+            mFirstByteMs = nowMs;
+        }
+        if (mHeadSent) {
+            if (answer != AnswerClass.GOOD) {
+                dropConnection();
+                breakOff(nowMs, "the stream could not go on at another upstream");
+                return;
+            }
+            watchGap();
+            return;
+        }
+        HttpResponse copy =
+                new DefaultHttpResponse(
+                        HttpVersion.HTTP_1_1, head.status(), EndToEndHeaders.of(head.headers()));
+        boolean streams = mPlan.route().kind().streams() && answer == AnswerClass.GOOD;
+        if (streams) {
+            mHeadSent = true;
+            mCall.sendHead(copy);
+            watchGap();
+        } else {
+            mHeld.start(copy);
+        }
+    }
+
+    private boolean mayRunAgain() {
+        return mPlan.route().mayRunAgain()
+                && mSends - mMismatches < mPlan.route().maxAttempts()
+                && mBody.complete()
+                && !mCall.callerGone();
+    }
+
+    @Override
+    public void onPart(long nowMs, ByteBuf part) {
+        if (mCall.ended() || mConnection.isEmpty()) {
+            part.release();
+            return;
+        }
+        notePromptRead(nowMs);
+        if (!mHeadSent || mHeld.started()) {
+            mHeadSent |= mHeld.take(part);
+            return;
+        }
+        if (mCall.callerGone()) {
+            part.release();
+            return;
+        }
+        mStream.take(part);
+        if (mStream.hasGap()) {
+            dropConnection();
+            breakOff(nowMs, "an upstream left events out");
+        }
+    }
+
+    private void notePromptRead(long nowMs) {
+        mUse.orElseThrow().onAnswering(nowMs, mSentMs);
+    }
+
+    @Override
+    public void onPause(long nowMs) {
+        if (mCall.ended() || mConnection.isEmpty()) {
+            return;
+        }
+        mCall.caller().flush();
+        if (!mCall.caller().writable() && !mCall.callerGone()) {
+            mConnection.get().reading(false);
+        }
+        if (mHeadSent && !mHeld.started()) {
+            watchGap();
+        }
+    }
+
+    /** Reads on once the caller has caught up. */
+    void onCallerWritable() {
+        mConnection.ifPresent(c -> c.reading(true));
+    }
+
+    @Override
+    public void onEnd(long nowMs) {
+        if (mCall.ended()) {
+            return;
+        }
+        notePromptRead(nowMs);
+        mConnection = Optional.empty();
+        leaveInstance();
+        mSilenceTimer.run();
+        if (mCall.callerGone()) {
+            mHeld.release();
+            mStream.release();
+            mCall.end(nowMs, "caller-gone", usedTokens());
+            return;
+        }
+        if (mHeld.started()) {
+            mHeld.end();
+        } else {
+            mStream.end();
+        }
+        mCall.end(nowMs, "answered", usedTokens());
+        mCall.caller().sendEnd();
+    }
+
+    @Override
+    public void onBroken(long nowMs, String reason) {
+        if (mCall.ended() || mConnection.isEmpty()) {
+            return;
+        }
+        mConnection = Optional.empty();
+        mUse.ifPresent(u -> u.instance().onSilent(nowMs));
+        onLost(nowMs, reason);
+    }
+
+    /** Goes on after an upstream was lost, where that is allowed. */
+    private void onLost(long nowMs, String reason) {
+        mParts.log()
+                .decided(
+                        nowMs,
+                        id(),
+                        "upstream-lost",
+                        mUse.map(InstanceUse::fields).orElse("\"upstream\":\"\"")
+                                + ",\"reason\":\""
+                                + reason.replace('"', '\'')
+                                + "\",\"events\":"
+                                + mStream.events());
+        leaveInstance();
+        mSilenceTimer.run();
+        if (mCall.callerGone()) {
+            mCall.end(nowMs, "caller-gone", usedTokens());
+            return;
+        }
+        if (mayRunAgain() && !mHeld.passedOn()) {
+            mHeld.reset();
+            mStream.restart();
+            attempt(nowMs);
+            return;
+        }
+        giveUp(nowMs, "the upstream was lost");
+    }
+
+    private void watchSilence(long ms) {
+        mSilenceTimer.run();
+        if (mPlan.route().mayRunAgain()) {
+            mSilenceTimer = mCall.timer(ms, this::onSilent);
+        }
+    }
+
+    private void watchGap() {
+        if (mPlan.route().resumable() && mPlan.route().gapTargetMs() > 0) {
+            watchSilence(mPlan.route().gapTargetMs() * RelayBounds.SILENCE_GAPS);
+        }
+    }
+
+    /** An upstream says nothing: its place is taken by another, where that is allowed. */
+    private void onSilent(long nowMs) {
+        if (mConnection.isEmpty() || !mayRunAgain() || mHeld.passedOn()) {
+            return;
+        }
+        mUse.ifPresent(u -> u.instance().onSilent(nowMs));
+        dropConnectionOnly();
+        onLost(nowMs, "it was silent for too long");
+    }
+
+    /** The time is over. */
+    void onDeadline(long nowMs) {
+        if (mConnection.isPresent() && mFirstByteMs < 0) {
+            mUse.ifPresent(u -> u.instance().onSilent(nowMs));
+        }
+        dropConnection();
+        if (mHeadSent) {
+            breakOff(nowMs, "the time was over");
+            return;
+        }
+        if (mRuns > 0) {
+            fail(nowMs, Failure.of(ErrorKind.DEADLINE_EXCEEDED, "the time was over"));
+        } else {
+            fail(nowMs, RelayCall.noUpstream("the time was over before it could be sent"));
+        }
+    }
+
+    /** The caller is gone: what may not be repeated runs on, so that its outcome is known. */
+    void onCallerGone(long nowMs) {
+        boolean sent = mConnection.isPresent();
+        if (sent && !mPlan.route().kind().cancelsWithCaller()) {
+            return;
+        }
+        dropConnection();
+        mHeld.release();
+        mStream.release();
+        mCall.end(nowMs, "caller-gone", usedTokens());
+    }
+
+    private void giveUp(long nowMs, String why) {
+        if (mHeadSent) {
+            breakOff(nowMs, why);
+            return;
+        }
+        if (mRuns == 0) {
+            fail(nowMs, RelayCall.noUpstream(why));
+            return;
+        }
+        ErrorKind kind =
+                mPlan.route().kind() == RouteKind.NON_IDEMPOTENT
+                        ? ErrorKind.OUTCOME_UNKNOWN
+                        : ErrorKind.UPSTREAM_FAILED;
+        fail(nowMs, Failure.of(kind, why));
+    }
+
+    private void fail(long nowMs, Failure failure) {
+        mHeld.release();
+        mStream.release();
+        mCall.fail(nowMs, failure, usedTokens());
+    }
+
+    /** Ends an answer that can't be finished, so that the caller sees that it is not whole. */
+    private void breakOff(long nowMs, String why) {
+        mParts.log().decided(nowMs, id(), "broken-off", "\"reason\":\"" + why + "\"");
+        mHeld.release();
+        mStream.release();
+        mCall.end(nowMs, "broken", usedTokens());
+        mCall.caller().abort();
+    }
+
+    private void dropConnection() {
+        dropConnectionOnly();
+        leaveInstance();
+        mSilenceTimer.run();
+    }
+
+    private void dropConnectionOnly() {
+        mConnection.ifPresent(UpstreamConnection::cancel);
+        mConnection = Optional.empty();
+    }
+
+    private void leaveInstance() {
+        mUse.ifPresent(InstanceUse::leave);
+        mUse = Optional.empty();
+    }
+
+    /** Returns the tokens that the request has used: its prompt once, and what was delivered. */
+    private long usedTokens() {
+        if (mRuns == 0) {
+            return 0;
+        }
+        return mPlan.head().prompt().promptTokens() + mStream.events() * mPlan.tokensPerEvent();
+    }
+
+    /** Returns the sends as fields of a log line. */
+    String summary() {
+        return ",\"sends\":"
+                + mSends
+                + ",\"unreachable\":"
+                + mUnreachable
+                + ",\"events\":"
+                + mStream.events()
+                + ",\"first_ms\":"
+                + (mFirstByteMs < 0 ? -1 : mFirstByteMs - mSentMs);
+    }
+
+    private String id() {
+        return mPlan.head().id();
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/hornbeampass/router/relay/RelayCall.java
@@ -0,0 +1,369 @@
+package org.hornbeampass.router.relay;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.vavr.control.Either;
+
+import org.hornbeampass.coordination.escrow.Admission;
+import org.hornbeampass.coordination.service.RouteTable;
+import org.hornbeampass.state.ErrorKind;
+import org.hornbeampass.state.Failure;
+import org.hornbeampass.state.service.PrepaidOrganisation;
+import org.hornbeampass.state.service.Prompt;
+import org.hornbeampass.state.service.Route;
+import org.hornbeampass.state.service.ServiceSpec;
+import org.hornbeampass.transport.relay.CallerConnection;
+import org.hornbeampass.transport.relay.CallerListener;
+
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * One request of a caller, from its head to its settlement.
+ *
+ * <p>Invariants: tokens are reserved before anything is sent, and settled once; a request that may
+ * not be repeated is sent again only on an upstream's word that it was not run; a failure that says
+ * "not run" is answered only where that holds; the caller gets at most one answer. Confined to one
+ * event loop.
+ */
+final class RelayCall implements CallerListener {
+    /**
+     * How long a request may wait for tokens: a part of its objective, so that no answer is late.
+     */
+    private static final int GRANT_WAIT_PART = 8;
+
+    private static final long MIN_GRANT_WAIT_MS = 40;
+
+    /** When a caller may come back for tokens: after the next exchange with the store. */
+    private static final long TOKENS_RETRY_MS = 600;
+
+    /** When a caller may come back where no upstream has room. */
+    private static final long ROOM_RETRY_MS = 250;
+
+    /** When a caller may come back to a VM that knows no configuration yet. */
+    private static final long START_RETRY_MS = 300;
+
+    /** How long a request may take that names no time, and is on no route that does. */
+    private static final long DEFAULT_TIMEOUT_MS = 30_000;
+
+    /** How much earlier than the caller's own time an answer is given, so that it arrives. */
+    private static final long ANSWER_MARGIN_MS = 20;
+
+    private final RelayParts mParts;
+    private final CallerConnection mCaller;
+    private final HttpRequest mRequest;
+    private final long mArrivedMs;
+    private final RequestBody mBody = new RequestBody();
+    private CallerHead mHead =
+            new CallerHead(
+                    "",
+                    "",
+                    OptionalLong.empty(),
+                    Optional.empty(),
+                    Prompt.NONE,
+                    OptionalLong.empty());
+    private Optional<Route> mRoute = Optional.empty();
+    private Optional<ServiceSpec> mService = Optional.empty();
+    private Optional<PrepaidOrganisation> mOrganisation = Optional.empty();
+    private Optional<RelayAttempts> mAttempts = Optional.empty();
+    private long mDeadlineMs;
+    private long mReserved;
+    private boolean mAdmitting;
+    private boolean mEnded;
+    private boolean mCallerGone;
+    private Runnable mDeadlineTimer = () -> {};
+    private Runnable mGrantTimer = () -> {};
+
+    RelayCall(RelayParts parts, CallerConnection caller, HttpRequest request, long nowMs) {
+        mParts = parts;
+        mCaller = caller;
+        mRequest = request;
+        mArrivedMs = nowMs;
+    }
+
+    /** Reads the head, and refuses what can't be passed on. */
+    void start(long nowMs) {
+        Optional<Failure> refusal = prepare(nowMs);
+        if (refusal.isPresent()) {
+            fail(nowMs, refusal.get());
+            return;
+        }
+        mDeadlineTimer = timer(mDeadlineMs - nowMs, this::onDeadline);
+    }
+
+    private Optional<Failure> prepare(long nowMs) {
+        Either<Failure, CallerHead> read = mParts.wire().readHead(mRequest);
+        if (read.isLeft()) {
+            return Optional.of(read.getLeft());
+        }
+        mHead = read.get();
+        if (mParts.routes().isEmpty()) {
+            return Optional.of(
+                    Failure.retryAfter(
+                            ErrorKind.NOT_READY,
+                            "no configuration is known here yet; try again or elsewhere",
+                            START_RETRY_MS));
+        }
+        if (mParts.refusing()) {
+            return Optional.of(
+                    Failure.retryAfter(
+                            ErrorKind.SHUTTING_DOWN,
+                            "this router shuts down; send the request to another address",
+                            0));
+        }
+        RouteTable routes = mParts.routes().get();
+        int query = mRequest.uri().indexOf('?');
+        String path = query < 0 ? mRequest.uri() : mRequest.uri().substring(0, query);
+        mRoute = routes.route(mHead.host(), path);
+        if (mRoute.isEmpty()) {
+            return Optional.of(Failure.of(ErrorKind.NOT_FOUND, "no route leads there"));
+        }
+        return authorise(routes).or(() -> direct(nowMs, routes));
+    }
+
+    private Optional<Failure> authorise(RouteTable routes) {
+        if (mRoute.get().open() || !routes.checksKeys()) {
+            return Optional.empty();
+        }
+        mOrganisation = mHead.key().flatMap(routes::organisationOf);
+        return mOrganisation.isPresent()
+                ? Optional.empty()
+                : Optional.of(
+                        Failure.of(
+                                ErrorKind.KEY_MISSING_OR_UNKNOWN,
+                                "show the key of an organisation"));
+    }
+
+    private Optional<Failure> direct(long nowMs, RouteTable routes) {
+        Route route = mRoute.get();
+        mService = routes.pickService(route, mParts.random());
+        if (mService.isEmpty()) {
+            return Optional.of(noUpstream("the route has no service"));
+        }
+        long budgetMs = mHead.budgetMs().orElse(DEFAULT_TIMEOUT_MS) - ANSWER_MARGIN_MS;
+        mDeadlineMs = nowMs + Math.max(1, Math.min(budgetMs, route.timeoutMs()));
+        return Optional.empty();
+    }
+
+    @Override
+    public void onBody(long nowMs, ByteBuf part) {
+        if (mEnded) {
+            part.release();
+            return;
+        }
+        mBody.add(part);
+        if (mBody.bytes() > maxBodyBytes()) {
+            fail(nowMs, Failure.of(ErrorKind.REQUEST_TOO_LARGE, "the body is too large"));
+            return;
+        }
+        if (mAttempts.isPresent()) {
+            mAttempts.get().onBody(nowMs);
+        } else if (mBody.large()) {
+            mCaller.reading(false);
+            admit(nowMs);
+        }
+    }
+
+    private long maxBodyBytes() {
+        return mParts.routes().orElseThrow().config().limits().maxBodyBytes();
+    }
+
+    @Override
+    public void onBodyEnd(long nowMs) {
+        if (mEnded) {
+            return;
+        }
+        mBody.end();
+        if (mAttempts.isPresent()) {
+            mAttempts.get().onBody(nowMs);
+        } else {
+            admit(nowMs);
+        }
+    }
+
+    /** Reserves the most that the request may use, and waits a moment where that fails. */
+    private void admit(long nowMs) {
+        if (mAdmitting || mEnded) {
+            return;
+        }
+        mAdmitting = true;
+        Admission admission = reserve(nowMs);
+        if (admission != Admission.SHORT) {
+            onAdmission(nowMs, admission);
+            return;
+        }
+        long objectiveMs = mRoute.orElseThrow().objectiveMs();
+        long waitMs = Math.max(MIN_GRANT_WAIT_MS, objectiveMs / GRANT_WAIT_PART);
+        mGrantTimer = timer(waitMs, t -> onAdmission(t, Admission.SHORT));
+        mParts.budgets().afterNextExchange(nowMs, organisation(), this::admitAgain);
+    }
+
+    private void admitAgain() {
+        if (mEnded || mAttempts.isPresent()) {
+            return;
+        }
+        long nowMs = mParts.clock().nowMs();
+        onAdmission(nowMs, reserve(nowMs));
+    }
+
+    private Admission reserve(long nowMs) {
+        long tokens = mHead.prompt().maxTokens();
+        if (mOrganisation.isEmpty()) {
+            return Admission.RESERVED;
+        }
+        Admission admission = mParts.budgets().admit(nowMs, organisation(), tokens);
+        if (admission == Admission.RESERVED) {
+            mReserved = tokens;
+        }
+        return admission;
+    }
+
+    private String organisation() {
+        return mOrganisation.map(PrepaidOrganisation::name).orElse("");
+    }
+
+    private void onAdmission(long nowMs, Admission admission) {
+        if (mEnded || mAttempts.isPresent()) {
+            return;
+        }
+        mGrantTimer.run();
+        if (admission == Admission.RESERVED) {
+            mCaller.reading(true);
+            mAttempts =
+                    Optional.of(
+                            new RelayAttempts(
+                                    mParts,
+                                    this,
+                                    new RelayPlan(
+                                            mRequest,
+                                            mHead,
+                                            mRoute.orElseThrow(),
+                                            mService.orElseThrow(),
+                                            mOrganisation.map(PrepaidOrganisation::name),
+                                            mDeadlineMs),
+                                    mBody));
+            mAttempts.get().start(nowMs);
+            return;
+        }
+        fail(
+                nowMs,
+                admission == Admission.EXHAUSTED
+                        ? Failure.of(ErrorKind.BUDGET_EXHAUSTED, "the prepaid tokens are used up")
+                        : Failure.retryAfter(
+                                ErrorKind.BUDGET_UNREACHABLE,
+                                "this router holds too few tokens now; try again or elsewhere",
+                                TOKENS_RETRY_MS));
+    }
+
+    private void onDeadline(long nowMs) {
+        if (mAttempts.isEmpty()) {
+            fail(nowMs, noUpstream("the time was over before it could be sent"));
+            return;
+        }
+        mAttempts.get().onDeadline(nowMs);
+    }
+
+    /** Returns the answer where no upstream could take the request, which did not run. */
+    static Failure noUpstream(String why) {
+        return Failure.retryAfter(ErrorKind.NO_UPSTREAM, why, ROOM_RETRY_MS);
+    }
+
+    @Override
+    public void onCallerGone(long nowMs) {
+        if (mEnded) {
+            return;
+        }
+        mCallerGone = true;
+        if (mAttempts.isEmpty()) {
+            end(nowMs, "caller-gone", 0);
+            return;
+        }
+        mAttempts.get().onCallerGone(nowMs);
+    }
+
+    @Override
+    public void onCallerWritable(long nowMs) {
+        mAttempts.ifPresent(RelayAttempts::onCallerWritable);
+    }
+
+    CallerConnection caller() {
+        return mCaller;
+    }
+
+    boolean callerGone() {
+        return mCallerGone;
+    }
+
+    boolean ended() {
+        return mEnded;
+    }
+
+    /** Answers with a failure before anything was answered. */
+    private void fail(long nowMs, Failure failure) {
+        fail(nowMs, failure, 0);
+    }
+
+    /** Answers with a failure before anything was answered, and settles. */
+    void fail(long nowMs, Failure failure, long usedTokens) {
+        if (mEnded) {
+            return;
+        }
+        end(nowMs, failure.kind().code(), usedTokens);
+        mCaller.fail(failure);
+    }
+
+    /** Settles; the answer is the caller's to write. */
+    void end(long nowMs, String outcome, long usedTokens) {
+        if (mEnded) {
+            return;
+        }
+        mEnded = true;
+        mDeadlineTimer.run();
+        mGrantTimer.run();
+        mBody.release();
+        mParts.budgets().settle(organisation(), mReserved, usedTokens);
+        mParts.log()
+                .ended(
+                        nowMs,
+                        mHead,
+                        mRoute,
+                        outcome,
+                        "\"organisation\":\""
+                                + organisation()
+                                + "\",\"reserved\":"
+                                + mReserved
+                                + ",\"used\":"
+                                + usedTokens
+                                + mAttempts.map(RelayAttempts::summary).orElse(""),
+                        nowMs - mArrivedMs);
+    }
+
+    /** Runs an action on the loop after a time; the result takes it back. */
+    Runnable timer(long delayMs, java.util.function.LongConsumer action) {
+        var scheduled =
+                mParts.loop()
+                        .schedule(
+                                () -> {
+                                    if (!mEnded) {
+                                        action.accept(mParts.clock().nowMs());
+                                    }
+                                },
+                                Math.max(0, delayMs),
+                                TimeUnit.MILLISECONDS);
+        return () -> scheduled.cancel(false);
+    }
+
+    /** Returns whether an answer's head can be written to the caller. */
+    boolean open() {
+        return !mEnded && !mCallerGone;
+    }
+
+    /** Writes the head of the answer. */
+    void sendHead(HttpResponse head) {
+        if (!mCallerGone) {
+            mCaller.sendHead(head);
+        }
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/hornbeampass/router/relay/RelayHandler.java
@@ -0,0 +1,28 @@
+package org.hornbeampass.router.relay;
+
+import io.netty.handler.codec.http.HttpRequest;
+
+import org.hornbeampass.transport.relay.CallerConnection;
+import org.hornbeampass.transport.relay.CallerHandler;
+import org.hornbeampass.transport.relay.CallerListener;
+
+/**
+ * Starts a {@link RelayCall} for each request.
+ *
+ * <p>Confined to one event loop.
+ */
+public final class RelayHandler implements CallerHandler {
+    private final RelayParts mParts;
+
+    /** Makes the handler of one VM. */
+    public RelayHandler(RelayParts parts) {
+        mParts = parts;
+    }
+
+    @Override
+    public CallerListener onRequest(long nowMs, CallerConnection caller, HttpRequest head) {
+        RelayCall call = new RelayCall(mParts, caller, head, nowMs);
+        call.start(nowMs);
+        return call;
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/hornbeampass/router/relay/RelayLog.java
@@ -0,0 +1,110 @@
+package org.hornbeampass.router.relay;
+
+import com.codahale.metrics.MetricRegistry;
+
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.hornbeampass.state.service.Route;
+
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Writes and counts the decisions on requests.
+ *
+ * <p>A line a decision, as fields of one JSON object; the appender drops lines rather than wait,
+ * and good answers are logged only up to a rate, so that a flood leaves room for failures. Confined
+ * to one event loop, but for its construction.
+ */
+public final class RelayLog {
+    private static final Logger LOG = LogManager.getLogger("decisions");
+
+    /** Lines on good answers in a second; a calm VM stays below, an overloaded one is cut here. */
+    private static final int GOOD_LINES_PER_S = 20;
+
+    /** Lines on failures in a second. */
+    private static final int FAILURE_LINES_PER_S = 100;
+
+    private static final long SECOND_MS = 1_000;
+
+    private final MetricRegistry mMetrics;
+    private long mSecond;
+    private int mGoodLines;
+    private int mFailureLines;
+    private long mLeftOut;
+
+    /** Makes a log that counts in a registry. */
+    public RelayLog(MetricRegistry metrics) {
+        mMetrics = metrics;
+    }
+
+    /** Counts and logs the end of a request. */
+    void ended(
+            long nowMs,
+            CallerHead head,
+            Optional<Route> route,
+            String outcome,
+            String inputs,
+            long tookMs) {
+        boolean good = outcome.equals("answered");
+        mMetrics.counter("requests{outcome=\"" + outcome + "\"}").inc();
+        route.ifPresent(
+                r ->
+                        mMetrics.timer("request{route=\"" + r.name() + "\"}")
+                                .update(tookMs, TimeUnit.MILLISECONDS));
+        line(
+                nowMs,
+                good,
+                "ended",
+                head.id(),
+                "\"route\":\""
+                        + route.map(Route::name).orElse("")
+                        + "\",\"outcome\":\""
+                        + outcome
+                        + "\",\"took_ms\":"
+                        + tookMs
+                        + (inputs.isEmpty() ? "" : "," + inputs));
+    }
+
+    /** Logs a decision within a request. */
+    void decided(long nowMs, String id, String decision, String inputs) {
+        mMetrics.counter("decisions{kind=\"" + decision + "\"}").inc();
+        line(nowMs, false, decision, id, inputs);
+    }
+
+    /** Logs a change of what this VM believes. */
+    public void believes(long nowMs, String decision, String inputs) {
+        mMetrics.counter("decisions{kind=\"" + decision + "\"}").inc();
+        line(nowMs, false, decision, "", inputs);
+    }
+
+    private void line(long nowMs, boolean good, String kind, String id, String inputs) {
+        if (!room(nowMs, good)) {
+            mLeftOut++;
+            return;
+        }
+        StringBuilder text = new StringBuilder(160);
+        text.append("{\"at_ms\":").append(nowMs).append(",\"kind\":\"").append(kind).append('"');
+        if (!id.isEmpty()) {
+            text.append(",\"request\":\"").append(id).append('"');
+        }
+        if (!inputs.isEmpty()) {
+            text.append(',').append(inputs);
+        }
+        LOG.info(text.append('}'));
+    }
+
+    private boolean room(long nowMs, boolean good) {
+        if (nowMs / SECOND_MS != mSecond) {
+            mSecond = nowMs / SECOND_MS;
+            mGoodLines = 0;
+            mFailureLines = 0;
+            if (mLeftOut > 0) {
+                LOG.info(
+                        "{\"at_ms\":{},\"kind\":\"lines-left-out\",\"count\":{}}", nowMs, mLeftOut);
+                mLeftOut = 0;
+            }
+        }
+        return good ? mGoodLines++ < GOOD_LINES_PER_S : mFailureLines++ < FAILURE_LINES_PER_S;
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/hornbeampass/router/relay/RelayParts.java
@@ -0,0 +1,125 @@
+package org.hornbeampass.router.relay;
+
+import io.netty.channel.EventLoop;
+
+import org.hornbeampass.coordination.escrow.EscrowBook;
+import org.hornbeampass.coordination.service.RetryWindow;
+import org.hornbeampass.coordination.service.RouteTable;
+import org.hornbeampass.coordination.service.UpstreamBoard;
+import org.hornbeampass.transport.Clock;
+import org.hornbeampass.transport.relay.UpstreamPool;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.IntSupplier;
+import java.util.random.RandomGenerator;
+
+/**
+ * What all requests of one VM share.
+ *
+ * <p>Confined to one event loop, but for its construction.
+ */
+public final class RelayParts {
+    private final WireFormat mWire;
+    private final RelaySettings mSettings;
+    private final EventLoop mLoop;
+    private final Clock mClock;
+    private final UpstreamBoard mBoard;
+    private final UpstreamPool mPool;
+    private final EscrowBook mBudgets;
+    private final RelayLog mLog;
+    private final RandomGenerator mRandom;
+    private final IntSupplier mVms;
+    private final Map<String, RetryWindow> mRetries = new HashMap<>();
+    private Optional<RouteTable> mRoutes = Optional.empty();
+    private boolean mRefusing;
+
+    /** Gathers the parts; {@code vms} tells how many VMs share the fleet's budgets. */
+    public RelayParts(
+            WireFormat wire,
+            RelaySettings settings,
+            EventLoop loop,
+            Clock clock,
+            UpstreamBoard board,
+            UpstreamPool pool,
+            EscrowBook budgets,
+            RelayLog log,
+            RandomGenerator random,
+            IntSupplier vms) {
+        mWire = wire;
+        mSettings = settings;
+        mLoop = loop;
+        mClock = clock;
+        mBoard = board;
+        mPool = pool;
+        mBudgets = budgets;
+        mLog = log;
+        mRandom = random;
+        mVms = vms;
+    }
+
+    WireFormat wire() {
+        return mWire;
+    }
+
+    EventLoop loop() {
+        return mLoop;
+    }
+
+    Clock clock() {
+        return mClock;
+    }
+
+    UpstreamBoard board() {
+        return mBoard;
+    }
+
+    UpstreamPool pool() {
+        return mPool;
+    }
+
+    EscrowBook budgets() {
+        return mBudgets;
+    }
+
+    RelayLog log() {
+        return mLog;
+    }
+
+    RandomGenerator random() {
+        return mRandom;
+    }
+
+    /** Returns the configuration in force; empty until one is known. */
+    public Optional<RouteTable> routes() {
+        return mRoutes;
+    }
+
+    /** Puts a configuration in force for the requests that come from now on. */
+    public void setRoutes(RouteTable routes) {
+        mRoutes = Optional.of(routes);
+    }
+
+    /** Refuses requests that come from now on. */
+    public void refuseNew() {
+        mRefusing = true;
+    }
+
+    boolean refusing() {
+        return mRefusing;
+    }
+
+    void countFirst(long nowMs, String service) {
+        retries(service).onFirst(nowMs);
+    }
+
+    boolean takeRetry(long nowMs, String service) {
+        return retries(service)
+                .tryTake(nowMs, mSettings.retryRatio(), mSettings.retryExtra(), mVms.getAsInt());
+    }
+
+    private RetryWindow retries(String service) {
+        return mRetries.computeIfAbsent(service, s -> new RetryWindow(mSettings.retryWindowMs()));
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/hornbeampass/router/relay/RequestBody.java
@@ -0,0 +1,64 @@
+package org.hornbeampass.router.relay;
+
+import io.netty.buffer.ByteBuf;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * The body of a request: kept whole while it is small, so that it can be sent again.
+ *
+ * <p>Invariant: a body that was passed on before it was whole is not kept. Confined to one event
+ * loop.
+ */
+final class RequestBody {
+    /** Bodies up to this size are awaited whole and kept for another send. */
+    static final long MAX_KEPT_BYTES = 256 << 10;
+
+    private final List<ByteBuf> mParts = new ArrayList<>();
+    private long mBytes;
+    private boolean mWhole;
+    private boolean mPassedOn;
+
+    void add(ByteBuf part) {
+        mBytes += part.readableBytes();
+        mParts.add(part);
+    }
+
+    void end() {
+        mWhole = true;
+    }
+
+    long bytes() {
+        return mBytes;
+    }
+
+    boolean whole() {
+        return mWhole;
+    }
+
+    /** Returns whether it can be sent from its start. */
+    boolean complete() {
+        return !mPassedOn;
+    }
+
+    boolean large() {
+        return mBytes > MAX_KEPT_BYTES;
+    }
+
+    /** Returns the parts to send now; those of a large body are given away. */
+    List<ByteBuf> take() {
+        if (large() || mPassedOn) {
+            mPassedOn = true;
+            List<ByteBuf> parts = List.copyOf(mParts);
+            mParts.clear();
+            return parts;
+        }
+        return mParts.stream().map(ByteBuf::retainedDuplicate).toList();
+    }
+
+    void release() {
+        mParts.forEach(ByteBuf::release);
+        mParts.clear();
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/hornbeampass/router/relay/UpstreamHead.java
@@ -0,0 +1,20 @@
+package org.hornbeampass.router.relay;
+
+import java.util.Optional;
+import java.util.OptionalLong;
+
+/**
+ * What the head of a request says to an upstream beyond what the caller sent.
+ *
+ * <p>Immutable; safe for use by any thread.
+ *
+ * @param upstreamId the upstream that must run it; any other refuses
+ * @param organisation the organisation that pays
+ * @param budgetMs how long the caller still waits, in milliseconds
+ * @param resumesAfter the last event that the caller has, where this VM goes on with a stream
+ */
+public record UpstreamHead(
+        String upstreamId,
+        Optional<String> organisation,
+        OptionalLong budgetMs,
+        OptionalLong resumesAfter) {}
--- /dev/null
+++ b/transport/src/main/java/org/hornbeampass/transport/relay/HeadRules.java
@@ -0,0 +1,78 @@
+package org.hornbeampass.transport.relay;
+
+import io.netty.handler.codec.TooLongFrameException;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+
+import org.hornbeampass.state.ErrorKind;
+import org.hornbeampass.state.Failure;
+import org.hornbeampass.state.service.CallerLimits;
+
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * Decides whether a request's head can be passed on safely.
+ *
+ * <p>Guards against requests hidden inside others: a head whose length two programs could read
+ * differently is refused. Stateless; safe for use by any thread.
+ */
+final class HeadRules {
+    private HeadRules() {}
+
+    /** Returns what is wrong with a head, if anything. */
+    static Optional<Failure> fault(HttpRequest head, CallerLimits limits) {
+        if (head.method().equals(HttpMethod.CONNECT) || !head.uri().startsWith("/")) {
+            return malformed("ask for a path that begins with a slash");
+        }
+        if (head.protocolVersion().equals(HttpVersion.HTTP_1_1)
+                && head.headers().getAll(HttpHeaderNames.HOST).size() != 1) {
+            return malformed("send exactly one Host header");
+        }
+        List<String> lengths = head.headers().getAll(HttpHeaderNames.CONTENT_LENGTH);
+        List<String> encodings = head.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING);
+        if (lengths.size() > 1 || encodings.size() > 1) {
+            return malformed("send one Content-Length or one Transfer-Encoding");
+        }
+        if (!lengths.isEmpty() && !encodings.isEmpty()) {
+            return malformed("send Content-Length or Transfer-Encoding, not both");
+        }
+        if (!encodings.isEmpty() && !encodings.get(0).equalsIgnoreCase("chunked")) {
+            return malformed("the only transfer encoding taken is chunked");
+        }
+        if (!lengths.isEmpty() && !lengths.get(0).chars().allMatch(c -> c >= '0' && c <= '9')) {
+            return malformed("Content-Length must be a number");
+        }
+        return HttpUtil.getContentLength(head, 0L) > limits.maxBodyBytes()
+                ? Optional.of(bodyTooLarge(limits))
+                : Optional.empty();
+    }
+
+    /** Returns the failure of a body beyond its bound. */
+    static Failure bodyTooLarge(CallerLimits limits) {
+        return Failure.of(
+                ErrorKind.REQUEST_TOO_LARGE,
+                "send a body of at most " + limits.maxBodyBytes() + " bytes");
+    }
+
+    /** Returns the failure of a head that took too long to arrive. */
+    static Failure slowHead() {
+        return Failure.of(ErrorKind.REQUEST_TOO_SLOW, "the head took too long to arrive");
+    }
+
+    /** Returns the failure of bytes that could not be decoded. */
+    static Failure undecodable(Throwable cause) {
+        if (cause instanceof TooLongFrameException) {
+            return Failure.of(
+                    ErrorKind.HEAD_TOO_LARGE, "the request line or the headers are too long");
+        }
+        return Failure.of(ErrorKind.MALFORMED_REQUEST, "this is not an HTTP/1.1 request");
+    }
+
+    private static Optional<Failure> malformed(String message) {
+        return Optional.of(Failure.of(ErrorKind.MALFORMED_REQUEST, message));
+    }
+}
--- /dev/null
+++ b/transport/src/main/java/org/hornbeampass/transport/relay/UpstreamPool.java
@@ -0,0 +1,137 @@
+package org.hornbeampass.transport.relay;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.WriteBufferWaterMark;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.HttpClientCodec;
+
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.hornbeampass.transport.Clock;
+import org.hornbeampass.transport.EventLoops;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
+
+/**
+ * The connections to upstreams, kept for further requests while they are fresh.
+ *
+ * <p>Invariant: a connection is in use by one request at most. Confined to one event loop.
+ */
+public final class UpstreamPool {
+    private static final Logger LOG = LogManager.getLogger(UpstreamPool.class);
+    private static final int MAX_LINE_BYTES = 8 << 10;
+    private static final int MAX_HEAD_BYTES = 64 << 10;
+    private static final int MAX_CHUNK_BYTES = 16 << 10;
+    private static final int LOW_WATER_BYTES = 32 << 10;
+    private static final int HIGH_WATER_BYTES = 128 << 10;
+
+    private final EventLoops mLoops;
+    private final Clock mClock;
+    private final Map<InetSocketAddress, ArrayDeque<UpstreamConnection>> mIdle = new HashMap<>();
+    private long mOpened;
+
+    /** Makes an empty pool on event loops of one thread. */
+    public UpstreamPool(EventLoops loops, Clock clock) {
+        mLoops = loops;
+        mClock = clock;
+    }
+
+    /**
+     * Finds or opens a connection.
+     *
+     * @param nowMs the present time in milliseconds
+     * @param address the upstream's address
+     * @param maxIdleMs how long a kept connection may have been idle, in milliseconds
+     * @param connectTimeoutMs how long a new connection may take, in milliseconds
+     * @param done takes the connection; empty where none could be opened; run once, on the loop
+     */
+    public void connect(
+            long nowMs,
+            InetSocketAddress address,
+            long maxIdleMs,
+            int connectTimeoutMs,
+            Consumer<Optional<UpstreamConnection>> done) {
+        ArrayDeque<UpstreamConnection> idle = mIdle.getOrDefault(address, new ArrayDeque<>());
+        if (!idle.isEmpty() && idle.peekLast().fresh(nowMs, maxIdleMs)) {
+            done.accept(Optional.of(idle.pollLast()));
+            return;
+        }
+        UpstreamConnection connection = new UpstreamConnection(this, address, mClock);
+        mOpened++;
+        new Bootstrap()
+                .group(mLoops.group())
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeoutMs)
+                .option(
+                        ChannelOption.WRITE_BUFFER_WATER_MARK,
+                        new WriteBufferWaterMark(LOW_WATER_BYTES, HIGH_WATER_BYTES))
+                .handler(new Initializer(connection))
+                .connect(address)
+                .addListener(
+                        opened ->
+                                done.accept(
+                                        opened.isSuccess()
+                                                ? Optional.of(connection)
+                                                : Optional.empty()));
+    }
+
+    /** Closes kept connections that their upstream is about to close. */
+    public void tick(long nowMs) {
+        for (ArrayDeque<UpstreamConnection> idle : mIdle.values()) {
+            while (!idle.isEmpty() && idle.peekFirst().stale(nowMs)) {
+                idle.pollFirst().close();
+            }
+        }
+        mIdle.values().removeIf(ArrayDeque::isEmpty);
+    }
+
+    /** Returns how many connections were opened so far. */
+    public long opened() {
+        return mOpened;
+    }
+
+    void onIdle(UpstreamConnection connection) {
+        mIdle.computeIfAbsent(connection.address(), a -> new ArrayDeque<>()).addLast(connection);
+    }
+
+    void onClosed(UpstreamConnection connection) {
+        ArrayDeque<UpstreamConnection> idle = mIdle.get(connection.address());
+        if (idle != null) {
+            idle.remove(connection);
+        }
+    }
+
+    void onFault(Throwable cause) {
+        if (cause instanceof IOException) {
+            LOG.debug("a connection to an upstream broke: {}", cause.getMessage());
+        } else {
+            LOG.error("a connection to an upstream met an internal fault", cause);
+        }
+    }
+
+    /** Lays out the pipeline of a new connection. */
+    private static final class Initializer extends ChannelInitializer<Channel> {
+        private final UpstreamConnection mConnection;
+
+        Initializer(UpstreamConnection connection) {
+            mConnection = connection;
+        }
+
+        @Override
+        protected void initChannel(Channel channel) {
+            channel.pipeline()
+                    .addLast(new HttpClientCodec(MAX_LINE_BYTES, MAX_HEAD_BYTES, MAX_CHUNK_BYTES))
+                    .addLast(mConnection);
+        }
+    }
+}
