Remove the holder's entry when a VM gives back a grant of which it spent nothing

Cause: an entry with a grant of 0 and no spending was not written, but the old one stayed in the copy of the record, so that a VM that shut down unused kept its whole grant for ever.

Ruled out: a lost write (the failing test runs without faults).

Measured: EscrowBookTest.vmThatShutsDown_givesItsGrantBack failed before (free stayed 1,332) and passes after; 4,000 seeds of random faults with 150 steps each keep every budget.

--- a/coordination/src/main/java/org/hornbeampass/coordination/escrow/EscrowShard.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/escrow/EscrowShard.java
@@ -219,6 +219,8 @@
             holders.put(
                     mOwner.incarnation(),
                     new EscrowRecord.Holder(mOwner.vm(), granted, account.spent()));
+        } else {
+            holders.remove(mOwner.incarnation());
         }
         return new EscrowRecord.Organisation(closed, closedSpent, holders);
     }
--- /dev/null
+++ b/coordination/src/test/java/org/hornbeampass/coordination/escrow/EscrowBookTest.java
@@ -0,0 +1,71 @@
+package org.hornbeampass.coordination.escrow;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.junit.jupiter.api.Test;
+
+/** Checks that budgets are never overspent, and that what is left can be spent. */
+class EscrowBookTest {
+    private static final int SEEDS = 4_000;
+    private static final int STEPS = 150;
+
+    @Test
+    void randomFaults_neverOverspend() {
+        for (int seed = 0; seed < SEEDS; seed++) {
+            EscrowWorld world = new EscrowWorld(seed, 1 + seed % 5, 3_000);
+            for (int step = 0; step < STEPS; step++) {
+                world.step();
+                assertThat(world.drawn())
+                        .as("seed %d, step %d", seed, step)
+                        .isLessThanOrEqualTo(world.prepaid());
+            }
+        }
+    }
+
+    @Test
+    void newBook_reservesNothingBeforeItsFirstGrant() {
+        EscrowWorld world = new EscrowWorld(1, 2, 10_000);
+        assertThat(world.request(0, 100)).isEqualTo(Admission.SHORT);
+        world.calm(2_000);
+        assertThat(world.request(0, 100)).isEqualTo(Admission.RESERVED);
+    }
+
+    @Test
+    void usedUpBudget_isProvedOnceAllHaveReported() {
+        EscrowWorld world = new EscrowWorld(1, 2, 1_000);
+        world.calm(2_000);
+        int admitted = 0;
+        for (int i = 0; i < 400; i++) {
+            if (world.request(i % 2, 10) == Admission.RESERVED) {
+                admitted++;
+            }
+            world.calm(100);
+        }
+        assertThat(admitted).isGreaterThanOrEqualTo(97);
+        assertThat(world.drawn()).isLessThanOrEqualTo(1_000);
+    }
+
+    @Test
+    void killedVm_losesItsUnspentGrantForEver() {
+        EscrowWorld world = new EscrowWorld(1, 2, 10_000);
+        world.calm(2_000);
+        long before = world.free();
+        world.kill(0);
+        world.calm(2_000);
+        assertThat(before).isPositive();
+        assertThat(world.drawn() + world.free()).isLessThan(10_000);
+    }
+
+    @Test
+    void vmThatShutsDown_givesItsGrantBack() {
+        EscrowWorld world = new EscrowWorld(1, 2, 10_000);
+        world.calm(2_000);
+        long before = world.free();
+        world.giveBack(0);
+        world.calm(500);
+        assertThat(world.free()).isLessThan(before);
+        world.kill(0);
+        world.calm(4_000);
+        assertThat(world.free()).isEqualTo(before);
+    }
+}
--- /dev/null
+++ b/coordination/src/test/java/org/hornbeampass/coordination/escrow/EscrowWorld.java
@@ -0,0 +1,204 @@
+package org.hornbeampass.coordination.escrow;
+
+import org.hornbeampass.coordination.platform.MemoryPlatform;
+import org.hornbeampass.coordination.platform.Platform;
+import org.hornbeampass.coordination.platform.PlatformCall;
+import org.hornbeampass.coordination.platform.PlatformReply;
+import org.hornbeampass.state.service.PrepaidOrganisation;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.OptionalLong;
+import java.util.Random;
+import java.util.function.BiConsumer;
+
+/**
+ * Several VMs, an unreliable store and callers, driven by one seed.
+ *
+ * <p>Writes may be carried out without a reply, or long after their caller gave up; VMs are killed
+ * and start again with nothing. Not thread-safe.
+ */
+final class EscrowWorld {
+    static final String ORGANISATION = "org";
+
+    private final Random mRandom;
+    private final MemoryPlatform mStore = new MemoryPlatform();
+    private final List<Vm> mVms = new ArrayList<>();
+    private final List<Runnable> mLate = new ArrayList<>();
+    private long mNowMs = 1_000;
+    private long mPrepaid;
+    private long mUsed;
+    private long mReserved;
+    private int mLives;
+    private boolean mFaults = true;
+
+    /** A request that is in progress at a VM. */
+    private record Running(long reserved) {}
+
+    /** One VM with its present life. */
+    private final class Vm {
+        private final String mName;
+        private final List<Running> mRunning = new ArrayList<>();
+        private EscrowBook mBook;
+
+        Vm(String name) {
+            mName = name;
+            start();
+        }
+
+        void start() {
+            mReserved -= mRunning.stream().mapToLong(Running::reserved).sum();
+            // What was in progress at a killed VM may have been delivered whole.
+            mUsed += mRunning.stream().mapToLong(Running::reserved).sum();
+            mRunning.clear();
+            Link link = new Link();
+            mBook =
+                    new EscrowBook(
+                            link,
+                            new EscrowOwner(mName, "life-" + mLives++),
+                            1,
+                            () -> mVms.size() + 1,
+                            GrantListener.NONE);
+            configure();
+        }
+
+        void configure() {
+            mBook.onOrganisations(
+                    List.of(
+                            new PrepaidOrganisation(
+                                    ORGANISATION, List.of("key"), 0, OptionalLong.of(mPrepaid))));
+        }
+    }
+
+    /** One life's way to the store. */
+    private final class Link implements Platform {
+        @Override
+        public void submit(long nowMs, PlatformCall call, BiConsumer<Long, PlatformReply> done) {
+            int fate = mFaults ? mRandom.nextInt(10) : 9;
+            if (fate == 0) {
+                done.accept(nowMs, new PlatformReply.Unavailable("nothing was done"));
+            } else if (fate == 1) {
+                mStore.submit(nowMs, call, (t, lost) -> {});
+                done.accept(nowMs, new PlatformReply.Unavailable("done without a reply"));
+            } else if (fate == 2) {
+                mLate.add(() -> mStore.submit(mNowMs, call, (t, lost) -> {}));
+                done.accept(nowMs, new PlatformReply.Unavailable("done later"));
+            } else if (fate == 3) {
+                done.accept(nowMs, new PlatformReply.Throttled());
+            } else if (fate == 4) {
+                mLate.add(() -> mStore.submit(mNowMs, call, done));
+            } else {
+                mStore.submit(nowMs, call, done);
+            }
+        }
+    }
+
+    EscrowWorld(long seed, int vms, long prepaid) {
+        mRandom = new Random(seed);
+        mPrepaid = prepaid;
+        for (int i = 0; i < vms; i++) {
+            mVms.add(new Vm("vm-" + i));
+        }
+    }
+
+    /** Does one thing at random. */
+    void step() {
+        mNowMs += mRandom.nextInt(300);
+        Vm vm = mVms.get(mRandom.nextInt(mVms.size()));
+        int what = mRandom.nextInt(20);
+        if (what < 9) {
+            request(vm, 1 + mRandom.nextInt(400));
+        } else if (what < 14) {
+            finish(vm);
+        } else if (what < 16) {
+            mVms.forEach(v -> v.mBook.tick(mNowMs));
+        } else if (what < 18) {
+            runLate();
+        } else if (what == 18) {
+            vm.start();
+        } else {
+            change(vm);
+        }
+    }
+
+    private void change(Vm vm) {
+        int what = mRandom.nextInt(3);
+        if (what == 0) {
+            mPrepaid += mRandom.nextInt(2_000);
+            vm.configure();
+        } else if (what == 1) {
+            vm.mBook.giveBack(mNowMs);
+            vm.start();
+        } else {
+            mVms.forEach(Vm::start);
+        }
+    }
+
+    private void runLate() {
+        if (!mLate.isEmpty()) {
+            mLate.remove(mRandom.nextInt(mLate.size())).run();
+        }
+    }
+
+    /** Tries to start a request, and returns what came of it. */
+    private Admission request(Vm vm, long tokens) {
+        Admission admission = vm.mBook.admit(mNowMs, ORGANISATION, tokens);
+        if (admission == Admission.RESERVED) {
+            vm.mRunning.add(new Running(tokens));
+            mReserved += tokens;
+        }
+        return admission;
+    }
+
+    Admission request(int vm, long tokens) {
+        return request(mVms.get(vm), tokens);
+    }
+
+    private void finish(Vm vm) {
+        if (vm.mRunning.isEmpty()) {
+            return;
+        }
+        Running running = vm.mRunning.remove(mRandom.nextInt(vm.mRunning.size()));
+        long used = mRandom.nextLong(running.reserved() + 1);
+        vm.mBook.settle(ORGANISATION, running.reserved(), used);
+        mReserved -= running.reserved();
+        mUsed += used;
+    }
+
+    /** Lets all VMs work for a time, with nothing failing. */
+    void calm(long ms) {
+        mFaults = false;
+        while (!mLate.isEmpty()) {
+            mLate.remove(0).run();
+        }
+        for (long t = 0; t < ms; t += 100) {
+            mNowMs += 100;
+            mVms.forEach(v -> v.mBook.tick(mNowMs));
+        }
+    }
+
+    void cut() {
+        mFaults = true;
+    }
+
+    void kill(int vm) {
+        mVms.get(vm).start();
+    }
+
+    void giveBack(int vm) {
+        mVms.get(vm).mBook.giveBack(mNowMs);
+    }
+
+    long free() {
+        return mVms.stream().mapToLong(v -> v.mBook.holdings().get(ORGANISATION).free()).sum();
+    }
+
+    /** Returns the tokens that callers have had, or may still have. */
+    long drawn() {
+        return mUsed + mReserved;
+    }
+
+    long prepaid() {
+        return mPrepaid;
+    }
+}
