--- a/router/src/main/java/org/hornbeampass/router/relay/RelayCall.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/RelayCall.java
@@ -32,9 +32,7 @@
     /**
      * How long a request may wait for tokens: a part of its objective, so that no answer is late.
      */
-    private static final int GRANT_WAIT_PART = 8;
-
-    private static final long MIN_GRANT_WAIT_MS = 40;
+    private static final int GRANT_WAIT_PART = 3;
 
     /** When a caller may come back for tokens: after the next exchange with the store. */
     private static final long TOKENS_RETRY_MS = 600;
