--- /dev/null
+++ b/coordination/src/test/java/org/hornbeampass/coordination/news/NewsExchangeTest.java
@@ -0,0 +1,141 @@
+package org.hornbeampass.coordination.news;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.vavr.control.Either;
+
+import org.hornbeampass.coordination.peer.PeerMessage;
+import org.hornbeampass.coordination.peer.PeerNetwork;
+import org.hornbeampass.coordination.platform.MemoryPlatform;
+import org.hornbeampass.coordination.platform.Platform;
+import org.hornbeampass.coordination.platform.PlatformCall;
+import org.hornbeampass.coordination.platform.PlatformReply;
+import org.hornbeampass.coordination.platform.RetryPolicy;
+import org.hornbeampass.coordination.platform.WatchedView;
+import org.hornbeampass.state.Failure;
+import org.hornbeampass.state.VmId;
+import org.junit.jupiter.api.Test;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.function.BiConsumer;
+
+/** Checks that a VM that the platform turns away learns from another, and never goes back. */
+class NewsExchangeTest {
+    private static final String PREFIX = "config/";
+    private static final VmId SELF = new VmId("self", 1);
+
+    private final MemoryPlatform mStore = new MemoryPlatform();
+    private final List<String> mSeen = new ArrayList<>();
+    private boolean mTurnedAway;
+
+    private final Platform mLink =
+            (nowMs, call, done) -> {
+                if (mTurnedAway) {
+                    done.accept(nowMs, new PlatformReply.Throttled());
+                } else {
+                    mStore.submit(nowMs, call, done);
+                }
+            };
+    private final WatchedView mView =
+            view(mLink, (t, change) -> mSeen.add(change.value().orElse("deleted")));
+    private final WatchedView mPeerView = view(mStore, (t, change) -> {});
+    private final NewsExchange mPeer =
+            new NewsExchange(Map.of(PREFIX, mPeerView), new Unused(), List::of, new Random(1));
+    private final NewsExchange mExchange =
+            new NewsExchange(
+                    Map.of(PREFIX, mView), new ToPeer(), () -> List.of("peer"), new Random(1));
+
+    private static WatchedView view(
+            Platform platform, BiConsumer<Long, PlatformReply.Change> listener) {
+        return new WatchedView(
+                platform, PREFIX, Duration.ofSeconds(1), new RetryPolicy(10, 10, 100), 1, listener);
+    }
+
+    /** Hands requests straight to the peer. */
+    private final class ToPeer implements PeerNetwork {
+        @Override
+        public void send(String vmName, PeerMessage message) {}
+
+        @Override
+        public void request(
+                long nowMs,
+                String vmName,
+                PeerMessage request,
+                long timeoutMs,
+                BiConsumer<Long, Either<Failure, PeerMessage>> done) {
+            mPeer.onRequest(
+                    nowMs,
+                    SELF,
+                    (NewsRequest) request,
+                    reply -> done.accept(nowMs, Either.right(reply)));
+        }
+    }
+
+    /** Is never asked. */
+    private static final class Unused implements PeerNetwork {
+        @Override
+        public void send(String vmName, PeerMessage message) {
+            throw new AssertionError("not expected");
+        }
+
+        @Override
+        public void request(
+                long nowMs,
+                String vmName,
+                PeerMessage request,
+                long timeoutMs,
+                BiConsumer<Long, Either<Failure, PeerMessage>> done) {
+            throw new AssertionError("not expected");
+        }
+    }
+
+    private void write(String value, long version) {
+        mStore.submit(
+                0,
+                version == 0
+                        ? new PlatformCall.Create("config/main", value)
+                        : new PlatformCall.Update("config/main", value, version),
+                (t, reply) -> {});
+    }
+
+    private void run(long fromMs, long toMs) {
+        for (long t = fromMs; t < toMs; t += 50) {
+            mStore.expireWatches(t);
+            mView.tick(t);
+            mPeerView.tick(t);
+            mExchange.tick(t);
+        }
+    }
+
+    @Test
+    void vmThatIsTurnedAway_learnsFromItsPeer() {
+        mTurnedAway = true;
+        write("1", 0);
+        run(0, 2_000);
+        assertThat(mSeen).containsExactly("1");
+        write("2", 1);
+        run(2_000, 4_000);
+        assertThat(mSeen).containsExactly("1", "2");
+    }
+
+    @Test
+    void vmThatIsServed_asksNobody() {
+        write("1", 0);
+        run(0, 5_000);
+        assertThat(mSeen).containsExactly("1");
+        assertThat(mView.failingForMs(5_000)).isZero();
+    }
+
+    @Test
+    void olderListing_changesNothing() {
+        write("1", 0);
+        write("2", 1);
+        run(0, 1_000);
+        mView.offer(1_000, List.of(new PlatformReply.StoredObject("config/main", "1", 1)), 1);
+        assertThat(mView.get("config/main").orElseThrow().value()).isEqualTo("2");
+    }
+}
--- /dev/null
+++ b/coordination/src/test/java/org/hornbeampass/coordination/service/UpstreamBoardTest.java
@@ -0,0 +1,136 @@
+package org.hornbeampass.coordination.service;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.hornbeampass.state.FailureDomain;
+import org.hornbeampass.state.service.Prompt;
+import org.hornbeampass.state.service.ServiceSpec;
+import org.hornbeampass.state.service.UpstreamEntry;
+import org.junit.jupiter.api.Test;
+
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+
+/** Checks which upstream a request gets, and that one that leaves gets none. */
+class UpstreamBoardTest {
+    private static final ServiceSpec PLAIN = new ServiceSpec("s", 100, Optional.empty());
+    private static final ServiceSpec MODEL =
+            new ServiceSpec("s", 100, Optional.of(new ServiceSpec.Engine(64, 400_000, 7)));
+    private static final Prompt SHARED =
+            new Prompt(
+                    6_000,
+                    100,
+                    List.of(new Prompt.Part("aa", 5_000), new Prompt.Part("own", 1_000)));
+
+    private final UpstreamBoard mBoard = new UpstreamBoard(new Random(1));
+
+    private static UpstreamEntry entry(String id, boolean leaving) {
+        return new UpstreamEntry(
+                id,
+                "s",
+                InetSocketAddress.createUnresolved(id, 80),
+                new FailureDomain("d"),
+                6,
+                leaving);
+    }
+
+    private Optional<String> choose(long nowMs, ServiceSpec service, Prompt prompt) {
+        return mBoard.choose(nowMs, service, prompt, Set.of()).map(UpstreamInstance::id);
+    }
+
+    private UpstreamInstance only(String id) {
+        mBoard.onEntry(entry(id, false));
+        return mBoard.choose(0, PLAIN, Prompt.NONE, Set.of()).orElseThrow();
+    }
+
+    @Test
+    void leavingUpstream_getsNothingAlsoIfALaterEntrySaysReady() {
+        mBoard.onEntry(entry("a", false));
+        mBoard.onEntry(entry("a", true));
+        mBoard.onEntry(entry("a", false));
+        assertThat(choose(0, PLAIN, Prompt.NONE)).isEmpty();
+    }
+
+    @Test
+    void removedUpstream_isGoneAtOnceOnACalmDay() {
+        mBoard.onEntry(entry("a", false));
+        mBoard.onRemoved(100, "a", false);
+        assertThat(choose(100, PLAIN, Prompt.NONE)).isEmpty();
+    }
+
+    @Test
+    void entryMissingAfterAnOutage_staysInUseUntilItMustBeBack() {
+        mBoard.onEntry(entry("a", false));
+        mBoard.onRemoved(100, "a", true);
+        assertThat(choose(100, PLAIN, Prompt.NONE)).contains("a");
+        assertThat(choose(100 + UpstreamBoard.MISSING_GRACE_MS, PLAIN, Prompt.NONE)).isEmpty();
+    }
+
+    @Test
+    void entryBackAfterAnOutage_staysInUse() {
+        mBoard.onEntry(entry("a", false));
+        mBoard.onRemoved(100, "a", true);
+        mBoard.onEntry(entry("a", false));
+        assertThat(choose(60_000, PLAIN, Prompt.NONE)).contains("a");
+    }
+
+    @Test
+    void silentUpstream_isPausedAndComesBack() {
+        UpstreamInstance first = only("a");
+        mBoard.onEntry(entry("b", false));
+        first.onSilent(0);
+        first.onSilent(0);
+        assertThat(first.paused(100)).isTrue();
+        for (int i = 0; i < 50; i++) {
+            assertThat(choose(100, PLAIN, Prompt.NONE)).contains("b");
+        }
+        assertThat(first.paused(600)).isFalse();
+    }
+
+    @Test
+    void onlyUpstream_isUsedAlsoWhilePaused() {
+        UpstreamInstance only = only("a");
+        only.onSilent(0);
+        only.onSilent(0);
+        assertThat(choose(1, PLAIN, Prompt.NONE)).contains("a");
+    }
+
+    @Test
+    void sharedPrompt_goesWhereOtherVmsSendItToo() {
+        UpstreamBoard other = new UpstreamBoard(new Random(99));
+        for (String id : List.of("a", "b", "c", "d")) {
+            mBoard.onEntry(entry(id, false));
+        }
+        for (String id : List.of("d", "c", "b", "a")) {
+            other.onEntry(entry(id, false));
+        }
+        Optional<String> elsewhere =
+                other.choose(0, MODEL, SHARED, Set.of()).map(UpstreamInstance::id);
+        assertThat(choose(0, MODEL, SHARED)).isEqualTo(elsewhere);
+    }
+
+    @Test
+    void sharedPrompt_leavesItsHomeWhereManyPromptsWaitThere() {
+        for (String id : List.of("a", "b", "c", "d")) {
+            mBoard.onEntry(entry(id, false));
+        }
+        UpstreamInstance home = mBoard.choose(0, MODEL, SHARED, Set.of()).orElseThrow();
+        home.onSent(20_000);
+        assertThat(choose(0, MODEL, SHARED)).isNotEqualTo(Optional.of(home.id()));
+    }
+
+    @Test
+    void failingUpstream_getsLess() {
+        UpstreamInstance bad = only("a");
+        mBoard.onEntry(entry("b", false));
+        for (int i = 0; i < 5; i++) {
+            bad.onBad(0);
+        }
+        assertThat(choose(1, PLAIN, Prompt.NONE)).contains("b");
+        assertThat(bad.failureShare(1)).isGreaterThan(0.5);
+        assertThat(bad.failureShare(30_000)).isLessThan(0.01);
+    }
+}
--- a/router/src/main/java/org/hornbeampass/router/daemon/RelayDaemon.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/RelayDaemon.java
@@ -57,7 +57,7 @@
  * <p>All parts run on one event loop, since a VM has less than one core; nothing is shared with
  * another thread but the request to shut down. Thread-safe.
  */
-public final class RelayDaemon {
+public final class RelayDaemon implements AutoCloseable {
     /** How often decisions that wait for time are looked at, in milliseconds. */
     private static final long TICK_MS = 100;
 
@@ -90,6 +90,8 @@
     private final UpstreamPool mPool;
     private final RelayParts mParts;
     private final CallerServer mCallers;
+    private final CallerServer mDirectory;
+    private final CallerServer mReadiness;
     private final RelayShutdown mShutdown;
 
     private RelayDaemon(RelayDaemonSettings settings, WireFormat wire, PlatformFactory platforms) {
@@ -146,7 +148,9 @@
                         new RelayHandler(mParts),
                         this::limits);
         mShutdown = new RelayShutdown(settings.graceMs(), mCallers, mBudgets, mFleet, mParts);
-        listen();
+        mDirectory = serve(settings.listen().directory(), this::onDirectory);
+        mReadiness = serve(settings.listen().readiness(), this::onReadiness);
+        settings.listen().metrics().ifPresent(a -> serve(a, this::onMetrics));
         TickLoop ticks = new TickLoop(mLoops, mClock);
         ticks.every(TICK_MS, this::tick);
     }
@@ -207,14 +211,8 @@
         return mParts.routes().map(r -> r.config().limits()).orElse(CallerLimits.DEFAULT);
     }
 
-    private void listen() {
-        serve(mSettings.listen().directory(), this::onDirectory);
-        serve(mSettings.listen().readiness(), this::onReadiness);
-        mSettings.listen().metrics().ifPresent(a -> serve(a, this::onMetrics));
-    }
-
-    private void serve(InetSocketAddress address, CallerHandler handler) {
-        CallerServer.start(mLoops, address, mClock, handler, this::limits);
+    private CallerServer serve(InetSocketAddress address, CallerHandler handler) {
+        return CallerServer.start(mLoops, address, mClock, handler, this::limits);
     }
 
     private CallerListener onDirectory(long nowMs, CallerConnection caller, HttpRequest head) {
@@ -345,6 +343,27 @@
         return mShutdown.done();
     }
 
+    /** Returns where callers connect. */
+    public InetSocketAddress callersAddress() {
+        return mCallers.address();
+    }
+
+    /** Returns where callers ask which addresses to use. */
+    public InetSocketAddress directoryAddress() {
+        return mDirectory.address();
+    }
+
+    /** Returns where this VM tells whether it takes requests. */
+    public InetSocketAddress readinessAddress() {
+        return mReadiness.address();
+    }
+
+    /** Closes at once, as a crash would: requests in progress are cut, grants are not returned. */
+    @Override
+    public void close() {
+        mLoops.close();
+    }
+
     /** Returns the future that is completed once a shutdown is done. */
     CompletableFuture<Void> shutDownFuture() {
         return mShutdown.done();
