Share class data between starts, and keep sockets out of the library

The build now rehearses some requests on loopback and keeps the classes in an archive. UpstreamEntry held a socket address, which the layer test of the library forbids.

--- a/coordination/src/main/java/org/hornbeampass/coordination/service/UpstreamBoard.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/service/UpstreamBoard.java
@@ -4,9 +4,7 @@
 import org.hornbeampass.state.service.ServiceSpec;
 import org.hornbeampass.state.service.UpstreamEntry;
 
-import java.net.InetSocketAddress;
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -99,14 +97,6 @@
         }
     }
 
-    /** Returns the addresses at which connections may be kept. */
-    public Collection<InetSocketAddress> addresses(long nowMs) {
-        return mById.values().stream()
-                .filter(i -> i.usable(nowMs))
-                .map(i -> i.entry().address())
-                .toList();
-    }
-
     /** Returns how many upstreams of a service may take requests. */
     public int usable(long nowMs, String service) {
         int count = 0;
--- a/coordination/src/main/java/org/hornbeampass/state/service/UpstreamEntry.java
+++ b/coordination/src/main/java/org/hornbeampass/state/service/UpstreamEntry.java
@@ -2,8 +2,6 @@
 
 import org.hornbeampass.state.FailureDomain;
 
-import java.net.InetSocketAddress;
-
 /**
  * One upstream as it has registered itself.
  *
@@ -11,7 +9,8 @@
  *
  * @param id the identity of this life of the upstream; a restart takes another
  * @param service the service that it belongs to
- * @param address where it listens; may belong to another upstream once this one has ended
+ * @param address where it listens, as an IP number and a port; may belong to another upstream once
+ *     this one has ended
  * @param domain its failure domain
  * @param slots how many requests it runs at once
  * @param leaving whether it takes no new requests
@@ -19,7 +18,7 @@
 public record UpstreamEntry(
         String id,
         String service,
-        InetSocketAddress address,
+        String address,
         FailureDomain domain,
         int slots,
         boolean leaving) {}
--- a/coordination/src/test/java/org/hornbeampass/coordination/service/UpstreamBoardTest.java
+++ b/coordination/src/test/java/org/hornbeampass/coordination/service/UpstreamBoardTest.java
@@ -8,7 +8,6 @@
 import org.hornbeampass.state.service.UpstreamEntry;
 import org.junit.jupiter.api.Test;
 
-import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
@@ -28,13 +27,7 @@
     private final UpstreamBoard mBoard = new UpstreamBoard(new Random(1));
 
     private static UpstreamEntry entry(String id, boolean leaving) {
-        return new UpstreamEntry(
-                id,
-                "s",
-                InetSocketAddress.createUnresolved(id, 80),
-                new FailureDomain("d"),
-                6,
-                leaving);
+        return new UpstreamEntry(id, "s", id + ":80", new FailureDomain("d"), 6, leaving);
     }
 
     private Optional<String> choose(long nowMs, ServiceSpec service, Prompt prompt) {
--- a/router/src/main/java/org/hornbeampass/router/daemon/RelayDaemonCommand.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/RelayDaemonCommand.java
@@ -26,6 +26,23 @@
 
     private RelayDaemonCommand() {}
 
+    /**
+     * Serves some requests on loopback and returns, for the making of a class archive.
+     *
+     * @param wire the installation's words
+     * @param script what is served
+     * @return the exit code
+     */
+    public static int rehearse(WireFormat wire, RehearsalScript script) {
+        try {
+            Rehearsal.run(wire, script);
+            return 0;
+        } catch (IOException e) {
+            System.err.println("the rehearsal broke off: " + e.getMessage());
+            return EXIT_LISTEN;
+        }
+    }
+
     /**
      * Runs the command.
      *
--- a/transport/src/main/java/org/hornbeampass/transport/relay/UpstreamConnection.java
+++ b/transport/src/main/java/org/hornbeampass/transport/relay/UpstreamConnection.java
@@ -16,7 +16,6 @@
 import org.hornbeampass.transport.Channels;
 import org.hornbeampass.transport.Clock;
 
-import java.net.InetSocketAddress;
 import java.util.Optional;
 
 /**
@@ -34,7 +33,7 @@
     private static final String TIMEOUT = "timeout=";
 
     private final UpstreamPool mPool;
-    private final InetSocketAddress mAddress;
+    private final String mAddress;
     private final Clock mClock;
     private Channel mChannel;
     private Optional<UpstreamListener> mListener = Optional.empty();
@@ -47,7 +46,7 @@
     private long mIdleLimitMs = UNSTATED_IDLE_MS;
     private long mIdleSinceMs;
 
-    UpstreamConnection(UpstreamPool pool, InetSocketAddress address, Clock clock) {
+    UpstreamConnection(UpstreamPool pool, String address, Clock clock) {
         mPool = pool;
         mAddress = address;
         mClock = clock;
@@ -114,7 +113,7 @@
         return nowMs - mIdleSinceMs >= mIdleLimitMs;
     }
 
-    InetSocketAddress address() {
+    String address() {
         return mAddress;
     }
 
--- a/transport/src/main/java/org/hornbeampass/transport/relay/UpstreamPool.java
+++ b/transport/src/main/java/org/hornbeampass/transport/relay/UpstreamPool.java
@@ -36,7 +36,7 @@
 
     private final EventLoops mLoops;
     private final Clock mClock;
-    private final Map<InetSocketAddress, ArrayDeque<UpstreamConnection>> mIdle = new HashMap<>();
+    private final Map<String, ArrayDeque<UpstreamConnection>> mIdle = new HashMap<>();
     private long mOpened;
 
     /** Makes an empty pool on event loops of one thread. */
@@ -49,14 +49,14 @@
      * Finds or opens a connection.
      *
      * @param nowMs the present time in milliseconds
-     * @param address the upstream's address
+     * @param address the upstream's address, as an IP number and a port
      * @param maxIdleMs how long a kept connection may have been idle, in milliseconds
      * @param connectTimeoutMs how long a new connection may take, in milliseconds
      * @param done takes the connection; empty where none could be opened; run once, on the loop
      */
     public void connect(
             long nowMs,
-            InetSocketAddress address,
+            String address,
             long maxIdleMs,
             int connectTimeoutMs,
             Consumer<Optional<UpstreamConnection>> done) {
@@ -76,7 +76,7 @@
                         ChannelOption.WRITE_BUFFER_WATER_MARK,
                         new WriteBufferWaterMark(LOW_WATER_BYTES, HIGH_WATER_BYTES))
                 .handler(new Initializer(connection))
-                .connect(address)
+                .connect(socketAddress(address))
                 .addListener(
                         opened ->
                                 done.accept(
@@ -85,6 +85,12 @@
                                                 : Optional.empty()));
     }
 
+    private static InetSocketAddress socketAddress(String address) {
+        int colon = address.lastIndexOf(':');
+        return new InetSocketAddress(
+                address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
+    }
+
     /** Closes kept connections that their upstream is about to close. */
     public void tick(long nowMs) {
         for (ArrayDeque<UpstreamConnection> idle : mIdle.values()) {
