Lend tokens to a VM that the store turns away

Ruled out: larger first grants for all (a kill of all VMs writes them off).

Measured: EscrowLoansTest.vmThatWasNeverServed_getsTokensFromItsPeer fails without loans; 4,000 random schedules, now with loans whose replies are lost or late, keep every budget.

--- a/coordination/src/main/java/org/hornbeampass/coordination/escrow/EscrowAccount.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/escrow/EscrowAccount.java
@@ -13,6 +13,8 @@
     private long mLimit;
     private long mSpent;
     private long mReserved;
+    private long mLent;
+    private long mBorrowed;
     private long mGranted;
     private long mReportedSpent;
     private long mLargest;
@@ -32,7 +34,7 @@
     }
 
     long free() {
-        return mLimit - mSpent - mReserved;
+        return mLimit - used();
     }
 
     long limit() {
@@ -43,9 +45,23 @@
         return mSpent;
     }
 
-    /** Returns what can't be given back: tokens spent and those that requests in progress hold. */
+    /**
+     * Returns what this VM's own grant must cover: tokens spent, held by requests in progress and
+     * lent, less those borrowed; negative where more was borrowed than used.
+     */
     long used() {
-        return mSpent + mReserved;
+        return mSpent + mReserved + mLent - mBorrowed;
+    }
+
+    /** Takes tokens out for another VM, for ever. */
+    void lend(long tokens) {
+        mLent += tokens;
+    }
+
+    /** Takes in tokens that another VM has taken out. */
+    void borrow(long tokens) {
+        mBorrowed += tokens;
+        mWanted = 0;
     }
 
     /** Returns what the store was last seen to hold for this incarnation. */
--- a/coordination/src/main/java/org/hornbeampass/coordination/escrow/EscrowBook.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/escrow/EscrowBook.java
@@ -19,6 +19,7 @@
  */
 public final class EscrowBook {
     private final EscrowOwner mOwner;
+    private final GrantListener mListener;
     private final List<EscrowShard> mShards = new ArrayList<>();
     private final Map<String, Long> mPrepaid = new HashMap<>();
 
@@ -38,6 +39,7 @@
             IntSupplier vms,
             GrantListener listener) {
         mOwner = owner;
+        mListener = listener;
         for (int i = 0; i < shards; i++) {
             mShards.add(new EscrowShard(platform, owner, i, vms, listener));
         }
@@ -95,6 +97,26 @@
         shard(organisation).afterNextExchange(nowMs, action);
     }
 
+    /** Returns the tokens that organisations lack here while the store is out of reach. */
+    Map<String, Long> lacking(long nowMs) {
+        Map<String, Long> lacking = new HashMap<>();
+        mShards.forEach(s -> s.addLacking(nowMs, lacking));
+        return lacking;
+    }
+
+    /** Takes out tokens for another VM; returns how many. */
+    long lend(long nowMs, String organisation, long tokens) {
+        return mPrepaid.containsKey(organisation)
+                ? shard(organisation).lend(nowMs, organisation, tokens)
+                : 0;
+    }
+
+    /** Takes in tokens that another VM has taken out. */
+    void borrow(long nowMs, String organisation, long tokens) {
+        shard(organisation).borrow(organisation, tokens);
+        mListener.onLoan(nowMs, organisation, tokens);
+    }
+
     /** Starts what is due. */
     public void tick(long nowMs) {
         mShards.forEach(s -> s.tick(nowMs));
--- a/coordination/src/main/java/org/hornbeampass/coordination/escrow/EscrowShard.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/escrow/EscrowShard.java
@@ -61,6 +61,7 @@
     private boolean mOpen;
     private long mOpenedMs;
     private boolean mKnown;
+    private boolean mFailing;
     private boolean mMustCreate;
     private boolean mGivingBack;
     private boolean mGivenBack;
@@ -105,8 +106,43 @@
      * Returns whether the store can be reached and may have the tokens that a request waits for.
      */
     boolean mayGetWanted(long nowMs, String organisation) {
-        boolean reached = mKnown && (!mOpen || nowMs - mOpenedMs < ANSWER_MS);
-        return reached && mAccounts.get(organisation).mayGetWanted();
+        return mKnown && !outOfReach(nowMs) && mAccounts.get(organisation).mayGetWanted();
+    }
+
+    /** Returns whether calls to the store fail, or go without an answer for too long. */
+    private boolean outOfReach(long nowMs) {
+        return mFailing || (mOpen && nowMs - mOpenedMs >= ANSWER_MS);
+    }
+
+    /** Adds the tokens that organisations lack here while the store is out of reach. */
+    void addLacking(long nowMs, Map<String, Long> lacking) {
+        if (!outOfReach(nowMs) || mGivingBack) {
+            return;
+        }
+        for (String organisation : mPrepaid.keySet()) {
+            EscrowAccount account = mAccounts.get(organisation);
+            long target = Math.max(account.wanted(), target(nowMs, organisation, mRecord));
+            if (account.free() < target / 2) {
+                lacking.put(organisation, target - account.free());
+            }
+        }
+    }
+
+    /** Takes out tokens for another VM: up to half of what is free, less where none can follow. */
+    long lend(long nowMs, String organisation, long tokens) {
+        EscrowAccount account = mAccounts.get(organisation);
+        if (account == null || mGivingBack) {
+            return 0;
+        }
+        long spare = account.free() / (outOfReach(nowMs) ? 4 : 2);
+        long lent = Math.max(0, Math.min(tokens, spare));
+        account.lend(lent);
+        return lent;
+    }
+
+    void borrow(String organisation, long tokens) {
+        mAccounts.get(organisation).borrow(tokens);
+        runWaiting();
     }
 
     void settle(long nowMs, String organisation, long reserved, long used) {
@@ -206,7 +242,8 @@
         EscrowAccount account = mAccounts.get(organisation);
         double prior = PRIOR_PART * mPrepaid.get(organisation);
         double others = stored.spent() - stored.closedSpent() - account.reportedSpent();
-        return (account.used() + prior) / (account.used() + others + prior * vms);
+        double own = Math.max(0, account.used());
+        return (own + prior) / (own + others + prior * vms);
     }
 
     private void write(long nowMs) {
@@ -267,10 +304,10 @@
         EscrowAccount account = mAccounts.get(organisation);
         long held = ownGrant(mRecord, organisation);
         if (mGivingBack) {
-            return Math.min(held, account.used());
+            return Math.max(0, Math.min(held, account.used()));
         }
         long target = target(nowMs, organisation, mRecord);
-        long aim = account.used() + target;
+        long aim = Math.max(0, account.used() + target);
         if (aim > held) {
             return held + Math.max(0, Math.min(aim - held, room));
         }
@@ -285,6 +322,9 @@
 
     private void replied(long nowMs, PlatformReply reply) {
         mOpen = false;
+        mFailing =
+                reply instanceof PlatformReply.Throttled
+                        || reply instanceof PlatformReply.Unavailable;
         if (reply instanceof PlatformReply.Written written) {
             mHeardMs = nowMs;
             mUncertainBase = -1;
--- a/coordination/src/main/java/org/hornbeampass/coordination/escrow/GrantListener.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/escrow/GrantListener.java
@@ -5,10 +5,16 @@
  *
  * <p>Called on the book's thread.
  */
-@FunctionalInterface
 public interface GrantListener {
     /** Hears nothing. */
-    GrantListener NONE = (nowMs, organisation, change) -> {};
+    GrantListener NONE =
+            new GrantListener() {
+                @Override
+                public void onGrant(long nowMs, String organisation, Change change) {}
+
+                @Override
+                public void onLoan(long nowMs, String organisation, long tokens) {}
+            };
 
     /**
      * A grant was taken, or some of it returned.
@@ -19,6 +25,15 @@
      */
     void onGrant(long nowMs, String organisation, Change change);
 
+    /**
+     * Tokens were borrowed from another VM.
+     *
+     * @param nowMs the present time in milliseconds
+     * @param organisation the organisation's name
+     * @param tokens how many
+     */
+    void onLoan(long nowMs, String organisation, long tokens);
+
     /**
      * A change of a grant, in tokens.
      *
--- /dev/null
+++ b/coordination/src/test/java/org/hornbeampass/coordination/escrow/EscrowLoansTest.java
@@ -0,0 +1,110 @@
+package org.hornbeampass.coordination.escrow;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.vavr.control.Either;
+
+import org.hornbeampass.coordination.peer.PeerMessage;
+import org.hornbeampass.coordination.peer.PeerNetwork;
+import org.hornbeampass.coordination.platform.MemoryPlatform;
+import org.hornbeampass.coordination.platform.Platform;
+import org.hornbeampass.coordination.platform.PlatformReply;
+import org.hornbeampass.state.Failure;
+import org.hornbeampass.state.VmId;
+import org.hornbeampass.state.service.PrepaidOrganisation;
+import org.junit.jupiter.api.Test;
+
+import java.util.List;
+import java.util.OptionalLong;
+import java.util.Random;
+import java.util.function.BiConsumer;
+
+/** Checks that a VM that the store turns away gets tokens from another, and no token twice. */
+class EscrowLoansTest {
+    private static final long PREPAID = 100_000;
+
+    private final MemoryPlatform mStore = new MemoryPlatform();
+    private final EscrowBook mLender = book("lender", mStore);
+    private boolean mTurnedAway;
+    private final Platform mLink =
+            (nowMs, call, done) -> {
+                if (mTurnedAway) {
+                    done.accept(nowMs, new PlatformReply.Throttled());
+                } else {
+                    mStore.submit(nowMs, call, done);
+                }
+            };
+    private final EscrowBook mBorrower = book("borrower", mLink);
+    private final EscrowLoans mLenderLoans =
+            new EscrowLoans(mLender, new ToLender(), List::of, new Random(1));
+    private final EscrowLoans mLoans =
+            new EscrowLoans(mBorrower, new ToLender(), () -> List.of("lender"), new Random(1));
+
+    private static EscrowBook book(String vm, Platform platform) {
+        EscrowBook book =
+                new EscrowBook(
+                        platform, new EscrowOwner(vm, vm + "-1"), 1, () -> 2, GrantListener.NONE);
+        book.onOrganisations(
+                List.of(new PrepaidOrganisation("org", List.of("k"), 0, OptionalLong.of(PREPAID))));
+        return book;
+    }
+
+    /** Hands requests straight to the lender. */
+    private final class ToLender implements PeerNetwork {
+        @Override
+        public void send(String vmName, PeerMessage message) {}
+
+        @Override
+        public void request(
+                long nowMs,
+                String vmName,
+                PeerMessage request,
+                long timeoutMs,
+                BiConsumer<Long, Either<Failure, PeerMessage>> done) {
+            mLenderLoans.onRequest(
+                    nowMs,
+                    new VmId("borrower", 1),
+                    (LoanRequest) request,
+                    reply -> done.accept(nowMs, Either.right(reply)));
+        }
+    }
+
+    private void run(long fromMs, long toMs) {
+        for (long t = fromMs; t < toMs; t += 100) {
+            mLender.tick(t);
+            mBorrower.tick(t);
+            mLoans.tick(t);
+        }
+    }
+
+    @Test
+    void vmThatWasNeverServed_getsTokensFromItsPeer() {
+        mTurnedAway = true;
+        run(0, 3_000);
+        assertThat(mBorrower.admit(3_000, "org", 1_000)).isEqualTo(Admission.RESERVED);
+    }
+
+    @Test
+    void bothTogether_neverHoldMoreThanTheBudget() {
+        mTurnedAway = true;
+        run(0, 10_000);
+        long admitted = 0;
+        for (long t = 10_000; t < 40_000; t += 100) {
+            run(t, t + 100);
+            for (EscrowBook book : List.of(mLender, mBorrower)) {
+                if (book.admit(t, "org", 700) == Admission.RESERVED) {
+                    admitted += 700;
+                    book.settle(t, "org", 700, 700);
+                }
+            }
+            mTurnedAway = t % 8_000 < 4_000;
+        }
+        assertThat(admitted).isLessThanOrEqualTo(PREPAID).isGreaterThan(PREPAID * 9 / 10);
+    }
+
+    @Test
+    void vmThatTheStoreServes_borrowsNothing() {
+        run(0, 3_000);
+        assertThat(mBorrower.lacking(3_000)).isEmpty();
+    }
+}
--- a/coordination/src/test/java/org/hornbeampass/coordination/escrow/EscrowWorld.java
+++ b/coordination/src/test/java/org/hornbeampass/coordination/escrow/EscrowWorld.java
@@ -105,8 +105,10 @@
     void step() {
         mNowMs += mRandom.nextInt(300);
         Vm vm = mVms.get(mRandom.nextInt(mVms.size()));
-        int what = mRandom.nextInt(20);
-        if (what < 9) {
+        int what = mRandom.nextInt(22);
+        if (what >= 20) {
+            loan(vm, mVms.get(mRandom.nextInt(mVms.size())));
+        } else if (what < 9) {
             request(vm, 1 + mRandom.nextInt(400));
         } else if (what < 14) {
             finish(vm);
@@ -121,6 +123,21 @@
         }
     }
 
+    /** Moves tokens from one VM to another; the reply may be lost, or find a new life. */
+    private void loan(Vm from, Vm to) {
+        EscrowBook borrower = to.mBook;
+        long tokens = from.mBook.lend(mNowMs, ORGANISATION, 1 + mRandom.nextInt(300));
+        int fate = mRandom.nextInt(3);
+        if (fate == 0) {
+            return;
+        }
+        if (fate == 1) {
+            mLate.add(() -> borrower.borrow(mNowMs, ORGANISATION, tokens));
+            return;
+        }
+        borrower.borrow(mNowMs, ORGANISATION, tokens);
+    }
+
     private void change(Vm vm) {
         int what = mRandom.nextInt(3);
         if (what == 0) {
--- a/router/src/main/java/org/hornbeampass/router/daemon/RelayDaemon.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/RelayDaemon.java
@@ -7,8 +7,9 @@
 import io.netty.handler.codec.http.HttpRequest;
 
 import org.hornbeampass.coordination.escrow.EscrowBook;
+import org.hornbeampass.coordination.escrow.EscrowLoans;
 import org.hornbeampass.coordination.escrow.EscrowOwner;
-import org.hornbeampass.coordination.escrow.GrantListener;
+import org.hornbeampass.coordination.escrow.LoanRequest;
 import org.hornbeampass.coordination.membership.Gossip;
 import org.hornbeampass.coordination.membership.IndirectPing;
 import org.hornbeampass.coordination.membership.Ping;
@@ -87,6 +88,7 @@
     private final WatchedView mUpstreams;
     private final NewsExchange mNews;
     private final EscrowBook mBudgets;
+    private final EscrowLoans mLoans;
     private final UpstreamPool mPool;
     private final RelayParts mParts;
     private final CallerServer mCallers;
@@ -124,7 +126,8 @@
                         new EscrowOwner(ip, Long.toHexString(mRandom.nextLong())),
                         settings.budgetShards(),
                         mFleet::vms,
-                        this::onGrant);
+                        new GrantLog(mLog));
+        mLoans = new EscrowLoans(mBudgets, mPeers, mFleet::others, mRandom);
         mPool = new UpstreamPool(mLoops, mClock);
         mParts =
                 new RelayParts(
@@ -190,6 +193,7 @@
         mPeers.on(IndirectPing.class, membership::onIndirectPing);
         mPeers.on(SyncRequest.class, membership::onSyncRequest);
         mPeers.on(NewsRequest.class, mNews::onRequest);
+        mPeers.on(LoanRequest.class, mLoans::onRequest);
     }
 
     private void registerMetrics() {
@@ -257,6 +261,7 @@
         mUpstreams.tick(nowMs);
         mNews.tick(nowMs);
         mBudgets.tick(nowMs);
+        mLoans.tick(nowMs);
         mBoard.tick(nowMs);
         mPool.tick(nowMs);
         mCallers.tick(nowMs);
@@ -288,24 +293,6 @@
                 "\"version\":" + read.get().version() + ",\"revision\":" + change.version());
     }
 
-    private void onGrant(long nowMs, String organisation, GrantListener.Change change) {
-        mLog.believes(
-                nowMs,
-                change.after() >= change.before() ? "grant-taken" : "grant-returned",
-                "\"organisation\":\""
-                        + organisation
-                        + "\",\"before\":"
-                        + change.before()
-                        + ",\"after\":"
-                        + change.after()
-                        + ",\"free\":"
-                        + change.free()
-                        + ",\"unallocated\":"
-                        + change.unallocated()
-                        + ",\"unspent\":"
-                        + change.unspent());
-    }
-
     private void onUpstream(long nowMs, Change change) {
         if (change.value().isEmpty()) {
             String id = change.key().substring(mWire.upstreamPrefix().length());
--- a/transport/src/main/java/org/hornbeampass/protocol/peer/PeerMessageType.java
+++ b/transport/src/main/java/org/hornbeampass/protocol/peer/PeerMessageType.java
@@ -13,6 +13,8 @@
 import org.hornbeampass.coordination.config.SnapshotRequest;
 import org.hornbeampass.coordination.drain.DrainAnswer;
 import org.hornbeampass.coordination.drain.DrainOrder;
+import org.hornbeampass.coordination.escrow.LoanReply;
+import org.hornbeampass.coordination.escrow.LoanRequest;
 import org.hornbeampass.coordination.membership.Ack;
 import org.hornbeampass.coordination.membership.Gossip;
 import org.hornbeampass.coordination.membership.IndirectAck;
@@ -57,6 +59,8 @@
     ASK_REFUSED(41, AskRefused.class, Form.REPLY),
     MOVE_GRANT(42, MoveGrant.class, Form.REQUEST),
     MOVE_ACK(43, MoveAck.class, Form.ONE_WAY),
+    LOAN_REQUEST(44, LoanRequest.class, Form.REQUEST),
+    LOAN_REPLY(45, LoanReply.class, Form.REPLY),
     SUBMIT_ENTRIES(60, SubmitEntries.class, Form.REQUEST),
     ENTRIES_DECIDED(61, EntriesDecided.class, Form.REPLY),
     ENTRIES_REFUSED(62, EntriesRefused.class, Form.REPLY),
