--- a/cli/src/main/java/org/hornbeampass/cli/Hornbeamctl.java
+++ b/cli/src/main/java/org/hornbeampass/cli/Hornbeamctl.java
@@ -8,6 +8,7 @@
 import org.hornbeampass.cli.command.CheckCommand;
 import org.hornbeampass.cli.command.CompletionCommand;
 import org.hornbeampass.cli.command.DrainCommand;
+import org.hornbeampass.cli.command.ExplainCommand;
 import org.hornbeampass.cli.command.OrganisationCommand;
 import org.hornbeampass.cli.command.ParameterName;
 import org.hornbeampass.cli.command.RevisionCommand;
@@ -58,6 +59,7 @@
             DrainCommand.class,
             BurnCommand.class,
             CheckCommand.class,
+            ExplainCommand.class,
             CompletionCommand.class
         },
         exitCodeListHeading = "%nExit codes:%n",
