--- a/coordination/src/main/java/org/hornbeampass/coordination/escrow/EscrowAccount.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/escrow/EscrowAccount.java
@@ -20,17 +20,7 @@
     private double mDemandPerMs;
     private long mDemandAtMs;
     private long mWanted;
-    private Situation mSituation = Situation.UNKNOWN;
-
-    /**
-     * What the store showed last of the whole organisation.
-     *
-     * @param unallocated tokens that nobody holds
-     * @param certain tokens that are not reported spent by anyone
-     */
-    record Situation(long unallocated, long certain) {
-        static final Situation UNKNOWN = new Situation(Long.MAX_VALUE / 2, Long.MAX_VALUE);
-    }
+    private long mLookUntilMs = Long.MIN_VALUE;
 
     long free() {
         return mLimit - used();
@@ -77,24 +67,25 @@
         return mWanted;
     }
 
-    /** Returns whether a request waits for tokens that the store may have. */
-    boolean mayGetWanted() {
-        return mWanted > 0 && mSituation.unallocated() + free() >= mWanted;
-    }
-
-    Situation situation() {
-        return mSituation;
-    }
-
     boolean reserve(long tokens) {
         if (tokens > free()) {
-            mWanted = Math.max(mWanted, tokens);
             return false;
         }
         mReserved += tokens;
         return true;
     }
 
+    /** Notes a request that was not admitted; the store is looked at for it until a time. */
+    void want(long tokens, long lookUntilMs) {
+        mWanted = Math.max(mWanted, tokens);
+        mLookUntilMs = Math.max(mLookUntilMs, lookUntilMs);
+    }
+
+    /** Returns whether requests were refused of late without a proof that the budget is used up. */
+    boolean looks(long nowMs) {
+        return nowMs < mLookUntilMs;
+    }
+
     void settle(long nowMs, long reserved, long used) {
         long spent = Math.min(reserved, used);
         mReserved -= reserved;
@@ -107,11 +98,10 @@
     }
 
     /** Takes in what the store holds for this incarnation, and what of it may be spent. */
-    void onStored(long granted, long limit, long reportedSpent, Situation situation) {
+    void onStored(long granted, long limit, long reportedSpent) {
         mGranted = granted;
         mLimit = limit;
         mReportedSpent = reportedSpent;
-        mSituation = situation;
         mWanted = 0;
     }
 
--- a/coordination/src/main/java/org/hornbeampass/coordination/escrow/EscrowShard.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/escrow/EscrowShard.java
@@ -27,9 +27,28 @@
     /** How often spending is reported while there is some, so that a budget's end is known. */
     private static final long REPORT_MS = 3_000;
 
-    /** How old the last word of the store may be for a proof that a budget is used up. */
+    /**
+     * How old the last word of the store may be for a proof that a budget is used up. Reports of
+     * spending only grow, but a level that was raised may not have come here while the store is out
+     * of reach.
+     */
     private static final long PROOF_MS = 4_000;
 
+    /**
+     * How often the store is looked at for an organisation whose requests were refused without a
+     * proof: often enough that the next refusal is a proof, where there is one.
+     */
+    private static final long LOOK_PAUSE_MS = PROOF_MS / 2;
+
+    /**
+     * For how long the store is looked at after the last such refusal, in milliseconds: callers
+     * come back within their own time limit, which is 12 s at the most on the sheets at hand.
+     */
+    private static final long LOOK_MS = 12_000;
+
+    /** Tokens of a budget of which the store has not been heard yet. */
+    private static final long UNKNOWN_TOKENS = Long.MAX_VALUE / 2;
+
     /** The shortest pause between exchanges that no request waits for. */
     private static final long PAUSE_MS = 500;
 
@@ -60,6 +79,7 @@
 
     private boolean mOpen;
     private long mOpenedMs;
+    private boolean mSeen;
     private boolean mKnown;
     private boolean mFailing;
     private boolean mMustCreate;
@@ -96,17 +116,54 @@
         if (account.reserve(tokens)) {
             return Admission.RESERVED;
         }
-        boolean fresh = nowMs - mHeardMs < PROOF_MS;
-        return fresh && tokens > account.situation().certain()
-                ? Admission.EXHAUSTED
-                : Admission.SHORT;
+        boolean provable = tokens > unspent(organisation);
+        if (provable && fresh(nowMs)) {
+            return Admission.EXHAUSTED;
+        }
+        account.want(tokens, nowMs + LOOK_MS);
+        return Admission.SHORT;
+    }
+
+    private boolean fresh(long nowMs) {
+        return nowMs - mHeardMs < PROOF_MS;
+    }
+
+    /** Returns the tokens that nobody is known to have spent. */
+    private long unspent(String organisation) {
+        if (!mSeen) {
+            return UNKNOWN_TOKENS;
+        }
+        EscrowAccount account = mAccounts.get(organisation);
+        long unreported = account.spent() - account.reportedSpent();
+        return mPrepaid.get(organisation)
+                - mRecord.organisation(organisation).spent()
+                - Math.max(0, unreported);
+    }
+
+    /** Returns the tokens that nobody holds, as far as known. */
+    private long unallocated(String organisation) {
+        return mSeen
+                ? mPrepaid.get(organisation) - mRecord.organisation(organisation).granted()
+                : UNKNOWN_TOKENS;
     }
 
     /**
-     * Returns whether the store can be reached and may have the tokens that a request waits for.
+     * Returns whether the store can be reached and may have the tokens that a request waits for, or
+     * the proof that there are none.
      */
     boolean mayGetWanted(long nowMs, String organisation) {
-        return mKnown && !outOfReach(nowMs) && mAccounts.get(organisation).mayGetWanted();
+        if (!mKnown || outOfReach(nowMs)) {
+            return false;
+        }
+        boolean provable = mAccounts.get(organisation).wanted() > unspent(organisation);
+        return hasWanted(organisation) || (provable && !fresh(nowMs));
+    }
+
+    /** Returns whether the store may have the tokens that a request waits for. */
+    private boolean hasWanted(String organisation) {
+        EscrowAccount account = mAccounts.get(organisation);
+        return account.wanted() > 0
+                && unallocated(organisation) + account.free() >= account.wanted();
     }
 
     /** Returns whether calls to the store fail, or go without an answer for too long. */
@@ -186,7 +243,7 @@
             return !givenBack();
         }
         long sinceMs = nowMs - mExchangedMs;
-        boolean hopeful = mAccounts.values().stream().anyMatch(EscrowAccount::mayGetWanted);
+        boolean hopeful = mPrepaid.keySet().stream().anyMatch(this::hasWanted);
         if (hopeful && sinceMs >= URGENT_PAUSE_MS) {
             return true;
         }
@@ -202,15 +259,14 @@
 
     private boolean wants(long nowMs, String organisation, boolean report) {
         EscrowAccount account = mAccounts.get(organisation);
-        if (account.situation().equals(EscrowAccount.Situation.UNKNOWN)) {
+        if (!mSeen || (account.looks(nowMs) && nowMs - mHeardMs >= LOOK_PAUSE_MS)) {
             return true;
         }
         if (report && account.spent() > account.reportedSpent()) {
             return true;
         }
         long target = target(nowMs, organisation, mRecord);
-        long unallocated = account.situation().unallocated();
-        boolean low = account.free() < target / 2 && unallocated > 0;
+        boolean low = account.free() < target / 2 && unallocated(organisation) > 0;
         return low || account.free() > target + target / RETURN_PART;
     }
 
@@ -376,6 +432,7 @@
     }
 
     private void adopt(long nowMs, boolean writeStillOpen) {
+        mSeen = true;
         mPrepaid.forEach(
                 (name, prepaid) -> {
                     EscrowRecord.Organisation stored = mRecord.organisation(name);
@@ -386,9 +443,7 @@
                     account.onStored(
                             granted,
                             writeStillOpen ? Math.min(granted, account.limit()) : granted,
-                            own == null ? 0 : own.spent(),
-                            new EscrowAccount.Situation(
-                                    prepaid - stored.granted(), prepaid - stored.spent()));
+                            own == null ? 0 : own.spent());
                     if (before != granted) {
                         mListener.onGrant(
                                 nowMs,
@@ -397,8 +452,8 @@
                                         before,
                                         granted,
                                         account.free(),
-                                        account.situation().unallocated(),
-                                        account.situation().certain()));
+                                        prepaid - stored.granted(),
+                                        prepaid - stored.spent()));
                     }
                 });
     }
--- a/coordination/src/test/java/org/hornbeampass/coordination/escrow/EscrowBookTest.java
+++ b/coordination/src/test/java/org/hornbeampass/coordination/escrow/EscrowBookTest.java
@@ -45,6 +45,34 @@
         assertThat(world.drawn()).isLessThanOrEqualTo(1_000);
     }
 
+    @Test
+    void usedUpBudget_isProvedUsedUpOnAllVms() {
+        EscrowWorld world = usedUp();
+        assertThat(world.request(0, 100)).isEqualTo(Admission.EXHAUSTED);
+    }
+
+    @Test
+    void raisedBudget_isNotProvedUsedUpByOldReports() {
+        EscrowWorld world = usedUp();
+        world.raise(1_000);
+        assertThat(world.request(0, 100)).isNotEqualTo(Admission.EXHAUSTED);
+        world.calm(1_000);
+        assertThat(world.request(0, 100)).isEqualTo(Admission.RESERVED);
+    }
+
+    private static EscrowWorld usedUp() {
+        EscrowWorld world = new EscrowWorld(1, 2, 1_000);
+        world.calm(2_000);
+        for (int i = 0; i < 400; i++) {
+            world.request(i % 2, 10);
+            world.calm(100);
+        }
+        world.useUp(0);
+        world.useUp(1);
+        world.calm(8_000);
+        return world;
+    }
+
     @Test
     void killedVm_losesItsUnspentGrantForEver() {
         EscrowWorld world = new EscrowWorld(1, 2, 10_000);
--- a/coordination/src/test/java/org/hornbeampass/coordination/escrow/EscrowWorld.java
+++ b/coordination/src/test/java/org/hornbeampass/coordination/escrow/EscrowWorld.java
@@ -182,6 +182,17 @@
         mUsed += used;
     }
 
+    /** Ends all requests in progress at a VM, which used all that was reserved for them. */
+    void useUp(int vm) {
+        Vm at = mVms.get(vm);
+        for (Running running : at.mRunning) {
+            at.mBook.settle(mNowMs, ORGANISATION, running.reserved(), running.reserved());
+            mReserved -= running.reserved();
+            mUsed += running.reserved();
+        }
+        at.mRunning.clear();
+    }
+
     /** Lets all VMs work for a time, with nothing failing. */
     void calm(long ms) {
         mFaults = false;
@@ -194,6 +205,12 @@
         }
     }
 
+    /** Raises the budget on all VMs. */
+    void raise(long tokens) {
+        mPrepaid += tokens;
+        mVms.forEach(Vm::configure);
+    }
+
     void cut() {
         mFaults = true;
     }
