Log lost and regained stores and peers; put changed settings in force; export budgets

SIGHUP only said "changed"; a silent change of the settings file was not seen; budgets were not on the metrics address.

Change: ObservedStore counts calls by kind and result and logs store-lost (with the reason, also for a call that hangs for 0.6 s) and store-regained; PeerLog logs each change of a peer's state; BudgetMetrics exports granted, free and spent tokens; the settings are read on SIGHUP and every 2 s, retry bounds, seeds and the time for keeping addresses come in force at once, the rest is named as needing a restart.

--- a/coordination/src/main/java/org/hornbeampass/coordination/membership/Membership.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/membership/Membership.java
@@ -81,6 +81,13 @@
         return mView;
     }
 
+    /** Adds VMs to ask for others; this VM itself is left out. */
+    public void addSeeds(List<Seed> seeds) {
+        synchronized (mLock) {
+            seeds.forEach(s -> addCandidate(s.name(), s.peerAddress()));
+        }
+    }
+
     /** Adds a listener, which hears of what changes from now on. */
     public void addListener(MembershipListener listener) {
         mListeners.add(listener);
--- a/coordination/src/main/java/org/hornbeampass/coordination/service/UpstreamBoard.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/service/UpstreamBoard.java
@@ -84,11 +84,6 @@
         instance.markGoneAt(nowMs);
     }
 
-    /** Takes the word of an upstream that it is leaving. */
-    public void onLeaving(UpstreamInstance instance) {
-        instance.markLeaving();
-    }
-
     /** Forgets upstreams that are gone and have no request in progress. */
     public void tick(long nowMs) {
         mById.values().removeIf(i -> i.gone(nowMs) && i.inFlight() == 0);
@@ -97,17 +92,6 @@
         }
     }
 
-    /** Returns how many upstreams of a service may take requests. */
-    public int usable(long nowMs, String service) {
-        int count = 0;
-        for (UpstreamInstance instance : mByService.getOrDefault(service, List.of())) {
-            if (instance.usable(nowMs)) {
-                count++;
-            }
-        }
-        return count;
-    }
-
     /**
      * Chooses the upstream of a request.
      *
--- a/coordination/src/main/java/org/hornbeampass/coordination/service/UpstreamInstance.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/service/UpstreamInstance.java
@@ -57,10 +57,6 @@
         mGoneAtMs = Long.MAX_VALUE;
     }
 
-    void markLeaving() {
-        mLeaving = true;
-    }
-
     /** Takes it out of use at a time in milliseconds, unless its entry is seen again before. */
     void markGoneAt(long atMs) {
         mGoneAtMs = Math.min(mGoneAtMs, atMs);
--- a/router/src/main/java/org/hornbeampass/router/daemon/FleetView.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/FleetView.java
@@ -75,11 +75,7 @@
                         self.region(),
                         self.domain(),
                         false);
-        List<Seed> seeds =
-                settings.seeds().stream()
-                        .filter(s -> !s.equals(settings.listen().peers()))
-                        .map(s -> new Seed(s.getAddress().getHostAddress(), text(s)))
-                        .toList();
+        List<Seed> seeds = seeds(settings.seeds());
         mMembership = new Membership(self, peers, seeds, MembershipSettings.defaults(), random);
         mList = new VmList(mMembership, platform, random);
     }
@@ -88,6 +84,18 @@
         return address.getAddress().getHostAddress() + ":" + address.getPort();
     }
 
+    /** Returns seeds under the names of their VMs; this VM's own among them does no harm. */
+    private static List<Seed> seeds(List<InetSocketAddress> addresses) {
+        return addresses.stream()
+                .map(s -> new Seed(s.getAddress().getHostAddress(), text(s)))
+                .toList();
+    }
+
+    /** Adds VMs to ask for others. */
+    void addSeeds(List<InetSocketAddress> addresses) {
+        mMembership.addSeeds(seeds(addresses));
+    }
+
     Membership membership() {
         return mMembership;
     }
--- /dev/null
+++ b/router/src/main/java/org/hornbeampass/router/daemon/ObservedStore.java
@@ -0,0 +1,121 @@
+package org.hornbeampass.router.daemon;
+
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.MetricRegistry;
+
+import org.hornbeampass.coordination.platform.Platform;
+import org.hornbeampass.coordination.platform.PlatformCall;
+import org.hornbeampass.coordination.platform.PlatformReply;
+import org.hornbeampass.router.relay.RelayLog;
+
+import java.util.LinkedHashSet;
+import java.util.Locale;
+import java.util.Set;
+import java.util.function.BiConsumer;
+
+/**
+ * The store, with its calls counted by kind and result, and a log line when it is lost or regained.
+ *
+ * <p>Invariants: a line "store-lost" is followed by "store-regained" before the next "store-lost";
+ * a call that hangs counts as lost before it is given up. Confined to one event loop.
+ */
+final class ObservedStore implements Platform {
+    /**
+     * A call without an answer for so long, in milliseconds, is a lost store: answers take 4 ms,
+     * and 400 where the store is slow.
+     */
+    private static final long HANGS_MS = 600;
+
+    private final Platform mStore;
+    private final RelayLog mLog;
+    private final MetricRegistry mMetrics;
+    private final Set<OpenCall> mOpen = new LinkedHashSet<>();
+    private boolean mLost;
+    private long mLostAtMs;
+    private long mAnsweredMs;
+
+    ObservedStore(Platform store, RelayLog log, MetricRegistry metrics) {
+        mStore = store;
+        mLog = log;
+        mMetrics = metrics;
+        metrics.register("store_lost", (Gauge<Integer>) () -> mLost ? 1 : 0);
+    }
+
+    /** A call that waits for its answer; compared by identity. */
+    private static final class OpenCall {
+        private final PlatformCall mCall;
+        private final long mSinceMs;
+
+        OpenCall(PlatformCall call, long sinceMs) {
+            mCall = call;
+            mSinceMs = sinceMs;
+        }
+
+        boolean hangs(long nowMs) {
+            return mCall.kind() != PlatformCall.Kind.WATCH && nowMs - mSinceMs >= HANGS_MS;
+        }
+    }
+
+    @Override
+    public void submit(long nowMs, PlatformCall call, BiConsumer<Long, PlatformReply> done) {
+        OpenCall open = new OpenCall(call, nowMs);
+        mOpen.add(open);
+        mStore.submit(
+                nowMs,
+                call,
+                (t, reply) -> {
+                    mOpen.remove(open);
+                    note(t, call, reply);
+                    done.accept(t, reply);
+                });
+    }
+
+    private void note(long nowMs, PlatformCall call, PlatformReply reply) {
+        String result = reply.getClass().getSimpleName().toLowerCase(Locale.ROOT);
+        String kind = call.kind().name().toLowerCase(Locale.ROOT);
+        mMetrics.counter("store_calls{kind=\"" + kind + "\",result=\"" + result + "\"}").inc();
+        if (reply instanceof PlatformReply.Unavailable unavailable) {
+            lost(nowMs, call, unavailable.reason());
+        } else if (reply instanceof PlatformReply.Throttled) {
+            lost(nowMs, call, "turned away");
+        } else {
+            answered(nowMs);
+        }
+    }
+
+    private void lost(long nowMs, PlatformCall call, String reason) {
+        if (mLost) {
+            return;
+        }
+        mLost = true;
+        mLostAtMs = nowMs;
+        mLog.believes(
+                nowMs,
+                "store-lost",
+                "\"call\":\""
+                        + call.getClass().getSimpleName()
+                        + "\",\"reason\":\""
+                        + reason.replace('"', '\'')
+                        + "\",\"last_answer_ms\":"
+                        + (nowMs - mAnsweredMs));
+    }
+
+    private void answered(long nowMs) {
+        mAnsweredMs = nowMs;
+        if (!mLost) {
+            return;
+        }
+        mLost = false;
+        mLog.believes(nowMs, "store-regained", "\"lost_ms\":" + (nowMs - mLostAtMs));
+    }
+
+    /** Looks for calls that hang. */
+    void tick(long nowMs) {
+        for (OpenCall each : mOpen) {
+            if (each.hangs(nowMs)) {
+                lost(nowMs, each.mCall, "no answer for " + (nowMs - each.mSinceMs) + " ms");
+                return;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/hornbeampass/router/daemon/PeerLog.java
@@ -0,0 +1,54 @@
+package org.hornbeampass.router.daemon;
+
+import org.hornbeampass.coordination.membership.MembershipListener;
+import org.hornbeampass.router.relay.RelayLog;
+import org.hornbeampass.state.member.Member;
+import org.hornbeampass.state.member.MemberState;
+import org.hornbeampass.state.member.MembershipView;
+
+import java.util.Locale;
+import java.util.Optional;
+
+/**
+ * Logs what this VM believes of the others, a line for each change.
+ *
+ * <p>Confined to one event loop.
+ */
+final class PeerLog implements MembershipListener {
+    private final RelayLog mLog;
+    private Optional<MembershipView> mBefore = Optional.empty();
+
+    PeerLog(RelayLog log) {
+        mLog = log;
+    }
+
+    @Override
+    public void onChange(long nowMs, MembershipView view) {
+        for (Member member : view.members()) {
+            Optional<Member> before = mBefore.flatMap(v -> v.member(member.name()));
+            boolean same =
+                    before.isPresent()
+                            && before.get().state() == member.state()
+                            && before.get().vm().equals(member.vm());
+            if (!same && !member.equals(view.self())) {
+                log(nowMs, member, before.map(Member::state));
+            }
+        }
+        mBefore = Optional.of(view);
+    }
+
+    private void log(long nowMs, Member member, Optional<MemberState> before) {
+        mLog.believes(
+                nowMs,
+                "peer-" + text(member.state()),
+                "\"peer\":\""
+                        + member.name()
+                        + "\",\"before\":\""
+                        + before.map(PeerLog::text).orElse("unknown")
+                        + "\"");
+    }
+
+    private static String text(MemberState state) {
+        return state.name().toLowerCase(Locale.ROOT);
+    }
+}
--- a/router/src/main/java/org/hornbeampass/router/daemon/RelayDaemon.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/RelayDaemon.java
@@ -16,7 +16,6 @@
 import org.hornbeampass.coordination.membership.SyncRequest;
 import org.hornbeampass.coordination.news.NewsExchange;
 import org.hornbeampass.coordination.news.NewsRequest;
-import org.hornbeampass.coordination.platform.Platform;
 import org.hornbeampass.coordination.platform.PlatformReply.Change;
 import org.hornbeampass.coordination.platform.RetryPolicy;
 import org.hornbeampass.coordination.platform.WatchedView;
@@ -74,7 +73,8 @@
     /** How long after an outage entries may be missing that will be back, in milliseconds. */
     private static final long AFTER_OUTAGE_MS = 2_500;
 
-    private final RelayDaemonSettings mSettings;
+    private final TickLoop mTicks;
+    private RelayDaemonSettings mSettings;
     private final WireFormat mWire;
     private final Clock mClock = Clock.monotonic();
     private final EventLoops mLoops = EventLoops.create(1, "relay");
@@ -82,12 +82,14 @@
     private final RelayLog mLog = new RelayLog(mMetrics);
     private final Random mRandom = new SecureRandom();
     private final UpstreamBoard mBoard = new UpstreamBoard(mRandom);
+    private final ObservedStore mStore;
     private final FleetView mFleet;
     private final PeerTransport mPeers;
     private final WatchedView mConfig;
     private final WatchedView mUpstreams;
     private final NewsExchange mNews;
     private final EscrowBook mBudgets;
+    private final BudgetMetrics mBudgetMetrics;
     private final EscrowLoans mLoans;
     private final UpstreamPool mPool;
     private final RelayParts mParts;
@@ -102,7 +104,9 @@
         HttpClient client =
                 NettyHttpClient.create(
                         mLoops, HttpClientSettings.STANDARD.withPool(16, 64), mClock);
-        Platform platform = platforms.create(client, settings.platform(), mClock);
+        mStore =
+                new ObservedStore(
+                        platforms.create(client, settings.platform(), mClock), mLog, mMetrics);
         String ip = settings.listen().peers().getAddress().getHostAddress();
         VmId vm = new VmId(ip, System.currentTimeMillis());
         mPeers =
@@ -111,22 +115,17 @@
                         PeerSettings.of(vm, settings.listen().peers(), settings.cluster()),
                         mClock,
                         name -> fleet().flatMap(f -> f.peerAddress(name)));
-        mFleet = new FleetView(settings, vm, mPeers, platform, new Random(mRandom.nextLong()));
-        mConfig = view(platform, wire.configPrefix(), this::onConfig);
-        mUpstreams = view(platform, wire.upstreamPrefix(), this::onUpstream);
+        mFleet = new FleetView(settings, vm, mPeers, mStore, new Random(mRandom.nextLong()));
+        mConfig = view(wire.configPrefix(), this::onConfig);
+        mUpstreams = view(wire.upstreamPrefix(), this::onUpstream);
         mNews =
                 new NewsExchange(
                         Map.of(wire.configPrefix(), mConfig, wire.upstreamPrefix(), mUpstreams),
                         mPeers,
                         mFleet::others,
                         mRandom);
-        mBudgets =
-                new EscrowBook(
-                        platform,
-                        new EscrowOwner(ip, Long.toHexString(mRandom.nextLong())),
-                        settings.budgetShards(),
-                        mFleet::vms,
-                        new GrantLog(mLog));
+        mBudgets = budgets(ip);
+        mBudgetMetrics = new BudgetMetrics(mMetrics, mBudgets);
         mLoans = new EscrowLoans(mBudgets, mPeers, mFleet::others, mRandom);
         mPool = new UpstreamPool(mLoops, mClock);
         mParts =
@@ -154,8 +153,8 @@
         mDirectory = serve(settings.listen().directory(), this::onDirectory);
         mReadiness = serve(settings.listen().readiness(), this::onReadiness);
         settings.listen().metrics().ifPresent(a -> serve(a, this::onMetrics));
-        TickLoop ticks = new TickLoop(mLoops, mClock);
-        ticks.every(TICK_MS, this::tick);
+        mTicks = new TickLoop(mLoops, mClock);
+        mTicks.every(TICK_MS, this::tick);
     }
 
     /**
@@ -176,9 +175,9 @@
         return mLoops.group().next();
     }
 
-    private WatchedView view(Platform platform, String prefix, BiConsumer<Long, Change> taker) {
+    private WatchedView view(String prefix, BiConsumer<Long, Change> taker) {
         return new WatchedView(
-                platform,
+                mStore,
                 prefix,
                 Duration.ofMillis(WATCH_MS),
                 NEWS_BACKOFF,
@@ -186,6 +185,15 @@
                 taker);
     }
 
+    private EscrowBook budgets(String vm) {
+        return new EscrowBook(
+                mStore,
+                new EscrowOwner(vm, Long.toHexString(mRandom.nextLong())),
+                mSettings.budgetShards(),
+                mFleet::vms,
+                new GrantLog(mLog));
+    }
+
     private void register() {
         registerPeers();
         registerMetrics();
@@ -193,6 +201,7 @@
 
     private void registerPeers() {
         var membership = mFleet.membership();
+        membership.addListener(new PeerLog(mLog));
         mPeers.on(Ping.class, membership::onPing);
         mPeers.on(Gossip.class, membership::onGossip);
         mPeers.on(IndirectPing.class, membership::onIndirectPing);
@@ -203,11 +212,17 @@
 
     private void registerMetrics() {
         mMetrics.register("config_version", (Gauge<Long>) this::configVersion);
+        mMetrics.register("config_failing_ms", (Gauge<Long>) () -> failingMs(mConfig));
+        mMetrics.register("upstreams_failing_ms", (Gauge<Long>) () -> failingMs(mUpstreams));
         mMetrics.register("vms", (Gauge<Integer>) mFleet::vms);
         mMetrics.register("caller_connections", (Gauge<Integer>) this::connections);
         mMetrics.register("upstream_connections_opened", (Gauge<Long>) mPool::opened);
     }
 
+    private long failingMs(WatchedView view) {
+        return view.failingForMs(mClock.nowMs());
+    }
+
     private int connections() {
         return mCallers.connections();
     }
@@ -242,6 +257,7 @@
     }
 
     private CallerListener onMetrics(long nowMs, CallerConnection caller, HttpRequest head) {
+        mBudgetMetrics.refresh();
         caller.respond(
                 200,
                 Map.of("content-type", MetricsText.CONTENT_TYPE),
@@ -261,6 +277,7 @@
     }
 
     private void tick(long nowMs) {
+        mStore.tick(nowMs);
         mFleet.tick(nowMs);
         mConfig.tick(nowMs);
         mUpstreams.tick(nowMs);
@@ -329,6 +346,21 @@
                         + change.version());
     }
 
+    /** Puts newer settings in force, as far as they can change while the daemon runs. */
+    void apply(RelayDaemonSettings settings) {
+        loop().execute(
+                        () -> {
+                            mSettings = settings;
+                            mParts.setSettings(settings.relay());
+                            mFleet.addSeeds(settings.seeds());
+                        });
+    }
+
+    /** Runs an action on the loop again and again. */
+    void every(long ms, Runnable action) {
+        mTicks.every(ms, nowMs -> action.run());
+    }
+
     /** Begins the graceful shutdown; completed when all is done that can be done. */
     public CompletableFuture<Void> shutDown() {
         loop().execute(() -> mShutdown.begin(mClock.nowMs()));
--- a/router/src/main/java/org/hornbeampass/router/daemon/RelayDaemonCommand.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/RelayDaemonCommand.java
@@ -71,12 +71,15 @@
             settings.getLeft().lines().forEach(System.err::println);
             return EXIT_SETTINGS;
         }
-        return check ? 0 : run(file, settings.get(), wire, platforms);
+        return check ? 0 : run(file, text, settings.get(), wire, platforms);
     }
 
     private static int run(
-            Path file, RelayDaemonSettings settings, WireFormat wire, PlatformFactory platforms) {
-        HangUp.handle(new SettingsReload(file, settings));
+            Path file,
+            String text,
+            RelayDaemonSettings settings,
+            WireFormat wire,
+            PlatformFactory platforms) {
         RelayDaemon daemon;
         try {
             daemon = RelayDaemon.start(settings, wire, platforms);
@@ -84,6 +87,9 @@
             System.err.println(e.getMessage());
             return EXIT_LISTEN;
         }
+        SettingsReload reload = new SettingsReload(file, text, settings, daemon::apply);
+        HangUp.handle(reload::onSignal);
+        daemon.every(SettingsReload.LOOK_MS, reload::look);
         Runtime.getRuntime().addShutdownHook(new Thread(() -> onSignal(daemon), "shutdown"));
         LOG.info("{\"kind\":\"started\",\"vm\":\"{}\"}", settings.name());
         daemon.shutDownFuture().join();
--- a/router/src/main/java/org/hornbeampass/router/daemon/RelayDaemonSettings.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/RelayDaemonSettings.java
@@ -7,6 +7,7 @@
 
 import java.net.InetSocketAddress;
 import java.net.URI;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 
@@ -44,6 +45,45 @@
         seeds = List.copyOf(seeds);
     }
 
+    /**
+     * Returns these settings with all of newer ones that can change while the daemon runs: bounds
+     * of retries, seeds, and how long addresses may be kept.
+     */
+    RelayDaemonSettings adopt(RelayDaemonSettings newer) {
+        return new RelayDaemonSettings(
+                name,
+                region,
+                domain,
+                listen,
+                platform,
+                cluster,
+                newer.seeds,
+                newer.relay,
+                graceMs,
+                newer.keepAddressesMs,
+                budgetShards);
+    }
+
+    /** Returns the names of the settings that differ and are read at the start only. */
+    List<String> changesThatNeedRestart(RelayDaemonSettings newer) {
+        List<String> names = new ArrayList<>();
+        add(names, "name", name, newer.name);
+        add(names, "region", region, newer.region);
+        add(names, "failure_domain", domain, newer.domain);
+        add(names, "listen", listen, newer.listen);
+        add(names, "platform", platform, newer.platform);
+        add(names, "cluster_key", cluster, newer.cluster);
+        add(names, "grace", graceMs, newer.graceMs);
+        add(names, "budget_shards", budgetShards, newer.budgetShards);
+        return names;
+    }
+
+    private static void add(List<String> names, String name, Object mine, Object newer) {
+        if (!mine.equals(newer)) {
+            names.add(name);
+        }
+    }
+
     /**
      * Where a VM listens.
      *
--- a/router/src/main/java/org/hornbeampass/router/relay/RelayParts.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/RelayParts.java
@@ -23,7 +23,7 @@
  */
 public final class RelayParts {
     private final WireFormat mWire;
-    private final RelaySettings mSettings;
+    private RelaySettings mSettings;
     private final EventLoop mLoop;
     private final Clock mClock;
     private final UpstreamBoard mBoard;
@@ -109,6 +109,11 @@
         mRoutes = Optional.of(routes);
     }
 
+    /** Puts bounds in force for the sends that come from now on. */
+    public void setSettings(RelaySettings settings) {
+        mSettings = settings;
+    }
+
     /** Refuses requests that come from now on. */
     public void refuseNew() {
         mRefusing = true;
--- /dev/null
+++ b/router/src/test/java/org/hornbeampass/router/daemon/ObservedStoreTest.java
@@ -0,0 +1,84 @@
+package org.hornbeampass.router.daemon;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.codahale.metrics.MetricRegistry;
+
+import org.hornbeampass.coordination.platform.Platform;
+import org.hornbeampass.coordination.platform.PlatformCall;
+import org.hornbeampass.coordination.platform.PlatformReply;
+import org.hornbeampass.router.relay.RelayLog;
+import org.junit.jupiter.api.Test;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.function.BiConsumer;
+
+/** Checks that a lost store is told once, with its return. */
+class ObservedStoreTest {
+    private static final PlatformCall GET = new PlatformCall.Get("budgets/shard-0");
+    private static final PlatformCall WATCH =
+            new PlatformCall.Watch("config/", 1, Duration.ofMillis(2_500));
+
+    private final MetricRegistry mMetrics = new MetricRegistry();
+    private final Deque<BiConsumer<Long, PlatformReply>> mOpen = new ArrayDeque<>();
+    private final Platform mNever = (nowMs, call, done) -> mOpen.add(done);
+    private final ObservedStore mStore =
+            new ObservedStore(mNever, new RelayLog(mMetrics), mMetrics);
+
+    private void call(PlatformCall call, long nowMs) {
+        mStore.submit(nowMs, call, (t, reply) -> {});
+    }
+
+    private void reply(long nowMs, PlatformReply reply) {
+        mOpen.remove().accept(nowMs, reply);
+    }
+
+    private long lines(String kind) {
+        return mMetrics.counter("decisions{kind=\"" + kind + "\"}").getCount();
+    }
+
+    @Test
+    void failuresInARow_areOneLoss() {
+        for (int i = 0; i < 5; i++) {
+            call(GET, i * 100L);
+            reply(i * 100L + 5, new PlatformReply.Unavailable("refused"));
+        }
+        assertThat(lines("store-lost")).isEqualTo(1);
+        assertThat(lines("store-regained")).isZero();
+        call(GET, 1_000);
+        reply(1_005, new PlatformReply.Missing());
+        assertThat(lines("store-regained")).isEqualTo(1);
+        call(GET, 2_000);
+        reply(2_005, new PlatformReply.Throttled());
+        assertThat(lines("store-lost")).isEqualTo(2);
+    }
+
+    @Test
+    void callThatHangs_isALossBeforeItIsGivenUp() {
+        call(GET, 0);
+        mStore.tick(500);
+        assertThat(lines("store-lost")).isZero();
+        mStore.tick(700);
+        assertThat(lines("store-lost")).isEqualTo(1);
+        reply(800, new PlatformReply.Missing());
+        mStore.tick(900);
+        assertThat(lines("store-regained")).isEqualTo(1);
+    }
+
+    @Test
+    void watchThatWaits_isNoLoss() {
+        call(WATCH, 0);
+        mStore.tick(2_400);
+        assertThat(lines("store-lost")).isZero();
+    }
+
+    @Test
+    void calls_areCountedByKindAndResult() {
+        call(GET, 0);
+        reply(5, new PlatformReply.Missing());
+        assertThat(mMetrics.counter("store_calls{kind=\"read\",result=\"missing\"}").getCount())
+                .isEqualTo(1);
+    }
+}
--- a/transport/src/main/java/org/hornbeampass/transport/relay/CallerConnection.java
+++ b/transport/src/main/java/org/hornbeampass/transport/relay/CallerConnection.java
@@ -49,7 +49,6 @@
     private Channel mChannel;
     private Optional<CallerListener> mListener = Optional.empty();
     private boolean mBodyWhole = true;
-    private boolean mAnswering;
     private boolean mAnswered;
     private boolean mSmallBody;
     private boolean mKeepAlive = true;
@@ -121,7 +120,6 @@
         mHttp10 = !head.protocolVersion().equals(HttpVersion.HTTP_1_1);
         mKeepAlive = HttpUtil.isKeepAlive(head) && !mHttp10;
         mBodyWhole = false;
-        mAnswering = false;
         mAnswered = false;
         mSmallBody = HttpUtil.getContentLength(head, Long.MAX_VALUE) <= MAX_DROPPED_BYTES;
         Optional<Failure> fault = HeadRules.fault(head, mServer.limits());
@@ -182,7 +180,6 @@
         if (mGone) {
             return;
         }
-        mAnswering = true;
         boolean hasBody = !HttpUtil.isContentLengthSet(head) && mayHaveBody(head);
         if (hasBody && mHttp10) {
             mKeepAlive = false;
@@ -357,9 +354,4 @@
             ReferenceCountUtil.release(mQueued.poll());
         }
     }
-
-    /** Returns whether the head of the present answer was written. */
-    public boolean answering() {
-        return mAnswering;
-    }
 }
