Say in a refusal's line what lacked; move what is known of budgets to a class of its own

Cause: a line "budget_unreachable" did not tell whether this VM, the store or the whole budget had no tokens, so its cause had to be guessed from grant lines around it.

Change: the line bears what was wanted, free here, unallocated and unspent in the store, how old that is and whether the store is lost. KnownBudgets holds levels and the record as last seen. Where the store is reached and nobody has the tokens, a caller may come back in 1.5 s, once running requests have ended and given back what they did not use, in place of 0.2 s, when the answer is the same.

--- a/coordination/src/main/java/org/hornbeampass/coordination/escrow/EscrowBook.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/escrow/EscrowBook.java
@@ -7,6 +7,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.function.IntSupplier;
 
 /**
@@ -173,6 +174,27 @@
         return holdings;
     }
 
+    /** Returns what decides on requests of an organisation now, for logs. */
+    public Standing standing(long nowMs, String organisation) {
+        return shard(organisation).standing(nowMs, organisation);
+    }
+
+    /**
+     * What decides on requests of one organisation.
+     *
+     * @param free the tokens that can be reserved here
+     * @param unallocated the tokens that nobody holds, as last heard from the store
+     * @param unspent the tokens that nobody is known to have spent, as last heard
+     * @param heardAgoMs how long ago that was, in milliseconds; empty where never
+     * @param outOfReach whether the store can't be reached now
+     */
+    public record Standing(
+            long free,
+            long unallocated,
+            long unspent,
+            OptionalLong heardAgoMs,
+            boolean outOfReach) {}
+
     /**
      * What this VM holds of one budget.
      *
--- a/coordination/src/main/java/org/hornbeampass/coordination/escrow/EscrowShard.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/escrow/EscrowShard.java
@@ -28,18 +28,11 @@
     /** How often spending is reported while there is some, so that a budget's end is known. */
     private static final long REPORT_MS = 3_000;
 
-    /**
-     * How old the last word of the store may be for a proof that a budget is used up. Reports of
-     * spending only grow, but a level that was raised may not have come here while the store is out
-     * of reach.
-     */
-    private static final long PROOF_MS = 4_000;
-
     /**
      * How often the store is looked at for an organisation whose requests were refused without a
      * proof: often enough that the next refusal is a proof, where there is one.
      */
-    private static final long LOOK_PAUSE_MS = PROOF_MS / 2;
+    private static final long LOOK_PAUSE_MS = KnownBudgets.PROOF_MS / 2;
 
     /**
      * For how long the store is looked at after the last such refusal, in milliseconds: callers
@@ -47,9 +40,6 @@
      */
     private static final long LOOK_MS = 12_000;
 
-    /** Tokens of a budget of which the store has not been heard yet. */
-    private static final long UNKNOWN_TOKENS = Long.MAX_VALUE / 2;
-
     /** The shortest pause between exchanges that no request waits for. */
     private static final long PAUSE_MS = 500;
 
@@ -72,23 +62,20 @@
     private final GrantListener mListener;
     private final GrantPolicy mPolicy;
     private final Map<String, EscrowAccount> mAccounts = new HashMap<>();
-    private final Map<String, Long> mPrepaid = new HashMap<>();
+    private final KnownBudgets mKnown = new KnownBudgets();
     private final List<Runnable> mWaiting = new ArrayList<>();
 
     private boolean mOpen;
     private long mOpenedMs;
-    private boolean mSeen;
-    private boolean mKnown;
+    private boolean mVersionKnown;
     private boolean mFailing;
     private boolean mMustCreate;
     private boolean mGivingBack;
     private boolean mGivenBack;
     private long mVersion;
     private long mUncertainBase = -1;
-    private EscrowRecord mRecord = EscrowRecord.empty();
     private EscrowRecord mWritten = EscrowRecord.empty();
     private long mNotBeforeMs = Long.MIN_VALUE;
-    private long mHeardMs = Long.MIN_VALUE / 2;
     private long mExchangedMs = Long.MIN_VALUE / 2;
 
     EscrowShard(
@@ -107,7 +94,7 @@
     }
 
     void setPrepaid(String organisation, long tokens) {
-        mPrepaid.put(organisation, tokens);
+        mKnown.setPrepaid(organisation, tokens);
         mAccounts.computeIfAbsent(organisation, o -> new EscrowAccount());
     }
 
@@ -117,34 +104,15 @@
             return Admission.RESERVED;
         }
         boolean provable = tokens > unspent(organisation);
-        if (provable && fresh(nowMs)) {
+        if (provable && mKnown.fresh(nowMs)) {
             return Admission.EXHAUSTED;
         }
         account.want(tokens, nowMs + LOOK_MS);
         return Admission.SHORT;
     }
 
-    private boolean fresh(long nowMs) {
-        return nowMs - mHeardMs < PROOF_MS;
-    }
-
-    /** Returns the tokens that nobody is known to have spent. */
     private long unspent(String organisation) {
-        if (!mSeen) {
-            return UNKNOWN_TOKENS;
-        }
-        EscrowAccount account = mAccounts.get(organisation);
-        long unreported = account.spent() - account.reportedSpent();
-        return mPrepaid.get(organisation)
-                - mRecord.organisation(organisation).spent()
-                - Math.max(0, unreported);
-    }
-
-    /** Returns the tokens that nobody holds, as far as known. */
-    private long unallocated(String organisation) {
-        return mSeen
-                ? mPrepaid.get(organisation) - mRecord.organisation(organisation).granted()
-                : UNKNOWN_TOKENS;
+        return mKnown.unspent(organisation, mAccounts.get(organisation));
     }
 
     /**
@@ -152,15 +120,15 @@
      * the proof that there are none.
      */
     boolean mayGet(long nowMs, String organisation, long tokens) {
-        if (!mKnown || outOfReach(nowMs)) {
+        if (!mVersionKnown || outOfReach(nowMs)) {
             return false;
         }
         boolean provable = tokens > unspent(organisation);
-        return mayHave(organisation, tokens) || (provable && !fresh(nowMs));
+        return mayHave(organisation, tokens) || (provable && !mKnown.fresh(nowMs));
     }
 
     private boolean mayHave(String organisation, long tokens) {
-        return unallocated(organisation) + mAccounts.get(organisation).free() >= tokens;
+        return mKnown.unallocated(organisation) + mAccounts.get(organisation).free() >= tokens;
     }
 
     /** Returns whether a request waits for tokens that the store may have. */
@@ -179,9 +147,9 @@
         if (!outOfReach(nowMs) || mGivingBack) {
             return;
         }
-        for (String organisation : mPrepaid.keySet()) {
+        for (String organisation : mKnown.organisations()) {
             EscrowAccount account = mAccounts.get(organisation);
-            long target = Math.max(account.wanted(), target(nowMs, organisation, mRecord));
+            long target = Math.max(account.wanted(), target(nowMs, organisation, mKnown.record()));
             if (account.free() < target / 2) {
                 lacking.put(organisation, target - account.free());
             }
@@ -244,6 +212,15 @@
         return mGivenBack || mAccounts.values().stream().allMatch(a -> a.limit() == 0);
     }
 
+    EscrowBook.Standing standing(long nowMs, String organisation) {
+        return new EscrowBook.Standing(
+                free(organisation),
+                mKnown.unallocated(organisation),
+                unspent(organisation),
+                mKnown.heardAgoMs(nowMs),
+                outOfReach(nowMs));
+    }
+
     void addHoldings(Map<String, EscrowBook.Holding> holdings) {
         mAccounts.forEach(
                 (name, a) ->
@@ -251,10 +228,10 @@
     }
 
     void tick(long nowMs) {
-        if (mOpen || mPrepaid.isEmpty() || nowMs < mNotBeforeMs || !due(nowMs)) {
+        if (mOpen || mKnown.organisations().isEmpty() || nowMs < mNotBeforeMs || !due(nowMs)) {
             return;
         }
-        if (!mKnown) {
+        if (!mVersionKnown) {
             submit(nowMs, new PlatformCall.Get(mKey));
             return;
         }
@@ -266,7 +243,7 @@
             return !givenBack();
         }
         long sinceMs = nowMs - mExchangedMs;
-        boolean hopeful = mPrepaid.keySet().stream().anyMatch(this::hasWanted);
+        boolean hopeful = mKnown.organisations().stream().anyMatch(this::hasWanted);
         if (hopeful) {
             return true;
         }
@@ -277,19 +254,20 @@
             return true;
         }
         boolean report = nowMs - mExchangedMs >= REPORT_MS;
-        return mPrepaid.keySet().stream().anyMatch(o -> wants(nowMs, o, report));
+        return mKnown.organisations().stream().anyMatch(o -> wants(nowMs, o, report));
     }
 
     private boolean wants(long nowMs, String organisation, boolean report) {
         EscrowAccount account = mAccounts.get(organisation);
-        if (!mSeen || (account.looks(nowMs) && nowMs - mHeardMs >= LOOK_PAUSE_MS)) {
+        if (!mKnown.isSeen()
+                || (account.looks(nowMs) && !mKnown.heardWithin(nowMs, LOOK_PAUSE_MS))) {
             return true;
         }
         if (report && account.spent() > account.reportedSpent()) {
             return true;
         }
-        long target = target(nowMs, organisation, mRecord);
-        boolean low = account.free() < target / 2 && unallocated(organisation) > 0;
+        long target = target(nowMs, organisation, mKnown.record());
+        boolean low = account.free() < target / 2 && mKnown.unallocated(organisation) > 0;
         return low || account.free() > target + target / RETURN_PART;
     }
 
@@ -298,7 +276,7 @@
         EscrowRecord.Organisation stored = record.organisation(organisation);
         long unreported = account.spent() - account.reportedSpent();
         long left =
-                mPrepaid.get(organisation)
+                mKnown.prepaid(organisation)
                         - stored.closed()
                         - (stored.spent() - stored.closedSpent())
                         - unreported;
@@ -318,18 +296,18 @@
     /** Returns this VM's part in what was used; all VMs alike while little was. */
     private double share(String organisation, EscrowRecord.Organisation stored, int vms) {
         EscrowAccount account = mAccounts.get(organisation);
-        double prior = PRIOR_PART * mPrepaid.get(organisation);
+        double prior = PRIOR_PART * mKnown.prepaid(organisation);
         double others = stored.spent() - stored.closedSpent() - account.reportedSpent();
         double own = Math.max(0, account.used());
         return (own + prior) / (own + others + prior * vms);
     }
 
     private void write(long nowMs) {
-        EscrowRecord next = mRecord.copy();
-        for (String organisation : mPrepaid.keySet()) {
+        EscrowRecord next = mKnown.record().copy();
+        for (String organisation : mKnown.organisations()) {
             next.organisations().put(organisation, changed(nowMs, organisation));
         }
-        for (String organisation : mPrepaid.keySet()) {
+        for (String organisation : mKnown.organisations()) {
             EscrowAccount account = mAccounts.get(organisation);
             account.setLimit(Math.min(account.limit(), ownGrant(next, organisation)));
         }
@@ -351,7 +329,7 @@
 
     /** Returns an organisation's grants with this VM's wishes, reports and former lives in them. */
     private EscrowRecord.Organisation changed(long nowMs, String organisation) {
-        EscrowRecord.Organisation stored = mRecord.organisation(organisation);
+        EscrowRecord.Organisation stored = mKnown.stored(organisation);
         EscrowAccount account = mAccounts.get(organisation);
         TreeMap<String, EscrowRecord.Holder> holders = new TreeMap<>(stored.holders());
         long closed = stored.closed();
@@ -366,7 +344,7 @@
                 holders.remove(entry.getKey());
             }
         }
-        long room = mPrepaid.get(organisation) - stored.granted();
+        long room = mKnown.prepaid(organisation) - stored.granted();
         long granted = wanted(nowMs, organisation, room);
         if (granted > 0 || account.spent() > 0) {
             holders.put(
@@ -380,11 +358,11 @@
 
     private long wanted(long nowMs, String organisation, long room) {
         EscrowAccount account = mAccounts.get(organisation);
-        long held = ownGrant(mRecord, organisation);
+        long held = ownGrant(mKnown.record(), organisation);
         if (mGivingBack) {
             return Math.max(0, Math.min(held, account.used()));
         }
-        long target = target(nowMs, organisation, mRecord);
+        long target = target(nowMs, organisation, mKnown.record());
         long aim = Math.max(0, account.used() + target);
         if (aim > held) {
             return held + Math.max(0, Math.min(aim - held, room));
@@ -404,11 +382,11 @@
                 reply instanceof PlatformReply.Throttled
                         || reply instanceof PlatformReply.Unavailable;
         if (reply instanceof PlatformReply.Written written) {
-            mHeardMs = nowMs;
+            mKnown.heard(nowMs);
             mUncertainBase = -1;
             mMustCreate = false;
             mVersion = written.version();
-            mRecord = mWritten;
+            mKnown.setRecord(mWritten);
             mGivenBack = mGivingBack;
             settled(nowMs);
             return;
@@ -418,8 +396,8 @@
             return;
         }
         if (reply instanceof PlatformReply.Missing) {
-            mHeardMs = nowMs;
-            mKnown = true;
+            mKnown.heard(nowMs);
+            mVersionKnown = true;
             mMustCreate = true;
             write(nowMs);
             return;
@@ -429,7 +407,7 @@
             take(nowMs, conflict.current().get());
             return;
         }
-        mKnown = false;
+        mVersionKnown = false;
         mNotBeforeMs = nowMs + RETRY_MS;
         runWaiting();
     }
@@ -440,10 +418,10 @@
         if (decoded.isLeft()) {
             throw new IllegalStateException(mKey + ": " + decoded.getLeft().message());
         }
-        mHeardMs = nowMs;
-        mKnown = true;
+        mKnown.heard(nowMs);
+        mVersionKnown = true;
         mVersion = object.version();
-        mRecord = decoded.get();
+        mKnown.setRecord(decoded.get());
         adopt(nowMs, mVersion == mUncertainBase);
         write(nowMs);
     }
@@ -455,30 +433,32 @@
     }
 
     private void adopt(long nowMs, boolean writeStillOpen) {
-        mSeen = true;
-        mPrepaid.forEach(
-                (name, prepaid) -> {
-                    EscrowRecord.Organisation stored = mRecord.organisation(name);
-                    EscrowRecord.Holder own = stored.holders().get(mOwner.incarnation());
-                    long granted = own == null ? 0 : own.granted();
-                    EscrowAccount account = mAccounts.get(name);
-                    long before = account.granted();
-                    account.onStored(
-                            granted,
-                            writeStillOpen ? Math.min(granted, account.limit()) : granted,
-                            own == null ? 0 : own.spent());
-                    if (before != granted) {
-                        mListener.onGrant(
-                                nowMs,
-                                name,
-                                new GrantListener.Change(
-                                        before,
-                                        granted,
-                                        account.free(),
-                                        prepaid - stored.granted(),
-                                        prepaid - stored.spent()));
-                    }
-                });
+        mKnown.seen();
+        mKnown.organisations().forEach(name -> adopt(nowMs, name, writeStillOpen));
+    }
+
+    private void adopt(long nowMs, String organisation, boolean writeStillOpen) {
+        EscrowRecord.Organisation stored = mKnown.stored(organisation);
+        EscrowRecord.Holder own = stored.holders().get(mOwner.incarnation());
+        long granted = own == null ? 0 : own.granted();
+        EscrowAccount account = mAccounts.get(organisation);
+        long before = account.granted();
+        account.onStored(
+                granted,
+                writeStillOpen ? Math.min(granted, account.limit()) : granted,
+                own == null ? 0 : own.spent());
+        if (before == granted) {
+            return;
+        }
+        mListener.onGrant(
+                nowMs,
+                organisation,
+                new GrantListener.Change(
+                        before,
+                        granted,
+                        account.free(),
+                        mKnown.unallocated(organisation),
+                        mKnown.prepaid(organisation) - stored.spent()));
     }
 
     private void runWaiting() {
--- a/router/src/main/java/org/hornbeampass/router/relay/RelayCall.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/RelayCall.java
@@ -6,6 +6,7 @@
 import io.vavr.control.Either;
 
 import org.hornbeampass.coordination.escrow.Admission;
+import org.hornbeampass.coordination.escrow.EscrowBook;
 import org.hornbeampass.coordination.service.RouteTable;
 import org.hornbeampass.state.ErrorKind;
 import org.hornbeampass.state.Failure;
@@ -43,6 +44,12 @@
      */
     private static final long CUT_RETRY_MS = 2_500;
 
+    /**
+     * When a caller may come back where the store is reached, but neither it nor other VMs have the
+     * tokens: once requests in progress have ended and given back what they did not use.
+     */
+    private static final long SCARCE_RETRY_MS = 1_500;
+
     /** When a caller may come back where no upstream has room. */
     private static final long ROOM_RETRY_MS = 250;
 
@@ -74,6 +81,7 @@
     private Optional<RelayAttempts> mAttempts = Optional.empty();
     private long mDeadlineMs;
     private long mReserved;
+    private String mTokensLacking = "";
     private boolean mAdmitting;
     private boolean mEnded;
     private boolean mCallerGone;
@@ -268,6 +276,7 @@
             mAttempts.get().start(nowMs);
             return;
         }
+        mTokensLacking = lackingFields(nowMs);
         fail(
                 nowMs,
                 admission == Admission.EXHAUSTED
@@ -275,9 +284,34 @@
                         : Failure.retryAfter(
                                 ErrorKind.BUDGET_UNREACHABLE,
                                 "this router holds too few tokens now; try again or elsewhere",
-                                mParts.budgets().outOfReach(nowMs, organisation())
-                                        ? CUT_RETRY_MS
-                                        : TOKENS_RETRY_MS));
+                                tokensRetryMs(nowMs)));
+    }
+
+    private long tokensRetryMs(long nowMs) {
+        if (mParts.budgets().outOfReach(nowMs, organisation())) {
+            return CUT_RETRY_MS;
+        }
+        long tokens = mHead.prompt().maxTokens();
+        return mParts.budgets().mayGetMore(nowMs, organisation(), tokens)
+                ? TOKENS_RETRY_MS
+                : SCARCE_RETRY_MS;
+    }
+
+    /** Returns what decided against the request, as fields of a log line. */
+    private String lackingFields(long nowMs) {
+        EscrowBook.Standing standing = mParts.budgets().standing(nowMs, organisation());
+        return ",\"wanted\":"
+                + mHead.prompt().maxTokens()
+                + ",\"free\":"
+                + standing.free()
+                + ",\"unallocated\":"
+                + standing.unallocated()
+                + ",\"unspent\":"
+                + standing.unspent()
+                + ",\"heard_ago_ms\":"
+                + standing.heardAgoMs().orElse(-1)
+                + ",\"store_lost\":"
+                + standing.outOfReach();
     }
 
     private void onDeadline(long nowMs) {
@@ -359,6 +393,7 @@
                                 + mReserved
                                 + ",\"used\":"
                                 + usedTokens
+                                + mTokensLacking
                                 + mAttempts.map(RelayAttempts::summary).orElse(""),
                         nowMs - mArrivedMs);
     }
