Hold 15 s of demand, but a quarter of what is left at most

An organisation of which little is left loses nothing by a refusal in a cut, since its tokens serve later requests; what a kill takes is lost to it.

--- a/coordination/src/main/java/org/hornbeampass/coordination/escrow/GrantPolicy.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/escrow/GrantPolicy.java
@@ -9,7 +9,7 @@
     /**
      * An equal part of the whole budget for each VM, taken at once: the baseline of comparisons. A
      * kill of all VMs after 34 s of a day of 50 s took 47 % of all tokens, where the other policy
-     * lost 18 % (GrantPolicyTest, six seeds).
+     * lost 12 % (EscrowDay, eight seeds).
      */
     EQUAL_SHARE {
         @Override
@@ -18,9 +18,9 @@
         }
     },
     /**
-     * The demand of the longest cut from the store, but not more than a fair part of half of what
-     * is left: the other half stays in the store, where a kill of all VMs does not write it off,
-     * and where a VM finds it that needs more than the others.
+     * The demand of the longest cut from the store, but not more than a fair part of a quarter of
+     * what is left: the rest stays in the store, where a kill of all VMs does not write it off, and
+     * where a VM finds it that needs more than the others.
      */
     DEMAND_HORIZON {
         @Override
@@ -36,14 +36,20 @@
     /** The longest cut from the store that must not refuse, in milliseconds. */
     private static final double HORIZON_MS = 12_000;
 
-    /** Demand in a cut over that observed before it: bursts and uneven callers. */
-    private static final double DEMAND_MARGIN = 1.1;
+    /**
+     * Demand in a cut over that observed before it: bursts, and requests of uneven size. With 1.0 a
+     * cut of 12 s lost 1.0 % of the requests of a day, with 1.25 it lost 0.6 % (EscrowDay).
+     */
+    private static final double DEMAND_MARGIN = 1.25;
 
     /**
-     * The part of what is left that all VMs together may hold. With all of it held, a kill of all
-     * VMs after 34 s of a day left no tokens for its rest; the budget was then 28 % unspent.
+     * The part of what is left that all VMs together may hold, beside what requests wait for. An
+     * organisation of which little is left loses nothing by a refusal in a cut, as its tokens serve
+     * later requests; what a kill writes off is lost to it. With a half, a second kill of all VMs
+     * lost 13.9 % of a day's requests, with a quarter 5.9 %; cuts of 8 and 7 s lost 0.1 % either
+     * way (EscrowDay, eight seeds).
      */
-    private static final double HELD_PART = 0.5;
+    private static final double HELD_PART = 0.25;
 
     /**
      * The part of a fair share that is kept without any demand, so that a first burst fits. A
--- a/coordination/src/test/java/org/hornbeampass/coordination/escrow/GrantPolicyTest.java
+++ b/coordination/src/test/java/org/hornbeampass/coordination/escrow/GrantPolicyTest.java
@@ -52,11 +52,17 @@
     }
 
     @Test
-    void killOfAllVms_writesOffLessThanHalfOfTheBaseline() {
+    void secondKillOfAllVms_leavesTokensForTheRestOfTheDay() {
+        // 5.9 %, 4 % while no VM was up; 13.9 % where VMs held half of what was left.
+        assertThat(mean(GrantPolicy.DEMAND_HORIZON, ALL, Result::lostPart)).isLessThan(0.08);
+    }
+
+    @Test
+    void killOfAllVms_writesOffAThirdOfTheBaseline() {
         double baseline = mean(GrantPolicy.EQUAL_SHARE, KILL, Result::writtenOff);
         double chosen = mean(GrantPolicy.DEMAND_HORIZON, KILL, Result::writtenOff);
-        assertThat(chosen).isLessThan(baseline / 2);
-        // 3.2 %, two thirds of them while no VM was up; the baseline loses 32 %.
-        assertThat(mean(GrantPolicy.DEMAND_HORIZON, KILL, Result::lostPart)).isLessThan(0.05);
+        assertThat(chosen).isLessThan(baseline / 3);
+        // 2.0 %, nearly all while no VM was up; the baseline loses 32 %.
+        assertThat(mean(GrantPolicy.DEMAND_HORIZON, KILL, Result::lostPart)).isLessThan(0.03);
     }
 }
