Keep shared parts at their home through longer queues; avoid engines where requests wait

Cause: one waiting request of this VM at a part's home already sent the next one elsewhere, where the part was read again: 100 ms saved for 100 ms of reading that delays everybody there and is charged for.

Ruled out: more homes for a part (each reads it once more).

Change: a token that is read again counts three times; an engine's delay beyond the reading of a prompt, as observed on first parts (fading over 4 s), is added to its cost.

Tests: UpstreamBoardTest, two new; the second fails without the weight.

--- a/coordination/src/main/java/org/hornbeampass/coordination/service/UpstreamBoard.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/service/UpstreamBoard.java
@@ -25,9 +25,6 @@
      */
     static final long MISSING_GRACE_MS = 1_900;
 
-    /** Prompt tokens that an engine reads in a millisecond, until its own speed is observed. */
-    private static final double TOKENS_PER_MS = 50;
-
     /**
      * By how much this VM's own load stands for that of the other VMs, which it does not see:
      * callers choose VMs at random, so that loads are alike.
@@ -37,6 +34,12 @@
     /** What one running request adds to another's wait at an engine, in milliseconds. */
     private static final double RUNNING_COST_MS = 2.0;
 
+    /**
+     * How much more a token counts that is read a second time in the fleet than one that must be
+     * read: it delays the requests of all others at its upstream, and is charged for.
+     */
+    private static final double READ_AGAIN_WEIGHT = 3.0;
+
     /** What a certain failure costs in the comparison, in milliseconds: about a repeated wait. */
     private static final double FAILURE_COST_MS = 3_000;
 
@@ -162,10 +165,12 @@
     private double engineCost(
             long nowMs, UpstreamInstance each, Prompt prompt, Optional<UpstreamInstance> home) {
         boolean cached = home.isPresent() && home.get() == each;
-        long toRead = prompt.promptTokens() - (cached ? prompt.sharedTokens() : 0);
-        double waitMs = (toRead + UNSEEN_LOAD * each.unreadTokens()) / TOKENS_PER_MS;
+        long own = prompt.promptTokens() - prompt.sharedTokens();
+        double toRead = own + (cached ? 0 : READ_AGAIN_WEIGHT * prompt.sharedTokens());
+        double waitMs =
+                (toRead + UNSEEN_LOAD * each.unreadTokens()) / UpstreamInstance.TOKENS_PER_MS;
         double runningMs = UNSEEN_LOAD * RUNNING_COST_MS * each.inFlight();
-        return waitMs + runningMs + common(nowMs, each);
+        return waitMs + runningMs + each.delayMs(nowMs) + common(nowMs, each);
     }
 
     private double plainCost(long nowMs, UpstreamInstance each) {
--- a/coordination/src/main/java/org/hornbeampass/coordination/service/UpstreamInstance.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/service/UpstreamInstance.java
@@ -24,6 +24,9 @@
 
     private static final double LATENCY_WEIGHT = 0.2;
 
+    /** Prompt tokens that an engine reads in a millisecond, about, on the installations at hand. */
+    static final double TOKENS_PER_MS = 50;
+
     private UpstreamEntry mEntry;
     private boolean mLeaving;
     private long mGoneAtMs = Long.MAX_VALUE;
@@ -35,6 +38,7 @@
     private double mBad;
     private long mEvidenceAtMs;
     private double mLatencyMs;
+    private double mDelayMs;
 
     UpstreamInstance(UpstreamEntry entry) {
         mEntry = entry;
@@ -117,6 +121,26 @@
         mLatencyMs += mLatencyMs == 0 ? latencyMs : LATENCY_WEIGHT * (latencyMs - mLatencyMs);
     }
 
+    /**
+     * Takes the first part of an engine's answer as evidence of how long requests wait there beyond
+     * the reading of their own prompt: for other VMs' requests, or since it is slow.
+     *
+     * @param nowMs the present time in milliseconds
+     * @param latencyMs how long it took, in milliseconds
+     * @param promptTokens the tokens of the prompt
+     */
+    public void onFirstPart(long nowMs, double latencyMs, long promptTokens) {
+        onGood(nowMs, latencyMs);
+        double delayMs = Math.max(0, latencyMs - promptTokens / TOKENS_PER_MS);
+        mDelayMs += LATENCY_WEIGHT * (delayMs - mDelayMs);
+    }
+
+    /** Returns how long requests waited there of late, in milliseconds; fades like all evidence. */
+    public double delayMs(long nowMs) {
+        fade(nowMs);
+        return mDelayMs;
+    }
+
     /** Takes an answer that reports a failure as evidence. */
     public void onBad(long nowMs) {
         fade(nowMs);
@@ -156,6 +180,7 @@
         double kept = Math.exp(-(nowMs - mEvidenceAtMs) / EVIDENCE_MS);
         mGood *= kept;
         mBad *= kept;
+        mDelayMs *= kept;
         mEvidenceAtMs = nowMs;
     }
 }
--- a/coordination/src/test/java/org/hornbeampass/coordination/service/UpstreamBoardTest.java
+++ b/coordination/src/test/java/org/hornbeampass/coordination/service/UpstreamBoardTest.java
@@ -126,4 +126,36 @@
         assertThat(bad.failureShare(1)).isGreaterThan(0.5);
         assertThat(bad.failureShare(30_000)).isLessThan(0.01);
     }
+
+    @Test
+    void slowEngine_getsLittleUntilItsEvidenceFades() {
+        mBoard.onEntry(entry("slow", false));
+        mBoard.onEntry(entry("sound", false));
+        Prompt own = new Prompt(1_000, 100, List.of());
+        int toSlow = 0;
+        for (int i = 0; i < 100; i++) {
+            long nowMs = i * 20L;
+            UpstreamInstance chosen = mBoard.choose(nowMs, MODEL, own, Set.of()).orElseThrow();
+            boolean slow = chosen.id().equals("slow");
+            toSlow += slow ? 1 : 0;
+            chosen.onFirstPart(nowMs, slow ? 400 : 40, 1_000);
+        }
+        assertThat(toSlow).isBetween(1, 10);
+        int later = 0;
+        for (int i = 0; i < 20; i++) {
+            later += choose(30_000, MODEL, own).equals(Optional.of("slow")) ? 1 : 0;
+        }
+        assertThat(later).isPositive();
+    }
+
+    @Test
+    void sharedPart_staysAtItsHomeThroughASmallQueue() {
+        mBoard.onEntry(entry("a", false));
+        mBoard.onEntry(entry("b", false));
+        UpstreamInstance home = mBoard.choose(0, MODEL, SHARED, Set.of()).orElseThrow();
+        home.onSent(3_000);
+        assertThat(choose(0, MODEL, SHARED)).contains(home.id());
+        home.onSent(9_000);
+        assertThat(choose(0, MODEL, SHARED)).isNotEqualTo(Optional.of(home.id()));
+    }
 }
--- a/router/src/main/java/org/hornbeampass/router/relay/InstanceUse.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/InstanceUse.java
@@ -29,7 +29,7 @@
         if (!mPromptRead) {
             mPromptRead = true;
             mInstance.onPromptRead(mPromptTokens);
-            mInstance.onGood(nowMs, (double) (nowMs - sentMs));
+            mInstance.onFirstPart(nowMs, (double) (nowMs - sentMs), mPromptTokens);
         }
     }
 
