Return tokens while a shutdown's streams end, and hand them to peers in a cut

A shutdown whose streams lasted longer than its grace returned nothing; what requests left after the first return was lost; and where the store could not be reached all was written off.

Ruled out: returning at the signal itself, since requests are taken for 2.8 s more.

Change: tokens are given back from the moment at which no more requests are taken, every 200 ms as long as running requests leave some; while the store is out of reach they are handed to live peers. The sender takes them out first, and a message is delivered once at the most.

Before: EscrowBookTest.vmThatShutsDown_returnsWhatRunningRequestsLeave fails, 9,800 tokens left of 9,950. After: it passes; LoanSearchTest.vmThatShutsDownInACut_handsItsTokensToOthers is new.

--- a/coordination/src/main/java/org/hornbeampass/coordination/escrow/EscrowAccount.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/escrow/EscrowAccount.java
@@ -53,6 +53,11 @@
         return mSpent + mReserved + mLent - mBorrowed;
     }
 
+    /** Returns whether the store holds more for this VM than it uses, or an older report. */
+    boolean owesStore() {
+        return mGranted > Math.max(0, used()) || mSpent > mReportedSpent;
+    }
+
     /** Takes tokens out for another VM, for ever. */
     void lend(long tokens) {
         mLent += tokens;
--- a/coordination/src/main/java/org/hornbeampass/coordination/escrow/EscrowBook.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/escrow/EscrowBook.java
@@ -141,6 +141,13 @@
                 : 0;
     }
 
+    /** Takes out the free tokens that a shutdown can't return to the store. */
+    Map<String, Long> takeGifts(long nowMs) {
+        Map<String, Long> gifts = new HashMap<>();
+        mShards.forEach(s -> s.takeGifts(nowMs, gifts));
+        return gifts;
+    }
+
     /** Returns the tokens that requests of an organisation can reserve here. */
     long free(String organisation) {
         return mPrepaid.containsKey(organisation) ? shard(organisation).free(organisation) : 0;
@@ -152,12 +159,22 @@
         mListener.onLoan(nowMs, organisation, tokens);
     }
 
+    /** Takes in tokens that a VM that shuts down has taken out, where the organisation is known. */
+    void accept(long nowMs, String organisation, long tokens) {
+        if (mPrepaid.containsKey(organisation)) {
+            borrow(nowMs, organisation, tokens);
+        }
+    }
+
     /** Starts what is due. */
     public void tick(long nowMs) {
         mShards.forEach(s -> s.tick(nowMs));
     }
 
-    /** Gives back all that is not in use, now and at each tick from now on. */
+    /**
+     * Gives back all that is not in use, now and, as requests in progress end, at each tick from
+     * now on; nothing new is granted.
+     */
     public void giveBack(long nowMs) {
         mShards.forEach(s -> s.giveBack(nowMs));
     }
--- a/coordination/src/main/java/org/hornbeampass/coordination/escrow/EscrowLoans.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/escrow/EscrowLoans.java
@@ -110,7 +110,10 @@
         }
     }
 
-    /** Asks one peer for each organisation whose tokens run low while the store is out of reach. */
+    /**
+     * While the store is out of reach: asks one peer for each organisation whose tokens run low, or
+     * hands all to peers where this VM shuts down.
+     */
     public void tick(long nowMs) {
         if (nowMs < mNextMs) {
             return;
@@ -120,6 +123,12 @@
         if (names.isEmpty()) {
             return;
         }
+        mBook.takeGifts(nowMs)
+                .forEach(
+                        (organisation, tokens) ->
+                                mPeers.send(
+                                        names.get(mRandom.nextInt(names.size())),
+                                        new LoanGift(organisation, tokens)));
         mBook.lacking(nowMs)
                 .forEach(
                         (organisation, tokens) ->
@@ -157,4 +166,9 @@
                         : mBook.lendAhead(nowMs, request.organisation(), request.tokens());
         reply.accept(new LoanReply(request.organisation(), tokens));
     }
+
+    /** Takes tokens that another VM handed over; dropped where the organisation is not known. */
+    public void onGift(long nowMs, VmId from, LoanGift gift, Consumer<PeerMessage> reply) {
+        mBook.accept(nowMs, gift.organisation(), gift.tokens());
+    }
 }
--- a/coordination/src/main/java/org/hornbeampass/coordination/escrow/EscrowShard.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/escrow/EscrowShard.java
@@ -42,6 +42,9 @@
     /** The shortest pause between exchanges that no request waits for. */
     private static final long PAUSE_MS = 500;
 
+    /** The pause between returns of what requests in progress leave at a shutdown. */
+    private static final long RETURN_PAUSE_MS = 200;
+
     /** A call that takes longer is no reason for a request to wait; answers take milliseconds. */
     private static final long ANSWER_MS = 150;
 
@@ -61,7 +64,6 @@
     private boolean mFailing;
     private boolean mMustCreate;
     private boolean mGivingBack;
-    private boolean mGivenBack;
     private long mVersion;
     private long mUncertainBase = -1;
     private EscrowRecord mWritten = EscrowRecord.empty();
@@ -193,12 +195,26 @@
 
     void giveBack(long nowMs) {
         mGivingBack = true;
-        mGivenBack = false;
         tick(nowMs);
     }
 
     boolean givenBack() {
-        return mGivenBack || mAccounts.values().stream().allMatch(a -> a.limit() == 0);
+        return mAccounts.values().stream().noneMatch(EscrowAccount::owesStore);
+    }
+
+    /** Takes out the free tokens of a VM that shuts down and can't return them to the store. */
+    void takeGifts(long nowMs, Map<String, Long> gifts) {
+        if (!mGivingBack || !outOfReach(nowMs)) {
+            return;
+        }
+        mAccounts.forEach(
+                (organisation, account) -> {
+                    long free = account.free();
+                    if (free > 0) {
+                        account.lend(free);
+                        gifts.put(organisation, free);
+                    }
+                });
     }
 
     EscrowBook.Standing standing(long nowMs, String organisation) {
@@ -229,10 +245,10 @@
     }
 
     private boolean due(long nowMs) {
+        long sinceMs = nowMs - mExchangedMs;
         if (mGivingBack) {
-            return !givenBack();
+            return sinceMs >= RETURN_PAUSE_MS && !givenBack();
         }
-        long sinceMs = nowMs - mExchangedMs;
         boolean hopeful = mKnown.organisations().stream().anyMatch(this::hasWanted);
         if (hopeful) {
             return true;
@@ -297,7 +313,6 @@
             mMustCreate = false;
             mVersion = written.version();
             mKnown.setRecord(mWritten);
-            mGivenBack = mGivingBack;
             settled(nowMs);
             return;
         }
--- a/coordination/src/test/java/org/hornbeampass/coordination/escrow/EscrowBookTest.java
+++ b/coordination/src/test/java/org/hornbeampass/coordination/escrow/EscrowBookTest.java
@@ -96,4 +96,18 @@
         world.calm(4_000);
         assertThat(world.free()).isEqualTo(before);
     }
+
+    @Test
+    void vmThatShutsDown_returnsWhatRunningRequestsLeave() {
+        EscrowWorld world = new EscrowWorld(1, 2, 10_000);
+        world.calm(2_000);
+        assertThat(world.request(0, 200)).isEqualTo(Admission.RESERVED);
+        world.giveBack(0);
+        world.calm(2_000);
+        world.end(0, 50);
+        world.calm(2_000);
+        world.kill(0);
+        world.calm(4_000);
+        assertThat(world.left(0)).isEqualTo(10_000 - 50);
+    }
 }
--- a/coordination/src/test/java/org/hornbeampass/coordination/escrow/EscrowWorld.java
+++ b/coordination/src/test/java/org/hornbeampass/coordination/escrow/EscrowWorld.java
@@ -206,11 +206,17 @@
 
     /** Ends all requests in progress at a VM, which used all that was reserved for them. */
     void useUp(int vm) {
+        end(vm, Long.MAX_VALUE);
+    }
+
+    /** Ends all requests in progress at a VM, which used so many tokens each at the most. */
+    void end(int vm, long most) {
         Vm at = mVms.get(vm);
         for (Running running : at.mRunning) {
-            at.mBook.settle(mNowMs, ORGANISATION, running.reserved(), running.reserved());
+            long used = Math.min(most, running.reserved());
+            at.mBook.settle(mNowMs, ORGANISATION, running.reserved(), used);
             mReserved -= running.reserved();
-            mUsed += running.reserved();
+            mUsed += used;
         }
         at.mRunning.clear();
     }
@@ -245,6 +251,11 @@
         mVms.get(vm).mBook.giveBack(mNowMs);
     }
 
+    /** Returns the tokens that can still be spent, as a VM knows it that has just looked. */
+    long left(int vm) {
+        return mVms.get(vm).mBook.standing(mNowMs, ORGANISATION).unallocated() + free();
+    }
+
     long free() {
         return mVms.stream().mapToLong(v -> v.mBook.holdings().get(ORGANISATION).free()).sum();
     }
--- a/coordination/src/test/java/org/hornbeampass/coordination/escrow/LoanSearchTest.java
+++ b/coordination/src/test/java/org/hornbeampass/coordination/escrow/LoanSearchTest.java
@@ -71,7 +71,10 @@
     /** Hands requests straight to the VM that is asked. */
     private final class Peers implements PeerNetwork {
         @Override
-        public void send(String vmName, PeerMessage message) {}
+        public void send(String vmName, PeerMessage message) {
+            mLoans.get(vmName)
+                    .onGift(mNowMs, new VmId("giver", 1), (LoanGift) message, reply -> {});
+        }
 
         @Override
         public void request(
@@ -180,4 +183,15 @@
         assertThat(mBooks.get("vm-1").free("org")).isEqualTo(before.get("vm-1"));
         assertThat(mAsked).isNotEmpty();
     }
+
+    @Test
+    void vmThatShutsDownInACut_handsItsTokensToOthers() {
+        run(3_000);
+        long held = held();
+        mStoreGone = true;
+        mBooks.get("vm-0").giveBack(mNowMs);
+        run(2_000);
+        assertThat(mBooks.get("vm-0").free("org")).isZero();
+        assertThat(held()).isEqualTo(held);
+    }
 }
--- a/router/src/main/java/org/hornbeampass/router/daemon/RelayDaemon.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/RelayDaemon.java
@@ -9,6 +9,7 @@
 import org.hornbeampass.coordination.escrow.EscrowBook;
 import org.hornbeampass.coordination.escrow.EscrowLoans;
 import org.hornbeampass.coordination.escrow.EscrowOwner;
+import org.hornbeampass.coordination.escrow.LoanGift;
 import org.hornbeampass.coordination.escrow.LoanRequest;
 import org.hornbeampass.coordination.membership.Gossip;
 import org.hornbeampass.coordination.membership.IndirectPing;
@@ -208,6 +209,7 @@
         mPeers.on(SyncRequest.class, membership::onSyncRequest);
         mPeers.on(NewsRequest.class, mNews::onRequest);
         mPeers.on(LoanRequest.class, mLoans::onRequest);
+        mPeers.on(LoanGift.class, mLoans::onGift);
     }
 
     private void registerMetrics() {
--- a/router/src/main/java/org/hornbeampass/router/daemon/RelayShutdown.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/RelayShutdown.java
@@ -78,6 +78,7 @@
             mCallers.stopAccepting();
             mParts.refuseNew();
             mCallers.closeIdle();
+            mBudgets.giveBack(nowMs);
         }
         if (sinceMs >= mGraceMs - END_MARGIN_MS) {
             mDone.complete(null);
@@ -91,7 +92,6 @@
     private void finish(long nowMs) {
         if (mIdleMs < 0) {
             mIdleMs = nowMs;
-            mBudgets.giveBack(nowMs);
         }
         if (mBudgets.givenBack() || nowMs - mIdleMs >= RETURN_MS) {
             mDone.complete(null);
