--- a/router/src/main/java/org/hornbeampass/router/daemon/Rehearsal.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/Rehearsal.java
@@ -21,8 +21,8 @@
  * Serves some requests on loopback, so that a class archive made of this run holds what a router
  * loads at its start.
  *
- * <p>Gains about half of the time from the start of a process to its first answer. Stateless; safe
- * for use by any thread.
+ * <p>Gains about a third of the time from the start of a process to its first answer. Stateless;
+ * safe for use by any thread.
  */
 final class Rehearsal {
     private static final int REQUESTS = 40;
