Tell incarnations of an upstream apart; let no damaged entry name one

Cause: an upstream may start again under its old id. The board kept its former evidence, pauses and unread tokens, a former life seen leaving kept the new one out, and requests in progress at the former one waited for their deadline. An entry with a field missing or of another type was read with defaults, and one of an unknown state counted as leaving for ever.

Now an entry's start time decides: a later one is another incarnation with nothing known of it, and its address loses the kept connections; requests in progress at the former one are lost at once (sent again where allowed, else answered as unknown); an older one that arrives late changes nothing, also after the board forgot the upstream; one without its incarnation where others tell theirs gets no requests. Entries are read strictly and refused with their reason; an unreadable one takes its upstream out until a readable one comes.

ConfigJsonTest, RelayDaemonTest and Soak now write whole entries, as upstreams do; theirs lacked fields that are required now.

Log lines are built by LogFields, which escapes values, in place of joined strings; RelayDaemon gave StoreChanges away, RelayAttempts SendCounts.

--- a/coordination/src/main/java/org/hornbeampass/coordination/service/UpstreamBoard.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/service/UpstreamBoard.java
@@ -15,8 +15,9 @@
 /**
  * All registered upstreams, and the choice of one for each request.
  *
- * <p>Invariants: an upstream that is leaving or gone is never chosen; one that is paused after
- * failures is chosen only where all usable ones of its service are. Confined to one thread.
+ * <p>Invariants: an upstream that is leaving or gone is never chosen; what is known of one belongs
+ * to one incarnation, and an older incarnation never comes back; one that is paused after failures
+ * is chosen only where all usable ones of its service are. Confined to one thread.
  */
 public final class UpstreamBoard {
     /**
@@ -48,25 +49,65 @@
 
     private final Map<String, UpstreamInstance> mById = new HashMap<>();
     private final Map<String, List<UpstreamInstance>> mByService = new HashMap<>();
+    private final FormerUpstreams mFormer = new FormerUpstreams();
     private final RandomGenerator mRandom;
+    private boolean mIncarnationsTold;
 
     /** Makes an empty board; the generator spreads ties. */
     public UpstreamBoard(RandomGenerator random) {
         mRandom = random;
     }
 
-    /** Takes an entry as the platform shows it. */
-    public void onEntry(UpstreamEntry entry) {
+    /**
+     * Takes an entry as the platform shows it.
+     *
+     * @param nowMs the present time in milliseconds
+     * @param entry the entry
+     * @return what became of it
+     */
+    public EntryVerdict onEntry(long nowMs, UpstreamEntry entry) {
+        mIncarnationsTold |= entry.bornMs().isPresent();
         UpstreamInstance known = mById.get(entry.id());
-        if (known != null) {
-            known.update(entry);
-            return;
+        if (known == null) {
+            if (mFormer.ended(entry)) {
+                return EntryVerdict.FORMER_INCARNATION;
+            }
+            add(entry);
+            return EntryVerdict.ADDED;
+        }
+        if (known.entry().startedAfter(entry)) {
+            return EntryVerdict.FORMER_INCARNATION;
+        }
+        if (!entry.startedAfter(known.entry())) {
+            update(known, entry);
+            return EntryVerdict.UPDATED;
+        }
+        mByService.get(known.entry().service()).remove(known);
+        add(entry);
+        known.end(nowMs);
+        return EntryVerdict.STARTED_AGAIN;
+    }
+
+    private void update(UpstreamInstance known, UpstreamEntry entry) {
+        boolean moves = !known.entry().service().equals(entry.service());
+        if (moves) {
+            mByService.get(known.entry().service()).remove(known);
+            mByService.computeIfAbsent(entry.service(), s -> new ArrayList<>()).add(known);
         }
+        known.update(entry);
+    }
+
+    private void add(UpstreamEntry entry) {
         UpstreamInstance added = new UpstreamInstance(entry);
         mById.put(entry.id(), added);
         mByService.computeIfAbsent(entry.service(), s -> new ArrayList<>()).add(added);
     }
 
+    /** Takes an entry that can't be understood: it names no upstream, whatever it named before. */
+    public void onUnreadable(long nowMs, String id) {
+        onRemoved(nowMs, id, false);
+    }
+
     /**
      * Takes the removal of an entry.
      *
@@ -89,12 +130,29 @@
 
     /** Forgets upstreams that are gone and have no request in progress. */
     public void tick(long nowMs) {
-        mById.values().removeIf(i -> i.gone(nowMs) && i.inFlight() == 0);
+        mFormer.tick(nowMs);
+        mById.values().removeIf(i -> forget(nowMs, i));
         for (List<UpstreamInstance> instances : mByService.values()) {
             instances.removeIf(i -> i.gone(nowMs) && i.inFlight() == 0);
         }
     }
 
+    private boolean forget(long nowMs, UpstreamInstance instance) {
+        boolean over = instance.gone(nowMs) && instance.inFlight() == 0;
+        if (over) {
+            mFormer.add(nowMs, instance.entry(), instance.leaving());
+        }
+        return over;
+    }
+
+    /**
+     * Returns whether an upstream may get requests: an entry that does not tell its incarnation,
+     * where others do, is not an upstream's own.
+     */
+    private boolean usable(long nowMs, UpstreamInstance each) {
+        return each.usable(nowMs) && (!mIncarnationsTold || each.entry().bornMs().isPresent());
+    }
+
     /**
      * Chooses the upstream of a request.
      *
@@ -121,7 +179,7 @@
         double lowest = Double.MAX_VALUE;
         UpstreamInstance best = null;
         for (UpstreamInstance each : instances) {
-            boolean open = each.usable(nowMs) && (alsoPaused || !each.paused(nowMs));
+            boolean open = usable(nowMs, each) && (alsoPaused || !each.paused(nowMs));
             if (!open || tried.contains(each.id())) {
                 continue;
             }
@@ -138,7 +196,7 @@
     }
 
     /** Returns where the shared parts of a prompt most likely lie: the same upstream on all VMs. */
-    private static Optional<UpstreamInstance> home(
+    private Optional<UpstreamInstance> home(
             long nowMs, Prompt prompt, List<UpstreamInstance> instances) {
         long key = prompt.sharedHash();
         if (key == 0) {
@@ -148,7 +206,7 @@
         UpstreamInstance home = null;
         for (UpstreamInstance each : instances) {
             long rank = mix(key ^ (each.id().hashCode() * 0x9E3779B97F4A7C15L));
-            if (each.usable(nowMs) && rank > highest) {
+            if (usable(nowMs, each) && rank > highest) {
                 highest = rank;
                 home = each;
             }
--- a/coordination/src/main/java/org/hornbeampass/coordination/service/UpstreamInstance.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/service/UpstreamInstance.java
@@ -2,9 +2,13 @@
 
 import org.hornbeampass.state.service.UpstreamEntry;
 
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+
 /**
- * One upstream as this VM sees it: its entry, the requests that this VM has in progress there, and
- * what they have shown of it.
+ * One incarnation of an upstream as this VM sees it: its entry, the requests that this VM has in
+ * progress there, and what they have shown of it.
  *
  * <p>Invariant: once seen leaving or gone it takes no new request, whatever later entries say.
  * Confined to one thread.
@@ -27,10 +31,10 @@
     /** Prompt tokens that an engine reads in a millisecond, about, on the installations at hand. */
     static final double TOKENS_PER_MS = 50;
 
+    private final Set<IncarnationListener> mInProgress = new LinkedHashSet<>();
     private UpstreamEntry mEntry;
     private boolean mLeaving;
     private long mGoneAtMs = Long.MAX_VALUE;
-    private int mInFlight;
     private long mUnreadTokens;
     private int mFailuresInRow;
     private long mPausedUntilMs = Long.MIN_VALUE;
@@ -71,6 +75,11 @@
         return nowMs >= mGoneAtMs;
     }
 
+    /** Returns whether it was ever seen leaving. */
+    boolean leaving() {
+        return mLeaving;
+    }
+
     /** Returns whether it may take new requests at all. */
     public boolean usable(long nowMs) {
         return !mLeaving && !gone(nowMs);
@@ -83,7 +92,7 @@
 
     /** Returns how many of this VM's requests are in progress there. */
     public int inFlight() {
-        return mInFlight;
+        return mInProgress.size();
     }
 
     /** Returns the prompt tokens of this VM's requests there that have not begun to answer. */
@@ -91,9 +100,14 @@
         return mUnreadTokens;
     }
 
-    /** Counts a request that is sent there, with the prompt tokens that must be read for it. */
-    public void onSent(long tokens) {
-        mInFlight++;
+    /**
+     * Counts a request that is sent there.
+     *
+     * @param tokens the prompt tokens that must be read for it
+     * @param listener hears of the incarnation's end; the same one is given to {@link #onEnded}
+     */
+    public void onSent(long tokens, IncarnationListener listener) {
+        mInProgress.add(listener);
         mUnreadTokens += tokens;
     }
 
@@ -103,8 +117,14 @@
     }
 
     /** Counts the end of a request, whatever it was. */
-    public void onEnded() {
-        mInFlight = Math.max(0, mInFlight - 1);
+    public void onEnded(IncarnationListener listener) {
+        mInProgress.remove(listener);
+    }
+
+    /** Ends this incarnation: it takes no request any more, and those in progress are lost. */
+    void end(long nowMs) {
+        mGoneAtMs = nowMs;
+        List.copyOf(mInProgress).forEach(l -> l.onEnded(nowMs));
     }
 
     /**
--- a/coordination/src/test/java/org/hornbeampass/coordination/service/UpstreamBoardTest.java
+++ b/coordination/src/test/java/org/hornbeampass/coordination/service/UpstreamBoardTest.java
@@ -8,8 +8,10 @@
 import org.hornbeampass.state.service.UpstreamEntry;
 import org.junit.jupiter.api.Test;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Random;
 import java.util.Set;
 
@@ -27,7 +29,13 @@
     private final UpstreamBoard mBoard = new UpstreamBoard(new Random(1));
 
     private static UpstreamEntry entry(String id, boolean leaving) {
-        return new UpstreamEntry(id, "s", id + ":80", new FailureDomain("d"), 6, leaving);
+        return new UpstreamEntry(
+                id, OptionalLong.empty(), "s", id + ":80", new FailureDomain("d"), 6, leaving);
+    }
+
+    private static UpstreamEntry born(String id, long bornMs, boolean leaving) {
+        return new UpstreamEntry(
+                id, OptionalLong.of(bornMs), "s", id + ":80", new FailureDomain("d"), 6, leaving);
     }
 
     private Optional<String> choose(long nowMs, ServiceSpec service, Prompt prompt) {
@@ -35,28 +43,28 @@
     }
 
     private UpstreamInstance only(String id) {
-        mBoard.onEntry(entry(id, false));
+        mBoard.onEntry(0, entry(id, false));
         return mBoard.choose(0, PLAIN, Prompt.NONE, Set.of()).orElseThrow();
     }
 
     @Test
     void leavingUpstream_getsNothingAlsoIfALaterEntrySaysReady() {
-        mBoard.onEntry(entry("a", false));
-        mBoard.onEntry(entry("a", true));
-        mBoard.onEntry(entry("a", false));
+        mBoard.onEntry(0, entry("a", false));
+        mBoard.onEntry(0, entry("a", true));
+        mBoard.onEntry(0, entry("a", false));
         assertThat(choose(0, PLAIN, Prompt.NONE)).isEmpty();
     }
 
     @Test
     void removedUpstream_isGoneAtOnceOnACalmDay() {
-        mBoard.onEntry(entry("a", false));
+        mBoard.onEntry(0, entry("a", false));
         mBoard.onRemoved(100, "a", false);
         assertThat(choose(100, PLAIN, Prompt.NONE)).isEmpty();
     }
 
     @Test
     void entryMissingAfterAnOutage_staysInUseUntilItMustBeBack() {
-        mBoard.onEntry(entry("a", false));
+        mBoard.onEntry(0, entry("a", false));
         mBoard.onRemoved(100, "a", true);
         assertThat(choose(100, PLAIN, Prompt.NONE)).contains("a");
         assertThat(choose(100 + UpstreamBoard.MISSING_GRACE_MS, PLAIN, Prompt.NONE)).isEmpty();
@@ -64,16 +72,16 @@
 
     @Test
     void entryBackAfterAnOutage_staysInUse() {
-        mBoard.onEntry(entry("a", false));
+        mBoard.onEntry(0, entry("a", false));
         mBoard.onRemoved(100, "a", true);
-        mBoard.onEntry(entry("a", false));
+        mBoard.onEntry(0, entry("a", false));
         assertThat(choose(60_000, PLAIN, Prompt.NONE)).contains("a");
     }
 
     @Test
     void silentUpstream_isPausedAndComesBack() {
         UpstreamInstance first = only("a");
-        mBoard.onEntry(entry("b", false));
+        mBoard.onEntry(0, entry("b", false));
         first.onSilent(0);
         first.onSilent(0);
         assertThat(first.paused(100)).isTrue();
@@ -95,10 +103,10 @@
     void sharedPrompt_goesWhereOtherVmsSendItToo() {
         UpstreamBoard other = new UpstreamBoard(new Random(99));
         for (String id : List.of("a", "b", "c", "d")) {
-            mBoard.onEntry(entry(id, false));
+            mBoard.onEntry(0, entry(id, false));
         }
         for (String id : List.of("d", "c", "b", "a")) {
-            other.onEntry(entry(id, false));
+            other.onEntry(0, entry(id, false));
         }
         Optional<String> elsewhere =
                 other.choose(0, MODEL, SHARED, Set.of()).map(UpstreamInstance::id);
@@ -108,17 +116,17 @@
     @Test
     void sharedPrompt_leavesItsHomeWhereManyPromptsWaitThere() {
         for (String id : List.of("a", "b", "c", "d")) {
-            mBoard.onEntry(entry(id, false));
+            mBoard.onEntry(0, entry(id, false));
         }
         UpstreamInstance home = mBoard.choose(0, MODEL, SHARED, Set.of()).orElseThrow();
-        home.onSent(20_000);
+        home.onSent(20_000, t -> {});
         assertThat(choose(0, MODEL, SHARED)).isNotEqualTo(Optional.of(home.id()));
     }
 
     @Test
     void failingUpstream_getsLess() {
         UpstreamInstance bad = only("a");
-        mBoard.onEntry(entry("b", false));
+        mBoard.onEntry(0, entry("b", false));
         for (int i = 0; i < 5; i++) {
             bad.onBad(0);
         }
@@ -129,8 +137,8 @@
 
     @Test
     void slowEngine_getsLittleUntilItsEvidenceFades() {
-        mBoard.onEntry(entry("slow", false));
-        mBoard.onEntry(entry("sound", false));
+        mBoard.onEntry(0, entry("slow", false));
+        mBoard.onEntry(0, entry("sound", false));
         Prompt own = new Prompt(1_000, 100, List.of());
         int toSlow = 0;
         for (int i = 0; i < 100; i++) {
@@ -150,12 +158,88 @@
 
     @Test
     void sharedPart_staysAtItsHomeThroughASmallQueue() {
-        mBoard.onEntry(entry("a", false));
-        mBoard.onEntry(entry("b", false));
+        mBoard.onEntry(0, entry("a", false));
+        mBoard.onEntry(0, entry("b", false));
         UpstreamInstance home = mBoard.choose(0, MODEL, SHARED, Set.of()).orElseThrow();
-        home.onSent(3_000);
+        home.onSent(3_000, t -> {});
         assertThat(choose(0, MODEL, SHARED)).contains(home.id());
-        home.onSent(9_000);
+        home.onSent(9_000, t -> {});
         assertThat(choose(0, MODEL, SHARED)).isNotEqualTo(Optional.of(home.id()));
     }
+
+    @Test
+    void upstreamThatStartsAgain_isUsedAlsoIfItsFormerIncarnationLeft() {
+        mBoard.onEntry(0, born("a", 100, false));
+        mBoard.onEntry(0, born("a", 100, true));
+        assertThat(choose(0, PLAIN, Prompt.NONE)).isEmpty();
+        assertThat(mBoard.onEntry(1, born("a", 200, false))).isEqualTo(EntryVerdict.STARTED_AGAIN);
+        assertThat(choose(1, PLAIN, Prompt.NONE)).contains("a");
+    }
+
+    @Test
+    void upstreamThatStartsAgain_hasNoEvidenceAndNoRequestsOfItsFormerIncarnation() {
+        mBoard.onEntry(0, born("a", 100, false));
+        UpstreamInstance former = mBoard.choose(0, MODEL, SHARED, Set.of()).orElseThrow();
+        List<String> lost = new ArrayList<>();
+        former.onSent(5_000, t -> lost.add("request"));
+        former.onFirstPart(0, 900, 1_000);
+        former.onSilent(0);
+        former.onSilent(0);
+        mBoard.onEntry(1, born("a", 200, false));
+        UpstreamInstance next = mBoard.choose(1, MODEL, SHARED, Set.of()).orElseThrow();
+        assertThat(lost).containsExactly("request");
+        assertThat(next).isNotSameAs(former);
+        assertThat(next.paused(1)).isFalse();
+        assertThat(next.inFlight()).isZero();
+        assertThat(next.unreadTokens()).isZero();
+        assertThat(next.failureShare(1)).isZero();
+        assertThat(next.delayMs(1)).isZero();
+        assertThat(former.usable(1)).isFalse();
+    }
+
+    @Test
+    void lateEntryOfAFormerIncarnation_changesNothing() {
+        mBoard.onEntry(0, born("a", 200, false));
+        assertThat(mBoard.onEntry(1, born("a", 100, true)))
+                .isEqualTo(EntryVerdict.FORMER_INCARNATION);
+        assertThat(choose(1, PLAIN, Prompt.NONE)).contains("a");
+    }
+
+    @Test
+    void lateEntryOfAnUpstreamThatLeft_bringsItNotBack() {
+        mBoard.onEntry(0, entry("a", true));
+        mBoard.onRemoved(10, "a", false);
+        mBoard.tick(20);
+        assertThat(mBoard.onEntry(30, entry("a", false)))
+                .isEqualTo(EntryVerdict.FORMER_INCARNATION);
+        assertThat(choose(30, PLAIN, Prompt.NONE)).isEmpty();
+    }
+
+    @Test
+    void lateEntryOfAnIncarnationBeforeOneThatIsGone_bringsItNotBack() {
+        mBoard.onEntry(0, born("a", 200, false));
+        mBoard.onRemoved(10, "a", false);
+        mBoard.tick(20);
+        assertThat(mBoard.onEntry(30, born("a", 100, false)))
+                .isEqualTo(EntryVerdict.FORMER_INCARNATION);
+        assertThat(mBoard.onEntry(40, born("a", 200, false))).isEqualTo(EntryVerdict.ADDED);
+    }
+
+    @Test
+    void unreadableEntry_namesNoUpstreamUntilAReadableOneComes() {
+        mBoard.onEntry(0, entry("a", false));
+        mBoard.onUnreadable(10, "a");
+        assertThat(choose(10, PLAIN, Prompt.NONE)).isEmpty();
+        mBoard.onEntry(20, entry("a", false));
+        assertThat(choose(20, PLAIN, Prompt.NONE)).contains("a");
+    }
+
+    @Test
+    void entryWithoutItsIncarnationWhereOthersTellTheirs_getsNothing() {
+        mBoard.onEntry(0, entry("stranger", false));
+        mBoard.onEntry(0, born("a", 100, false));
+        for (int i = 0; i < 50; i++) {
+            assertThat(choose(0, PLAIN, Prompt.NONE)).contains("a");
+        }
+    }
 }
--- a/router/src/main/java/org/hornbeampass/router/daemon/GrantLog.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/GrantLog.java
@@ -1,6 +1,7 @@
 package org.hornbeampass.router.daemon;
 
 import org.hornbeampass.coordination.escrow.GrantListener;
+import org.hornbeampass.router.relay.LogFields;
 import org.hornbeampass.router.relay.RelayLog;
 
 /**
@@ -20,18 +21,13 @@
         mLog.believes(
                 nowMs,
                 change.after() >= change.before() ? "grant-taken" : "grant-returned",
-                "\"organisation\":\""
-                        + organisation
-                        + "\",\"before\":"
-                        + change.before()
-                        + ",\"after\":"
-                        + change.after()
-                        + ",\"free\":"
-                        + change.free()
-                        + ",\"unallocated\":"
-                        + change.unallocated()
-                        + ",\"unspent\":"
-                        + change.unspent());
+                new LogFields()
+                        .add("organisation", organisation)
+                        .add("before", change.before())
+                        .add("after", change.after())
+                        .add("free", change.free())
+                        .add("unallocated", change.unallocated())
+                        .add("unspent", change.unspent()));
     }
 
     @Override
@@ -39,6 +35,6 @@
         mLog.believes(
                 nowMs,
                 "tokens-borrowed",
-                "\"organisation\":\"" + organisation + "\",\"tokens\":" + tokens);
+                new LogFields().add("organisation", organisation).add("tokens", tokens));
     }
 }
--- a/router/src/main/java/org/hornbeampass/router/daemon/ObservedStore.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/ObservedStore.java
@@ -6,6 +6,7 @@
 import org.hornbeampass.coordination.platform.Platform;
 import org.hornbeampass.coordination.platform.PlatformCall;
 import org.hornbeampass.coordination.platform.PlatformReply;
+import org.hornbeampass.router.relay.LogFields;
 import org.hornbeampass.router.relay.RelayLog;
 
 import java.util.LinkedHashSet;
@@ -92,12 +93,10 @@
         mLog.believes(
                 nowMs,
                 "store-lost",
-                "\"call\":\""
-                        + call.getClass().getSimpleName()
-                        + "\",\"reason\":\""
-                        + reason.replace('"', '\'')
-                        + "\",\"last_answer_ms\":"
-                        + (nowMs - mAnsweredMs));
+                new LogFields()
+                        .add("call", call.getClass().getSimpleName())
+                        .add("reason", reason)
+                        .add("last_answer_ms", nowMs - mAnsweredMs));
     }
 
     private void answered(long nowMs) {
@@ -106,7 +105,7 @@
             return;
         }
         mLost = false;
-        mLog.believes(nowMs, "store-regained", "\"lost_ms\":" + (nowMs - mLostAtMs));
+        mLog.believes(nowMs, "store-regained", new LogFields().add("lost_ms", nowMs - mLostAtMs));
     }
 
     /** Looks for calls that hang. */
--- a/router/src/main/java/org/hornbeampass/router/daemon/PeerLog.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/PeerLog.java
@@ -1,6 +1,7 @@
 package org.hornbeampass.router.daemon;
 
 import org.hornbeampass.coordination.membership.MembershipListener;
+import org.hornbeampass.router.relay.LogFields;
 import org.hornbeampass.router.relay.RelayLog;
 import org.hornbeampass.state.member.Member;
 import org.hornbeampass.state.member.MemberState;
@@ -41,11 +42,9 @@
         mLog.believes(
                 nowMs,
                 "peer-" + text(member.state()),
-                "\"peer\":\""
-                        + member.name()
-                        + "\",\"before\":\""
-                        + before.map(PeerLog::text).orElse("unknown")
-                        + "\"");
+                new LogFields()
+                        .add("peer", member.name())
+                        .add("before", before.map(PeerLog::text).orElse("unknown")));
     }
 
     private static String text(MemberState state) {
--- a/router/src/main/java/org/hornbeampass/router/daemon/RelayDaemon.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/RelayDaemon.java
@@ -20,7 +20,6 @@
 import org.hornbeampass.coordination.platform.PlatformReply.Change;
 import org.hornbeampass.coordination.platform.RetryPolicy;
 import org.hornbeampass.coordination.platform.WatchedView;
-import org.hornbeampass.coordination.service.RouteTable;
 import org.hornbeampass.coordination.service.UpstreamBoard;
 import org.hornbeampass.router.relay.RelayHandler;
 import org.hornbeampass.router.relay.RelayLog;
@@ -71,9 +70,6 @@
     /** Waits after failed calls: several a second would be charged, ten seconds would be late. */
     private static final RetryPolicy NEWS_BACKOFF = new RetryPolicy(150, 700, Integer.MAX_VALUE);
 
-    /** How long after an outage entries may be missing that will be back, in milliseconds. */
-    private static final long AFTER_OUTAGE_MS = 2_500;
-
     private final TickLoop mTicks;
     private RelayDaemonSettings mSettings;
     private final WireFormat mWire;
@@ -94,6 +90,7 @@
     private final EscrowLoans mLoans;
     private final UpstreamPool mPool;
     private final RelayParts mParts;
+    private final StoreChanges mChanges;
     private final CallerServer mCallers;
     private final CallerServer mDirectory;
     private final CallerServer mReadiness;
@@ -142,6 +139,7 @@
                         mLog,
                         mRandom,
                         mFleet::vms);
+        mChanges = new StoreChanges(mParts, mUpstreams);
         register();
         mCallers =
                 CallerServer.start(
@@ -230,7 +228,7 @@
     }
 
     private long configVersion() {
-        return mParts.routes().map(r -> r.config().version()).orElse(0L);
+        return mChanges.configVersion();
     }
 
     private CallerLimits limits() {
@@ -293,59 +291,11 @@
     }
 
     private void onConfig(long nowMs, Change change) {
-        if (!change.key().equals(mWire.configKey()) || change.value().isEmpty()) {
-            return;
-        }
-        var read = mWire.readConfig(change.value().get());
-        if (read.isLeft()) {
-            mLog.believes(
-                    nowMs,
-                    "config-not-understood",
-                    "\"reason\":\"" + read.getLeft().message().replace('"', '\'') + "\"");
-            return;
-        }
-        if (read.get().version() < configVersion()) {
-            mLog.believes(nowMs, "config-too-old", "\"version\":" + read.get().version());
-            return;
-        }
-        mParts.setRoutes(new RouteTable(read.get()));
-        mBudgets.onOrganisations(read.get().organisations());
-        mBudgets.tick(nowMs);
-        mLog.believes(
-                nowMs,
-                "config-in-force",
-                "\"version\":" + read.get().version() + ",\"revision\":" + change.version());
+        mChanges.onConfig(nowMs, change);
     }
 
     private void onUpstream(long nowMs, Change change) {
-        if (change.value().isEmpty()) {
-            String id = change.key().substring(mWire.upstreamPrefix().length());
-            boolean afterOutage = mUpstreams.failedWithin(nowMs, AFTER_OUTAGE_MS);
-            mBoard.onRemoved(nowMs, id, afterOutage);
-            mLog.believes(
-                    nowMs,
-                    "upstream-removed",
-                    "\"upstream\":\"" + id + "\",\"after_outage\":" + afterOutage);
-            return;
-        }
-        var read = mWire.readUpstream(change.key(), change.value().get());
-        if (read.isLeft()) {
-            mLog.believes(
-                    nowMs,
-                    "upstream-not-understood",
-                    "\"reason\":\"" + read.getLeft().message().replace('"', '\'') + "\"");
-            return;
-        }
-        mBoard.onEntry(read.get());
-        mLog.believes(
-                nowMs,
-                "upstream-listed",
-                "\"upstream\":\""
-                        + read.get().id()
-                        + "\",\"leaving\":"
-                        + read.get().leaving()
-                        + ",\"revision\":"
-                        + change.version());
+        mChanges.onUpstream(nowMs, change);
     }
 
     /** Puts newer settings in force, as far as they can change while the daemon runs. */
--- a/router/src/main/java/org/hornbeampass/router/relay/InstanceUse.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/InstanceUse.java
@@ -1,5 +1,6 @@
 package org.hornbeampass.router.relay;
 
+import org.hornbeampass.coordination.service.IncarnationListener;
 import org.hornbeampass.coordination.service.UpstreamInstance;
 
 /**
@@ -8,16 +9,18 @@
  * <p>Invariant: what was counted at the start is taken back once, at the end at the latest.
  * Confined to one event loop.
  */
-final class InstanceUse {
+final class InstanceUse implements IncarnationListener {
     private final UpstreamInstance mInstance;
     private final long mPromptTokens;
+    private final IncarnationListener mOnInstanceEnd;
     private boolean mPromptRead;
     private boolean mLeft;
 
-    InstanceUse(UpstreamInstance instance, long promptTokens) {
+    InstanceUse(UpstreamInstance instance, long promptTokens, IncarnationListener onInstanceEnd) {
         mInstance = instance;
         mPromptTokens = promptTokens;
-        instance.onSent(promptTokens);
+        mOnInstanceEnd = onInstanceEnd;
+        instance.onSent(promptTokens, this);
     }
 
     UpstreamInstance instance() {
@@ -41,11 +44,18 @@
         if (!mPromptRead) {
             mInstance.onPromptRead(mPromptTokens);
         }
-        mInstance.onEnded();
+        mInstance.onEnded(this);
+    }
+
+    @Override
+    public void onEnded(long nowMs) {
+        mOnInstanceEnd.onEnded(nowMs);
     }
 
     /** Returns the upstream as fields of a log line. */
-    String fields() {
-        return "\"upstream\":\"" + mInstance.id() + "\",\"in_flight\":" + mInstance.inFlight();
+    LogFields fields() {
+        return new LogFields()
+                .add("upstream", mInstance.id())
+                .add("in_flight", mInstance.inFlight());
     }
 }
--- a/router/src/main/java/org/hornbeampass/router/relay/RelayAttempts.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/RelayAttempts.java
@@ -30,17 +30,11 @@
     private final RequestBody mBody;
     private final AnswerStream mStream;
     private final HeldAnswer mHeld;
+    private final SendCounts mCounts;
     private final Set<String> mTried = new HashSet<>();
     private Optional<InstanceUse> mUse = Optional.empty();
     private Optional<UpstreamConnection> mConnection = Optional.empty();
     private Runnable mSilenceTimer = () -> {};
-    private int mSends;
-    private int mUnreachable;
-    private int mMismatches;
-
-    /** How many sends may have run: all but those that an upstream said it did not run. */
-    private int mRuns;
-
     private boolean mHeadSent;
     private boolean mBodySent;
     private long mSentMs;
@@ -57,6 +51,7 @@
                         plan.route().resumable(),
                         plan.head().resumesAfter().orElse(-1));
         mHeld = new HeldAnswer(call);
+        mCounts = new SendCounts(plan.route());
     }
 
     /** Begins with the first upstream. */
@@ -71,13 +66,15 @@
             giveUp(nowMs, "no upstream takes requests now");
             return;
         }
-        if (mSends > 0 && !mParts.takeRetry(nowMs, mPlan.service().name())) {
+        if (mCounts.sentBefore() && !mParts.takeRetry(nowMs, mPlan.service().name())) {
             giveUp(nowMs, "too many requests are sent again now");
             return;
         }
         UpstreamInstance instance = chosen.get();
         mTried.add(instance.id());
-        InstanceUse use = new InstanceUse(instance, mPlan.head().prompt().promptTokens());
+        InstanceUse use =
+                new InstanceUse(
+                        instance, mPlan.head().prompt().promptTokens(), this::onInstanceEnded);
         mUse = Optional.of(use);
         long leftMs = mPlan.deadlineMs() - nowMs;
         long maxIdleMs =
@@ -102,9 +99,8 @@
         if (connection.isEmpty()) {
             instance.onSilent(nowMs);
             leaveInstance();
-            mUnreachable++;
             mParts.log().decided(nowMs, id(), "unreachable", use.fields());
-            if (mUnreachable >= RelayBounds.MAX_UNREACHABLE) {
+            if (mCounts.onUnreachable()) {
                 giveUp(nowMs, "the upstreams can't be reached");
             } else {
                 attempt(nowMs);
@@ -123,11 +119,9 @@
 
     private void send(long nowMs, UpstreamInstance instance, UpstreamConnection connection) {
         mConnection = Optional.of(connection);
-        if (mSends == 0) {
+        if (mCounts.onSent()) {
             mParts.countFirst(nowMs, mPlan.service().name());
         }
-        mSends++;
-        mRuns++;
         mSentMs = nowMs;
         mBodySent = false;
         connection.start(
@@ -188,10 +182,9 @@
 
     private void onNotRun(long nowMs, AnswerClass answer) {
         UpstreamInstance instance = mUse.orElseThrow().instance();
-        mRuns--;
+        mCounts.onNotRun(answer);
         if (answer == AnswerClass.ANOTHER_UPSTREAM) {
             mParts.board().onMismatch(nowMs, instance);
-            mMismatches++;
         } else {
             instance.onFull(nowMs, RelayBounds.FULL_PAUSE_MS);
         }
@@ -202,11 +195,7 @@
                         answer == AnswerClass.NOT_RUN ? "upstream-full" : "upstream-replaced",
                         mUse.get().fields());
         dropConnection();
-        boolean mayGoOn =
-                mMismatches <= RelayBounds.MAX_MISMATCHES
-                        && mSends - mMismatches < mPlan.route().maxAttempts()
-                        && mBody.complete();
-        if (mayGoOn) {
+        if (mCounts.mayGoOn() && mBody.complete()) {
             attempt(nowMs);
         } else {
             giveUp(nowMs, "the upstreams have no room now");
@@ -223,7 +212,7 @@
                                 nowMs,
                                 id(),
                                 "upstream-failed",
-                                mUse.get().fields() + ",\"status\":" + head.status().code());
+                                mUse.get().fields().add("status", head.status().code()));
                 Optional<UpstreamInstance> other =
                         mParts.board()
                                 .choose(nowMs, mPlan.service(), mPlan.head().prompt(), mTried);
@@ -261,7 +250,7 @@
 
     private boolean mayRunAgain() {
         return mPlan.route().mayRunAgain()
-                && mSends - mMismatches < mPlan.route().maxAttempts()
+                && mCounts.attemptsLeft()
                 && mBody.complete()
                 && !mCall.callerGone();
     }
@@ -345,6 +334,15 @@
         onLost(nowMs, reason);
     }
 
+    /** The upstream has started again: what was sent to its former incarnation is lost. */
+    private void onInstanceEnded(long nowMs) {
+        if (mCall.ended() || mConnection.isEmpty()) {
+            return;
+        }
+        dropConnectionOnly();
+        onLost(nowMs, "the upstream has started again");
+    }
+
     /** Goes on after an upstream was lost, where that is allowed. */
     private void onLost(long nowMs, String reason) {
         mParts.log()
@@ -352,11 +350,10 @@
                         nowMs,
                         id(),
                         "upstream-lost",
-                        mUse.map(InstanceUse::fields).orElse("\"upstream\":\"\"")
-                                + ",\"reason\":\""
-                                + reason.replace('"', '\'')
-                                + "\",\"events\":"
-                                + mStream.events());
+                        mUse.map(InstanceUse::fields)
+                                .orElseGet(LogFields::new)
+                                .add("reason", reason)
+                                .add("events", mStream.events()));
         leaveInstance();
         mSilenceTimer.run();
         if (mCall.callerGone()) {
@@ -405,7 +402,7 @@
             breakOff(nowMs, "the time was over");
             return;
         }
-        if (mRuns > 0) {
+        if (mCounts.mayHaveRun()) {
             fail(nowMs, Failure.of(ErrorKind.DEADLINE_EXCEEDED, "the time was over"));
         } else {
             fail(nowMs, RelayCall.noUpstream("the time was over before it could be sent"));
@@ -429,7 +426,7 @@
             breakOff(nowMs, why);
             return;
         }
-        if (mRuns == 0) {
+        if (!mCounts.mayHaveRun()) {
             fail(nowMs, RelayCall.noUpstream(why));
             return;
         }
@@ -448,7 +445,7 @@
 
     /** Ends an answer that can't be finished, so that the caller sees that it is not whole. */
     private void breakOff(long nowMs, String why) {
-        mParts.log().decided(nowMs, id(), "broken-off", "\"reason\":\"" + why + "\"");
+        mParts.log().decided(nowMs, id(), "broken-off", new LogFields().add("reason", why));
         mHeld.release();
         mStream.release();
         mCall.end(nowMs, "broken", usedTokens());
@@ -473,22 +470,17 @@
 
     /** Returns the tokens that the request has used: its prompt once, and what was delivered. */
     private long usedTokens() {
-        if (mRuns == 0) {
+        if (!mCounts.mayHaveRun()) {
             return 0;
         }
         return mPlan.head().prompt().promptTokens() + mStream.events() * mPlan.tokensPerEvent();
     }
 
     /** Returns the sends as fields of a log line. */
-    String summary() {
-        return ",\"sends\":"
-                + mSends
-                + ",\"unreachable\":"
-                + mUnreachable
-                + ",\"events\":"
-                + mStream.events()
-                + ",\"first_ms\":"
-                + (mFirstByteMs < 0 ? -1 : mFirstByteMs - mSentMs);
+    LogFields summary() {
+        return mCounts.fields()
+                .add("events", mStream.events())
+                .add("first_ms", mFirstByteMs < 0 ? -1 : mFirstByteMs - mSentMs);
     }
 
     private String id() {
--- a/router/src/main/java/org/hornbeampass/router/relay/RelayCall.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/RelayCall.java
@@ -81,7 +81,7 @@
     private Optional<RelayAttempts> mAttempts = Optional.empty();
     private long mDeadlineMs;
     private long mReserved;
-    private String mTokensLacking = "";
+    private LogFields mTokensLacking = new LogFields();
     private boolean mAdmitting;
     private boolean mEnded;
     private boolean mCallerGone;
@@ -298,20 +298,15 @@
     }
 
     /** Returns what decided against the request, as fields of a log line. */
-    private String lackingFields(long nowMs) {
+    private LogFields lackingFields(long nowMs) {
         EscrowBook.Standing standing = mParts.budgets().standing(nowMs, organisation());
-        return ",\"wanted\":"
-                + mHead.prompt().maxTokens()
-                + ",\"free\":"
-                + standing.free()
-                + ",\"unallocated\":"
-                + standing.unallocated()
-                + ",\"unspent\":"
-                + standing.unspent()
-                + ",\"heard_ago_ms\":"
-                + standing.heardAgoMs().orElse(-1)
-                + ",\"store_lost\":"
-                + standing.outOfReach();
+        return new LogFields()
+                .add("wanted", mHead.prompt().maxTokens())
+                .add("free", standing.free())
+                .add("unallocated", standing.unallocated())
+                .add("unspent", standing.unspent())
+                .add("heard_ago_ms", standing.heardAgoMs().orElse(-1))
+                .add("store_lost", standing.outOfReach());
     }
 
     private void onDeadline(long nowMs) {
@@ -387,14 +382,15 @@
                         mHead,
                         mRoute,
                         outcome,
-                        "\"organisation\":\""
-                                + organisation()
-                                + "\",\"reserved\":"
-                                + mReserved
-                                + ",\"used\":"
-                                + usedTokens
-                                + mTokensLacking
-                                + mAttempts.map(RelayAttempts::summary).orElse(""),
+                        new LogFields()
+                                .add("organisation", organisation())
+                                .add("reserved", mReserved)
+                                .add("used", usedTokens)
+                                .addAll(mTokensLacking)
+                                .addAll(
+                                        mAttempts
+                                                .map(RelayAttempts::summary)
+                                                .orElseGet(LogFields::new)),
                         nowMs - mArrivedMs);
     }
 
--- a/router/src/main/java/org/hornbeampass/router/relay/RelayLog.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/RelayLog.java
@@ -44,7 +44,7 @@
             CallerHead head,
             Optional<Route> route,
             String outcome,
-            String inputs,
+            LogFields inputs,
             long tookMs) {
         boolean good = outcome.equals("answered");
         mMetrics.counter("requests{outcome=\"" + outcome + "\"}").inc();
@@ -52,46 +52,37 @@
                 r ->
                         mMetrics.timer("request{route=\"" + r.name() + "\"}")
                                 .update(tookMs, TimeUnit.MILLISECONDS));
-        line(
-                nowMs,
-                good,
-                "ended",
-                head.id(),
-                "\"route\":\""
-                        + route.map(Route::name).orElse("")
-                        + "\",\"outcome\":\""
-                        + outcome
-                        + "\",\"took_ms\":"
-                        + tookMs
-                        + (inputs.isEmpty() ? "" : "," + inputs));
+        LogFields fields =
+                new LogFields()
+                        .add("route", route.map(Route::name).orElse(""))
+                        .add("outcome", outcome)
+                        .add("took_ms", tookMs)
+                        .addAll(inputs);
+        line(nowMs, good, "ended", head.id(), fields);
     }
 
     /** Logs a decision within a request. */
-    void decided(long nowMs, String id, String decision, String inputs) {
+    void decided(long nowMs, String id, String decision, LogFields inputs) {
         mMetrics.counter("decisions{kind=\"" + decision + "\"}").inc();
         line(nowMs, false, decision, id, inputs);
     }
 
     /** Logs a change of what this VM believes. */
-    public void believes(long nowMs, String decision, String inputs) {
+    public void believes(long nowMs, String decision, LogFields inputs) {
         mMetrics.counter("decisions{kind=\"" + decision + "\"}").inc();
         line(nowMs, false, decision, "", inputs);
     }
 
-    private void line(long nowMs, boolean good, String kind, String id, String inputs) {
+    private void line(long nowMs, boolean good, String kind, String id, LogFields inputs) {
         if (!room(nowMs, good)) {
             mLeftOut++;
             return;
         }
-        StringBuilder text = new StringBuilder(160);
-        text.append("{\"at_ms\":").append(nowMs).append(",\"kind\":\"").append(kind).append('"');
+        LogFields fields = new LogFields().add("at_ms", nowMs).add("kind", kind);
         if (!id.isEmpty()) {
-            text.append(",\"request\":\"").append(id).append('"');
+            fields.add("request", id);
         }
-        if (!inputs.isEmpty()) {
-            text.append(',').append(inputs);
-        }
-        LOG.info(text.append('}'));
+        LOG.info("{" + fields.addAll(inputs) + "}");
     }
 
     private boolean room(long nowMs, boolean good) {
--- a/router/src/main/java/org/hornbeampass/router/relay/RelayParts.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/RelayParts.java
@@ -63,7 +63,8 @@
         mVms = vms;
     }
 
-    WireFormat wire() {
+    /** Returns the installation's words. */
+    public WireFormat wire() {
         return mWire;
     }
 
@@ -75,15 +76,18 @@
         return mClock;
     }
 
-    UpstreamBoard board() {
+    /** Returns the upstreams. */
+    public UpstreamBoard board() {
         return mBoard;
     }
 
-    UpstreamPool pool() {
+    /** Returns the connections to upstreams. */
+    public UpstreamPool pool() {
         return mPool;
     }
 
-    EscrowBook budgets() {
+    /** Returns the prepaid budgets. */
+    public EscrowBook budgets() {
         return mBudgets;
     }
 
@@ -91,7 +95,8 @@
         return mLoans;
     }
 
-    RelayLog log() {
+    /** Returns the log of decisions. */
+    public RelayLog log() {
         return mLog;
     }
 
--- a/transport/src/main/java/org/hornbeampass/transport/relay/UpstreamPool.java
+++ b/transport/src/main/java/org/hornbeampass/transport/relay/UpstreamPool.java
@@ -17,6 +17,7 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
@@ -101,6 +102,14 @@
         mIdle.values().removeIf(ArrayDeque::isEmpty);
     }
 
+    /** Closes the kept connections to an address: whoever listened there has ended. */
+    public void forget(String address) {
+        ArrayDeque<UpstreamConnection> idle = mIdle.remove(address);
+        if (idle != null) {
+            List.copyOf(idle).forEach(UpstreamConnection::close);
+        }
+    }
+
     /** Returns how many connections were opened so far. */
     public long opened() {
         return mOpened;
