Let VMs tell each other what they have in progress at upstreams

Change: each VM tells the others every 100 ms (at most 80 messages a second, so that larger fleets hear less often) how many prompt tokens it has unread and how many requests in progress at each upstream; the choice counts both like its own, and the own load stands for the rest only as far as VMs were not heard within a second. Prompt tokens count as unread only as far as the upstream must read them: not the shared parts at their home.

--- a/coordination/src/main/java/org/hornbeampass/coordination/service/UpstreamBoard.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/service/UpstreamBoard.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.IntSupplier;
 import java.util.random.RandomGenerator;
 
 /**
@@ -27,13 +28,13 @@
     static final long MISSING_GRACE_MS = 1_900;
 
     /**
-     * By how much this VM's own load stands for that of the other VMs, which it does not see:
+     * By how much this VM's own load stands for that of the other VMs where none of them is heard:
      * callers choose VMs at random, so that loads are alike.
      */
     private static final double UNSEEN_LOAD = 2.0;
 
     /** What one running request adds to another's wait at an engine, in milliseconds. */
-    private static final double RUNNING_COST_MS = 2.0;
+    private static final double RUNNING_COST_MS = 0.5;
 
     /**
      * How much more a token counts that is read a second time in the fleet than one that must be
@@ -50,12 +51,34 @@
     private final Map<String, UpstreamInstance> mById = new HashMap<>();
     private final Map<String, List<UpstreamInstance>> mByService = new HashMap<>();
     private final FormerUpstreams mFormer = new FormerUpstreams();
+    private final FleetLoad mFleetLoad = new FleetLoad();
     private final RandomGenerator mRandom;
+    private final IntSupplier mVms;
     private boolean mIncarnationsTold;
 
-    /** Makes an empty board; the generator spreads ties. */
-    public UpstreamBoard(RandomGenerator random) {
+    /**
+     * Makes an empty board.
+     *
+     * @param random spreads ties
+     * @param vms how many VMs send requests to the upstreams
+     */
+    public UpstreamBoard(RandomGenerator random, IntSupplier vms) {
         mRandom = random;
+        mVms = vms;
+    }
+
+    /** Returns what the other VMs have in progress. */
+    FleetLoad fleetLoad() {
+        return mFleetLoad;
+    }
+
+    /** Returns what this VM has in progress. */
+    InFlightReport inFlight() {
+        return new InFlightReport(
+                mById.values().stream()
+                        .filter(i -> i.inFlight() > 0)
+                        .map(i -> new InFlightReport.Item(i.id(), i.unreadTokens(), i.inFlight()))
+                        .toList());
     }
 
     /**
@@ -131,6 +154,7 @@
     /** Forgets upstreams that are gone and have no request in progress. */
     public void tick(long nowMs) {
         mFormer.tick(nowMs);
+        mFleetLoad.tick(nowMs);
         mById.values().removeIf(i -> forget(nowMs, i));
         for (List<UpstreamInstance> instances : mByService.values()) {
             instances.removeIf(i -> i.gone(nowMs) && i.inFlight() == 0);
@@ -225,10 +249,28 @@
         boolean cached = home.isPresent() && home.get() == each;
         long own = prompt.promptTokens() - prompt.sharedTokens();
         double toRead = own + (cached ? 0 : READ_AGAIN_WEIGHT * prompt.sharedTokens());
-        double waitMs =
-                (toRead + UNSEEN_LOAD * each.unreadTokens()) / UpstreamInstance.TOKENS_PER_MS;
-        double runningMs = UNSEEN_LOAD * RUNNING_COST_MS * each.inFlight();
-        return waitMs + runningMs + each.delayMs(nowMs) + common(nowMs, each);
+        FleetLoad.Work others = mFleetLoad.at(each.id());
+        double ownWeight = ownWeight();
+        double unread = ownWeight * each.unreadTokens() + others.unreadTokens();
+        double requests = ownWeight * each.inFlight() + others.requests();
+        return (toRead + unread) / UpstreamInstance.TOKENS_PER_MS
+                + RUNNING_COST_MS * requests
+                + each.delayMs(nowMs)
+                + common(nowMs, each);
+    }
+
+    /** Returns by how much the own load is multiplied, for the VMs that are not heard. */
+    private double ownWeight() {
+        int others = Math.max(1, mVms.getAsInt() - 1);
+        double unheard = Math.max(0, 1 - (double) mFleetLoad.vmsHeard() / others);
+        return 1 + unheard * (UNSEEN_LOAD - 1);
+    }
+
+    /** Returns the prompt tokens that an upstream has to read for a request, as far as known. */
+    public long tokensToRead(long nowMs, UpstreamInstance each, Prompt prompt) {
+        List<UpstreamInstance> all = mByService.getOrDefault(each.entry().service(), List.of());
+        boolean cached = home(nowMs, prompt, all).filter(h -> h == each).isPresent();
+        return prompt.promptTokens() - (cached ? prompt.sharedTokens() : 0);
     }
 
     private double plainCost(long nowMs, UpstreamInstance each) {
--- /dev/null
+++ b/coordination/src/test/java/org/hornbeampass/coordination/service/LoadExchangeTest.java
@@ -0,0 +1,100 @@
+package org.hornbeampass.coordination.service;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.vavr.control.Either;
+
+import org.hornbeampass.coordination.peer.PeerMessage;
+import org.hornbeampass.coordination.peer.PeerNetwork;
+import org.hornbeampass.state.Failure;
+import org.hornbeampass.state.FailureDomain;
+import org.hornbeampass.state.VmId;
+import org.hornbeampass.state.service.Prompt;
+import org.hornbeampass.state.service.ServiceSpec;
+import org.hornbeampass.state.service.UpstreamEntry;
+import org.junit.jupiter.api.Test;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Random;
+import java.util.Set;
+import java.util.function.BiConsumer;
+import java.util.stream.IntStream;
+
+/** Checks what VMs tell each other of their requests in progress, and how often. */
+class LoadExchangeTest {
+    private static final ServiceSpec SERVICE = new ServiceSpec("s", 100, Optional.empty());
+
+    private final UpstreamBoard mBoard = new UpstreamBoard(new Random(1), () -> 3);
+    private final List<String> mTold = new ArrayList<>();
+    private final List<InFlightReport> mReports = new ArrayList<>();
+    private List<String> mNames = List.of("vm-2", "vm-3");
+    private final LoadExchange mExchange = new LoadExchange(mBoard, new Recorder(), () -> mNames);
+
+    /** Notes what is sent. */
+    private final class Recorder implements PeerNetwork {
+        @Override
+        public void send(String vmName, PeerMessage message) {
+            mTold.add(vmName);
+            mReports.add((InFlightReport) message);
+        }
+
+        @Override
+        public void request(
+                long nowMs,
+                String vmName,
+                PeerMessage request,
+                long timeoutMs,
+                BiConsumer<Long, Either<Failure, PeerMessage>> done) {
+            throw new AssertionError("nothing is asked");
+        }
+    }
+
+    private UpstreamInstance upstream() {
+        mBoard.onEntry(
+                0,
+                new UpstreamEntry(
+                        "a", OptionalLong.empty(), "s", "a:80", new FailureDomain("d"), 6, false));
+        return mBoard.choose(0, SERVICE, Prompt.NONE, Set.of()).orElseThrow();
+    }
+
+    @Test
+    void requestInProgress_isToldToAllOthers() {
+        upstream().onSent(700, t -> {});
+        mExchange.tick(0);
+        assertThat(mTold).containsExactly("vm-2", "vm-3");
+        assertThat(mReports.get(0).items()).containsExactly(new InFlightReport.Item("a", 700, 1));
+    }
+
+    @Test
+    void vmWithNothingInProgress_saysSoOnce() {
+        IncarnationListener request = t -> {};
+        UpstreamInstance upstream = upstream();
+        upstream.onSent(0, request);
+        mExchange.tick(0);
+        upstream.onEnded(request);
+        mExchange.tick(100);
+        mExchange.tick(200);
+        assertThat(mReports).hasSize(4);
+        assertThat(mReports.get(3).items()).isEmpty();
+    }
+
+    @Test
+    void largeFleet_costsAVmNoMoreMessages() {
+        upstream().onSent(700, t -> {});
+        mNames = IntStream.range(0, 390).mapToObj(i -> "vm-" + i).toList();
+        for (long t = 0; t < 20_000; t += 100) {
+            mExchange.tick(t);
+        }
+        assertThat(mTold.size()).isBetween(4 * 390, 5 * 390);
+    }
+
+    @Test
+    void report_isTakenIn() {
+        InFlightReport report = new InFlightReport(List.of(new InFlightReport.Item("a", 9, 2)));
+        mExchange.onReport(0, new VmId("vm-2", 1), report, r -> {});
+        assertThat(mBoard.fleetLoad().at("a").requests()).isEqualTo(2);
+    }
+}
--- a/coordination/src/test/java/org/hornbeampass/coordination/service/UpstreamBoardTest.java
+++ b/coordination/src/test/java/org/hornbeampass/coordination/service/UpstreamBoardTest.java
@@ -26,7 +26,7 @@
                     100,
                     List.of(new Prompt.Part("aa", 5_000), new Prompt.Part("own", 1_000)));
 
-    private final UpstreamBoard mBoard = new UpstreamBoard(new Random(1));
+    private final UpstreamBoard mBoard = new UpstreamBoard(new Random(1), () -> 8);
 
     private static UpstreamEntry entry(String id, boolean leaving) {
         return new UpstreamEntry(
@@ -101,7 +101,7 @@
 
     @Test
     void sharedPrompt_goesWhereOtherVmsSendItToo() {
-        UpstreamBoard other = new UpstreamBoard(new Random(99));
+        UpstreamBoard other = new UpstreamBoard(new Random(99), () -> 8);
         for (String id : List.of("a", "b", "c", "d")) {
             mBoard.onEntry(0, entry(id, false));
         }
@@ -242,4 +242,47 @@
             assertThat(choose(0, PLAIN, Prompt.NONE)).contains("a");
         }
     }
+
+    @Test
+    void loadOfOtherVms_countsLikeTheOwnOne() {
+        mBoard.onEntry(0, entry("a", false));
+        mBoard.onEntry(0, entry("b", false));
+        Prompt own = new Prompt(1_000, 100, List.of());
+        InFlightReport.Item busy = new InFlightReport.Item("a", 20_000, 3);
+        mBoard.fleetLoad().onReport(0, "vm-2", new InFlightReport(List.of(busy)));
+        for (int i = 0; i < 50; i++) {
+            assertThat(choose(10, MODEL, own)).contains("b");
+        }
+    }
+
+    @Test
+    void reportOfAVmThatFellSilent_countsNoLonger() {
+        mBoard.onEntry(0, entry("a", false));
+        InFlightReport.Item busy = new InFlightReport.Item("a", 20_000, 3);
+        mBoard.fleetLoad().onReport(0, "vm-2", new InFlightReport(List.of(busy)));
+        mBoard.tick(FleetLoad.FRESH_MS);
+        assertThat(mBoard.fleetLoad().at("a").requests()).isZero();
+        assertThat(mBoard.fleetLoad().vmsHeard()).isZero();
+    }
+
+    @Test
+    void newerReportOfAVm_replacesItsFormerOne() {
+        InFlightReport.Item busy = new InFlightReport.Item("a", 20_000, 3);
+        mBoard.fleetLoad().onReport(0, "vm-2", new InFlightReport(List.of(busy)));
+        mBoard.fleetLoad().onReport(100, "vm-3", new InFlightReport(List.of(busy)));
+        assertThat(mBoard.fleetLoad().at("a").unreadTokens()).isEqualTo(40_000);
+        mBoard.fleetLoad().onReport(200, "vm-2", new InFlightReport(List.of()));
+        assertThat(mBoard.fleetLoad().at("a").unreadTokens()).isEqualTo(20_000);
+    }
+
+    @Test
+    void sharedPart_isReadAtItsHomeOnlyOnce() {
+        mBoard.onEntry(0, entry("a", false));
+        mBoard.onEntry(0, entry("b", false));
+        UpstreamInstance home = mBoard.choose(0, MODEL, SHARED, Set.of()).orElseThrow();
+        assertThat(mBoard.tokensToRead(0, home, SHARED)).isEqualTo(1_000);
+        home.onSent(1_000, t -> {});
+        assertThat(mBoard.inFlight().items())
+                .containsExactly(new InFlightReport.Item(home.id(), 1_000, 1));
+    }
 }
--- a/router/src/main/java/org/hornbeampass/router/daemon/RelayDaemon.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/RelayDaemon.java
@@ -20,6 +20,8 @@
 import org.hornbeampass.coordination.platform.PlatformReply.Change;
 import org.hornbeampass.coordination.platform.RetryPolicy;
 import org.hornbeampass.coordination.platform.WatchedView;
+import org.hornbeampass.coordination.service.InFlightReport;
+import org.hornbeampass.coordination.service.LoadExchange;
 import org.hornbeampass.coordination.service.UpstreamBoard;
 import org.hornbeampass.router.relay.RelayHandler;
 import org.hornbeampass.router.relay.RelayLog;
@@ -78,7 +80,7 @@
     private final MetricRegistry mMetrics = new MetricRegistry();
     private final RelayLog mLog = new RelayLog(mMetrics);
     private final Random mRandom = new SecureRandom();
-    private final UpstreamBoard mBoard = new UpstreamBoard(mRandom);
+    private final UpstreamBoard mBoard = new UpstreamBoard(mRandom, this::vms);
     private final ObservedStore mStore;
     private final FleetView mFleet;
     private final PeerTransport mPeers;
@@ -88,6 +90,7 @@
     private final EscrowBook mBudgets;
     private final BudgetMetrics mBudgetMetrics;
     private final EscrowLoans mLoans;
+    private final LoadExchange mLoads;
     private final UpstreamPool mPool;
     private final RelayParts mParts;
     private final StoreChanges mChanges;
@@ -124,6 +127,7 @@
                         mRandom);
         mBudgets = budgets(ip);
         mBudgetMetrics = new BudgetMetrics(mMetrics, mBudgets);
+        mLoads = new LoadExchange(mBoard, mPeers, mFleet::others);
         mLoans = new EscrowLoans(mBudgets, mPeers, mFleet::others, mRandom);
         mPool = new UpstreamPool(mLoops, mClock);
         mParts =
@@ -170,6 +174,10 @@
         return Optional.ofNullable(mFleet);
     }
 
+    private int vms() {
+        return mFleet.vms();
+    }
+
     private EventLoop loop() {
         return mLoops.group().next();
     }
@@ -208,6 +216,7 @@
         mPeers.on(NewsRequest.class, mNews::onRequest);
         mPeers.on(LoanRequest.class, mLoans::onRequest);
         mPeers.on(LoanGift.class, mLoans::onGift);
+        mPeers.on(InFlightReport.class, mLoads::onReport);
     }
 
     private void registerMetrics() {
@@ -284,6 +293,7 @@
         mNews.tick(nowMs);
         mBudgets.tick(nowMs);
         mLoans.tick(nowMs);
+        mLoads.tick(nowMs);
         mBoard.tick(nowMs);
         mPool.tick(nowMs);
         mCallers.tick(nowMs);
--- a/router/src/main/java/org/hornbeampass/router/relay/InstanceUse.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/InstanceUse.java
@@ -11,16 +11,16 @@
  */
 final class InstanceUse implements IncarnationListener {
     private final UpstreamInstance mInstance;
-    private final long mPromptTokens;
+    private final long mTokensToRead;
     private final IncarnationListener mOnInstanceEnd;
     private boolean mPromptRead;
     private boolean mLeft;
 
-    InstanceUse(UpstreamInstance instance, long promptTokens, IncarnationListener onInstanceEnd) {
+    InstanceUse(UpstreamInstance instance, long tokensToRead, IncarnationListener onInstanceEnd) {
         mInstance = instance;
-        mPromptTokens = promptTokens;
+        mTokensToRead = tokensToRead;
         mOnInstanceEnd = onInstanceEnd;
-        instance.onSent(promptTokens, this);
+        instance.onSent(tokensToRead, this);
     }
 
     UpstreamInstance instance() {
@@ -31,8 +31,8 @@
     void onAnswering(long nowMs, long sentMs) {
         if (!mPromptRead) {
             mPromptRead = true;
-            mInstance.onPromptRead(mPromptTokens);
-            mInstance.onFirstPart(nowMs, (double) (nowMs - sentMs), mPromptTokens);
+            mInstance.onPromptRead(mTokensToRead);
+            mInstance.onFirstPart(nowMs, (double) (nowMs - sentMs), mTokensToRead);
         }
     }
 
@@ -42,7 +42,7 @@
         }
         mLeft = true;
         if (!mPromptRead) {
-            mInstance.onPromptRead(mPromptTokens);
+            mInstance.onPromptRead(mTokensToRead);
         }
         mInstance.onEnded(this);
     }
--- a/router/src/main/java/org/hornbeampass/router/relay/RelayAttempts.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/RelayAttempts.java
@@ -72,9 +72,8 @@
         }
         UpstreamInstance instance = chosen.get();
         mTried.add(instance.id());
-        InstanceUse use =
-                new InstanceUse(
-                        instance, mPlan.head().prompt().promptTokens(), this::onInstanceEnded);
+        long toRead = mParts.board().tokensToRead(nowMs, instance, mPlan.head().prompt());
+        InstanceUse use = new InstanceUse(instance, toRead, this::onInstanceEnded);
         mUse = Optional.of(use);
         long leftMs = mPlan.deadlineMs() - nowMs;
         long maxIdleMs =
--- a/transport/src/main/java/org/hornbeampass/protocol/peer/PeerMessageType.java
+++ b/transport/src/main/java/org/hornbeampass/protocol/peer/PeerMessageType.java
@@ -29,6 +29,7 @@
 import org.hornbeampass.coordination.requests.EntriesDecided;
 import org.hornbeampass.coordination.requests.EntriesRefused;
 import org.hornbeampass.coordination.requests.SubmitEntries;
+import org.hornbeampass.coordination.service.InFlightReport;
 import org.hornbeampass.protocol.peer.PeerType.Form;
 
 /**
@@ -66,6 +67,7 @@
     SUBMIT_ENTRIES(60, SubmitEntries.class, Form.REQUEST),
     ENTRIES_DECIDED(61, EntriesDecided.class, Form.REPLY),
     ENTRIES_REFUSED(62, EntriesRefused.class, Form.REPLY),
+    IN_FLIGHT_REPORT(80, InFlightReport.class, Form.ONE_WAY),
     DRAIN_ORDER(95, DrainOrder.class, Form.REQUEST),
     DRAIN_ANSWER(96, DrainAnswer.class, Form.REPLY);
 
