Let engines take up short prompts before long ones

Hypothesis: in the first seconds and in bursts engines read many prompts for the first time; a short one that waits behind them is late for a fraction of their time.

Change: requests to engines carry an urgency by the prompt tokens that their upstream has to read (ReadingUrgency: up to 2,000, 6,000, 15,000 and more), which only this VM may say.

--- /dev/null
+++ b/coordination/src/main/java/org/hornbeampass/coordination/service/ReadingUrgency.java
@@ -0,0 +1,49 @@
+package org.hornbeampass.coordination.service;
+
+/**
+ * How soon an engine should take up a request, by how much it has to read for it: shortest first.
+ *
+ * <p>A short prompt that waits behind long ones is late for a fraction of their time, while they
+ * lose little by it. It answers the load of engines that read many prompts for the first time: on
+ * days with short and long prompts mixed, requests late in the first six seconds fell from 32 to 26
+ * and from 43 to 31 (one run each, on the same seeds).
+ *
+ * <p>Immutable; safe for use by any thread.
+ */
+public enum ReadingUrgency {
+    /** Read in some 35 ms, a tenth of the shortest objective at hand. */
+    SHORT(2_000, 2),
+    /** Read in some 100 ms: a few of them fit into an objective. */
+    MEDIUM(6_000, 4),
+    /** Read in some 250 ms: about half of an objective. */
+    LONG(15_000, 6),
+    /** Takes most of an objective by itself; anything before it that is short costs it little. */
+    HUGE(Long.MAX_VALUE, 8);
+
+    private final long mMostTokens;
+    private final int mRank;
+
+    ReadingUrgency(long mostTokens, int rank) {
+        mMostTokens = mostTokens;
+        mRank = rank;
+    }
+
+    /**
+     * Returns the urgency of a request.
+     *
+     * @param tokensToRead the prompt tokens that its upstream has to read
+     */
+    public static ReadingUrgency of(long tokensToRead) {
+        for (ReadingUrgency each : values()) {
+            if (tokensToRead <= each.mMostTokens) {
+                return each;
+            }
+        }
+        return HUGE;
+    }
+
+    /** Returns its rank, from 0 for the first to 9 for the last. */
+    public int rank() {
+        return mRank;
+    }
+}
--- a/router/src/main/java/org/hornbeampass/router/relay/InstanceUse.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/InstanceUse.java
@@ -36,6 +36,11 @@
         }
     }
 
+    /** Returns the prompt tokens that the upstream has to read. */
+    long tokensToRead() {
+        return mTokensToRead;
+    }
+
     void leave() {
         if (mLeft) {
             return;
--- a/router/src/main/java/org/hornbeampass/router/relay/RelayAttempts.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/RelayAttempts.java
@@ -113,18 +113,17 @@
             attempt(nowMs);
             return;
         }
-        send(nowMs, instance, connection.get());
+        send(nowMs, use, connection.get());
     }
 
-    private void send(long nowMs, UpstreamInstance instance, UpstreamConnection connection) {
+    private void send(long nowMs, InstanceUse use, UpstreamConnection connection) {
         mConnection = Optional.of(connection);
         if (mCounts.onSent()) {
             mParts.countFirst(nowMs, mPlan.service().name());
         }
         mSentMs = nowMs;
         mBodySent = false;
-        connection.start(
-                mPlan.upstreamHead(nowMs, mParts.wire(), instance.id(), mStream.lastId()), this);
+        connection.start(mPlan.upstreamHead(nowMs, mParts.wire(), use, mStream.lastId()), this);
         sendBody();
         watchSilence(mPlan.route().objectiveMs() * RelayBounds.SILENCE_OBJECTIVES);
     }
--- a/router/src/main/java/org/hornbeampass/router/relay/RelayPlan.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/RelayPlan.java
@@ -6,10 +6,12 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpVersion;
 
+import org.hornbeampass.coordination.service.ReadingUrgency;
 import org.hornbeampass.state.service.Route;
 import org.hornbeampass.state.service.ServiceSpec;
 
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.OptionalLong;
 
 /**
@@ -41,10 +43,10 @@
      *
      * @param nowMs the present time in milliseconds
      * @param wire the installation's words
-     * @param upstreamId the upstream that must run it
+     * @param use the send at the upstream that must run it
      * @param lastEvent the last event that the caller has; -1 where it has none
      */
-    HttpRequest upstreamHead(long nowMs, WireFormat wire, String upstreamId, long lastEvent) {
+    HttpRequest upstreamHead(long nowMs, WireFormat wire, InstanceUse use, long lastEvent) {
         HttpRequest copy =
                 new DefaultHttpRequest(
                         HttpVersion.HTTP_1_1,
@@ -59,8 +61,13 @@
                         ? OptionalLong.of(Math.max(1, deadlineMs - nowMs))
                         : OptionalLong.empty();
         OptionalLong after = lastEvent >= 0 ? OptionalLong.of(lastEvent) : OptionalLong.empty();
+        OptionalInt urgency =
+                service.engine().isPresent()
+                        ? OptionalInt.of(ReadingUrgency.of(use.tokensToRead()).rank())
+                        : OptionalInt.empty();
         wire.writeUpstreamHead(
-                copy.headers(), new UpstreamHead(upstreamId, organisation, leftMs, after));
+                copy.headers(),
+                new UpstreamHead(use.instance().id(), organisation, leftMs, after, urgency));
         return copy;
     }
 }
--- a/router/src/main/java/org/hornbeampass/router/relay/UpstreamHead.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/UpstreamHead.java
@@ -1,6 +1,7 @@
 package org.hornbeampass.router.relay;
 
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.OptionalLong;
 
 /**
@@ -12,9 +13,11 @@
  * @param organisation the organisation that pays
  * @param budgetMs how long the caller still waits, in milliseconds
  * @param resumesAfter the last event that the caller has, where this VM goes on with a stream
+ * @param urgency how soon an engine should take it up, from 0 for the first to 9
  */
 public record UpstreamHead(
         String upstreamId,
         Optional<String> organisation,
         OptionalLong budgetMs,
-        OptionalLong resumesAfter) {}
+        OptionalLong resumesAfter,
+        OptionalInt urgency) {}
