Add hornbeamctl losses: why requests were not served, by time, from logs

The question of which requests are lost, when and for what reason was answered by scripts of one's own so far. The command counts it from the routers' logs; explain and losses share the reading of logs (LogLine, LogFiles). Tests: LossesCommandTest, ExplainCommandTest unchanged.

--- a/cli/src/main/java/org/hornbeampass/cli/Hornbeamctl.java
+++ b/cli/src/main/java/org/hornbeampass/cli/Hornbeamctl.java
@@ -9,6 +9,7 @@
 import org.hornbeampass.cli.command.CompletionCommand;
 import org.hornbeampass.cli.command.DrainCommand;
 import org.hornbeampass.cli.command.ExplainCommand;
+import org.hornbeampass.cli.command.LossesCommand;
 import org.hornbeampass.cli.command.OrganisationCommand;
 import org.hornbeampass.cli.command.ParameterName;
 import org.hornbeampass.cli.command.RevisionCommand;
@@ -60,6 +61,7 @@
             BurnCommand.class,
             CheckCommand.class,
             ExplainCommand.class,
+            LossesCommand.class,
             CompletionCommand.class
         },
         exitCodeListHeading = "%nExit codes:%n",
--- a/cli/src/main/java/org/hornbeampass/cli/command/ExplainCommand.java
+++ b/cli/src/main/java/org/hornbeampass/cli/command/ExplainCommand.java
@@ -8,13 +8,8 @@
 import picocli.CommandLine.Parameters;
 import picocli.CommandLine.Spec;
 
-import java.io.BufferedReader;
 import java.io.IOException;
-import java.io.InputStreamReader;
 import java.io.PrintWriter;
-import java.nio.charset.Charset;
-import java.nio.charset.StandardCharsets;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.Callable;
@@ -37,8 +32,6 @@
             "  cat *.log | hornbeamctl explain 9c41d07be2a35f68"
         })
 public final class ExplainCommand implements Callable<Integer> {
-    private static final String STANDARD_INPUT = "-";
-
     @Spec private CommandSpec mSpec;
 
     @Parameters(index = "0", paramLabel = "REQUEST", description = "The id that the caller sent.")
@@ -52,37 +45,12 @@
 
     @Override
     public Integer call() throws IOException {
-        PrintWriter err = mSpec.commandLine().getErr();
         LogStory story = new LogStory(mRequest);
-        if (mFiles.isEmpty()) {
-            read(
-                    story,
-                    STANDARD_INPUT,
-                    new BufferedReader(new InputStreamReader(System.in, Charset.defaultCharset())));
-        }
-        for (Path file : mFiles) {
-            if (!Files.isReadable(file)) {
-                err.println("hornbeamctl: " + file + " can't be read; check its path and rights");
-                return ErrorKind.NOT_FOUND.exitCode();
-            }
-            read(
-                    story,
-                    String.valueOf(file.getFileName()),
-                    Files.newBufferedReader(file, StandardCharsets.UTF_8));
-        }
-        return print(story.lines());
-    }
-
-    private static void read(LogStory story, String source, BufferedReader lines)
-            throws IOException {
-        try (lines) {
-            for (String line = lines.readLine(); line != null; line = lines.readLine()) {
-                story.take(source, line);
-            }
-        }
+        int code = LogFiles.read(mSpec, mFiles, story::take);
+        return code == ExitCodes.OK ? print(story.lines()) : code;
     }
 
-    private int print(List<LogStory.Line> lines) {
+    private int print(List<LogLine> lines) {
         if (lines.isEmpty()) {
             mSpec.commandLine().getErr().println("hornbeamctl: no line names request " + mRequest);
             return ErrorKind.NOT_FOUND.exitCode();
