--- /dev/null
+++ b/transport/src/test/java/org/hornbeampass/transport/relay/CallerConnectionTest.java
@@ -0,0 +1,58 @@
+package org.hornbeampass.transport.relay;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.http.DefaultLastHttpContent;
+import io.netty.handler.codec.http.HttpContent;
+
+import org.hornbeampass.state.service.CallerLimits;
+import org.hornbeampass.transport.Clock;
+import org.hornbeampass.transport.EventLoops;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+
+/** Checks what becomes of messages around the end of a caller's connection. */
+class CallerConnectionTest {
+    private final EventLoops mLoops = EventLoops.create(1, "test");
+    private final CallerServer mServer =
+            CallerServer.start(
+                    mLoops,
+                    new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
+                    Clock.monotonic(),
+                    (nowMs, caller, head) -> CallerListener.IGNORING,
+                    () -> CallerLimits.DEFAULT);
+
+    @AfterEach
+    void close() {
+        mLoops.close();
+    }
+
+    private static HttpContent part() {
+        return new DefaultLastHttpContent(Unpooled.copiedBuffer("body", StandardCharsets.US_ASCII));
+    }
+
+    @Test
+    void partBeforeAnyRequest_isReleased() {
+        CallerConnection caller = new CallerConnection(mServer, Clock.monotonic());
+        EmbeddedChannel channel = new EmbeddedChannel(caller);
+        HttpContent part = part();
+        channel.writeInbound(part);
+        assertThat(part.refCnt()).isZero();
+    }
+
+    @Test
+    void partThatComesAfterTheEnd_isReleased() {
+        CallerConnection caller = new CallerConnection(mServer, Clock.monotonic());
+        EmbeddedChannel channel = new EmbeddedChannel(caller);
+        HttpContent part = part();
+        caller.abort();
+        caller.channelRead(channel.pipeline().lastContext(), part);
+        assertThat(part.refCnt()).isZero();
+    }
+}
