Release parts that come after the end; let no stranger's entry take others out

UpstreamBoard took upstreams without an incarnation out of use as soon as any entry told one: on an installation whose upstreams tell none, one entry of another writer would have taken all of them out. Now half of a service's entries must tell theirs (UpstreamBoardTest.strangerThatTellsAnIncarnation failed before).

--- a/coordination/src/main/java/org/hornbeampass/coordination/service/UpstreamBoard.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/service/UpstreamBoard.java
@@ -54,7 +54,6 @@
     private final FleetLoad mFleetLoad = new FleetLoad();
     private final RandomGenerator mRandom;
     private final IntSupplier mVms;
-    private boolean mIncarnationsTold;
 
     /**
      * Makes an empty board.
@@ -89,7 +88,6 @@
      * @return what became of it
      */
     public EntryVerdict onEntry(long nowMs, UpstreamEntry entry) {
-        mIncarnationsTold |= entry.bornMs().isPresent();
         UpstreamInstance known = mById.get(entry.id());
         if (known == null) {
             if (mFormer.ended(entry)) {
@@ -170,11 +168,17 @@
     }
 
     /**
-     * Returns whether an upstream may get requests: an entry that does not tell its incarnation,
-     * where others do, is not an upstream's own.
+     * Returns the upstreams of a service that may get requests. Where half of them tell their
+     * incarnation, an entry that does not is not an upstream's own; where few do, those few may be
+     * another writer's, and take nobody else out of use.
      */
-    private boolean usable(long nowMs, UpstreamInstance each) {
-        return each.usable(nowMs) && (!mIncarnationsTold || each.entry().bornMs().isPresent());
+    private List<UpstreamInstance> usable(long nowMs, String service) {
+        List<UpstreamInstance> all = mByService.getOrDefault(service, List.of());
+        long telling = all.stream().filter(UpstreamInstance::tellsIncarnation).count();
+        boolean mustTell = telling > 0 && 2 * telling >= all.size();
+        return all.stream()
+                .filter(i -> i.usable(nowMs) && (!mustTell || i.tellsIncarnation()))
+                .toList();
     }
 
     /**
@@ -187,7 +191,7 @@
      */
     public Optional<UpstreamInstance> choose(
             long nowMs, ServiceSpec service, Prompt prompt, Set<String> tried) {
-        List<UpstreamInstance> instances = mByService.getOrDefault(service.name(), List.of());
+        List<UpstreamInstance> instances = usable(nowMs, service.name());
         Optional<UpstreamInstance> best = best(nowMs, service, prompt, tried, instances, false);
         return best.isPresent() ? best : best(nowMs, service, prompt, tried, instances, true);
     }
@@ -199,11 +203,11 @@
             Set<String> tried,
             List<UpstreamInstance> instances,
             boolean alsoPaused) {
-        Optional<UpstreamInstance> home = home(nowMs, prompt, instances);
+        Optional<UpstreamInstance> home = home(prompt, instances);
         double lowest = Double.MAX_VALUE;
         UpstreamInstance best = null;
         for (UpstreamInstance each : instances) {
-            boolean open = usable(nowMs, each) && (alsoPaused || !each.paused(nowMs));
+            boolean open = alsoPaused || !each.paused(nowMs);
             if (!open || tried.contains(each.id())) {
                 continue;
             }
@@ -220,8 +224,8 @@
     }
 
     /** Returns where the shared parts of a prompt most likely lie: the same upstream on all VMs. */
-    private Optional<UpstreamInstance> home(
-            long nowMs, Prompt prompt, List<UpstreamInstance> instances) {
+    private static Optional<UpstreamInstance> home(
+            Prompt prompt, List<UpstreamInstance> instances) {
         long key = prompt.sharedHash();
         if (key == 0) {
             return Optional.empty();
@@ -230,7 +234,7 @@
         UpstreamInstance home = null;
         for (UpstreamInstance each : instances) {
             long rank = mix(key ^ (each.id().hashCode() * 0x9E3779B97F4A7C15L));
-            if (usable(nowMs, each) && rank > highest) {
+            if (rank > highest) {
                 highest = rank;
                 home = each;
             }
@@ -268,8 +272,8 @@
 
     /** Returns the prompt tokens that an upstream has to read for a request, as far as known. */
     public long tokensToRead(long nowMs, UpstreamInstance each, Prompt prompt) {
-        List<UpstreamInstance> all = mByService.getOrDefault(each.entry().service(), List.of());
-        boolean cached = home(nowMs, prompt, all).filter(h -> h == each).isPresent();
+        List<UpstreamInstance> all = usable(nowMs, each.entry().service());
+        boolean cached = home(prompt, all).filter(h -> h == each).isPresent();
         return prompt.promptTokens() - (cached ? prompt.sharedTokens() : 0);
     }
 
--- a/coordination/src/main/java/org/hornbeampass/coordination/service/UpstreamInstance.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/service/UpstreamInstance.java
@@ -75,6 +75,11 @@
         return nowMs >= mGoneAtMs;
     }
 
+    /** Returns whether its entry tells when it started. */
+    boolean tellsIncarnation() {
+        return mEntry.bornMs().isPresent();
+    }
+
     /** Returns whether it was ever seen leaving. */
     boolean leaving() {
         return mLeaving;
--- a/coordination/src/test/java/org/hornbeampass/coordination/service/UpstreamBoardTest.java
+++ b/coordination/src/test/java/org/hornbeampass/coordination/service/UpstreamBoardTest.java
@@ -238,6 +238,7 @@
     void entryWithoutItsIncarnationWhereOthersTellTheirs_getsNothing() {
         mBoard.onEntry(0, entry("stranger", false));
         mBoard.onEntry(0, born("a", 100, false));
+        mBoard.onEntry(0, born("b", 100, true));
         for (int i = 0; i < 50; i++) {
             assertThat(choose(0, PLAIN, Prompt.NONE)).contains("a");
         }
@@ -285,4 +286,12 @@
         assertThat(mBoard.inFlight().items())
                 .containsExactly(new InFlightReport.Item(home.id(), 1_000, 1));
     }
+
+    @Test
+    void strangerThatTellsAnIncarnationWhereOthersDoNot_takesNobodyOutOfUse() {
+        mBoard.onEntry(0, entry("a", true));
+        mBoard.onEntry(0, entry("b", false));
+        mBoard.onEntry(0, born("stranger", 100, true));
+        assertThat(choose(0, PLAIN, Prompt.NONE)).contains("b");
+    }
 }
--- a/transport/src/main/java/org/hornbeampass/transport/relay/CallerConnection.java
+++ b/transport/src/main/java/org/hornbeampass/transport/relay/CallerConnection.java
@@ -78,6 +78,10 @@
 
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
+        if (mGone) {
+            ReferenceCountUtil.release(message); // Decoded after the connection was given up.
+            return;
+        }
         mQueued.add((HttpObject) message);
         deliver();
     }
