--- a/coordination/src/main/java/org/hornbeampass/coordination/escrow/GrantPolicy.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/escrow/GrantPolicy.java
@@ -75,7 +75,7 @@
      * Into how many parts a fair share is divided, of which one is kept without any demand, so that
      * a first burst fits, and a cut that comes before the demand is known. With 15 parts, cuts of 8
      * and 7 s lost 0.09 % of a day's requests, with 8 parts 0.01 % at 4 % fewer calls to the store
-     * (EscrowDay, ten seeds); with 4 parts an early kill of all VMs took 2 % more of the worth.
+     * (EscrowDay, six seeds); with 4 parts an early kill of all VMs took 2 % more of the worth.
      */
     private static final double FLOOR_PARTS = 8.0;
 
