--- a/cli/src/main/java/org/hornbeampass/cli/command/LossCause.java
+++ b/cli/src/main/java/org/hornbeampass/cli/command/LossCause.java
@@ -1,5 +1,10 @@
 package org.hornbeampass.cli.command;
 
+import org.hornbeampass.state.ErrorKind;
+
+import java.util.Arrays;
+import java.util.Optional;
+
 /**
  * Why a request was not served, or not in time, as far as its line in the log tells.
  *
@@ -17,7 +22,7 @@
     BUDGET_USED("budget used up") {
         @Override
         boolean matches(LogLine line) {
-            return line.text(OUTCOME).equals("budget_exhausted");
+            return endsAs(line, ErrorKind.BUDGET_EXHAUSTED);
         }
     },
     /** Tokens are left on paper, but in grants: those of ended incarnations, or of other VMs. */
@@ -38,32 +43,30 @@
     VM_NOT_READY("VM not ready") {
         @Override
         boolean matches(LogLine line) {
-            String outcome = line.text(OUTCOME);
-            return outcome.equals("not_ready") || outcome.equals("shutting_down");
+            return endsAs(line, ErrorKind.NOT_READY) || endsAs(line, ErrorKind.SHUTTING_DOWN);
         }
     },
     /** No upstream could take it. */
     NO_UPSTREAM("no upstream") {
         @Override
         boolean matches(LogLine line) {
-            return line.text(OUTCOME).equals("no_upstream");
+            return endsAs(line, ErrorKind.NO_UPSTREAM);
         }
     },
     /** An upstream was lost or failed while it ran. */
     BROKEN("broken at upstream") {
         @Override
         boolean matches(LogLine line) {
-            String outcome = line.text(OUTCOME);
-            return outcome.equals("broken")
-                    || outcome.equals("upstream_failed")
-                    || outcome.equals("outcome_unknown");
+            return line.text(OUTCOME).equals("broken")
+                    || endsAs(line, ErrorKind.UPSTREAM_FAILED)
+                    || endsAs(line, ErrorKind.OUTCOME_UNKNOWN);
         }
     },
     /** It ran into its time limit. */
     DEADLINE("deadline") {
         @Override
         boolean matches(LogLine line) {
-            return line.text(OUTCOME).equals("deadline_exceeded");
+            return endsAs(line, ErrorKind.DEADLINE_EXCEEDED);
         }
     },
     /** The caller was gone before its end. */
@@ -90,6 +93,11 @@
         mTitle = title;
     }
 
+    /** Returns the cause that a request's last line shows; empty where it was answered. */
+    static Optional<LossCause> of(LogLine line) {
+        return Arrays.stream(values()).filter(c -> c.matches(line)).findFirst();
+    }
+
     /** Returns whether a request's last line shows this cause; the first that does counts. */
     abstract boolean matches(LogLine line);
 
@@ -97,7 +105,11 @@
         return mTitle;
     }
 
+    private static boolean endsAs(LogLine line, ErrorKind kind) {
+        return line.text(OUTCOME).equals(kind.code());
+    }
+
     private static boolean lacksTokens(LogLine line) {
-        return line.text(OUTCOME).equals("budget_unreachable") && line.has("wanted");
+        return endsAs(line, ErrorKind.BUDGET_UNREACHABLE) && line.has("wanted");
     }
 }
--- a/cli/src/main/java/org/hornbeampass/cli/command/LossTable.java
+++ b/cli/src/main/java/org/hornbeampass/cli/command/LossTable.java
@@ -6,6 +6,7 @@
 import java.util.EnumMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
 
 /**
@@ -58,24 +59,13 @@
         Map<LossCause, Integer> lost = new EnumMap<>(LossCause.class);
         int answered = 0;
         for (LogLine end : ends) {
-            if (end.text("outcome").equals("answered")) {
-                answered++;
-            } else {
-                lost.merge(cause(end), 1, Integer::sum);
-            }
+            Optional<LossCause> cause = LossCause.of(end);
+            cause.ifPresent(c -> lost.merge(c, 1, Integer::sum));
+            answered += cause.isEmpty() ? 1 : 0;
         }
         return new Span(second, answered, lost);
     }
 
-    private static LossCause cause(LogLine end) {
-        for (LossCause each : LossCause.values()) {
-            if (each.matches(end)) {
-                return each;
-            }
-        }
-        return LossCause.NOT_ALLOWED;
-    }
-
     /** Returns the spans as a table with a column for each cause that was seen. */
     static TextTable text(List<Span> spans) {
         List<LossCause> seen =
--- a/coordination/src/main/java/org/hornbeampass/coordination/service/LoadExchange.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/service/LoadExchange.java
@@ -21,9 +21,9 @@
     private static final long PERIOD_MS = 100;
 
     /**
-     * How many messages a VM sends in a second. One costs some 0.05 ms of a core at both ends
-     * together, so that this takes half a percent of it; eight VMs tell each other all of it every
-     * 100 ms, and 83 VMs every second.
+     * How many messages a VM sends in a second at most: a bound that eight VMs don't reach, not a
+     * measured best. 83 VMs tell each other every second, 390 every five, where most of a report's
+     * life is unknown load again.
      */
     private static final long MESSAGES_PER_S = 80;
 
--- a/coordination/src/main/java/org/hornbeampass/coordination/service/ReadingUrgency.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/service/ReadingUrgency.java
@@ -5,13 +5,14 @@
  *
  * <p>A short prompt that waits behind long ones is late for a fraction of their time, while they
  * lose little by it. It answers the load of engines that read many prompts for the first time: on
- * days with short and long prompts mixed, requests late in the first six seconds fell from 32 to 26
- * and from 43 to 31 (one run each, on the same seeds).
+ * two days with short and long prompts mixed, requests late in the first six seconds fell from 32
+ * to 26 and from 43 to 31 (one run each, on the same seeds; budgets, which refused nobody then,
+ * were changed at the same time).
  *
  * <p>Immutable; safe for use by any thread.
  */
 public enum ReadingUrgency {
-    /** Read in some 35 ms, a tenth of the shortest objective at hand. */
+    /** Read in some 35 ms, at about 60 tokens a millisecond; objectives are 400 ms and more. */
     SHORT(2_000, 2),
     /** Read in some 100 ms: a few of them fit into an objective. */
     MEDIUM(6_000, 4),
--- a/coordination/src/main/java/org/hornbeampass/coordination/service/UpstreamBoard.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/service/UpstreamBoard.java
@@ -174,11 +174,18 @@
      */
     private List<UpstreamInstance> usable(long nowMs, String service) {
         List<UpstreamInstance> all = mByService.getOrDefault(service, List.of());
-        long telling = all.stream().filter(UpstreamInstance::tellsIncarnation).count();
+        int telling = 0;
+        for (UpstreamInstance each : all) {
+            telling += each.tellsIncarnation() ? 1 : 0;
+        }
         boolean mustTell = telling > 0 && 2 * telling >= all.size();
-        return all.stream()
-                .filter(i -> i.usable(nowMs) && (!mustTell || i.tellsIncarnation()))
-                .toList();
+        List<UpstreamInstance> usable = new ArrayList<>(all.size());
+        for (UpstreamInstance each : all) {
+            if (each.usable(nowMs) && (!mustTell || each.tellsIncarnation())) {
+                usable.add(each);
+            }
+        }
+        return usable;
     }
 
     /**
@@ -189,34 +196,38 @@
      * @param prompt what the request reads
      * @param tried upstreams that the request was sent to before
      */
-    public Optional<UpstreamInstance> choose(
+    public Optional<UpstreamChoice> choose(
             long nowMs, ServiceSpec service, Prompt prompt, Set<String> tried) {
         List<UpstreamInstance> instances = usable(nowMs, service.name());
-        Optional<UpstreamInstance> best = best(nowMs, service, prompt, tried, instances, false);
-        return best.isPresent() ? best : best(nowMs, service, prompt, tried, instances, true);
+        Optional<UpstreamInstance> home = home(prompt, instances);
+        Optional<UpstreamInstance> best = best(nowMs, service, prompt, tried, home, instances);
+        return best.map(b -> new UpstreamChoice(b, tokensToRead(b, prompt, home)));
     }
 
+    /** Returns the cheapest that is not paused; where all are, the cheapest of them. */
     private Optional<UpstreamInstance> best(
             long nowMs,
             ServiceSpec service,
             Prompt prompt,
             Set<String> tried,
-            List<UpstreamInstance> instances,
-            boolean alsoPaused) {
-        Optional<UpstreamInstance> home = home(prompt, instances);
+            Optional<UpstreamInstance> home,
+            List<UpstreamInstance> instances) {
         double lowest = Double.MAX_VALUE;
+        boolean lowestPaused = true;
         UpstreamInstance best = null;
         for (UpstreamInstance each : instances) {
-            boolean open = alsoPaused || !each.paused(nowMs);
-            if (!open || tried.contains(each.id())) {
+            boolean paused = each.paused(nowMs);
+            if (tried.contains(each.id()) || (paused && !lowestPaused)) {
                 continue;
             }
             double cost =
                     service.engine().isPresent()
                             ? engineCost(nowMs, each, prompt, home)
                             : plainCost(nowMs, each);
-            if (cost < lowest) {
+            boolean firstOpen = lowestPaused && !paused;
+            if (firstOpen || cost < lowest) {
                 lowest = cost;
+                lowestPaused = paused;
                 best = each;
             }
         }
@@ -270,10 +281,9 @@
         return 1 + unheard * (UNSEEN_LOAD - 1);
     }
 
-    /** Returns the prompt tokens that an upstream has to read for a request, as far as known. */
-    public long tokensToRead(long nowMs, UpstreamInstance each, Prompt prompt) {
-        List<UpstreamInstance> all = usable(nowMs, each.entry().service());
-        boolean cached = home(prompt, all).filter(h -> h == each).isPresent();
+    private static long tokensToRead(
+            UpstreamInstance each, Prompt prompt, Optional<UpstreamInstance> home) {
+        boolean cached = home.isPresent() && home.get() == each;
         return prompt.promptTokens() - (cached ? prompt.sharedTokens() : 0);
     }
 
--- a/coordination/src/test/java/org/hornbeampass/coordination/service/LoadExchangeTest.java
+++ b/coordination/src/test/java/org/hornbeampass/coordination/service/LoadExchangeTest.java
@@ -57,7 +57,7 @@
                 0,
                 new UpstreamEntry(
                         "a", OptionalLong.empty(), "s", "a:80", new FailureDomain("d"), 6, false));
-        return mBoard.choose(0, SERVICE, Prompt.NONE, Set.of()).orElseThrow();
+        return mBoard.choose(0, SERVICE, Prompt.NONE, Set.of()).orElseThrow().instance();
     }
 
     @Test
--- a/coordination/src/test/java/org/hornbeampass/coordination/service/UpstreamBoardTest.java
+++ b/coordination/src/test/java/org/hornbeampass/coordination/service/UpstreamBoardTest.java
@@ -39,12 +39,12 @@
     }
 
     private Optional<String> choose(long nowMs, ServiceSpec service, Prompt prompt) {
-        return mBoard.choose(nowMs, service, prompt, Set.of()).map(UpstreamInstance::id);
+        return mBoard.choose(nowMs, service, prompt, Set.of()).map(c -> c.instance().id());
     }
 
     private UpstreamInstance only(String id) {
         mBoard.onEntry(0, entry(id, false));
-        return mBoard.choose(0, PLAIN, Prompt.NONE, Set.of()).orElseThrow();
+        return mBoard.choose(0, PLAIN, Prompt.NONE, Set.of()).orElseThrow().instance();
     }
 
     @Test
@@ -109,7 +109,7 @@
             other.onEntry(0, entry(id, false));
         }
         Optional<String> elsewhere =
-                other.choose(0, MODEL, SHARED, Set.of()).map(UpstreamInstance::id);
+                other.choose(0, MODEL, SHARED, Set.of()).map(c -> c.instance().id());
         assertThat(choose(0, MODEL, SHARED)).isEqualTo(elsewhere);
     }
 
@@ -118,7 +118,7 @@
         for (String id : List.of("a", "b", "c", "d")) {
             mBoard.onEntry(0, entry(id, false));
         }
-        UpstreamInstance home = mBoard.choose(0, MODEL, SHARED, Set.of()).orElseThrow();
+        UpstreamInstance home = mBoard.choose(0, MODEL, SHARED, Set.of()).orElseThrow().instance();
         home.onSent(20_000, t -> {});
         assertThat(choose(0, MODEL, SHARED)).isNotEqualTo(Optional.of(home.id()));
     }
@@ -143,7 +143,8 @@
         int toSlow = 0;
         for (int i = 0; i < 100; i++) {
             long nowMs = i * 20L;
-            UpstreamInstance chosen = mBoard.choose(nowMs, MODEL, own, Set.of()).orElseThrow();
+            UpstreamInstance chosen =
+                    mBoard.choose(nowMs, MODEL, own, Set.of()).orElseThrow().instance();
             boolean slow = chosen.id().equals("slow");
             toSlow += slow ? 1 : 0;
             chosen.onFirstPart(nowMs, slow ? 400 : 40, 1_000);
@@ -160,7 +161,7 @@
     void sharedPart_staysAtItsHomeThroughASmallQueue() {
         mBoard.onEntry(0, entry("a", false));
         mBoard.onEntry(0, entry("b", false));
-        UpstreamInstance home = mBoard.choose(0, MODEL, SHARED, Set.of()).orElseThrow();
+        UpstreamInstance home = mBoard.choose(0, MODEL, SHARED, Set.of()).orElseThrow().instance();
         home.onSent(3_000, t -> {});
         assertThat(choose(0, MODEL, SHARED)).contains(home.id());
         home.onSent(9_000, t -> {});
@@ -179,14 +180,15 @@
     @Test
     void upstreamThatStartsAgain_hasNoEvidenceAndNoRequestsOfItsFormerIncarnation() {
         mBoard.onEntry(0, born("a", 100, false));
-        UpstreamInstance former = mBoard.choose(0, MODEL, SHARED, Set.of()).orElseThrow();
+        UpstreamInstance former =
+                mBoard.choose(0, MODEL, SHARED, Set.of()).orElseThrow().instance();
         List<String> lost = new ArrayList<>();
         former.onSent(5_000, t -> lost.add("request"));
         former.onFirstPart(0, 900, 1_000);
         former.onSilent(0);
         former.onSilent(0);
         mBoard.onEntry(1, born("a", 200, false));
-        UpstreamInstance next = mBoard.choose(1, MODEL, SHARED, Set.of()).orElseThrow();
+        UpstreamInstance next = mBoard.choose(1, MODEL, SHARED, Set.of()).orElseThrow().instance();
         assertThat(lost).containsExactly("request");
         assertThat(next).isNotSameAs(former);
         assertThat(next.paused(1)).isFalse();
@@ -280,8 +282,11 @@
     void sharedPart_isReadAtItsHomeOnlyOnce() {
         mBoard.onEntry(0, entry("a", false));
         mBoard.onEntry(0, entry("b", false));
-        UpstreamInstance home = mBoard.choose(0, MODEL, SHARED, Set.of()).orElseThrow();
-        assertThat(mBoard.tokensToRead(0, home, SHARED)).isEqualTo(1_000);
+        UpstreamChoice choice = mBoard.choose(0, MODEL, SHARED, Set.of()).orElseThrow();
+        UpstreamInstance home = choice.instance();
+        assertThat(choice.tokensToRead()).isEqualTo(1_000);
+        assertThat(mBoard.choose(0, MODEL, SHARED, Set.of(home.id())).orElseThrow().tokensToRead())
+                .isEqualTo(6_000);
         home.onSent(1_000, t -> {});
         assertThat(mBoard.inFlight().items())
                 .containsExactly(new InFlightReport.Item(home.id(), 1_000, 1));
--- a/router/src/main/java/org/hornbeampass/router/relay/InstanceUse.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/InstanceUse.java
@@ -1,6 +1,7 @@
 package org.hornbeampass.router.relay;
 
 import org.hornbeampass.coordination.service.IncarnationListener;
+import org.hornbeampass.coordination.service.UpstreamChoice;
 import org.hornbeampass.coordination.service.UpstreamInstance;
 
 /**
@@ -16,11 +17,11 @@
     private boolean mPromptRead;
     private boolean mLeft;
 
-    InstanceUse(UpstreamInstance instance, long tokensToRead, IncarnationListener onInstanceEnd) {
-        mInstance = instance;
-        mTokensToRead = tokensToRead;
+    InstanceUse(UpstreamChoice choice, IncarnationListener onInstanceEnd) {
+        mInstance = choice.instance();
+        mTokensToRead = choice.tokensToRead();
         mOnInstanceEnd = onInstanceEnd;
-        instance.onSent(tokensToRead, this);
+        mInstance.onSent(mTokensToRead, this);
     }
 
     UpstreamInstance instance() {
--- a/router/src/main/java/org/hornbeampass/router/relay/RelayAttempts.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/RelayAttempts.java
@@ -5,6 +5,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
 
+import org.hornbeampass.coordination.service.UpstreamChoice;
 import org.hornbeampass.coordination.service.UpstreamInstance;
 import org.hornbeampass.state.ErrorKind;
 import org.hornbeampass.state.Failure;
@@ -60,7 +61,7 @@
     }
 
     private void attempt(long nowMs) {
-        Optional<UpstreamInstance> chosen =
+        Optional<UpstreamChoice> chosen =
                 mParts.board().choose(nowMs, mPlan.service(), mPlan.head().prompt(), mTried);
         if (chosen.isEmpty()) {
             giveUp(nowMs, "no upstream takes requests now");
@@ -70,10 +71,9 @@
             giveUp(nowMs, "too many requests are sent again now");
             return;
         }
-        UpstreamInstance instance = chosen.get();
+        UpstreamInstance instance = chosen.get().instance();
         mTried.add(instance.id());
-        long toRead = mParts.board().tokensToRead(nowMs, instance, mPlan.head().prompt());
-        InstanceUse use = new InstanceUse(instance, toRead, this::onInstanceEnded);
+        InstanceUse use = new InstanceUse(chosen.get(), this::onInstanceEnded);
         mUse = Optional.of(use);
         long leftMs = mPlan.deadlineMs() - nowMs;
         long maxIdleMs =
@@ -211,7 +211,7 @@
                                 id(),
                                 "upstream-failed",
                                 mUse.get().fields().add("status", head.status().code()));
-                Optional<UpstreamInstance> other =
+                Optional<UpstreamChoice> other =
                         mParts.board()
                                 .choose(nowMs, mPlan.service(), mPlan.head().prompt(), mTried);
                 if (other.isPresent()) {
