Hand over no request whose caller has left before it was read

Cause: a loop that stood still for a second (cold code, a large configuration) reads requests whose callers' deadlines have passed. One read took the request and not the end of the connection behind it, so that the request was passed on, up to a second after its caller had left, and the end was noticed afterwards.

Change: a connection is read until nothing is left, and a request is handed over by a task of the loop, after the end of its connection has been noticed. Where more requests were read at once than are handled in 100 ms, the connections are read again first.

--- a/transport/src/main/java/org/hornbeampass/transport/relay/CallerConnection.java
+++ b/transport/src/main/java/org/hornbeampass/transport/relay/CallerConnection.java
@@ -28,6 +28,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 
 /**
  * One caller's connection: its requests one after another, each answered before the next is taken.
@@ -43,6 +44,14 @@
     /** A rest of a body that is read and dropped, so that the connection can be kept. */
     private static final long MAX_DROPPED_BYTES = 128 << 10;
 
+    /**
+     * How long ago the connection may have been read when a request is handed over, in
+     * milliseconds. Where more requests were read at once than are handled in that time, as on a
+     * cold VM, the connection is read again first: its caller may have left, and a request is to
+     * reach no upstream half a second after that.
+     */
+    private static final long FRESH_MS = 100;
+
     private final CallerServer mServer;
     private final Clock mClock;
     private final ArrayDeque<HttpObject> mQueued = new ArrayDeque<>();
@@ -55,6 +64,8 @@
     private boolean mHttp10;
     private boolean mGone;
     private boolean mDelivering;
+    private boolean mReading;
+    private long mReadMs;
     private long mIdleSinceMs;
     private long mHeadSinceMs = -1;
 
@@ -83,11 +94,40 @@
             return;
         }
         mQueued.add((HttpObject) message);
+        mReading |= message instanceof HttpRequest;
+        deliver();
+    }
+
+    /**
+     * Hands over what was read, once the end of the connection has been noticed where it had come:
+     * the channel is closed right after this, and before the tasks of the loop.
+     */
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) {
+        if (!mReading) {
+            return;
+        }
+        mReadMs = mClock.nowMs();
+        mChannel.eventLoop().execute(this::deliverRead);
+    }
+
+    private void deliverRead() {
+        if (!mChannel.isActive()) {
+            return;
+        }
+        boolean old = mClock.nowMs() - mReadMs > FRESH_MS;
+        if (old) {
+            mReadMs = mClock.nowMs();
+            // Due at once, and run after the next look at the sockets.
+            var unused = mChannel.eventLoop().schedule(this::deliverRead, 0, TimeUnit.MILLISECONDS);
+            return;
+        }
+        mReading = false;
         deliver();
     }
 
     private void deliver() {
-        if (mDelivering) {
+        if (mDelivering || mReading) {
             return;
         }
         mDelivering = true;
--- a/transport/src/main/java/org/hornbeampass/transport/relay/CallerServer.java
+++ b/transport/src/main/java/org/hornbeampass/transport/relay/CallerServer.java
@@ -1,6 +1,7 @@
 package org.hornbeampass.transport.relay;
 
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -40,6 +41,9 @@
     private static final int LOW_WATER_BYTES = 16 << 10;
     private static final int HIGH_WATER_BYTES = 64 << 10;
 
+    /** How often one connection is read before the others have their turn; Netty's usual bound. */
+    private static final int MAX_READS = 16;
+
     private final Clock mClock;
     private final CallerHandler mHandler;
     private final Supplier<CallerLimits> mLimits;
@@ -161,6 +165,12 @@
         protected void initChannel(Channel channel) {
             CallerConnection connection = new CallerConnection(CallerServer.this, mClock);
             mConnections.add(connection);
+            // Reads on until nothing is left, so that a caller's end is seen with its last request.
+            channel.config()
+                    .setRecvByteBufAllocator(
+                            new AdaptiveRecvByteBufAllocator()
+                                    .respectMaybeMoreData(false)
+                                    .maxMessagesPerRead(MAX_READS));
             int maxHead = Math.min(MAX_HEAD_BYTES, limits().maxHeadBytes());
             channel.pipeline()
                     .addLast(new ByteListener(connection))
