--- a/coordination/src/main/java/org/hornbeampass/coordination/service/LoadExchange.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/service/LoadExchange.java
@@ -28,13 +28,13 @@
 
     /**
      * To how many others a VM can tell all it has within its messages. Beyond that each was heard
-     * less often: 95 VMs sent 7,600 messages in a second, and heard each other every 1.2 s, where a
-     * report counts for one.
+     * less often: 95 VMs would send 7,600 messages in a second, and hear each other every 1.2 s,
+     * where a report counts for one.
      */
     static final int DIRECT_VMS = (int) (MESSAGES_PER_S * PERIOD_MS / SECOND_MS);
 
     /**
-     * How often relays are told, and tell, in milliseconds. 95 VMs in five domains send some 1,050
+     * How often relays are told, and tell, in milliseconds. 95 VMs in five domains send 1,000
      * messages in a second together, and what one tells is with all others after two such spans.
      */
     private static final long RELAY_PERIOD_MS = 200;
--- a/coordination/src/test/java/org/hornbeampass/coordination/escrow/MemberHomesTest.java
+++ b/coordination/src/test/java/org/hornbeampass/coordination/escrow/MemberHomesTest.java
@@ -81,7 +81,7 @@
             Set<String> after = homes(pool, rest);
             if (before.contains(gone.name())) {
                 before.retainAll(after);
-                assertThat(before).hasSizeGreaterThanOrEqualTo(MemberHomes.HOMES - 2);
+                assertThat(before).hasSize(MemberHomes.HOMES - 1);
             } else {
                 assertThat(after).isEqualTo(before);
             }
--- a/coordination/src/test/java/org/hornbeampass/coordination/escrow/PoolHomesTest.java
+++ b/coordination/src/test/java/org/hornbeampass/coordination/escrow/PoolHomesTest.java
@@ -12,8 +12,8 @@
 /**
  * Checks what a hundred VMs cost and serve where a few homes exchange with the store for all.
  *
- * <p>The bounds are about one and a half times what the seed gave; the figures of fleets in which
- * each VM exchanged are of the same seed.
+ * <p>The bounds are about one and a half times what the seed gave. The figures of fleets in which
+ * each VM exchanged are of the same load drawn another time, without the wait after conflicts.
  */
 class PoolHomesTest {
     private static final long SEED = 0;
@@ -40,7 +40,7 @@
 
     @Test
     void cutsAndKillsOfAHundredVms_endInNoStormOfCalls() {
-        // 1,759 calls; 67,170 where any VM that was asked for tokens became a home, and a write
+        // 1,804 calls; 67,170 where any VM that was asked for tokens became a home, and a write
         // that met another version was repeated at once.
         Result homes = play(EscrowLoad.MIXED_PROMPTS, ALL, HOMES);
         assertThat(homes.calls()).isLessThan(2_700);
--- a/coordination/src/test/java/org/hornbeampass/coordination/service/LoadRelayTest.java
+++ b/coordination/src/test/java/org/hornbeampass/coordination/service/LoadRelayTest.java
@@ -124,8 +124,8 @@
         run(1_000);
         mMessages = 0;
         run(10_000);
-        // 1,015 a second; 7,600 where each VM told all others.
-        assertThat(mMessages / 10).isBetween(900, 1_100);
+        // 7,600 where each VM told all others 80 times a second, by arithmetic.
+        assertThat(mMessages / 10).isEqualTo(1_000);
     }
 
     @Test
--- a/router/src/main/java/org/hornbeampass/router/daemon/RelayDaemon.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/RelayDaemon.java
@@ -67,7 +67,7 @@
      * How long a watch waits, in milliseconds. Each is a call that is charged, whether it waits
      * long or not; the platform lets one wait for 30 s at most. A connection that went silent is
      * given up by its own probes, and what a watch misses is heard of from other VMs. With 2.5 s
-     * the watches of 19 VMs made some 900 calls in four minutes, of which 240 brought news.
+     * the watches of 19 VMs made some 900 calls in a day of 53 s, of which 240 brought news.
      */
     private static final long WATCH_MS = 25_000;
 
--- a/router/src/main/java/org/hornbeampass/router/relay/RelayCall.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/RelayCall.java
@@ -209,8 +209,7 @@
      * Returns how long a request may wait for tokens, in milliseconds: up to its objective, while
      * an exchange or a search is under way, which end by themselves where there are none. A request
      * that is refused comes back later than that. With a third of the objective, 20 of the first
-     * 200 requests of a day of 19 VMs were refused 140 ms after they came, when the first messages
-     * between two VMs had not been answered yet.
+     * 200 requests of a day of 19 VMs were refused some 140 ms after they came.
      */
     private long grantWaitMs() {
         return mRoute.orElseThrow().objectiveMs();
