Move what only tests use into the tests; give names of the field

PoolHomes.everyVm served tests alone: it is EveryVmHome among them now. isHome had a time that nobody read, and givenBack with it. BudgetWord is BudgetStatus, greet is connect, a crumb is the least that is returned. No behaviour changes; the tests of the modules pass.

--- a/coordination/src/main/java/org/hornbeampass/coordination/escrow/BudgetWord.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/escrow/BudgetStatus.java
@@ -14,12 +14,12 @@
  * @param storeLost whether the store can't be reached there now
  */
 @JsonFormat(shape = JsonFormat.Shape.ARRAY)
-public record BudgetWord(long prepaid, long spent, long heardAgoMs, boolean storeLost) {
-    /** The age of a word that was never heard. */
+public record BudgetStatus(long prepaid, long spent, long heardAgoMs, boolean storeLost) {
+    /** The age where the store was never heard. */
     static final long NEVER = -1;
 
     /** Nothing is known. */
-    static final BudgetWord UNKNOWN = new BudgetWord(0, 0, NEVER, false);
+    static final BudgetStatus UNKNOWN = new BudgetStatus(0, 0, NEVER, false);
 
     boolean heard() {
         return heardAgoMs != NEVER;
--- a/coordination/src/main/java/org/hornbeampass/coordination/escrow/EscrowBook.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/escrow/EscrowBook.java
@@ -131,13 +131,13 @@
     void lend(long nowMs, LoanRequest request, Consumer<LoanReply> done) {
         String organisation = request.organisation();
         if (!mPrepaid.containsKey(organisation)) {
-            done.accept(new LoanReply(organisation, 0, BudgetWord.UNKNOWN));
+            done.accept(new LoanReply(organisation, 0, BudgetStatus.UNKNOWN));
             return;
         }
         EscrowShard shard = shard(organisation);
         if (!request.waiting()) {
             long tokens = shard.lendAhead(nowMs, request);
-            done.accept(new LoanReply(organisation, tokens, shard.word(nowMs, organisation)));
+            done.accept(new LoanReply(organisation, tokens, shard.status(nowMs, organisation)));
             return;
         }
         shard.lendToWaiting(
@@ -146,12 +146,12 @@
                 tokens ->
                         done.accept(
                                 new LoanReply(
-                                        organisation, tokens, shard.word(nowMs, organisation))));
+                                        organisation, tokens, shard.status(nowMs, organisation))));
     }
 
     /** Takes in what another VM replied. */
     void onLoan(long nowMs, LoanReply reply) {
-        shard(reply.organisation()).tell(nowMs, reply.organisation(), reply.word());
+        shard(reply.organisation()).tell(nowMs, reply.organisation(), reply.status());
         if (reply.tokens() > 0) {
             borrow(nowMs, reply.organisation(), reply.tokens());
         }
@@ -220,8 +220,8 @@
     }
 
     /** Returns whether nothing is left to give back. */
-    public boolean givenBack(long nowMs) {
-        return mShards.stream().allMatch(s -> s.givenBack(nowMs));
+    public boolean givenBack() {
+        return mShards.stream().allMatch(EscrowShard::givenBack);
     }
 
     /** Returns the free, granted and spent tokens of each organisation, for metrics. */
--- a/coordination/src/main/java/org/hornbeampass/coordination/escrow/EscrowLoans.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/escrow/EscrowLoans.java
@@ -56,7 +56,7 @@
     private final Map<String, LoanSearch> mSearches = new HashMap<>();
     private final Map<String, Long> mNotBeforeMs = new HashMap<>();
     private final Map<String, String> mLastLender = new HashMap<>();
-    private final Map<Integer, List<String>> mGreeted = new HashMap<>();
+    private final Map<Integer, List<String>> mConnected = new HashMap<>();
     private final Map<String, Long> mSilentUntilMs = new HashMap<>();
     private long mNextMs;
 
@@ -152,7 +152,7 @@
         if (mHomes.vms().isEmpty()) {
             return;
         }
-        mBook.organisationOfEachPool().forEach((pool, name) -> greet(nowMs, pool, name));
+        mBook.organisationOfEachPool().forEach((pool, name) -> connect(nowMs, pool, name));
         mBook.takeGifts(nowMs).forEach((pool, gifts) -> give(nowMs, pool, gifts));
         mBook.lacking(nowMs)
                 .forEach((organisation, tokens) -> askAhead(nowMs, organisation, tokens));
@@ -162,9 +162,9 @@
      * Asks new homes of a pool for nothing, so that the connection to them is there, and what they
      * know of a budget is known, before a request waits for their tokens.
      */
-    private void greet(long nowMs, int pool, String organisation) {
+    private void connect(long nowMs, int pool, String organisation) {
         List<String> homes = mHomes.others(pool);
-        List<String> before = Optional.ofNullable(mGreeted.put(pool, homes)).orElse(List.of());
+        List<String> before = Optional.ofNullable(mConnected.put(pool, homes)).orElse(List.of());
         for (String home : homes) {
             if (!before.contains(home)) {
                 mPeers.request(
--- a/coordination/src/main/java/org/hornbeampass/coordination/escrow/EscrowShard.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/escrow/EscrowShard.java
@@ -202,12 +202,12 @@
         mServesUntilMs = nowMs + SERVES_MS;
     }
 
-    BudgetWord word(long nowMs, String organisation) {
-        return mKnown.word(nowMs, organisation, outOfReach(nowMs));
+    BudgetStatus status(long nowMs, String organisation) {
+        return mKnown.status(nowMs, organisation, outOfReach(nowMs));
     }
 
-    void tell(long nowMs, String organisation, BudgetWord word) {
-        mKnown.tell(nowMs, organisation, word);
+    void tell(long nowMs, String organisation, BudgetStatus status) {
+        mKnown.tell(nowMs, organisation, status);
     }
 
     long free(String organisation) {
@@ -233,8 +233,8 @@
         tick(nowMs);
     }
 
-    boolean givenBack(long nowMs) {
-        if (!mHomes.isHome(nowMs, mNumber) && !mHomes.others(mNumber).isEmpty()) {
+    boolean givenBack() {
+        if (!mHomes.isHome(mNumber) && !mHomes.others(mNumber).isEmpty()) {
             return mLending.handedOver();
         }
         return mAccounts.values().stream().noneMatch(EscrowAccount::owesStore);
@@ -277,7 +277,7 @@
     private boolean due(long nowMs) {
         long sinceMs = nowMs - mExchangedMs;
         if (mGivingBack) {
-            return exchanges(nowMs) && sinceMs >= RETURN_PAUSE_MS && !givenBack(nowMs);
+            return exchanges(nowMs) && sinceMs >= RETURN_PAUSE_MS && !givenBack();
         }
         if (!exchanges(nowMs) || sinceMs < GATHER_MS) {
             return false;
@@ -298,7 +298,7 @@
 
     /** Returns whether this VM is one of those that exchange with the store. */
     private boolean exchanges(long nowMs) {
-        return nowMs < mServesUntilMs || mHomes.isHome(nowMs, mNumber);
+        return nowMs < mServesUntilMs || mHomes.isHome(mNumber);
     }
 
     private boolean wants(long nowMs, String organisation, boolean report) {
--- a/coordination/src/main/java/org/hornbeampass/coordination/escrow/GrantPlan.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/escrow/GrantPlan.java
@@ -76,7 +76,7 @@
      */
     long target(long nowMs, String organisation) {
         EscrowAccount account = mAccounts.get(organisation);
-        if (!mHomes.isHome(nowMs, mPool)) {
+        if (!mHomes.isHome(mPool)) {
             return account.wanted();
         }
         EscrowRecord.Organisation stored = mKnown.stored(organisation);
--- a/coordination/src/main/java/org/hornbeampass/coordination/escrow/KnownBudgets.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/escrow/KnownBudgets.java
@@ -23,7 +23,7 @@
     private static final long UNKNOWN_TOKENS = Long.MAX_VALUE / 2;
 
     /** What another VM told, and when the store said so, in milliseconds. */
-    private record Told(BudgetWord word, long heardMs) {}
+    private record Told(BudgetStatus status, long heardMs) {}
 
     private final Map<String, Long> mPrepaid = new HashMap<>();
     private final Map<String, Told> mTold = new HashMap<>();
@@ -79,22 +79,22 @@
         return nowMs - mHeardMs < ms;
     }
 
-    /** Takes another VM's word of a budget, where it is newer than what is known here. */
-    void tell(long nowMs, String organisation, BudgetWord word) {
-        long heardMs = nowMs - word.heardAgoMs();
+    /** Takes what another VM tells of a budget, where it is newer than what is known here. */
+    void tell(long nowMs, String organisation, BudgetStatus status) {
+        long heardMs = nowMs - status.heardAgoMs();
         Optional<Told> before = Optional.ofNullable(mTold.get(organisation));
         boolean older = before.isPresent() && before.get().heardMs() > heardMs;
-        if (word.heard() && !older) {
-            mTold.put(organisation, new Told(word, heardMs));
+        if (status.heard() && !older) {
+            mTold.put(organisation, new Told(status, heardMs));
         }
     }
 
     /** Returns what this VM can tell others of a budget. */
-    BudgetWord word(long nowMs, String organisation, boolean storeLost) {
+    BudgetStatus status(long nowMs, String organisation, boolean storeLost) {
         if (!mSeen) {
-            return BudgetWord.UNKNOWN;
+            return BudgetStatus.UNKNOWN;
         }
-        return new BudgetWord(
+        return new BudgetStatus(
                 prepaid(organisation), stored(organisation).spent(), nowMs - mHeardMs, storeLost);
     }
 
@@ -106,7 +106,7 @@
 
     /** Returns whether the VM that told last of a budget had lost the store. */
     boolean toldStoreLost(String organisation) {
-        return told(organisation).filter(t -> t.word().storeLost()).isPresent();
+        return told(organisation).filter(t -> t.status().storeLost()).isPresent();
     }
 
     /** Returns what another VM told, where that is newer than the store's own last word. */
@@ -116,13 +116,13 @@
 
     /**
      * Returns the tokens that nobody is known to have spent, this VM's account included. Of two
-     * levels the higher one counts, so that an older word is no proof against a raised budget.
+     * levels the higher one counts, so that an older level is no proof against a raised budget.
      */
     long unspent(String organisation, EscrowAccount account) {
         Optional<Told> told = told(organisation);
         if (told.isPresent()) {
-            BudgetWord word = told.get().word();
-            return Math.max(word.prepaid(), prepaid(organisation)) - word.spent();
+            BudgetStatus status = told.get().status();
+            return Math.max(status.prepaid(), prepaid(organisation)) - status.spent();
         }
         if (!mSeen) {
             return UNKNOWN_TOKENS;
--- a/coordination/src/main/java/org/hornbeampass/coordination/escrow/LoanReply.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/escrow/LoanReply.java
@@ -11,7 +11,8 @@
  *
  * @param organisation the organisation's name
  * @param tokens how many; 0 where none can be spared
- * @param word what the sender knows of the budget
+ * @param status what the sender knows of the budget
  */
 @JsonFormat(shape = JsonFormat.Shape.ARRAY)
-public record LoanReply(String organisation, long tokens, BudgetWord word) implements PeerMessage {}
+public record LoanReply(String organisation, long tokens, BudgetStatus status)
+        implements PeerMessage {}
--- a/coordination/src/main/java/org/hornbeampass/coordination/escrow/MemberHomes.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/escrow/MemberHomes.java
@@ -53,7 +53,7 @@
     }
 
     @Override
-    public boolean isHome(long nowMs, int pool) {
+    public boolean isHome(int pool) {
         return mKnown && homes(pool).stream().anyMatch(this::isSelf);
     }
 
--- a/coordination/src/main/java/org/hornbeampass/coordination/escrow/ShardLending.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/escrow/ShardLending.java
@@ -22,7 +22,7 @@
      * The part of a budget that is worth handing back by itself. A hundred VMs that each keep less
      * hold half a percent together.
      */
-    private static final long CRUMB_PART = 20_000;
+    private static final long LEAST_RETURNED_PART = 20_000;
 
     /** How often a VM that is no home hands back what it does not need, in milliseconds. */
     private static final long HAND_OVER_MS = 500;
@@ -49,7 +49,7 @@
 
     /** Adds the tokens that organisations lack at a home that has lost the store. */
     void addLacking(long nowMs, Map<String, Long> lacking) {
-        if (!mHomes.isHome(nowMs, mPool)) {
+        if (!mHomes.isHome(mPool)) {
             return;
         }
         for (String organisation : mKnown.organisations()) {
@@ -101,7 +101,7 @@
         if (early || mHomes.vms().isEmpty()) {
             return List.of();
         }
-        boolean home = mHomes.isHome(nowMs, mPool);
+        boolean home = mHomes.isHome(mPool);
         if (home && (!givingBack || storeHelps.getAsBoolean())) {
             return List.of();
         }
@@ -120,8 +120,9 @@
         EscrowAccount account = mAccounts.get(organisation);
         long keep = givingBack ? 0 : ahead(nowMs, organisation);
         long surplus = account.free() - keep;
-        long crumb = givingBack ? 1 : Math.max(1, mKnown.prepaid(organisation) / CRUMB_PART);
-        long tokens = surplus >= crumb ? surplus : 0;
+        long least =
+                givingBack ? 1 : Math.max(1, mKnown.prepaid(organisation) / LEAST_RETURNED_PART);
+        long tokens = surplus >= least ? surplus : 0;
         account.lend(tokens);
         return new LoanGift(organisation, tokens, account.handOverSpent());
     }
--- a/coordination/src/test/java/org/hornbeampass/coordination/escrow/EscrowDay.java
+++ b/coordination/src/test/java/org/hornbeampass/coordination/escrow/EscrowDay.java
@@ -125,7 +125,7 @@
                             new Region("r"),
                             new FailureDomain("d" + number % DOMAINS),
                             MemberState.LIVE);
-            mHomes = mSize.allHomes() ? PoolHomes.everyVm(mSize::vms, this::others) : mMembers;
+            mHomes = mSize.allHomes() ? new EveryVmHome(mSize::vms, this::others) : mMembers;
             start();
         }
 
--- a/coordination/src/test/java/org/hornbeampass/coordination/escrow/EscrowLoansTest.java
+++ b/coordination/src/test/java/org/hornbeampass/coordination/escrow/EscrowLoansTest.java
@@ -52,7 +52,7 @@
     }
 
     private static PoolHomes homes(List<String> others) {
-        return PoolHomes.everyVm(() -> 2, () -> others);
+        return new EveryVmHome(() -> 2, () -> others);
     }
 
     private static EscrowBook book(String vm, Platform platform) {
@@ -145,7 +145,7 @@
         }
 
         @Override
-        public boolean isHome(long nowMs, int pool) {
+        public boolean isHome(int pool) {
             return false;
         }
 
@@ -179,7 +179,7 @@
     }
 
     @Test
-    void newHome_isGreetedOnceBeforeAnyRequest() {
+    void newHome_isConnectedToOnceBeforeAnyRequest() {
         mLender.tick(0);
         EscrowBook book = bookOfNoHome();
         EscrowLoans loans =
--- a/coordination/src/test/java/org/hornbeampass/coordination/escrow/EscrowWorld.java
+++ b/coordination/src/test/java/org/hornbeampass/coordination/escrow/EscrowWorld.java
@@ -78,7 +78,7 @@
     /** All VMs are homes; where homes move, a VM is one or not at each look, as it is drawn. */
     private final class MovingHomes implements PoolHomes {
         @Override
-        public boolean isHome(long nowMs, int pool) {
+        public boolean isHome(int pool) {
             return !mHomesMove || !mFaults || mRandom.nextBoolean();
         }
 
--- a/coordination/src/test/java/org/hornbeampass/coordination/escrow/LoanSearchTest.java
+++ b/coordination/src/test/java/org/hornbeampass/coordination/escrow/LoanSearchTest.java
@@ -62,7 +62,7 @@
     }
 
     private PoolHomes homes(String vm) {
-        return PoolHomes.everyVm(
+        return new EveryVmHome(
                 () -> VMS, () -> mBooks.keySet().stream().filter(n -> !n.equals(vm)).toList());
     }
 
--- a/coordination/src/test/java/org/hornbeampass/coordination/escrow/MemberHomesTest.java
+++ b/coordination/src/test/java/org/hornbeampass/coordination/escrow/MemberHomesTest.java
@@ -21,7 +21,6 @@
 class MemberHomesTest {
     private static final int POOLS = 40;
     private static final int DOMAINS = 5;
-    private static final long NOW_MS = 1;
 
     private static Member member(int number) {
         return new Member(
@@ -49,7 +48,7 @@
 
     private static Set<String> homes(int pool, List<Member> members) {
         return members.stream()
-                .filter(m -> at(m, members).isHome(NOW_MS, pool))
+                .filter(m -> at(m, members).isHome(pool))
                 .map(Member::name)
                 .collect(Collectors.toSet());
     }
@@ -109,14 +108,14 @@
     void vmThatHardlyKnowsTheFleet_isNoHome() {
         MemberHomes homes = new MemberHomes();
         homes.update(member(0), List.of(member(0)), false);
-        assertThat(homes.isHome(NOW_MS, 0)).isFalse();
+        assertThat(homes.isHome(0)).isFalse();
         assertThat(homes.count(0)).isEqualTo(1);
     }
 
     @Test
     void fleetOfOne_isItsOwnHome() {
         MemberHomes homes = at(member(0), List.of(member(0)));
-        assertThat(homes.isHome(NOW_MS, 0)).isTrue();
+        assertThat(homes.isHome(0)).isTrue();
         assertThat(homes.others(0)).isEmpty();
     }
 }
--- a/router/src/main/java/org/hornbeampass/router/daemon/RelayShutdown.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/RelayShutdown.java
@@ -93,7 +93,7 @@
         if (mIdleMs < 0) {
             mIdleMs = nowMs;
         }
-        if (mBudgets.givenBack(nowMs) || nowMs - mIdleMs >= RETURN_MS) {
+        if (mBudgets.givenBack() || nowMs - mIdleMs >= RETURN_MS) {
             mDone.complete(null);
         }
     }
