Gather the views of the store, and what keeps them fresh, in one class

Cause: the watches, the news from other VMs and the revisions heard of were wired inside the daemon, so that no test could run them together as the daemon does.

Change: StoreViews holds them, with the bounds they had. No behaviour changes.

Result: RelayDaemonTest and RevisionNewsTest pass.

--- a/router/src/main/java/org/hornbeampass/router/daemon/RelayDaemon.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/RelayDaemon.java
@@ -15,10 +15,7 @@
 import org.hornbeampass.coordination.membership.IndirectPing;
 import org.hornbeampass.coordination.membership.Ping;
 import org.hornbeampass.coordination.membership.SyncRequest;
-import org.hornbeampass.coordination.news.NewsExchange;
 import org.hornbeampass.coordination.news.NewsRequest;
-import org.hornbeampass.coordination.platform.PlatformReply.Change;
-import org.hornbeampass.coordination.platform.RetryPolicy;
 import org.hornbeampass.coordination.platform.WatchedView;
 import org.hornbeampass.coordination.service.InFlightReport;
 import org.hornbeampass.coordination.service.LoadExchange;
@@ -46,12 +43,10 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.security.SecureRandom;
-import java.time.Duration;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
-import java.util.function.BiConsumer;
 
 /**
  * One router that passes requests on to services: all its parts, from start to shutdown.
@@ -63,17 +58,6 @@
     /** How often decisions that wait for time are looked at, in milliseconds. */
     private static final long TICK_MS = 100;
 
-    /**
-     * How long a watch waits, in milliseconds. Each is a call that is charged, whether it waits
-     * long or not; the platform lets one wait for 30 s at most. A connection that went silent is
-     * given up by its own probes, and what a watch misses is heard of from other VMs. With 2.5 s
-     * the watches of 19 VMs made some 900 calls in a day of 53 s, of which 240 brought news.
-     */
-    private static final long WATCH_MS = 25_000;
-
-    /** Waits after failed calls: several a second would be charged, ten seconds would be late. */
-    private static final RetryPolicy NEWS_BACKOFF = new RetryPolicy(150, 700, Integer.MAX_VALUE);
-
     private RelayDaemonSettings mSettings;
     private final WireFormat mWire;
     private final Clock mClock = Clock.monotonic();
@@ -90,10 +74,7 @@
     private final ObservedStore mStore;
     private final FleetView mFleet;
     private final PeerTransport mPeers;
-    private final WatchedView mConfig;
-    private final WatchedView mUpstreams;
-    private final NewsExchange mNews;
-    private final RevisionNews mRevisions;
+    private final StoreViews mViews;
     private final EscrowBook mBudgets;
     private final BudgetMetrics mBudgetMetrics;
     private final EscrowLoans mLoans;
@@ -124,15 +105,7 @@
                         mClock,
                         name -> fleet().flatMap(f -> f.peerAddress(name)));
         mFleet = new FleetView(settings, vm, mPeers, mStore, new Random(mRandom.nextLong()));
-        mConfig = view(wire.configPrefix(), this::onConfig);
-        mUpstreams = view(wire.upstreamPrefix(), this::onUpstream);
-        mNews =
-                new NewsExchange(
-                        Map.of(wire.configPrefix(), mConfig, wire.upstreamPrefix(), mUpstreams),
-                        mPeers,
-                        mFleet::others,
-                        mRandom);
-        mRevisions = new RevisionNews(mLog, mFleet.membership()::announceRevision, mNews::askNow);
+        mViews = views();
         mBudgets = budgets(ip);
         mBudgetMetrics = new BudgetMetrics(mMetrics, mBudgets);
         mLoads = new LoadExchange(mBoard, mPeers, mFleet::loadPaths);
@@ -151,7 +124,7 @@
                         mLog,
                         mRandom,
                         mFleet::vms);
-        mChanges = new StoreChanges(mParts, mUpstreams);
+        mChanges = new StoreChanges(mParts, mViews.upstreams());
         register();
         mCallers =
                 CallerServer.start(
@@ -185,18 +158,26 @@
         return mFleet.vms();
     }
 
+    private StoreChanges changes() {
+        return mChanges;
+    }
+
     private EventLoop loop() {
         return mLoops.group().next();
     }
 
-    private WatchedView view(String prefix, BiConsumer<Long, Change> taker) {
-        return new WatchedView(
+    private StoreViews views() {
+        return new StoreViews(
                 mStore,
-                prefix,
-                Duration.ofMillis(WATCH_MS),
-                NEWS_BACKOFF,
-                mRandom.nextLong(),
-                taker);
+                mWire.configPrefix(),
+                mWire.upstreamPrefix(),
+                mPeers,
+                mFleet::others,
+                mLog,
+                mFleet.membership()::announceRevision,
+                mRandom,
+                (nowMs, change) -> changes().onConfig(nowMs, change),
+                (nowMs, change) -> changes().onUpstream(nowMs, change));
     }
 
     private EscrowBook budgets(String vm) {
@@ -216,12 +197,12 @@
     private void registerPeers() {
         var membership = mFleet.membership();
         membership.addListener(new PeerLog(mLog));
-        membership.addListener(mRevisions);
+        membership.addListener(mViews.revisions());
         mPeers.on(Ping.class, membership::onPing);
         mPeers.on(Gossip.class, membership::onGossip);
         mPeers.on(IndirectPing.class, membership::onIndirectPing);
         mPeers.on(SyncRequest.class, membership::onSyncRequest);
-        mPeers.on(NewsRequest.class, mNews::onRequest);
+        mPeers.on(NewsRequest.class, mViews.news()::onRequest);
         mPeers.on(LoanRequest.class, mLoans::onRequest);
         mPeers.on(LoanGift.class, mLoans::onGift);
         mPeers.on(InFlightReport.class, mLoads::onReport);
@@ -229,8 +210,9 @@
 
     private void registerMetrics() {
         mMetrics.register("config_version", (Gauge<Long>) this::configVersion);
-        mMetrics.register("config_failing_ms", (Gauge<Long>) () -> failingMs(mConfig));
-        mMetrics.register("upstreams_failing_ms", (Gauge<Long>) () -> failingMs(mUpstreams));
+        mMetrics.register("config_failing_ms", (Gauge<Long>) () -> failingMs(mViews.config()));
+        mMetrics.register(
+                "upstreams_failing_ms", (Gauge<Long>) () -> failingMs(mViews.upstreams()));
         mMetrics.register("vms", (Gauge<Integer>) mFleet::vms);
         mMetrics.register("caller_connections", (Gauge<Integer>) this::connections);
         mMetrics.register("upstream_connections_opened", (Gauge<Long>) mPool::opened);
@@ -296,10 +278,7 @@
     private void tick(long nowMs) {
         mStore.tick(nowMs);
         mFleet.tick(nowMs);
-        mConfig.tick(nowMs);
-        mUpstreams.tick(nowMs);
-        mNews.tick(nowMs);
-        mRevisions.tick(nowMs);
+        mViews.tick(nowMs);
         mBudgets.tick(nowMs);
         mLoans.tick(nowMs);
         mLoads.tick(nowMs);
@@ -309,16 +288,6 @@
         mShutdown.tick(nowMs);
     }
 
-    private void onConfig(long nowMs, Change change) {
-        mChanges.onConfig(nowMs, change);
-        mRevisions.onChange(nowMs, change.version());
-    }
-
-    private void onUpstream(long nowMs, Change change) {
-        mChanges.onUpstream(nowMs, change);
-        mRevisions.onChange(nowMs, change.version());
-    }
-
     /** Puts newer settings in force, as far as they can change while the daemon runs. */
     void apply(RelayDaemonSettings settings) {
         loop().execute(
