Show how large answers of the store and of other VMs are, and keep what tells it readable

Cause: during the incident nobody could see what filled the links. The store's answers had no size in logs or metrics, and neither had messages between VMs in the relay's metrics. Lines about beliefs shared their bound with failed requests, so that a flood of failures could push out the line that explains it. A page of metrics began with four series for each organisation, and a collector that keeps a page's beginning kept nothing else.

--- a/coordination/src/main/java/org/hornbeampass/coordination/platform/Platform.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/platform/Platform.java
@@ -18,4 +18,20 @@
      *     thread, also before this method returns, and with no lock of the platform held
      */
     void submit(long nowMs, PlatformCall call, BiConsumer<Long, PlatformReply> done);
+
+    /**
+     * Starts a call, and tells of its answer as it comes.
+     *
+     * @param nowMs the present time in milliseconds
+     * @param call what to do
+     * @param progress hears of each part of the answer, where the platform can tell
+     * @param done as above
+     */
+    default void submit(
+            long nowMs,
+            PlatformCall call,
+            AnswerProgress progress,
+            BiConsumer<Long, PlatformReply> done) {
+        submit(nowMs, call, done);
+    }
 }
--- a/router/src/main/java/org/hornbeampass/router/daemon/ObservedStore.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/ObservedStore.java
@@ -3,6 +3,7 @@
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
 
+import org.hornbeampass.coordination.platform.AnswerProgress;
 import org.hornbeampass.coordination.platform.Platform;
 import org.hornbeampass.coordination.platform.PlatformCall;
 import org.hornbeampass.coordination.platform.PlatformReply;
@@ -27,6 +28,9 @@
      */
     private static final long HANGS_MS = 600;
 
+    /** An answer of so many bytes takes a link of 7 Mbit/s some 150 ms, and is logged. */
+    private static final int LARGE_BYTES = 128 << 10;
+
     private final Platform mStore;
     private final RelayLog mLog;
     private final MetricRegistry mMetrics;
@@ -46,12 +50,17 @@
     private static final class OpenCall {
         private final PlatformCall mCall;
         private final long mSinceMs;
+        private long mBytes;
 
         OpenCall(PlatformCall call, long sinceMs) {
             mCall = call;
             mSinceMs = sinceMs;
         }
 
+        void heard(int bytes) {
+            mBytes += bytes;
+        }
+
         boolean hangs(long nowMs) {
             return mCall.kind() != PlatformCall.Kind.WATCH && nowMs - mSinceMs >= HANGS_MS;
         }
@@ -59,21 +68,36 @@
 
     @Override
     public void submit(long nowMs, PlatformCall call, BiConsumer<Long, PlatformReply> done) {
+        submit(nowMs, call, AnswerProgress.IGNORED, done);
+    }
+
+    @Override
+    public void submit(
+            long nowMs,
+            PlatformCall call,
+            AnswerProgress progress,
+            BiConsumer<Long, PlatformReply> done) {
         OpenCall open = new OpenCall(call, nowMs);
         mOpen.add(open);
         mStore.submit(
                 nowMs,
                 call,
+                (t, bytes) -> {
+                    open.heard(bytes);
+                    progress.onBytes(t, bytes);
+                },
                 (t, reply) -> {
                     mOpen.remove(open);
-                    note(t, call, reply);
+                    note(t, open, reply);
                     done.accept(t, reply);
                 });
     }
 
-    private void note(long nowMs, PlatformCall call, PlatformReply reply) {
+    private void note(long nowMs, OpenCall open, PlatformReply reply) {
+        PlatformCall call = open.mCall;
         String result = reply.getClass().getSimpleName().toLowerCase(Locale.ROOT);
         String kind = call.kind().name().toLowerCase(Locale.ROOT);
+        noteSize(nowMs, open, kind);
         mMetrics.counter("store_calls{kind=\"" + kind + "\",result=\"" + result + "\"}").inc();
         if (reply instanceof PlatformReply.Unavailable unavailable) {
             lost(nowMs, call, unavailable.reason());
@@ -84,6 +108,21 @@
         }
     }
 
+    /** Counts the bytes of an answer, and logs one that fills a small link for long. */
+    private void noteSize(long nowMs, OpenCall open, String kind) {
+        mMetrics.counter("store_bytes{kind=\"" + kind + "\"}").inc(open.mBytes);
+        if (open.mBytes < LARGE_BYTES) {
+            return;
+        }
+        mLog.believes(
+                nowMs,
+                "store-answer-large",
+                new LogFields()
+                        .add("call", open.mCall.getClass().getSimpleName())
+                        .add("bytes", open.mBytes)
+                        .add("took_ms", nowMs - open.mSinceMs));
+    }
+
     private void lost(long nowMs, PlatformCall call, String reason) {
         if (mLost) {
             return;
--- a/router/src/main/java/org/hornbeampass/router/daemon/RelayDaemon.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/RelayDaemon.java
@@ -213,6 +213,8 @@
         mMetrics.register("config_failing_ms", (Gauge<Long>) () -> failingMs(mViews.config()));
         mMetrics.register(
                 "upstreams_failing_ms", (Gauge<Long>) () -> failingMs(mViews.upstreams()));
+        mMetrics.register("peer_bytes_sent", (Gauge<Long>) mPeers.counters()::bytesSent);
+        mMetrics.register("peer_bytes_received", (Gauge<Long>) mPeers.counters()::bytesReceived);
         mMetrics.register("vms", (Gauge<Integer>) mFleet::vms);
         mMetrics.register("caller_connections", (Gauge<Integer>) this::connections);
         mMetrics.register("upstream_connections_opened", (Gauge<Long>) mPool::opened);
--- a/router/src/main/java/org/hornbeampass/router/relay/RelayLog.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/RelayLog.java
@@ -22,15 +22,22 @@
     /** Lines on good answers in a second; a calm VM stays below, an overloaded one is cut here. */
     private static final int GOOD_LINES_PER_S = 20;
 
-    /** Lines on failures in a second. */
+    /** Lines on failures, and on decisions within requests, in a second. */
     private static final int FAILURE_LINES_PER_S = 100;
 
+    /**
+     * Lines on what this VM believes in a second. They have room of their own: in a flood of
+     * failures those lines are what tells its cause.
+     */
+    private static final int BELIEF_LINES_PER_S = 100;
+
     private static final long SECOND_MS = 1_000;
 
     private final MetricRegistry mMetrics;
     private long mSecond;
     private int mGoodLines;
     private int mFailureLines;
+    private int mBeliefLines;
     private long mLeftOut;
 
     /** Makes a log that counts in a registry. */
@@ -46,7 +53,6 @@
             String outcome,
             LogFields inputs,
             long tookMs) {
-        boolean good = outcome.equals("answered");
         mMetrics.counter("requests{outcome=\"" + outcome + "\"}").inc();
         route.ifPresent(
                 r ->
@@ -58,23 +64,24 @@
                         .add("outcome", outcome)
                         .add("took_ms", tookMs)
                         .addAll(inputs);
-        line(nowMs, good, "ended", head.id(), fields);
+        boolean room = outcome.equals("answered") ? roomForGood(nowMs) : roomForFailure(nowMs);
+        line(nowMs, room, "ended", head.id(), fields);
     }
 
     /** Logs a decision within a request. */
     void decided(long nowMs, String id, String decision, LogFields inputs) {
         mMetrics.counter("decisions{kind=\"" + decision + "\"}").inc();
-        line(nowMs, false, decision, id, inputs);
+        line(nowMs, roomForFailure(nowMs), decision, id, inputs);
     }
 
     /** Logs a change of what this VM believes. */
     public void believes(long nowMs, String decision, LogFields inputs) {
         mMetrics.counter("decisions{kind=\"" + decision + "\"}").inc();
-        line(nowMs, false, decision, "", inputs);
+        line(nowMs, roomForBelief(nowMs), decision, "", inputs);
     }
 
-    private void line(long nowMs, boolean good, String kind, String id, LogFields inputs) {
-        if (!room(nowMs, good)) {
+    private void line(long nowMs, boolean room, String kind, String id, LogFields inputs) {
+        if (!room) {
             mLeftOut++;
             return;
         }
@@ -85,17 +92,32 @@
         LOG.info("{" + fields.addAll(inputs) + "}");
     }
 
-    private boolean room(long nowMs, boolean good) {
+    private boolean roomForGood(long nowMs) {
+        beginSecond(nowMs);
+        return mGoodLines++ < GOOD_LINES_PER_S;
+    }
+
+    private boolean roomForFailure(long nowMs) {
+        beginSecond(nowMs);
+        return mFailureLines++ < FAILURE_LINES_PER_S;
+    }
+
+    private boolean roomForBelief(long nowMs) {
+        beginSecond(nowMs);
+        return mBeliefLines++ < BELIEF_LINES_PER_S;
+    }
+
+    private void beginSecond(long nowMs) {
         if (nowMs / SECOND_MS != mSecond) {
             mSecond = nowMs / SECOND_MS;
             mGoodLines = 0;
             mFailureLines = 0;
+            mBeliefLines = 0;
             if (mLeftOut > 0) {
                 LOG.info(
                         "{\"at_ms\":{},\"kind\":\"lines-left-out\",\"count\":{}}", nowMs, mLeftOut);
                 mLeftOut = 0;
             }
         }
-        return good ? mGoodLines++ < GOOD_LINES_PER_S : mFailureLines++ < FAILURE_LINES_PER_S;
     }
 }
--- a/router/src/test/java/org/hornbeampass/router/daemon/ObservedStoreTest.java
+++ b/router/src/test/java/org/hornbeampass/router/daemon/ObservedStoreTest.java
@@ -4,6 +4,7 @@
 
 import com.codahale.metrics.MetricRegistry;
 
+import org.hornbeampass.coordination.platform.AnswerProgress;
 import org.hornbeampass.coordination.platform.Platform;
 import org.hornbeampass.coordination.platform.PlatformCall;
 import org.hornbeampass.coordination.platform.PlatformReply;
@@ -23,10 +24,29 @@
 
     private final MetricRegistry mMetrics = new MetricRegistry();
     private final Deque<BiConsumer<Long, PlatformReply>> mOpen = new ArrayDeque<>();
-    private final Platform mNever = (nowMs, call, done) -> mOpen.add(done);
+    private final Deque<AnswerProgress> mProgress = new ArrayDeque<>();
+    private final Platform mNever = new NeverAnswering();
     private final ObservedStore mStore =
             new ObservedStore(mNever, new RelayLog(mMetrics), mMetrics);
 
+    /** Keeps each call open until the test replies. */
+    private final class NeverAnswering implements Platform {
+        @Override
+        public void submit(long nowMs, PlatformCall call, BiConsumer<Long, PlatformReply> done) {
+            throw new AssertionError("progress is asked for");
+        }
+
+        @Override
+        public void submit(
+                long nowMs,
+                PlatformCall call,
+                AnswerProgress progress,
+                BiConsumer<Long, PlatformReply> done) {
+            mProgress.add(progress);
+            mOpen.add(done);
+        }
+    }
+
     private void call(PlatformCall call, long nowMs) {
         mStore.submit(nowMs, call, (t, reply) -> {});
     }
@@ -74,6 +94,21 @@
         assertThat(lines("store-lost")).isZero();
     }
 
+    @Test
+    void bytesOfAnswers_areCounted_andALargeOneIsLogged() {
+        call(GET, 0);
+        mProgress.remove().onBytes(100, 1_000);
+        reply(100, new PlatformReply.Missing());
+        assertThat(lines("store-answer-large")).isZero();
+        call(WATCH, 200);
+        mProgress.peek().onBytes(300, 300_000);
+        mProgress.remove().onBytes(700, 300_000);
+        reply(900, new PlatformReply.WatchGap());
+        assertThat(lines("store-answer-large")).isEqualTo(1);
+        assertThat(mMetrics.counter("store_bytes{kind=\"read\"}").getCount()).isEqualTo(1_000);
+        assertThat(mMetrics.counter("store_bytes{kind=\"watch\"}").getCount()).isEqualTo(600_000);
+    }
+
     @Test
     void calls_areCountedByKindAndResult() {
         call(GET, 0);
--- a/transport/src/main/java/org/hornbeampass/transport/metrics/MetricsText.java
+++ b/transport/src/main/java/org/hornbeampass/transport/metrics/MetricsText.java
@@ -8,6 +8,7 @@
 import com.codahale.metrics.Snapshot;
 import com.codahale.metrics.Timer;
 
+import java.util.Comparator;
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
@@ -17,7 +18,9 @@
  *
  * <p>Invariants: names start with {@code hornbeampass_}, counts of events end in {@code _total},
  * and timers are in seconds and end in {@code _seconds}; the lines of one metric stand together
- * below its type. Stateless; safe for use by any thread.
+ * below its type, and metrics with few lines come first: a collector that keeps only the beginning
+ * of a page then lacks a family of many series, such as one for each organisation, and not the
+ * rest. Stateless; safe for use by any thread.
  */
 public final class MetricsText {
     /** The text's content type. */
@@ -35,10 +38,16 @@
         Map<String, StringBuilder> families = new TreeMap<>();
         new TreeMap<>(registry.getMetrics()).forEach((name, metric) -> add(families, name, metric));
         StringBuilder text = new StringBuilder();
-        families.forEach((header, lines) -> text.append(header).append(lines));
+        families.entrySet().stream()
+                .sorted(Comparator.comparing(f -> lines(f.getValue()))) // Stable: then by name.
+                .forEach(f -> text.append(f.getKey()).append(f.getValue()));
         return text.toString();
     }
 
+    private static long lines(CharSequence text) {
+        return text.chars().filter(c -> c == '\n').count();
+    }
+
     private static void add(Map<String, StringBuilder> families, String name, Metric metric) {
         int cut = name.indexOf('{');
         String base = PREFIX + clean(cut < 0 ? name : name.substring(0, cut));
--- a/transport/src/test/java/org/hornbeampass/transport/metrics/MetricsTextTest.java
+++ b/transport/src/test/java/org/hornbeampass/transport/metrics/MetricsTextTest.java
@@ -44,6 +44,17 @@
                         """);
     }
 
+    @Test
+    void metricOfManySeries_comesAfterThoseOfFew() {
+        for (int i = 0; i < 24; i++) {
+            mRegistry.counter(MetricLabels.name("budget", Map.of("organisation", "o-" + i))).inc();
+        }
+        mRegistry.register("store_lost", (Gauge<Integer>) () -> 1);
+
+        assertThat(MetricsText.render(mRegistry))
+                .startsWith("# TYPE hornbeampass_store_lost gauge\nhornbeampass_store_lost 1\n");
+    }
+
     @Test
     void timers_areInSeconds() {
         mRegistry.timer("wait").update(250, TimeUnit.MILLISECONDS);
