Read a configuration as it stands after a cut, not each version that was missed

What callers saw: 404 for a route that the store had acknowledged more than 3 s before, at VMs with small links.

Cause: a watch that goes on from the version before a cut is answered with every version since, each the whole configuration, and while they come in newer ones are written. VMs with links of 7 Mbit/s read sixteen versions of 60 KB and three of 500 KB, where the last one would do.

Change: a view says what it reads of missed changes. The configuration's lists after a failed watch, and after an answer in which later versions replaced earlier ones; it shows only the newest. Upstream entries are small, and each change may tell something: they are replayed as before.

Why it holds: after a cut the store sends one version, whatever happened meanwhile; in a row of versions that is faster than the link, the VM is behind by the one that it reads and those of one watch.

WatchedViewTest has three new cases.

--- a/coordination/src/main/java/org/hornbeampass/coordination/platform/WatchedView.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/platform/WatchedView.java
@@ -35,6 +35,7 @@
     private final Duration mWatchTime;
     private final BiConsumer<Long, Change> mListener;
     private final RetryPolicy mBackoff;
+    private final MissedChanges mMissed;
     private final Object mLock = new Object();
     private final SplittableRandom mRandom;
     private final TreeMap<String, StoredObject> mObjects = new TreeMap<>();
@@ -67,16 +68,17 @@
             Duration watchTime,
             long seed,
             BiConsumer<Long, Change> listener) {
-        this(platform, prefix, watchTime, BACKOFF, seed, listener);
+        this(platform, prefix, watchTime, BACKOFF, MissedChanges.REPLAYED, seed, listener);
     }
 
     /**
-     * Creates a view with a backoff of its own.
+     * Creates a view with a backoff and a way to catch up of its own.
      *
      * @param platform the platform that is watched
      * @param prefix the prefix that the keys share
      * @param watchTime how long one watch waits
      * @param backoff the waits after failed calls
+     * @param missed what is read of the changes that were missed
      * @param seed seeds the jitter of the backoff
      * @param listener takes the time in milliseconds and each change of the view, in order
      */
@@ -85,12 +87,14 @@
             String prefix,
             Duration watchTime,
             RetryPolicy backoff,
+            MissedChanges missed,
             long seed,
             BiConsumer<Long, Change> listener) {
         mPlatform = platform;
         mPrefix = prefix;
         mWatchTime = watchTime;
         mBackoff = backoff;
+        mMissed = missed;
         mRandom = new SplittableRandom(seed);
         mListener = listener;
     }
@@ -217,7 +221,12 @@
         }
         if (reply instanceof PlatformReply.Changed changed) {
             mFailures = 0;
-            changed.changes().forEach(c -> apply(c, shown));
+            List<Change> changes = mMissed.shown(changed.changes());
+            changes.forEach(c -> apply(c, shown));
+            boolean behind = changes.size() < changed.changes().size();
+            if (behind) {
+                listAnew(); // More versions may have come while these were on their way.
+            }
             mUpToVersion = Math.max(mUpToVersion, changed.upToVersion());
             mDeleted.values().removeIf(v -> v <= mUpToVersion);
             return true;
@@ -232,6 +241,9 @@
             mFailingSinceMs = nowMs;
         }
         mRetryAtMs = nowMs + mBackoff.waitMs(mFailures, mRandom);
+        if (mMissed.listsAfterFailure()) {
+            listAnew();
+        }
         return false;
     }
 
--- a/coordination/src/test/java/org/hornbeampass/coordination/news/NewsExchangeTest.java
+++ b/coordination/src/test/java/org/hornbeampass/coordination/news/NewsExchangeTest.java
@@ -7,6 +7,7 @@
 import org.hornbeampass.coordination.peer.PeerMessage;
 import org.hornbeampass.coordination.peer.PeerNetwork;
 import org.hornbeampass.coordination.platform.MemoryPlatform;
+import org.hornbeampass.coordination.platform.MissedChanges;
 import org.hornbeampass.coordination.platform.Platform;
 import org.hornbeampass.coordination.platform.PlatformCall;
 import org.hornbeampass.coordination.platform.PlatformReply;
@@ -52,7 +53,13 @@
     private static WatchedView view(
             Platform platform, BiConsumer<Long, PlatformReply.Change> listener) {
         return new WatchedView(
-                platform, PREFIX, Duration.ofSeconds(1), new RetryPolicy(10, 10, 100), 1, listener);
+                platform,
+                PREFIX,
+                Duration.ofSeconds(1),
+                new RetryPolicy(10, 10, 100),
+                MissedChanges.SKIPPED,
+                1,
+                listener);
     }
 
     /** Hands requests straight to the peer. */
--- a/coordination/src/test/java/org/hornbeampass/coordination/platform/WatchedViewTest.java
+++ b/coordination/src/test/java/org/hornbeampass/coordination/platform/WatchedViewTest.java
@@ -98,6 +98,61 @@
         assertThat(mView.get("vms/a")).isPresent();
     }
 
+    @Test
+    void versionsThatLaterOnesReplaced_areReadAgainAsTheyStand() {
+        WatchedView view = skipping();
+        view.tick(0);
+        reply(listed(10, false, object("config/main", "1", 4)));
+        reply(
+                changed(
+                        30,
+                        set("config/main", "2", 20),
+                        set("config/main", "3", 25),
+                        set("config/main", "4", 30)));
+
+        assertThat(mShown).containsExactly(set("config/main", "1", 4), set("config/main", "4", 30));
+        assertThat(lastCall()).isInstanceOf(PlatformCall.ListObjects.class);
+        reply(listed(50, false, object("config/main", "5", 45)));
+        assertThat(view.get("config/main").orElseThrow().value()).isEqualTo("5");
+        assertThat(lastCall()).isInstanceOf(PlatformCall.Watch.class);
+    }
+
+    @Test
+    void failedWatchOfLargeObjects_isFollowedByAListing() {
+        WatchedView view = skipping();
+        view.tick(0);
+        reply(listed(10, false, object("config/main", "1", 4)));
+        reply(new PlatformReply.Unavailable("outage"));
+        view.tick(60_000);
+
+        assertThat(lastCall()).isInstanceOf(PlatformCall.ListObjects.class);
+    }
+
+    @Test
+    void failedWatchOfSmallObjects_isFollowedByAWatch() {
+        start(listed(10, false, object("vms/a", "1", 4)));
+        reply(new PlatformReply.Unavailable("outage"));
+        mView.tick(60_000);
+
+        assertThat(lastCall())
+                .isEqualTo(new PlatformCall.Watch("vms/", 10, Duration.ofSeconds(30)));
+    }
+
+    /** Returns a view that reads only how things stand. */
+    private WatchedView skipping() {
+        return new WatchedView(
+                (nowMs, call, done) -> {
+                    mCalls.add(call);
+                    mWaiting.add(done);
+                },
+                "config/",
+                Duration.ofSeconds(30),
+                new RetryPolicy(10, 10, 100),
+                MissedChanges.SKIPPED,
+                1,
+                (atMs, change) -> mShown.add(change));
+    }
+
     private void start(PlatformReply first) {
         mView.tick(0);
         reply(first);
--- a/router/src/main/java/org/hornbeampass/router/daemon/StoreViews.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/StoreViews.java
@@ -3,6 +3,7 @@
 import org.hornbeampass.coordination.membership.Membership;
 import org.hornbeampass.coordination.news.NewsExchange;
 import org.hornbeampass.coordination.peer.PeerNetwork;
+import org.hornbeampass.coordination.platform.MissedChanges;
 import org.hornbeampass.coordination.platform.Platform;
 import org.hornbeampass.coordination.platform.PlatformReply.Change;
 import org.hornbeampass.coordination.platform.RetryPolicy;
@@ -68,8 +69,8 @@
             BiConsumer<Long, Change> onUpstream) {
         mStore = store;
         mRandom = random;
-        mConfig = view(configPrefix, onConfig);
-        mUpstreams = view(upstreamPrefix, onUpstream);
+        mConfig = view(configPrefix, MissedChanges.SKIPPED, onConfig);
+        mUpstreams = view(upstreamPrefix, MissedChanges.REPLAYED, onUpstream);
         mNews =
                 new NewsExchange(
                         Map.of(configPrefix, mConfig, upstreamPrefix, mUpstreams),
@@ -79,12 +80,13 @@
         mRevisions = new RevisionNews(log, announce, mNews::askNow);
     }
 
-    private WatchedView view(String prefix, BiConsumer<Long, Change> taker) {
+    private WatchedView view(String prefix, MissedChanges missed, BiConsumer<Long, Change> taker) {
         return new WatchedView(
                 mStore,
                 prefix,
                 Duration.ofMillis(WATCH_MS),
                 BACKOFF,
+                missed,
                 mRandom.nextLong(),
                 (nowMs, change) -> {
                     taker.accept(nowMs, change);
--- a/router/src/test/java/org/hornbeampass/router/daemon/ConfigurationOnThinLinksTest.java
+++ b/router/src/test/java/org/hornbeampass/router/daemon/ConfigurationOnThinLinksTest.java
@@ -11,6 +11,13 @@
  *
  * <p>The order of events: versions came in a row; all VMs were cut off from the store for eight
  * seconds, in which more versions came; then one with many more routes, and others of its size.
+ *
+ * <p>The cause: a watch that goes on from the version before the cut is answered with all versions
+ * since. While those came in, newer ones were written, and were in the next answer together.
+ *
+ * <p>The evidence: one VM logged sixteen versions with one time, then 83, 85 and 90 with one time,
+ * four seconds later, at a processor that was 5 % busy and a link that was full. With a listing
+ * after a failed watch, and nothing else changed, the test passes.
  */
 class ConfigurationOnThinLinksTest {
     /** A configuration of some 250 routes, and one of some 2,000. */
