--- a/router/src/test/java/org/hornbeampass/router/daemon/ThinLinkFleet.java
+++ b/router/src/test/java/org/hornbeampass/router/daemon/ThinLinkFleet.java
@@ -8,6 +8,7 @@
 import org.hornbeampass.coordination.news.NewsRequest;
 import org.hornbeampass.coordination.peer.PeerMessage;
 import org.hornbeampass.coordination.peer.PeerNetwork;
+import org.hornbeampass.coordination.platform.AnswerProgress;
 import org.hornbeampass.coordination.platform.MemoryPlatform;
 import org.hornbeampass.coordination.platform.Platform;
 import org.hornbeampass.coordination.platform.PlatformCall;
@@ -47,6 +48,7 @@
     private static final long SILENCE_MS = 3_000;
     private static final long CONNECT_TIMEOUT_MS = 500;
     private static final long TICK_MS = 100;
+    private static final long PROGRESS_MS = 50;
 
     /** How often a VM tells others how new its views are, as probes and gossip do. */
     private static final long GOSSIP_MS = 500;
@@ -134,10 +136,15 @@
             mBytesPerMs = bytesPerMs;
         }
 
+        /** Returns when the next message may begin. */
+        long freeMs() {
+            return Math.max(mFreeMs, mTime.nowMs());
+        }
+
         /** Returns when the last byte of a message has passed. */
         long pass(int bytes) {
             mBytes += bytes;
-            mFreeMs = Math.max(mFreeMs, mTime.nowMs()) + Math.round(bytes / mBytesPerMs);
+            mFreeMs = freeMs() + Math.round(bytes / mBytesPerMs);
             return mFreeMs;
         }
     }
@@ -162,7 +169,7 @@
             mOutward = new Link(bytesPerMs);
             mViews =
                     new StoreViews(
-                            store(),
+                            new Store(),
                             "config/",
                             "upstreams/",
                             new Peers(),
@@ -216,8 +223,20 @@
             open.forEach(o -> o.set(false));
         }
 
-        private Platform store() {
-            return (nowMs, call, done) -> {
+        /** The way to the store, over this VM's link. */
+        private final class Store implements Platform {
+            @Override
+            public void submit(
+                    long nowMs, PlatformCall call, BiConsumer<Long, PlatformReply> done) {
+                submit(nowMs, call, AnswerProgress.IGNORED, done);
+            }
+
+            @Override
+            public void submit(
+                    long nowMs,
+                    PlatformCall call,
+                    AnswerProgress progress,
+                    BiConsumer<Long, PlatformReply> done) {
                 mCalls++;
                 if (mCut) {
                     mTime.at(nowMs + CONNECT_TIMEOUT_MS, () -> lost(done));
@@ -225,9 +244,9 @@
                 }
                 AtomicBoolean open = new AtomicBoolean(true);
                 mOpenCalls.add(open);
-                mStore.submit(nowMs, call, (t, reply) -> answered(open, reply, done));
+                mStore.submit(nowMs, call, (t, reply) -> answered(open, reply, progress, done));
                 watchForSilence(open, done);
-            };
+            }
         }
 
         /** Fails a call whose VM was cut off meanwhile, once probes of the connection failed. */
@@ -248,12 +267,26 @@
         }
 
         private void answered(
-                AtomicBoolean open, PlatformReply reply, BiConsumer<Long, PlatformReply> done) {
+                AtomicBoolean open,
+                PlatformReply reply,
+                AnswerProgress progress,
+                BiConsumer<Long, PlatformReply> done) {
             if (!open.get()) {
                 return;
             }
+            long beginMs = mInward.freeMs();
+            long endMs = mInward.pass(bytes(reply));
+            for (long t = beginMs; t < endMs; t += PROGRESS_MS) {
+                mTime.at(
+                        t,
+                        () -> {
+                            if (open.get()) {
+                                progress.onBytes(mTime.nowMs(), 1);
+                            }
+                        });
+            }
             mTime.at(
-                    mInward.pass(bytes(reply)) + DELAY_MS,
+                    endMs + DELAY_MS,
                     () -> {
                         if (open.get() && mOpenCalls.removeIf(o -> o == open)) {
                             done.accept(mTime.nowMs(), reply);
