Tell other VMs how new each view is, not only the newest of both

What callers saw (found by reading, while the cause of late configurations was looked for elsewhere): a route that was added is answered 404 while upstreams come and go.

Cause: messages between members bore one revision, the newest that their sender had seen of either view, and a VM compared it with the newest of its own two. One whose watch of the configuration had gone silent took itself for informed as soon as its other watch told it of a later change of an upstream, until probes ended the silent connection.

Change: members tell a revision for the configuration and one for the upstreams; each view has its own RevisionNews, and asks for itself alone. The line view-behind names its view.

Why it holds: a view is compared with the same view of others.

Result: StoreViewsTest failed before (the new configuration was not taken in) and passes; the tests of membership, fleets and peer messages pass (133 run).

--- a/coordination/src/main/java/org/hornbeampass/coordination/membership/Membership.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/membership/Membership.java
@@ -139,7 +139,17 @@
      * @param revision the revision; ignored unless it is higher than the last one
      */
     public void announceRevision(long nowMs, long revision) {
-        locked(nowMs, out -> mCore.announce(revision));
+        locked(nowMs, out -> mCore.announce(mCore.mConfigurations, revision));
+    }
+
+    /**
+     * Announces the newest change of an upstream that this VM knows.
+     *
+     * @param nowMs the present time in milliseconds
+     * @param revision its revision; ignored unless it is higher than the last one
+     */
+    public void announceUpstreamsRevision(long nowMs, long revision) {
+        locked(nowMs, out -> mCore.announce(mCore.mUpstreams, revision));
     }
 
     /**
@@ -378,11 +388,15 @@
         for (VmId vm : mCore.takeProvedGone()) {
             out.add(() -> mListeners.forEach(l -> l.onProvedGone(nowMs, vm)));
         }
-        for (MembershipCore.HeardRevision heard : mCore.takeNewRevisions()) {
-            out.add(
-                    () ->
-                            mListeners.forEach(
-                                    l -> l.onRevisionHeard(nowMs, heard.from(), heard.revision())));
+        for (HeardRevisions.Heard heard : mCore.mConfigurations.takeNew()) {
+            tell(out, l -> l.onRevisionHeard(nowMs, heard.from(), heard.revision()));
+        }
+        for (HeardRevisions.Heard heard : mCore.mUpstreams.takeNew()) {
+            tell(out, l -> l.onUpstreamsRevisionHeard(nowMs, heard.from(), heard.revision()));
         }
     }
+
+    private void tell(Outbox out, Consumer<MembershipListener> what) {
+        out.add(() -> mListeners.forEach(what));
+    }
 }
--- a/coordination/src/main/java/org/hornbeampass/coordination/membership/MembershipCore.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/membership/MembershipCore.java
@@ -6,10 +6,8 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
-import java.util.TreeMap;
 
 /**
  * What the parts of membership share: the table, the news to spread, and what came of merging.
@@ -18,21 +16,17 @@
  * Not thread-safe: guarded by the lock of {@link Membership}.
  */
 final class MembershipCore {
-    /** A revision heard of for the first time. */
-    record HeardRevision(VmId from, long revision) {}
-
     final MembershipSettings mSettings;
     final PeerNetwork mNetwork;
     final Random mRandom;
     final Outbox.Guard mGuard;
     final MemberTable mTable;
     private final UpdateQueue mQueue;
-    private final Map<String, Long> mHeardRevisions = new TreeMap<>();
+    final HeardRevisions mConfigurations = new HeardRevisions();
+    final HeardRevisions mUpstreams = new HeardRevisions();
     final RefusedAccusations mRefused = new RefusedAccusations();
     private final List<VmId> mProvedGone = new ArrayList<>();
-    private final List<HeardRevision> mNewRevisions = new ArrayList<>();
     private final List<VmId> mNewSuspects = new ArrayList<>();
-    private long mRevision;
     private boolean mChanged;
     private boolean mNews;
     private boolean mSuperseded;
@@ -51,11 +45,9 @@
         mQueue = new UpdateQueue(settings.maxUpdateBytes());
     }
 
-    void announce(long revision) {
-        if (revision > mRevision) {
-            mRevision = revision;
-            mNews = true;
-        }
+    /** Takes this VM's own revision of a thing; a newer one is news. */
+    void announce(HeardRevisions revisions, long revision) {
+        mNews |= revisions.announce(revision);
     }
 
     /** Returns the rumours for a message to a peer; those about the peer itself go first. */
@@ -73,7 +65,11 @@
 
     Rumours rumours(List<MemberUpdate> first) {
         List<MemberUpdate> updates = mQueue.take(first, mTable.entries().size(), mTable::entry);
-        return new Rumours(mTable.digest(), mRevision, updates);
+        return rumours(updates, mTable.digest());
+    }
+
+    private Rumours rumours(List<MemberUpdate> updates, long digest) {
+        return new Rumours(digest, mConfigurations.own(), mUpstreams.own(), updates);
     }
 
     /** Passes the refused accusation that waits longest to the VM accused, without other news. */
@@ -82,7 +78,7 @@
         if (refused.isEmpty()) {
             return;
         }
-        Rumours told = new Rumours(mTable.digest(), mRevision, List.of(refused.get()));
+        Rumours told = rumours(List.of(refused.get()), mTable.digest());
         out.add(() -> mNetwork.send(refused.get().name(), new Gossip(told)));
     }
 
@@ -94,7 +90,8 @@
         for (MemberUpdate update : rumours.updates()) {
             lacks |= merge(nowMs, update, region) == MergeResult.LACKS_DETAILS;
         }
-        hearRevision(from, rumours.revision());
+        mConfigurations.hear(from, rumours.revision());
+        mUpstreams.hear(from, rumours.upstreamsRevision());
         return unknown || lacks;
     }
 
@@ -110,17 +107,6 @@
         return true;
     }
 
-    private void hearRevision(VmId from, long revision) {
-        long before = mHeardRevisions.getOrDefault(from.name(), 0L);
-        if (revision <= before) {
-            return;
-        }
-        mHeardRevisions.put(from.name(), revision);
-        if (revision > mRevision) {
-            mNewRevisions.add(new HeardRevision(from, revision));
-        }
-    }
-
     MergeResult merge(long nowMs, MemberUpdate update, Optional<Region> senderRegion) {
         if (!update.wellFormed()) {
             return MergeResult.KNOWN;
@@ -155,7 +141,7 @@
         boolean newIncarnation = before.filter(entry.vm()::equals).isEmpty();
         if (newIncarnation) {
             before.ifPresent(mProvedGone::add);
-            mHeardRevisions.remove(update.name());
+            forgetRevisions(update.name());
         }
         if (entry.health() == Health.SUSPECT) {
             mNewSuspects.add(entry.vm());
@@ -187,13 +173,13 @@
     void proveGone(MemberEntry entry) {
         mProvedGone.add(entry.vm());
         mTable.forget(entry);
-        mHeardRevisions.remove(entry.name());
+        forgetRevisions(entry.name());
         mChanged = true;
     }
 
     void forget(MemberEntry entry) {
         mTable.forget(entry);
-        mHeardRevisions.remove(entry.name());
+        forgetRevisions(entry.name());
         mChanged = true;
     }
 
@@ -217,8 +203,9 @@
         return drain(mProvedGone);
     }
 
-    List<HeardRevision> takeNewRevisions() {
-        return drain(mNewRevisions);
+    private void forgetRevisions(String vmName) {
+        mConfigurations.forget(vmName);
+        mUpstreams.forget(vmName);
     }
 
     List<VmId> takeNewSuspects() {
--- a/coordination/src/main/java/org/hornbeampass/coordination/membership/MembershipListener.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/membership/MembershipListener.java
@@ -34,4 +34,13 @@
      * @param revision its configuration's revision
      */
     default void onRevisionHeard(long nowMs, VmId from, long revision) {}
+
+    /**
+     * A peer knows of a newer change of an upstream than any that was heard of from it before.
+     *
+     * @param nowMs the present time in milliseconds
+     * @param from the peer
+     * @param revision the change's revision
+     */
+    default void onUpstreamsRevisionHeard(long nowMs, VmId from, long revision) {}
 }
--- a/coordination/src/main/java/org/hornbeampass/coordination/news/NewsExchange.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/news/NewsExchange.java
@@ -67,9 +67,9 @@
         }
     }
 
-    /** Asks one VM for all views, since it is known to be informed further. */
-    public void askNow(long nowMs, String name) {
-        mViews.values().forEach(view -> view.ask(nowMs, name));
+    /** Asks one VM for one view, since it is known to be informed further. */
+    public void askNow(long nowMs, String prefix, String name) {
+        Optional.ofNullable(mViews.get(prefix)).ifPresent(view -> view.ask(nowMs, name));
     }
 
     /** Answers another VM. */
--- a/coordination/src/test/java/org/hornbeampass/coordination/fleet/FleetMutant.java
+++ b/coordination/src/test/java/org/hornbeampass/coordination/fleet/FleetMutant.java
@@ -163,7 +163,11 @@
     }
 
     private Rumours rumours(Rumours rumours) {
-        return new Rumours(rumours.digest(), rumours.revision(), updates(rumours.updates()));
+        return new Rumours(
+                rumours.digest(),
+                rumours.revision(),
+                rumours.upstreamsRevision(),
+                updates(rumours.updates()));
     }
 
     private List<MemberUpdate> updates(List<MemberUpdate> updates) {
--- a/coordination/src/test/java/org/hornbeampass/coordination/news/NewsExchangeTest.java
+++ b/coordination/src/test/java/org/hornbeampass/coordination/news/NewsExchangeTest.java
@@ -191,7 +191,7 @@
         run(3_000, 4_000);
         assertThat(mSeen).containsExactly("1");
         int calls = mCalls.size();
-        mExchange.askNow(4_000, "peer");
+        mExchange.askNow(4_000, PREFIX, "peer");
         assertThat(mSeen).containsExactly("1", large);
         assertThat(mReplies).allMatch(r -> r.objects().isEmpty());
         assertThat(mCalls.get(calls)).isInstanceOf(PlatformCall.ListObjects.class);
--- a/router/src/main/java/org/hornbeampass/router/daemon/RelayDaemon.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/RelayDaemon.java
@@ -175,6 +175,7 @@
                 mFleet::others,
                 mLog,
                 mFleet.membership()::announceRevision,
+                mFleet.membership()::announceUpstreamsRevision,
                 mRandom,
                 (nowMs, change) -> changes().onConfig(nowMs, change),
                 (nowMs, change) -> changes().onUpstream(nowMs, change));
@@ -197,7 +198,7 @@
     private void registerPeers() {
         var membership = mFleet.membership();
         membership.addListener(new PeerLog(mLog));
-        membership.addListener(mViews.revisions());
+        membership.addListener(mViews);
         mPeers.on(Ping.class, membership::onPing);
         mPeers.on(Gossip.class, membership::onGossip);
         mPeers.on(IndirectPing.class, membership::onIndirectPing);
--- a/router/src/main/java/org/hornbeampass/router/daemon/RevisionNews.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/RevisionNews.java
@@ -1,6 +1,5 @@
 package org.hornbeampass.router.daemon;
 
-import org.hornbeampass.coordination.membership.MembershipListener;
 import org.hornbeampass.router.relay.LogFields;
 import org.hornbeampass.router.relay.RelayLog;
 import org.hornbeampass.state.VmId;
@@ -9,16 +8,18 @@
 import java.util.function.BiConsumer;
 
 /**
- * Tells other VMs how new this VM's view of the store is, and asks one whose view is newer.
+ * Tells other VMs how new one of this VM's views of the store is, and asks one whose view is newer.
  *
  * <p>Watches wait long, since each is a call that is charged, and a VM may be turned away by the
  * store while others are served. Every message of the membership bears the newest revision that its
- * sender has put in force, so that a VM hears within about a second of a change that it has missed.
+ * sender has seen of each view, so that a VM hears within about a second of a change that it has
+ * missed. One revision for both views would not do: a VM that has seen a later change of an
+ * upstream would take itself for informed about a configuration that it has missed.
  *
  * <p>Invariant: a revision that this VM has seen itself leads to no question. Confined to one event
  * loop.
  */
-final class RevisionNews implements MembershipListener {
+final class RevisionNews {
     /**
      * How long this VM's own watch may be behind another VM's, in milliseconds, before that one is
      * asked: a slow store takes some 350 for an answer, and all that is known is sent in reply.
@@ -28,6 +29,7 @@
     /** A newer view that was heard of. */
     private record Newer(VmId vm, long revision, long heardMs) {}
 
+    private final String mView;
     private final RelayLog mLog;
     private final BiConsumer<Long, Long> mAnnounce;
     private final BiConsumer<Long, String> mAsk;
@@ -35,13 +37,19 @@
     private Optional<Newer> mNewer = Optional.empty();
 
     /**
-     * Makes the news of one VM.
+     * Makes the news of one view.
      *
+     * @param view the view's name, for the log
      * @param log takes a line for each question
      * @param announce tells others a revision, at a time in milliseconds
-     * @param ask asks the VM of a name for its views, at a time in milliseconds
+     * @param ask asks the VM of a name for its view, at a time in milliseconds
      */
-    RevisionNews(RelayLog log, BiConsumer<Long, Long> announce, BiConsumer<Long, String> ask) {
+    RevisionNews(
+            String view,
+            RelayLog log,
+            BiConsumer<Long, Long> announce,
+            BiConsumer<Long, String> ask) {
+        mView = view;
         mLog = log;
         mAnnounce = announce;
         mAsk = ask;
@@ -56,8 +64,8 @@
         mAnnounce.accept(nowMs, revision);
     }
 
-    @Override
-    public void onRevisionHeard(long nowMs, VmId from, long revision) {
+    /** Takes how new another VM's view is. */
+    void onHeard(long nowMs, VmId from, long revision) {
         boolean known = mNewer.filter(n -> n.revision() >= revision).isPresent();
         if (revision <= mNewest || known) {
             return;
@@ -84,6 +92,7 @@
                 nowMs,
                 "view-behind",
                 new LogFields()
+                        .add("view", mView)
                         .add("peer", newer.vm().name())
                         .add("revision", newer.revision())
                         .add("own_revision", mNewest)
--- a/router/src/main/java/org/hornbeampass/router/daemon/StoreViews.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/StoreViews.java
@@ -1,6 +1,6 @@
 package org.hornbeampass.router.daemon;
 
-import org.hornbeampass.coordination.membership.Membership;
+import org.hornbeampass.coordination.membership.MembershipListener;
 import org.hornbeampass.coordination.news.NewsExchange;
 import org.hornbeampass.coordination.peer.PeerNetwork;
 import org.hornbeampass.coordination.platform.MissedChanges;
@@ -9,6 +9,7 @@
 import org.hornbeampass.coordination.platform.RetryPolicy;
 import org.hornbeampass.coordination.platform.WatchedView;
 import org.hornbeampass.router.relay.RelayLog;
+import org.hornbeampass.state.VmId;
 
 import java.time.Duration;
 import java.util.List;
@@ -23,7 +24,7 @@
  *
  * <p>Confined to one event loop.
  */
-final class StoreViews {
+final class StoreViews implements MembershipListener {
     /**
      * How long a watch waits, in milliseconds. Each is a call that is charged, whether it waits
      * long or not; the platform lets one wait for 30 s at most. A connection that went silent is
@@ -40,7 +41,8 @@
     private final WatchedView mConfig;
     private final WatchedView mUpstreams;
     private final NewsExchange mNews;
-    private final RevisionNews mRevisions;
+    private final RevisionNews mConfigNews;
+    private final RevisionNews mUpstreamsNews;
 
     /**
      * Makes the views; nothing is asked before the first {@link #tick}.
@@ -51,7 +53,8 @@
      * @param peers sends messages to other VMs
      * @param others gives the names of other VMs that are up
      * @param log takes a line for each belief
-     * @param announce tells others a revision, at a time in milliseconds
+     * @param announceConfig tells others a revision of the configuration, at a time in milliseconds
+     * @param announceUpstreams tells others the revision of an upstream's change
      * @param random chooses whom to ask, and spreads retries
      * @param onConfig takes the time in milliseconds and each change of the configuration
      * @param onUpstream takes the time in milliseconds and each change of an upstream
@@ -63,21 +66,47 @@
             PeerNetwork peers,
             Supplier<List<String>> others,
             RelayLog log,
-            BiConsumer<Long, Long> announce,
+            BiConsumer<Long, Long> announceConfig,
+            BiConsumer<Long, Long> announceUpstreams,
             Random random,
             BiConsumer<Long, Change> onConfig,
             BiConsumer<Long, Change> onUpstream) {
         mStore = store;
         mRandom = random;
-        mConfig = view(configPrefix, MissedChanges.SKIPPED, onConfig);
-        mUpstreams = view(upstreamPrefix, MissedChanges.REPLAYED, onUpstream);
+        mConfig =
+                view(
+                        configPrefix,
+                        MissedChanges.SKIPPED,
+                        (nowMs, change) -> {
+                            onConfig.accept(nowMs, change);
+                            configNews().onChange(nowMs, change.version());
+                        });
+        mUpstreams =
+                view(
+                        upstreamPrefix,
+                        MissedChanges.REPLAYED,
+                        (nowMs, change) -> {
+                            onUpstream.accept(nowMs, change);
+                            upstreamsNews().onChange(nowMs, change.version());
+                        });
         mNews =
                 new NewsExchange(
                         Map.of(configPrefix, mConfig, upstreamPrefix, mUpstreams),
                         peers,
                         others,
                         random);
-        mRevisions = new RevisionNews(log, announce, mNews::askNow);
+        mConfigNews =
+                new RevisionNews(
+                        "configuration",
+                        log,
+                        announceConfig,
+                        (nowMs, name) -> mNews.askNow(nowMs, configPrefix, name));
+        mUpstreamsNews =
+                new RevisionNews(
+                        "upstreams",
+                        log,
+                        announceUpstreams,
+                        (nowMs, name) -> mNews.askNow(nowMs, upstreamPrefix, name));
     }
 
     private WatchedView view(String prefix, MissedChanges missed, BiConsumer<Long, Change> taker) {
@@ -88,10 +117,15 @@
                 BACKOFF,
                 missed,
                 mRandom.nextLong(),
-                (nowMs, change) -> {
-                    taker.accept(nowMs, change);
-                    mRevisions.onChange(nowMs, change.version());
-                });
+                taker);
+    }
+
+    private RevisionNews configNews() {
+        return mConfigNews;
+    }
+
+    private RevisionNews upstreamsNews() {
+        return mUpstreamsNews;
     }
 
     WatchedView config() {
@@ -107,9 +141,14 @@
         return mNews;
     }
 
-    /** Returns what hears how new other VMs' views are; to be added to a {@link Membership}. */
-    RevisionNews revisions() {
-        return mRevisions;
+    @Override
+    public void onRevisionHeard(long nowMs, VmId from, long revision) {
+        mConfigNews.onHeard(nowMs, from, revision);
+    }
+
+    @Override
+    public void onUpstreamsRevisionHeard(long nowMs, VmId from, long revision) {
+        mUpstreamsNews.onHeard(nowMs, from, revision);
     }
 
     /** Does what is due. */
@@ -117,6 +156,7 @@
         mConfig.tick(nowMs);
         mUpstreams.tick(nowMs);
         mNews.tick(nowMs);
-        mRevisions.tick(nowMs);
+        mConfigNews.tick(nowMs);
+        mUpstreamsNews.tick(nowMs);
     }
 }
--- a/router/src/test/java/org/hornbeampass/router/daemon/RevisionNewsTest.java
+++ b/router/src/test/java/org/hornbeampass/router/daemon/RevisionNewsTest.java
@@ -21,6 +21,7 @@
     private final List<String> mAsked = new ArrayList<>();
     private final RevisionNews mNews =
             new RevisionNews(
+                    "configuration",
                     new RelayLog(new MetricRegistry()),
                     (nowMs, revision) -> mAnnounced.add(revision),
                     (nowMs, name) -> mAsked.add(name));
@@ -41,7 +42,7 @@
 
     @Test
     void revisionThatTheOwnWatchBringsInTime_leadsToNoQuestion() {
-        mNews.onRevisionHeard(HEARD_MS, PEER, 9);
+        mNews.onHeard(HEARD_MS, PEER, 9);
         runUntil(HEARD_MS + 200);
         mNews.onChange(HEARD_MS + 250, 9);
         runUntil(HEARD_MS + 5_000);
@@ -50,7 +51,7 @@
 
     @Test
     void revisionThatTheOwnWatchMisses_isAskedForOnceWithinASecond() {
-        mNews.onRevisionHeard(HEARD_MS, PEER, 9);
+        mNews.onHeard(HEARD_MS, PEER, 9);
         runUntil(HEARD_MS + 1_000);
         assertThat(mAsked).containsExactly("peer");
         runUntil(HEARD_MS + 5_000);
@@ -60,7 +61,7 @@
     @Test
     void olderRevision_leadsToNoQuestion() {
         mNews.onChange(1, 9);
-        mNews.onRevisionHeard(HEARD_MS, PEER, 8);
+        mNews.onHeard(HEARD_MS, PEER, 8);
         runUntil(HEARD_MS + 5_000);
         assertThat(mAsked).isEmpty();
     }
@@ -68,7 +69,7 @@
     @Test
     void storm_doesNotPutTheQuestionOff() {
         for (int i = 0; i < 10; i++) {
-            mNews.onRevisionHeard(HEARD_MS + 50L * i, i % 2 == 0 ? PEER : OTHER, 10 + i);
+            mNews.onHeard(HEARD_MS + 50L * i, i % 2 == 0 ? PEER : OTHER, 10 + i);
         }
         runUntil(HEARD_MS + 500);
         assertThat(mAsked).containsExactly("other");
--- a/router/src/test/java/org/hornbeampass/router/daemon/ThinLinkFleet.java
+++ b/router/src/test/java/org/hornbeampass/router/daemon/ThinLinkFleet.java
@@ -176,6 +176,7 @@
                             () -> mVms.stream().map(v -> v.mName).filter(this::isOther).toList(),
                             new RelayLog(new MetricRegistry()),
                             (nowMs, revision) -> mAnnounced = revision,
+                            (nowMs, revision) -> {},
                             new Random(mRandom.nextLong()),
                             (nowMs, change) -> onConfig(change),
                             (nowMs, change) -> {});
@@ -212,7 +213,7 @@
             boolean known = mHeard.getOrDefault(from, 0L) >= revision;
             mHeard.merge(from, revision, Math::max);
             if (!known && revision > mAnnounced) {
-                mViews.revisions().onRevisionHeard(mTime.nowMs(), new VmId(from, 1), revision);
+                mViews.onRevisionHeard(mTime.nowMs(), new VmId(from, 1), revision);
             }
         }
 
