Let a VM that may be behind call no path or key unknown

What callers saw: 404 for a route that had been added, which ends a request for good, while other VMs had it in force.

Cause: a VM answered from the configuration in force alone, also while it knew that there may be a newer one: it had heard of one from another VM, one was on its way, or the store did not answer.

Change: in those three cases an unknown path or key is answered not_ready, not run, with a time to come back.

Why it holds: 404 and 401 are answered only by a VM that knows of nothing newer.

--- a/coordination/src/main/java/org/hornbeampass/coordination/news/NewsExchange.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/news/NewsExchange.java
@@ -22,7 +22,7 @@
  */
 public final class NewsExchange {
     /** How long the platform must have been silent before peers are asked, in milliseconds. */
-    private static final long SILENCE_MS = 300;
+    public static final long SILENCE_MS = 300;
 
     /** How often one peer is asked meanwhile, in milliseconds. */
     private static final long ASK_MS = 400;
--- a/router/src/main/java/org/hornbeampass/router/daemon/RelayDaemon.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/RelayDaemon.java
@@ -123,7 +123,8 @@
                         mLoans,
                         mLog,
                         mRandom,
-                        mFleet::vms);
+                        mFleet::vms,
+                        mViews::configMayBeBehind);
         mChanges = new StoreChanges(mParts, mViews.upstreams());
         register();
         mCallers =
--- a/router/src/main/java/org/hornbeampass/router/daemon/RevisionNews.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/RevisionNews.java
@@ -26,6 +26,13 @@
      */
     private static final long GRACE_MS = 450;
 
+    /**
+     * For how long a newer view that was heard of counts, in milliseconds: a copy of the largest
+     * configuration over two small links takes 4 s at most. A revision that never comes, of what
+     * was removed meanwhile, counts no longer.
+     */
+    private static final long BEHIND_MS = 10_000;
+
     /** A newer view that was heard of. */
     private record Newer(VmId vm, long revision, long heardMs) {}
 
@@ -34,6 +41,8 @@
     private final BiConsumer<Long, Long> mAnnounce;
     private final BiConsumer<Long, String> mAsk;
     private long mNewest;
+    private long mHeard;
+    private long mHeardMs;
     private Optional<Newer> mNewer = Optional.empty();
 
     /**
@@ -66,6 +75,10 @@
 
     /** Takes how new another VM's view is. */
     void onHeard(long nowMs, VmId from, long revision) {
+        if (revision > mHeard) {
+            mHeard = revision;
+            mHeardMs = nowMs;
+        }
         boolean known = mNewer.filter(n -> n.revision() >= revision).isPresent();
         if (revision <= mNewest || known) {
             return;
@@ -74,6 +87,11 @@
         mNewer = Optional.of(new Newer(from, revision, sinceMs));
     }
 
+    /** Returns whether another VM was heard of lately whose view is newer than this one's. */
+    boolean behind(long nowMs) {
+        return mHeard > mNewest && nowMs - mHeardMs < BEHIND_MS;
+    }
+
     /** Asks the VM whose view has been newer than this one's for too long. */
     void tick(long nowMs) {
         if (mNewer.isEmpty()) {
--- a/router/src/main/java/org/hornbeampass/router/daemon/StoreViews.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/StoreViews.java
@@ -136,6 +136,16 @@
         return mUpstreams;
     }
 
+    /**
+     * Returns whether there may be a newer configuration: another VM has one, one is on its way, or
+     * the store does not answer.
+     */
+    boolean configMayBeBehind(long nowMs) {
+        return mConfigNews.behind(nowMs)
+                || mConfig.receiving(nowMs)
+                || mConfig.failingForMs(nowMs) >= NewsExchange.SILENCE_MS;
+    }
+
     /** Returns what answers other VMs' questions. */
     NewsExchange news() {
         return mNews;
--- a/router/src/main/java/org/hornbeampass/router/relay/RelayCall.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/RelayCall.java
@@ -48,7 +48,7 @@
     /** When a caller may come back where no upstream has room. */
     private static final long ROOM_RETRY_MS = 250;
 
-    /** When a caller may come back to a VM that knows no configuration yet. */
+    /** When a caller may come back to a VM that knows no configuration yet, or not the newest. */
     private static final long START_RETRY_MS = 300;
 
     /** How long a request may take that names no time, and is on no route that does. */
@@ -125,12 +125,25 @@
         String path = query < 0 ? mRequest.uri() : mRequest.uri().substring(0, query);
         mRoute = routes.route(mHead.host(), path);
         if (mRoute.isEmpty()) {
-            return Optional.of(Failure.of(ErrorKind.NOT_FOUND, "no route leads there"));
+            return Optional.of(unknown(nowMs, ErrorKind.NOT_FOUND, "no route leads there"));
         }
-        return authorise(routes).or(() -> direct(nowMs, routes));
+        return authorise(nowMs, routes).or(() -> direct(nowMs, routes));
     }
 
-    private Optional<Failure> authorise(RouteTable routes) {
+    /**
+     * Refuses for what the configuration lacks. A VM that may be behind can't know that: its caller
+     * is told to come back, here or elsewhere, where 404 would be final.
+     */
+    private Failure unknown(long nowMs, ErrorKind kind, String message) {
+        return mParts.mayBeBehind(nowMs)
+                ? Failure.retryAfter(
+                        ErrorKind.NOT_READY,
+                        message + " as far as is known here; try again or elsewhere",
+                        START_RETRY_MS)
+                : Failure.of(kind, message);
+    }
+
+    private Optional<Failure> authorise(long nowMs, RouteTable routes) {
         if (mRoute.get().open() || !routes.checksKeys()) {
             return Optional.empty();
         }
@@ -138,7 +151,8 @@
         return mOrganisation.isPresent()
                 ? Optional.empty()
                 : Optional.of(
-                        Failure.of(
+                        unknown(
+                                nowMs,
                                 ErrorKind.KEY_MISSING_OR_UNKNOWN,
                                 "show the key of an organisation"));
     }
--- a/router/src/main/java/org/hornbeampass/router/relay/RelayParts.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/RelayParts.java
@@ -14,6 +14,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.IntSupplier;
+import java.util.function.LongPredicate;
 import java.util.random.RandomGenerator;
 
 /**
@@ -33,11 +34,15 @@
     private final RelayLog mLog;
     private final RandomGenerator mRandom;
     private final IntSupplier mVms;
+    private final LongPredicate mMayBeBehind;
     private final Map<String, RetryWindow> mRetries = new HashMap<>();
     private Optional<RouteTable> mRoutes = Optional.empty();
     private boolean mRefusing;
 
-    /** Gathers the parts; {@code vms} tells how many VMs share the fleet's budgets. */
+    /**
+     * Gathers the parts; {@code vms} tells how many VMs share the fleet's budgets, and {@code
+     * mayBeBehind} whether there may be a newer configuration, at a time in milliseconds.
+     */
     public RelayParts(
             WireFormat wire,
             RelaySettings settings,
@@ -49,7 +54,8 @@
             EscrowLoans loans,
             RelayLog log,
             RandomGenerator random,
-            IntSupplier vms) {
+            IntSupplier vms,
+            LongPredicate mayBeBehind) {
         mWire = wire;
         mSettings = settings;
         mLoop = loop;
@@ -61,6 +67,7 @@
         mLog = log;
         mRandom = random;
         mVms = vms;
+        mMayBeBehind = mayBeBehind;
     }
 
     /** Returns the installation's words. */
@@ -109,6 +116,11 @@
         return mRoutes;
     }
 
+    /** Returns whether there may be a newer configuration than the one in force. */
+    boolean mayBeBehind(long nowMs) {
+        return mMayBeBehind.test(nowMs);
+    }
+
     /** Puts a configuration in force for the requests that come from now on. */
     public void setRoutes(RouteTable routes) {
         mRoutes = Optional.of(routes);
--- a/router/src/test/java/org/hornbeampass/router/daemon/RevisionNewsTest.java
+++ b/router/src/test/java/org/hornbeampass/router/daemon/RevisionNewsTest.java
@@ -58,6 +58,23 @@
         assertThat(mAsked).hasSize(1);
     }
 
+    @Test
+    void viewIsBehind_fromTheNewsOfAChangeUntilItComes() {
+        mNews.onChange(1, 8);
+        assertThat(mNews.behind(HEARD_MS)).isFalse();
+        mNews.onHeard(HEARD_MS, PEER, 9);
+        assertThat(mNews.behind(HEARD_MS)).isTrue();
+        mNews.onChange(HEARD_MS + 300, 9);
+        assertThat(mNews.behind(HEARD_MS + 300)).isFalse();
+    }
+
+    @Test
+    void revisionThatNeverComes_countsForSomeSeconds() {
+        mNews.onHeard(HEARD_MS, PEER, 9);
+        assertThat(mNews.behind(HEARD_MS + 9_000)).isTrue();
+        assertThat(mNews.behind(HEARD_MS + 11_000)).isFalse();
+    }
+
     @Test
     void olderRevision_leadsToNoQuestion() {
         mNews.onChange(1, 9);
