--- a/coordination/src/main/java/org/hornbeampass/coordination/membership/MembershipCore.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/membership/MembershipCore.java
@@ -22,8 +22,13 @@
     final Outbox.Guard mGuard;
     final MemberTable mTable;
     private final UpdateQueue mQueue;
+
+    /** How new the configurations are that VMs run. */
     final HeardRevisions mConfigurations = new HeardRevisions();
+
+    /** How new the changes of upstreams are that VMs know. */
     final HeardRevisions mUpstreams = new HeardRevisions();
+
     final RefusedAccusations mRefused = new RefusedAccusations();
     private final List<VmId> mProvedGone = new ArrayList<>();
     private final List<VmId> mNewSuspects = new ArrayList<>();
--- a/coordination/src/main/java/org/hornbeampass/coordination/news/ViewNews.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/news/ViewNews.java
@@ -4,7 +4,6 @@
 
 import org.hornbeampass.coordination.peer.PeerMessage;
 import org.hornbeampass.coordination.peer.PeerNetwork;
-import org.hornbeampass.coordination.platform.PlatformCall;
 import org.hornbeampass.coordination.platform.PlatformReply.StoredObject;
 import org.hornbeampass.coordination.platform.WatchedView;
 import org.hornbeampass.state.Failure;
@@ -39,6 +38,9 @@
      */
     private static final long COPY_TIMEOUT_MS = 4_000;
 
+    /** Asks for all that is newer, however much it is. */
+    private static final int ALL_BYTES = Integer.MAX_VALUE;
+
     /** What the smallest links carry in a millisecond, in bytes: a copy has left after its time. */
     private static final int LINK_BYTES_PER_MS = 875;
 
@@ -93,8 +95,8 @@
                     nowMs, Set.copyOf(news.keys()), objects(news.objects()), news.upToVersion());
         } else if (mView.failingForMs(nowMs) == 0) {
             mView.refresh(nowMs);
-        } else if (maxBytes < PlatformCall.MAX_VALUE_BYTES) {
-            request(nowMs, name, Integer.MAX_VALUE, COPY_TIMEOUT_MS);
+        } else if (maxBytes < ALL_BYTES) {
+            request(nowMs, name, ALL_BYTES, COPY_TIMEOUT_MS);
         }
     }
 
