--- a/coordination/src/main/java/org/hornbeampass/coordination/platform/WatchedView.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/platform/WatchedView.java
@@ -5,13 +5,10 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
-import java.util.TreeMap;
 import java.util.function.BiConsumer;
 import java.util.stream.Collectors;
 
@@ -47,8 +44,7 @@
     private final MissedChanges mMissed;
     private final Object mLock = new Object();
     private final SplittableRandom mRandom;
-    private final TreeMap<String, StoredObject> mObjects = new TreeMap<>();
-    private final Map<String, Long> mDeleted = new HashMap<>();
+    private final VersionedObjects mObjects = new VersionedObjects();
     private final List<StoredObject> mListing = new ArrayList<>();
 
     private boolean mReady;
@@ -120,14 +116,14 @@
     /** Returns one object as last seen. */
     public Optional<StoredObject> get(String key) {
         synchronized (mLock) {
-            return Optional.ofNullable(mObjects.get(key));
+            return mObjects.get(key);
         }
     }
 
     /** Returns all objects as last seen, in the order of their keys. */
     public List<StoredObject> all() {
         synchronized (mLock) {
-            return List.copyOf(mObjects.values());
+            return mObjects.all();
         }
     }
 
@@ -173,9 +169,8 @@
             if (mStopped || storeVersion <= mUpToVersion) {
                 return;
             }
-            removeAllBut(keys, storeVersion, shown);
-            newer.forEach(
-                    o -> apply(new Change(o.key(), Optional.of(o.value()), o.version()), shown));
+            mObjects.removeAllBut(keys, storeVersion, shown);
+            newer.forEach(o -> mObjects.apply(o, shown));
             mUpToVersion = storeVersion;
             mReady = true;
             if (!mOpen && !mMissed.listsAfterFailure()) {
@@ -279,13 +274,13 @@
         if (reply instanceof PlatformReply.Changed changed) {
             mFailures = 0;
             List<Change> changes = mMissed.shown(changed.changes());
-            changes.forEach(c -> apply(c, shown));
+            changes.forEach(c -> mObjects.apply(c, shown));
             boolean behind = changes.size() < changed.changes().size();
             if (behind) {
                 listAnew(); // More versions may have come while these were on their way.
             }
             mUpToVersion = Math.max(mUpToVersion, changed.upToVersion());
-            mDeleted.values().removeIf(v -> v <= mUpToVersion);
+            mObjects.forgetDeletions(mUpToVersion);
             return true;
         }
         if (reply instanceof PlatformReply.WatchGap) {
@@ -323,9 +318,8 @@
 
     private void completeListing(List<Change> shown) {
         Set<String> listed = mListing.stream().map(StoredObject::key).collect(Collectors.toSet());
-        removeAllBut(listed, mListedFrom, shown);
-        mListing.forEach(
-                o -> apply(new Change(o.key(), Optional.of(o.value()), o.version()), shown));
+        mObjects.removeAllBut(listed, mListedFrom, shown);
+        mListing.forEach(o -> mObjects.apply(o, shown));
         mUpToVersion = Math.max(mUpToVersion, mListedFrom);
         mReady = true;
         mListNext = false;
@@ -340,38 +334,4 @@
         mListNext = true;
         mListing.clear();
     }
-
-    /** Shows as deleted what a whole list of keys lacks; the deletion counts as its version. */
-    private void removeAllBut(Set<String> keys, long listVersion, List<Change> shown) {
-        for (StoredObject object : List.copyOf(mObjects.values())) {
-            if (!keys.contains(object.key()) && object.version() <= listVersion) {
-                apply(new Change(object.key(), Optional.empty(), listVersion), shown);
-            }
-        }
-    }
-
-    private void apply(Change change, List<Change> shown) {
-        StoredObject known = mObjects.get(change.key());
-        long knownVersion =
-                known != null ? known.version() : mDeleted.getOrDefault(change.key(), 0L);
-        if (change.version() <= knownVersion && !deletesAt(known, change)) {
-            return;
-        }
-        if (change.value().isPresent()) {
-            mDeleted.remove(change.key());
-            mObjects.put(
-                    change.key(),
-                    new StoredObject(change.key(), change.value().get(), change.version()));
-        } else if (mObjects.remove(change.key()) == null) {
-            return;
-        } else {
-            mDeleted.put(change.key(), change.version());
-        }
-        shown.add(change);
-    }
-
-    /** A listing that lacks an object of its own version shows that it was deleted since. */
-    private static boolean deletesAt(StoredObject known, Change change) {
-        return known != null && change.value().isEmpty() && change.version() == known.version();
-    }
 }
