Let a VM that knows nobody yet ask the store for what its requests need

What callers saw: after all VMs had lost power at once, nearly all requests were refused for a second, and told to come back after one and a half; those that came back were late.

Cause: a VM holds no pool in its first two seconds, and borrows; until one of its seeds answers, up to a second after all have started at once, it knows nobody to borrow from. With nobody to ask, a request was refused at once, though the store was there and had the tokens.

Change: with nobody to ask, a VM exchanges with the store for what its requests wait for. It is no home, so it takes no more than that.

Why it holds: a request is refused only where the store can't be reached, or was asked and lacks the tokens.

--- a/coordination/src/main/java/org/hornbeampass/coordination/escrow/EscrowBook.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/escrow/EscrowBook.java
@@ -167,6 +167,11 @@
         shard(organisation).serveItself(nowMs);
     }
 
+    /** As above where no other VM is known; returns whether it is worth waiting for. */
+    boolean serveAlone(long nowMs, String organisation) {
+        return shard(organisation).serveAlone(nowMs);
+    }
+
     /** Returns the number of the pool to which an organisation's budget belongs. */
     int pool(String organisation) {
         return Math.floorMod(organisation.hashCode(), mShards.size());
--- a/coordination/src/main/java/org/hornbeampass/coordination/escrow/EscrowLoans.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/escrow/EscrowLoans.java
@@ -77,7 +77,7 @@
     }
 
     /**
-     * Looks for tokens at other VMs for a request that waits.
+     * Looks for tokens at other VMs for a request that waits; at the store where none is known.
      *
      * @param nowMs the present time in milliseconds
      * @param organisation the organisation's name
@@ -99,7 +99,7 @@
                 LoanSearch.order(
                         homes, mHomes.vms(), mLastLender.getOrDefault(organisation, ""), mRandom);
         if (order.isEmpty()) {
-            return false;
+            return waitForStore(nowMs, organisation, done);
         }
         LoanSearch search =
                 new LoanSearch(
@@ -115,6 +115,14 @@
         return true;
     }
 
+    private boolean waitForStore(long nowMs, String organisation, Runnable done) {
+        boolean helps = mBook.serveAlone(nowMs, organisation);
+        if (helps) {
+            mBook.afterNextExchange(nowMs, organisation, done);
+        }
+        return helps;
+    }
+
     /** Returns the homes to ask, those that were silent of late last. */
     private List<String> homes(long nowMs, int pool) {
         List<String> homes = new ArrayList<>();
--- a/coordination/src/main/java/org/hornbeampass/coordination/escrow/EscrowShard.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/escrow/EscrowShard.java
@@ -202,6 +202,21 @@
         mServesUntilMs = nowMs + SERVES_MS;
     }
 
+    /**
+     * Lets a VM that knows no other exchange with the store for what its requests need, and for no
+     * more, since it is no home. A VM knows nobody for up to a second after all have lost power.
+     *
+     * @return whether it is worth waiting for the next exchange: not where the store is out of
+     *     reach, or is being asked already and lacks the tokens
+     */
+    boolean serveAlone(long nowMs) {
+        boolean helps = !outOfReach(nowMs) && !(exchanges(nowMs) && mExchange.versionKnown());
+        if (helps) {
+            serveItself(nowMs);
+        }
+        return helps;
+    }
+
     BudgetStatus status(long nowMs, String organisation) {
         return mKnown.status(nowMs, organisation, outOfReach(nowMs));
     }
--- a/coordination/src/test/java/org/hornbeampass/coordination/escrow/EscrowLoansTest.java
+++ b/coordination/src/test/java/org/hornbeampass/coordination/escrow/EscrowLoansTest.java
@@ -29,11 +29,13 @@
     private final MemoryPlatform mStore = new MemoryPlatform();
     private int mWrites;
     private final EscrowBook mLender = book("lender", this::count);
+    private int mCalls;
     private boolean mTurnedAway;
     private int mRequests;
     private final List<String> mGiftsTo = new ArrayList<>();
     private final Platform mLink =
             (nowMs, call, done) -> {
+                mCalls++;
                 if (mTurnedAway) {
                     done.accept(nowMs, new PlatformReply.Throttled());
                 } else {
@@ -165,13 +167,92 @@
         }
     }
 
+    /**
+     * One request at a VM that has just started, as the relay admits it: it waits, or is refused.
+     */
+    private static final class WaitingRequest {
+        private final EscrowBook mBook;
+        private final EscrowLoans mLoans;
+        private final long mTokens;
+        private boolean mServed;
+        private boolean mRefused;
+
+        WaitingRequest(EscrowBook book, EscrowLoans loans, long tokens) {
+            mBook = book;
+            mLoans = loans;
+            mTokens = tokens;
+        }
+
+        void admit(long nowMs) {
+            if (mBook.admit(nowMs, "org", mTokens) == Admission.RESERVED) {
+                mServed = true;
+            } else if (mBook.mayGetMore(nowMs, "org", mTokens)) {
+                mBook.afterNextExchange(nowMs, "org", () -> admit(nowMs));
+            } else if (!mLoans.search(nowMs, "org", mTokens, () -> admit(nowMs))) {
+                mRefused = true;
+            }
+        }
+    }
+
+    /**
+     * What callers saw: after all VMs had lost power at once, nearly all requests were refused for
+     * a second, and told to come back after another one and a half.
+     *
+     * <p>The order of events: all VMs start; callers come at once; a VM knows no other before one
+     * of its seeds answers, and holds no pool in its first two seconds.
+     *
+     * <p>The cause: with nobody to ask, a request was refused at once, though the store was there
+     * and had the tokens. The evidence: lines that said so 0 ms after a request came, at VMs that
+     * had put their configuration in force, until they wrote that they knew others.
+     */
+    @Test
+    void vmThatKnowsNobodyYet_getsFromTheStoreWhatItsRequestNeeds() {
+        EscrowBook book = bookOfNoHome(new OtherHomes());
+        EscrowLoans loans = new EscrowLoans(book, new ToLender(), new OtherHomes(), new Random(1));
+        WaitingRequest request = new WaitingRequest(book, loans, 700);
+        WaitingRequest next = new WaitingRequest(book, loans, 300);
+        request.admit(0);
+        next.admit(0);
+        runAlone(book, loans, 0, 500);
+        assertThat(request.mServed).isTrue();
+        assertThat(next.mServed).isTrue();
+        assertThat(book.standing(500, "org").unallocated()).isEqualTo(PREPAID - 1_000);
+    }
+
+    @Test
+    void vmThatKnowsNobodyYet_refusesWhatTheStoreLacks_afterFewCalls() {
+        EscrowBook book = bookOfNoHome(new OtherHomes());
+        EscrowLoans loans = new EscrowLoans(book, new ToLender(), new OtherHomes(), new Random(1));
+        WaitingRequest all = new WaitingRequest(book, loans, PREPAID);
+        all.admit(0);
+        runAlone(book, loans, 0, 500);
+        assertThat(all.mServed).isTrue();
+        int calls = mCalls;
+        WaitingRequest late = new WaitingRequest(book, loans, 700);
+        late.admit(500);
+        runAlone(book, loans, 500, 1_500);
+        assertThat(late.mRefused).isTrue();
+        assertThat(mCalls - calls).isLessThanOrEqualTo(2);
+    }
+
+    private static void runAlone(EscrowBook book, EscrowLoans loans, long fromMs, long untilMs) {
+        for (long t = fromMs; t < untilMs; t += 10) {
+            book.tick(t);
+            loans.tick(t);
+        }
+    }
+
     private EscrowBook bookOfNoHome() {
+        return bookOfNoHome(new OtherHomes("lender"));
+    }
+
+    private EscrowBook bookOfNoHome(PoolHomes homes) {
         EscrowBook book =
                 new EscrowBook(
                         mLink,
                         new EscrowOwner("borrower", "borrower-2"),
                         1,
-                        new OtherHomes("lender"),
+                        homes,
                         GrantListener.NONE);
         book.onOrganisations(
                 List.of(new PrepaidOrganisation("org", List.of("k"), 0, OptionalLong.of(PREPAID))));
