--- a/router/src/main/java/org/hornbeampass/router/daemon/RevisionNews.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/RevisionNews.java
@@ -22,7 +22,7 @@
 final class RevisionNews {
     /**
      * How long this VM's own watch may be behind another VM's, in milliseconds, before that one is
-     * asked: a slow store takes some 350 for an answer, and all that is known is sent in reply.
+     * asked: a slow store takes some 350 for an answer, which a question would only come before.
      */
     private static final long GRACE_MS = 450;
 
