--- a/coordination/src/main/java/org/hornbeampass/coordination/news/ViewNews.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/news/ViewNews.java
@@ -16,9 +16,9 @@
  *
  * <p>Only what changed is sent. A question is answered with little, or with the word that there is
  * much; much is read from the platform where it answers, and copied from the other VM where it
- * doesn't. Invariants: at most one question is open, and none while the platform's own answer is on
- * its way, so that a link never carries the same thing twice; this VM gives one large copy after
- * another. Confined to one thread.
+ * doesn't. Invariants: at most one question is open, and none is begun while the platform's own
+ * answer is on its way; this VM gives one large copy after another. A copy and an answer that begin
+ * at the same moment may still both come. Confined to one thread.
  */
 final class ViewNews {
     /** How long a VM may take to answer with little, in milliseconds. */
--- a/coordination/src/main/java/org/hornbeampass/coordination/platform/MissedChanges.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/platform/MissedChanges.java
@@ -30,7 +30,8 @@
      *
      * <p>A watch is answered with every version since the last one seen. After eight seconds
      * without the store, sixteen versions of 60 KB and three of 500 KB came to VMs with links of 7
-     * Mbit/s (875 bytes in a millisecond) that needed one of them: four seconds in place of 0.6.
+     * Mbit/s (875 bytes in a millisecond) that needed one of them: 2.8 s of such a link by their
+     * sizes, in place of 0.6.
      */
     SKIPPED {
         @Override
--- a/router/src/main/java/org/hornbeampass/router/daemon/LineLogging.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/LineLogging.java
@@ -13,7 +13,7 @@
  * Logs lines of JSON on standard output, and drops lines rather than wait for whoever reads them.
  *
  * <p>Built in code: read from a file, with its plugins, the same took a router 70 ms more of the
- * 440 in which it starts (means of 24 pairs of starts on one core). Where a VM has a twelfth of a
+ * 440 in which it starts (means of 24 pairs of starts on one core). Where a VM has an eighth of a
  * core, callers wait half a second less after all VMs were killed. Immutable once started;
  * thread-safe.
  */
--- a/router/src/main/java/org/hornbeampass/router/daemon/RevisionNews.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/RevisionNews.java
@@ -22,7 +22,7 @@
 final class RevisionNews {
     /**
      * How long this VM's own watch may be behind another VM's, in milliseconds, before that one is
-     * asked: a slow store takes some 350 for an answer, which a question would only come before.
+     * asked: a slow store takes some 350 for an answer, and a question would ask for the same.
      */
     private static final long GRACE_MS = 450;
 
