Log which upstreams crashed, and which request each repeat is

Cause: the hypotheses of the crashing request could not be told apart. Repeats have ids of their own, and a line upstream-lost says the same for a crash and for one connection that broke.

One new connection to an upstream whose connection broke tells a crash from the rest; one that opens is kept for requests. No request is treated in another way.

--- /dev/null
+++ b/coordination/src/main/java/org/hornbeampass/coordination/quarantine/RequestDigest.java
@@ -0,0 +1,45 @@
+package org.hornbeampass.coordination.quarantine;
+
+import com.fasterxml.jackson.annotation.JsonFormat;
+
+import java.util.HexFormat;
+import java.util.Optional;
+
+/**
+ * Names a request by what it asks, so that its repeats are known for the same request.
+ *
+ * <p>Immutable; safe for use by any thread. Made by {@link RequestHasher}.
+ *
+ * @param scope a keyed hash of path and caller
+ * @param content a keyed hash of the body
+ */
+@JsonFormat(shape = JsonFormat.Shape.ARRAY)
+public record RequestDigest(long scope, long content) implements Comparable<RequestDigest> {
+    private static final HexFormat HEX = HexFormat.of();
+    private static final int HALF_DIGITS = 2 * Long.BYTES;
+
+    /** Reads what {@link #toString} wrote; empty for any other text. */
+    public static Optional<RequestDigest> parse(String text) {
+        boolean wellFormed =
+                text.length() == 2 * HALF_DIGITS && text.chars().allMatch(HexFormat::isHexDigit);
+        if (!wellFormed) {
+            return Optional.empty();
+        }
+        return Optional.of(
+                new RequestDigest(
+                        HexFormat.fromHexDigitsToLong(text, 0, HALF_DIGITS),
+                        HexFormat.fromHexDigitsToLong(text, HALF_DIGITS, text.length())));
+    }
+
+    @Override
+    public int compareTo(RequestDigest other) {
+        int byScope = Long.compare(scope, other.scope);
+        return byScope != 0 ? byScope : Long.compare(content, other.content);
+    }
+
+    /** Returns 32 hexadecimal digits, for logs and for keys of the store. */
+    @Override
+    public String toString() {
+        return HEX.toHexDigits(scope) + HEX.toHexDigits(content);
+    }
+}
--- a/coordination/src/main/java/org/hornbeampass/coordination/service/UpstreamInstance.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/service/UpstreamInstance.java
@@ -81,7 +81,7 @@
     }
 
     /** Returns whether it was ever seen leaving. */
-    boolean leaving() {
+    public boolean leaving() {
         return mLeaving;
     }
 
--- /dev/null
+++ b/coordination/src/test/java/org/hornbeampass/coordination/quarantine/RequestHasherTest.java
@@ -0,0 +1,59 @@
+package org.hornbeampass.coordination.quarantine;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.junit.jupiter.api.Test;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+
+/** Checks what tells requests apart, and what doesn't. */
+class RequestHasherTest {
+    private final RequestHasher mHasher = hasher("a key");
+
+    private static RequestHasher hasher(String key) {
+        return new RequestHasher(key.getBytes(StandardCharsets.UTF_8));
+    }
+
+    private static ByteBuffer part(String text) {
+        return ByteBuffer.wrap(text.getBytes(StandardCharsets.UTF_8));
+    }
+
+    private long content(String... parts) {
+        return mHasher.content(
+                List.of(parts).stream().map(RequestHasherTest::part).toList(), Long.MAX_VALUE);
+    }
+
+    @Test
+    void bodyInOtherParts_hasTheSameHash() {
+        assertThat(content("ab", "", "c")).isEqualTo(content("abc")).isNotEqualTo(content("abd"));
+    }
+
+    @Test
+    void bytesBeyondTheBound_doNotCount() {
+        List<ByteBuffer> longer = List.of(part("ab"), part("cd"));
+        assertThat(mHasher.content(longer, 3)).isEqualTo(content("abc"));
+        assertThat(longer.get(1).remaining()).isEqualTo(2);
+    }
+
+    @Test
+    void pathAndCaller_doNotRunIntoEachOther() {
+        assertThat(mHasher.scope("/ab", "c")).isNotEqualTo(mHasher.scope("/a", "bc"));
+    }
+
+    @Test
+    void otherKey_givesOtherHashes() {
+        assertThat(hasher("b").scope("/a", "c")).isNotEqualTo(mHasher.scope("/a", "c"));
+        assertThat(hasher("a key").scope("/a", "c")).isEqualTo(mHasher.scope("/a", "c"));
+    }
+
+    @Test
+    void digest_isReadFromItsText() {
+        RequestDigest digest = new RequestDigest(-1, 255);
+        assertThat(digest.toString()).isEqualTo("ffffffffffffffff00000000000000ff");
+        assertThat(RequestDigest.parse(digest.toString())).contains(digest);
+        assertThat(RequestDigest.parse("ff")).isEmpty();
+        assertThat(RequestDigest.parse("zz" + digest.toString().substring(2))).isEmpty();
+    }
+}
--- a/router/src/main/java/org/hornbeampass/router/daemon/RelayDaemon.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/RelayDaemon.java
@@ -17,6 +17,7 @@
 import org.hornbeampass.coordination.membership.SyncRequest;
 import org.hornbeampass.coordination.news.NewsRequest;
 import org.hornbeampass.coordination.platform.WatchedView;
+import org.hornbeampass.coordination.quarantine.RequestHasher;
 import org.hornbeampass.coordination.service.InFlightReport;
 import org.hornbeampass.coordination.service.LoadExchange;
 import org.hornbeampass.coordination.service.UpstreamBoard;
@@ -119,6 +120,7 @@
                         mClock,
                         mBoard,
                         mPool,
+                        new RequestHasher(settings.cluster().revealBytes()),
                         mBudgets,
                         mLoans,
                         mLog,
--- /dev/null
+++ b/router/src/main/java/org/hornbeampass/router/relay/CrashDetector.java
@@ -0,0 +1,103 @@
+package org.hornbeampass.router.relay;
+
+import org.hornbeampass.coordination.quarantine.RequestDigest;
+import org.hornbeampass.coordination.quarantine.UpstreamCrash;
+import org.hornbeampass.coordination.service.UpstreamInstance;
+import org.hornbeampass.transport.Clock;
+import org.hornbeampass.transport.relay.UpstreamPool;
+
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * Tells the crash of an upstream from a single connection that broke.
+ *
+ * <p>A connection breaks where a link resets it, an answer is lost or damaged, or its upstream
+ * crashes. After a crash nobody listens at the upstream's address any more, which one new
+ * connection finds out. Invariants: at most one is opened at a time for an upstream; the end of an
+ * upstream that had said that it leaves is no crash. Confined to one event loop.
+ */
+final class CrashDetector {
+    /** For how long requests that lose their connections late belong to a known crash. */
+    private static final long CRASH_KEPT_MS = 5_000;
+
+    private final UpstreamPool mPool;
+    private final Clock mClock;
+    private final RelayLog mLog;
+    private final Map<UpstreamCrash, Set<RequestDigest>> mProbed = new HashMap<>();
+    private final Map<UpstreamCrash, Long> mCrashedMs = new HashMap<>();
+
+    CrashDetector(UpstreamPool pool, Clock clock, RelayLog log) {
+        mPool = pool;
+        mClock = clock;
+        mLog = log;
+    }
+
+    /**
+     * Takes the loss of a connection on which a request was in progress.
+     *
+     * @param nowMs the present time in milliseconds
+     * @param instance the upstream
+     * @param digest the request
+     */
+    void onBroken(long nowMs, UpstreamInstance instance, RequestDigest digest) {
+        if (instance.leaving()) {
+            return;
+        }
+        UpstreamCrash crash = crashOf(instance);
+        if (mCrashedMs.containsKey(crash)) {
+            report(nowMs, crash, Set.of(digest));
+            return;
+        }
+        Set<RequestDigest> waiting = mProbed.get(crash);
+        if (waiting != null) {
+            waiting.add(digest);
+            return;
+        }
+        mProbed.put(crash, new LinkedHashSet<>(Set.of(digest)));
+        mPool.probe(
+                instance.entry().address(),
+                RelayBounds.CONNECT_TIMEOUT_MS,
+                listens -> onProbed(crash, listens));
+    }
+
+    private void onProbed(UpstreamCrash crash, boolean listens) {
+        Set<RequestDigest> requests = mProbed.remove(crash);
+        if (!listens) {
+            crashed(mClock.nowMs(), crash, requests);
+        }
+    }
+
+    /**
+     * Takes the word of the platform that an upstream has started again while a request was in
+     * progress there.
+     */
+    void onStartedAgain(long nowMs, UpstreamInstance instance, RequestDigest digest) {
+        if (!instance.leaving()) {
+            crashed(nowMs, crashOf(instance), Set.of(digest));
+        }
+    }
+
+    private void crashed(long nowMs, UpstreamCrash crash, Set<RequestDigest> requests) {
+        mCrashedMs.values().removeIf(atMs -> nowMs - atMs >= CRASH_KEPT_MS);
+        mCrashedMs.put(crash, nowMs);
+        report(nowMs, crash, requests);
+    }
+
+    private void report(long nowMs, UpstreamCrash crash, Set<RequestDigest> requests) {
+        mLog.believes(
+                nowMs,
+                "upstream-crashed",
+                new LogFields()
+                        .add("upstream", crash.upstream())
+                        .add("born_ms", crash.bornMs())
+                        .add("requests", requests.size()));
+    }
+
+    private static UpstreamCrash crashOf(UpstreamInstance instance) {
+        return new UpstreamCrash(
+                instance.id(), instance.entry().bornMs().orElse(UpstreamCrash.NOT_TOLD_MS));
+    }
+}
--- a/router/src/main/java/org/hornbeampass/router/relay/RelayAttempts.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/RelayAttempts.java
@@ -29,23 +29,30 @@
     private final RelayCall mCall;
     private final RelayPlan mPlan;
     private final RequestBody mBody;
+    private final RequestIdentity mIdentity;
     private final AnswerStream mStream;
     private final HeldAnswer mHeld;
     private final SendCounts mCounts;
+    private final SilenceWatch mSilence;
     private final Set<String> mTried = new HashSet<>();
     private Optional<InstanceUse> mUse = Optional.empty();
     private Optional<UpstreamConnection> mConnection = Optional.empty();
-    private Runnable mSilenceTimer = () -> {};
     private boolean mHeadSent;
     private boolean mBodySent;
     private long mSentMs;
     private long mFirstByteMs = -1;
 
-    RelayAttempts(RelayParts parts, RelayCall call, RelayPlan plan, RequestBody body) {
+    RelayAttempts(
+            RelayParts parts,
+            RelayCall call,
+            RelayPlan plan,
+            RequestBody body,
+            RequestIdentity identity) {
         mParts = parts;
         mCall = call;
         mPlan = plan;
         mBody = body;
+        mIdentity = identity;
         mStream =
                 new AnswerStream(
                         call.caller(),
@@ -53,6 +60,7 @@
                         plan.head().resumesAfter().orElse(-1));
         mHeld = new HeldAnswer(call);
         mCounts = new SendCounts(plan.route());
+        mSilence = new SilenceWatch(call, plan.route(), this::onSilent);
     }
 
     /** Begins with the first upstream. */
@@ -125,7 +133,7 @@
         mBodySent = false;
         connection.start(mPlan.upstreamHead(nowMs, mParts.wire(), use, mStream.lastId()), this);
         sendBody();
-        watchSilence(mPlan.route().objectiveMs() * RelayBounds.SILENCE_OBJECTIVES);
+        mSilence.awaitAnswer();
     }
 
     /** Sends what has come of the body. */
@@ -163,7 +171,7 @@
             mParts.log().decided(nowMs, id(), "unrelated-answer", mUse.get().fields());
             return false;
         }
-        mSilenceTimer.run();
+        mSilence.stop();
         if (answer == AnswerClass.NOT_RUN || answer == AnswerClass.ANOTHER_UPSTREAM) {
             onNotRun(nowMs, answer);
             return true;
@@ -230,7 +238,7 @@
                 breakOff(nowMs, "the stream could not go on at another upstream");
                 return;
             }
-            watchGap();
+            mSilence.awaitEvent();
             return;
         }
         HttpResponse copy =
@@ -240,7 +248,7 @@
         if (streams) {
             mHeadSent = true;
             mCall.sendHead(copy);
-            watchGap();
+            mSilence.awaitEvent();
         } else {
             mHeld.start(copy);
         }
@@ -289,7 +297,7 @@
             mConnection.get().reading(false);
         }
         if (mHeadSent && !mHeld.started()) {
-            watchGap();
+            mSilence.awaitEvent();
         }
     }
 
@@ -306,7 +314,7 @@
         notePromptRead(nowMs);
         mConnection = Optional.empty();
         leaveInstance();
-        mSilenceTimer.run();
+        mSilence.stop();
         if (mCall.callerGone()) {
             mHeld.release();
             mStream.release();
@@ -328,7 +336,11 @@
             return;
         }
         mConnection = Optional.empty();
-        mUse.ifPresent(u -> u.instance().onSilent(nowMs));
+        mUse.ifPresent(
+                u -> {
+                    u.instance().onSilent(nowMs);
+                    mParts.crashes().onBroken(nowMs, u.instance(), mIdentity.digest());
+                });
         onLost(nowMs, reason);
     }
 
@@ -338,6 +350,8 @@
             return;
         }
         dropConnectionOnly();
+        mUse.ifPresent(
+                u -> mParts.crashes().onStartedAgain(nowMs, u.instance(), mIdentity.digest()));
         onLost(nowMs, "the upstream has started again");
     }
 
@@ -351,9 +365,10 @@
                         mUse.map(InstanceUse::fields)
                                 .orElseGet(LogFields::new)
                                 .add("reason", reason)
-                                .add("events", mStream.events()));
+                                .add("events", mStream.events())
+                                .add("digest", mIdentity.digest().toString()));
         leaveInstance();
-        mSilenceTimer.run();
+        mSilence.stop();
         if (mCall.callerGone()) {
             mCall.end(nowMs, "caller-gone", usedTokens());
             return;
@@ -367,19 +382,6 @@
         giveUp(nowMs, "the upstream was lost");
     }
 
-    private void watchSilence(long ms) {
-        mSilenceTimer.run();
-        if (mPlan.route().mayRunAgain()) {
-            mSilenceTimer = mCall.timer(ms, this::onSilent);
-        }
-    }
-
-    private void watchGap() {
-        if (mPlan.route().resumable() && mPlan.route().gapTargetMs() > 0) {
-            watchSilence(mPlan.route().gapTargetMs() * RelayBounds.SILENCE_GAPS);
-        }
-    }
-
     /** An upstream says nothing: its place is taken by another, where that is allowed. */
     private void onSilent(long nowMs) {
         if (mConnection.isEmpty() || !mayRunAgain() || mHeld.passedOn()) {
@@ -453,7 +455,7 @@
     private void dropConnection() {
         dropConnectionOnly();
         leaveInstance();
-        mSilenceTimer.run();
+        mSilence.stop();
     }
 
     private void dropConnectionOnly() {
--- a/router/src/main/java/org/hornbeampass/router/relay/RelayCall.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/RelayCall.java
@@ -290,7 +290,8 @@
                                             mService.orElseThrow(),
                                             mOrganisation.map(PrepaidOrganisation::name),
                                             mDeadlineMs),
-                                    mBody));
+                                    mBody,
+                                    identity()));
             mAttempts.get().start(nowMs);
             return;
         }
@@ -305,6 +306,17 @@
                                 tokensRetryMs(nowMs)));
     }
 
+    /** Returns what tells the request's repeats; its caller is the organisation that pays. */
+    private RequestIdentity identity() {
+        String caller = mOrganisation.map(PrepaidOrganisation::name).or(mHead::key).orElse("");
+        RequestIdentity identity =
+                new RequestIdentity(mParts.hasher(), mHead.host() + mRequest.uri(), caller, mBody);
+        if (mBody.large()) {
+            identity.digest();
+        }
+        return identity;
+    }
+
     private long tokensRetryMs(long nowMs) {
         if (mParts.budgets().outOfReach(nowMs, organisation())) {
             return CUT_RETRY_MS;
--- a/router/src/main/java/org/hornbeampass/router/relay/RelayParts.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/RelayParts.java
@@ -4,6 +4,7 @@
 
 import org.hornbeampass.coordination.escrow.EscrowBook;
 import org.hornbeampass.coordination.escrow.EscrowLoans;
+import org.hornbeampass.coordination.quarantine.RequestHasher;
 import org.hornbeampass.coordination.service.RetryWindow;
 import org.hornbeampass.coordination.service.RouteTable;
 import org.hornbeampass.coordination.service.UpstreamBoard;
@@ -29,6 +30,8 @@
     private final Clock mClock;
     private final UpstreamBoard mBoard;
     private final UpstreamPool mPool;
+    private final CrashDetector mCrashes;
+    private final RequestHasher mHasher;
     private final EscrowBook mBudgets;
     private final EscrowLoans mLoans;
     private final RelayLog mLog;
@@ -50,6 +53,7 @@
             Clock clock,
             UpstreamBoard board,
             UpstreamPool pool,
+            RequestHasher hasher,
             EscrowBook budgets,
             EscrowLoans loans,
             RelayLog log,
@@ -62,6 +66,8 @@
         mClock = clock;
         mBoard = board;
         mPool = pool;
+        mCrashes = new CrashDetector(pool, clock, log);
+        mHasher = hasher;
         mBudgets = budgets;
         mLoans = loans;
         mLog = log;
@@ -93,6 +99,14 @@
         return mPool;
     }
 
+    CrashDetector crashes() {
+        return mCrashes;
+    }
+
+    RequestHasher hasher() {
+        return mHasher;
+    }
+
     /** Returns the prepaid budgets. */
     public EscrowBook budgets() {
         return mBudgets;
--- a/router/src/main/java/org/hornbeampass/router/relay/RequestBody.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/RequestBody.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf;
 
+import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.List;
 
@@ -57,6 +58,11 @@
         return mParts.stream().map(ByteBuf::retainedDuplicate).toList();
     }
 
+    /** Returns what is kept of it, for reading. */
+    List<ByteBuffer> kept() {
+        return mParts.stream().map(ByteBuf::nioBuffer).toList();
+    }
+
     void release() {
         mParts.forEach(ByteBuf::release);
         mParts.clear();
--- a/transport/src/main/java/org/hornbeampass/transport/relay/UpstreamConnection.java
+++ b/transport/src/main/java/org/hornbeampass/transport/relay/UpstreamConnection.java
@@ -102,6 +102,12 @@
         close();
     }
 
+    /** Keeps a connection that was just opened for a later request. */
+    void keep() {
+        mIdleSinceMs = mClock.nowMs();
+        mPool.onIdle(this);
+    }
+
     /** Returns whether it can take another request. */
     boolean fresh(long nowMs, long maxIdleMs) {
         long idleMs = nowMs - mIdleSinceMs;
@@ -198,8 +204,7 @@
     private void ended(UpstreamListener listener) {
         mListener = Optional.empty();
         if (mReusable && mRequestWritten) {
-            mIdleSinceMs = mClock.nowMs();
-            mPool.onIdle(this);
+            keep();
         } else {
             close();
         }
--- a/transport/src/main/java/org/hornbeampass/transport/relay/UpstreamPool.java
+++ b/transport/src/main/java/org/hornbeampass/transport/relay/UpstreamPool.java
@@ -66,6 +66,29 @@
             done.accept(Optional.of(idle.pollLast()));
             return;
         }
+        open(address, connectTimeoutMs, done);
+    }
+
+    /**
+     * Finds out whether anybody listens at an address; a connection that opens is kept for
+     * requests.
+     *
+     * @param address the upstream's address, as an IP number and a port
+     * @param connectTimeoutMs how long the connection may take, in milliseconds
+     * @param done takes whether it opened; run once, on the loop
+     */
+    public void probe(String address, int connectTimeoutMs, Consumer<Boolean> done) {
+        open(
+                address,
+                connectTimeoutMs,
+                connection -> {
+                    connection.ifPresent(UpstreamConnection::keep);
+                    done.accept(connection.isPresent());
+                });
+    }
+
+    private void open(
+            String address, int connectTimeoutMs, Consumer<Optional<UpstreamConnection>> done) {
         UpstreamConnection connection = new UpstreamConnection(this, address, mClock);
         mOpened++;
         new Bootstrap()
