Keep requests that crash their upstreams from running again

What callers saw: models out of service for seconds at a time. One request, which its caller repeated at any VM, ended upstream after upstream, and with each all requests that were running there.

Cause: nothing tied the end of an upstream to the requests that it was running, nor a request to its repeats; what was lost went to the next upstream at once, and each repeat was a new request at each VM. Class: a fault that is retried wherever it is not known yet. Evidence: one organisation and reservation among the victims of 18 of 20 logged ends, at five VMs.

Change: upstreams that crash (a connection broke, and nobody listens at the address any more) are tied to the digests of the requests in progress there. VMs exchange these pairs and merge them as sets. After three crashes of different incarnations a request is refused everywhere for ten minutes, as not run; after one it is not sent on at once. A whole answer anywhere clears it, and crashes that a quarantined request explains count little against the others. Verdicts lie in the store, so that they outlive the death of all VMs; operators lift one by deleting its record.

Why this holds: a verdict is a function of sets of pairs, so neither order nor loss nor repetition of messages changes it.

--- a/cli/src/main/java/org/hornbeampass/cli/command/LossCause.java
+++ b/cli/src/main/java/org/hornbeampass/cli/command/LossCause.java
@@ -46,6 +46,13 @@
             return endsAs(line, ErrorKind.NOT_READY) || endsAs(line, ErrorKind.SHUTTING_DOWN);
         }
     },
+    /** Upstreams crashed each time that they ran it, so that it is kept from them. */
+    QUARANTINED("kept from upstreams") {
+        @Override
+        boolean matches(LogLine line) {
+            return endsAs(line, ErrorKind.REQUEST_QUARANTINED);
+        }
+    },
     /** No upstream could take it. */
     NO_UPSTREAM("no upstream") {
         @Override
--- /dev/null
+++ b/coordination/src/main/java/org/hornbeampass/coordination/quarantine/QuarantineRecords.java
@@ -0,0 +1,198 @@
+package org.hornbeampass.coordination.quarantine;
+
+import io.vavr.control.Either;
+
+import org.hornbeampass.coordination.platform.Platform;
+import org.hornbeampass.coordination.platform.PlatformCall;
+import org.hornbeampass.coordination.platform.PlatformReply;
+import org.hornbeampass.coordination.platform.PlatformReply.StoredObject;
+import org.hornbeampass.state.Failure;
+import org.hornbeampass.state.Json;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.BiConsumer;
+import java.util.function.BooleanSupplier;
+import java.util.random.RandomGenerator;
+
+/**
+ * Keeps quarantines in the platform's store, so that they outlive the VMs, and lifts those whose
+ * records operators delete.
+ *
+ * <p>Each VM reads the records once, at its start. One VM, the keeper, writes and reads them later;
+ * another one writes only where a verdict stays without a record, since the keeper may be cut off.
+ * So calls depend on verdicts and starts, not on VMs and time. Invariant: at most one call is open.
+ * Confined to one thread.
+ */
+final class QuarantineRecords {
+    static final String PREFIX = "quarantines/";
+
+    /** How often the keeper reads the records while there are any, in milliseconds. */
+    private static final long READ_MS = 10_000;
+
+    /** How long to wait after a call that failed, in milliseconds. */
+    private static final long RETRY_MS = 1_000;
+
+    /** How long others leave the record to the keeper, in milliseconds. */
+    private static final long KEEPER_MS = 3_000;
+
+    /** Over how long the others spread their own tries, in milliseconds. */
+    private static final int SPREAD_MS = 7_000;
+
+    private static final int PAGE = 500;
+
+    private final Platform mPlatform;
+    private final SuspectTable mTable;
+    private final SuspectListener mListener;
+    private final BooleanSupplier mKeeper;
+    private final RandomGenerator mRandom;
+    private final BiConsumer<Long, RequestDigest> mOnLifted;
+    private final Map<RequestDigest, Long> mWriteAtMs = new HashMap<>();
+    private final Set<RequestDigest> mFound = new HashSet<>();
+    private Set<RequestDigest> mRecordedBefore = Set.of();
+    private boolean mRead;
+    private boolean mAnyStored;
+    private boolean mOpen;
+    private long mNextCallMs;
+    private long mNextReadMs;
+
+    /**
+     * Makes a keeper of records.
+     *
+     * @param platform the store
+     * @param table the verdicts
+     * @param listener hears of calls that failed
+     * @param keeper whether this VM is the one that writes first
+     * @param random spreads the tries of the others
+     * @param onLifted takes the present time in milliseconds and a request whose record was deleted
+     */
+    QuarantineRecords(
+            Platform platform,
+            SuspectTable table,
+            SuspectListener listener,
+            BooleanSupplier keeper,
+            RandomGenerator random,
+            BiConsumer<Long, RequestDigest> onLifted) {
+        mPlatform = platform;
+        mTable = table;
+        mListener = listener;
+        mKeeper = keeper;
+        mRandom = random;
+        mOnLifted = onLifted;
+    }
+
+    /** Makes the next call that is due. */
+    void tick(long nowMs) {
+        if (mOpen || nowMs < mNextCallMs) {
+            return;
+        }
+        List<SuspectReport.Item> quarantined = mTable.quarantined(nowMs);
+        boolean watches = mKeeper.getAsBoolean() && (mAnyStored || !quarantined.isEmpty());
+        if (!mRead || (watches && nowMs >= mNextReadMs)) {
+            mFound.clear();
+            mRecordedBefore = recorded(quarantined);
+            read(nowMs, "");
+            return;
+        }
+        mWriteAtMs.keySet().retainAll(quarantined.stream().map(i -> i.digest()).toList());
+        quarantined.stream()
+                .filter(i -> !i.recorded() && nowMs >= writeAtMs(nowMs, i.digest()))
+                .findFirst()
+                .ifPresent(i -> write(nowMs, i));
+    }
+
+    private static Set<RequestDigest> recorded(List<SuspectReport.Item> items) {
+        Set<RequestDigest> recorded = new HashSet<>();
+        items.stream().filter(i -> i.recorded()).forEach(i -> recorded.add(i.digest()));
+        return recorded;
+    }
+
+    private long writeAtMs(long nowMs, RequestDigest digest) {
+        return mWriteAtMs.computeIfAbsent(
+                digest,
+                d ->
+                        mKeeper.getAsBoolean()
+                                ? nowMs
+                                : nowMs + KEEPER_MS + mRandom.nextInt(SPREAD_MS));
+    }
+
+    private void write(long nowMs, SuspectReport.Item item) {
+        mOpen = true;
+        String key = PREFIX + item.digest();
+        QuarantineRecord record =
+                new QuarantineRecord(item.crashes(), nowMs + item.quarantineLeftMs());
+        mPlatform.submit(
+                nowMs,
+                new PlatformCall.Create(key, Json.encode(record)),
+                (t, reply) -> onWritten(t, key, item.digest(), reply));
+    }
+
+    private void onWritten(long nowMs, String key, RequestDigest digest, PlatformReply reply) {
+        mOpen = false;
+        boolean stored =
+                reply instanceof PlatformReply.Written || reply instanceof PlatformReply.Conflict;
+        if (!stored) {
+            failed(nowMs, key, reply);
+            return;
+        }
+        mAnyStored = true;
+        mTable.onRecorded(digest);
+    }
+
+    private void failed(long nowMs, String key, PlatformReply reply) {
+        mNextCallMs = nowMs + RETRY_MS;
+        mListener.onRecordFailed(nowMs, key, reply.toString());
+    }
+
+    private void read(long nowMs, String afterKey) {
+        mOpen = true;
+        mPlatform.submit(nowMs, new PlatformCall.ListObjects(PREFIX, afterKey, PAGE), this::onRead);
+    }
+
+    private void onRead(long nowMs, PlatformReply reply) {
+        mOpen = false;
+        if (!(reply instanceof PlatformReply.Listed listed)) {
+            failed(nowMs, PREFIX, reply);
+            return;
+        }
+        listed.objects().forEach(o -> take(nowMs, o));
+        if (listed.more() && !listed.objects().isEmpty()) {
+            read(nowMs, listed.objects().get(listed.objects().size() - 1).key());
+            return;
+        }
+        mRead = true;
+        mNextReadMs = nowMs + READ_MS;
+        mAnyStored = !mFound.isEmpty();
+        mRecordedBefore.stream()
+                .filter(d -> !mFound.contains(d))
+                .forEach(d -> mOnLifted.accept(nowMs, d));
+    }
+
+    /** Takes a record: its quarantine goes on, or is over and its record is deleted. */
+    private void take(long nowMs, StoredObject object) {
+        Optional<RequestDigest> digest =
+                RequestDigest.parse(object.key().substring(PREFIX.length()));
+        Either<Failure, QuarantineRecord> read =
+                Json.decode(object.value(), QuarantineRecord.class);
+        if (digest.isEmpty() || read.isLeft()) {
+            mListener.onRecordFailed(nowMs, object.key(), "it is no record of a quarantine");
+            return;
+        }
+        mFound.add(digest.get());
+        SuspectReport.Item item = read.get().item(nowMs, digest.get());
+        if (item.quarantineLeftMs() > 0) {
+            mTable.merge(nowMs, List.of(item));
+        }
+        boolean over = mTable.quarantineLeftMs(nowMs, digest.get()) == 0;
+        if (over && mKeeper.getAsBoolean()) {
+            mPlatform.submit(
+                    nowMs,
+                    new PlatformCall.Delete(object.key(), object.version()),
+                    (t, deleted) -> {});
+        }
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/hornbeampass/coordination/quarantine/SuspectTable.java
@@ -0,0 +1,272 @@
+package org.hornbeampass.coordination.quarantine;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * The requests during which upstreams crashed, and the verdict on each.
+ *
+ * <p>With an upstream fall all requests that it runs, and all of them come again. What tells the
+ * one that causes it from the others: a whole answer anywhere clears a request of all crashes
+ * before it; and a crash under a quarantined request that has more of them counts little against
+ * the others. Invariants: a verdict rests on different incarnations of upstreams alone, never on
+ * how often one crash was told; the table is bounded. Confined to one thread.
+ */
+public final class SuspectTable {
+    /** How many upstreams must crash under a request before it is kept from the others. */
+    public static final int CRASHES_TO_QUARANTINE = 3;
+
+    /**
+     * How much the crashes count, at most, that another quarantined request explains: one more that
+     * it does not explain then decides.
+     */
+    private static final int EXPLAINED_COUNT = CRASHES_TO_QUARANTINE - 1;
+
+    /** For how long a crash counts against a request, and a quarantine lasts, in milliseconds. */
+    public static final long KEPT_MS = 600_000;
+
+    /**
+     * By how much the end of a quarantine must differ to be taken over, in milliseconds: the time
+     * that a message takes must not prolong it each time that it is told.
+     */
+    private static final long END_TOLERANCE_MS = 1_000;
+
+    /** How many requests are kept; some hundred fall with one upstream. */
+    static final int MAX_SUSPECTS = 4_096;
+
+    /**
+     * How many are forgotten at once where the table is full, since each time costs a look at all.
+     */
+    private static final int EVICTED_AT_ONCE = MAX_SUSPECTS / 8;
+
+    private final Map<RequestDigest, Suspect> mByDigest = new HashMap<>();
+
+    /** Those with enough crashes for a verdict: few among many. */
+    private final Map<RequestDigest, Suspect> mJudgeable = new HashMap<>();
+
+    private final Set<Long> mScopes = new HashSet<>();
+    private final SuspectListener mListener;
+
+    /** Makes an empty table. */
+    public SuspectTable(SuspectListener listener) {
+        mListener = listener;
+    }
+
+    /** Returns whether any request with a path and caller is known, as hashed for a digest. */
+    public boolean knowsScope(long scope) {
+        return mScopes.contains(scope);
+    }
+
+    /** Returns whether no request is known. */
+    public boolean isEmpty() {
+        return mByDigest.isEmpty();
+    }
+
+    /** Returns how many requests are known. */
+    public int size() {
+        return mByDigest.size();
+    }
+
+    /** Returns the verdict on a request. */
+    public RequestStanding standing(RequestDigest digest) {
+        Suspect suspect = mByDigest.get(digest);
+        if (suspect == null || suspect.open().isEmpty()) {
+            return RequestStanding.UNSUSPECTED;
+        }
+        return suspect.quarantined() ? RequestStanding.QUARANTINED : RequestStanding.SUSPECTED;
+    }
+
+    /**
+     * Returns for how long a request is still kept from upstreams, in milliseconds; 0 if it is not.
+     */
+    public long quarantineLeftMs(long nowMs, RequestDigest digest) {
+        return Optional.ofNullable(mByDigest.get(digest))
+                .filter(Suspect::quarantined)
+                .map(s -> Math.max(0, s.keptUntilMs() - nowMs))
+                .orElse(0L);
+    }
+
+    /** Returns what is known of the quarantined requests. */
+    List<SuspectReport.Item> quarantined(long nowMs) {
+        return mJudgeable.values().stream()
+                .filter(Suspect::quarantined)
+                .map(s -> s.item(nowMs))
+                .toList();
+    }
+
+    /** Returns what is known of a request. */
+    Optional<SuspectReport.Item> item(long nowMs, RequestDigest digest) {
+        return Optional.ofNullable(mByDigest.get(digest)).map(s -> s.item(nowMs));
+    }
+
+    /**
+     * Takes a crash of an upstream.
+     *
+     * @param nowMs the present time in milliseconds
+     * @param crash the upstream
+     * @param requests those that were in progress there
+     * @return the requests of which something new is known
+     */
+    List<RequestDigest> onCrash(
+            long nowMs, UpstreamCrash crash, Collection<RequestDigest> requests) {
+        List<RequestDigest> changed = new ArrayList<>();
+        for (RequestDigest digest : requests) {
+            Suspect suspect = suspect(digest);
+            if (suspect.add(List.of(crash), List.of())) {
+                suspect.keepUntil(nowMs + KEPT_MS);
+                changed.add(digest);
+            }
+        }
+        judge(nowMs, changed);
+        return changed;
+    }
+
+    /** Clears a request of all crashes before; returns whether there were any. */
+    boolean clear(long nowMs, RequestDigest digest) {
+        Suspect suspect = mByDigest.get(digest);
+        if (suspect == null || !suspect.clear()) {
+            return false;
+        }
+        judge(nowMs, List.of(digest));
+        return true;
+    }
+
+    /**
+     * Takes what another VM or the store tells; returns the requests of which it told anything new.
+     */
+    List<RequestDigest> merge(long nowMs, List<SuspectReport.Item> items) {
+        List<RequestDigest> changed = new ArrayList<>();
+        for (SuspectReport.Item item : items) {
+            if (merge(nowMs, item)) {
+                changed.add(item.digest());
+            }
+        }
+        judge(nowMs, changed);
+        return changed;
+    }
+
+    private boolean merge(long nowMs, SuspectReport.Item item) {
+        Suspect suspect = suspect(item.digest());
+        boolean changed = suspect.add(item.crashes(), item.cleared());
+        if (item.recorded() && !suspect.recorded()) {
+            suspect.setRecorded();
+            changed = true;
+        }
+        long leftMs =
+                item.quarantineLeftMs() > 0 ? Math.min(item.quarantineLeftMs(), KEPT_MS) : KEPT_MS;
+        boolean longer = nowMs + leftMs > suspect.keptUntilMs() + END_TOLERANCE_MS;
+        if (changed || (item.quarantineLeftMs() > 0 && longer)) {
+            suspect.keepUntil(nowMs + leftMs);
+        }
+        return changed;
+    }
+
+    /** Notes that the store holds the quarantine of a request. */
+    void onRecorded(RequestDigest digest) {
+        Optional.ofNullable(mByDigest.get(digest)).ifPresent(Suspect::setRecorded);
+    }
+
+    private Suspect suspect(RequestDigest digest) {
+        Suspect known = mByDigest.get(digest);
+        if (known != null) {
+            return known;
+        }
+        if (mByDigest.size() >= MAX_SUSPECTS) {
+            evictSome();
+        }
+        Suspect added = new Suspect(digest);
+        mByDigest.put(digest, added);
+        mScopes.add(digest.scope());
+        return added;
+    }
+
+    /** Forgets the requests that are known for longest, quarantined ones last. */
+    private void evictSome() {
+        mByDigest.values().stream()
+                .sorted(
+                        Comparator.comparing(Suspect::quarantined)
+                                .thenComparing(Suspect::keptUntilMs))
+                .limit(EVICTED_AT_ONCE)
+                .map(Suspect::digest)
+                .toList()
+                .forEach(this::forget);
+        updateScopes();
+    }
+
+    /** Judges the requests of which something new is known, and those that this touches. */
+    private void judge(long nowMs, List<RequestDigest> changed) {
+        for (RequestDigest digest : changed) {
+            Suspect suspect = mByDigest.get(digest);
+            if (suspect != null && suspect.judgeable()) {
+                mJudgeable.put(digest, suspect);
+                judge(nowMs, suspect);
+            }
+        }
+        if (!changed.isEmpty()) {
+            mJudgeable.values().forEach(s -> judge(nowMs, s));
+        }
+    }
+
+    private void judge(long nowMs, Suspect suspect) {
+        boolean quarantined = count(suspect) >= CRASHES_TO_QUARANTINE;
+        if (quarantined == suspect.quarantined()) {
+            return;
+        }
+        suspect.setQuarantined(quarantined);
+        if (quarantined) {
+            mListener.onQuarantined(nowMs, suspect.digest(), suspect.crashes());
+        } else {
+            mListener.onReleased(nowMs, suspect.digest());
+        }
+    }
+
+    /** Returns how many crashes count against a request. */
+    private int count(Suspect suspect) {
+        Set<UpstreamCrash> open = suspect.open();
+        if (open.size() < CRASHES_TO_QUARANTINE) {
+            return open.size();
+        }
+        Set<UpstreamCrash> unexplained = new HashSet<>(open);
+        for (Suspect other : mJudgeable.values()) {
+            if (other.quarantined() && other != suspect) {
+                Set<UpstreamCrash> others = other.open();
+                if (others.size() > open.size()) {
+                    unexplained.removeAll(others);
+                }
+            }
+        }
+        int explained = open.size() - unexplained.size();
+        return unexplained.size() + Math.min(EXPLAINED_COUNT, explained);
+    }
+
+    /** Forgets what is too old. */
+    void tick(long nowMs) {
+        List<Suspect> over =
+                mByDigest.values().stream().filter(s -> nowMs >= s.keptUntilMs()).toList();
+        if (over.isEmpty()) {
+            return;
+        }
+        over.forEach(s -> forget(s.digest()));
+        updateScopes();
+        over.stream()
+                .filter(Suspect::quarantined)
+                .forEach(s -> mListener.onReleased(nowMs, s.digest()));
+    }
+
+    private void forget(RequestDigest digest) {
+        mByDigest.remove(digest);
+        mJudgeable.remove(digest);
+    }
+
+    private void updateScopes() {
+        mScopes.clear();
+        mByDigest.keySet().forEach(d -> mScopes.add(d.scope()));
+    }
+}
--- a/coordination/src/main/java/org/hornbeampass/coordination/service/LoadPaths.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/service/LoadPaths.java
@@ -65,10 +65,20 @@
     }
 
     /** Returns whether this VM adds up and passes on what others tell. */
-    boolean isRelay() {
+    public boolean isRelay() {
         return relay.isPresent() && relay.get().equals(self);
     }
 
+    /** Returns whom this VM tells what all others are to know. */
+    public List<String> toAll() {
+        if (!isRelay()) {
+            return relay.map(List::of).orElse(near);
+        }
+        List<String> all = new ArrayList<>(near);
+        all.addAll(relays);
+        return all;
+    }
+
     /** Remembers the paths for as long as the members are the same. */
     public static Function<List<Member>, LoadPaths> remembering(Member self) {
         return new Function<>() {
--- a/coordination/src/main/java/org/hornbeampass/state/ErrorKind.java
+++ b/coordination/src/main/java/org/hornbeampass/state/ErrorKind.java
@@ -33,6 +33,7 @@
     RATE_LIMITED(429, "rate_limit_error", true, NOT_RUN, 8),
     OVERLOADED(503, "overloaded_error", true, NOT_RUN, 8),
     BILLING_BACKLOG(503, "overloaded_error", true, NOT_RUN, 8),
+    REQUEST_QUARANTINED(503, "upstream_error", false, NOT_RUN, 9),
     NO_UPSTREAM(503, "overloaded_error", true, NOT_RUN, 8),
     SHUTTING_DOWN(503, "overloaded_error", true, NOT_RUN, 8),
     NOT_READY(503, "overloaded_error", true, NOT_RUN, 8),
--- /dev/null
+++ b/coordination/src/test/java/org/hornbeampass/coordination/quarantine/QuarantineTest.java
@@ -0,0 +1,176 @@
+package org.hornbeampass.coordination.quarantine;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Checks that a whole fleet keeps a request from upstreams, and lets it go, at the same time. */
+class QuarantineTest {
+    /** Within this time, in milliseconds, all VMs that can be reached must know a verdict. */
+    private static final long BOUND_MS = 3_000;
+
+    private static final RequestDigest CRASHING = new RequestDigest(1, 1);
+
+    private static void crashThree(QuarantineFleet fleet) {
+        fleet.crash("vm-1", "i-1", CRASHING);
+        fleet.crash("vm-2", "i-2", CRASHING);
+        fleet.crash("vm-3", "i-3", CRASHING);
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {4, 8, 95})
+    void crashesSeenByDifferentVms_addUpAtAll(int vms) {
+        QuarantineFleet fleet = new QuarantineFleet(vms);
+        fleet.run(1_000);
+        crashThree(fleet);
+        fleet.run(1_000);
+        assertThat(fleet.quarantinedAt(CRASHING)).isEqualTo(vms);
+        assertThat(fleet.recorded(CRASHING)).isTrue();
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {8, 95})
+    void oneCrashThatManyTell_countsOnce(int vms) {
+        QuarantineFleet fleet = new QuarantineFleet(vms);
+        for (int i = 0; i < vms; i++) {
+            fleet.crash("vm-" + i, "i-1", CRASHING);
+        }
+        fleet.run(5_000);
+        assertThat(fleet.quarantinedAt(CRASHING)).isZero();
+        assertThat(fleet.standing("vm-0", CRASHING)).isEqualTo(RequestStanding.SUSPECTED);
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {8, 95})
+    void lostMessages_delayAVerdictByLittle(int vms) {
+        QuarantineFleet fleet = new QuarantineFleet(vms);
+        fleet.loseMessages(0.2);
+        crashThree(fleet);
+        fleet.run(BOUND_MS);
+        assertThat(fleet.quarantinedAt(CRASHING)).isEqualTo(vms);
+    }
+
+    @Test
+    void relayThatDiesWithTheNews_isReplaced() {
+        QuarantineFleet fleet = new QuarantineFleet(95);
+        crashThree(fleet);
+        for (int i = 10; i < 20; i++) {
+            fleet.kill("vm-" + i);
+        }
+        fleet.run(1_000);
+        for (int i = 10; i < 20; i++) {
+            fleet.forget("vm-" + i);
+        }
+        fleet.run(BOUND_MS);
+        assertThat(fleet.quarantinedAt(CRASHING)).isEqualTo(85);
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {8, 95})
+    void vmThatWasCutOff_learnsAfterwards(int vms) {
+        QuarantineFleet fleet = new QuarantineFleet(vms);
+        fleet.cutOff("vm-7", true);
+        crashThree(fleet);
+        fleet.run(10_000);
+        assertThat(fleet.standing("vm-7", CRASHING)).isEqualTo(RequestStanding.UNSUSPECTED);
+        fleet.cutOff("vm-7", false);
+        fleet.run(BOUND_MS);
+        assertThat(fleet.quarantinedAt(CRASHING)).isEqualTo(vms);
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {8, 95})
+    void allVmsKilledAtOnce_learnFromTheStore(int vms) {
+        QuarantineFleet fleet = new QuarantineFleet(vms);
+        crashThree(fleet);
+        fleet.run(1_000);
+        fleet.restartAll();
+        fleet.run(1_000);
+        assertThat(fleet.quarantinedAt(CRASHING)).isEqualTo(vms);
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {8, 95})
+    void newVmWhileTheStoreIsAway_learnsFromTheOthers(int vms) {
+        QuarantineFleet fleet = new QuarantineFleet(vms);
+        crashThree(fleet);
+        fleet.run(1_000);
+        fleet.setStoreAway(true);
+        fleet.start("vm-new", 2);
+        fleet.run(BOUND_MS);
+        assertThat(fleet.standing("vm-new", CRASHING)).isEqualTo(RequestStanding.QUARANTINED);
+    }
+
+    @Test
+    void verdictWhileTheStoreIsAway_isRecordedLater() {
+        QuarantineFleet fleet = new QuarantineFleet(8);
+        fleet.run(1_000);
+        fleet.setStoreAway(true);
+        crashThree(fleet);
+        fleet.run(20_000);
+        fleet.setStoreAway(false);
+        fleet.run(2_000);
+        assertThat(fleet.recorded(CRASHING)).isTrue();
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {8, 95})
+    void wholeAnswerAnywhere_clearsTheRequestEverywhere(int vms) {
+        QuarantineFleet fleet = new QuarantineFleet(vms);
+        fleet.crash("vm-1", "i-1", CRASHING);
+        fleet.crash("vm-2", "i-2", CRASHING);
+        fleet.run(1_000);
+        fleet.answer("vm-5", CRASHING);
+        fleet.run(1_000);
+        fleet.crash("vm-3", "i-3", CRASHING);
+        fleet.run(BOUND_MS);
+        assertThat(fleet.quarantinedAt(CRASHING)).isZero();
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {8, 95})
+    void recordDeletedByOperators_liftsTheQuarantineEverywhere(int vms) {
+        QuarantineFleet fleet = new QuarantineFleet(vms);
+        crashThree(fleet);
+        fleet.run(12_000);
+        fleet.deleteRecord(CRASHING);
+        fleet.run(12_000);
+        assertThat(fleet.quarantinedAt(CRASHING)).isZero();
+        fleet.start("vm-late", 1);
+        fleet.run(5_000);
+        assertThat(fleet.quarantinedAt(CRASHING)).isZero();
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {8, 95})
+    void quarantine_endsEverywhereAndLeavesNoRecord(int vms) {
+        QuarantineFleet fleet = new QuarantineFleet(vms);
+        crashThree(fleet);
+        fleet.run(SuspectTable.KEPT_MS - 10_000);
+        assertThat(fleet.quarantinedAt(CRASHING)).isEqualTo(vms);
+        fleet.run(60_000);
+        assertThat(fleet.quarantinedAt(CRASHING)).isZero();
+        assertThat(fleet.recorded(CRASHING)).isFalse();
+    }
+
+    @Test
+    void callsToTheStore_dependOnVerdictsAndNotOnVms() {
+        QuarantineFleet fleet = new QuarantineFleet(95);
+        fleet.run(1_000);
+        int started = fleet.calls();
+        crashThree(fleet);
+        fleet.run(60_000);
+        // One write, and one read in ten seconds of the keeper.
+        assertThat(fleet.calls() - started).isLessThanOrEqualTo(8);
+    }
+
+    @Test
+    void fleetWithoutCrashes_sendsNothing() {
+        QuarantineFleet fleet = new QuarantineFleet(95);
+        fleet.run(60_000);
+        assertThat(fleet.messages()).isZero();
+        assertThat(fleet.calls()).isEqualTo(95);
+    }
+}
--- a/router/src/main/java/org/hornbeampass/router/daemon/FleetView.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/FleetView.java
@@ -2,6 +2,7 @@
 
 import org.hornbeampass.coordination.escrow.MemberHomes;
 import org.hornbeampass.coordination.escrow.PoolHomes;
+import org.hornbeampass.coordination.hash.RendezvousHash;
 import org.hornbeampass.coordination.membership.Membership;
 import org.hornbeampass.coordination.membership.MembershipSettings;
 import org.hornbeampass.coordination.membership.Seed;
@@ -148,6 +149,14 @@
         return mLoadPaths.apply(mMembership.view().live());
     }
 
+    /** Returns whether this VM is the one of those that are up that keeps a kind of record. */
+    boolean keeps(String kind) {
+        List<String> names = new ArrayList<>(others());
+        String self = mSelf.vm().name();
+        names.add(self);
+        return RendezvousHash.choose(kind, names).filter(self::equals).isPresent();
+    }
+
     /** Returns which VMs hold the pools of prepaid tokens. */
     PoolHomes homes() {
         return mHomes;
--- /dev/null
+++ b/router/src/main/java/org/hornbeampass/router/daemon/QuarantineLog.java
@@ -0,0 +1,49 @@
+package org.hornbeampass.router.daemon;
+
+import org.hornbeampass.coordination.quarantine.RequestDigest;
+import org.hornbeampass.coordination.quarantine.SuspectListener;
+import org.hornbeampass.coordination.quarantine.UpstreamCrash;
+import org.hornbeampass.router.relay.LogFields;
+import org.hornbeampass.router.relay.RelayLog;
+
+import java.util.List;
+import java.util.stream.Collectors;
+
+/**
+ * Logs the verdicts on requests that crash upstreams, with what they rest on.
+ *
+ * <p>Confined to one event loop.
+ */
+final class QuarantineLog implements SuspectListener {
+    private final RelayLog mLog;
+
+    QuarantineLog(RelayLog log) {
+        mLog = log;
+    }
+
+    @Override
+    public void onQuarantined(long nowMs, RequestDigest digest, List<UpstreamCrash> crashes) {
+        String upstreams =
+                crashes.stream().map(UpstreamCrash::upstream).collect(Collectors.joining(" "));
+        mLog.believes(
+                nowMs,
+                "request-quarantined",
+                new LogFields()
+                        .add("digest", digest.toString())
+                        .add("crashes", crashes.size())
+                        .add("upstreams", upstreams));
+    }
+
+    @Override
+    public void onReleased(long nowMs, RequestDigest digest) {
+        mLog.believes(nowMs, "request-released", new LogFields().add("digest", digest.toString()));
+    }
+
+    @Override
+    public void onRecordFailed(long nowMs, String key, String reason) {
+        mLog.believes(
+                nowMs,
+                "quarantine-record-failed",
+                new LogFields().add("key", key).add("reason", reason));
+    }
+}
--- a/router/src/main/java/org/hornbeampass/router/daemon/RelayDaemon.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/RelayDaemon.java
@@ -17,7 +17,9 @@
 import org.hornbeampass.coordination.membership.SyncRequest;
 import org.hornbeampass.coordination.news.NewsRequest;
 import org.hornbeampass.coordination.platform.WatchedView;
+import org.hornbeampass.coordination.quarantine.Quarantine;
 import org.hornbeampass.coordination.quarantine.RequestHasher;
+import org.hornbeampass.coordination.quarantine.SuspectReport;
 import org.hornbeampass.coordination.service.InFlightReport;
 import org.hornbeampass.coordination.service.LoadExchange;
 import org.hornbeampass.coordination.service.UpstreamBoard;
@@ -81,6 +83,7 @@
     private final EscrowLoans mLoans;
     private final LoadExchange mLoads;
     private final UpstreamPool mPool;
+    private final Quarantine mQuarantine;
     private final RelayParts mParts;
     private final StoreChanges mChanges;
     private final CallerServer mCallers;
@@ -112,6 +115,7 @@
         mLoads = new LoadExchange(mBoard, mPeers, mFleet::loadPaths);
         mLoans = new EscrowLoans(mBudgets, mPeers, mFleet.homes(), mRandom);
         mPool = new UpstreamPool(mLoops, mClock);
+        mQuarantine = quarantine();
         mParts =
                 new RelayParts(
                         wire,
@@ -121,6 +125,7 @@
                         mBoard,
                         mPool,
                         new RequestHasher(settings.cluster().revealBytes()),
+                        mQuarantine,
                         mBudgets,
                         mLoans,
                         mLog,
@@ -193,6 +198,16 @@
                 new GrantLog(mLog));
     }
 
+    private Quarantine quarantine() {
+        return new Quarantine(
+                mStore,
+                mPeers,
+                mFleet::loadPaths,
+                () -> mFleet.keeps("quarantines"),
+                mRandom,
+                new QuarantineLog(mLog));
+    }
+
     private void register() {
         registerPeers();
         registerMetrics();
@@ -210,6 +225,7 @@
         mPeers.on(LoanRequest.class, mLoans::onRequest);
         mPeers.on(LoanGift.class, mLoans::onGift);
         mPeers.on(InFlightReport.class, mLoads::onReport);
+        mPeers.on(SuspectReport.class, mQuarantine::onReport);
     }
 
     private void registerMetrics() {
@@ -219,6 +235,7 @@
                 "upstreams_failing_ms", (Gauge<Long>) () -> failingMs(mViews.upstreams()));
         mMetrics.register("peer_bytes_sent", (Gauge<Long>) mPeers.counters()::bytesSent);
         mMetrics.register("peer_bytes_received", (Gauge<Long>) mPeers.counters()::bytesReceived);
+        mMetrics.register("suspected_requests", (Gauge<Integer>) mQuarantine.suspects()::size);
         mMetrics.register("vms", (Gauge<Integer>) mFleet::vms);
         mMetrics.register("caller_connections", (Gauge<Integer>) this::connections);
         mMetrics.register("upstream_connections_opened", (Gauge<Long>) mPool::opened);
@@ -288,6 +305,7 @@
         mBudgets.tick(nowMs);
         mLoans.tick(nowMs);
         mLoads.tick(nowMs);
+        mQuarantine.tick(nowMs);
         mBoard.tick(nowMs);
         mPool.tick(nowMs);
         mCallers.tick(nowMs);
--- a/router/src/main/java/org/hornbeampass/router/relay/CrashDetector.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/CrashDetector.java
@@ -1,5 +1,6 @@
 package org.hornbeampass.router.relay;
 
+import org.hornbeampass.coordination.quarantine.Quarantine;
 import org.hornbeampass.coordination.quarantine.RequestDigest;
 import org.hornbeampass.coordination.quarantine.UpstreamCrash;
 import org.hornbeampass.coordination.service.UpstreamInstance;
@@ -26,13 +27,15 @@
     private final UpstreamPool mPool;
     private final Clock mClock;
     private final RelayLog mLog;
+    private final Quarantine mQuarantine;
     private final Map<UpstreamCrash, Set<RequestDigest>> mProbed = new HashMap<>();
     private final Map<UpstreamCrash, Long> mCrashedMs = new HashMap<>();
 
-    CrashDetector(UpstreamPool pool, Clock clock, RelayLog log) {
+    CrashDetector(UpstreamPool pool, Clock clock, RelayLog log, Quarantine quarantine) {
         mPool = pool;
         mClock = clock;
         mLog = log;
+        mQuarantine = quarantine;
     }
 
     /**
@@ -87,6 +90,7 @@
     }
 
     private void report(long nowMs, UpstreamCrash crash, Set<RequestDigest> requests) {
+        mQuarantine.onCrash(nowMs, crash, requests);
         mLog.believes(
                 nowMs,
                 "upstream-crashed",
--- /dev/null
+++ b/router/src/main/java/org/hornbeampass/router/relay/CrashHistory.java
@@ -0,0 +1,52 @@
+package org.hornbeampass.router.relay;
+
+import org.hornbeampass.coordination.quarantine.RequestDigest;
+import org.hornbeampass.coordination.quarantine.RequestStanding;
+import org.hornbeampass.coordination.service.UpstreamInstance;
+
+/**
+ * What is known in the fleet of crashes under one request, and what its own sends add to it.
+ *
+ * <p>Confined to one event loop.
+ */
+final class CrashHistory {
+    private final RelayParts mParts;
+    private final RequestIdentity mIdentity;
+
+    CrashHistory(RelayParts parts, RequestIdentity identity) {
+        mParts = parts;
+        mIdentity = identity;
+    }
+
+    RequestDigest digest() {
+        return mIdentity.digest();
+    }
+
+    /** Returns the verdict on the request as of now. */
+    RequestStanding standing() {
+        return mIdentity.standing(mParts.quarantine().suspects());
+    }
+
+    /** Takes the loss of the request's connection; returns the verdict before it. */
+    RequestStanding onBroken(long nowMs, UpstreamInstance instance) {
+        RequestStanding before = standing();
+        mParts.crashes().onBroken(nowMs, instance, digest());
+        return before;
+    }
+
+    /**
+     * Takes the word that the request's upstream has started again; returns the verdict before it.
+     */
+    RequestStanding onStartedAgain(long nowMs, UpstreamInstance instance) {
+        RequestStanding before = standing();
+        mParts.crashes().onStartedAgain(nowMs, instance, digest());
+        return before;
+    }
+
+    /** Takes the whole answer of an upstream, which clears the request. */
+    void onAnswered(long nowMs) {
+        if (standing() != RequestStanding.UNSUSPECTED) {
+            mParts.quarantine().clear(nowMs, digest());
+        }
+    }
+}
--- a/router/src/main/java/org/hornbeampass/router/relay/RelayAttempts.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/RelayAttempts.java
@@ -5,6 +5,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
 
+import org.hornbeampass.coordination.quarantine.RequestStanding;
 import org.hornbeampass.coordination.service.UpstreamChoice;
 import org.hornbeampass.coordination.service.UpstreamInstance;
 import org.hornbeampass.state.ErrorKind;
@@ -29,7 +30,7 @@
     private final RelayCall mCall;
     private final RelayPlan mPlan;
     private final RequestBody mBody;
-    private final RequestIdentity mIdentity;
+    private final CrashHistory mCrashes;
     private final AnswerStream mStream;
     private final HeldAnswer mHeld;
     private final SendCounts mCounts;
@@ -47,12 +48,12 @@
             RelayCall call,
             RelayPlan plan,
             RequestBody body,
-            RequestIdentity identity) {
+            CrashHistory crashes) {
         mParts = parts;
         mCall = call;
         mPlan = plan;
         mBody = body;
-        mIdentity = identity;
+        mCrashes = crashes;
         mStream =
                 new AnswerStream(
                         call.caller(),
@@ -63,12 +64,12 @@
         mSilence = new SilenceWatch(call, plan.route(), this::onSilent);
     }
 
-    /** Begins with the first upstream. */
-    void start(long nowMs) {
-        attempt(nowMs);
-    }
-
-    private void attempt(long nowMs) {
+    /** Sends the request to an upstream that it was not sent to yet. */
+    void attempt(long nowMs) {
+        if (!mCrashes.standing().mayBeSent()) {
+            giveUpQuarantined(nowMs);
+            return;
+        }
         Optional<UpstreamChoice> chosen =
                 mParts.board().choose(nowMs, mPlan.service(), mPlan.head().prompt(), mTried);
         if (chosen.isEmpty()) {
@@ -114,8 +115,8 @@
             }
             return;
         }
-        boolean leftMeanwhile = !instance.usable(nowMs);
-        if (leftMeanwhile) {
+        boolean maySend = instance.usable(nowMs) && mCrashes.standing().mayBeSent();
+        if (!maySend) {
             connection.get().cancel();
             leaveInstance();
             attempt(nowMs);
@@ -179,7 +180,7 @@
         if (answer == AnswerClass.SPOILED) {
             mUse.get().instance().onBad(nowMs);
             dropConnectionOnly();
-            onLost(nowMs, "its answer lacks what proves it");
+            onLost(nowMs, "its answer lacks what proves it", mCrashes.standing());
             return true;
         }
         onRun(nowMs, head, answer);
@@ -267,7 +268,7 @@
             part.release();
             return;
         }
-        notePromptRead(nowMs);
+        mUse.orElseThrow().onAnswering(nowMs, mSentMs);
         if (!mHeadSent || mHeld.started()) {
             mHeadSent |= mHeld.take(part);
             return;
@@ -283,10 +284,6 @@
         }
     }
 
-    private void notePromptRead(long nowMs) {
-        mUse.orElseThrow().onAnswering(nowMs, mSentMs);
-    }
-
     @Override
     public void onPause(long nowMs) {
         if (mCall.ended() || mConnection.isEmpty()) {
@@ -311,13 +308,13 @@
         if (mCall.ended()) {
             return;
         }
-        notePromptRead(nowMs);
+        mUse.orElseThrow().onAnswering(nowMs, mSentMs);
         mConnection = Optional.empty();
         leaveInstance();
         mSilence.stop();
+        mCrashes.onAnswered(nowMs);
         if (mCall.callerGone()) {
-            mHeld.release();
-            mStream.release();
+            releaseAnswer();
             mCall.end(nowMs, "caller-gone", usedTokens());
             return;
         }
@@ -336,12 +333,10 @@
             return;
         }
         mConnection = Optional.empty();
-        mUse.ifPresent(
-                u -> {
-                    u.instance().onSilent(nowMs);
-                    mParts.crashes().onBroken(nowMs, u.instance(), mIdentity.digest());
-                });
-        onLost(nowMs, reason);
+        UpstreamInstance instance = mUse.orElseThrow().instance();
+        instance.onSilent(nowMs);
+        RequestStanding before = mCrashes.onBroken(nowMs, instance);
+        onLost(nowMs, reason, before);
     }
 
     /** The upstream has started again: what was sent to its former incarnation is lost. */
@@ -350,13 +345,18 @@
             return;
         }
         dropConnectionOnly();
-        mUse.ifPresent(
-                u -> mParts.crashes().onStartedAgain(nowMs, u.instance(), mIdentity.digest()));
-        onLost(nowMs, "the upstream has started again");
-    }
-
-    /** Goes on after an upstream was lost, where that is allowed. */
-    private void onLost(long nowMs, String reason) {
+        RequestStanding before = mCrashes.onStartedAgain(nowMs, mUse.orElseThrow().instance());
+        onLost(nowMs, "the upstream has started again", before);
+    }
+
+    /**
+     * Goes on after an upstream was lost, where that is allowed.
+     *
+     * @param nowMs the present time in milliseconds
+     * @param reason what happened, for logs
+     * @param before the verdict on the request before this loss
+     */
+    private void onLost(long nowMs, String reason, RequestStanding before) {
         mParts.log()
                 .decided(
                         nowMs,
@@ -366,14 +366,14 @@
                                 .orElseGet(LogFields::new)
                                 .add("reason", reason)
                                 .add("events", mStream.events())
-                                .add("digest", mIdentity.digest().toString()));
+                                .add("digest", mCrashes.digest().toString()));
         leaveInstance();
         mSilence.stop();
         if (mCall.callerGone()) {
             mCall.end(nowMs, "caller-gone", usedTokens());
             return;
         }
-        if (mayRunAgain() && !mHeld.passedOn()) {
+        if (mayRunAgain() && before.mayBeSentAgain() && !mHeld.passedOn()) {
             mHeld.reset();
             mStream.restart();
             attempt(nowMs);
@@ -389,7 +389,7 @@
         }
         mUse.ifPresent(u -> u.instance().onSilent(nowMs));
         dropConnectionOnly();
-        onLost(nowMs, "it was silent for too long");
+        onLost(nowMs, "it was silent for too long", mCrashes.standing());
     }
 
     /** The time is over. */
@@ -416,11 +416,18 @@
             return;
         }
         dropConnection();
-        mHeld.release();
-        mStream.release();
+        releaseAnswer();
         mCall.end(nowMs, "caller-gone", usedTokens());
     }
 
+    private void giveUpQuarantined(long nowMs) {
+        if (mCounts.mayHaveRun()) {
+            giveUp(nowMs, RelayCall.QUARANTINED);
+        } else {
+            fail(nowMs, mCall.quarantined(nowMs, mCrashes.digest()));
+        }
+    }
+
     private void giveUp(long nowMs, String why) {
         if (mHeadSent) {
             breakOff(nowMs, why);
@@ -438,20 +445,23 @@
     }
 
     private void fail(long nowMs, Failure failure) {
-        mHeld.release();
-        mStream.release();
+        releaseAnswer();
         mCall.fail(nowMs, failure, usedTokens());
     }
 
     /** Ends an answer that can't be finished, so that the caller sees that it is not whole. */
     private void breakOff(long nowMs, String why) {
         mParts.log().decided(nowMs, id(), "broken-off", new LogFields().add("reason", why));
-        mHeld.release();
-        mStream.release();
+        releaseAnswer();
         mCall.end(nowMs, "broken", usedTokens());
         mCall.caller().abort();
     }
 
+    private void releaseAnswer() {
+        mHeld.release();
+        mStream.release();
+    }
+
     private void dropConnection() {
         dropConnectionOnly();
         leaveInstance();
--- a/router/src/main/java/org/hornbeampass/router/relay/RelayCall.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/RelayCall.java
@@ -7,6 +7,7 @@
 
 import org.hornbeampass.coordination.escrow.Admission;
 import org.hornbeampass.coordination.escrow.EscrowBook;
+import org.hornbeampass.coordination.quarantine.RequestDigest;
 import org.hornbeampass.coordination.service.RouteTable;
 import org.hornbeampass.state.ErrorKind;
 import org.hornbeampass.state.Failure;
@@ -57,6 +58,10 @@
     /** How much earlier than the caller's own time an answer is given, so that it arrives. */
     private static final long ANSWER_MARGIN_MS = 20;
 
+    /** Why a request is kept from upstreams, for its caller. */
+    static final String QUARANTINED =
+            "upstreams crashed each time that they ran this request, so it is kept from the others";
+
     private final RelayParts mParts;
     private final CallerConnection mCaller;
     private final HttpRequest mRequest;
@@ -73,6 +78,7 @@
     private Optional<Route> mRoute = Optional.empty();
     private Optional<ServiceSpec> mService = Optional.empty();
     private Optional<PrepaidOrganisation> mOrganisation = Optional.empty();
+    private Optional<CrashHistory> mCrashes = Optional.empty();
     private Optional<RelayAttempts> mAttempts = Optional.empty();
     private long mDeadlineMs;
     private long mReserved;
@@ -210,6 +216,12 @@
             return;
         }
         mAdmitting = true;
+        CrashHistory crashes = new CrashHistory(mParts, identity());
+        mCrashes = Optional.of(crashes);
+        if (!crashes.standing().mayBeSent()) {
+            fail(nowMs, quarantined(nowMs, crashes.digest()));
+            return;
+        }
         Admission admission = reserve(nowMs);
         if (admission != Admission.SHORT) {
             onAdmission(nowMs, admission);
@@ -291,8 +303,8 @@
                                             mOrganisation.map(PrepaidOrganisation::name),
                                             mDeadlineMs),
                                     mBody,
-                                    identity()));
-            mAttempts.get().start(nowMs);
+                                    mCrashes.orElseThrow()));
+            mAttempts.get().attempt(nowMs);
             return;
         }
         mTokensLacking = lackingFields(nowMs);
@@ -347,6 +359,23 @@
         mAttempts.get().onDeadline(nowMs);
     }
 
+    /**
+     * Logs that a request is kept from upstreams, and returns the answer to it, which did not run.
+     */
+    Failure quarantined(long nowMs, RequestDigest digest) {
+        long leftMs = mParts.quarantine().suspects().quarantineLeftMs(nowMs, digest);
+        mParts.log()
+                .decided(
+                        nowMs,
+                        mHead.id(),
+                        "quarantined",
+                        new LogFields().add("digest", digest.toString()).add("left_ms", leftMs));
+        return Failure.retryAfter(
+                ErrorKind.REQUEST_QUARANTINED,
+                QUARANTINED + "; repeating it is of no use before then",
+                leftMs);
+    }
+
     /** Returns the answer where no upstream could take the request, which did not run. */
     static Failure noUpstream(String why) {
         return Failure.retryAfter(ErrorKind.NO_UPSTREAM, why, ROOM_RETRY_MS);
--- a/router/src/main/java/org/hornbeampass/router/relay/RelayParts.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/RelayParts.java
@@ -4,6 +4,7 @@
 
 import org.hornbeampass.coordination.escrow.EscrowBook;
 import org.hornbeampass.coordination.escrow.EscrowLoans;
+import org.hornbeampass.coordination.quarantine.Quarantine;
 import org.hornbeampass.coordination.quarantine.RequestHasher;
 import org.hornbeampass.coordination.service.RetryWindow;
 import org.hornbeampass.coordination.service.RouteTable;
@@ -32,6 +33,7 @@
     private final UpstreamPool mPool;
     private final CrashDetector mCrashes;
     private final RequestHasher mHasher;
+    private final Quarantine mQuarantine;
     private final EscrowBook mBudgets;
     private final EscrowLoans mLoans;
     private final RelayLog mLog;
@@ -54,6 +56,7 @@
             UpstreamBoard board,
             UpstreamPool pool,
             RequestHasher hasher,
+            Quarantine quarantine,
             EscrowBook budgets,
             EscrowLoans loans,
             RelayLog log,
@@ -66,7 +69,8 @@
         mClock = clock;
         mBoard = board;
         mPool = pool;
-        mCrashes = new CrashDetector(pool, clock, log);
+        mCrashes = new CrashDetector(pool, clock, log, quarantine);
+        mQuarantine = quarantine;
         mHasher = hasher;
         mBudgets = budgets;
         mLoans = loans;
@@ -107,6 +111,10 @@
         return mHasher;
     }
 
+    Quarantine quarantine() {
+        return mQuarantine;
+    }
+
     /** Returns the prepaid budgets. */
     public EscrowBook budgets() {
         return mBudgets;
--- a/router/src/main/java/org/hornbeampass/router/relay/RequestIdentity.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/RequestIdentity.java
@@ -2,6 +2,8 @@
 
 import org.hornbeampass.coordination.quarantine.RequestDigest;
 import org.hornbeampass.coordination.quarantine.RequestHasher;
+import org.hornbeampass.coordination.quarantine.RequestStanding;
+import org.hornbeampass.coordination.quarantine.SuspectTable;
 
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -35,6 +37,16 @@
         return mScope.getAsLong();
     }
 
+    /**
+     * Returns the verdict on the request; the body is read only where its path and caller are
+     * known.
+     */
+    RequestStanding standing(SuspectTable suspects) {
+        return suspects.isEmpty() || !suspects.knowsScope(scope())
+                ? RequestStanding.UNSUSPECTED
+                : suspects.standing(digest());
+    }
+
     /** Returns the digest of the request. */
     RequestDigest digest() {
         if (mDigest.isEmpty()) {
--- a/transport/src/main/java/org/hornbeampass/protocol/peer/PeerMessageType.java
+++ b/transport/src/main/java/org/hornbeampass/protocol/peer/PeerMessageType.java
@@ -26,6 +26,7 @@
 import org.hornbeampass.coordination.news.NewsReply;
 import org.hornbeampass.coordination.news.NewsRequest;
 import org.hornbeampass.coordination.peer.PeerMessage;
+import org.hornbeampass.coordination.quarantine.SuspectReport;
 import org.hornbeampass.coordination.requests.EntriesDecided;
 import org.hornbeampass.coordination.requests.EntriesRefused;
 import org.hornbeampass.coordination.requests.SubmitEntries;
@@ -68,6 +69,7 @@
     ENTRIES_DECIDED(61, EntriesDecided.class, Form.REPLY),
     ENTRIES_REFUSED(62, EntriesRefused.class, Form.REPLY),
     IN_FLIGHT_REPORT(80, InFlightReport.class, Form.ONE_WAY),
+    SUSPECT_REPORT(81, SuspectReport.class, Form.ONE_WAY),
     DRAIN_ORDER(95, DrainOrder.class, Form.REQUEST),
     DRAIN_ANSWER(96, DrainAnswer.class, Form.REPLY);
 
