Take the word of an upstream's answer that it leaves

What callers saw: requests that went to an upstream which was about to end, for as long as the store could not be reached.

Cause: only an upstream's entry in the store said that it leaves; the head of its answers was read for the request alone. Class: a belief with two sources, of which one is read. Evidence: no VM logged anything of the upstream, though answers that said so had passed through two of them 2.6 and 2.2 s before they sent it more.

Change: an answer of any kind but another upstream's marks its incarnation as leaving, which the choice and the last check before a send already respect. The VM tells the others, until the entry says the same. What a VM knows of an upstream that it has not listed yet counts once it is. The paths of such news are one class for crashes and leaving; each item goes out six times in 3 s.

--- a/coordination/src/main/java/org/hornbeampass/coordination/quarantine/Quarantine.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/quarantine/Quarantine.java
@@ -4,13 +4,13 @@
 import org.hornbeampass.coordination.peer.PeerNetwork;
 import org.hornbeampass.coordination.platform.Platform;
 import org.hornbeampass.coordination.service.LoadPaths;
+import org.hornbeampass.coordination.service.RelayedNews;
+import org.hornbeampass.coordination.service.UpstreamIncarnation;
 import org.hornbeampass.state.VmId;
 
 import java.util.Collection;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
@@ -25,25 +25,16 @@
  * crashed. Invariant: each item that is new here is passed on once. Confined to one thread.
  */
 public final class Quarantine {
-    /** How often quarantines are told, and when news are told again, in milliseconds. */
-    private static final long REPEAT_MS = 1_000;
-
     /** How many requests one message tells of at most. */
     private static final int MAX_ITEMS = 128;
 
     private final SuspectTable mTable;
     private final QuarantineRecords mRecords;
     private final PeerNetwork mPeers;
-    private final Supplier<LoadPaths> mPaths;
-
-    /** News of this VM or its failure domain, for all others. */
-    private final Set<RequestDigest> mNews = new LinkedHashSet<>();
+    private final RelayedNews<RequestDigest> mNews;
 
-    /** News of other failure domains, for this VM's own. */
-    private final Set<RequestDigest> mFarNews = new LinkedHashSet<>();
-
-    private final Set<RequestDigest> mToRepeat = new LinkedHashSet<>();
-    private long mNextRepeatMs;
+    /** The present time, for items that are told. */
+    private long mNowMs;
 
     /**
      * Makes a quarantine without requests.
@@ -65,7 +56,7 @@
         mTable = new SuspectTable(listener);
         mRecords = new QuarantineRecords(platform, mTable, listener, keeper, random, this::clear);
         mPeers = peers;
-        mPaths = paths;
+        mNews = new RelayedNews<>(paths, this::tell);
     }
 
     /** Returns what is known of requests. */
@@ -80,8 +71,8 @@
      * @param crash the upstream
      * @param requests those of this VM that were in progress there
      */
-    public void onCrash(long nowMs, UpstreamCrash crash, Collection<RequestDigest> requests) {
-        mNews.addAll(mTable.onCrash(nowMs, crash, requests));
+    public void onCrash(long nowMs, UpstreamIncarnation crash, Collection<RequestDigest> requests) {
+        mTable.onCrash(nowMs, crash, requests).forEach(mNews::add);
     }
 
     /**
@@ -98,11 +89,7 @@
 
     /** Takes what another VM tells. */
     public void onReport(long nowMs, VmId from, SuspectReport report, Consumer<PeerMessage> reply) {
-        List<RequestDigest> changed = mTable.merge(nowMs, report.items());
-        LoadPaths paths = mPaths.get();
-        if (paths.isRelay()) {
-            (paths.relays().contains(from.name()) ? mFarNews : mNews).addAll(changed);
-        }
+        mNews.onTold(from.name(), mTable.merge(nowMs, report.items()));
         report.items().stream()
                 .filter(i -> i.quarantineLeftMs() > 0)
                 .map(SuspectReport.Item::digest)
@@ -114,24 +101,19 @@
     public void tick(long nowMs) {
         mTable.tick(nowMs);
         mRecords.tick(nowMs);
-        LoadPaths paths = mPaths.get();
-        if (nowMs >= mNextRepeatMs) {
-            mNextRepeatMs = nowMs + REPEAT_MS;
-            tell(nowMs, paths.toAll(), mToRepeat);
+        if (mNews.repeats(nowMs)) {
             mTable.quarantined(nowMs).forEach(i -> mNews.add(i.digest()));
-            mToRepeat.clear();
         }
-        mToRepeat.addAll(mNews);
-        mToRepeat.addAll(mFarNews);
-        tell(nowMs, paths.toAll(), mNews);
-        tell(nowMs, paths.near(), mFarNews);
-        mNews.clear();
-        mFarNews.clear();
+        mNowMs = nowMs;
+        mNews.tick(nowMs);
     }
 
-    private void tell(long nowMs, List<String> vms, Set<RequestDigest> digests) {
+    private void tell(List<String> vms, List<RequestDigest> digests) {
         List<SuspectReport.Item> items =
-                digests.stream().map(d -> mTable.item(nowMs, d)).flatMap(Optional::stream).toList();
+                digests.stream()
+                        .map(d -> mTable.item(mNowMs, d))
+                        .flatMap(Optional::stream)
+                        .toList();
         for (int from = 0; from < items.size(); from += MAX_ITEMS) {
             SuspectReport report =
                     new SuspectReport(
--- a/coordination/src/main/java/org/hornbeampass/coordination/quarantine/QuarantineRecord.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/quarantine/QuarantineRecord.java
@@ -1,5 +1,7 @@
 package org.hornbeampass.coordination.quarantine;
 
+import org.hornbeampass.coordination.service.UpstreamIncarnation;
+
 import java.util.List;
 
 /**
@@ -10,7 +12,7 @@
  * @param crashes the crashes on which the verdict rests
  * @param untilMs until when the request is kept from upstreams, in milliseconds since 1970
  */
-record QuarantineRecord(List<UpstreamCrash> crashes, long untilMs) {
+record QuarantineRecord(List<UpstreamIncarnation> crashes, long untilMs) {
     /** Copies the list. */
     QuarantineRecord {
         crashes = List.copyOf(crashes);
--- a/coordination/src/main/java/org/hornbeampass/coordination/quarantine/Suspect.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/quarantine/Suspect.java
@@ -1,5 +1,7 @@
 package org.hornbeampass.coordination.quarantine;
 
+import org.hornbeampass.coordination.service.UpstreamIncarnation;
+
 import java.util.Collection;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
@@ -17,8 +19,8 @@
     private static final int MAX_CRASHES = 16;
 
     private final RequestDigest mDigest;
-    private final Set<UpstreamCrash> mCrashes = new LinkedHashSet<>();
-    private final Set<UpstreamCrash> mCleared = new LinkedHashSet<>();
+    private final Set<UpstreamIncarnation> mCrashes = new LinkedHashSet<>();
+    private final Set<UpstreamIncarnation> mCleared = new LinkedHashSet<>();
     private long mKeptUntilMs;
     private boolean mQuarantined;
     private boolean mRecorded;
@@ -32,15 +34,16 @@
     }
 
     /** Adds crashes and those that the request did not cause; returns whether any was new. */
-    boolean add(Collection<UpstreamCrash> crashes, Collection<UpstreamCrash> cleared) {
+    boolean add(Collection<UpstreamIncarnation> crashes, Collection<UpstreamIncarnation> cleared) {
         boolean anyCrash = addTo(mCrashes, crashes);
         boolean anyCleared = addTo(mCleared, cleared);
         return anyCrash || anyCleared;
     }
 
-    private static boolean addTo(Set<UpstreamCrash> known, Collection<UpstreamCrash> more) {
+    private static boolean addTo(
+            Set<UpstreamIncarnation> known, Collection<UpstreamIncarnation> more) {
         boolean any = false;
-        for (UpstreamCrash each : more) {
+        for (UpstreamIncarnation each : more) {
             any |= known.size() < MAX_CRASHES && known.add(each);
         }
         return any;
@@ -52,14 +55,14 @@
     }
 
     /** Returns the crashes that it may have caused. */
-    Set<UpstreamCrash> open() {
-        Set<UpstreamCrash> open = new HashSet<>(mCrashes);
+    Set<UpstreamIncarnation> open() {
+        Set<UpstreamIncarnation> open = new HashSet<>(mCrashes);
         open.removeAll(mCleared);
         return open;
     }
 
     /** Returns all crashes that are known, in the order in which they became known here. */
-    List<UpstreamCrash> crashes() {
+    List<UpstreamIncarnation> crashes() {
         return List.copyOf(mCrashes);
     }
 
--- a/coordination/src/main/java/org/hornbeampass/coordination/quarantine/SuspectListener.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/quarantine/SuspectListener.java
@@ -1,5 +1,7 @@
 package org.hornbeampass.coordination.quarantine;
 
+import org.hornbeampass.coordination.service.UpstreamIncarnation;
+
 import java.util.List;
 
 /**
@@ -9,7 +11,7 @@
  */
 public interface SuspectListener {
     /** A request is kept from upstreams from now on, for the crashes of some. */
-    void onQuarantined(long nowMs, RequestDigest digest, List<UpstreamCrash> crashes);
+    void onQuarantined(long nowMs, RequestDigest digest, List<UpstreamIncarnation> crashes);
 
     /** A request may run again. */
     void onReleased(long nowMs, RequestDigest digest);
--- a/coordination/src/main/java/org/hornbeampass/coordination/quarantine/SuspectReport.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/quarantine/SuspectReport.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.annotation.JsonFormat;
 
 import org.hornbeampass.coordination.peer.PeerMessage;
+import org.hornbeampass.coordination.service.UpstreamIncarnation;
 
 import java.util.List;
 
@@ -34,8 +35,8 @@
     @JsonFormat(shape = JsonFormat.Shape.ARRAY)
     public record Item(
             RequestDigest digest,
-            List<UpstreamCrash> crashes,
-            List<UpstreamCrash> cleared,
+            List<UpstreamIncarnation> crashes,
+            List<UpstreamIncarnation> cleared,
             long quarantineLeftMs,
             boolean recorded) {
         /** Copies the lists. */
--- a/coordination/src/main/java/org/hornbeampass/coordination/quarantine/SuspectTable.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/quarantine/SuspectTable.java
@@ -1,5 +1,7 @@
 package org.hornbeampass.coordination.quarantine;
 
+import org.hornbeampass.coordination.service.UpstreamIncarnation;
+
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
@@ -115,7 +117,7 @@
      * @return the requests of which something new is known
      */
     List<RequestDigest> onCrash(
-            long nowMs, UpstreamCrash crash, Collection<RequestDigest> requests) {
+            long nowMs, UpstreamIncarnation crash, Collection<RequestDigest> requests) {
         List<RequestDigest> changed = new ArrayList<>();
         for (RequestDigest digest : requests) {
             Suspect suspect = suspect(digest);
@@ -229,14 +231,14 @@
 
     /** Returns how many crashes count against a request. */
     private int count(Suspect suspect) {
-        Set<UpstreamCrash> open = suspect.open();
+        Set<UpstreamIncarnation> open = suspect.open();
         if (open.size() < CRASHES_TO_QUARANTINE) {
             return open.size();
         }
-        Set<UpstreamCrash> unexplained = new HashSet<>(open);
+        Set<UpstreamIncarnation> unexplained = new HashSet<>(open);
         for (Suspect other : mJudgeable.values()) {
             if (other.quarantined() && other != suspect) {
-                Set<UpstreamCrash> others = other.open();
+                Set<UpstreamIncarnation> others = other.open();
                 if (others.size() > open.size()) {
                     unexplained.removeAll(others);
                 }
--- /dev/null
+++ b/coordination/src/main/java/org/hornbeampass/coordination/service/RelayedNews.java
@@ -0,0 +1,100 @@
+package org.hornbeampass.coordination.service;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.BiConsumer;
+import java.util.function.Supplier;
+
+/**
+ * Spreads news over the fleet along the paths of the load reports.
+ *
+ * <p>Each VM tells what it found out; relays pass on what is new to them, so that no item goes in a
+ * circle. All is told {@link #TIMES} times, since a message may be lost. Nothing is sent where
+ * there is no news. Confined to one thread.
+ *
+ * @param <T> an item of news, which names what is told
+ */
+public final class RelayedNews<T> {
+    /** After what time news are told again, in milliseconds. */
+    private static final long REPEAT_MS = 500;
+
+    /** How often each item is told. */
+    private static final int TIMES = 6;
+
+    private final Supplier<LoadPaths> mPaths;
+    private final BiConsumer<List<String>, List<T>> mTell;
+
+    /** News of this VM or its failure domain, for all others. */
+    private final Set<T> mNews = new LinkedHashSet<>();
+
+    /** News of other failure domains, for this VM's own. */
+    private final Set<T> mFarNews = new LinkedHashSet<>();
+
+    /** How often each item is to be told still. */
+    private final Map<T, Integer> mToRepeat = new LinkedHashMap<>();
+
+    private long mNextRepeatMs;
+
+    /**
+     * Makes an empty list of news.
+     *
+     * @param paths gives whom to tell now
+     * @param tell tells VMs, given by their names, some news
+     */
+    public RelayedNews(Supplier<LoadPaths> paths, BiConsumer<List<String>, List<T>> tell) {
+        mPaths = paths;
+        mTell = tell;
+    }
+
+    /** Adds what this VM found out. */
+    public void add(T item) {
+        mNews.add(item);
+    }
+
+    /**
+     * Adds what another VM told.
+     *
+     * @param from its name
+     * @param items what was new to this VM
+     */
+    public void onTold(String from, Collection<T> items) {
+        LoadPaths paths = mPaths.get();
+        if (paths.isRelay()) {
+            (paths.relays().contains(from) ? mFarNews : mNews).addAll(items);
+        }
+    }
+
+    /**
+     * Returns whether the next {@link #tick} tells news again; then is the time to add lasting
+     * ones.
+     */
+    public boolean repeats(long nowMs) {
+        return nowMs >= mNextRepeatMs;
+    }
+
+    /** Tells what is new. */
+    public void tick(long nowMs) {
+        Set<T> toAll = new LinkedHashSet<>(mNews);
+        if (repeats(nowMs)) {
+            mNextRepeatMs = nowMs + REPEAT_MS;
+            toAll.addAll(mToRepeat.keySet());
+            mToRepeat.replaceAll((item, left) -> left - 1);
+            mToRepeat.values().removeIf(left -> left <= 0);
+        }
+        mNews.forEach(item -> mToRepeat.put(item, TIMES - 1));
+        mFarNews.forEach(item -> mToRepeat.put(item, TIMES - 1));
+        if (!toAll.isEmpty()) {
+            mTell.accept(mPaths.get().toAll(), new ArrayList<>(toAll));
+        }
+        if (!mFarNews.isEmpty()) {
+            mTell.accept(mPaths.get().near(), new ArrayList<>(mFarNews));
+        }
+        mNews.clear();
+        mFarNews.clear();
+    }
+}
--- a/coordination/src/main/java/org/hornbeampass/coordination/service/UpstreamBoard.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/service/UpstreamBoard.java
@@ -51,6 +51,7 @@
     private final Map<String, UpstreamInstance> mById = new HashMap<>();
     private final Map<String, List<UpstreamInstance>> mByService = new HashMap<>();
     private final FormerUpstreams mFormer = new FormerUpstreams();
+    private final LeavingUpstreams mLeaving = new LeavingUpstreams();
     private final FleetLoad mFleetLoad = new FleetLoad();
     private final RandomGenerator mRandom;
     private final IntSupplier mVms;
@@ -121,6 +122,9 @@
 
     private void add(UpstreamEntry entry) {
         UpstreamInstance added = new UpstreamInstance(entry);
+        if (mLeaving.contains(added.incarnation())) {
+            added.markLeaving();
+        }
         mById.put(entry.id(), added);
         mByService.computeIfAbsent(entry.service(), s -> new ArrayList<>()).add(added);
     }
@@ -145,6 +149,29 @@
         }
     }
 
+    /**
+     * Takes the word of an upstream's answer that it leaves, from here or from another VM.
+     *
+     * @param nowMs the present time in milliseconds
+     * @param upstream the incarnation, which may not be listed here yet
+     * @return whether it is new
+     */
+    boolean onLeaving(long nowMs, UpstreamIncarnation upstream) {
+        UpstreamInstance known = mById.get(upstream.upstream());
+        if (known != null && known.incarnation().equals(upstream)) {
+            known.markLeaving();
+        }
+        return mLeaving.add(nowMs, upstream);
+    }
+
+    /** Returns the upstreams that leave, and whose entries don't say so. */
+    List<UpstreamIncarnation> leavingByAnswerAlone(long nowMs) {
+        return mById.values().stream()
+                .filter(i -> i.leaving() && !i.entry().leaving() && !i.gone(nowMs))
+                .map(UpstreamInstance::incarnation)
+                .toList();
+    }
+
     /** Takes the word of whoever listens at an address that it is not this upstream. */
     public void onMismatch(long nowMs, UpstreamInstance instance) {
         instance.markGoneAt(nowMs);
@@ -153,6 +180,7 @@
     /** Forgets upstreams that are gone and have no request in progress. */
     public void tick(long nowMs) {
         mFormer.tick(nowMs);
+        mLeaving.tick(nowMs);
         mFleetLoad.tick(nowMs);
         mById.values().removeIf(i -> forget(nowMs, i));
         for (List<UpstreamInstance> instances : mByService.values()) {
--- /dev/null
+++ b/coordination/src/main/java/org/hornbeampass/coordination/service/UpstreamIncarnation.java
@@ -0,0 +1,24 @@
+package org.hornbeampass.coordination.service;
+
+import com.fasterxml.jackson.annotation.JsonFormat;
+
+import org.hornbeampass.state.service.UpstreamEntry;
+
+/**
+ * Names one incarnation of an upstream, from its start to its end.
+ *
+ * <p>Immutable; safe for use by any thread.
+ *
+ * @param upstream the upstream's identity
+ * @param bornMs when it started, in milliseconds of its own clock; -1 where it does not tell
+ */
+@JsonFormat(shape = JsonFormat.Shape.ARRAY)
+public record UpstreamIncarnation(String upstream, long bornMs) {
+    /** The start of an upstream that does not tell it. */
+    public static final long NOT_TOLD_MS = -1;
+
+    /** Returns the incarnation that an entry is of. */
+    static UpstreamIncarnation of(UpstreamEntry entry) {
+        return new UpstreamIncarnation(entry.id(), entry.bornMs().orElse(NOT_TOLD_MS));
+    }
+}
--- a/coordination/src/main/java/org/hornbeampass/coordination/service/UpstreamInstance.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/service/UpstreamInstance.java
@@ -80,6 +80,16 @@
         return mEntry.bornMs().isPresent();
     }
 
+    /** Returns which incarnation of the upstream it is. */
+    public UpstreamIncarnation incarnation() {
+        return UpstreamIncarnation.of(mEntry);
+    }
+
+    /** Takes the word that it leaves. */
+    void markLeaving() {
+        mLeaving = true;
+    }
+
     /** Returns whether it was ever seen leaving. */
     public boolean leaving() {
         return mLeaving;
--- a/coordination/src/test/java/org/hornbeampass/coordination/quarantine/CrashingRequestModel.java
+++ b/coordination/src/test/java/org/hornbeampass/coordination/quarantine/CrashingRequestModel.java
@@ -1,5 +1,7 @@
 package org.hornbeampass.coordination.quarantine;
 
+import org.hornbeampass.coordination.service.UpstreamIncarnation;
+
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
@@ -28,7 +30,7 @@
     private record Run(RequestDigest digest, boolean crashing, int sends, long endsMs) {}
 
     /** A crash that is not known yet. */
-    private record News(long atMs, UpstreamCrash crash, List<RequestDigest> requests) {}
+    private record News(long atMs, UpstreamIncarnation crash, List<RequestDigest> requests) {}
 
     private final SuspectTable mTable = new SuspectTable(new QuarantineFleet.SilentListener());
     private final List<List<Run>> mRunning = new ArrayList<>();
@@ -118,7 +120,7 @@
         mNews.add(
                 new News(
                         nowMs + NEWS_MS,
-                        new UpstreamCrash("i-" + upstream, mLives[upstream]++),
+                        new UpstreamIncarnation("i-" + upstream, mLives[upstream]++),
                         lost.stream().map(Run::digest).toList()));
         lost.stream()
                 .filter(r -> !r.crashing())
--- a/coordination/src/test/java/org/hornbeampass/coordination/quarantine/QuarantineFleet.java
+++ b/coordination/src/test/java/org/hornbeampass/coordination/quarantine/QuarantineFleet.java
@@ -10,6 +10,7 @@
 import org.hornbeampass.coordination.platform.PlatformCall;
 import org.hornbeampass.coordination.platform.PlatformReply;
 import org.hornbeampass.coordination.service.LoadPaths;
+import org.hornbeampass.coordination.service.UpstreamIncarnation;
 import org.hornbeampass.state.Failure;
 import org.hornbeampass.state.FailureDomain;
 import org.hornbeampass.state.Region;
@@ -125,7 +126,7 @@
     }
 
     void crash(String vm, String upstream, RequestDigest... requests) {
-        mByVm.get(vm).onCrash(mNowMs, new UpstreamCrash(upstream, 1), List.of(requests));
+        mByVm.get(vm).onCrash(mNowMs, new UpstreamIncarnation(upstream, 1), List.of(requests));
     }
 
     void answer(String vm, RequestDigest request) {
@@ -222,7 +223,8 @@
     /** Takes verdicts and does nothing with them. */
     static final class SilentListener implements SuspectListener {
         @Override
-        public void onQuarantined(long nowMs, RequestDigest digest, List<UpstreamCrash> crashes) {}
+        public void onQuarantined(
+                long nowMs, RequestDigest digest, List<UpstreamIncarnation> crashes) {}
 
         @Override
         public void onReleased(long nowMs, RequestDigest digest) {}
--- a/coordination/src/test/java/org/hornbeampass/coordination/quarantine/SuspectTableTest.java
+++ b/coordination/src/test/java/org/hornbeampass/coordination/quarantine/SuspectTableTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import org.hornbeampass.coordination.service.UpstreamIncarnation;
 import org.junit.jupiter.api.Test;
 
 import java.util.ArrayList;
@@ -20,8 +21,8 @@
         return new SuspectTable(new QuarantineFleet.SilentListener());
     }
 
-    private static UpstreamCrash crash(int i) {
-        return new UpstreamCrash("i-" + i, 1);
+    private static UpstreamIncarnation crash(int i) {
+        return new UpstreamIncarnation("i-" + i, 1);
     }
 
     private void crashes(int from, int to, RequestDigest... requests) {
@@ -44,7 +45,7 @@
     @Test
     void upstreamThatStartsAgainUnderItsId_crashesAnew() {
         for (long born = 1; born <= 3; born++) {
-            mTable.onCrash(0, new UpstreamCrash("i-1", born), List.of(CRASHING));
+            mTable.onCrash(0, new UpstreamIncarnation("i-1", born), List.of(CRASHING));
         }
         assertThat(mTable.standing(CRASHING)).isEqualTo(RequestStanding.QUARANTINED);
     }
--- /dev/null
+++ b/coordination/src/test/java/org/hornbeampass/coordination/service/LeavingExchangeTest.java
@@ -0,0 +1,179 @@
+package org.hornbeampass.coordination.service;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.vavr.control.Either;
+
+import org.hornbeampass.coordination.peer.PeerMessage;
+import org.hornbeampass.coordination.peer.PeerNetwork;
+import org.hornbeampass.state.Failure;
+import org.hornbeampass.state.FailureDomain;
+import org.hornbeampass.state.Region;
+import org.hornbeampass.state.VmId;
+import org.hornbeampass.state.member.Member;
+import org.hornbeampass.state.member.MemberState;
+import org.hornbeampass.state.service.Prompt;
+import org.hornbeampass.state.service.ServiceSpec;
+import org.hornbeampass.state.service.UpstreamEntry;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Random;
+import java.util.Set;
+import java.util.function.BiConsumer;
+
+/** Checks that what one VM is told of a leaving upstream, all VMs know soon. */
+class LeavingExchangeTest {
+    private static final int DOMAINS = 5;
+    private static final ServiceSpec SERVICE = new ServiceSpec("s", 100, Optional.empty());
+
+    private final Map<String, UpstreamBoard> mBoards = new HashMap<>();
+    private final Map<String, LeavingExchange> mExchanges = new HashMap<>();
+    private final List<Member> mMembers = new ArrayList<>();
+    private int mMessages;
+    private long mNowMs = 1_000;
+
+    /** Hands messages straight to the other VMs. */
+    private final class Peers implements PeerNetwork {
+        private final VmId mSelf;
+
+        Peers(VmId self) {
+            mSelf = self;
+        }
+
+        @Override
+        public void send(String vmName, PeerMessage message) {
+            mMessages++;
+            mExchanges.get(vmName).onReport(mNowMs, mSelf, (LeavingReport) message, r -> {});
+        }
+
+        @Override
+        public void request(
+                long nowMs,
+                String vmName,
+                PeerMessage request,
+                long timeoutMs,
+                BiConsumer<Long, Either<Failure, PeerMessage>> done) {
+            throw new AssertionError("nothing is asked");
+        }
+    }
+
+    private void start(int vms) {
+        for (int i = 0; i < vms; i++) {
+            startVm(i);
+        }
+    }
+
+    private void startVm(int number) {
+        Member self =
+                new Member(
+                        new VmId("vm-" + number, 1),
+                        "h",
+                        "p",
+                        new Region("r"),
+                        new FailureDomain("d" + number % DOMAINS),
+                        MemberState.LIVE);
+        mMembers.add(self);
+        UpstreamBoard board = new UpstreamBoard(new Random(1), () -> 8);
+        mBoards.put(self.name(), board);
+        mExchanges.put(
+                self.name(),
+                new LeavingExchange(
+                        board, new Peers(self.vm()), () -> LoadPaths.choose(self, mMembers)));
+        show(self.name(), entry("i-1", 100, false));
+        show(self.name(), entry("i-2", 100, false));
+    }
+
+    private static UpstreamEntry entry(String id, long bornMs, boolean leaving) {
+        return new UpstreamEntry(
+                id, OptionalLong.of(bornMs), "s", "a:80", new FailureDomain("d"), 6, leaving);
+    }
+
+    private void show(String vm, UpstreamEntry entry) {
+        mBoards.get(vm).onEntry(mNowMs, entry);
+    }
+
+    private void run(long ms) {
+        for (long until = mNowMs + ms; mNowMs < until; mNowMs += 100) {
+            mExchanges.values().forEach(e -> e.tick(mNowMs));
+        }
+    }
+
+    private Optional<UpstreamInstance> choose(String vm, String... tried) {
+        return mBoards.get(vm)
+                .choose(mNowMs, SERVICE, Prompt.NONE, Set.of(tried))
+                .map(UpstreamChoice::instance);
+    }
+
+    private void tell(String vm, String upstream) {
+        UpstreamInstance told = choose(vm, upstream.equals("i-1") ? "i-2" : "i-1").orElseThrow();
+        assertThat(told.id()).isEqualTo(upstream);
+        mExchanges.get(vm).onAnswer(mNowMs, told);
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {8, 95})
+    void answerThatOneVmGot_savesTheOthers(int vms) {
+        start(vms);
+        tell("vm-3", "i-1");
+        run(1_000);
+        for (String vm : mBoards.keySet()) {
+            assertThat(choose(vm, "i-2")).isEmpty();
+            assertThat(choose(vm, "i-1")).isPresent();
+        }
+    }
+
+    @Test
+    void entryThatIsStillReady_changesNothing() {
+        start(8);
+        tell("vm-3", "i-1");
+        run(1_000);
+        show("vm-5", entry("i-1", 100, false));
+        assertThat(choose("vm-5", "i-2")).isEmpty();
+    }
+
+    @Test
+    void laterIncarnation_isUsed() {
+        start(8);
+        tell("vm-3", "i-1");
+        run(1_000);
+        show("vm-5", entry("i-1", 200, false));
+        assertThat(choose("vm-5", "i-2")).isPresent();
+    }
+
+    @Test
+    void vmThatStartsLater_isToldToo() {
+        start(8);
+        tell("vm-3", "i-1");
+        run(20_000);
+        startVm(8);
+        run(1_000);
+        assertThat(choose("vm-8", "i-2")).isEmpty();
+    }
+
+    @Test
+    void wordOfAnUpstreamThatIsNotListedYet_countsOnceItIs() {
+        start(2);
+        mBoards.get("vm-0").onLeaving(mNowMs, new UpstreamIncarnation("i-9", 100));
+        show("vm-0", entry("i-9", 100, false));
+        assertThat(choose("vm-0", "i-1", "i-2")).isEmpty();
+    }
+
+    @Test
+    void wordThatTheEntryRepeats_isToldNoMore() {
+        start(8);
+        tell("vm-3", "i-1");
+        mBoards.keySet().forEach(vm -> show(vm, entry("i-1", 100, true)));
+        run(5_000);
+        mMessages = 0;
+        run(20_000);
+        assertThat(mMessages).isZero();
+    }
+}
--- a/router/src/main/java/org/hornbeampass/router/daemon/QuarantineLog.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/QuarantineLog.java
@@ -2,7 +2,7 @@
 
 import org.hornbeampass.coordination.quarantine.RequestDigest;
 import org.hornbeampass.coordination.quarantine.SuspectListener;
-import org.hornbeampass.coordination.quarantine.UpstreamCrash;
+import org.hornbeampass.coordination.service.UpstreamIncarnation;
 import org.hornbeampass.router.relay.LogFields;
 import org.hornbeampass.router.relay.RelayLog;
 
@@ -22,9 +22,11 @@
     }
 
     @Override
-    public void onQuarantined(long nowMs, RequestDigest digest, List<UpstreamCrash> crashes) {
+    public void onQuarantined(long nowMs, RequestDigest digest, List<UpstreamIncarnation> crashes) {
         String upstreams =
-                crashes.stream().map(UpstreamCrash::upstream).collect(Collectors.joining(" "));
+                crashes.stream()
+                        .map(UpstreamIncarnation::upstream)
+                        .collect(Collectors.joining(" "));
         mLog.believes(
                 nowMs,
                 "request-quarantined",
--- a/router/src/main/java/org/hornbeampass/router/daemon/RelayDaemon.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/RelayDaemon.java
@@ -21,6 +21,8 @@
 import org.hornbeampass.coordination.quarantine.RequestHasher;
 import org.hornbeampass.coordination.quarantine.SuspectReport;
 import org.hornbeampass.coordination.service.InFlightReport;
+import org.hornbeampass.coordination.service.LeavingExchange;
+import org.hornbeampass.coordination.service.LeavingReport;
 import org.hornbeampass.coordination.service.LoadExchange;
 import org.hornbeampass.coordination.service.UpstreamBoard;
 import org.hornbeampass.router.relay.RelayHandler;
@@ -82,6 +84,7 @@
     private final BudgetMetrics mBudgetMetrics;
     private final EscrowLoans mLoans;
     private final LoadExchange mLoads;
+    private final LeavingExchange mLeaving;
     private final UpstreamPool mPool;
     private final Quarantine mQuarantine;
     private final RelayParts mParts;
@@ -113,6 +116,7 @@
         mBudgets = budgets(ip);
         mBudgetMetrics = new BudgetMetrics(mMetrics, mBudgets);
         mLoads = new LoadExchange(mBoard, mPeers, mFleet::loadPaths);
+        mLeaving = new LeavingExchange(mBoard, mPeers, mFleet::loadPaths);
         mLoans = new EscrowLoans(mBudgets, mPeers, mFleet.homes(), mRandom);
         mPool = new UpstreamPool(mLoops, mClock);
         mQuarantine = quarantine();
@@ -126,6 +130,7 @@
                         mPool,
                         new RequestHasher(settings.cluster().revealBytes()),
                         mQuarantine,
+                        mLeaving,
                         mBudgets,
                         mLoans,
                         mLog,
@@ -225,6 +230,7 @@
         mPeers.on(LoanRequest.class, mLoans::onRequest);
         mPeers.on(LoanGift.class, mLoans::onGift);
         mPeers.on(InFlightReport.class, mLoads::onReport);
+        mPeers.on(LeavingReport.class, mLeaving::onReport);
         mPeers.on(SuspectReport.class, mQuarantine::onReport);
     }
 
@@ -305,6 +311,7 @@
         mBudgets.tick(nowMs);
         mLoans.tick(nowMs);
         mLoads.tick(nowMs);
+        mLeaving.tick(nowMs);
         mQuarantine.tick(nowMs);
         mBoard.tick(nowMs);
         mPool.tick(nowMs);
--- a/router/src/main/java/org/hornbeampass/router/relay/CrashDetector.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/CrashDetector.java
@@ -2,7 +2,7 @@
 
 import org.hornbeampass.coordination.quarantine.Quarantine;
 import org.hornbeampass.coordination.quarantine.RequestDigest;
-import org.hornbeampass.coordination.quarantine.UpstreamCrash;
+import org.hornbeampass.coordination.service.UpstreamIncarnation;
 import org.hornbeampass.coordination.service.UpstreamInstance;
 import org.hornbeampass.transport.Clock;
 import org.hornbeampass.transport.relay.UpstreamPool;
@@ -28,8 +28,8 @@
     private final Clock mClock;
     private final RelayLog mLog;
     private final Quarantine mQuarantine;
-    private final Map<UpstreamCrash, Set<RequestDigest>> mProbed = new HashMap<>();
-    private final Map<UpstreamCrash, Long> mCrashedMs = new HashMap<>();
+    private final Map<UpstreamIncarnation, Set<RequestDigest>> mProbed = new HashMap<>();
+    private final Map<UpstreamIncarnation, Long> mCrashedMs = new HashMap<>();
 
     CrashDetector(UpstreamPool pool, Clock clock, RelayLog log, Quarantine quarantine) {
         mPool = pool;
@@ -49,7 +49,7 @@
         if (instance.leaving()) {
             return;
         }
-        UpstreamCrash crash = crashOf(instance);
+        UpstreamIncarnation crash = instance.incarnation();
         if (mCrashedMs.containsKey(crash)) {
             report(nowMs, crash, Set.of(digest));
             return;
@@ -66,7 +66,7 @@
                 listens -> onProbed(crash, listens));
     }
 
-    private void onProbed(UpstreamCrash crash, boolean listens) {
+    private void onProbed(UpstreamIncarnation crash, boolean listens) {
         Set<RequestDigest> requests = mProbed.remove(crash);
         if (!listens) {
             crashed(mClock.nowMs(), crash, requests);
@@ -79,17 +79,17 @@
      */
     void onStartedAgain(long nowMs, UpstreamInstance instance, RequestDigest digest) {
         if (!instance.leaving()) {
-            crashed(nowMs, crashOf(instance), Set.of(digest));
+            crashed(nowMs, instance.incarnation(), Set.of(digest));
         }
     }
 
-    private void crashed(long nowMs, UpstreamCrash crash, Set<RequestDigest> requests) {
+    private void crashed(long nowMs, UpstreamIncarnation crash, Set<RequestDigest> requests) {
         mCrashedMs.values().removeIf(atMs -> nowMs - atMs >= CRASH_KEPT_MS);
         mCrashedMs.put(crash, nowMs);
         report(nowMs, crash, requests);
     }
 
-    private void report(long nowMs, UpstreamCrash crash, Set<RequestDigest> requests) {
+    private void report(long nowMs, UpstreamIncarnation crash, Set<RequestDigest> requests) {
         mQuarantine.onCrash(nowMs, crash, requests);
         mLog.believes(
                 nowMs,
@@ -99,9 +99,4 @@
                         .add("born_ms", crash.bornMs())
                         .add("requests", requests.size()));
     }
-
-    private static UpstreamCrash crashOf(UpstreamInstance instance) {
-        return new UpstreamCrash(
-                instance.id(), instance.entry().bornMs().orElse(UpstreamCrash.NOT_TOLD_MS));
-    }
 }
--- a/router/src/main/java/org/hornbeampass/router/relay/RelayAttempts.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/RelayAttempts.java
@@ -107,7 +107,7 @@
         if (connection.isEmpty()) {
             instance.onSilent(nowMs);
             leaveInstance();
-            mParts.log().decided(nowMs, id(), "unreachable", use.fields());
+            decided(nowMs, "unreachable", use.fields());
             if (mCounts.onUnreachable()) {
                 giveUp(nowMs, "the upstreams can't be reached");
             } else {
@@ -167,9 +167,11 @@
 
     @Override
     public boolean onHead(long nowMs, HttpResponse head) {
-        AnswerClass answer = mParts.wire().readAnswer(head, mPlan.head().id());
+        AnswerHead said = mParts.wire().readAnswer(head, mPlan.head().id());
+        mParts.upstreamWord().onAnswer(nowMs, mUse.orElseThrow().instance(), said);
+        AnswerClass answer = said.kind();
         if (answer == AnswerClass.UNRELATED) {
-            mParts.log().decided(nowMs, id(), "unrelated-answer", mUse.get().fields());
+            decided(nowMs, "unrelated-answer", mUse.get().fields());
             return false;
         }
         mSilence.stop();
@@ -195,12 +197,8 @@
         } else {
             instance.onFull(nowMs, RelayBounds.FULL_PAUSE_MS);
         }
-        mParts.log()
-                .decided(
-                        nowMs,
-                        id(),
-                        answer == AnswerClass.NOT_RUN ? "upstream-full" : "upstream-replaced",
-                        mUse.get().fields());
+        String decision = answer == AnswerClass.NOT_RUN ? "upstream-full" : "upstream-replaced";
+        decided(nowMs, decision, mUse.get().fields());
         dropConnection();
         if (mCounts.mayGoOn() && mBody.complete()) {
             attempt(nowMs);
@@ -214,12 +212,8 @@
         if (answer == AnswerClass.FAILED) {
             instance.onBad(nowMs);
             if (mayRunAgain() && !mHeadSent) {
-                mParts.log()
-                        .decided(
-                                nowMs,
-                                id(),
-                                "upstream-failed",
-                                mUse.get().fields().add("status", head.status().code()));
+                LogFields fields = mUse.get().fields().add("status", head.status().code());
+                decided(nowMs, "upstream-failed", fields);
                 Optional<UpstreamChoice> other =
                         mParts.board()
                                 .choose(nowMs, mPlan.service(), mPlan.head().prompt(), mTried);
@@ -357,16 +351,11 @@
      * @param before the verdict on the request before this loss
      */
     private void onLost(long nowMs, String reason, RequestStanding before) {
-        mParts.log()
-                .decided(
-                        nowMs,
-                        id(),
-                        "upstream-lost",
-                        mUse.map(InstanceUse::fields)
-                                .orElseGet(LogFields::new)
-                                .add("reason", reason)
-                                .add("events", mStream.events())
-                                .add("digest", mCrashes.digest().toString()));
+        LogFields fields = mUse.map(InstanceUse::fields).orElseGet(LogFields::new);
+        fields.add("reason", reason)
+                .add("events", mStream.events())
+                .add("digest", mCrashes.digest().toString());
+        decided(nowMs, "upstream-lost", fields);
         leaveInstance();
         mSilence.stop();
         if (mCall.callerGone()) {
@@ -451,7 +440,7 @@
 
     /** Ends an answer that can't be finished, so that the caller sees that it is not whole. */
     private void breakOff(long nowMs, String why) {
-        mParts.log().decided(nowMs, id(), "broken-off", new LogFields().add("reason", why));
+        decided(nowMs, "broken-off", new LogFields().add("reason", why));
         releaseAnswer();
         mCall.end(nowMs, "broken", usedTokens());
         mCall.caller().abort();
@@ -493,7 +482,7 @@
                 .add("first_ms", mFirstByteMs < 0 ? -1 : mFirstByteMs - mSentMs);
     }
 
-    private String id() {
-        return mPlan.head().id();
+    private void decided(long nowMs, String decision, LogFields fields) {
+        mParts.log().decided(nowMs, mPlan.head().id(), decision, fields);
     }
 }
--- a/router/src/main/java/org/hornbeampass/router/relay/RelayParts.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/RelayParts.java
@@ -6,6 +6,7 @@
 import org.hornbeampass.coordination.escrow.EscrowLoans;
 import org.hornbeampass.coordination.quarantine.Quarantine;
 import org.hornbeampass.coordination.quarantine.RequestHasher;
+import org.hornbeampass.coordination.service.LeavingExchange;
 import org.hornbeampass.coordination.service.RetryWindow;
 import org.hornbeampass.coordination.service.RouteTable;
 import org.hornbeampass.coordination.service.UpstreamBoard;
@@ -34,6 +35,7 @@
     private final CrashDetector mCrashes;
     private final RequestHasher mHasher;
     private final Quarantine mQuarantine;
+    private final UpstreamWord mUpstreamWord;
     private final EscrowBook mBudgets;
     private final EscrowLoans mLoans;
     private final RelayLog mLog;
@@ -57,6 +59,7 @@
             UpstreamPool pool,
             RequestHasher hasher,
             Quarantine quarantine,
+            LeavingExchange leaving,
             EscrowBook budgets,
             EscrowLoans loans,
             RelayLog log,
@@ -71,6 +74,7 @@
         mPool = pool;
         mCrashes = new CrashDetector(pool, clock, log, quarantine);
         mQuarantine = quarantine;
+        mUpstreamWord = new UpstreamWord(leaving, log);
         mHasher = hasher;
         mBudgets = budgets;
         mLoans = loans;
@@ -111,6 +115,10 @@
         return mHasher;
     }
 
+    UpstreamWord upstreamWord() {
+        return mUpstreamWord;
+    }
+
     Quarantine quarantine() {
         return mQuarantine;
     }
--- a/router/src/main/java/org/hornbeampass/router/relay/WireFormat.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/WireFormat.java
@@ -35,7 +35,7 @@
      * @param answer the head
      * @param requestId the caller's name of the request that is in progress
      */
-    AnswerClass readAnswer(HttpResponse answer, String requestId);
+    AnswerHead readAnswer(HttpResponse answer, String requestId);
 
     /** Returns the body of an answer about addresses, in JSON. */
     String addresses(List<InetSocketAddress> addresses, double keepSeconds);
--- a/transport/src/main/java/org/hornbeampass/protocol/peer/PeerMessageType.java
+++ b/transport/src/main/java/org/hornbeampass/protocol/peer/PeerMessageType.java
@@ -31,6 +31,7 @@
 import org.hornbeampass.coordination.requests.EntriesRefused;
 import org.hornbeampass.coordination.requests.SubmitEntries;
 import org.hornbeampass.coordination.service.InFlightReport;
+import org.hornbeampass.coordination.service.LeavingReport;
 import org.hornbeampass.protocol.peer.PeerType.Form;
 
 /**
@@ -70,6 +71,7 @@
     ENTRIES_REFUSED(62, EntriesRefused.class, Form.REPLY),
     IN_FLIGHT_REPORT(80, InFlightReport.class, Form.ONE_WAY),
     SUSPECT_REPORT(81, SuspectReport.class, Form.ONE_WAY),
+    LEAVING_REPORT(82, LeavingReport.class, Form.ONE_WAY),
     DRAIN_ORDER(95, DrainOrder.class, Form.REQUEST),
     DRAIN_ANSWER(96, DrainAnswer.class, Form.REPLY);
 
