Keep the pause that an upstream asks for when it turns a request away

Cause: a 503 that states in Retry-After for how long its upstream wants nothing was taken like any other: a pause of 60 ms, ended by the next good answer of an older request, and passed over where all upstreams are paused. What an upstream asks for and what this VM thinks of it were one field.

Change: the pause that is asked for is a field of its own, which ends by time alone and takes the upstream out of use like its leaving; the last check before a send respects it. Where all upstreams of a service have asked for a pause, the request is refused at once with the shortest time that is left.

--- a/coordination/src/main/java/org/hornbeampass/coordination/service/UpstreamBoard.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/service/UpstreamBoard.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.IntSupplier;
 import java.util.random.RandomGenerator;
@@ -233,6 +234,24 @@
         return best.map(b -> new UpstreamChoice(b, tokensToRead(b, prompt, home)));
     }
 
+    /**
+     * Returns when the first upstream of a service wants requests again, where all have asked for a
+     * pause.
+     *
+     * @param nowMs the present time in milliseconds
+     * @param service the service's name
+     * @return the time in milliseconds from now on; empty where no pause keeps requests from it
+     */
+    public OptionalLong pauseLeftMs(long nowMs, String service) {
+        return mByService.getOrDefault(service, List.of()).stream()
+                .filter(i -> !i.leaving() && !i.gone(nowMs))
+                .mapToLong(i -> i.askedPauseLeftMs(nowMs))
+                .min()
+                .stream()
+                .filter(leftMs -> leftMs > 0)
+                .findFirst();
+    }
+
     /** Returns the cheapest that is not paused; where all are, the cheapest of them. */
     private Optional<UpstreamInstance> best(
             long nowMs,
--- a/coordination/src/main/java/org/hornbeampass/coordination/service/UpstreamInstance.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/service/UpstreamInstance.java
@@ -26,6 +26,11 @@
     /** Failures in a row after which an upstream is paused; one alone may be a lost packet. */
     private static final int FAILURES_BEFORE_PAUSE = 2;
 
+    /**
+     * The longest pause that an upstream may ask for: a mistaken one must not take it out for good.
+     */
+    private static final long MAX_ASKED_PAUSE_MS = 600_000;
+
     private static final double LATENCY_WEIGHT = 0.2;
 
     /** Prompt tokens that an engine reads in a millisecond, about, on the installations at hand. */
@@ -38,6 +43,7 @@
     private long mUnreadTokens;
     private int mFailuresInRow;
     private long mPausedUntilMs = Long.MIN_VALUE;
+    private long mAskedPauseUntilMs;
     private double mGood;
     private double mBad;
     private long mEvidenceAtMs;
@@ -97,7 +103,24 @@
 
     /** Returns whether it may take new requests at all. */
     public boolean usable(long nowMs) {
-        return !mLeaving && !gone(nowMs);
+        return !mLeaving && !gone(nowMs) && askedPauseLeftMs(nowMs) == 0;
+    }
+
+    /**
+     * Takes the word of the upstream that it wants nothing from this VM for a time. Unlike a pause
+     * after failures, it ends by time alone.
+     *
+     * @param nowMs the present time in milliseconds
+     * @param pauseMs for how long, in milliseconds
+     */
+    public void onPauseAsked(long nowMs, long pauseMs) {
+        long untilMs = nowMs + Math.min(pauseMs, MAX_ASKED_PAUSE_MS);
+        mAskedPauseUntilMs = Math.max(mAskedPauseUntilMs, untilMs);
+    }
+
+    /** Returns for how long it still wants nothing from this VM, in milliseconds. */
+    long askedPauseLeftMs(long nowMs) {
+        return Math.max(0, mAskedPauseUntilMs - nowMs);
     }
 
     /** Returns whether it is left alone for a while after failures. */
--- a/router/src/main/java/org/hornbeampass/router/relay/AnswerHead.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/AnswerHead.java
@@ -1,5 +1,7 @@
 package org.hornbeampass.router.relay;
 
+import java.util.OptionalLong;
+
 /**
  * What the head of an upstream's answer says of the request, and of the upstream itself.
  *
@@ -7,5 +9,7 @@
  *
  * @param kind what became of the request
  * @param leaving whether the upstream says that it leaves
+ * @param pauseMs for how long the upstream wants nothing from this VM, in milliseconds, where it
+ *     says so
  */
-public record AnswerHead(AnswerClass kind, boolean leaving) {}
+public record AnswerHead(AnswerClass kind, boolean leaving, OptionalLong pauseMs) {}
--- a/router/src/main/java/org/hornbeampass/router/relay/RelayAttempts.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/RelayAttempts.java
@@ -16,6 +16,7 @@
 
 import java.util.HashSet;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 
 /**
@@ -73,7 +74,7 @@
         Optional<UpstreamChoice> chosen =
                 mParts.board().choose(nowMs, mPlan.service(), mPlan.head().prompt(), mTried);
         if (chosen.isEmpty()) {
-            giveUp(nowMs, "no upstream takes requests now");
+            giveUpWithoutUpstream(nowMs);
             return;
         }
         if (mCounts.sentBefore() && !mParts.takeRetry(nowMs, mPlan.service().name())) {
@@ -417,6 +418,15 @@
         }
     }
 
+    private void giveUpWithoutUpstream(long nowMs) {
+        OptionalLong pauseLeftMs = mParts.board().pauseLeftMs(nowMs, mPlan.service().name());
+        if (pauseLeftMs.isPresent() && !mHeadSent && !mCounts.mayHaveRun()) {
+            fail(nowMs, RelayCall.upstreamsPause(pauseLeftMs.getAsLong()));
+        } else {
+            giveUp(nowMs, "no upstream takes requests now");
+        }
+    }
+
     private void giveUp(long nowMs, String why) {
         if (mHeadSent) {
             breakOff(nowMs, why);
--- a/router/src/main/java/org/hornbeampass/router/relay/RelayCall.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/RelayCall.java
@@ -381,6 +381,14 @@
         return Failure.retryAfter(ErrorKind.NO_UPSTREAM, why, ROOM_RETRY_MS);
     }
 
+    /**
+     * Returns the answer where all upstreams have asked for a pause, to a request that did not run.
+     */
+    static Failure upstreamsPause(long pauseLeftMs) {
+        return Failure.retryAfter(
+                ErrorKind.NO_UPSTREAM, "all upstreams have asked for a pause", pauseLeftMs);
+    }
+
     @Override
     public void onCallerGone(long nowMs) {
         if (mEnded) {
--- a/router/src/main/java/org/hornbeampass/router/relay/UpstreamWord.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/UpstreamWord.java
@@ -22,6 +22,14 @@
         if (answer.kind() == AnswerClass.ANOTHER_UPSTREAM) {
             return;
         }
+        if (answer.pauseMs().isPresent()) {
+            long pauseMs = answer.pauseMs().getAsLong();
+            upstream.onPauseAsked(nowMs, pauseMs);
+            mLog.believes(
+                    nowMs,
+                    "upstream-pauses",
+                    new LogFields().add("upstream", upstream.id()).add("pause_ms", pauseMs));
+        }
         if (answer.leaving() && mLeaving.onAnswer(nowMs, upstream)) {
             mLog.believes(
                     nowMs,
