Watch the store anew once it answers again

What callers saw, in a soak: streams refused for as long as the soak lasted, though engines had come back and said so in the store.

Cause: the answers to the watches of all VMs were lost while the store was disturbed; other calls worked again a second later, but a watch waits 25 s, and a VM that misses a change hears of it only from one that has seen it. Class: a loss that is noted for one call, while another that it also hit goes on waiting.

Change: when the store answers again after a loss, both views give up the watches that wait and watch again from the version that they have, every two seconds at most; that costs two calls and no bytes where nothing changed.

StoreViewsTest and ObservedStoreTest have a test each.

--- a/coordination/src/main/java/org/hornbeampass/coordination/platform/WatchedView.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/platform/WatchedView.java
@@ -199,6 +199,23 @@
         tick(nowMs);
     }
 
+    /**
+     * Gives up a watch of which nothing has come, and watches again from the same version: for a
+     * watch whose answer may be lost. Does nothing where no watch waits.
+     *
+     * @param nowMs the present time in milliseconds
+     */
+    public void watchAnew(long nowMs) {
+        synchronized (mLock) {
+            if (mStopped || !mOpen || mListNext || receiving(nowMs)) {
+                return;
+            }
+            mOpen = false;
+            mCallNumber++;
+        }
+        tick(nowMs);
+    }
+
     /** Stops: no further call is made, and replies still to come are ignored. */
     public void stop() {
         synchronized (mLock) {
--- a/router/src/main/java/org/hornbeampass/router/daemon/ObservedStore.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/ObservedStore.java
@@ -14,6 +14,7 @@
 import java.util.Locale;
 import java.util.Set;
 import java.util.function.BiConsumer;
+import java.util.function.LongConsumer;
 
 /**
  * The store, with its calls counted by kind and result, and a log line when it is lost or regained.
@@ -35,6 +36,7 @@
     private final RelayLog mLog;
     private final MetricRegistry mMetrics;
     private final Set<OpenCall> mOpen = new LinkedHashSet<>();
+    private LongConsumer mOnRegained = nowMs -> {};
     private boolean mLost;
     private long mLostAtMs;
     private long mAnsweredMs;
@@ -69,6 +71,11 @@
         }
     }
 
+    /** Names who hears, with the time in milliseconds, that the store answers again. */
+    void onRegained(LongConsumer listener) {
+        mOnRegained = listener;
+    }
+
     @Override
     public void submit(long nowMs, PlatformCall call, BiConsumer<Long, PlatformReply> done) {
         submit(nowMs, call, AnswerProgress.IGNORED, done);
@@ -148,6 +155,7 @@
         }
         mLost = false;
         mLog.believes(nowMs, "store-regained", new LogFields().add("lost_ms", nowMs - mLostAtMs));
+        mOnRegained.accept(nowMs);
     }
 
     /** Looks for calls that hang. */
--- a/router/src/main/java/org/hornbeampass/router/daemon/RelayDaemon.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/RelayDaemon.java
@@ -214,6 +214,7 @@
     }
 
     private void register() {
+        mStore.onRegained(mViews::onStoreRegained);
         registerPeers();
         registerMetrics();
     }
--- a/router/src/main/java/org/hornbeampass/router/daemon/StoreViews.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/StoreViews.java
@@ -36,6 +36,9 @@
     /** Waits after failed calls: several a second would be charged, ten seconds would be late. */
     private static final RetryPolicy BACKOFF = new RetryPolicy(150, 700, Integer.MAX_VALUE);
 
+    /** How often watches are begun anew at most where the store comes and goes, in milliseconds. */
+    private static final long WATCH_ANEW_MS = 2_000;
+
     private final Platform mStore;
     private final Random mRandom;
     private final WatchedView mConfig;
@@ -43,6 +46,8 @@
     private final NewsExchange mNews;
     private final RevisionNews mConfigNews;
     private final RevisionNews mUpstreamsNews;
+    private long mWatchAnewAtMs = Long.MAX_VALUE;
+    private long mWatchedAnewMs;
 
     /**
      * Makes the views; nothing is asked before the first {@link #tick}.
@@ -146,6 +151,24 @@
                 || mConfig.failingForMs(nowMs) >= NewsExchange.SILENCE_MS;
     }
 
+    /**
+     * Watches anew, since the answers to the watches that were waiting may be among those that were
+     * lost. Where all VMs lost them, none hears of a change from another.
+     */
+    void onStoreRegained(long nowMs) {
+        mWatchAnewAtMs = Math.max(nowMs, mWatchedAnewMs + WATCH_ANEW_MS);
+    }
+
+    private void watchAnew(long nowMs) {
+        if (nowMs < mWatchAnewAtMs) {
+            return;
+        }
+        mWatchAnewAtMs = Long.MAX_VALUE;
+        mWatchedAnewMs = nowMs;
+        mConfig.watchAnew(nowMs);
+        mUpstreams.watchAnew(nowMs);
+    }
+
     /** Returns what answers other VMs' questions. */
     NewsExchange news() {
         return mNews;
@@ -163,6 +186,7 @@
 
     /** Does what is due. */
     void tick(long nowMs) {
+        watchAnew(nowMs);
         mConfig.tick(nowMs);
         mUpstreams.tick(nowMs);
         mNews.tick(nowMs);
--- a/router/src/test/java/org/hornbeampass/router/daemon/ObservedStoreTest.java
+++ b/router/src/test/java/org/hornbeampass/router/daemon/ObservedStoreTest.java
@@ -13,7 +13,9 @@
 
 import java.time.Duration;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Deque;
+import java.util.List;
 import java.util.function.BiConsumer;
 
 /** Checks that a lost store is told once, with its return. */
@@ -87,6 +89,22 @@
         assertThat(lines("store-regained")).isEqualTo(1);
     }
 
+    @Test
+    void answerAfterALoss_isToldOnce() {
+        List<Long> regained = new ArrayList<>();
+        mStore.onRegained(regained::add);
+        call(GET, 0);
+        reply(5, new PlatformReply.Missing());
+        assertThat(regained).isEmpty();
+        call(GET, 100);
+        reply(200, new PlatformReply.Unavailable("no answer"));
+        for (long atMs = 300; atMs < 600; atMs += 100) {
+            call(GET, atMs);
+            reply(atMs + 5, new PlatformReply.Missing());
+        }
+        assertThat(regained).containsExactly(305L);
+    }
+
     @Test
     void watchThatWaits_isNoLoss() {
         call(WATCH, 0);
--- a/router/src/test/java/org/hornbeampass/router/daemon/StoreViewsTest.java
+++ b/router/src/test/java/org/hornbeampass/router/daemon/StoreViewsTest.java
@@ -137,6 +137,22 @@
         assertThat(mConfigs).containsExactly("1", "2");
     }
 
+    @Test
+    void changeWhileAllVmsLostTheStoresAnswers_isSeenOnceItAnswersAgain() {
+        write(CONFIG, "1", 0);
+        run(0, 500);
+        mConfigWatchIsSilent = true;
+        run(500, 26_000);
+        mStore.expireWatches(26_000); // The next watch is silent.
+        run(26_000, 26_500);
+        write(CONFIG, "2", 1);
+        mConfigWatchIsSilent = false;
+        mViews.onStoreRegained(28_000);
+        run(28_000, 29_000);
+        assertThat(mConfigs).containsExactly("1", "2");
+        assertThat(mAsked).isEmpty();
+    }
+
     private void hear(long nowMs, long configRevision, long upstreamsRevision) {
         mViews.onRevisionHeard(nowMs, PEER, configRevision);
         mViews.onUpstreamsRevisionHeard(nowMs, PEER, upstreamsRevision);
