--- a/coordination/src/main/java/org/hornbeampass/coordination/quarantine/Quarantine.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/quarantine/Quarantine.java
@@ -19,10 +19,9 @@
 /**
  * Keeps requests that crash upstreams from running again, anywhere in the fleet.
  *
- * <p>What a VM finds out it tells the others along the paths of the load reports, twice, since a
- * message may be lost; quarantines are told again and again, so that a VM that starts or was cut
- * off hears of them, and are kept in the platform's store. Nothing is sent where no upstream
- * crashed. Invariant: each item that is new here is passed on once. Confined to one thread.
+ * <p>What a VM finds out it tells the others along the paths of the load reports. Quarantines are
+ * told again and again, so that a VM that starts or was cut off hears of them, and are kept in the
+ * platform's store. Nothing is sent where no upstream crashed. Confined to one thread.
  */
 public final class Quarantine {
     /** How many requests one message tells of at most. */
--- a/coordination/src/main/java/org/hornbeampass/coordination/quarantine/QuarantineRecords.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/quarantine/QuarantineRecords.java
@@ -91,8 +91,8 @@
             return;
         }
         List<SuspectReport.Item> quarantined = mTable.quarantined(nowMs);
-        boolean watches = mKeeper.getAsBoolean() && (mAnyStored || !quarantined.isEmpty());
-        if (!mRead || (watches && nowMs >= mNextReadMs)) {
+        boolean any = mAnyStored || !quarantined.isEmpty();
+        if (!mRead || (any && nowMs >= mNextReadMs && mKeeper.getAsBoolean())) {
             mFound.clear();
             mRecordedBefore = recorded(quarantined);
             read(nowMs, "");
