Let no answer without a length clear a request that crashes upstreams

What callers saw: nothing yet; found by reading the mend of crashing requests.

Cause: an answer that states no length ends with its connection, also where its upstream crashes then. It passed for a whole answer, and cleared the request of the crashes before.

Change: such an end clears nothing and is looked at like a broken connection: one new connection tells whether anybody still listens.

Result: CrashingRequestTest#crashBehindAnAnswerWithoutLength failed with 12 of 12 upstreams crashed, and passes with 3.

--- a/router/src/main/java/org/hornbeampass/router/relay/CrashHistory.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/CrashHistory.java
@@ -1,5 +1,8 @@
 package org.hornbeampass.router.relay;
 
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpUtil;
+
 import org.hornbeampass.coordination.quarantine.RequestDigest;
 import org.hornbeampass.coordination.quarantine.RequestStanding;
 import org.hornbeampass.coordination.service.UpstreamInstance;
@@ -12,6 +15,7 @@
 final class CrashHistory {
     private final RelayParts mParts;
     private final RequestIdentity mIdentity;
+    private boolean mTellsItsEnd;
 
     CrashHistory(RelayParts parts, RequestIdentity identity) {
         mParts = parts;
@@ -43,9 +47,20 @@
         return before;
     }
 
-    /** Takes the whole answer of an upstream, which clears the request. */
-    void onAnswered(long nowMs) {
-        if (standing() != RequestStanding.UNSUSPECTED) {
+    /** Takes the head of an answer to the request. */
+    void onHead(HttpResponse head) {
+        mTellsItsEnd =
+                HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head);
+    }
+
+    /**
+     * Takes the whole answer of an upstream, which clears the request. Where the answer does not
+     * tell its end, the end of the connection may be a crash.
+     */
+    void onAnswered(long nowMs, UpstreamInstance instance) {
+        if (!mTellsItsEnd) {
+            mParts.crashes().onBroken(nowMs, instance, digest());
+        } else if (standing() != RequestStanding.UNSUSPECTED) {
             mParts.quarantine().clear(nowMs, digest());
         }
     }
--- a/router/src/main/java/org/hornbeampass/router/relay/RelayAttempts.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/RelayAttempts.java
@@ -210,6 +210,7 @@
 
     private void onRun(long nowMs, HttpResponse head, AnswerClass answer) {
         UpstreamInstance instance = mUse.orElseThrow().instance();
+        mCrashes.onHead(head);
         if (answer == AnswerClass.FAILED) {
             instance.onBad(nowMs);
             if (mayRunAgain() && !mHeadSent) {
@@ -305,9 +306,9 @@
         }
         mUse.orElseThrow().onAnswering(nowMs, mSentMs);
         mConnection = Optional.empty();
+        mCrashes.onAnswered(nowMs, mUse.orElseThrow().instance());
         leaveInstance();
         mSilence.stop();
-        mCrashes.onAnswered(nowMs);
         if (mCall.callerGone()) {
             releaseAnswer();
             mCall.end(nowMs, "caller-gone", usedTokens());
