Log who told of a leaving upstream, and name what carries it by the field's words

Cause: read as a newcomer would. A VM that was told by another logged nothing; a class was called by the words of an upstream, and comments spoke in figures of speech.

--- a/coordination/src/main/java/org/hornbeampass/coordination/quarantine/SuspectTable.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/quarantine/SuspectTable.java
@@ -15,11 +15,12 @@
 /**
  * The requests during which upstreams crashed, and the verdict on each.
  *
- * <p>With an upstream fall all requests that it runs, and all of them come again. What tells the
- * one that causes it from the others: a whole answer anywhere clears a request of all crashes
- * before it; and a crash under a quarantined request that has more of them counts little against
- * the others. Invariants: a verdict rests on different incarnations of upstreams alone, never on
- * how often one crash was told; the table is bounded. Confined to one thread.
+ * <p>A crash interrupts all requests that the upstream runs, and callers repeat all of them. Two
+ * rules keep the others from being taken for the one that causes crashes: a whole answer anywhere
+ * clears a request of all crashes before it; and a crash that a quarantined request with more
+ * crashes explains counts little against the others. Invariants: a verdict rests on different
+ * incarnations of upstreams alone, never on how often one crash was told; the table is bounded.
+ * Confined to one thread.
  */
 public final class SuspectTable {
     /** How many upstreams must crash under a request before it is kept from the others. */
@@ -40,7 +41,7 @@
      */
     private static final long END_TOLERANCE_MS = 1_000;
 
-    /** How many requests are kept; some hundred fall with one upstream. */
+    /** How many requests are kept; an upstream that crashes may have run some hundred. */
     static final int MAX_SUSPECTS = 4_096;
 
     /**
--- a/coordination/src/main/java/org/hornbeampass/coordination/service/LeavingExchange.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/service/LeavingExchange.java
@@ -9,14 +9,17 @@
 import java.util.function.Supplier;
 
 /**
- * Takes the word of upstreams that they leave, and passes it on to the other VMs.
+ * Takes upstreams out of use whose answers say that they leave, and tells the other VMs.
  *
- * <p>Their entries say it too, but not while the platform can't be reached. The word is told until
- * the entry says it or the upstream is gone, so that a VM that starts meanwhile hears of it.
- * Confined to one thread.
+ * <p>Their entries say it too, but not while the platform can't be reached. It is told until the
+ * entry says it or the upstream is gone, so that a VM that starts meanwhile hears of it. Confined
+ * to one thread.
  */
 public final class LeavingExchange {
+    private static final String ANSWER = "";
+
     private final UpstreamBoard mBoard;
+    private final LeavingListener mListener;
     private final RelayedNews<UpstreamIncarnation> mNews;
 
     /**
@@ -25,9 +28,15 @@
      * @param board takes the upstreams out of use
      * @param peers sends messages to other VMs
      * @param paths gives whom to tell now
+     * @param listener hears of upstreams that leave
      */
-    public LeavingExchange(UpstreamBoard board, PeerNetwork peers, Supplier<LoadPaths> paths) {
+    public LeavingExchange(
+            UpstreamBoard board,
+            PeerNetwork peers,
+            Supplier<LoadPaths> paths,
+            LeavingListener listener) {
         mBoard = board;
+        mListener = listener;
         mNews =
                 new RelayedNews<>(
                         paths,
@@ -37,20 +46,26 @@
                         });
     }
 
-    /** Takes the word of an upstream; returns whether it is new here. */
-    public boolean onAnswer(long nowMs, UpstreamInstance upstream) {
-        boolean isNew = mBoard.onLeaving(nowMs, upstream.incarnation());
-        if (isNew) {
+    /** Handles an answer that says that its upstream leaves. */
+    public void onAnswer(long nowMs, UpstreamInstance upstream) {
+        if (learn(nowMs, upstream.incarnation(), ANSWER)) {
             mNews.add(upstream.incarnation());
         }
-        return isNew;
     }
 
     /** Takes what another VM was told. */
     public void onReport(long nowMs, VmId from, LeavingReport report, Consumer<PeerMessage> reply) {
-        List<UpstreamIncarnation> isNew =
-                report.upstreams().stream().filter(u -> mBoard.onLeaving(nowMs, u)).toList();
-        mNews.onTold(from.name(), isNew);
+        List<UpstreamIncarnation> learnt =
+                report.upstreams().stream().filter(u -> learn(nowMs, u, from.name())).toList();
+        mNews.onTold(from.name(), learnt);
+    }
+
+    private boolean learn(long nowMs, UpstreamIncarnation upstream, String toldBy) {
+        boolean isNew = mBoard.onLeaving(nowMs, upstream);
+        if (isNew) {
+            mListener.onLeaving(nowMs, upstream, toldBy);
+        }
+        return isNew;
     }
 
     /** Tells the other VMs. */
--- a/coordination/src/main/java/org/hornbeampass/coordination/service/UpstreamBoard.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/service/UpstreamBoard.java
@@ -151,7 +151,7 @@
     }
 
     /**
-     * Takes the word of an upstream's answer that it leaves, from here or from another VM.
+     * Marks an upstream as leaving, since an answer to this or another VM said so.
      *
      * @param nowMs the present time in milliseconds
      * @param upstream the incarnation, which may not be listed here yet
--- a/coordination/src/main/java/org/hornbeampass/coordination/service/UpstreamInstance.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/service/UpstreamInstance.java
@@ -91,7 +91,7 @@
         return UpstreamIncarnation.of(mEntry);
     }
 
-    /** Takes the word that it leaves. */
+    /** Takes it out of use for new requests, for good. */
     void markLeaving() {
         mLeaving = true;
     }
@@ -107,8 +107,8 @@
     }
 
     /**
-     * Takes the word of the upstream that it wants nothing from this VM for a time. Unlike a pause
-     * after failures, it ends by time alone.
+     * Sends no new requests for a time, since the upstream asked for that. Unlike a pause after
+     * failures, this one ends by time alone.
      *
      * @param nowMs the present time in milliseconds
      * @param pauseMs for how long, in milliseconds
--- a/coordination/src/test/java/org/hornbeampass/coordination/quarantine/CrashingRequestModel.java
+++ b/coordination/src/test/java/org/hornbeampass/coordination/quarantine/CrashingRequestModel.java
@@ -10,8 +10,8 @@
  * Callers, some of whose requests crash the upstreams that run them, and the verdicts on all of
  * them, in virtual time.
  *
- * <p>An upstream runs many requests at once; they all fall with it and come again, up to a bound. A
- * crashed upstream is back after a time. Not thread-safe.
+ * <p>An upstream runs many requests at once; a crash interrupts them all, and they are sent again,
+ * up to a bound. A crashed upstream is back after a time. Not thread-safe.
  */
 final class CrashingRequestModel {
     private static final int UPSTREAMS = 6;
--- a/coordination/src/test/java/org/hornbeampass/coordination/service/LeavingExchangeTest.java
+++ b/coordination/src/test/java/org/hornbeampass/coordination/service/LeavingExchangeTest.java
@@ -37,6 +37,7 @@
     private final Map<String, UpstreamBoard> mBoards = new HashMap<>();
     private final Map<String, LeavingExchange> mExchanges = new HashMap<>();
     private final List<Member> mMembers = new ArrayList<>();
+    private final Map<String, String> mToldBy = new HashMap<>();
     private int mMessages;
     private long mNowMs = 1_000;
 
@@ -86,7 +87,10 @@
         mExchanges.put(
                 self.name(),
                 new LeavingExchange(
-                        board, new Peers(self.vm()), () -> LoadPaths.choose(self, mMembers)));
+                        board,
+                        new Peers(self.vm()),
+                        () -> LoadPaths.choose(self, mMembers),
+                        (nowMs, upstream, toldBy) -> mToldBy.put(self.name(), toldBy)));
         show(self.name(), entry("i-1", 100, false));
         show(self.name(), entry("i-2", 100, false));
     }
@@ -127,6 +131,7 @@
         for (String vm : mBoards.keySet()) {
             assertThat(choose(vm, "i-2")).isEmpty();
             assertThat(choose(vm, "i-1")).isPresent();
+            assertThat(mToldBy.get(vm).isEmpty()).isEqualTo(vm.equals("vm-3"));
         }
     }
 
--- a/router/src/main/java/org/hornbeampass/router/daemon/RelayDaemon.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/RelayDaemon.java
@@ -25,6 +25,8 @@
 import org.hornbeampass.coordination.service.LeavingReport;
 import org.hornbeampass.coordination.service.LoadExchange;
 import org.hornbeampass.coordination.service.UpstreamBoard;
+import org.hornbeampass.coordination.service.UpstreamIncarnation;
+import org.hornbeampass.router.relay.LogFields;
 import org.hornbeampass.router.relay.RelayHandler;
 import org.hornbeampass.router.relay.RelayLog;
 import org.hornbeampass.router.relay.RelayParts;
@@ -116,7 +118,7 @@
         mBudgets = budgets(ip);
         mBudgetMetrics = new BudgetMetrics(mMetrics, mBudgets);
         mLoads = new LoadExchange(mBoard, mPeers, mFleet::loadPaths);
-        mLeaving = new LeavingExchange(mBoard, mPeers, mFleet::loadPaths);
+        mLeaving = new LeavingExchange(mBoard, mPeers, mFleet::loadPaths, this::onUpstreamLeaving);
         mLoans = new EscrowLoans(mBudgets, mPeers, mFleet.homes(), mRandom);
         mPool = new UpstreamPool(mLoops, mClock);
         mQuarantine = quarantine();
@@ -203,6 +205,16 @@
                 new GrantLog(mLog));
     }
 
+    private void onUpstreamLeaving(long nowMs, UpstreamIncarnation upstream, String toldBy) {
+        mLog.believes(
+                nowMs,
+                "upstream-leaving",
+                new LogFields()
+                        .add("upstream", upstream.upstream())
+                        .add("born_ms", upstream.bornMs())
+                        .add("told_by", toldBy));
+    }
+
     private Quarantine quarantine() {
         return new Quarantine(
                 mStore,
--- a/router/src/main/java/org/hornbeampass/router/relay/CrashDetector.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/CrashDetector.java
@@ -74,7 +74,7 @@
     }
 
     /**
-     * Takes the word of the platform that an upstream has started again while a request was in
+     * Records a crash of an upstream whose entry tells a later start while a request was in
      * progress there.
      */
     void onStartedAgain(long nowMs, UpstreamInstance instance, RequestDigest digest) {
--- a/router/src/main/java/org/hornbeampass/router/relay/CrashHistory.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/CrashHistory.java
@@ -38,9 +38,7 @@
         return before;
     }
 
-    /**
-     * Takes the word that the request's upstream has started again; returns the verdict before it.
-     */
+    /** Records that the request's upstream has started again; returns the verdict before it. */
     RequestStanding onStartedAgain(long nowMs, UpstreamInstance instance) {
         RequestStanding before = standing();
         mParts.crashes().onStartedAgain(nowMs, instance, digest());
--- a/router/src/main/java/org/hornbeampass/router/relay/RelayAttempts.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/RelayAttempts.java
@@ -169,7 +169,7 @@
     @Override
     public boolean onHead(long nowMs, HttpResponse head) {
         AnswerHead said = mParts.wire().readAnswer(head, mPlan.head().id());
-        mParts.upstreamWord().onAnswer(nowMs, mUse.orElseThrow().instance(), said);
+        mParts.upstreamSignals().onAnswer(nowMs, mUse.orElseThrow().instance(), said);
         AnswerClass answer = said.kind();
         if (answer == AnswerClass.UNRELATED) {
             decided(nowMs, "unrelated-answer", mUse.get().fields());
--- a/router/src/main/java/org/hornbeampass/router/relay/RelayParts.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/RelayParts.java
@@ -35,7 +35,7 @@
     private final CrashDetector mCrashes;
     private final RequestHasher mHasher;
     private final Quarantine mQuarantine;
-    private final UpstreamWord mUpstreamWord;
+    private final UpstreamSignals mUpstreamSignals;
     private final EscrowBook mBudgets;
     private final EscrowLoans mLoans;
     private final RelayLog mLog;
@@ -74,7 +74,7 @@
         mPool = pool;
         mCrashes = new CrashDetector(pool, clock, log, quarantine);
         mQuarantine = quarantine;
-        mUpstreamWord = new UpstreamWord(leaving, log);
+        mUpstreamSignals = new UpstreamSignals(leaving, log);
         mHasher = hasher;
         mBudgets = budgets;
         mLoans = loans;
@@ -115,8 +115,8 @@
         return mHasher;
     }
 
-    UpstreamWord upstreamWord() {
-        return mUpstreamWord;
+    UpstreamSignals upstreamSignals() {
+        return mUpstreamSignals;
     }
 
     Quarantine quarantine() {
--- a/router/src/main/java/org/hornbeampass/router/relay/UpstreamWord.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/UpstreamSignals.java
@@ -8,11 +8,11 @@
  *
  * <p>Confined to one event loop.
  */
-final class UpstreamWord {
+final class UpstreamSignals {
     private final LeavingExchange mLeaving;
     private final RelayLog mLog;
 
-    UpstreamWord(LeavingExchange leaving, RelayLog log) {
+    UpstreamSignals(LeavingExchange leaving, RelayLog log) {
         mLeaving = leaving;
         mLog = log;
     }
@@ -30,13 +30,8 @@
                     "upstream-pauses",
                     new LogFields().add("upstream", upstream.id()).add("pause_ms", pauseMs));
         }
-        if (answer.leaving() && mLeaving.onAnswer(nowMs, upstream)) {
-            mLog.believes(
-                    nowMs,
-                    "upstream-leaving",
-                    new LogFields()
-                            .add("upstream", upstream.id())
-                            .add("born_ms", upstream.incarnation().bornMs()));
+        if (answer.leaving()) {
+            mLeaving.onAnswer(nowMs, upstream);
         }
     }
 }
