Let requests that were interrupted by the same crashes run once more

What callers saw, in a soak: every stream of an organisation refused as one that crashes upstreams, for as long as the soak lasted.

Cause: where a request ran beside the crashing one at each of three crashes, and was answered nowhere in between, nothing tells the two apart, and what would tell it, an answer, could not come any more. Class: a verdict that prevents the evidence against itself.

Change: the VM that keeps the records lets each of such requests run once more, 2 s after the verdict. An answer clears it; a fourth crash explains the crashes of the others.

--- a/coordination/src/main/java/org/hornbeampass/coordination/quarantine/Quarantine.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/quarantine/Quarantine.java
@@ -30,6 +30,7 @@
     private final SuspectTable mTable;
     private final QuarantineRecords mRecords;
     private final PeerNetwork mPeers;
+    private final BooleanSupplier mKeeper;
     private final RelayedNews<RequestDigest> mNews;
 
     /** The present time, for items that are told. */
@@ -41,7 +42,7 @@
      * @param platform the store that keeps it
      * @param peers sends messages to other VMs
      * @param paths gives whom to tell now
-     * @param keeper whether this VM is the one that writes to the store first
+     * @param keeper whether this VM is the one that writes to the store first, and allows trials
      * @param random spreads calls to the store
      * @param listener hears of verdicts
      */
@@ -55,6 +56,7 @@
         mTable = new SuspectTable(listener);
         mRecords = new QuarantineRecords(platform, mTable, listener, keeper, random, this::clear);
         mPeers = peers;
+        mKeeper = keeper;
         mNews = new RelayedNews<>(paths, this::tell);
     }
 
@@ -86,6 +88,14 @@
         }
     }
 
+    /**
+     * Returns whether a quarantined request is to run once more, to tell it from others that were
+     * interrupted by the same crashes. One VM of the fleet decides that, so that it runs once.
+     */
+    public boolean takeTrial(long nowMs, RequestDigest digest) {
+        return mKeeper.getAsBoolean() && mTable.takeTrial(nowMs, digest);
+    }
+
     /** Takes what another VM tells. */
     public void onReport(long nowMs, VmId from, SuspectReport report, Consumer<PeerMessage> reply) {
         mNews.onTold(from.name(), mTable.merge(nowMs, report.items()));
--- a/coordination/src/main/java/org/hornbeampass/coordination/quarantine/Suspect.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/quarantine/Suspect.java
@@ -23,6 +23,8 @@
     private final Set<UpstreamIncarnation> mCleared = new LinkedHashSet<>();
     private long mKeptUntilMs;
     private boolean mQuarantined;
+    private long mJudgedMs;
+    private boolean mTried;
     private boolean mRecorded;
 
     Suspect(RequestDigest digest) {
@@ -75,8 +77,21 @@
         return mQuarantined;
     }
 
-    void setQuarantined(boolean quarantined) {
+    void setQuarantined(long nowMs, boolean quarantined) {
         mQuarantined = quarantined;
+        mJudgedMs = nowMs;
+    }
+
+    /** Returns since when the verdict is what it is, in milliseconds. */
+    long judgedMs() {
+        return mJudgedMs;
+    }
+
+    /** Returns whether it was run once more to tell it from others; notes that it is. */
+    boolean takeTrial() {
+        boolean first = !mTried;
+        mTried = true;
+        return first;
     }
 
     boolean recorded() {
--- a/coordination/src/main/java/org/hornbeampass/coordination/quarantine/SuspectTable.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/quarantine/SuspectTable.java
@@ -4,6 +4,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -41,6 +42,9 @@
      */
     private static final long END_TOLERANCE_MS = 1_000;
 
+    /** How long after a verdict a trial may be, in milliseconds: all crashes are known by then. */
+    static final long TRIAL_AFTER_MS = 2_000;
+
     /** How many requests are kept; an upstream that crashes may have run some hundred. */
     static final int MAX_SUSPECTS = 4_096;
 
@@ -96,6 +100,27 @@
                 .orElse(0L);
     }
 
+    /**
+     * Returns whether a quarantined request is to run once more, which is then its only trial:
+     * where other quarantined requests were interrupted by the same crashes, one of them may cause
+     * none. An answer clears it; one more crash explains the crashes of the others.
+     */
+    boolean takeTrial(long nowMs, RequestDigest digest) {
+        Suspect suspect = mByDigest.get(digest);
+        return suspect != null
+                && suspect.quarantined()
+                && nowMs >= suspect.judgedMs() + TRIAL_AFTER_MS
+                && sharesCrashes(suspect)
+                && suspect.takeTrial();
+    }
+
+    private boolean sharesCrashes(Suspect suspect) {
+        Set<UpstreamIncarnation> open = suspect.open();
+        return mJudgeable.values().stream()
+                .filter(s -> s != suspect && s.quarantined())
+                .anyMatch(s -> !Collections.disjoint(s.open(), open));
+    }
+
     /** Returns what is known of the quarantined requests. */
     List<SuspectReport.Item> quarantined(long nowMs) {
         return mJudgeable.values().stream()
@@ -222,7 +247,7 @@
         if (quarantined == suspect.quarantined()) {
             return;
         }
-        suspect.setQuarantined(quarantined);
+        suspect.setQuarantined(nowMs, quarantined);
         if (quarantined) {
             mListener.onQuarantined(nowMs, suspect.digest(), suspect.crashes());
         } else {
--- a/coordination/src/test/java/org/hornbeampass/coordination/quarantine/QuarantineFleet.java
+++ b/coordination/src/test/java/org/hornbeampass/coordination/quarantine/QuarantineFleet.java
@@ -137,6 +137,13 @@
         return mByVm.get(vm).suspects().standing(request);
     }
 
+    /** Returns the VMs at which a quarantined request may run once more. */
+    List<String> takeTrials(RequestDigest request) {
+        return mByVm.keySet().stream()
+                .filter(vm -> mByVm.get(vm).takeTrial(mNowMs, request))
+                .toList();
+    }
+
     /** Returns how many VMs keep a request from upstreams. */
     long quarantinedAt(RequestDigest request) {
         return mByVm.values().stream()
--- a/coordination/src/test/java/org/hornbeampass/coordination/quarantine/QuarantineTest.java
+++ b/coordination/src/test/java/org/hornbeampass/coordination/quarantine/QuarantineTest.java
@@ -6,6 +6,8 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
+import java.util.List;
+
 /** Checks that a whole fleet keeps a request from upstreams, and lets it go, at the same time. */
 class QuarantineTest {
     /** Within this time, in milliseconds, all VMs that can be reached must know a verdict. */
@@ -13,6 +15,8 @@
 
     private static final RequestDigest CRASHING = new RequestDigest(1, 1);
 
+    private static final RequestDigest INNOCENT = new RequestDigest(2, 2);
+
     private static void crashThree(QuarantineFleet fleet) {
         fleet.crash("vm-1", "i-1", CRASHING);
         fleet.crash("vm-2", "i-2", CRASHING);
@@ -155,6 +159,48 @@
         assertThat(fleet.recorded(CRASHING)).isFalse();
     }
 
+    private static QuarantineFleet interruptedTogether(int vms) {
+        QuarantineFleet fleet = new QuarantineFleet(vms);
+        for (int i = 1; i <= 3; i++) {
+            fleet.crash("vm-" + i, "i-" + i, CRASHING, INNOCENT);
+        }
+        fleet.run(BOUND_MS);
+        assertThat(fleet.quarantinedAt(INNOCENT)).isEqualTo(vms);
+        return fleet;
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {3, 8, 95})
+    void requestThatAlwaysRanBesideACrashingOne_isClearedByItsTrial(int vms) {
+        QuarantineFleet fleet = interruptedTogether(vms + 1);
+        List<String> trials = fleet.takeTrials(INNOCENT);
+        assertThat(trials).hasSize(1);
+        fleet.answer(trials.get(0), INNOCENT);
+        fleet.run(1_000);
+        assertThat(fleet.quarantinedAt(INNOCENT)).isZero();
+        assertThat(fleet.quarantinedAt(CRASHING)).isEqualTo(vms + 1);
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {8, 95})
+    void trialOfTheCrashingRequest_releasesTheOthers(int vms) {
+        QuarantineFleet fleet = interruptedTogether(vms);
+        List<String> trials = fleet.takeTrials(CRASHING);
+        assertThat(trials).hasSize(1);
+        fleet.crash(trials.get(0), "i-4", CRASHING);
+        fleet.run(1_000);
+        assertThat(fleet.quarantinedAt(INNOCENT)).isZero();
+        assertThat(fleet.takeTrials(CRASHING)).isEmpty();
+    }
+
+    @Test
+    void requestThatCrashedAlone_getsNoTrial() {
+        QuarantineFleet fleet = new QuarantineFleet(8);
+        crashThree(fleet);
+        fleet.run(60_000);
+        assertThat(fleet.takeTrials(CRASHING)).isEmpty();
+    }
+
     @Test
     void callsToTheStore_dependOnVerdictsAndNotOnVms() {
         QuarantineFleet fleet = new QuarantineFleet(95);
--- a/router/src/main/java/org/hornbeampass/router/relay/CrashHistory.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/CrashHistory.java
@@ -16,6 +16,7 @@
     private final RelayParts mParts;
     private final RequestIdentity mIdentity;
     private boolean mTellsItsEnd;
+    private boolean mTrial;
 
     CrashHistory(RelayParts parts, RequestIdentity identity) {
         mParts = parts;
@@ -45,6 +46,22 @@
         return before;
     }
 
+    /** Returns whether the request may run, as one of a caller's or as a trial. */
+    boolean admit(long nowMs) {
+        mTrial = !standing().mayBeSent() && mParts.quarantine().takeTrial(nowMs, digest());
+        return mayBeSent();
+    }
+
+    /** Returns whether the request may go to an upstream as of now. */
+    boolean mayBeSent() {
+        return mTrial || standing().mayBeSent();
+    }
+
+    /** Returns whether it runs although it is quarantined. */
+    boolean trial() {
+        return mTrial;
+    }
+
     /** Takes the head of an answer to the request. */
     void onHead(HttpResponse head) {
         mTellsItsEnd =
--- a/router/src/main/java/org/hornbeampass/router/relay/RelayCall.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/RelayCall.java
@@ -218,10 +218,14 @@
         mAdmitting = true;
         CrashHistory crashes = new CrashHistory(mParts, identity());
         mCrashes = Optional.of(crashes);
-        if (!crashes.standing().mayBeSent()) {
+        if (!crashes.admit(nowMs)) {
             fail(nowMs, quarantined(nowMs, crashes.digest()));
             return;
         }
+        if (crashes.trial()) {
+            LogFields fields = new LogFields().add("digest", crashes.digest().toString());
+            mParts.log().decided(nowMs, mHead.id(), "quarantine-trial", fields);
+        }
         Admission admission = reserve(nowMs);
         if (admission != Admission.SHORT) {
             onAdmission(nowMs, admission);
