Cancel the watches that are given up

Cause: a view that watches anew, as it now does whenever the store answers again, only stopped listening to the watch before. That watch kept its connection for its 25 s, of 16 in all; a store that comes and goes would have taken them all in some 16 s, and each call that then finds none counts as another loss of the store. A view that is behind had the same fault before.

Change: a call to the platform can be given up, which closes its connection; both ways to replace a watch do so.

--- a/coordination/src/main/java/org/hornbeampass/coordination/platform/Platform.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/platform/Platform.java
@@ -26,12 +26,15 @@
      * @param call what to do
      * @param progress hears of each part of the answer, where the platform can tell
      * @param done as above
+     * @return gives the call up, where the platform can: what it holds is free again, and its
+     *     answer is not heard; a write may have taken effect
      */
-    default void submit(
+    default Runnable submit(
             long nowMs,
             PlatformCall call,
             AnswerProgress progress,
             BiConsumer<Long, PlatformReply> done) {
         submit(nowMs, call, done);
+        return () -> {};
     }
 }
--- a/coordination/src/main/java/org/hornbeampass/coordination/platform/WatchedView.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/platform/WatchedView.java
@@ -50,6 +50,7 @@
     private boolean mReady;
     private boolean mOpen;
     private long mCallNumber;
+    private Runnable mGiveUp = () -> {};
     private long mArrivedMs = NEVER;
     private boolean mStopped;
     private boolean mListNext = true;
@@ -188,15 +189,7 @@
      * @param nowMs the present time in milliseconds
      */
     public void refresh(long nowMs) {
-        synchronized (mLock) {
-            if (mStopped || !mOpen || mListNext || receiving(nowMs)) {
-                return;
-            }
-            mOpen = false;
-            mCallNumber++;
-            listAnew();
-        }
-        tick(nowMs);
+        replaceWatch(nowMs, true);
     }
 
     /**
@@ -206,13 +199,23 @@
      * @param nowMs the present time in milliseconds
      */
     public void watchAnew(long nowMs) {
+        replaceWatch(nowMs, false);
+    }
+
+    private void replaceWatch(long nowMs, boolean lists) {
+        Runnable giveUp;
         synchronized (mLock) {
             if (mStopped || !mOpen || mListNext || receiving(nowMs)) {
                 return;
             }
             mOpen = false;
             mCallNumber++;
+            giveUp = mGiveUp;
+            if (lists) {
+                listAnew();
+            }
         }
+        giveUp.run();
         tick(nowMs);
     }
 
@@ -240,11 +243,17 @@
             number = ++mCallNumber;
             call = nextCall();
         }
-        mPlatform.submit(
-                nowMs,
-                call,
-                (atMs, bytes) -> arriving(atMs, number),
-                (atMs, reply) -> replied(atMs, number, reply));
+        Runnable giveUp =
+                mPlatform.submit(
+                        nowMs,
+                        call,
+                        (atMs, bytes) -> arriving(atMs, number),
+                        (atMs, reply) -> replied(atMs, number, reply));
+        synchronized (mLock) {
+            if (number == mCallNumber) {
+                mGiveUp = giveUp;
+            }
+        }
     }
 
     private void arriving(long nowMs, long number) {
--- a/router/src/main/java/org/hornbeampass/router/daemon/ObservedStore.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/ObservedStore.java
@@ -78,29 +78,34 @@
 
     @Override
     public void submit(long nowMs, PlatformCall call, BiConsumer<Long, PlatformReply> done) {
-        submit(nowMs, call, AnswerProgress.IGNORED, done);
+        Runnable unused = submit(nowMs, call, AnswerProgress.IGNORED, done);
     }
 
     @Override
-    public void submit(
+    public Runnable submit(
             long nowMs,
             PlatformCall call,
             AnswerProgress progress,
             BiConsumer<Long, PlatformReply> done) {
         OpenCall open = new OpenCall(call, nowMs);
         mOpen.add(open);
-        mStore.submit(
-                nowMs,
-                call,
-                (t, bytes) -> {
-                    open.heard(t, bytes);
-                    progress.onBytes(t, bytes);
-                },
-                (t, reply) -> {
-                    mOpen.remove(open);
-                    note(t, open, reply);
-                    done.accept(t, reply);
-                });
+        Runnable giveUp =
+                mStore.submit(
+                        nowMs,
+                        call,
+                        (t, bytes) -> {
+                            open.heard(t, bytes);
+                            progress.onBytes(t, bytes);
+                        },
+                        (t, reply) -> {
+                            mOpen.remove(open);
+                            note(t, open, reply);
+                            done.accept(t, reply);
+                        });
+        return () -> {
+            mOpen.remove(open);
+            giveUp.run();
+        };
     }
 
     private void note(long nowMs, OpenCall open, PlatformReply reply) {
--- a/router/src/test/java/org/hornbeampass/router/daemon/ObservedStoreTest.java
+++ b/router/src/test/java/org/hornbeampass/router/daemon/ObservedStoreTest.java
@@ -26,6 +26,7 @@
 
     private final MetricRegistry mMetrics = new MetricRegistry();
     private final Deque<BiConsumer<Long, PlatformReply>> mOpen = new ArrayDeque<>();
+    private int mGivenUp;
     private final Deque<AnswerProgress> mProgress = new ArrayDeque<>();
     private final Platform mNever = new NeverAnswering();
     private final ObservedStore mStore =
@@ -39,13 +40,14 @@
         }
 
         @Override
-        public void submit(
+        public Runnable submit(
                 long nowMs,
                 PlatformCall call,
                 AnswerProgress progress,
                 BiConsumer<Long, PlatformReply> done) {
             mProgress.add(progress);
             mOpen.add(done);
+            return () -> mGivenUp++;
         }
     }
 
@@ -105,6 +107,14 @@
         assertThat(regained).containsExactly(305L);
     }
 
+    @Test
+    void callThatIsGivenUp_isGivenUpAtTheStoreAndHangsNoMore() {
+        mStore.submit(0, GET, AnswerProgress.IGNORED, (t, reply) -> {}).run();
+        assertThat(mGivenUp).isEqualTo(1);
+        mStore.tick(10_000);
+        assertThat(lines("store-lost")).isZero();
+    }
+
     @Test
     void watchThatWaits_isNoLoss() {
         call(WATCH, 0);
--- a/router/src/test/java/org/hornbeampass/router/daemon/ThinLinkFleet.java
+++ b/router/src/test/java/org/hornbeampass/router/daemon/ThinLinkFleet.java
@@ -229,11 +229,11 @@
             @Override
             public void submit(
                     long nowMs, PlatformCall call, BiConsumer<Long, PlatformReply> done) {
-                submit(nowMs, call, AnswerProgress.IGNORED, done);
+                Runnable unused = submit(nowMs, call, AnswerProgress.IGNORED, done);
             }
 
             @Override
-            public void submit(
+            public Runnable submit(
                     long nowMs,
                     PlatformCall call,
                     AnswerProgress progress,
@@ -241,12 +241,13 @@
                 mCalls++;
                 if (mCut) {
                     mTime.at(nowMs + CONNECT_TIMEOUT_MS, () -> lost(done));
-                    return;
+                    return () -> {};
                 }
                 AtomicBoolean open = new AtomicBoolean(true);
                 mOpenCalls.add(open);
                 mStore.submit(nowMs, call, (t, reply) -> answered(open, reply, progress, done));
                 watchForSilence(open, done);
+                return () -> open.set(false);
             }
         }
 
