Let verdicts on requests depend on crashes alone

Cause: whether a request explains the crashes of another depended on the verdict on itself at that moment, so on the order of judging: after a release the others kept their verdicts until something new came. And of one request 16 crashes were kept, cleared ones too: one that had been cleared often could not be suspected any more.

Change: a request with more open crashes explains those that it shares, whatever the verdict on it. Of many crashes the cleared ones are forgotten first; whether each is cleared is one map in place of two sets.

The test of news in any order now also asks that verdicts of two kinds came.

--- a/coordination/src/main/java/org/hornbeampass/coordination/quarantine/Quarantine.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/quarantine/Quarantine.java
@@ -89,9 +89,15 @@
     }
 
     /**
-     * Returns whether a quarantined request is to run once more, to tell it from others that were
-     * interrupted by the same crashes. One VM of the fleet decides that, so that it runs once.
+     * Returns whether a quarantined request may run here as a trial, to tell it from others that
+     * were interrupted by the same crashes. One VM of the fleet allows trials, as far as its VMs
+     * agree on their members.
      */
+    public boolean trialDue(long nowMs, RequestDigest digest) {
+        return mKeeper.getAsBoolean() && mTable.trialDue(nowMs, digest);
+    }
+
+    /** Counts a trial that is about to run; returns whether it may. */
     public boolean takeTrial(long nowMs, RequestDigest digest) {
         return mKeeper.getAsBoolean() && mTable.takeTrial(nowMs, digest);
     }
--- a/coordination/src/main/java/org/hornbeampass/coordination/quarantine/RequestDigest.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/quarantine/RequestDigest.java
@@ -14,7 +14,7 @@
  * @param content a keyed hash of the body
  */
 @JsonFormat(shape = JsonFormat.Shape.ARRAY)
-public record RequestDigest(long scope, long content) implements Comparable<RequestDigest> {
+public record RequestDigest(long scope, long content) {
     private static final HexFormat HEX = HexFormat.of();
     private static final int HALF_DIGITS = 2 * Long.BYTES;
 
@@ -31,12 +31,6 @@
                         HexFormat.fromHexDigitsToLong(text, HALF_DIGITS, text.length())));
     }
 
-    @Override
-    public int compareTo(RequestDigest other) {
-        int byScope = Long.compare(scope, other.scope);
-        return byScope != 0 ? byScope : Long.compare(content, other.content);
-    }
-
     /** Returns 32 hexadecimal digits, for logs and for keys of the store. */
     @Override
     public String toString() {
--- a/coordination/src/main/java/org/hornbeampass/coordination/quarantine/Suspect.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/quarantine/Suspect.java
@@ -3,29 +3,38 @@
 import org.hornbeampass.coordination.service.UpstreamIncarnation;
 
 import java.util.Collection;
-import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
+import java.util.stream.Collectors;
 
 /**
  * What is known of one request during which upstreams crashed.
  *
- * <p>Invariant: crashes, and those that it did not cause, are only ever added, up to a bound, so
- * that VMs that heard the same in another order know the same. Confined to one thread.
+ * <p>Invariants: a crash that is known to be cleared stays so; the number of crashes is bounded,
+ * and those that were cleared are forgotten first. Confined to one thread.
  */
 final class Suspect {
     /** How many crashes are kept: more than the verdict needs, so that requests can be compared. */
-    private static final int MAX_CRASHES = 16;
+    static final int MAX_CRASHES = 16;
+
+    /**
+     * How often a request runs to tell it from others; the first time may end without an answer.
+     */
+    private static final int MAX_TRIALS = 2;
 
     private final RequestDigest mDigest;
-    private final Set<UpstreamIncarnation> mCrashes = new LinkedHashSet<>();
-    private final Set<UpstreamIncarnation> mCleared = new LinkedHashSet<>();
+
+    /** Whether each crash is cleared, in the order in which the crashes became known here. */
+    private final Map<UpstreamIncarnation, Boolean> mClearedByCrash = new LinkedHashMap<>();
+
     private long mKeptUntilMs;
     private boolean mQuarantined;
-    private long mJudgedMs;
-    private boolean mTried;
     private boolean mRecorded;
+    private int mTrials;
+    private long mNextTrialMs = Long.MAX_VALUE;
 
     Suspect(RequestDigest digest) {
         mDigest = digest;
@@ -35,63 +44,79 @@
         return mDigest;
     }
 
-    /** Adds crashes and those that the request did not cause; returns whether any was new. */
+    /** Adds crashes, and those that the request did not cause; returns whether any was new. */
     boolean add(Collection<UpstreamIncarnation> crashes, Collection<UpstreamIncarnation> cleared) {
-        boolean anyCrash = addTo(mCrashes, crashes);
-        boolean anyCleared = addTo(mCleared, cleared);
-        return anyCrash || anyCleared;
-    }
-
-    private static boolean addTo(
-            Set<UpstreamIncarnation> known, Collection<UpstreamIncarnation> more) {
         boolean any = false;
-        for (UpstreamIncarnation each : more) {
-            any |= known.size() < MAX_CRASHES && known.add(each);
+        for (UpstreamIncarnation each : crashes) {
+            any |= !cleared.contains(each) && addOpen(each);
+        }
+        for (UpstreamIncarnation each : cleared) {
+            any |= addCleared(each);
         }
         return any;
     }
 
-    /** Clears the request of all crashes that are known. */
+    private boolean addOpen(UpstreamIncarnation crash) {
+        if (mClearedByCrash.containsKey(crash) || !makeRoom()) {
+            return false;
+        }
+        mClearedByCrash.put(crash, false);
+        return true;
+    }
+
+    private boolean addCleared(UpstreamIncarnation crash) {
+        boolean fits = mClearedByCrash.containsKey(crash) || mClearedByCrash.size() < MAX_CRASHES;
+        return fits && !Boolean.TRUE.equals(mClearedByCrash.put(crash, true));
+    }
+
+    /** Returns whether there is room for one more crash, for which an old cleared one may go. */
+    private boolean makeRoom() {
+        return mClearedByCrash.size() < MAX_CRASHES || mClearedByCrash.values().remove(true);
+    }
+
+    /** Clears the request of all crashes that are known; returns whether any was open. */
     boolean clear() {
-        return mCleared.addAll(mCrashes);
+        boolean any = mClearedByCrash.containsValue(false);
+        mClearedByCrash.replaceAll((crash, cleared) -> true);
+        return any;
     }
 
     /** Returns the crashes that it may have caused. */
     Set<UpstreamIncarnation> open() {
-        Set<UpstreamIncarnation> open = new HashSet<>(mCrashes);
-        open.removeAll(mCleared);
-        return open;
+        return crashes(false);
     }
 
-    /** Returns all crashes that are known, in the order in which they became known here. */
-    List<UpstreamIncarnation> crashes() {
-        return List.copyOf(mCrashes);
+    private Set<UpstreamIncarnation> crashes(boolean cleared) {
+        return mClearedByCrash.entrySet().stream()
+                .filter(e -> e.getValue() == cleared)
+                .map(Map.Entry::getKey)
+                .collect(Collectors.toCollection(LinkedHashSet::new));
     }
 
     /** Returns whether enough crashes are known for a verdict against it. */
     boolean judgeable() {
-        return mCrashes.size() >= SuspectTable.CRASHES_TO_QUARANTINE;
+        return mClearedByCrash.size() >= SuspectTable.CRASHES_TO_QUARANTINE;
     }
 
     boolean quarantined() {
         return mQuarantined;
     }
 
-    void setQuarantined(long nowMs, boolean quarantined) {
+    /** Takes a verdict; the first trial may be from a time in milliseconds on. */
+    void setQuarantined(boolean quarantined, long trialFromMs) {
         mQuarantined = quarantined;
-        mJudgedMs = nowMs;
+        mNextTrialMs = trialFromMs;
     }
 
-    /** Returns since when the verdict is what it is, in milliseconds. */
-    long judgedMs() {
-        return mJudgedMs;
+    /** Returns whether it may run to tell it from other requests. */
+    boolean trialDue(long nowMs) {
+        return mQuarantined && mTrials < MAX_TRIALS && nowMs >= mNextTrialMs;
     }
 
-    /** Returns whether it was run once more to tell it from others; notes that it is. */
-    boolean takeTrial() {
-        boolean first = !mTried;
-        mTried = true;
-        return first;
+    /** Counts a trial; the next one may be from a time in milliseconds on. */
+    void onTrial(long nextTrialMs) {
+        mTrials++;
+        mNextTrialMs = nextTrialMs;
     }
 
     boolean recorded() {
@@ -114,6 +139,10 @@
     SuspectReport.Item item(long nowMs) {
         long leftMs = mQuarantined ? Math.max(0, mKeptUntilMs - nowMs) : 0;
         return new SuspectReport.Item(
-                mDigest, List.copyOf(mCrashes), List.copyOf(mCleared), leftMs, mRecorded);
+                mDigest,
+                List.copyOf(mClearedByCrash.keySet()),
+                List.copyOf(crashes(true)),
+                leftMs,
+                mRecorded);
     }
 }
--- a/coordination/src/main/java/org/hornbeampass/coordination/quarantine/SuspectTable.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/quarantine/SuspectTable.java
@@ -18,23 +18,23 @@
  *
  * <p>A crash interrupts all requests that the upstream runs, and callers repeat all of them. Two
  * rules keep the others from being taken for the one that causes crashes: a whole answer anywhere
- * clears a request of all crashes before it; and a crash that a quarantined request with more
- * crashes explains counts little against the others. Invariants: a verdict rests on different
- * incarnations of upstreams alone, never on how often one crash was told; the table is bounded.
- * Confined to one thread.
+ * clears a request of all crashes before it; and a crash that also interrupted a request with more
+ * crashes counts little against one with fewer. Invariants: verdicts depend on which incarnations
+ * of upstreams crashed under which requests alone, not on the order or number of messages; the
+ * table is bounded. Confined to one thread.
  */
 public final class SuspectTable {
     /** How many upstreams must crash under a request before it is kept from the others. */
-    public static final int CRASHES_TO_QUARANTINE = 3;
+    static final int CRASHES_TO_QUARANTINE = 3;
 
     /**
-     * How much the crashes count, at most, that another quarantined request explains: one more that
+     * How much the crashes count, at most, that a request with more of them explains: one more that
      * it does not explain then decides.
      */
     private static final int EXPLAINED_COUNT = CRASHES_TO_QUARANTINE - 1;
 
     /** For how long a crash counts against a request, and a quarantine lasts, in milliseconds. */
-    public static final long KEPT_MS = 600_000;
+    static final long KEPT_MS = 600_000;
 
     /**
      * By how much the end of a quarantine must differ to be taken over, in milliseconds: the time
@@ -43,7 +43,10 @@
     private static final long END_TOLERANCE_MS = 1_000;
 
     /** How long after a verdict a trial may be, in milliseconds: all crashes are known by then. */
-    static final long TRIAL_AFTER_MS = 2_000;
+    private static final long TRIAL_AFTER_MS = 2_000;
+
+    /** How long after a trial that told nothing the next one may be, in milliseconds. */
+    private static final long TRIAL_AGAIN_MS = 10_000;
 
     /** How many requests are kept; an upstream that crashes may have run some hundred. */
     static final int MAX_SUSPECTS = 4_096;
@@ -101,17 +104,22 @@
     }
 
     /**
-     * Returns whether a quarantined request is to run once more, which is then its only trial:
-     * where other quarantined requests were interrupted by the same crashes, one of them may cause
-     * none. An answer clears it; one more crash explains the crashes of the others.
+     * Returns whether a quarantined request may run as a trial: where other quarantined requests
+     * were interrupted by the same crashes, one of them may cause none. An answer clears it; one
+     * more crash explains the crashes of the others.
      */
-    boolean takeTrial(long nowMs, RequestDigest digest) {
+    boolean trialDue(long nowMs, RequestDigest digest) {
         Suspect suspect = mByDigest.get(digest);
-        return suspect != null
-                && suspect.quarantined()
-                && nowMs >= suspect.judgedMs() + TRIAL_AFTER_MS
-                && sharesCrashes(suspect)
-                && suspect.takeTrial();
+        return suspect != null && suspect.trialDue(nowMs) && sharesCrashes(suspect);
+    }
+
+    /** Counts a trial where one is due; returns whether it is. */
+    boolean takeTrial(long nowMs, RequestDigest digest) {
+        boolean due = trialDue(nowMs, digest);
+        if (due) {
+            mByDigest.get(digest).onTrial(nowMs + TRIAL_AGAIN_MS);
+        }
+        return due;
     }
 
     private boolean sharesCrashes(Suspect suspect) {
@@ -234,7 +242,6 @@
             Suspect suspect = mByDigest.get(digest);
             if (suspect != null && suspect.judgeable()) {
                 mJudgeable.put(digest, suspect);
-                judge(nowMs, suspect);
             }
         }
         if (!changed.isEmpty()) {
@@ -247,9 +254,9 @@
         if (quarantined == suspect.quarantined()) {
             return;
         }
-        suspect.setQuarantined(nowMs, quarantined);
+        suspect.setQuarantined(quarantined, nowMs + TRIAL_AFTER_MS);
         if (quarantined) {
-            mListener.onQuarantined(nowMs, suspect.digest(), suspect.crashes());
+            mListener.onQuarantined(nowMs, suspect.digest(), List.copyOf(suspect.open()));
         } else {
             mListener.onReleased(nowMs, suspect.digest());
         }
@@ -263,11 +270,9 @@
         }
         Set<UpstreamIncarnation> unexplained = new HashSet<>(open);
         for (Suspect other : mJudgeable.values()) {
-            if (other.quarantined() && other != suspect) {
-                Set<UpstreamIncarnation> others = other.open();
-                if (others.size() > open.size()) {
-                    unexplained.removeAll(others);
-                }
+            Set<UpstreamIncarnation> others = other.open();
+            if (others.size() > open.size()) {
+                unexplained.removeAll(others);
             }
         }
         int explained = open.size() - unexplained.size();
--- a/coordination/src/main/java/org/hornbeampass/coordination/service/UpstreamIncarnation.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/service/UpstreamIncarnation.java
@@ -15,7 +15,7 @@
 @JsonFormat(shape = JsonFormat.Shape.ARRAY)
 public record UpstreamIncarnation(String upstream, long bornMs) {
     /** The start of an upstream that does not tell it. */
-    public static final long NOT_TOLD_MS = -1;
+    private static final long NOT_TOLD_MS = -1;
 
     /** Returns the incarnation that an entry is of. */
     static UpstreamIncarnation of(UpstreamEntry entry) {
--- a/coordination/src/test/java/org/hornbeampass/coordination/quarantine/SuspectTableTest.java
+++ b/coordination/src/test/java/org/hornbeampass/coordination/quarantine/SuspectTableTest.java
@@ -7,8 +7,10 @@
 
 import java.util.ArrayList;
 import java.util.Collections;
+import java.util.EnumSet;
 import java.util.List;
 import java.util.Random;
+import java.util.Set;
 
 /** Checks the verdicts on requests, and that the order of news does not matter to them. */
 class SuspectTableTest {
@@ -80,6 +82,7 @@
     void newsInAnyOrder_leadToTheSameVerdicts() {
         SuspectTable teller = table();
         List<SuspectReport.Item> news = new ArrayList<>();
+        Set<RequestStanding> standings = EnumSet.noneOf(RequestStanding.class);
         Random random = new Random(7);
         for (int i = 0; i < 60; i++) {
             RequestDigest digest = new RequestDigest(0, random.nextInt(8));
@@ -99,8 +102,49 @@
             for (int d = 0; d < 8; d++) {
                 RequestDigest digest = new RequestDigest(0, d);
                 assertThat(hearer.standing(digest)).isEqualTo(teller.standing(digest));
+                standings.add(teller.standing(digest));
             }
         }
+        assertThat(standings).contains(RequestStanding.SUSPECTED, RequestStanding.QUARANTINED);
+    }
+
+    /** Three requests, each of which was interrupted by the crashes of the next and one more. */
+    private static void assertMiddleExplainsSmallest(
+            RequestDigest smallest, RequestDigest middle, RequestDigest largest) {
+        SuspectTable table = table();
+        for (int i = 1; i <= 5; i++) {
+            table.onCrash(0, crash(i), List.of(largest));
+        }
+        for (int i = 1; i <= 4; i++) {
+            table.onCrash(0, crash(i), List.of(middle));
+        }
+        for (int i = 1; i <= 3; i++) {
+            table.onCrash(0, crash(i), List.of(smallest));
+        }
+        table.clear(0, largest);
+        assertThat(table.standing(middle)).isEqualTo(RequestStanding.QUARANTINED);
+        assertThat(table.standing(smallest)).isEqualTo(RequestStanding.SUSPECTED);
+    }
+
+    @Test
+    void verdicts_dependOnTheCrashesAloneAndNotOnTheOrderOfJudging() {
+        for (int i = 0; i < 50; i++) {
+            RequestDigest a = new RequestDigest(i, 1);
+            RequestDigest b = new RequestDigest(i, 2);
+            RequestDigest c = new RequestDigest(i, 3);
+            assertMiddleExplainsSmallest(a, b, c);
+            assertMiddleExplainsSmallest(b, a, c);
+        }
+    }
+
+    @Test
+    void requestThatWasOftenClearedOfCrashes_isStillFoundOnceItCausesThem() {
+        for (int i = 0; i < 60; i++) {
+            mTable.onCrash(0, crash(i), List.of(CRASHING));
+            mTable.clear(0, CRASHING);
+        }
+        crashes(100, 102, CRASHING);
+        assertThat(mTable.standing(CRASHING)).isEqualTo(RequestStanding.QUARANTINED);
     }
 
     @Test
