Count a trial of a quarantined request when it goes out, not when it is admitted

Cause: a trial was used up by being admitted, also where no upstream took it or tokens lacked. The request then stayed refused for the rest of the ten minutes, which is what trials are there to end.

Change: admission only asks whether a trial is due; it is counted and logged at the last check before a send.

--- a/router/src/main/java/org/hornbeampass/router/relay/CrashHistory.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/CrashHistory.java
@@ -15,12 +15,13 @@
 final class CrashHistory {
     private final RelayParts mParts;
     private final RequestIdentity mIdentity;
+    private final String mRequestId;
     private boolean mTellsItsEnd;
-    private boolean mTrial;
 
-    CrashHistory(RelayParts parts, RequestIdentity identity) {
+    CrashHistory(RelayParts parts, RequestIdentity identity, String requestId) {
         mParts = parts;
         mIdentity = identity;
+        mRequestId = requestId;
     }
 
     RequestDigest digest() {
@@ -46,20 +47,22 @@
         return before;
     }
 
-    /** Returns whether the request may run, as one of a caller's or as a trial. */
-    boolean admit(long nowMs) {
-        mTrial = !standing().mayBeSent() && mParts.quarantine().takeTrial(nowMs, digest());
-        return mayBeSent();
+    /** Returns whether the request may go to an upstream as of now, be it as a trial. */
+    boolean mayBeSent(long nowMs) {
+        return standing().mayBeSent() || mParts.quarantine().trialDue(nowMs, digest());
     }
 
-    /** Returns whether the request may go to an upstream as of now. */
-    boolean mayBeSent() {
-        return mTrial || standing().mayBeSent();
-    }
-
-    /** Returns whether it runs although it is quarantined. */
-    boolean trial() {
-        return mTrial;
+    /** Returns whether the request may go out at this moment; a trial is counted and logged. */
+    boolean takeSend(long nowMs) {
+        if (standing().mayBeSent()) {
+            return true;
+        }
+        boolean trial = mParts.quarantine().takeTrial(nowMs, digest());
+        if (trial) {
+            LogFields fields = new LogFields().add("digest", digest().toString());
+            mParts.log().decided(nowMs, mRequestId, "quarantine-trial", fields);
+        }
+        return trial;
     }
 
     /** Takes the head of an answer to the request. */
--- a/router/src/main/java/org/hornbeampass/router/relay/RelayAttempts.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/RelayAttempts.java
@@ -67,7 +67,7 @@
 
     /** Sends the request to an upstream that it was not sent to yet. */
     void attempt(long nowMs) {
-        if (!mCrashes.mayBeSent()) {
+        if (!mCrashes.mayBeSent(nowMs)) {
             giveUpQuarantined(nowMs);
             return;
         }
@@ -116,7 +116,7 @@
             }
             return;
         }
-        boolean maySend = instance.usable(nowMs) && mCrashes.mayBeSent();
+        boolean maySend = instance.usable(nowMs) && mCrashes.takeSend(nowMs);
         if (!maySend) {
             connection.get().cancel();
             leaveInstance();
--- a/router/src/main/java/org/hornbeampass/router/relay/RelayCall.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/RelayCall.java
@@ -216,16 +216,12 @@
             return;
         }
         mAdmitting = true;
-        CrashHistory crashes = new CrashHistory(mParts, identity());
+        CrashHistory crashes = new CrashHistory(mParts, identity(), mHead.id());
         mCrashes = Optional.of(crashes);
-        if (!crashes.admit(nowMs)) {
+        if (!crashes.mayBeSent(nowMs)) {
             fail(nowMs, quarantined(nowMs, crashes.digest()));
             return;
         }
-        if (crashes.trial()) {
-            LogFields fields = new LogFields().add("digest", crashes.digest().toString());
-            mParts.log().decided(nowMs, mHead.id(), "quarantine-trial", fields);
-        }
         Admission admission = reserve(nowMs);
         if (admission != Admission.SHORT) {
             onAdmission(nowMs, admission);
