--- a/coordination/src/main/java/org/hornbeampass/coordination/quarantine/Quarantine.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/quarantine/Quarantine.java
@@ -3,7 +3,7 @@
 import org.hornbeampass.coordination.peer.PeerMessage;
 import org.hornbeampass.coordination.peer.PeerNetwork;
 import org.hornbeampass.coordination.platform.Platform;
-import org.hornbeampass.coordination.service.LoadPaths;
+import org.hornbeampass.coordination.service.FleetPaths;
 import org.hornbeampass.coordination.service.RelayedNews;
 import org.hornbeampass.coordination.service.UpstreamIncarnation;
 import org.hornbeampass.state.VmId;
@@ -33,9 +33,6 @@
     private final BooleanSupplier mKeeper;
     private final RelayedNews<RequestDigest> mNews;
 
-    /** The present time, for items that are told. */
-    private long mNowMs;
-
     /**
      * Makes a quarantine without requests.
      *
@@ -49,7 +46,7 @@
     public Quarantine(
             Platform platform,
             PeerNetwork peers,
-            Supplier<LoadPaths> paths,
+            Supplier<FleetPaths> paths,
             BooleanSupplier keeper,
             RandomGenerator random,
             SuspectListener listener) {
@@ -119,16 +116,12 @@
         if (mNews.repeats(nowMs)) {
             mTable.quarantined(nowMs).forEach(i -> mNews.add(i.digest()));
         }
-        mNowMs = nowMs;
         mNews.tick(nowMs);
     }
 
-    private void tell(List<String> vms, List<RequestDigest> digests) {
+    private void tell(long nowMs, List<String> vms, List<RequestDigest> digests) {
         List<SuspectReport.Item> items =
-                digests.stream()
-                        .map(d -> mTable.item(mNowMs, d))
-                        .flatMap(Optional::stream)
-                        .toList();
+                digests.stream().map(d -> mTable.item(nowMs, d)).flatMap(Optional::stream).toList();
         for (int from = 0; from < items.size(); from += MAX_ITEMS) {
             SuspectReport report =
                     new SuspectReport(
--- a/coordination/src/main/java/org/hornbeampass/coordination/quarantine/QuarantineRecords.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/quarantine/QuarantineRecords.java
@@ -25,8 +25,8 @@
  *
  * <p>Each VM reads the records once, at its start. One VM, the keeper, writes and reads them later;
  * another one writes only where a verdict stays without a record, since the keeper may be cut off.
- * So calls depend on verdicts and starts, not on VMs and time. Invariant: at most one call is open.
- * Confined to one thread.
+ * So calls depend on verdicts and starts, not on VMs and time. Invariant: at most one call is open,
+ * apart from deletions. Confined to one thread.
  */
 final class QuarantineRecords {
     static final String PREFIX = "quarantines/";
@@ -172,6 +172,15 @@
                 .forEach(d -> mOnLifted.accept(nowMs, d));
     }
 
+    /** A record that another VM has deleted or changed meanwhile is left to the next reading. */
+    private void onDeleted(long nowMs, String key, PlatformReply reply) {
+        boolean settled =
+                reply instanceof PlatformReply.Written || reply instanceof PlatformReply.Conflict;
+        if (!settled) {
+            mListener.onRecordFailed(nowMs, key, reply.toString());
+        }
+    }
+
     /** Takes a record: its quarantine goes on, or is over and its record is deleted. */
     private void take(long nowMs, StoredObject object) {
         Optional<RequestDigest> digest =
@@ -192,7 +201,7 @@
             mPlatform.submit(
                     nowMs,
                     new PlatformCall.Delete(object.key(), object.version()),
-                    (t, deleted) -> {});
+                    (t, reply) -> onDeleted(t, object.key(), reply));
         }
     }
 }
--- a/coordination/src/main/java/org/hornbeampass/coordination/quarantine/RequestDigest.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/quarantine/RequestDigest.java
@@ -10,7 +10,7 @@
  *
  * <p>Immutable; safe for use by any thread. Made by {@link RequestHasher}.
  *
- * @param scope a keyed hash of path and caller
+ * @param scope a keyed hash of host, path, caller and the length of the body
  * @param content a keyed hash of the body
  */
 @JsonFormat(shape = JsonFormat.Shape.ARRAY)
--- a/coordination/src/main/java/org/hornbeampass/coordination/quarantine/RequestHasher.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/quarantine/RequestHasher.java
@@ -31,15 +31,19 @@
     }
 
     /**
-     * Returns the hash of where a request goes and from whom it comes.
+     * Returns the hash of what tells most requests apart without their bodies.
      *
-     * @param target host and path, with its query
+     * @param host where the request goes
+     * @param path its path, with the query
      * @param caller who sends it; empty where that is not known
+     * @param bytes how many bytes of the body count
      */
-    public long scope(String target, String caller) {
-        mMac.update(target.getBytes(StandardCharsets.UTF_8));
-        mMac.update(SEPARATOR);
-        mMac.update(caller.getBytes(StandardCharsets.UTF_8));
+    public long scope(String host, String path, String caller, long bytes) {
+        for (String each : List.of(host, path, caller)) {
+            mMac.update(each.getBytes(StandardCharsets.UTF_8));
+            mMac.update(SEPARATOR);
+        }
+        mMac.update(ByteBuffer.allocate(Long.BYTES).putLong(bytes).flip());
         return finish();
     }
 
--- a/coordination/src/main/java/org/hornbeampass/coordination/quarantine/SuspectTable.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/quarantine/SuspectTable.java
@@ -69,7 +69,7 @@
         mListener = listener;
     }
 
-    /** Returns whether any request with a path and caller is known, as hashed for a digest. */
+    /** Returns whether any request is known whose digest has a scope. */
     public boolean knowsScope(long scope) {
         return mScopes.contains(scope);
     }
--- a/coordination/src/main/java/org/hornbeampass/coordination/service/LoadPaths.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/service/FleetPaths.java
@@ -13,22 +13,21 @@
 import java.util.stream.Collectors;
 
 /**
- * Whom a VM tells what it has in progress at upstreams.
+ * Whom a VM sends what all others are to know.
  *
  * <p>In a small fleet each VM tells all others. In a larger one it tells one VM of its failure
- * domain, the relay, which adds up, exchanges sums with the relays of other domains, and tells its
- * own domain. VMs that choose different relays for a moment hear less. Immutable; safe for use by
- * any thread.
+ * domain, the relay, which passes it on to the relays of other domains and to its own domain. VMs
+ * that choose different relays for a moment hear less. Immutable; safe for use by any thread.
  *
  * @param self this VM's name
  * @param relay the relay of this VM's failure domain; empty where VMs tell each other directly
  * @param near the other VMs of this VM's failure domain, or all others without relays
  * @param relays the relays of the other failure domains
  */
-public record LoadPaths(
+public record FleetPaths(
         String self, Optional<String> relay, List<String> near, List<String> relays) {
     /** Copies the lists. */
-    public LoadPaths {
+    public FleetPaths {
         near = List.copyOf(near);
         relays = List.copyOf(relays);
     }
@@ -39,11 +38,11 @@
      * @param self the VM
      * @param live the VMs that are up, this one included
      */
-    public static LoadPaths choose(Member self, List<Member> live) {
+    public static FleetPaths choose(Member self, List<Member> live) {
         List<String> others =
                 live.stream().map(Member::name).filter(n -> !n.equals(self.name())).toList();
         if (others.size() <= LoadExchange.DIRECT_VMS) {
-            return new LoadPaths(self.name(), Optional.empty(), others, List.of());
+            return new FleetPaths(self.name(), Optional.empty(), others, List.of());
         }
         Map<FailureDomain, List<String>> byDomain =
                 live.stream()
@@ -56,7 +55,7 @@
         String own = relays.remove(self.domain().value());
         List<String> near = new ArrayList<>(byDomain.getOrDefault(self.domain(), List.of()));
         near.remove(self.name());
-        return new LoadPaths(
+        return new FleetPaths(
                 self.name(), Optional.ofNullable(own), near, List.copyOf(relays.values()));
     }
 
@@ -64,7 +63,7 @@
         return RendezvousHash.choose("load-" + domain.value(), names).orElseThrow();
     }
 
-    /** Returns whether this VM adds up and passes on what others tell. */
+    /** Returns whether this VM passes on what others tell. */
     public boolean isRelay() {
         return relay.isPresent() && relay.get().equals(self);
     }
@@ -80,13 +79,13 @@
     }
 
     /** Remembers the paths for as long as the members are the same. */
-    public static Function<List<Member>, LoadPaths> remembering(Member self) {
+    public static Function<List<Member>, FleetPaths> remembering(Member self) {
         return new Function<>() {
             private List<Member> mMembers = List.of();
-            private LoadPaths mPaths = choose(self, List.of());
+            private FleetPaths mPaths = choose(self, List.of());
 
             @Override
-            public LoadPaths apply(List<Member> live) {
+            public FleetPaths apply(List<Member> live) {
                 if (!live.equals(mMembers)) {
                     mMembers = List.copyOf(live);
                     mPaths = choose(self, live);
--- a/coordination/src/main/java/org/hornbeampass/coordination/service/LeavingExchange.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/service/LeavingExchange.java
@@ -33,14 +33,14 @@
     public LeavingExchange(
             UpstreamBoard board,
             PeerNetwork peers,
-            Supplier<LoadPaths> paths,
+            Supplier<FleetPaths> paths,
             LeavingListener listener) {
         mBoard = board;
         mListener = listener;
         mNews =
                 new RelayedNews<>(
                         paths,
-                        (vms, upstreams) -> {
+                        (nowMs, vms, upstreams) -> {
                             LeavingReport report = new LeavingReport(upstreams);
                             vms.forEach(vm -> peers.send(vm, report));
                         });
--- a/coordination/src/main/java/org/hornbeampass/coordination/service/LoadExchange.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/service/LoadExchange.java
@@ -41,7 +41,7 @@
 
     private final UpstreamBoard mBoard;
     private final PeerNetwork mPeers;
-    private final Supplier<LoadPaths> mPaths;
+    private final Supplier<FleetPaths> mPaths;
     private long mNextMs;
     private boolean mToldNothing = true;
 
@@ -52,7 +52,7 @@
      * @param peers sends messages to other VMs
      * @param paths gives whom to tell now
      */
-    public LoadExchange(UpstreamBoard board, PeerNetwork peers, Supplier<LoadPaths> paths) {
+    public LoadExchange(UpstreamBoard board, PeerNetwork peers, Supplier<FleetPaths> paths) {
         mBoard = board;
         mPeers = peers;
         mPaths = paths;
@@ -63,7 +63,7 @@
         if (nowMs < mNextMs) {
             return;
         }
-        LoadPaths paths = mPaths.get();
+        FleetPaths paths = mPaths.get();
         mNextMs = nowMs + (paths.relay().isPresent() ? RELAY_PERIOD_MS : PERIOD_MS);
         InFlightReport own = mBoard.inFlight();
         boolean nothing = own.items().isEmpty() && !(paths.isRelay() && mBoard.fleetLoad().any());
@@ -73,7 +73,7 @@
         mToldNothing = nothing;
     }
 
-    private void tell(LoadPaths paths, InFlightReport own) {
+    private void tell(FleetPaths paths, InFlightReport own) {
         if (paths.isRelay()) {
             passOn(paths, own);
             return;
@@ -83,7 +83,7 @@
     }
 
     /** Tells the own domain of all VMs, and the other relays of the own domain. */
-    private void passOn(LoadPaths paths, InFlightReport own) {
+    private void passOn(FleetPaths paths, InFlightReport own) {
         FleetLoad load = mBoard.fleetLoad();
         for (String vm : paths.near()) {
             mPeers.send(vm, load.sumWithout(vm, own));
--- a/coordination/src/main/java/org/hornbeampass/coordination/service/RelayedNews.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/service/RelayedNews.java
@@ -1,13 +1,11 @@
 package org.hornbeampass.coordination.service;
 
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.function.BiConsumer;
 import java.util.function.Supplier;
 
 /**
@@ -20,14 +18,27 @@
  * @param <T> an item of news, which names what is told
  */
 public final class RelayedNews<T> {
+    /** Sends news to other VMs. */
+    @FunctionalInterface
+    public interface Teller<T> {
+        /**
+         * Tells some VMs.
+         *
+         * @param nowMs the present time in milliseconds
+         * @param vms their names
+         * @param items the news
+         */
+        void tell(long nowMs, List<String> vms, List<T> items);
+    }
+
     /** After what time news are told again, in milliseconds. */
     private static final long REPEAT_MS = 500;
 
     /** How often each item is told. */
     private static final int TIMES = 6;
 
-    private final Supplier<LoadPaths> mPaths;
-    private final BiConsumer<List<String>, List<T>> mTell;
+    private final Supplier<FleetPaths> mPaths;
+    private final Teller<T> mTeller;
 
     /** News of this VM or its failure domain, for all others. */
     private final Set<T> mNews = new LinkedHashSet<>();
@@ -44,11 +55,11 @@
      * Makes an empty list of news.
      *
      * @param paths gives whom to tell now
-     * @param tell tells VMs, given by their names, some news
+     * @param teller sends the messages
      */
-    public RelayedNews(Supplier<LoadPaths> paths, BiConsumer<List<String>, List<T>> tell) {
+    public RelayedNews(Supplier<FleetPaths> paths, Teller<T> teller) {
         mPaths = paths;
-        mTell = tell;
+        mTeller = teller;
     }
 
     /** Adds what this VM found out. */
@@ -63,7 +74,7 @@
      * @param items what was new to this VM
      */
     public void onTold(String from, Collection<T> items) {
-        LoadPaths paths = mPaths.get();
+        FleetPaths paths = mPaths.get();
         if (paths.isRelay()) {
             (paths.relays().contains(from) ? mFarNews : mNews).addAll(items);
         }
@@ -89,10 +100,10 @@
         mNews.forEach(item -> mToRepeat.put(item, TIMES - 1));
         mFarNews.forEach(item -> mToRepeat.put(item, TIMES - 1));
         if (!toAll.isEmpty()) {
-            mTell.accept(mPaths.get().toAll(), new ArrayList<>(toAll));
+            mTeller.tell(nowMs, mPaths.get().toAll(), List.copyOf(toAll));
         }
         if (!mFarNews.isEmpty()) {
-            mTell.accept(mPaths.get().near(), new ArrayList<>(mFarNews));
+            mTeller.tell(nowMs, mPaths.get().near(), List.copyOf(mFarNews));
         }
         mNews.clear();
         mFarNews.clear();
--- a/coordination/src/test/java/org/hornbeampass/coordination/quarantine/QuarantineFleet.java
+++ b/coordination/src/test/java/org/hornbeampass/coordination/quarantine/QuarantineFleet.java
@@ -1,22 +1,17 @@
 package org.hornbeampass.coordination.quarantine;
 
-import io.vavr.control.Either;
-
 import org.hornbeampass.coordination.hash.RendezvousHash;
+import org.hornbeampass.coordination.peer.OneWayPeers;
 import org.hornbeampass.coordination.peer.PeerMessage;
-import org.hornbeampass.coordination.peer.PeerNetwork;
 import org.hornbeampass.coordination.platform.MemoryPlatform;
 import org.hornbeampass.coordination.platform.Platform;
 import org.hornbeampass.coordination.platform.PlatformCall;
 import org.hornbeampass.coordination.platform.PlatformReply;
-import org.hornbeampass.coordination.service.LoadPaths;
+import org.hornbeampass.coordination.service.FleetPaths;
+import org.hornbeampass.coordination.service.TestMembers;
 import org.hornbeampass.coordination.service.UpstreamIncarnation;
-import org.hornbeampass.state.Failure;
-import org.hornbeampass.state.FailureDomain;
-import org.hornbeampass.state.Region;
 import org.hornbeampass.state.VmId;
 import org.hornbeampass.state.member.Member;
-import org.hornbeampass.state.member.MemberState;
 
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -25,7 +20,6 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.Set;
-import java.util.function.BiConsumer;
 import java.util.function.Function;
 
 /**
@@ -56,18 +50,11 @@
 
     /** Starts a VM, over its former life if it had one. */
     void start(String name, int domain) {
-        Member self =
-                new Member(
-                        new VmId(name, mNowMs),
-                        "h",
-                        "p",
-                        new Region("r"),
-                        new FailureDomain("d" + domain),
-                        MemberState.LIVE);
+        Member self = TestMembers.live(name, domain);
         mMembers.removeIf(m -> m.name().equals(name));
         mMembers.add(self);
         chooseKeeper();
-        Function<List<Member>, LoadPaths> paths = LoadPaths.remembering(self);
+        Function<List<Member>, FleetPaths> paths = FleetPaths.remembering(self);
         mByVm.put(
                 name,
                 new Quarantine(
@@ -195,7 +182,7 @@
     }
 
     /** Hands messages straight to VMs that can be reached. */
-    private final class Peers implements PeerNetwork {
+    private final class Peers extends OneWayPeers {
         private final VmId mSelf;
 
         Peers(VmId self) {
@@ -215,16 +202,6 @@
                 receiver.onReport(mNowMs, mSelf, (SuspectReport) message, reply -> {});
             }
         }
-
-        @Override
-        public void request(
-                long nowMs,
-                String vmName,
-                PeerMessage request,
-                long timeoutMs,
-                BiConsumer<Long, Either<Failure, PeerMessage>> done) {
-            throw new AssertionError("nothing is asked");
-        }
     }
 
     /** Takes verdicts and does nothing with them. */
--- a/coordination/src/test/java/org/hornbeampass/coordination/quarantine/RequestHasherTest.java
+++ b/coordination/src/test/java/org/hornbeampass/coordination/quarantine/RequestHasherTest.java
@@ -38,14 +38,18 @@
     }
 
     @Test
-    void pathAndCaller_doNotRunIntoEachOther() {
-        assertThat(mHasher.scope("/ab", "c")).isNotEqualTo(mHasher.scope("/a", "bc"));
+    void hostPathAndCaller_doNotRunIntoEachOther() {
+        long scope = mHasher.scope("h", "/ab", "c", 4);
+        assertThat(mHasher.scope("h", "/a", "bc", 4)).isNotEqualTo(scope);
+        assertThat(mHasher.scope("h/", "ab", "c", 4)).isNotEqualTo(scope);
+        assertThat(mHasher.scope("h", "/ab", "c", 5)).isNotEqualTo(scope);
     }
 
     @Test
     void otherKey_givesOtherHashes() {
-        assertThat(hasher("b").scope("/a", "c")).isNotEqualTo(mHasher.scope("/a", "c"));
-        assertThat(hasher("a key").scope("/a", "c")).isEqualTo(mHasher.scope("/a", "c"));
+        long scope = mHasher.scope("h", "/a", "c", 4);
+        assertThat(hasher("b").scope("h", "/a", "c", 4)).isNotEqualTo(scope);
+        assertThat(hasher("a key").scope("h", "/a", "c", 4)).isEqualTo(scope);
     }
 
     @Test
--- a/coordination/src/test/java/org/hornbeampass/coordination/service/LeavingExchangeTest.java
+++ b/coordination/src/test/java/org/hornbeampass/coordination/service/LeavingExchangeTest.java
@@ -2,16 +2,11 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import io.vavr.control.Either;
-
+import org.hornbeampass.coordination.peer.OneWayPeers;
 import org.hornbeampass.coordination.peer.PeerMessage;
-import org.hornbeampass.coordination.peer.PeerNetwork;
-import org.hornbeampass.state.Failure;
 import org.hornbeampass.state.FailureDomain;
-import org.hornbeampass.state.Region;
 import org.hornbeampass.state.VmId;
 import org.hornbeampass.state.member.Member;
-import org.hornbeampass.state.member.MemberState;
 import org.hornbeampass.state.service.Prompt;
 import org.hornbeampass.state.service.ServiceSpec;
 import org.hornbeampass.state.service.UpstreamEntry;
@@ -27,7 +22,6 @@
 import java.util.OptionalLong;
 import java.util.Random;
 import java.util.Set;
-import java.util.function.BiConsumer;
 
 /** Checks that what one VM is told of a leaving upstream, all VMs know soon. */
 class LeavingExchangeTest {
@@ -42,7 +36,7 @@
     private long mNowMs = 1_000;
 
     /** Hands messages straight to the other VMs. */
-    private final class Peers implements PeerNetwork {
+    private final class Peers extends OneWayPeers {
         private final VmId mSelf;
 
         Peers(VmId self) {
@@ -54,16 +48,6 @@
             mMessages++;
             mExchanges.get(vmName).onReport(mNowMs, mSelf, (LeavingReport) message, r -> {});
         }
-
-        @Override
-        public void request(
-                long nowMs,
-                String vmName,
-                PeerMessage request,
-                long timeoutMs,
-                BiConsumer<Long, Either<Failure, PeerMessage>> done) {
-            throw new AssertionError("nothing is asked");
-        }
     }
 
     private void start(int vms) {
@@ -73,14 +57,7 @@
     }
 
     private void startVm(int number) {
-        Member self =
-                new Member(
-                        new VmId("vm-" + number, 1),
-                        "h",
-                        "p",
-                        new Region("r"),
-                        new FailureDomain("d" + number % DOMAINS),
-                        MemberState.LIVE);
+        Member self = TestMembers.live("vm-" + number, number % DOMAINS);
         mMembers.add(self);
         UpstreamBoard board = new UpstreamBoard(new Random(1), () -> 8);
         mBoards.put(self.name(), board);
@@ -89,7 +66,7 @@
                 new LeavingExchange(
                         board,
                         new Peers(self.vm()),
-                        () -> LoadPaths.choose(self, mMembers),
+                        () -> FleetPaths.choose(self, mMembers),
                         (nowMs, upstream, toldBy) -> mToldBy.put(self.name(), toldBy)));
         show(self.name(), entry("i-1", 100, false));
         show(self.name(), entry("i-2", 100, false));
--- a/coordination/src/test/java/org/hornbeampass/coordination/service/LoadExchangeTest.java
+++ b/coordination/src/test/java/org/hornbeampass/coordination/service/LoadExchangeTest.java
@@ -2,11 +2,8 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import io.vavr.control.Either;
-
+import org.hornbeampass.coordination.peer.OneWayPeers;
 import org.hornbeampass.coordination.peer.PeerMessage;
-import org.hornbeampass.coordination.peer.PeerNetwork;
-import org.hornbeampass.state.Failure;
 import org.hornbeampass.state.FailureDomain;
 import org.hornbeampass.state.VmId;
 import org.hornbeampass.state.service.Prompt;
@@ -20,7 +17,6 @@
 import java.util.OptionalLong;
 import java.util.Random;
 import java.util.Set;
-import java.util.function.BiConsumer;
 import java.util.stream.IntStream;
 
 /** Checks what VMs tell each other of their requests in progress, and how often. */
@@ -30,27 +26,17 @@
     private final UpstreamBoard mBoard = new UpstreamBoard(new Random(1), () -> 3);
     private final List<String> mTold = new ArrayList<>();
     private final List<InFlightReport> mReports = new ArrayList<>();
-    private LoadPaths mPaths =
-            new LoadPaths("vm-1", Optional.empty(), List.of("vm-2", "vm-3"), List.of());
+    private FleetPaths mPaths =
+            new FleetPaths("vm-1", Optional.empty(), List.of("vm-2", "vm-3"), List.of());
     private final LoadExchange mExchange = new LoadExchange(mBoard, new Recorder(), () -> mPaths);
 
     /** Notes what is sent. */
-    private final class Recorder implements PeerNetwork {
+    private final class Recorder extends OneWayPeers {
         @Override
         public void send(String vmName, PeerMessage message) {
             mTold.add(vmName);
             mReports.add((InFlightReport) message);
         }
-
-        @Override
-        public void request(
-                long nowMs,
-                String vmName,
-                PeerMessage request,
-                long timeoutMs,
-                BiConsumer<Long, Either<Failure, PeerMessage>> done) {
-            throw new AssertionError("nothing is asked");
-        }
     }
 
     private UpstreamInstance upstream() {
@@ -86,7 +72,7 @@
     void largeFleet_costsAVmNoMoreMessages() {
         upstream().onSent(700, t -> {});
         List<String> near = IntStream.range(0, 78).mapToObj(i -> "vm-" + i).toList();
-        mPaths = new LoadPaths("vm-1", Optional.of("vm-9"), near, List.of());
+        mPaths = new FleetPaths("vm-1", Optional.of("vm-9"), near, List.of());
         for (long t = 0; t < 20_000; t += 100) {
             mExchange.tick(t);
         }
--- a/coordination/src/test/java/org/hornbeampass/coordination/service/LoadRelayTest.java
+++ b/coordination/src/test/java/org/hornbeampass/coordination/service/LoadRelayTest.java
@@ -2,16 +2,11 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import io.vavr.control.Either;
-
+import org.hornbeampass.coordination.peer.OneWayPeers;
 import org.hornbeampass.coordination.peer.PeerMessage;
-import org.hornbeampass.coordination.peer.PeerNetwork;
-import org.hornbeampass.state.Failure;
 import org.hornbeampass.state.FailureDomain;
-import org.hornbeampass.state.Region;
 import org.hornbeampass.state.VmId;
 import org.hornbeampass.state.member.Member;
-import org.hornbeampass.state.member.MemberState;
 import org.hornbeampass.state.service.Prompt;
 import org.hornbeampass.state.service.ServiceSpec;
 import org.hornbeampass.state.service.UpstreamEntry;
@@ -25,7 +20,6 @@
 import java.util.OptionalLong;
 import java.util.Random;
 import java.util.Set;
-import java.util.function.BiConsumer;
 import java.util.function.Supplier;
 
 /** Checks that the VMs of a large fleet know each other's load through few messages. */
@@ -43,7 +37,7 @@
     private long mNowMs;
 
     /** Hands messages straight to VMs that are up. */
-    private final class Peers implements PeerNetwork {
+    private final class Peers extends OneWayPeers {
         private final VmId mSelf;
 
         Peers(VmId self) {
@@ -59,36 +53,19 @@
                         .onReport(mNowMs, mSelf, (InFlightReport) message, reply -> {});
             }
         }
-
-        @Override
-        public void request(
-                long nowMs,
-                String vmName,
-                PeerMessage request,
-                long timeoutMs,
-                BiConsumer<Long, Either<Failure, PeerMessage>> done) {
-            throw new AssertionError("nothing is asked");
-        }
     }
 
     LoadRelayTest() {
         for (int i = 0; i < VMS; i++) {
-            mMembers.add(
-                    new Member(
-                            new VmId("vm-" + i, 1),
-                            "h",
-                            "p",
-                            new Region("r"),
-                            new FailureDomain("d" + i % DOMAINS),
-                            MemberState.LIVE));
+            mMembers.add(TestMembers.live("vm-" + i, i % DOMAINS));
         }
         mUp = mMembers;
         for (Member each : mMembers) {
-            add(each, () -> LoadPaths.choose(each, mUp));
+            add(each, () -> FleetPaths.choose(each, mUp));
         }
     }
 
-    private void add(Member self, Supplier<LoadPaths> paths) {
+    private void add(Member self, Supplier<FleetPaths> paths) {
         UpstreamBoard board = new UpstreamBoard(new Random(1), () -> VMS);
         board.onEntry(
                 0,
@@ -131,7 +108,7 @@
     @Test
     void relayThatDies_isReplacedByAnother() {
         run(1_000);
-        String relay = LoadPaths.choose(mMembers.get(0), mMembers).relay().orElseThrow();
+        String relay = FleetPaths.choose(mMembers.get(0), mMembers).relay().orElseThrow();
         mUp = mMembers.stream().filter(m -> !m.name().equals(relay)).toList();
         run(2_000);
         for (Member each : mUp) {
@@ -144,12 +121,12 @@
     void twoRelaysOfOneDomain_doNotAddUpEachOthersSums() {
         List<Member> domain =
                 mMembers.stream().filter(m -> m.domain().value().equals("d0")).toList();
-        String relay = LoadPaths.choose(domain.get(0), mMembers).relay().orElseThrow();
+        String relay = FleetPaths.choose(domain.get(0), mMembers).relay().orElseThrow();
         Member second =
                 domain.stream().filter(m -> !m.name().equals(relay)).findFirst().orElseThrow();
-        LoadPaths before = LoadPaths.choose(second, mMembers);
-        LoadPaths asRelay =
-                new LoadPaths(
+        FleetPaths before = FleetPaths.choose(second, mMembers);
+        FleetPaths asRelay =
+                new FleetPaths(
                         second.name(), Optional.of(second.name()), before.near(), before.relays());
         mExchanges.put(
                 second.name(),
@@ -166,7 +143,7 @@
 
     @Test
     void smallFleet_isToldDirectly() {
-        LoadPaths paths = LoadPaths.choose(mMembers.get(0), mMembers.subList(0, 8));
+        FleetPaths paths = FleetPaths.choose(mMembers.get(0), mMembers.subList(0, 8));
         assertThat(paths.relay()).isEmpty();
         assertThat(paths.near()).hasSize(7);
     }
--- a/router/src/main/java/org/hornbeampass/router/daemon/FleetView.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/FleetView.java
@@ -10,7 +10,7 @@
 import org.hornbeampass.coordination.platform.Platform;
 import org.hornbeampass.coordination.platform.PlatformCall;
 import org.hornbeampass.coordination.platform.PlatformReply;
-import org.hornbeampass.coordination.service.LoadPaths;
+import org.hornbeampass.coordination.service.FleetPaths;
 import org.hornbeampass.state.Json;
 import org.hornbeampass.state.VmId;
 import org.hornbeampass.state.member.ListedVm;
@@ -59,7 +59,7 @@
     private final VmList mList;
     private final ListedVm mSelf;
     private final MemberHomes mHomes = new MemberHomes();
-    private final Function<List<Member>, LoadPaths> mLoadPaths;
+    private final Function<List<Member>, FleetPaths> mFleetPaths;
     private final boolean mHasSeeds;
     private boolean mRegistered;
     private boolean mOpen;
@@ -83,7 +83,7 @@
                         settings.region(),
                         settings.domain(),
                         MemberState.LIVE);
-        mLoadPaths = LoadPaths.remembering(self);
+        mFleetPaths = FleetPaths.remembering(self);
         mSelf =
                 new ListedVm(
                         vm,
@@ -145,8 +145,8 @@
     }
 
     /** Returns whom this VM tells what it has in progress. */
-    LoadPaths loadPaths() {
-        return mLoadPaths.apply(mMembership.view().live());
+    FleetPaths paths() {
+        return mFleetPaths.apply(mMembership.view().live());
     }
 
     /** Returns whether this VM is the one of those that are up that keeps a kind of record. */
--- a/router/src/main/java/org/hornbeampass/router/daemon/RelayDaemon.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/RelayDaemon.java
@@ -117,8 +117,8 @@
         mViews = views();
         mBudgets = budgets(ip);
         mBudgetMetrics = new BudgetMetrics(mMetrics, mBudgets);
-        mLoads = new LoadExchange(mBoard, mPeers, mFleet::loadPaths);
-        mLeaving = new LeavingExchange(mBoard, mPeers, mFleet::loadPaths, this::onUpstreamLeaving);
+        mLoads = new LoadExchange(mBoard, mPeers, mFleet::paths);
+        mLeaving = new LeavingExchange(mBoard, mPeers, mFleet::paths, this::onUpstreamLeaving);
         mLoans = new EscrowLoans(mBudgets, mPeers, mFleet.homes(), mRandom);
         mPool = new UpstreamPool(mLoops, mClock);
         mQuarantine = quarantine();
@@ -219,7 +219,7 @@
         return new Quarantine(
                 mStore,
                 mPeers,
-                mFleet::loadPaths,
+                mFleet::paths,
                 () -> mFleet.keeps("quarantines"),
                 mRandom,
                 new QuarantineLog(mLog));
--- a/router/src/main/java/org/hornbeampass/router/relay/CrashDetector.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/CrashDetector.java
@@ -13,7 +13,7 @@
 import java.util.Set;
 
 /**
- * Tells the crash of an upstream from a single connection that broke.
+ * Distinguishes the crash of an upstream from a single connection that broke.
  *
  * <p>A connection breaks where a link resets it, an answer is lost or damaged, or its upstream
  * crashes. After a crash nobody listens at the upstream's address any more, which one new
@@ -21,15 +21,11 @@
  * upstream that had said that it leaves is no crash. Confined to one event loop.
  */
 final class CrashDetector {
-    /** For how long requests that lose their connections late belong to a known crash. */
-    private static final long CRASH_KEPT_MS = 5_000;
-
     private final UpstreamPool mPool;
     private final Clock mClock;
     private final RelayLog mLog;
     private final Quarantine mQuarantine;
     private final Map<UpstreamIncarnation, Set<RequestDigest>> mProbed = new HashMap<>();
-    private final Map<UpstreamIncarnation, Long> mCrashedMs = new HashMap<>();
 
     CrashDetector(UpstreamPool pool, Clock clock, RelayLog log, Quarantine quarantine) {
         mPool = pool;
@@ -39,21 +35,17 @@
     }
 
     /**
-     * Takes the loss of a connection on which a request was in progress.
+     * Looks whether an upstream has crashed, since a connection broke on which a request was in
+     * progress.
      *
-     * @param nowMs the present time in milliseconds
      * @param instance the upstream
      * @param digest the request
      */
-    void onBroken(long nowMs, UpstreamInstance instance, RequestDigest digest) {
+    void onBroken(UpstreamInstance instance, RequestDigest digest) {
         if (instance.leaving()) {
             return;
         }
         UpstreamIncarnation crash = instance.incarnation();
-        if (mCrashedMs.containsKey(crash)) {
-            report(nowMs, crash, Set.of(digest));
-            return;
-        }
         Set<RequestDigest> waiting = mProbed.get(crash);
         if (waiting != null) {
             waiting.add(digest);
@@ -69,7 +61,7 @@
     private void onProbed(UpstreamIncarnation crash, boolean listens) {
         Set<RequestDigest> requests = mProbed.remove(crash);
         if (!listens) {
-            crashed(mClock.nowMs(), crash, requests);
+            report(mClock.nowMs(), crash, requests);
         }
     }
 
@@ -79,16 +71,10 @@
      */
     void onStartedAgain(long nowMs, UpstreamInstance instance, RequestDigest digest) {
         if (!instance.leaving()) {
-            crashed(nowMs, instance.incarnation(), Set.of(digest));
+            report(nowMs, instance.incarnation(), Set.of(digest));
         }
     }
 
-    private void crashed(long nowMs, UpstreamIncarnation crash, Set<RequestDigest> requests) {
-        mCrashedMs.values().removeIf(atMs -> nowMs - atMs >= CRASH_KEPT_MS);
-        mCrashedMs.put(crash, nowMs);
-        report(nowMs, crash, requests);
-    }
-
     private void report(long nowMs, UpstreamIncarnation crash, Set<RequestDigest> requests) {
         mQuarantine.onCrash(nowMs, crash, requests);
         mLog.believes(
--- a/router/src/main/java/org/hornbeampass/router/relay/CrashHistory.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/CrashHistory.java
@@ -8,7 +8,8 @@
 import org.hornbeampass.coordination.service.UpstreamInstance;
 
 /**
- * What is known in the fleet of crashes under one request, and what its own sends add to it.
+ * The crashes of upstreams that one request may have caused: what the fleet knows of them, and what
+ * its own sends add.
  *
  * <p>Confined to one event loop.
  */
@@ -34,9 +35,9 @@
     }
 
     /** Takes the loss of the request's connection; returns the verdict before it. */
-    RequestStanding onBroken(long nowMs, UpstreamInstance instance) {
+    RequestStanding onBroken(UpstreamInstance instance) {
         RequestStanding before = standing();
-        mParts.crashes().onBroken(nowMs, instance, digest());
+        mParts.crashes().onBroken(instance, digest());
         return before;
     }
 
@@ -77,7 +78,7 @@
      */
     void onAnswered(long nowMs, UpstreamInstance instance) {
         if (!mTellsItsEnd) {
-            mParts.crashes().onBroken(nowMs, instance, digest());
+            mParts.crashes().onBroken(instance, digest());
         } else if (standing() != RequestStanding.UNSUSPECTED) {
             mParts.quarantine().clear(nowMs, digest());
         }
--- a/router/src/main/java/org/hornbeampass/router/relay/RelayAttempts.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/RelayAttempts.java
@@ -331,7 +331,7 @@
         mConnection = Optional.empty();
         UpstreamInstance instance = mUse.orElseThrow().instance();
         instance.onSilent(nowMs);
-        RequestStanding before = mCrashes.onBroken(nowMs, instance);
+        RequestStanding before = mCrashes.onBroken(instance);
         onLost(nowMs, reason, before);
     }
 
--- a/router/src/main/java/org/hornbeampass/router/relay/RelayCall.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/RelayCall.java
@@ -318,11 +318,11 @@
                                 tokensRetryMs(nowMs)));
     }
 
-    /** Returns what tells the request's repeats; its caller is the organisation that pays. */
+    /** Returns what identifies the request; its caller is the organisation that pays. */
     private RequestIdentity identity() {
         String caller = mOrganisation.map(PrepaidOrganisation::name).or(mHead::key).orElse("");
         RequestIdentity identity =
-                new RequestIdentity(mParts.hasher(), mHead.host() + mRequest.uri(), caller, mBody);
+                new RequestIdentity(mParts.hasher(), mHead.host(), mRequest.uri(), caller, mBody);
         if (mBody.large()) {
             identity.digest();
         }
--- a/router/src/main/java/org/hornbeampass/router/relay/RequestIdentity.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/RequestIdentity.java
@@ -9,38 +9,38 @@
 import java.util.OptionalLong;
 
 /**
- * What tells the repeats of one request from other requests: path, caller and body.
+ * Recognises the repeats of one request by host, path, caller and body.
  *
- * <p>Computed when it is first asked for, which must be before the body is passed on. Of a body
- * that is larger than what is kept, the kept part counts. Confined to one event loop.
+ * <p>A digest is computed when it is first asked for, which must be before the body is passed on.
+ * Of a body that is larger than what is kept, the kept part counts. Confined to one event loop.
  */
 final class RequestIdentity {
     private final RequestHasher mHasher;
-    private final String mTarget;
+    private final String mHost;
+    private final String mPath;
     private final String mCaller;
     private final RequestBody mBody;
     private OptionalLong mScope = OptionalLong.empty();
     private Optional<RequestDigest> mDigest = Optional.empty();
 
-    RequestIdentity(RequestHasher hasher, String target, String caller, RequestBody body) {
+    RequestIdentity(
+            RequestHasher hasher, String host, String path, String caller, RequestBody body) {
         mHasher = hasher;
-        mTarget = target;
+        mHost = host;
+        mPath = path;
         mCaller = caller;
         mBody = body;
     }
 
-    /** Returns the hash of path and caller alone. */
-    long scope() {
+    private long scope() {
         if (mScope.isEmpty()) {
-            mScope = OptionalLong.of(mHasher.scope(mTarget, mCaller));
+            long bytes = Math.min(mBody.bytes(), RequestBody.MAX_KEPT_BYTES);
+            mScope = OptionalLong.of(mHasher.scope(mHost, mPath, mCaller, bytes));
         }
         return mScope.getAsLong();
     }
 
-    /**
-     * Returns the verdict on the request; the body is read only where its path and caller are
-     * known.
-     */
+    /** Returns the verdict on the request; the body is hashed only where its scope is known. */
     RequestStanding standing(SuspectTable suspects) {
         return suspects.isEmpty() || !suspects.knowsScope(scope())
                 ? RequestStanding.UNSUSPECTED
--- a/router/src/test/java/org/hornbeampass/router/daemon/StoreViewsTest.java
+++ b/router/src/test/java/org/hornbeampass/router/daemon/StoreViewsTest.java
@@ -122,14 +122,19 @@
         }
     }
 
-    @Test
-    void configurationThatASilentWatchMisses_isHeardOfWhileUpstreamsChange() {
+    /** Shows the first configuration, and begins a watch that is never answered. */
+    private void watchInSilence() {
         write(CONFIG, "1", 0);
         run(0, 500);
         mConfigWatchIsSilent = true;
         run(500, 26_000);
         mStore.expireWatches(26_000); // The next watch is silent.
         run(26_000, 26_500);
+    }
+
+    @Test
+    void configurationThatASilentWatchMisses_isHeardOfWhileUpstreamsChange() {
+        watchInSilence();
         write(CONFIG, "2", 1);
         write("upstreams/a", "ready", 0);
         hear(26_500, 2, 3);
@@ -139,12 +144,7 @@
 
     @Test
     void changeWhileAllVmsLostTheStoresAnswers_isSeenOnceItAnswersAgain() {
-        write(CONFIG, "1", 0);
-        run(0, 500);
-        mConfigWatchIsSilent = true;
-        run(500, 26_000);
-        mStore.expireWatches(26_000); // The next watch is silent.
-        run(26_000, 26_500);
+        watchInSilence();
         write(CONFIG, "2", 1);
         mConfigWatchIsSilent = false;
         mViews.onStoreRegained(28_000);
