Run trials of quarantined requests one after another

Cause: requests that were interrupted by just the same crashes are each run once more by one VM, two seconds after the verdict. Nothing kept two of these trials from running at the same time. Where both go to one upstream, its crash counts against both, and tells nothing; after the second such pair all stay refused for ten minutes. Besides, callers of such requests were asked to come back when the quarantine ends, so that those which obey bring no trial.

Change: at most one trial is under way. It ends when its request leaves the upstream; one that told nothing may be followed by the request's second one after 2 s, not 10 s. While guilt is open callers are asked back after 2 s.

--- a/coordination/src/main/java/org/hornbeampass/coordination/quarantine/Quarantine.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/quarantine/Quarantine.java
@@ -94,11 +94,19 @@
         return mKeeper.getAsBoolean() && mTable.trialDue(nowMs, digest);
     }
 
-    /** Counts a trial that is about to run; returns whether it may. */
+    /**
+     * Counts a trial that is about to run; returns whether it may. No other one begins before
+     * {@link #endTrial}.
+     */
     public boolean takeTrial(long nowMs, RequestDigest digest) {
         return mKeeper.getAsBoolean() && mTable.takeTrial(nowMs, digest);
     }
 
+    /** Ends a trial: the request has left its upstream. */
+    public void endTrial(long nowMs, RequestDigest digest) {
+        mTable.endTrial(nowMs, digest);
+    }
+
     /** Takes what another VM tells. */
     public void onReport(long nowMs, VmId from, SuspectReport report, Consumer<PeerMessage> reply) {
         mNews.onTold(from.name(), mTable.merge(nowMs, report.items()));
--- a/coordination/src/main/java/org/hornbeampass/coordination/quarantine/Suspect.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/quarantine/Suspect.java
@@ -113,10 +113,14 @@
         return mQuarantined && mTrials < MAX_TRIALS && nowMs >= mNextTrialMs;
     }
 
-    /** Counts a trial; the next one may be from a time in milliseconds on. */
-    void onTrial(long nextTrialMs) {
+    /** Counts a trial. */
+    void onTrial() {
         mTrials++;
-        mNextTrialMs = nextTrialMs;
+    }
+
+    /** Allows no trial before a time in milliseconds. */
+    void noTrialBefore(long ms) {
+        mNextTrialMs = ms;
     }
 
     boolean recorded() {
--- a/coordination/src/main/java/org/hornbeampass/coordination/quarantine/SuspectTable.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/quarantine/SuspectTable.java
@@ -20,8 +20,8 @@
  * rules keep the others from being taken for the one that causes crashes: a whole answer anywhere
  * clears a request of all crashes before it; and a crash that also interrupted a request with more
  * crashes counts little against one with fewer. Invariants: verdicts depend on which incarnations
- * of upstreams crashed under which requests alone, not on the order or number of messages; the
- * table is bounded. Confined to one thread.
+ * of upstreams crashed under which requests alone, not on the order or number of messages; at most
+ * one trial is under way; the table is bounded. Confined to one thread.
  */
 public final class SuspectTable {
     /** How many upstreams must crash under a request before it is kept from the others. */
@@ -42,11 +42,11 @@
      */
     private static final long END_TOLERANCE_MS = 1_000;
 
-    /** How long after a verdict a trial may be, in milliseconds: all crashes are known by then. */
-    private static final long TRIAL_AFTER_MS = 2_000;
-
-    /** How long after a trial that told nothing the next one may be, in milliseconds. */
-    private static final long TRIAL_AGAIN_MS = 10_000;
+    /**
+     * How long after a verdict, or after a trial that told nothing, a trial of the same request may
+     * be, in milliseconds: all crashes are known by then.
+     */
+    static final long TRIAL_AFTER_MS = 2_000;
 
     /** How many requests are kept; an upstream that crashes may have run some hundred. */
     static final int MAX_SUSPECTS = 4_096;
@@ -63,6 +63,7 @@
 
     private final Set<Long> mScopes = new HashSet<>();
     private final SuspectListener mListener;
+    private Optional<RequestDigest> mTrial = Optional.empty();
 
     /** Makes an empty table. */
     public SuspectTable(SuspectListener listener) {
@@ -106,22 +107,46 @@
     /**
      * Returns whether a quarantined request may run as a trial: where other quarantined requests
      * were interrupted by the same crashes, one of them may cause none. An answer clears it; one
-     * more crash explains the crashes of the others.
+     * more crash explains the crashes of the others. Two trials at the same time could end in one
+     * crash, and tell nothing.
      */
     boolean trialDue(long nowMs, RequestDigest digest) {
         Suspect suspect = mByDigest.get(digest);
-        return suspect != null && suspect.trialDue(nowMs) && sharesCrashes(suspect);
+        return mTrial.isEmpty()
+                && suspect != null
+                && suspect.trialDue(nowMs)
+                && sharesCrashes(suspect);
     }
 
-    /** Counts a trial where one is due; returns whether it is. */
+    /** Counts a trial where one is due; returns whether it is. It lasts until {@link #endTrial}. */
     boolean takeTrial(long nowMs, RequestDigest digest) {
         boolean due = trialDue(nowMs, digest);
         if (due) {
-            mByDigest.get(digest).onTrial(nowMs + TRIAL_AGAIN_MS);
+            mTrial = Optional.of(digest);
+            mByDigest.get(digest).onTrial();
         }
         return due;
     }
 
+    /** Ends a trial, whatever it told. */
+    void endTrial(long nowMs, RequestDigest digest) {
+        if (mTrial.equals(Optional.of(digest))) {
+            mTrial = Optional.empty();
+        }
+        Optional.ofNullable(mByDigest.get(digest))
+                .ifPresent(s -> s.noTrialBefore(nowMs + TRIAL_AFTER_MS));
+    }
+
+    /**
+     * Returns after what time a quarantined request may be asked for again, in milliseconds: when
+     * its quarantine ends, or sooner where a trial may still clear it.
+     */
+    public long retryAfterMs(long nowMs, RequestDigest digest) {
+        long leftMs = quarantineLeftMs(nowMs, digest);
+        boolean open = leftMs > 0 && sharesCrashes(mByDigest.get(digest));
+        return open ? Math.min(leftMs, TRIAL_AFTER_MS) : leftMs;
+    }
+
     private boolean sharesCrashes(Suspect suspect) {
         Set<UpstreamIncarnation> open = suspect.open();
         return mJudgeable.values().stream()
--- a/coordination/src/test/java/org/hornbeampass/coordination/quarantine/QuarantineFleet.java
+++ b/coordination/src/test/java/org/hornbeampass/coordination/quarantine/QuarantineFleet.java
@@ -131,6 +131,11 @@
                 .toList();
     }
 
+    /** Ends a trial of a request at a VM. */
+    void endTrial(String vm, RequestDigest request) {
+        mByVm.get(vm).endTrial(mNowMs, request);
+    }
+
     /** Returns how many VMs keep a request from upstreams. */
     long quarantinedAt(RequestDigest request) {
         return mByVm.values().stream()
--- a/coordination/src/test/java/org/hornbeampass/coordination/quarantine/QuarantineTest.java
+++ b/coordination/src/test/java/org/hornbeampass/coordination/quarantine/QuarantineTest.java
@@ -188,11 +188,37 @@
         List<String> trials = fleet.takeTrials(CRASHING);
         assertThat(trials).hasSize(1);
         fleet.crash(trials.get(0), "i-4", CRASHING);
-        fleet.run(1_000);
+        fleet.endTrial(trials.get(0), CRASHING);
+        fleet.run(SuspectTable.TRIAL_AFTER_MS);
         assertThat(fleet.quarantinedAt(INNOCENT)).isZero();
         assertThat(fleet.takeTrials(CRASHING)).isEmpty();
     }
 
+    @ParameterizedTest
+    @ValueSource(ints = {8, 95})
+    void trialsOfRequestsWithTheSameCrashes_areNeverRunAtTheSameTime(int vms) {
+        QuarantineFleet fleet = interruptedTogether(vms);
+        List<String> trials = fleet.takeTrials(INNOCENT);
+        assertThat(trials).hasSize(1);
+        fleet.run(60_000);
+        assertThat(fleet.takeTrials(CRASHING)).isEmpty();
+        fleet.endTrial(trials.get(0), INNOCENT);
+        assertThat(fleet.takeTrials(CRASHING)).hasSize(1);
+    }
+
+    @Test
+    void trialThatToldNothing_isRepeatedOnceSoon() {
+        QuarantineFleet fleet = interruptedTogether(8);
+        for (int i = 0; i < 2; i++) {
+            List<String> trials = fleet.takeTrials(INNOCENT);
+            assertThat(trials).hasSize(1);
+            fleet.endTrial(trials.get(0), INNOCENT);
+            assertThat(fleet.takeTrials(INNOCENT)).isEmpty();
+            fleet.run(SuspectTable.TRIAL_AFTER_MS);
+        }
+        assertThat(fleet.takeTrials(INNOCENT)).isEmpty();
+    }
+
     @Test
     void requestThatCrashedAlone_getsNoTrial() {
         QuarantineFleet fleet = new QuarantineFleet(8);
--- a/coordination/src/test/java/org/hornbeampass/coordination/quarantine/SuspectTableTest.java
+++ b/coordination/src/test/java/org/hornbeampass/coordination/quarantine/SuspectTableTest.java
@@ -78,6 +78,18 @@
         assertThat(mTable.clear(0, CRASHING)).isFalse();
     }
 
+    @Test
+    void requestWhoseGuiltIsOpen_isAskedBackForItsTrial() {
+        crashes(1, 3, CRASHING);
+        assertThat(mTable.retryAfterMs(0, CRASHING)).isEqualTo(SuspectTable.KEPT_MS);
+        crashes(1, 3, INNOCENT);
+        assertThat(mTable.retryAfterMs(0, INNOCENT)).isEqualTo(SuspectTable.TRIAL_AFTER_MS);
+        assertThat(mTable.retryAfterMs(0, CRASHING)).isEqualTo(SuspectTable.TRIAL_AFTER_MS);
+        assertThat(mTable.retryAfterMs(SuspectTable.KEPT_MS - 1, CRASHING)).isEqualTo(1);
+        crashes(4, 4, CRASHING);
+        assertThat(mTable.retryAfterMs(0, CRASHING)).isEqualTo(SuspectTable.KEPT_MS);
+    }
+
     @Test
     void newsInAnyOrder_leadToTheSameVerdicts() {
         SuspectTable teller = table();
--- a/router/src/main/java/org/hornbeampass/router/relay/CrashHistory.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/CrashHistory.java
@@ -18,6 +18,7 @@
     private final RequestIdentity mIdentity;
     private final String mRequestId;
     private boolean mTellsItsEnd;
+    private boolean mTrial;
 
     CrashHistory(RelayParts parts, RequestIdentity identity, String requestId) {
         mParts = parts;
@@ -58,12 +59,20 @@
         if (standing().mayBeSent()) {
             return true;
         }
-        boolean trial = mParts.quarantine().takeTrial(nowMs, digest());
-        if (trial) {
+        mTrial = mParts.quarantine().takeTrial(nowMs, digest());
+        if (mTrial) {
             LogFields fields = new LogFields().add("digest", digest().toString());
             mParts.log().decided(nowMs, mRequestId, "quarantine-trial", fields);
         }
-        return trial;
+        return mTrial;
+    }
+
+    /** The request has left its upstream; what that told is known. */
+    void onLeft(long nowMs) {
+        if (mTrial) {
+            mTrial = false;
+            mParts.quarantine().endTrial(nowMs, digest());
+        }
     }
 
     /** Takes the head of an answer to the request. */
--- a/router/src/main/java/org/hornbeampass/router/relay/RelayAttempts.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/RelayAttempts.java
@@ -476,6 +476,7 @@
     private void leaveInstance() {
         mUse.ifPresent(InstanceUse::leave);
         mUse = Optional.empty();
+        mCrashes.onLeft(mParts.clock().nowMs());
     }
 
     /** Returns the tokens that the request has used: its prompt once, and what was delivered. */
--- a/router/src/main/java/org/hornbeampass/router/relay/RelayCall.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/RelayCall.java
@@ -8,6 +8,7 @@
 import org.hornbeampass.coordination.escrow.Admission;
 import org.hornbeampass.coordination.escrow.EscrowBook;
 import org.hornbeampass.coordination.quarantine.RequestDigest;
+import org.hornbeampass.coordination.quarantine.SuspectTable;
 import org.hornbeampass.coordination.service.RouteTable;
 import org.hornbeampass.state.ErrorKind;
 import org.hornbeampass.state.Failure;
@@ -363,7 +364,8 @@
      * Logs that a request is kept from upstreams, and returns the answer to it, which did not run.
      */
     Failure quarantined(long nowMs, RequestDigest digest) {
-        long leftMs = mParts.quarantine().suspects().quarantineLeftMs(nowMs, digest);
+        SuspectTable suspects = mParts.quarantine().suspects();
+        long leftMs = suspects.quarantineLeftMs(nowMs, digest);
         mParts.log()
                 .decided(
                         nowMs,
@@ -373,7 +375,7 @@
         return Failure.retryAfter(
                 ErrorKind.REQUEST_QUARANTINED,
                 QUARANTINED + "; repeating it is of no use before then",
-                leftMs);
+                suspects.retryAfterMs(nowMs, digest));
     }
 
     /** Returns the answer where no upstream could take the request, which did not run. */
