--- a/coordination/src/main/java/org/hornbeampass/coordination/quarantine/RequestHasher.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/quarantine/RequestHasher.java
@@ -4,6 +4,7 @@
 import java.nio.charset.StandardCharsets;
 import java.security.GeneralSecurityException;
 import java.util.List;
+import java.util.Optional;
 
 import javax.crypto.Mac;
 import javax.crypto.spec.SecretKeySpec;
@@ -11,20 +12,35 @@
 /**
  * Computes the digests of requests under a key that all VMs share.
  *
- * <p>Since callers don't know the key, none can make a request with the digest of another caller's.
+ * <p>Callers that don't know the key can't make a request with the digest of another caller's.
  * Confined to one thread.
  */
 public final class RequestHasher {
     private static final String ALGORITHM = "HmacSHA256";
     private static final byte SEPARATOR = 0;
 
-    private final Mac mMac;
+    private final byte[] mKey;
+
+    /** Made at the first use: most VMs start without need of it, and loading it delays a start. */
+    private Optional<Mac> mMac = Optional.empty();
 
     /** Makes a hasher of a secret key. */
     public RequestHasher(byte[] key) {
+        mKey = key.clone();
+    }
+
+    private Mac mac() {
+        if (mMac.isEmpty()) {
+            mMac = Optional.of(newMac(mKey));
+        }
+        return mMac.get();
+    }
+
+    private static Mac newMac(byte[] key) {
         try {
-            mMac = Mac.getInstance(ALGORITHM);
-            mMac.init(new SecretKeySpec(key, ALGORITHM));
+            Mac mac = Mac.getInstance(ALGORITHM);
+            mac.init(new SecretKeySpec(key, ALGORITHM));
+            return mac;
         } catch (GeneralSecurityException e) {
             throw new IllegalStateException("every Java platform has " + ALGORITHM, e);
         }
@@ -39,11 +55,12 @@
      * @param bytes how many bytes of the body count
      */
     public long scope(String host, String path, String caller, long bytes) {
+        Mac mac = mac();
         for (String each : List.of(host, path, caller)) {
-            mMac.update(each.getBytes(StandardCharsets.UTF_8));
-            mMac.update(SEPARATOR);
+            mac.update(each.getBytes(StandardCharsets.UTF_8));
+            mac.update(SEPARATOR);
         }
-        mMac.update(ByteBuffer.allocate(Long.BYTES).putLong(bytes).flip());
+        mac.update(ByteBuffer.allocate(Long.BYTES).putLong(bytes).flip());
         return finish();
     }
 
@@ -54,17 +71,18 @@
      * @param maxBytes how many bytes of the body count at most
      */
     public long content(List<ByteBuffer> parts, long maxBytes) {
+        Mac mac = mac();
         long left = maxBytes;
         for (ByteBuffer part : parts) {
             ByteBuffer view = part.duplicate();
             view.limit((int) Math.min(view.limit(), view.position() + left));
             left -= view.remaining();
-            mMac.update(view);
+            mac.update(view);
         }
         return finish();
     }
 
     private long finish() {
-        return ByteBuffer.wrap(mMac.doFinal()).getLong();
+        return ByteBuffer.wrap(mac().doFinal()).getLong();
     }
 }
--- a/router/src/main/java/org/hornbeampass/router/daemon/LineLogging.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/LineLogging.java
@@ -12,10 +12,8 @@
 /**
  * Logs lines of JSON on standard output, and drops lines rather than wait for whoever reads them.
  *
- * <p>Built in code: read from a file, with its plugins, the same took a router 70 ms more of the
- * 440 in which it starts (means of 24 pairs of starts on one core). Where a VM has an eighth of a
- * core, callers wait half a second less after all VMs were killed. Immutable once started;
- * thread-safe.
+ * <p>Built in code, since reading it from a file, with its plugins, takes a sixth of a start;
+ * callers wait for starts after all VMs were killed. Immutable once started; thread-safe.
  */
 public final class LineLogging extends AbstractConfiguration {
     /** The property of the Java runtime that asks for it, and its value. */
@@ -62,20 +60,17 @@
         setState(State.INITIALIZED);
     }
 
+    /** The builder of console appenders looks at its fields by reflection, which delays a start. */
     private AsyncAppender appender(String name, LineLayout layout) {
-        ConsoleAppender console =
-                ConsoleAppender.newBuilder()
-                        .setName(name)
-                        .setTarget(ConsoleAppender.Target.SYSTEM_OUT)
-                        .setLayout(layout)
-                        .setConfiguration(this)
-                        .build();
+        ConsoleAppender console = ConsoleAppender.createDefaultAppenderForLayout(layout);
         addAppender(console);
         AsyncAppender async =
                 AsyncAppender.newBuilder()
                         .setName(name + ASYNC)
                         .setAppenderRefs(
-                                new AppenderRef[] {AppenderRef.createAppenderRef(name, null, null)})
+                                new AppenderRef[] {
+                                    AppenderRef.createAppenderRef(console.getName(), null, null)
+                                })
                         .setBlocking(false)
                         .setBufferSize(WAITING_LINES)
                         .setConfiguration(this)
--- a/router/src/main/java/org/hornbeampass/router/daemon/Rehearsal.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/Rehearsal.java
@@ -11,6 +11,7 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
@@ -31,6 +32,9 @@
     /** Routers are named by their IP numbers, so that each needs one of its own. */
     private static final List<String> HOSTS = List.of("127.0.0.1", "127.0.0.2");
 
+    /** Nothing is read again. */
+    private static final String NO_FILE = "rehearsal";
+
     private Rehearsal() {}
 
     /**
@@ -49,11 +53,12 @@
         List<RelayDaemon> routers = new ArrayList<>();
         try {
             for (int i = 0; i < HOSTS.size(); i++) {
-                routers.add(
-                        RelayDaemon.start(
-                                settings(script, peers.get(i), peers.get(HOSTS.size() - 1 - i)),
-                                wire,
-                                platforms));
+                RelayDaemonSettings settings =
+                        settings(script, peers.get(i), peers.get(HOSTS.size() - 1 - i));
+                RelayDaemon router = RelayDaemon.start(settings, wire, platforms);
+                routers.add(router);
+                RelayDaemonCommand.reloadOnHangUp(Path.of(NO_FILE), "", settings, router);
+                RelayDaemonCommand.logStarted(settings);
             }
             ask(script, routers);
         } finally {
@@ -92,7 +97,7 @@
                         own.getPort(),
                         script.platform(),
                         seed.getAddress().getHostAddress() + ":" + seed.getPort());
-        Either<Faults, RelayDaemonSettings> read = RelaySettingsFile.read("rehearsal", text);
+        Either<Faults, RelayDaemonSettings> read = RelaySettingsFile.read(NO_FILE, text);
         if (read.isLeft()) {
             throw new IOException(String.join("; ", read.getLeft().lines()));
         }
--- a/router/src/main/java/org/hornbeampass/router/daemon/RelayDaemonCommand.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/RelayDaemonCommand.java
@@ -88,15 +88,26 @@
             System.err.println(e.getMessage());
             return EXIT_LISTEN;
         }
-        SettingsReload reload = new SettingsReload(file, text, settings, daemon::apply);
-        HangUp.handle(reload::onSignal);
+        SettingsReload reload = reloadOnHangUp(file, text, settings, daemon);
         daemon.every(SettingsReload.LOOK_MS, reload::look);
         Runtime.getRuntime().addShutdownHook(new Thread(() -> onSignal(daemon), "shutdown"));
-        LOG.info("{\"kind\":\"started\",\"vm\":\"{}\"}", settings.name());
+        logStarted(settings);
         daemon.shutDownFuture().join();
         return 0;
     }
 
+    /** Lets a router read its settings again at SIGHUP. */
+    static SettingsReload reloadOnHangUp(
+            Path file, String text, RelayDaemonSettings settings, RelayDaemon daemon) {
+        SettingsReload reload = new SettingsReload(file, text, settings, daemon::apply);
+        HangUp.handle(reload::onSignal);
+        return reload;
+    }
+
+    static void logStarted(RelayDaemonSettings settings) {
+        LOG.info("{\"kind\":\"started\",\"vm\":\"{}\"}", settings.name());
+    }
+
     /** Runs when the process is to end: holds it until the graceful shutdown is done. */
     private static void onSignal(RelayDaemon daemon) {
         LOG.info("{\"kind\":\"stopping\"}");
