Let go of the upstream of a request that turns out to be too large

What callers and operators saw: nothing at once. A body without a length that grows beyond the limit while it is being sent is answered 413, but the send to its upstream went on: the connection stayed open for as long as the upstream kept it, and counted as a request in progress for ever, so that the choice of upstreams went wrong with each such request. A caller could bring that about at will. Where the upstream had begun to answer, the 413 was written into the middle of the stream.

Cause: the refusal was the call's alone; its attempts were not told. Found by reading who ends a trial.

Change: the call's attempts refuse: they drop the connection, leave the upstream, and break off an answer that has begun.

Measured: GrowingBodyTest waited for the end of the upstream's connection until its time was over (60 s) on the code before; 1.4 s now. Tests of the daemon, of crashing requests and of layers pass.

--- a/router/src/main/java/org/hornbeampass/router/relay/RelayAttempts.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/RelayAttempts.java
@@ -379,6 +379,16 @@
         }
     }
 
+    /** The request is refused while it is being sent, so that no upstream can run it. */
+    void refuse(long nowMs, Failure failure) {
+        dropConnection();
+        if (mAnswer.begun()) {
+            breakOff(nowMs, failure.message());
+        } else {
+            fail(nowMs, failure);
+        }
+    }
+
     /** The caller is gone: what may not be repeated runs on, so that its outcome is known. */
     void onCallerGone(long nowMs) {
         boolean sent = mConnection.isPresent();
--- a/router/src/main/java/org/hornbeampass/router/relay/RelayCall.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/RelayCall.java
@@ -147,7 +147,7 @@
         }
         mBody.add(part);
         if (mBody.bytes() > maxBodyBytes()) {
-            fail(nowMs, Failure.of(ErrorKind.REQUEST_TOO_LARGE, "the body is too large"));
+            onTooLarge(nowMs);
             return;
         }
         if (mAttempts.isPresent()) {
@@ -158,6 +158,15 @@
         }
     }
 
+    private void onTooLarge(long nowMs) {
+        Failure failure = Failure.of(ErrorKind.REQUEST_TOO_LARGE, "the body is too large");
+        if (mAttempts.isPresent()) {
+            mAttempts.get().refuse(nowMs, failure);
+        } else {
+            fail(nowMs, failure);
+        }
+    }
+
     private long maxBodyBytes() {
         return mParts.routes().orElseThrow().config().limits().maxBodyBytes();
     }
