--- a/router/src/main/java/org/hornbeampass/router/relay/AnswerHead.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/AnswerHead.java
@@ -1,5 +1,6 @@
 package org.hornbeampass.router.relay;
 
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 
 /**
@@ -11,5 +12,8 @@
  * @param leaving whether the upstream says that it leaves
  * @param pauseMs for how long the upstream wants nothing from this VM, in milliseconds, where it
  *     says so
+ * @param limitPerSecond how many requests the upstream takes from all VMs together, in a second;
+ *     empty where it names no limit
  */
-public record AnswerHead(AnswerClass kind, boolean leaving, OptionalLong pauseMs) {}
+public record AnswerHead(
+        AnswerClass kind, boolean leaving, OptionalLong pauseMs, OptionalDouble limitPerSecond) {}
