--- a/coordination/src/main/java/org/hornbeampass/coordination/platform/CallBudget.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/platform/CallBudget.java
@@ -1,5 +1,7 @@
 package org.hornbeampass.coordination.platform;
 
+import org.hornbeampass.coordination.limit.TokenBucket;
+
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
@@ -108,7 +110,7 @@
         for (PlatformCall.Kind kind : PlatformCall.Kind.values()) {
             double perSecond = limits.perSecond(kind);
             double burst = perSecond * limits.burstSeconds();
-            mLanes.put(kind, new Lane(new TokenBucket(perSecond, burst, nowMs)));
+            mLanes.put(kind, new Lane(TokenBucket.full(perSecond, burst, nowMs)));
         }
     }
 
--- /dev/null
+++ b/coordination/src/main/java/org/hornbeampass/coordination/ratelimit/RateLimiter.java
@@ -0,0 +1,237 @@
+package org.hornbeampass.coordination.ratelimit;
+
+import io.vavr.control.Either;
+
+import org.hornbeampass.coordination.peer.PeerMessage;
+import org.hornbeampass.coordination.peer.PeerNetwork;
+import org.hornbeampass.coordination.service.SendGate;
+import org.hornbeampass.coordination.service.SignalExchange;
+import org.hornbeampass.coordination.service.SignalReport;
+import org.hornbeampass.coordination.service.SignalTable;
+import org.hornbeampass.coordination.service.UpstreamIncarnation;
+import org.hornbeampass.state.Failure;
+import org.hornbeampass.state.VmId;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+
+/**
+ * Keeps the fleet's requests to each upstream within the rate that the upstream has named.
+ *
+ * <p>Each send to an upstream with a rate limit needs a permit, which one VM, the upstream's home,
+ * gives out for all. Invariants: a permit is used once, and not later than {@link #PERMIT_MS} after
+ * it was asked for, so that no clock is compared with another VM's; a VM that reaches no home sends
+ * nothing there. Confined to one thread: the network must reply on it.
+ */
+public final class RateLimiter implements SendGate {
+    /** For how long a permit is valid after it was asked for, in milliseconds. */
+    static final long PERMIT_MS = 500;
+
+    /** How long a home may take to answer, in milliseconds; it answers within a few. */
+    private static final long TIMEOUT_MS = 150;
+
+    /** For how long a home that did not answer is not asked again, in milliseconds. */
+    private static final long SILENT_MS = 500;
+
+    /** For how long another VM is not asked that is not the home by its own view. */
+    private static final long NOT_HOME_MS = 200;
+
+    /** For how long a home is not asked again after it denied a permit, at the least. */
+    private static final long MIN_WAIT_MS = 20;
+
+    private final SignalTable mSignals;
+    private final Supplier<SignalExchange> mExchange;
+    private final PeerNetwork mPeers;
+    private final PermitHomes mHomes;
+    private final PermitIssuer mIssuer;
+    private final PermitCounts mCounts = new PermitCounts();
+    private final Map<UpstreamIncarnation, Long> mNotBeforeMs = new HashMap<>();
+    private final Map<UpstreamIncarnation, Deque<SendPermit>> mUnused = new HashMap<>();
+
+    /**
+     * Makes a limiter without permits.
+     *
+     * @param signals what is known of rate limits
+     * @param exchange takes what other VMs know of them; asked for once there is a limit
+     * @param peers sends messages to other VMs
+     * @param homes tells who gives out permits
+     */
+    public RateLimiter(
+            SignalTable signals,
+            Supplier<SignalExchange> exchange,
+            PeerNetwork peers,
+            PermitHomes homes) {
+        mSignals = signals;
+        mExchange = exchange;
+        mPeers = peers;
+        mHomes = homes;
+        mIssuer = new PermitIssuer(signals);
+    }
+
+    private boolean limited(UpstreamIncarnation upstream) {
+        return mSignals.get(upstream).rateLimit().limits();
+    }
+
+    @Override
+    public long waitMs(long nowMs, UpstreamIncarnation upstream) {
+        Long notBeforeMs = mNotBeforeMs.get(upstream);
+        boolean open = notBeforeMs == null || nowMs >= notBeforeMs || !limited(upstream);
+        return open || mUnused.containsKey(upstream) ? 0 : notBeforeMs - nowMs;
+    }
+
+    /**
+     * Asks for the right to send one request to an upstream.
+     *
+     * @param nowMs the present time in milliseconds
+     * @param upstream the upstream
+     * @param done told at once where the upstream has no limit or this VM is its home; else once
+     *     the home has answered, or did not in time
+     */
+    public void acquire(long nowMs, UpstreamIncarnation upstream, PermitListener done) {
+        if (!limited(upstream)) {
+            done.onAnswer(nowMs, Optional.of(SendPermit.unlimited(upstream)));
+            return;
+        }
+        Optional<SendPermit> unused = takeUnused(nowMs, upstream);
+        if (unused.isPresent()) {
+            done.onAnswer(nowMs, unused);
+            return;
+        }
+        Optional<String> home = mHomes.homeOf(upstream.upstream());
+        if (home.isEmpty()) {
+            deny(nowMs, upstream, NOT_HOME_MS, done);
+            return;
+        }
+        if (home.get().equals(mHomes.self())) {
+            take(nowMs, nowMs, upstream, mIssuer.issue(nowMs, upstream), done);
+            return;
+        }
+        mPeers.request(
+                nowMs,
+                home.get(),
+                new PermitRequest(SignalReport.Item.of(nowMs, upstream, mSignals.get(upstream))),
+                TIMEOUT_MS,
+                (t, reply) -> onReply(t, nowMs, upstream, reply, done));
+    }
+
+    private void onReply(
+            long nowMs,
+            long askedMs,
+            UpstreamIncarnation upstream,
+            Either<Failure, PeerMessage> reply,
+            PermitListener done) {
+        if (reply.isRight() && reply.get() instanceof PermitReply answer) {
+            take(nowMs, askedMs, upstream, answer, done);
+            return;
+        }
+        mCounts.onUnanswered();
+        deny(nowMs, upstream, SILENT_MS, done);
+    }
+
+    private void take(
+            long nowMs,
+            long askedMs,
+            UpstreamIncarnation upstream,
+            PermitReply answer,
+            PermitListener done) {
+        if (!answer.granted()) {
+            mCounts.onDenied();
+            deny(nowMs, upstream, answer.retryAfterMs(), done);
+            return;
+        }
+        mCounts.onGranted();
+        done.onAnswer(nowMs, Optional.of(new SendPermit(upstream, askedMs + PERMIT_MS)));
+    }
+
+    private void deny(long nowMs, UpstreamIncarnation upstream, long waitMs, PermitListener done) {
+        mNotBeforeMs.put(upstream, nowMs + Math.max(MIN_WAIT_MS, waitMs));
+        done.onAnswer(nowMs, Optional.empty());
+    }
+
+    private Optional<SendPermit> takeUnused(long nowMs, UpstreamIncarnation upstream) {
+        expire(nowMs, upstream);
+        Deque<SendPermit> unused = mUnused.get(upstream);
+        if (unused == null) {
+            return Optional.empty();
+        }
+        SendPermit permit = unused.removeFirst();
+        if (unused.isEmpty()) {
+            mUnused.remove(upstream);
+        }
+        return Optional.of(permit);
+    }
+
+    private void expire(long nowMs, UpstreamIncarnation upstream) {
+        Deque<SendPermit> unused = mUnused.getOrDefault(upstream, new ArrayDeque<>());
+        Iterator<SendPermit> each = unused.iterator();
+        while (each.hasNext()) {
+            if (!each.next().valid(nowMs)) {
+                each.remove();
+                mCounts.onExpired();
+            }
+        }
+        if (unused.isEmpty()) {
+            mUnused.remove(upstream);
+        }
+    }
+
+    /**
+     * Uses a permit up, right before the request is sent.
+     *
+     * @return whether the request may be sent; not where the permit has expired, or the upstream
+     *     has named a limit since
+     */
+    public boolean redeem(long nowMs, SendPermit permit) {
+        if (!limited(permit.upstream())) {
+            return true;
+        }
+        boolean redeemed = permit.limited() && permit.valid(nowMs);
+        if (redeemed) {
+            mCounts.onUsed();
+        } else if (permit.limited()) {
+            mCounts.onExpired();
+        }
+        return redeemed;
+    }
+
+    /** Takes a permit back that was not used, for another request of this VM. */
+    public void giveBack(long nowMs, SendPermit permit) {
+        if (permit.limited() && permit.valid(nowMs)) {
+            mUnused.computeIfAbsent(permit.upstream(), u -> new ArrayDeque<>()).add(permit);
+        } else if (permit.limited()) {
+            mCounts.onExpired();
+        }
+    }
+
+    /** Answers another VM, which takes this one for the home. */
+    public void onRequest(
+            long nowMs, VmId from, PermitRequest request, Consumer<PeerMessage> reply) {
+        UpstreamIncarnation upstream = request.known().upstream();
+        mExchange.get().onItem(nowMs, from, request.known());
+        boolean home = mHomes.homeOf(upstream.upstream()).filter(mHomes.self()::equals).isPresent();
+        reply.accept(home ? mIssuer.issue(nowMs, upstream) : PermitReply.denied(NOT_HOME_MS));
+    }
+
+    /** Forgets what is over. */
+    public void tick(long nowMs) {
+        mIssuer.tick(nowMs);
+        mNotBeforeMs.values().removeIf(t -> nowMs >= t);
+        Map.copyOf(mUnused).keySet().forEach(u -> expire(nowMs, u));
+    }
+
+    /** Returns what became of the permits for which this VM asked. */
+    public PermitCounts counts() {
+        return mCounts;
+    }
+
+    /** Returns how many upstreams have a rate limit. */
+    public int limitedUpstreams() {
+        return mSignals.limited();
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/hornbeampass/coordination/service/SignalExchange.java
@@ -0,0 +1,123 @@
+package org.hornbeampass.coordination.service;
+
+import org.hornbeampass.coordination.peer.PeerMessage;
+import org.hornbeampass.coordination.peer.PeerNetwork;
+import org.hornbeampass.state.VmId;
+
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+
+/**
+ * Takes what upstreams say of themselves in their answers, and tells the other VMs.
+ *
+ * <p>That an upstream leaves is told until its entry says so too or it is gone, and a rate limit
+ * for as long as answers to this VM name it, so that a VM that starts meanwhile hears of both.
+ * Confined to one thread.
+ */
+public final class SignalExchange {
+    private static final String ANSWER = "";
+
+    private final UpstreamBoard mBoard;
+    private final SignalTable mTable;
+    private final SignalListener mListener;
+    private final RelayedNews<UpstreamIncarnation> mNews;
+
+    /** The incarnations whose limit was named to this VM since news were last repeated. */
+    private final Set<UpstreamIncarnation> mLimitsNamed = new LinkedHashSet<>();
+
+    /**
+     * Makes an exchange.
+     *
+     * @param board takes upstreams that leave out of use
+     * @param table keeps the signals
+     * @param peers sends messages to other VMs
+     * @param paths gives whom to tell now
+     * @param listener hears what is new
+     */
+    public SignalExchange(
+            UpstreamBoard board,
+            SignalTable table,
+            PeerNetwork peers,
+            Supplier<FleetPaths> paths,
+            SignalListener listener) {
+        mBoard = board;
+        mTable = table;
+        mListener = listener;
+        mNews =
+                new RelayedNews<>(
+                        paths,
+                        (nowMs, vms, upstreams) -> {
+                            SignalReport report = report(nowMs, upstreams);
+                            vms.forEach(vm -> peers.send(vm, report));
+                        });
+    }
+
+    private SignalReport report(long nowMs, List<UpstreamIncarnation> upstreams) {
+        return new SignalReport(
+                upstreams.stream()
+                        .map(u -> SignalReport.Item.of(nowMs, u, mTable.get(u)))
+                        .toList());
+    }
+
+    /** Takes what an answer said of its upstream. */
+    public void onAnswer(long nowMs, UpstreamInstance upstream, UpstreamSignals signals) {
+        UpstreamIncarnation incarnation = upstream.incarnation();
+        if (!signals.restricts() && !mTable.contains(incarnation)) {
+            return;
+        }
+        if (learn(nowMs, incarnation, signals, ANSWER)) {
+            mNews.add(incarnation);
+        }
+        if (signals.rateLimit().limits()) {
+            mLimitsNamed.add(incarnation);
+        }
+    }
+
+    /** Takes what another VM was told. */
+    public void onReport(long nowMs, VmId from, SignalReport report, Consumer<PeerMessage> reply) {
+        List<UpstreamIncarnation> learnt = new ArrayList<>();
+        for (SignalReport.Item item : report.items()) {
+            if (onItem(nowMs, from, item)) {
+                learnt.add(item.upstream());
+            }
+        }
+        mNews.onTold(from.name(), learnt);
+    }
+
+    /** Takes what another VM knows of one upstream; returns whether any of it is new. */
+    public boolean onItem(long nowMs, VmId from, SignalReport.Item item) {
+        return learn(nowMs, item.upstream(), item.signals(nowMs), from.name());
+    }
+
+    private boolean learn(
+            long nowMs, UpstreamIncarnation upstream, UpstreamSignals signals, String toldBy) {
+        UpstreamSignals before = mTable.merge(nowMs, upstream, signals);
+        UpstreamSignals after = mTable.get(upstream);
+        boolean leaves = after.leaving() && !before.leaving();
+        if (leaves) {
+            mBoard.markLeaving(upstream);
+            mListener.onLeaving(nowMs, upstream, toldBy);
+        }
+        boolean limitChanged =
+                !after.rateLimit().perSecond().equals(before.rateLimit().perSecond());
+        if (limitChanged) {
+            mListener.onRateLimit(nowMs, upstream, after.rateLimit().perSecond(), toldBy);
+        }
+        return leaves || limitChanged;
+    }
+
+    /** Tells the other VMs. */
+    public void tick(long nowMs) {
+        mTable.tick(nowMs);
+        if (mNews.repeats(nowMs)) {
+            mBoard.leavingByAnswerAlone(nowMs).forEach(mNews::add);
+            mLimitsNamed.forEach(mNews::add);
+            mLimitsNamed.clear();
+        }
+        mNews.tick(nowMs);
+    }
+}
--- a/coordination/src/main/java/org/hornbeampass/coordination/service/UpstreamBoard.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/service/UpstreamBoard.java
@@ -12,6 +12,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.IntSupplier;
+import java.util.function.ToLongFunction;
 import java.util.random.RandomGenerator;
 
 /**
@@ -19,7 +20,8 @@
  *
  * <p>Invariants: an upstream that is leaving or gone is never chosen; what is known of one belongs
  * to one incarnation, and an older incarnation never comes back; one that is paused after failures
- * is chosen only where all usable ones of its service are. Confined to one thread.
+ * is chosen only where all usable ones of its service are; one whose rate limit the fleet has used
+ * up is not chosen. Confined to one thread.
  */
 public final class UpstreamBoard {
     /**
@@ -52,20 +54,31 @@
     private final Map<String, UpstreamInstance> mById = new HashMap<>();
     private final Map<String, List<UpstreamInstance>> mByService = new HashMap<>();
     private final FormerUpstreams mFormer = new FormerUpstreams();
-    private final LeavingUpstreams mLeaving = new LeavingUpstreams();
+    private final SignalTable mSignals;
+    private final SendGate mGate;
     private final FleetLoad mFleetLoad = new FleetLoad();
     private final RandomGenerator mRandom;
     private final IntSupplier mVms;
 
+    /** Makes an empty board for upstreams of which nothing is known but their entries. */
+    public UpstreamBoard(RandomGenerator random, IntSupplier vms) {
+        this(random, vms, new SignalTable(), SendGate.OPEN);
+    }
+
     /**
      * Makes an empty board.
      *
      * @param random spreads ties
      * @param vms how many VMs send requests to the upstreams
+     * @param signals what upstreams have said of themselves
+     * @param gate tells which upstreams take no more requests for now
      */
-    public UpstreamBoard(RandomGenerator random, IntSupplier vms) {
+    public UpstreamBoard(
+            RandomGenerator random, IntSupplier vms, SignalTable signals, SendGate gate) {
         mRandom = random;
         mVms = vms;
+        mSignals = signals;
+        mGate = gate;
     }
 
     /** Returns what the other VMs have in progress. */
@@ -123,7 +136,7 @@
 
     private void add(UpstreamEntry entry) {
         UpstreamInstance added = new UpstreamInstance(entry);
-        if (mLeaving.contains(added.incarnation())) {
+        if (mSignals.get(added.incarnation()).leaving()) {
             added.markLeaving();
         }
         mById.put(entry.id(), added);
@@ -150,19 +163,12 @@
         }
     }
 
-    /**
-     * Marks an upstream as leaving, since an answer to this or another VM said so.
-     *
-     * @param nowMs the present time in milliseconds
-     * @param upstream the incarnation, which may not be listed here yet
-     * @return whether it is new
-     */
-    boolean onLeaving(long nowMs, UpstreamIncarnation upstream) {
+    /** Takes an incarnation out of use for new requests, for good, if it is listed. */
+    void markLeaving(UpstreamIncarnation upstream) {
         UpstreamInstance known = mById.get(upstream.upstream());
         if (known != null && known.incarnation().equals(upstream)) {
             known.markLeaving();
         }
-        return mLeaving.add(nowMs, upstream);
     }
 
     /** Returns the upstreams that leave, and whose entries don't say so. */
@@ -181,7 +187,6 @@
     /** Forgets upstreams that are gone and have no request in progress. */
     public void tick(long nowMs) {
         mFormer.tick(nowMs);
-        mLeaving.tick(nowMs);
         mFleetLoad.tick(nowMs);
         mById.values().removeIf(i -> forget(nowMs, i));
         for (List<UpstreamInstance> instances : mByService.values()) {
@@ -211,7 +216,8 @@
         boolean mustTell = telling > 0 && 2 * telling >= all.size();
         List<UpstreamInstance> usable = new ArrayList<>(all.size());
         for (UpstreamInstance each : all) {
-            if (each.usable(nowMs) && (!mustTell || each.tellsIncarnation())) {
+            boolean may = each.usable(nowMs) && (!mustTell || each.tellsIncarnation());
+            if (may && mGate.waitMs(nowMs, each.incarnation()) == 0) {
                 usable.add(each);
             }
         }
@@ -243,9 +249,29 @@
      * @return the time in milliseconds from now on; empty where no pause keeps requests from it
      */
     public OptionalLong pauseLeftMs(long nowMs, String service) {
+        return shortest(nowMs, service, i -> i.askedPauseLeftMs(nowMs));
+    }
+
+    /**
+     * Returns when the first upstream of a service takes requests again, where pauses and used-up
+     * rate limits keep requests from all.
+     *
+     * @param nowMs the present time in milliseconds
+     * @param service the service's name
+     * @return the time in milliseconds from now on; empty where one takes requests now
+     */
+    public OptionalLong closedForMs(long nowMs, String service) {
+        return shortest(
+                nowMs,
+                service,
+                i -> Math.max(i.askedPauseLeftMs(nowMs), mGate.waitMs(nowMs, i.incarnation())));
+    }
+
+    private OptionalLong shortest(
+            long nowMs, String service, ToLongFunction<UpstreamInstance> waitMs) {
         return mByService.getOrDefault(service, List.of()).stream()
                 .filter(i -> !i.leaving() && !i.gone(nowMs))
-                .mapToLong(i -> i.askedPauseLeftMs(nowMs))
+                .mapToLong(waitMs)
                 .min()
                 .stream()
                 .filter(leftMs -> leftMs > 0)
--- a/coordination/src/main/java/org/hornbeampass/coordination/service/UpstreamInstance.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/service/UpstreamInstance.java
@@ -38,6 +38,7 @@
 
     private final Set<IncarnationListener> mInProgress = new LinkedHashSet<>();
     private UpstreamEntry mEntry;
+    private UpstreamIncarnation mIncarnation;
     private boolean mLeaving;
     private long mGoneAtMs = Long.MAX_VALUE;
     private long mUnreadTokens;
@@ -52,6 +53,7 @@
 
     UpstreamInstance(UpstreamEntry entry) {
         mEntry = entry;
+        mIncarnation = UpstreamIncarnation.of(entry);
         mLeaving = entry.leaving();
     }
 
@@ -67,6 +69,7 @@
 
     void update(UpstreamEntry entry) {
         mEntry = entry;
+        mIncarnation = UpstreamIncarnation.of(entry);
         mLeaving |= entry.leaving();
         mGoneAtMs = Long.MAX_VALUE;
     }
@@ -88,7 +91,7 @@
 
     /** Returns which incarnation of the upstream it is. */
     public UpstreamIncarnation incarnation() {
-        return UpstreamIncarnation.of(mEntry);
+        return mIncarnation;
     }
 
     /** Takes it out of use for new requests, for good. */
--- /dev/null
+++ b/coordination/src/test/java/org/hornbeampass/coordination/ratelimit/RateLimitFleet.java
@@ -0,0 +1,398 @@
+package org.hornbeampass.coordination.ratelimit;
+
+import io.vavr.control.Either;
+
+import org.hornbeampass.coordination.hash.RendezvousHash;
+import org.hornbeampass.coordination.peer.PeerMessage;
+import org.hornbeampass.coordination.peer.PeerNetwork;
+import org.hornbeampass.coordination.service.FleetPaths;
+import org.hornbeampass.coordination.service.IncarnationListener;
+import org.hornbeampass.coordination.service.RateLimit;
+import org.hornbeampass.coordination.service.SignalExchange;
+import org.hornbeampass.coordination.service.SignalListener;
+import org.hornbeampass.coordination.service.SignalReport;
+import org.hornbeampass.coordination.service.SignalTable;
+import org.hornbeampass.coordination.service.TestMembers;
+import org.hornbeampass.coordination.service.UpstreamBoard;
+import org.hornbeampass.coordination.service.UpstreamIncarnation;
+import org.hornbeampass.coordination.service.UpstreamInstance;
+import org.hornbeampass.coordination.service.UpstreamSignals;
+import org.hornbeampass.state.ErrorKind;
+import org.hornbeampass.state.Failure;
+import org.hornbeampass.state.FailureDomain;
+import org.hornbeampass.state.member.Member;
+import org.hornbeampass.state.service.Prompt;
+import org.hornbeampass.state.service.ServiceSpec;
+import org.hornbeampass.state.service.UpstreamEntry;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalDouble;
+import java.util.OptionalLong;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.BiConsumer;
+
+/**
+ * A fleet in virtual time before upstreams that name rate limits, with VMs and links that fail. Not
+ * thread-safe.
+ */
+final class RateLimitFleet {
+    static final String SERVICE_NAME = "s";
+
+    private static final int DOMAINS = 5;
+    private static final long TICK_MS = 100;
+    private static final long NEWCOMER_MS = 2_000;
+    private static final int MAX_DENIED = 4;
+    private static final long ONE_WAY_MS = 2;
+    private static final ServiceSpec SERVICE = new ServiceSpec(SERVICE_NAME, 100, Optional.empty());
+
+    /** Something that happens at a time; of the same time, in the order in which it was planned. */
+    private record Event(long atMs, long number, Runnable action) {}
+
+    /** One VM in one of its lives. */
+    private final class Vm implements PeerNetwork, PermitHomes, SignalListener {
+        private final Member mSelf;
+        private final long mStartedMs;
+        private final Set<String> mKnown = new HashSet<>();
+        private final SignalTable mTable = new SignalTable();
+        private final UpstreamBoard mBoard;
+        private final SignalExchange mExchange;
+        private final RateLimiter mLimiter;
+
+        Vm(Member self) {
+            mSelf = self;
+            mStartedMs = mNowMs;
+            mLimiter = new RateLimiter(mTable, this::exchange, this, this);
+            mBoard = new UpstreamBoard(mRandom, mVms::size, mTable, mLimiter);
+            mExchange = new SignalExchange(mBoard, mTable, this, this::paths, this);
+        }
+
+        private SignalExchange exchange() {
+            return mExchange;
+        }
+
+        private FleetPaths paths() {
+            List<Member> known = mMembers.stream().filter(m -> mKnown.contains(m.name())).toList();
+            return FleetPaths.choose(mSelf, known);
+        }
+
+        @Override
+        public Optional<String> homeOf(String upstream) {
+            boolean newcomer = mStartedMs > 0 && mNowMs - mStartedMs < NEWCOMER_MS;
+            return newcomer ? Optional.empty() : RendezvousHash.choose(upstream, mKnown);
+        }
+
+        @Override
+        public String self() {
+            return mSelf.name();
+        }
+
+        @Override
+        public void send(String vmName, PeerMessage message) {
+            mMessages++;
+            deliver(
+                    this,
+                    vmName,
+                    to ->
+                            to.mExchange.onReport(
+                                    mNowMs, mSelf.vm(), (SignalReport) message, r -> {}));
+        }
+
+        @Override
+        public void request(
+                long nowMs,
+                String vmName,
+                PeerMessage request,
+                long timeoutMs,
+                BiConsumer<Long, Either<Failure, PeerMessage>> done) {
+            mMessages += 2;
+            boolean[] answered = new boolean[1];
+            deliver(
+                    this,
+                    vmName,
+                    to ->
+                            to.mLimiter.onRequest(
+                                    mNowMs,
+                                    mSelf.vm(),
+                                    (PermitRequest) request,
+                                    reply ->
+                                            deliver(
+                                                    to,
+                                                    mSelf.name(),
+                                                    back -> {
+                                                        if (!answered[0] && back == this) {
+                                                            answered[0] = true;
+                                                            done.accept(
+                                                                    mNowMs, Either.right(reply));
+                                                        }
+                                                    })));
+            after(
+                    timeoutMs,
+                    () -> {
+                        if (!answered[0] && up(this)) {
+                            answered[0] = true;
+                            done.accept(
+                                    mNowMs,
+                                    Either.left(Failure.of(ErrorKind.NO_UPSTREAM, "silent")));
+                        }
+                    });
+        }
+
+        @Override
+        public void onLeaving(long nowMs, UpstreamIncarnation upstream, String toldBy) {}
+
+        @Override
+        public void onRateLimit(
+                long nowMs, UpstreamIncarnation upstream, OptionalDouble limit, String toldBy) {}
+    }
+
+    /** One request in progress at an upstream. */
+    private static final class Use implements IncarnationListener {
+        @Override
+        public void onEnded(long nowMs) {}
+    }
+
+    /** What a VM does with a message. */
+    private interface Receipt {
+        void on(Vm to);
+    }
+
+    private final Random mRandom;
+    private final PriorityQueue<Event> mEvents =
+            new PriorityQueue<>(
+                    Comparator.comparingLong(Event::atMs).thenComparingLong(Event::number));
+    private final Map<String, Vm> mVms = new TreeMap<>();
+    private final List<Member> mMembers = new ArrayList<>();
+    private final Set<String> mCutOff = new HashSet<>();
+    private final Map<String, LimitedUpstream> mUpstreams = new HashMap<>();
+    private double mLossShare;
+    private long mMessages;
+    private long mRefused;
+    private long mServed;
+    private long mNowMs;
+    private long mNumber;
+
+    RateLimitFleet(int vms, int upstreams, long seed) {
+        mRandom = new Random(seed);
+        for (int i = 0; i < upstreams; i++) {
+            mUpstreams.put("i-" + i, new LimitedUpstream());
+        }
+        for (int i = 0; i < vms; i++) {
+            mMembers.add(TestMembers.live("vm-" + i, i % DOMAINS));
+        }
+        mMembers.forEach(this::startKnown);
+        after(0, this::tick);
+    }
+
+    private void startKnown(Member member) {
+        Vm vm = new Vm(member);
+        mMembers.forEach(m -> vm.mKnown.add(m.name()));
+        mVms.put(member.name(), vm);
+        mUpstreams.keySet().forEach(u -> list(vm, u));
+    }
+
+    private void list(Vm vm, String upstream) {
+        vm.mBoard.onEntry(
+                mNowMs,
+                new UpstreamEntry(
+                        upstream,
+                        OptionalLong.of(1),
+                        SERVICE_NAME,
+                        upstream + ":80",
+                        new FailureDomain("d0"),
+                        6,
+                        false));
+    }
+
+    LimitedUpstream upstream(int number) {
+        return mUpstreams.get("i-" + number);
+    }
+
+    long nowMs() {
+        return mNowMs;
+    }
+
+    long messages() {
+        return mMessages;
+    }
+
+    long refused() {
+        return mRefused;
+    }
+
+    long served() {
+        return mServed;
+    }
+
+    void loseMessages(double share) {
+        mLossShare = share;
+    }
+
+    /** Cuts a VM off from the others and from the upstreams, or ends that. */
+    void cutOff(String vm, boolean cut) {
+        mUpstreams.values().forEach(u -> u.onExcused(vm));
+        if (cut) {
+            mCutOff.add(vm);
+        } else {
+            mCutOff.remove(vm);
+        }
+    }
+
+    /** Returns the VM that gives out an upstream's permits. */
+    String homeOf(int upstream) {
+        return mVms.values().iterator().next().homeOf("i-" + upstream).orElseThrow();
+    }
+
+    /** Kills a VM; each of the others notices after a time of its own up to a bound. */
+    void kill(String vm, long noticedWithinMs) {
+        mVms.remove(vm);
+        mUpstreams.values().forEach(u -> u.onExcused(vm));
+        for (Vm other : mVms.values()) {
+            after(
+                    mRandom.nextLong(noticedWithinMs),
+                    () -> {
+                        if (!mVms.containsKey(vm)) {
+                            other.mKnown.remove(vm);
+                        }
+                    });
+        }
+    }
+
+    /** Starts a VM again; each of the others hears of it after a time of its own up to a bound. */
+    void start(String vm, long noticedWithinMs) {
+        Member member =
+                mMembers.stream().filter(m -> m.name().equals(vm)).findFirst().orElseThrow();
+        startKnown(member);
+        for (Vm other : mVms.values()) {
+            after(mRandom.nextLong(noticedWithinMs), () -> other.mKnown.add(vm));
+        }
+    }
+
+    /** Sends requests to all VMs at random, at a rate of the whole fleet, for some time. */
+    void load(double perSecond, long forMs) {
+        long untilMs = mNowMs + forMs;
+        double gapMs = 1_000 / perSecond;
+        for (double t = gapMs(gapMs); t < forMs; t += gapMs(gapMs)) {
+            after((long) t, this::arrive);
+        }
+        runUntil(untilMs);
+    }
+
+    private double gapMs(double meanMs) {
+        return -meanMs * Math.log(1 - mRandom.nextDouble());
+    }
+
+    /** Plans an action, in milliseconds from now on. */
+    void after(long ms, Runnable action) {
+        mEvents.add(new Event(mNowMs + ms, mNumber++, action));
+    }
+
+    private void runUntil(long untilMs) {
+        while (!mEvents.isEmpty() && mEvents.peek().atMs() < untilMs) {
+            Event event = mEvents.poll();
+            mNowMs = event.atMs();
+            event.action().run();
+        }
+        mNowMs = untilMs;
+    }
+
+    private void tick() {
+        for (Vm vm : List.copyOf(mVms.values())) {
+            vm.mExchange.tick(mNowMs);
+            vm.mLimiter.tick(mNowMs);
+            vm.mBoard.tick(mNowMs);
+        }
+        after(TICK_MS, this::tick);
+    }
+
+    private boolean up(Vm vm) {
+        return mVms.get(vm.self()) == vm;
+    }
+
+    private void deliver(Vm from, String to, Receipt receipt) {
+        boolean lost = mCutOff.contains(from.self()) || mRandom.nextDouble() < mLossShare;
+        after(
+                ONE_WAY_MS + mRandom.nextInt(2),
+                () -> {
+                    Vm receiver = mVms.get(to);
+                    if (!lost && receiver != null && !mCutOff.contains(to)) {
+                        receipt.on(receiver);
+                    }
+                });
+    }
+
+    private void arrive() {
+        List<Vm> up = List.copyOf(mVms.values());
+        if (!up.isEmpty()) {
+            attempt(up.get(mRandom.nextInt(up.size())), 0);
+        }
+    }
+
+    /** Chooses and asks for a permit as the relay does. */
+    private void attempt(Vm vm, int denied) {
+        var chosen = vm.mBoard.choose(mNowMs, SERVICE, Prompt.NONE, Set.of());
+        if (chosen.isEmpty() || denied >= MAX_DENIED) {
+            mRefused++;
+            return;
+        }
+        UpstreamInstance instance = chosen.get().instance();
+        vm.mLimiter.acquire(
+                mNowMs,
+                instance.incarnation(),
+                (t, permit) -> {
+                    if (permit.isEmpty()) {
+                        attempt(vm, denied + 1);
+                    } else if (vm.mLimiter.redeem(t, permit.get())) {
+                        send(vm, instance);
+                    } else {
+                        attempt(vm, denied + 1);
+                    }
+                });
+    }
+
+    private void send(Vm vm, UpstreamInstance instance) {
+        if (mCutOff.contains(vm.self())) {
+            return;
+        }
+        mServed++;
+        long askedMs = mNowMs;
+        IncarnationListener use = new Use();
+        instance.onSent(0, use);
+        LimitedUpstream upstream = mUpstreams.get(instance.id());
+        after(
+                ONE_WAY_MS,
+                () -> {
+                    upstream.onArrival(mNowMs, vm.self());
+                    after(upstream.workMs(mRandom), () -> answer(vm, instance, use, askedMs));
+                });
+    }
+
+    private void answer(Vm vm, UpstreamInstance instance, IncarnationListener use, long askedMs) {
+        LimitedUpstream upstream = mUpstreams.get(instance.id());
+        OptionalDouble limit = upstream.limit();
+        after(
+                ONE_WAY_MS + mRandom.nextInt(20),
+                () -> {
+                    instance.onEnded(use);
+                    if (!up(vm) || mCutOff.contains(vm.self())) {
+                        return;
+                    }
+                    if (limit.isPresent()) {
+                        upstream.onTold(mNowMs, vm.self());
+                    }
+                    instance.onGood(mNowMs, (double) (mNowMs - askedMs));
+                    vm.mExchange.onAnswer(
+                            mNowMs,
+                            instance,
+                            new UpstreamSignals(false, new RateLimit(limit, askedMs, mNowMs)));
+                });
+    }
+}
--- a/coordination/src/test/java/org/hornbeampass/coordination/service/LeavingExchangeTest.java
+++ b/coordination/src/test/java/org/hornbeampass/coordination/service/SignalExchangeTest.java
@@ -19,17 +19,21 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.Random;
 import java.util.Set;
 
-/** Checks that what one VM is told of a leaving upstream, all VMs know soon. */
-class LeavingExchangeTest {
+/** Checks that what one VM is told by an upstream, all VMs know soon. */
+class SignalExchangeTest {
     private static final int DOMAINS = 5;
+    private static final UpstreamSignals LEAVES = new UpstreamSignals(true, RateLimit.UNKNOWN);
+    private static final OptionalDouble ONE = OptionalDouble.of(1);
     private static final ServiceSpec SERVICE = new ServiceSpec("s", 100, Optional.empty());
 
     private final Map<String, UpstreamBoard> mBoards = new HashMap<>();
-    private final Map<String, LeavingExchange> mExchanges = new HashMap<>();
+    private final Map<String, SignalTable> mTables = new HashMap<>();
+    private final Map<String, SignalExchange> mExchanges = new HashMap<>();
     private final List<Member> mMembers = new ArrayList<>();
     private final Map<String, String> mToldBy = new HashMap<>();
     private int mMessages;
@@ -46,7 +50,27 @@
         @Override
         public void send(String vmName, PeerMessage message) {
             mMessages++;
-            mExchanges.get(vmName).onReport(mNowMs, mSelf, (LeavingReport) message, r -> {});
+            mExchanges.get(vmName).onReport(mNowMs, mSelf, (SignalReport) message, r -> {});
+        }
+    }
+
+    /** Notes who told of an upstream. */
+    private final class Listener implements SignalListener {
+        private final String mSelf;
+
+        Listener(String self) {
+            mSelf = self;
+        }
+
+        @Override
+        public void onLeaving(long nowMs, UpstreamIncarnation upstream, String toldBy) {
+            mToldBy.put(mSelf, toldBy);
+        }
+
+        @Override
+        public void onRateLimit(
+                long nowMs, UpstreamIncarnation upstream, OptionalDouble limit, String toldBy) {
+            mToldBy.put(mSelf, toldBy);
         }
     }
 
@@ -59,15 +83,18 @@
     private void startVm(int number) {
         Member self = TestMembers.live("vm-" + number, number % DOMAINS);
         mMembers.add(self);
-        UpstreamBoard board = new UpstreamBoard(new Random(1), () -> 8);
+        SignalTable table = new SignalTable();
+        UpstreamBoard board = new UpstreamBoard(new Random(1), () -> 8, table, SendGate.OPEN);
         mBoards.put(self.name(), board);
+        mTables.put(self.name(), table);
         mExchanges.put(
                 self.name(),
-                new LeavingExchange(
+                new SignalExchange(
                         board,
+                        table,
                         new Peers(self.vm()),
                         () -> FleetPaths.choose(self, mMembers),
-                        (nowMs, upstream, toldBy) -> mToldBy.put(self.name(), toldBy)));
+                        new Listener(self.name())));
         show(self.name(), entry("i-1", 100, false));
         show(self.name(), entry("i-2", 100, false));
     }
@@ -96,7 +123,17 @@
     private void tell(String vm, String upstream) {
         UpstreamInstance told = choose(vm, upstream.equals("i-1") ? "i-2" : "i-1").orElseThrow();
         assertThat(told.id()).isEqualTo(upstream);
-        mExchanges.get(vm).onAnswer(mNowMs, told);
+        mExchanges.get(vm).onAnswer(mNowMs, told, LEAVES);
+    }
+
+    private void nameLimit(String vm, OptionalDouble perSecond, long askedMs) {
+        UpstreamInstance told = choose(vm, "i-2").orElseThrow();
+        RateLimit limit = new RateLimit(perSecond, askedMs, mNowMs);
+        mExchanges.get(vm).onAnswer(mNowMs, told, new UpstreamSignals(false, limit));
+    }
+
+    private OptionalDouble limitAt(String vm) {
+        return mTables.get(vm).get(new UpstreamIncarnation("i-1", 100)).rateLimit().perSecond();
     }
 
     @ParameterizedTest
@@ -143,7 +180,9 @@
     @Test
     void wordOfAnUpstreamThatIsNotListedYet_countsOnceItIs() {
         start(2);
-        mBoards.get("vm-0").onLeaving(mNowMs, new UpstreamIncarnation("i-9", 100));
+        SignalReport.Item leaves =
+                SignalReport.Item.of(mNowMs, new UpstreamIncarnation("i-9", 100), LEAVES);
+        mExchanges.get("vm-0").onItem(mNowMs, mMembers.get(1).vm(), leaves);
         show("vm-0", entry("i-9", 100, false));
         assertThat(choose("vm-0", "i-1", "i-2")).isEmpty();
     }
@@ -158,4 +197,63 @@
         run(20_000);
         assertThat(mMessages).isZero();
     }
+
+    @ParameterizedTest
+    @ValueSource(ints = {8, 95})
+    void rateLimitThatOneVmWasTold_isKnownToAllWithinASecond(int vms) {
+        start(vms);
+        nameLimit("vm-3", ONE, mNowMs);
+        run(1_000);
+        for (String vm : mBoards.keySet()) {
+            assertThat(limitAt(vm)).isEqualTo(ONE);
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {8, 95})
+    void rateLimitThatIsNamedNoMore_endsOnAllWithinAFewSeconds(int vms) {
+        start(vms);
+        nameLimit("vm-3", ONE, mNowMs);
+        run(2_000);
+        for (int i = 0; i < 5; i++) {
+            nameLimit("vm-5", OptionalDouble.empty(), mNowMs - 50);
+            run(500);
+        }
+        for (String vm : mBoards.keySet()) {
+            assertThat(limitAt(vm)).isEmpty();
+        }
+    }
+
+    @Test
+    void answerToARequestFromBeforeTheLimit_doesNotEndIt() {
+        start(8);
+        long beforeMs = mNowMs;
+        run(200);
+        nameLimit("vm-3", ONE, mNowMs);
+        run(1_000);
+        nameLimit("vm-3", OptionalDouble.empty(), beforeMs);
+        nameLimit("vm-5", OptionalDouble.empty(), beforeMs);
+        run(1_000);
+        assertThat(limitAt("vm-3")).isEqualTo(ONE);
+        assertThat(limitAt("vm-5")).isEqualTo(ONE);
+    }
+
+    @Test
+    void vmThatStartsLater_isToldOfARateLimit() {
+        start(8);
+        nameLimit("vm-3", ONE, mNowMs);
+        run(10_000);
+        startVm(8);
+        nameLimit("vm-3", ONE, mNowMs);
+        run(1_000);
+        assertThat(limitAt("vm-8")).isEqualTo(ONE);
+    }
+
+    @Test
+    void rateLimitOfAnIncarnation_doesNotHoldForTheNext() {
+        start(2);
+        nameLimit("vm-0", ONE, mNowMs);
+        assertThat(mTables.get("vm-0").get(new UpstreamIncarnation("i-1", 200)))
+                .isEqualTo(UpstreamSignals.NONE);
+    }
 }
--- a/router/src/main/java/org/hornbeampass/router/daemon/FleetView.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/FleetView.java
@@ -10,6 +10,7 @@
 import org.hornbeampass.coordination.platform.Platform;
 import org.hornbeampass.coordination.platform.PlatformCall;
 import org.hornbeampass.coordination.platform.PlatformReply;
+import org.hornbeampass.coordination.ratelimit.PermitHomes;
 import org.hornbeampass.coordination.service.FleetPaths;
 import org.hornbeampass.state.Json;
 import org.hornbeampass.state.VmId;
@@ -31,7 +32,7 @@
  * <p>VMs are named by their IP numbers among each other, so that a seed's name is known from its
  * address. Confined to one event loop.
  */
-final class FleetView {
+final class FleetView implements PermitHomes {
     private static final String PREFIX = "vms/";
 
     /** How long to wait before registering again after a failed call, in milliseconds. */
@@ -67,6 +68,7 @@
     private int mMostVms = 1;
     private long mStartedMs = -1;
     private boolean mSettled;
+    private boolean mKnown;
 
     FleetView(
             RelayDaemonSettings settings,
@@ -137,11 +139,29 @@
 
     /** Lets the homes of the pools follow the members; a VM that is only suspected stays one. */
     private void updateHomes(long nowMs) {
+        mKnown = !mHasSeeds || nowMs - mStartedMs >= NEWCOMER_MS;
+        mHomes.update(mMembership.view().self(), homeMembers(), mKnown);
+    }
+
+    private List<Member> homeMembers() {
         MembershipView view = mMembership.view();
         List<Member> members = new ArrayList<>(view.live());
         members.addAll(view.suspect());
-        boolean known = !mHasSeeds || nowMs - mStartedMs >= NEWCOMER_MS;
-        mHomes.update(view.self(), members, known);
+        return members;
+    }
+
+    @Override
+    public Optional<String> homeOf(String upstream) {
+        if (!mKnown) {
+            return Optional.empty();
+        }
+        List<String> names = homeMembers().stream().map(Member::name).toList();
+        return RendezvousHash.choose("permits-" + upstream, names);
+    }
+
+    @Override
+    public String self() {
+        return mSelf.vm().name();
     }
 
     /** Returns whom this VM tells what it has in progress. */
--- a/router/src/main/java/org/hornbeampass/router/daemon/RelayDaemon.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/RelayDaemon.java
@@ -20,13 +20,15 @@
 import org.hornbeampass.coordination.quarantine.Quarantine;
 import org.hornbeampass.coordination.quarantine.RequestHasher;
 import org.hornbeampass.coordination.quarantine.SuspectReport;
+import org.hornbeampass.coordination.ratelimit.PermitCounts;
+import org.hornbeampass.coordination.ratelimit.PermitRequest;
+import org.hornbeampass.coordination.ratelimit.RateLimiter;
 import org.hornbeampass.coordination.service.InFlightReport;
-import org.hornbeampass.coordination.service.LeavingExchange;
-import org.hornbeampass.coordination.service.LeavingReport;
 import org.hornbeampass.coordination.service.LoadExchange;
+import org.hornbeampass.coordination.service.SignalExchange;
+import org.hornbeampass.coordination.service.SignalReport;
+import org.hornbeampass.coordination.service.SignalTable;
 import org.hornbeampass.coordination.service.UpstreamBoard;
-import org.hornbeampass.coordination.service.UpstreamIncarnation;
-import org.hornbeampass.router.relay.LogFields;
 import org.hornbeampass.router.relay.RelayHandler;
 import org.hornbeampass.router.relay.RelayLog;
 import org.hornbeampass.router.relay.RelayParts;
@@ -77,7 +79,9 @@
     /** Draws for each candidate of each choice, where a secure one would ask the system. */
     private final Random mRandom = new Random(mSecure.nextLong());
 
-    private final UpstreamBoard mBoard = new UpstreamBoard(mRandom, this::vms);
+    private final SignalTable mSignalTable = new SignalTable();
+    private final RateLimiter mLimiter;
+    private final UpstreamBoard mBoard;
     private final ObservedStore mStore;
     private final FleetView mFleet;
     private final PeerTransport mPeers;
@@ -86,7 +90,7 @@
     private final BudgetMetrics mBudgetMetrics;
     private final EscrowLoans mLoans;
     private final LoadExchange mLoads;
-    private final LeavingExchange mLeaving;
+    private final SignalExchange mSignals;
     private final UpstreamPool mPool;
     private final Quarantine mQuarantine;
     private final RelayParts mParts;
@@ -114,31 +118,19 @@
                         mClock,
                         name -> fleet().flatMap(f -> f.peerAddress(name)));
         mFleet = new FleetView(settings, vm, mPeers, mStore, new Random(mRandom.nextLong()));
+        mLimiter = new RateLimiter(mSignalTable, this::signals, mPeers, mFleet);
+        mBoard = new UpstreamBoard(mRandom, this::vms, mSignalTable, mLimiter);
         mViews = views();
         mBudgets = budgets(ip);
         mBudgetMetrics = new BudgetMetrics(mMetrics, mBudgets);
         mLoads = new LoadExchange(mBoard, mPeers, mFleet::paths);
-        mLeaving = new LeavingExchange(mBoard, mPeers, mFleet::paths, this::onUpstreamLeaving);
+        mSignals =
+                new SignalExchange(
+                        mBoard, mSignalTable, mPeers, mFleet::paths, new SignalLog(mLog));
         mLoans = new EscrowLoans(mBudgets, mPeers, mFleet.homes(), mRandom);
         mPool = new UpstreamPool(mLoops, mClock);
         mQuarantine = quarantine();
-        mParts =
-                new RelayParts(
-                        wire,
-                        settings.relay(),
-                        loop(),
-                        mClock,
-                        mBoard,
-                        mPool,
-                        new RequestHasher(settings.cluster().revealBytes()),
-                        mQuarantine,
-                        mLeaving,
-                        mBudgets,
-                        mLoans,
-                        mLog,
-                        mRandom,
-                        mFleet::vms,
-                        mViews::configMayBeBehind);
+        mParts = parts();
         mChanges = new StoreChanges(mParts, mViews.upstreams());
         register();
         mCallers =
@@ -165,6 +157,26 @@
         return new RelayDaemon(settings, wire, platforms);
     }
 
+    private RelayParts parts() {
+        return new RelayParts(
+                mWire,
+                mSettings.relay(),
+                loop(),
+                mClock,
+                mBoard,
+                mPool,
+                new RequestHasher(mSettings.cluster().revealBytes()),
+                mQuarantine,
+                mSignals,
+                mLimiter,
+                mBudgets,
+                mLoans,
+                mLog,
+                mRandom,
+                mFleet::vms,
+                mViews::configMayBeBehind);
+    }
+
     private Optional<FleetView> fleet() {
         return Optional.ofNullable(mFleet);
     }
@@ -205,14 +217,8 @@
                 new GrantLog(mLog));
     }
 
-    private void onUpstreamLeaving(long nowMs, UpstreamIncarnation upstream, String toldBy) {
-        mLog.believes(
-                nowMs,
-                "upstream-leaving",
-                new LogFields()
-                        .add("upstream", upstream.upstream())
-                        .add("born_ms", upstream.bornMs())
-                        .add("told_by", toldBy));
+    private SignalExchange signals() {
+        return mSignals;
     }
 
     private Quarantine quarantine() {
@@ -243,7 +249,8 @@
         mPeers.on(LoanRequest.class, mLoans::onRequest);
         mPeers.on(LoanGift.class, mLoans::onGift);
         mPeers.on(InFlightReport.class, mLoads::onReport);
-        mPeers.on(LeavingReport.class, mLeaving::onReport);
+        mPeers.on(SignalReport.class, mSignals::onReport);
+        mPeers.on(PermitRequest.class, mLimiter::onRequest);
         mPeers.on(SuspectReport.class, mQuarantine::onReport);
     }
 
@@ -255,6 +262,13 @@
         mMetrics.register("peer_bytes_sent", (Gauge<Long>) mPeers.counters()::bytesSent);
         mMetrics.register("peer_bytes_received", (Gauge<Long>) mPeers.counters()::bytesReceived);
         mMetrics.register("suspected_requests", (Gauge<Integer>) mQuarantine.suspects()::size);
+        mMetrics.register("rate_limited_upstreams", (Gauge<Integer>) mLimiter::limitedUpstreams);
+        PermitCounts permits = mLimiter.counts();
+        mMetrics.register("permits_granted", (Gauge<Long>) permits::granted);
+        mMetrics.register("permits_denied", (Gauge<Long>) permits::denied);
+        mMetrics.register("permits_unanswered", (Gauge<Long>) permits::unanswered);
+        mMetrics.register("permits_used", (Gauge<Long>) permits::used);
+        mMetrics.register("permits_expired", (Gauge<Long>) permits::expired);
         mMetrics.register("vms", (Gauge<Integer>) mFleet::vms);
         mMetrics.register("caller_connections", (Gauge<Integer>) this::connections);
         mMetrics.register("upstream_connections_opened", (Gauge<Long>) mPool::opened);
@@ -324,7 +338,8 @@
         mBudgets.tick(nowMs);
         mLoans.tick(nowMs);
         mLoads.tick(nowMs);
-        mLeaving.tick(nowMs);
+        mSignals.tick(nowMs);
+        mLimiter.tick(nowMs);
         mQuarantine.tick(nowMs);
         mBoard.tick(nowMs);
         mPool.tick(nowMs);
--- /dev/null
+++ b/router/src/main/java/org/hornbeampass/router/daemon/SignalLog.java
@@ -0,0 +1,44 @@
+package org.hornbeampass.router.daemon;
+
+import org.hornbeampass.coordination.service.SignalListener;
+import org.hornbeampass.coordination.service.UpstreamIncarnation;
+import org.hornbeampass.router.relay.LogFields;
+import org.hornbeampass.router.relay.RelayLog;
+
+import java.util.OptionalDouble;
+
+/**
+ * Logs what upstreams say of themselves in their answers.
+ *
+ * <p>Confined to one event loop.
+ */
+final class SignalLog implements SignalListener {
+    private static final double NO_LIMIT = -1;
+
+    private final RelayLog mLog;
+
+    SignalLog(RelayLog log) {
+        mLog = log;
+    }
+
+    @Override
+    public void onLeaving(long nowMs, UpstreamIncarnation upstream, String toldBy) {
+        mLog.believes(nowMs, "upstream-leaving", fields(upstream).add("told_by", toldBy));
+    }
+
+    @Override
+    public void onRateLimit(
+            long nowMs, UpstreamIncarnation upstream, OptionalDouble perSecond, String toldBy) {
+        LogFields fields =
+                fields(upstream)
+                        .add("per_second", Double.toString(perSecond.orElse(NO_LIMIT)))
+                        .add("told_by", toldBy);
+        mLog.believes(nowMs, "upstream-limit", fields);
+    }
+
+    private static LogFields fields(UpstreamIncarnation upstream) {
+        return new LogFields()
+                .add("upstream", upstream.upstream())
+                .add("born_ms", upstream.bornMs());
+    }
+}
--- a/router/src/main/java/org/hornbeampass/router/relay/Refusals.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/Refusals.java
@@ -3,6 +3,8 @@
 import org.hornbeampass.state.ErrorKind;
 import org.hornbeampass.state.Failure;
 
+import java.util.random.RandomGenerator;
+
 /**
  * The answers to requests that did not run, with the time after which their callers may come back.
  *
@@ -34,6 +36,9 @@
     /** When a caller may come back to a VM that knows no configuration yet, or not the newest. */
     private static final long START_RETRY_MS = 300;
 
+    /** Over what time callers come back once an upstream's rate limit allows a request again. */
+    private static final long RATE_SPREAD_MS = 500;
+
     private Refusals() {}
 
     /** What is known of the tokens that a request lacks. */
@@ -115,4 +120,17 @@
         return Failure.retryAfter(
                 ErrorKind.NO_UPSTREAM, "all upstreams have asked for a pause", pauseLeftMs);
     }
+
+    /**
+     * All upstreams have got as many requests as they take.
+     *
+     * @param leftMs when the first one takes a request again, in milliseconds
+     * @param random spreads the callers that are refused at the same time
+     */
+    static Failure rateLimited(long leftMs, RandomGenerator random) {
+        return Failure.retryAfter(
+                ErrorKind.NO_UPSTREAM,
+                "all upstreams have got as many requests as they take now",
+                leftMs + random.nextLong(RATE_SPREAD_MS));
+    }
 }
--- a/router/src/main/java/org/hornbeampass/router/relay/RelayAttempts.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/RelayAttempts.java
@@ -6,7 +6,6 @@
 import io.netty.handler.codec.http.HttpVersion;
 
 import org.hornbeampass.coordination.quarantine.RequestStanding;
-import org.hornbeampass.coordination.service.UpstreamChoice;
 import org.hornbeampass.coordination.service.UpstreamInstance;
 import org.hornbeampass.state.ErrorKind;
 import org.hornbeampass.state.Failure;
@@ -14,19 +13,17 @@
 import org.hornbeampass.transport.relay.UpstreamConnection;
 import org.hornbeampass.transport.relay.UpstreamListener;
 
-import java.util.HashSet;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.Set;
 
 /**
  * Sends one admitted request to upstreams, one after another, and passes the answer on.
  *
  * <p>Invariants: at most one upstream works on it at a time; the number of sends stays within the
- * route's, sends to an upstream that turned out to be another one not counted; after the first send
- * each further one is taken out of the fleet's budget. Confined to one event loop.
+ * route's, sends to an upstream that turned out to be another one not counted. Confined to one
+ * event loop.
  */
-final class RelayAttempts implements UpstreamListener {
+final class RelayAttempts implements UpstreamListener, UpstreamSearch.Listener {
     private final RelayParts mParts;
     private final RelayCall mCall;
     private final RelayPlan mPlan;
@@ -35,7 +32,7 @@
     private final CallerAnswer mAnswer;
     private final SendCounts mCounts;
     private final SilenceWatch mSilence;
-    private final Set<String> mTried = new HashSet<>();
+    private final UpstreamSearch mSearch;
     private Optional<InstanceUse> mUse = Optional.empty();
     private Optional<UpstreamConnection> mConnection = Optional.empty();
     private boolean mBodySent;
@@ -56,70 +53,19 @@
         mAnswer = new CallerAnswer(call, plan);
         mCounts = new SendCounts(plan.route());
         mSilence = new SilenceWatch(call, plan.route(), this::onSilent);
+        mSearch =
+                new UpstreamSearch(
+                        parts, call, plan, crashes, mCounts, this, this::onInstanceEnded);
     }
 
     /** Sends the request to an upstream that it was not sent to yet. */
     void attempt(long nowMs) {
-        if (!mCrashes.mayBeSent(nowMs)) {
-            giveUpQuarantined(nowMs);
-            return;
-        }
-        Optional<UpstreamChoice> chosen =
-                mParts.board().choose(nowMs, mPlan.service(), mPlan.head().prompt(), mTried);
-        if (chosen.isEmpty()) {
-            giveUpWithoutUpstream(nowMs);
-            return;
-        }
-        if (mCounts.sentBefore() && !mParts.takeRetry(nowMs, mPlan.service().name())) {
-            giveUp(nowMs, "too many requests are sent again now");
-            return;
-        }
-        UpstreamInstance instance = chosen.get().instance();
-        mTried.add(instance.id());
-        InstanceUse use = new InstanceUse(chosen.get(), this::onInstanceEnded);
-        mUse = Optional.of(use);
-        long leftMs = mPlan.deadlineMs() - nowMs;
-        long maxIdleMs =
-                mPlan.route().mayRunAgain() ? Long.MAX_VALUE : RelayBounds.CAUTIOUS_IDLE_MS;
-        mParts.pool()
-                .connect(
-                        nowMs,
-                        instance.entry().address(),
-                        maxIdleMs,
-                        (int) Math.max(1, Math.min(RelayBounds.CONNECT_TIMEOUT_MS, leftMs)),
-                        connection -> onConnected(use, connection));
-    }
-
-    private void onConnected(InstanceUse use, Optional<UpstreamConnection> connection) {
-        long nowMs = mParts.clock().nowMs();
-        UpstreamInstance instance = use.instance();
-        boolean current = mUse.equals(Optional.of(use)) && !mCall.ended();
-        if (!current) {
-            connection.ifPresent(UpstreamConnection::cancel);
-            return;
-        }
-        if (connection.isEmpty()) {
-            instance.onSilent(nowMs);
-            leaveInstance();
-            decided(nowMs, "unreachable", use.fields());
-            if (mCounts.onUnreachable()) {
-                giveUp(nowMs, "the upstreams can't be reached");
-            } else {
-                attempt(nowMs);
-            }
-            return;
-        }
-        boolean maySend = instance.usable(nowMs) && mCrashes.takeSend(nowMs);
-        if (!maySend) {
-            connection.get().cancel();
-            leaveInstance();
-            attempt(nowMs);
-            return;
-        }
-        send(nowMs, use, connection.get());
+        mSearch.start(nowMs);
     }
 
-    private void send(long nowMs, InstanceUse use, UpstreamConnection connection) {
+    @Override
+    public void onFound(long nowMs, InstanceUse use, UpstreamConnection connection) {
+        mUse = Optional.of(use);
         mConnection = Optional.of(connection);
         if (mCounts.onSent()) {
             mParts.countFirst(nowMs, mPlan.service().name());
@@ -162,7 +108,7 @@
     @Override
     public boolean onHead(long nowMs, HttpResponse head) {
         AnswerHead said = mParts.wire().readAnswer(head, mPlan.head().id());
-        mParts.upstreamSignals().onAnswer(nowMs, mUse.orElseThrow().instance(), said);
+        mParts.answerSignals().onAnswer(nowMs, mSentMs, mUse.orElseThrow().instance(), said);
         AnswerClass answer = said.kind();
         if (answer == AnswerClass.UNRELATED) {
             decided(nowMs, "unrelated-answer", mUse.get().fields());
@@ -209,10 +155,7 @@
             if (mayRunAgain() && !mAnswer.begun()) {
                 LogFields fields = mUse.get().fields().add("status", head.status().code());
                 decided(nowMs, "upstream-failed", fields);
-                Optional<UpstreamChoice> other =
-                        mParts.board()
-                                .choose(nowMs, mPlan.service(), mPlan.head().prompt(), mTried);
-                if (other.isPresent()) {
+                if (mSearch.anyLeft(nowMs)) {
                     dropConnection();
                     attempt(nowMs);
                     return;
@@ -400,7 +343,8 @@
         mCall.end(nowMs, "caller-gone", usedTokens());
     }
 
-    private void giveUpQuarantined(long nowMs) {
+    @Override
+    public void onQuarantined(long nowMs) {
         if (mCounts.mayHaveRun()) {
             giveUp(nowMs, Refusals.QUARANTINED);
         } else {
@@ -408,15 +352,29 @@
         }
     }
 
-    private void giveUpWithoutUpstream(long nowMs) {
-        OptionalLong pauseLeftMs = mParts.board().pauseLeftMs(nowMs, mPlan.service().name());
-        if (pauseLeftMs.isPresent() && !mAnswer.begun() && !mCounts.mayHaveRun()) {
+    @Override
+    public void onNoneUsable(long nowMs) {
+        if (mAnswer.begun() || mCounts.mayHaveRun()) {
+            giveUp(nowMs, "no upstream takes requests now");
+            return;
+        }
+        String service = mPlan.service().name();
+        OptionalLong pauseLeftMs = mParts.board().pauseLeftMs(nowMs, service);
+        OptionalLong closedForMs = mParts.board().closedForMs(nowMs, service);
+        if (pauseLeftMs.isPresent()) {
             fail(nowMs, Refusals.upstreamsPause(pauseLeftMs.getAsLong()));
+        } else if (closedForMs.isPresent()) {
+            fail(nowMs, Refusals.rateLimited(closedForMs.getAsLong(), mParts.random()));
         } else {
             giveUp(nowMs, "no upstream takes requests now");
         }
     }
 
+    @Override
+    public void onGivenUp(long nowMs, String why) {
+        giveUp(nowMs, why);
+    }
+
     private void giveUp(long nowMs, String why) {
         if (mAnswer.begun()) {
             breakOff(nowMs, why);
@@ -458,6 +416,7 @@
     }
 
     private void leaveInstance() {
+        mSearch.cancel();
         mUse.ifPresent(InstanceUse::leave);
         mUse = Optional.empty();
         mCrashes.onLeft(mParts.clock().nowMs());
--- a/router/src/main/java/org/hornbeampass/router/relay/RelayParts.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/RelayParts.java
@@ -6,9 +6,10 @@
 import org.hornbeampass.coordination.escrow.EscrowLoans;
 import org.hornbeampass.coordination.quarantine.Quarantine;
 import org.hornbeampass.coordination.quarantine.RequestHasher;
-import org.hornbeampass.coordination.service.LeavingExchange;
+import org.hornbeampass.coordination.ratelimit.RateLimiter;
 import org.hornbeampass.coordination.service.RetryWindow;
 import org.hornbeampass.coordination.service.RouteTable;
+import org.hornbeampass.coordination.service.SignalExchange;
 import org.hornbeampass.coordination.service.UpstreamBoard;
 import org.hornbeampass.transport.Clock;
 import org.hornbeampass.transport.relay.UpstreamPool;
@@ -35,7 +36,8 @@
     private final CrashDetector mCrashes;
     private final RequestHasher mHasher;
     private final Quarantine mQuarantine;
-    private final UpstreamSignals mUpstreamSignals;
+    private final AnswerSignals mAnswerSignals;
+    private final RateLimiter mLimiter;
     private final EscrowBook mBudgets;
     private final EscrowLoans mLoans;
     private final RelayLog mLog;
@@ -59,7 +61,8 @@
             UpstreamPool pool,
             RequestHasher hasher,
             Quarantine quarantine,
-            LeavingExchange leaving,
+            SignalExchange signals,
+            RateLimiter limiter,
             EscrowBook budgets,
             EscrowLoans loans,
             RelayLog log,
@@ -74,7 +77,8 @@
         mPool = pool;
         mCrashes = new CrashDetector(pool, clock, log, quarantine);
         mQuarantine = quarantine;
-        mUpstreamSignals = new UpstreamSignals(leaving, log);
+        mAnswerSignals = new AnswerSignals(signals, log);
+        mLimiter = limiter;
         mHasher = hasher;
         mBudgets = budgets;
         mLoans = loans;
@@ -115,8 +119,12 @@
         return mHasher;
     }
 
-    UpstreamSignals upstreamSignals() {
-        return mUpstreamSignals;
+    AnswerSignals answerSignals() {
+        return mAnswerSignals;
+    }
+
+    RateLimiter limiter() {
+        return mLimiter;
     }
 
     Quarantine quarantine() {
--- a/router/src/main/java/org/hornbeampass/router/relay/SendCounts.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/SendCounts.java
@@ -15,6 +15,7 @@
     private int mRuns;
     private int mUnreachable;
     private int mMismatches;
+    private int mDenied;
 
     SendCounts(Route route) {
         mRoute = route;
@@ -40,6 +41,12 @@
         return mUnreachable >= RelayBounds.MAX_UNREACHABLE;
     }
 
+    /** Counts a permit that was denied; returns whether there were too many. */
+    boolean onDenied() {
+        mDenied++;
+        return mDenied >= RelayBounds.MAX_DENIED;
+    }
+
     /** Returns whether a further send has to be taken out of the fleet's budget. */
     boolean sentBefore() {
         return mSends > 0;
@@ -62,6 +69,9 @@
 
     /** Returns the counts as fields of a log line. */
     LogFields fields() {
-        return new LogFields().add("sends", mSends).add("unreachable", mUnreachable);
+        return new LogFields()
+                .add("sends", mSends)
+                .add("unreachable", mUnreachable)
+                .add("denied", mDenied);
     }
 }
--- a/transport/src/main/java/org/hornbeampass/protocol/peer/PeerMessageType.java
+++ b/transport/src/main/java/org/hornbeampass/protocol/peer/PeerMessageType.java
@@ -27,20 +27,22 @@
 import org.hornbeampass.coordination.news.NewsRequest;
 import org.hornbeampass.coordination.peer.PeerMessage;
 import org.hornbeampass.coordination.quarantine.SuspectReport;
+import org.hornbeampass.coordination.ratelimit.PermitReply;
+import org.hornbeampass.coordination.ratelimit.PermitRequest;
 import org.hornbeampass.coordination.requests.EntriesDecided;
 import org.hornbeampass.coordination.requests.EntriesRefused;
 import org.hornbeampass.coordination.requests.SubmitEntries;
 import org.hornbeampass.coordination.service.InFlightReport;
-import org.hornbeampass.coordination.service.LeavingReport;
+import org.hornbeampass.coordination.service.SignalReport;
 import org.hornbeampass.protocol.peer.PeerType.Form;
 
 /**
  * The closed list of messages between routers.
  *
  * <p>Numbers are never given to another message: membership takes 1 to 19, configuration 20 to 39,
- * budgets 40 to 59, requests 60 to 79, routing 80 to 94, operators 95 to 99. A router that does not
- * know a number counts it and, for a request, answers that it is unsupported. Immutable; safe for
- * use by any thread.
+ * budgets 40 to 59, requests 60 to 79, routing 80 to 94, operators 95 to 99; 82 is no longer used.
+ * A router that does not know a number counts it and, for a request, answers that it is
+ * unsupported. Immutable; safe for use by any thread.
  */
 public enum PeerMessageType {
     PING(1, Ping.class, Form.REQUEST),
@@ -71,7 +73,9 @@
     ENTRIES_REFUSED(62, EntriesRefused.class, Form.REPLY),
     IN_FLIGHT_REPORT(80, InFlightReport.class, Form.ONE_WAY),
     SUSPECT_REPORT(81, SuspectReport.class, Form.ONE_WAY),
-    LEAVING_REPORT(82, LeavingReport.class, Form.ONE_WAY),
+    SIGNAL_REPORT(83, SignalReport.class, Form.ONE_WAY),
+    PERMIT_REQUEST(84, PermitRequest.class, Form.REQUEST),
+    PERMIT_REPLY(85, PermitReply.class, Form.REPLY),
     DRAIN_ORDER(95, DrainOrder.class, Form.REQUEST),
     DRAIN_ANSWER(96, DrainAnswer.class, Form.REPLY);
 
