Record a verdict soon also where its keeper can't

Cause: one VM writes a verdict at once, all others after 3 to 10 s. That one was cut off from the store. Its calls were also made one at a time, so that a write without an answer held up the next verdict.

Change: the VMs that saw a crash of the request write it 0.6 to 1 s after the verdict unless they hear that it is recorded. Writes wait neither for each other nor for a reading.

Evidence: QuarantineTest.verdictOfAFleetKilledSoonAfter (8 and 95 VMs) and writeThatGetsNoAnswer_holdsUpNoOther failed before and pass.

--- a/coordination/src/main/java/org/hornbeampass/coordination/quarantine/QuarantineRecords.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/quarantine/QuarantineRecords.java
@@ -23,10 +23,11 @@
  * Keeps quarantines in the platform's store, so that they outlive the VMs, and lifts those whose
  * records operators delete.
  *
- * <p>Each VM reads the records once, at its start. One VM, the keeper, writes and reads them later;
- * another one writes only where a verdict stays without a record, since the keeper may be cut off.
- * So calls depend on verdicts and starts, not on VMs and time. Invariant: at most one call is open,
- * apart from deletions. Confined to one thread.
+ * <p>Each VM reads the records once, at its start. One VM, the keeper, writes and reads them later.
+ * Where a verdict stays without a record, since the keeper may be cut off or about to end, the VMs
+ * that saw its crashes write it within a second, and others after some seconds. So calls depend on
+ * verdicts and starts, not on VMs and time. Invariants: one reading is open at a time, and one
+ * write for each request; no write waits for another. Confined to one thread.
  */
 final class QuarantineRecords {
     static final String PREFIX = "quarantines/";
@@ -37,6 +38,15 @@
     /** How long to wait after a call that failed, in milliseconds. */
     private static final long RETRY_MS = 1_000;
 
+    /**
+     * How long VMs that saw one of the crashes leave the record to the keeper, in milliseconds: the
+     * keeper tells the others of its record within half a second.
+     */
+    private static final long WITNESS_MS = 600;
+
+    /** Over how long the witnesses spread their tries, in milliseconds. */
+    private static final int WITNESS_SPREAD_MS = 400;
+
     /** How long others leave the record to the keeper, in milliseconds. */
     private static final long KEEPER_MS = 3_000;
 
@@ -56,8 +66,8 @@
     private Set<RequestDigest> mRecordedBefore = Set.of();
     private boolean mRead;
     private boolean mAnyStored;
-    private boolean mOpen;
-    private long mNextCallMs;
+    private final Set<RequestDigest> mWriting = new HashSet<>();
+    private boolean mReading;
     private long mNextReadMs;
 
     /**
@@ -85,24 +95,22 @@
         mOnLifted = onLifted;
     }
 
-    /** Makes the next call that is due. */
+    /** Makes the calls that are due. */
     void tick(long nowMs) {
-        if (mOpen || nowMs < mNextCallMs) {
-            return;
-        }
         List<SuspectReport.Item> quarantined = mTable.quarantined(nowMs);
+        mWriteAtMs.keySet().retainAll(quarantined.stream().map(i -> i.digest()).toList());
+        quarantined.stream()
+                .filter(i -> !i.recorded() && !mWriting.contains(i.digest()))
+                .filter(i -> nowMs >= writeAtMs(nowMs, i.digest()))
+                .forEach(i -> write(nowMs, i));
         boolean any = mAnyStored || !quarantined.isEmpty();
-        if (!mRead || (any && nowMs >= mNextReadMs && mKeeper.getAsBoolean())) {
+        boolean readingDue =
+                !mReading && nowMs >= mNextReadMs && (!mRead || (any && mKeeper.getAsBoolean()));
+        if (readingDue) {
             mFound.clear();
             mRecordedBefore = recorded(quarantined);
             read(nowMs, "");
-            return;
         }
-        mWriteAtMs.keySet().retainAll(quarantined.stream().map(i -> i.digest()).toList());
-        quarantined.stream()
-                .filter(i -> !i.recorded() && nowMs >= writeAtMs(nowMs, i.digest()))
-                .findFirst()
-                .ifPresent(i -> write(nowMs, i));
     }
 
     private static Set<RequestDigest> recorded(List<SuspectReport.Item> items) {
@@ -112,16 +120,20 @@
     }
 
     private long writeAtMs(long nowMs, RequestDigest digest) {
-        return mWriteAtMs.computeIfAbsent(
-                digest,
-                d ->
-                        mKeeper.getAsBoolean()
-                                ? nowMs
-                                : nowMs + KEEPER_MS + mRandom.nextInt(SPREAD_MS));
+        return mWriteAtMs.computeIfAbsent(digest, d -> nowMs + writeDelayMs(d));
+    }
+
+    private long writeDelayMs(RequestDigest digest) {
+        if (mKeeper.getAsBoolean()) {
+            return 0;
+        }
+        return mTable.witnessed(digest)
+                ? WITNESS_MS + mRandom.nextInt(WITNESS_SPREAD_MS)
+                : KEEPER_MS + mRandom.nextInt(SPREAD_MS);
     }
 
     private void write(long nowMs, SuspectReport.Item item) {
-        mOpen = true;
+        mWriting.add(item.digest());
         String key = PREFIX + item.digest();
         QuarantineRecord record =
                 new QuarantineRecord(item.crashes(), nowMs + item.quarantineLeftMs());
@@ -132,31 +144,28 @@
     }
 
     private void onWritten(long nowMs, String key, RequestDigest digest, PlatformReply reply) {
-        mOpen = false;
+        mWriting.remove(digest);
         boolean stored =
                 reply instanceof PlatformReply.Written || reply instanceof PlatformReply.Conflict;
         if (!stored) {
-            failed(nowMs, key, reply);
+            mWriteAtMs.put(digest, nowMs + RETRY_MS);
+            mListener.onRecordFailed(nowMs, key, reply.toString());
             return;
         }
         mAnyStored = true;
         mTable.onRecorded(digest);
     }
 
-    private void failed(long nowMs, String key, PlatformReply reply) {
-        mNextCallMs = nowMs + RETRY_MS;
-        mListener.onRecordFailed(nowMs, key, reply.toString());
-    }
-
     private void read(long nowMs, String afterKey) {
-        mOpen = true;
+        mReading = true;
         mPlatform.submit(nowMs, new PlatformCall.ListObjects(PREFIX, afterKey, PAGE), this::onRead);
     }
 
     private void onRead(long nowMs, PlatformReply reply) {
-        mOpen = false;
+        mReading = false;
         if (!(reply instanceof PlatformReply.Listed listed)) {
-            failed(nowMs, PREFIX, reply);
+            mNextReadMs = nowMs + RETRY_MS;
+            mListener.onRecordFailed(nowMs, PREFIX, reply.toString());
             return;
         }
         listed.objects().forEach(o -> take(nowMs, o));
--- a/coordination/src/main/java/org/hornbeampass/coordination/quarantine/Suspect.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/quarantine/Suspect.java
@@ -33,6 +33,7 @@
     private long mKeptUntilMs;
     private boolean mQuarantined;
     private boolean mRecorded;
+    private boolean mWitnessed;
     private int mTrials;
     private long mNextTrialMs = Long.MAX_VALUE;
 
@@ -44,6 +45,15 @@
         return mDigest;
     }
 
+    /** Notes that this VM itself saw one of the crashes. */
+    void setWitnessed() {
+        mWitnessed = true;
+    }
+
+    boolean witnessed() {
+        return mWitnessed;
+    }
+
     /** Adds crashes, and those that the request did not cause; returns whether any was new. */
     boolean add(Collection<UpstreamIncarnation> crashes, Collection<UpstreamIncarnation> cleared) {
         boolean any = false;
--- a/coordination/src/main/java/org/hornbeampass/coordination/quarantine/SuspectTable.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/quarantine/SuspectTable.java
@@ -180,6 +180,7 @@
         List<RequestDigest> changed = new ArrayList<>();
         for (RequestDigest digest : requests) {
             Suspect suspect = suspect(digest);
+            suspect.setWitnessed();
             if (suspect.add(List.of(crash), List.of())) {
                 suspect.keepUntil(nowMs + KEPT_MS);
                 changed.add(digest);
@@ -229,6 +230,11 @@
         return changed;
     }
 
+    /** Returns whether this VM itself saw a crash under a request. */
+    boolean witnessed(RequestDigest digest) {
+        return Optional.ofNullable(mByDigest.get(digest)).filter(Suspect::witnessed).isPresent();
+    }
+
     /** Notes that the store holds the quarantine of a request. */
     void onRecorded(RequestDigest digest) {
         Optional.ofNullable(mByDigest.get(digest)).ifPresent(Suspect::setRecorded);
--- a/coordination/src/test/java/org/hornbeampass/coordination/quarantine/QuarantineFleet.java
+++ b/coordination/src/test/java/org/hornbeampass/coordination/quarantine/QuarantineFleet.java
@@ -36,7 +36,9 @@
     private final Set<String> mCutOff = new HashSet<>();
     private final Random mRandom = new Random(1);
     private String mKeeper = "";
+    private final Set<String> mCutFromStore = new HashSet<>();
     private boolean mStoreAway;
+    private int mUnanswered;
     private int mCalls;
     private int mMessages;
     private double mLossShare;
@@ -58,7 +60,7 @@
         mByVm.put(
                 name,
                 new Quarantine(
-                        storeOf(),
+                        storeOf(name),
                         new Peers(self.vm()),
                         () -> paths.apply(mMembers),
                         () -> mKeeper.equals(name),
@@ -97,6 +99,21 @@
         }
     }
 
+    /** Lets the store not answer the next writes. */
+    void leaveUnanswered(int writes) {
+        mUnanswered = writes;
+    }
+
+    /** Cuts a VM off from the store alone. */
+    void cutFromStore(String name) {
+        mCutFromStore.add(name);
+    }
+
+    /** Returns the VM that writes to the store first. */
+    String keeper() {
+        return mKeeper;
+    }
+
     void setStoreAway(boolean away) {
         mStoreAway = away;
     }
@@ -175,10 +192,14 @@
         return replies.get(0) instanceof PlatformReply.Found;
     }
 
-    private Platform storeOf() {
+    private Platform storeOf(String vm) {
         return (nowMs, call, done) -> {
             mCalls++;
-            if (mStoreAway) {
+            if (mUnanswered > 0 && call instanceof PlatformCall.Create) {
+                mUnanswered--;
+                return;
+            }
+            if (mStoreAway || mCutFromStore.contains(vm)) {
                 done.accept(nowMs, new PlatformReply.Unavailable("away"));
             } else {
                 mStore.submit(nowMs, call, done);
--- a/coordination/src/test/java/org/hornbeampass/coordination/quarantine/QuarantineTest.java
+++ b/coordination/src/test/java/org/hornbeampass/coordination/quarantine/QuarantineTest.java
@@ -95,6 +95,35 @@
         assertThat(fleet.quarantinedAt(CRASHING)).isEqualTo(vms);
     }
 
+    @ParameterizedTest
+    @ValueSource(ints = {8, 95})
+    void verdictOfAFleetKilledSoonAfter_isNotLostWithItsKeepersStore(int vms) {
+        QuarantineFleet fleet = new QuarantineFleet(vms);
+        fleet.run(1_000);
+        fleet.cutFromStore(fleet.keeper());
+        crashThree(fleet);
+        fleet.run(1_800);
+        assertThat(fleet.recorded(CRASHING)).isTrue();
+        fleet.restartAll();
+        fleet.run(BOUND_MS);
+        assertThat(fleet.quarantinedAt(CRASHING)).isEqualTo(vms);
+    }
+
+    @Test
+    void writeThatGetsNoAnswer_holdsUpNoOther() {
+        QuarantineFleet fleet = new QuarantineFleet(8);
+        fleet.run(1_000);
+        fleet.leaveUnanswered(1);
+        crashThree(fleet);
+        fleet.run(200);
+        RequestDigest second = new RequestDigest(3, 3);
+        for (int i = 4; i <= 6; i++) {
+            fleet.crash("vm-1", "i-" + i, second);
+        }
+        fleet.run(500);
+        assertThat(fleet.recorded(second)).isTrue();
+    }
+
     @ParameterizedTest
     @ValueSource(ints = {8, 95})
     void newVmWhileTheStoreIsAway_learnsFromTheOthers(int vms) {
