Ask who allows trials only where a trial is due

Cause: each refused repeat of a quarantined request hashed the names of all VMs before the cheap look at the table.

Change: the two conditions change places; a trial that is not due is not taken.

Measured: QuarantineTest passes; the time was not measured.

--- a/coordination/src/main/java/org/hornbeampass/coordination/quarantine/Quarantine.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/quarantine/Quarantine.java
@@ -91,7 +91,7 @@
      * agree on their members.
      */
     public boolean trialDue(long nowMs, RequestDigest digest) {
-        return mKeeper.getAsBoolean() && mTable.trialDue(nowMs, digest);
+        return mTable.trialDue(nowMs, digest) && mKeeper.getAsBoolean();
     }
 
     /**
@@ -99,7 +99,7 @@
      * {@link #endTrial}.
      */
     public boolean takeTrial(long nowMs, RequestDigest digest) {
-        return mKeeper.getAsBoolean() && mTable.takeTrial(nowMs, digest);
+        return trialDue(nowMs, digest) && mTable.takeTrial(nowMs, digest);
     }
 
     /** Ends a trial: the request has left its upstream. */
