Let only proven answers end a rate limit

Cause, found by reading: a refusal, or an error without the header that proves its sender, ended a limit where it named none. The terms say that a limit holds for as long as the upstream says so; what turns requests away may say nothing.

Change: the wire tells whether an answer is proven; without a named limit only such an answer counts. Naming one counts in any answer to the request.

Evidence: AnswerSignalsTest.refusalsAndErrorsWithoutALimit_doNotEndIt covers it; before, NOT_RUN and each status below 500 ended the limit.

--- a/router/src/main/java/org/hornbeampass/router/relay/AnswerClass.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/AnswerClass.java
@@ -17,10 +17,5 @@
     /** It claims success but lacks what proves it, and is not passed on. */
     SPOILED,
     /** It answers another request. */
-    UNRELATED;
-
-    /** Returns whether it is surely the upstream's own and undamaged answer to the request. */
-    boolean provesItsSender() {
-        return this == GOOD || this == NOT_RUN;
-    }
+    UNRELATED
 }
--- a/router/src/main/java/org/hornbeampass/router/relay/AnswerHead.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/AnswerHead.java
@@ -9,6 +9,7 @@
  * <p>Immutable; safe for use by any thread.
  *
  * @param kind what became of the request
+ * @param proven whether it bears what proves that the upstream itself made it
  * @param leaving whether the upstream says that it leaves
  * @param pauseMs for how long the upstream wants nothing from this VM, in milliseconds, where it
  *     says so
@@ -16,4 +17,8 @@
  *     empty where it names no limit
  */
 public record AnswerHead(
-        AnswerClass kind, boolean leaving, OptionalLong pauseMs, OptionalDouble limitPerSecond) {}
+        AnswerClass kind,
+        boolean proven,
+        boolean leaving,
+        OptionalLong pauseMs,
+        OptionalDouble limitPerSecond) {}
--- a/router/src/main/java/org/hornbeampass/router/relay/AnswerSignals.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/AnswerSignals.java
@@ -45,11 +45,11 @@
                 new UpstreamSignals(answer.leaving(), rateLimit(nowMs, askedMs, answer)));
     }
 
+    /** Only a proven answer tells that there is no limit: refusals and errors may name none. */
     private static RateLimit rateLimit(long nowMs, long askedMs, AnswerHead answer) {
         boolean tells =
-                answer.kind().provesItsSender()
-                        || (answer.limitPerSecond().isPresent()
-                                && answer.kind() != AnswerClass.UNRELATED);
+                answer.kind() != AnswerClass.UNRELATED
+                        && (answer.limitPerSecond().isPresent() || answer.proven());
         return tells ? new RateLimit(answer.limitPerSecond(), askedMs, nowMs) : RateLimit.UNKNOWN;
     }
 }
--- /dev/null
+++ b/router/src/test/java/org/hornbeampass/router/relay/AnswerSignalsTest.java
@@ -0,0 +1,132 @@
+package org.hornbeampass.router.relay;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.codahale.metrics.MetricRegistry;
+
+import io.vavr.control.Either;
+
+import org.hornbeampass.coordination.peer.PeerMessage;
+import org.hornbeampass.coordination.peer.PeerNetwork;
+import org.hornbeampass.coordination.service.FleetPaths;
+import org.hornbeampass.coordination.service.SendGate;
+import org.hornbeampass.coordination.service.SignalExchange;
+import org.hornbeampass.coordination.service.SignalListener;
+import org.hornbeampass.coordination.service.SignalTable;
+import org.hornbeampass.coordination.service.UpstreamBoard;
+import org.hornbeampass.coordination.service.UpstreamIncarnation;
+import org.hornbeampass.coordination.service.UpstreamInstance;
+import org.hornbeampass.state.Failure;
+import org.hornbeampass.state.FailureDomain;
+import org.hornbeampass.state.service.Prompt;
+import org.hornbeampass.state.service.ServiceSpec;
+import org.hornbeampass.state.service.UpstreamEntry;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalDouble;
+import java.util.OptionalLong;
+import java.util.Random;
+import java.util.Set;
+import java.util.function.BiConsumer;
+
+/** Checks which answers change what is known of a rate limit. */
+class AnswerSignalsTest {
+    private static final long ASKED_MS = 1_000;
+    private static final long HEARD_MS = 1_100;
+    private static final ServiceSpec SERVICE = new ServiceSpec("s", 100, Optional.empty());
+
+    private final SignalTable mTable = new SignalTable();
+    private final UpstreamBoard mBoard =
+            new UpstreamBoard(new Random(1), () -> 1, mTable, SendGate.OPEN);
+    private final AnswerSignals mSignals =
+            new AnswerSignals(
+                    new SignalExchange(
+                            mBoard,
+                            mTable,
+                            new NoPeers(),
+                            () -> new FleetPaths("vm-1", Optional.empty(), List.of(), List.of()),
+                            new NoListener()),
+                    new RelayLog(new MetricRegistry()));
+    private UpstreamInstance mUpstream;
+
+    @BeforeEach
+    void list() {
+        mBoard.onEntry(
+                0,
+                new UpstreamEntry(
+                        "i-1", OptionalLong.of(1), "s", "a:80", new FailureDomain("d"), 6, false));
+        mUpstream = mBoard.choose(0, SERVICE, Prompt.NONE, Set.of()).orElseThrow().instance();
+    }
+
+    private void answer(AnswerClass kind, boolean proven, OptionalDouble limit, long askedMs) {
+        mSignals.onAnswer(
+                askedMs + HEARD_MS - ASKED_MS,
+                askedMs,
+                mUpstream,
+                new AnswerHead(kind, proven, false, OptionalLong.empty(), limit));
+    }
+
+    private void nameOne() {
+        answer(AnswerClass.GOOD, true, OptionalDouble.of(1), ASKED_MS);
+    }
+
+    private OptionalDouble limit() {
+        return mTable.get(new UpstreamIncarnation("i-1", 1)).rateLimit().perSecond();
+    }
+
+    @Test
+    void refusalThatNamesALimit_counts() {
+        answer(AnswerClass.NOT_RUN, false, OptionalDouble.of(1), ASKED_MS);
+        assertThat(limit()).hasValue(1);
+    }
+
+    @Test
+    void provenAnswerWithoutALimit_endsIt() {
+        nameOne();
+        answer(AnswerClass.GOOD, true, OptionalDouble.empty(), HEARD_MS);
+        assertThat(limit()).isEmpty();
+    }
+
+    @Test
+    void refusalsAndErrorsWithoutALimit_doNotEndIt() {
+        nameOne();
+        answer(AnswerClass.NOT_RUN, false, OptionalDouble.empty(), HEARD_MS);
+        answer(AnswerClass.GOOD, false, OptionalDouble.empty(), HEARD_MS);
+        answer(AnswerClass.FAILED, false, OptionalDouble.empty(), HEARD_MS);
+        assertThat(limit()).hasValue(1);
+    }
+
+    @Test
+    void answersOfOtherUpstreamsAndToOtherRequests_sayNothing() {
+        answer(AnswerClass.ANOTHER_UPSTREAM, true, OptionalDouble.of(1), ASKED_MS);
+        answer(AnswerClass.UNRELATED, true, OptionalDouble.of(1), ASKED_MS);
+        assertThat(limit()).isEmpty();
+    }
+
+    /** A network without other VMs. */
+    private static final class NoPeers implements PeerNetwork {
+        @Override
+        public void send(String vmName, PeerMessage message) {}
+
+        @Override
+        public void request(
+                long nowMs,
+                String vmName,
+                PeerMessage request,
+                long timeoutMs,
+                BiConsumer<Long, Either<Failure, PeerMessage>> done) {}
+    }
+
+    /** Hears and does nothing. */
+    private static final class NoListener implements SignalListener {
+        @Override
+        public void onLeaving(long nowMs, UpstreamIncarnation upstream, String toldBy) {}
+
+        @Override
+        public void onRateLimit(
+                long nowMs, UpstreamIncarnation upstream, OptionalDouble limit, String toldBy) {}
+    }
+}
