Offer requests to upstreams without limits after denied permits

Callers would have seen: 503 while upstreams without limits had room.

Cause, found by reading: a request whose fourth permit was denied was refused, also where upstreams without limits were left, since those with limits look cheap. A denial also outlived the limit under which it was given.

Change: after four denials upstreams with limits are left out of the choice. A denial holds for the limit under which it was given. The metric counts listed upstreams alone.

Evidence: RateLimiterTest.limitsOfAllUpstreamsButOne_refuseNothing failed with 8 and 95 VMs, and passes.

--- a/coordination/src/main/java/org/hornbeampass/coordination/ratelimit/RateLimiter.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/ratelimit/RateLimiter.java
@@ -18,6 +18,7 @@
 import java.util.Iterator;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 
@@ -45,13 +46,21 @@
     /** For how long a home is not asked again after it denied a permit, at the least. */
     private static final long MIN_WAIT_MS = 20;
 
+    /**
+     * Why an upstream is not asked for.
+     *
+     * @param untilMs until when, in milliseconds
+     * @param perSecond the limit under which the permit was denied; a new one may allow more
+     */
+    private record Denial(long untilMs, OptionalDouble perSecond) {}
+
     private final SignalTable mSignals;
     private final Supplier<SignalExchange> mExchange;
     private final PeerNetwork mPeers;
     private final PermitHomes mHomes;
     private final PermitIssuer mIssuer;
     private final PermitCounts mCounts = new PermitCounts();
-    private final Map<UpstreamIncarnation, Long> mNotBeforeMs = new HashMap<>();
+    private final Map<UpstreamIncarnation, Denial> mDenials = new HashMap<>();
     private final Map<UpstreamIncarnation, Deque<SendPermit>> mUnused = new HashMap<>();
 
     /**
@@ -74,15 +83,23 @@
         mIssuer = new PermitIssuer(signals);
     }
 
-    private boolean limited(UpstreamIncarnation upstream) {
-        return mSignals.get(upstream).rateLimit().limits();
+    private OptionalDouble limit(UpstreamIncarnation upstream) {
+        return mSignals.get(upstream).rateLimit().perSecond();
+    }
+
+    /** Returns whether each send to an upstream needs a permit. */
+    public boolean limited(UpstreamIncarnation upstream) {
+        return limit(upstream).isPresent();
     }
 
     @Override
     public long waitMs(long nowMs, UpstreamIncarnation upstream) {
-        Long notBeforeMs = mNotBeforeMs.get(upstream);
-        boolean open = notBeforeMs == null || nowMs >= notBeforeMs || !limited(upstream);
-        return open || mUnused.containsKey(upstream) ? 0 : notBeforeMs - nowMs;
+        Denial denial = mDenials.get(upstream);
+        boolean open =
+                denial == null
+                        || nowMs >= denial.untilMs()
+                        || !denial.perSecond().equals(limit(upstream));
+        return open || mUnused.containsKey(upstream) ? 0 : denial.untilMs() - nowMs;
     }
 
     /**
@@ -150,7 +167,8 @@
     }
 
     private void deny(long nowMs, UpstreamIncarnation upstream, long waitMs, PermitListener done) {
-        mNotBeforeMs.put(upstream, nowMs + Math.max(MIN_WAIT_MS, waitMs));
+        long untilMs = nowMs + Math.max(MIN_WAIT_MS, waitMs);
+        mDenials.put(upstream, new Denial(untilMs, limit(upstream)));
         done.onAnswer(nowMs, Optional.empty());
     }
 
@@ -221,7 +239,7 @@
     /** Forgets what is over. */
     public void tick(long nowMs) {
         mIssuer.tick(nowMs);
-        mNotBeforeMs.values().removeIf(t -> nowMs >= t);
+        mDenials.values().removeIf(d -> nowMs >= d.untilMs());
         Map.copyOf(mUnused).keySet().forEach(u -> expire(nowMs, u));
     }
 
@@ -229,9 +247,4 @@
     public PermitCounts counts() {
         return mCounts;
     }
-
-    /** Returns how many upstreams have a rate limit. */
-    public int limitedUpstreams() {
-        return mSignals.limited();
-    }
 }
--- a/coordination/src/main/java/org/hornbeampass/coordination/service/SignalTable.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/service/SignalTable.java
@@ -37,12 +37,6 @@
         return mEntries.isEmpty();
     }
 
-    /** Returns how many upstreams have a rate limit. */
-    public int limited() {
-        return (int)
-                mEntries.values().stream().filter(e -> e.signals().rateLimit().limits()).count();
-    }
-
     /** Returns for how long this VM has known a rate limit of an upstream, in milliseconds. */
     public long limitKnownForMs(long nowMs, UpstreamIncarnation upstream) {
         Entry entry = mEntries.get(upstream);
--- a/coordination/src/main/java/org/hornbeampass/coordination/service/UpstreamBoard.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/service/UpstreamBoard.java
@@ -14,6 +14,7 @@
 import java.util.function.IntSupplier;
 import java.util.function.ToLongFunction;
 import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
 
 /**
  * All registered upstreams, and the choice of one for each request.
@@ -179,6 +180,14 @@
                 .toList();
     }
 
+    /** Returns the listed upstreams that have named a rate limit. */
+    public Set<String> rateLimited() {
+        return mById.values().stream()
+                .filter(i -> mSignals.get(i.incarnation()).rateLimit().limits())
+                .map(UpstreamInstance::id)
+                .collect(Collectors.toSet());
+    }
+
     /** Takes the word of whoever listens at an address that it is not this upstream. */
     public void onMismatch(long nowMs, UpstreamInstance instance) {
         instance.markGoneAt(nowMs);
@@ -230,7 +239,7 @@
      * @param nowMs the present time in milliseconds
      * @param service the service
      * @param prompt what the request reads
-     * @param tried upstreams that the request was sent to before
+     * @param tried upstreams that may not be chosen, since the request was sent to them before
      */
     public Optional<UpstreamChoice> choose(
             long nowMs, ServiceSpec service, Prompt prompt, Set<String> tried) {
--- a/coordination/src/test/java/org/hornbeampass/coordination/ratelimit/RateLimitFleet.java
+++ b/coordination/src/test/java/org/hornbeampass/coordination/ratelimit/RateLimitFleet.java
@@ -338,8 +338,9 @@
 
     /** Chooses and asks for a permit as the relay does. */
     private void attempt(Vm vm, int denied) {
-        var chosen = vm.mBoard.choose(mNowMs, SERVICE, Prompt.NONE, Set.of());
-        if (chosen.isEmpty() || denied >= MAX_DENIED) {
+        Set<String> leftOut = denied >= MAX_DENIED ? vm.mBoard.rateLimited() : Set.of();
+        var chosen = vm.mBoard.choose(mNowMs, SERVICE, Prompt.NONE, leftOut);
+        if (chosen.isEmpty()) {
             mRefused++;
             return;
         }
@@ -348,9 +349,7 @@
                 mNowMs,
                 instance.incarnation(),
                 (t, permit) -> {
-                    if (permit.isEmpty()) {
-                        attempt(vm, denied + 1);
-                    } else if (vm.mLimiter.redeem(t, permit.get())) {
+                    if (permit.isPresent() && vm.mLimiter.redeem(t, permit.get())) {
                         send(vm, instance);
                     } else {
                         attempt(vm, denied + 1);
--- a/coordination/src/test/java/org/hornbeampass/coordination/ratelimit/RateLimiterTest.java
+++ b/coordination/src/test/java/org/hornbeampass/coordination/ratelimit/RateLimiterTest.java
@@ -79,6 +79,18 @@
                 .isGreaterThanOrEqualTo(USED_SHARE * 2 * UPSTREAMS * PLAY_MS / 1_000);
     }
 
+    @ParameterizedTest
+    @ValueSource(ints = {8, 95})
+    void limitsOfAllUpstreamsButOne_refuseNothing(int vms) {
+        RateLimitFleet fleet = limited(vms, 1, 1);
+        for (int i = 1; i < UPSTREAMS - 1; i++) {
+            fleet.upstream(i).name(fleet.nowMs(), 1);
+        }
+        fleet.load(OTHER_LOAD, PLAY_MS);
+        assertKept(fleet);
+        assertThat(fleet.refused()).isZero();
+    }
+
     @ParameterizedTest
     @ValueSource(ints = {8, 95})
     void deathOfTheHome_neitherBreaksTheLimitNorEndsTheUse(int vms) {
@@ -146,7 +158,7 @@
     @ParameterizedTest
     @ValueSource(ints = {8, 95})
     void limitThatIsRaised_isUsedSoon(int vms) {
-        RateLimitFleet fleet = limited(vms, 1, 1);
+        RateLimitFleet fleet = limited(vms, 0.2, 1);
         fleet.load(load(10), 8_000);
         fleet.upstream(0).name(fleet.nowMs(), 10);
         fleet.load(load(10), 3_000);
--- a/router/src/main/java/org/hornbeampass/router/daemon/RelayDaemon.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/RelayDaemon.java
@@ -262,7 +262,8 @@
         mMetrics.register("peer_bytes_sent", (Gauge<Long>) mPeers.counters()::bytesSent);
         mMetrics.register("peer_bytes_received", (Gauge<Long>) mPeers.counters()::bytesReceived);
         mMetrics.register("suspected_requests", (Gauge<Integer>) mQuarantine.suspects()::size);
-        mMetrics.register("rate_limited_upstreams", (Gauge<Integer>) mLimiter::limitedUpstreams);
+        mMetrics.register(
+                "rate_limited_upstreams", (Gauge<Integer>) () -> mBoard.rateLimited().size());
         PermitCounts permits = mLimiter.counts();
         mMetrics.register("permits_granted", (Gauge<Long>) permits::granted);
         mMetrics.register("permits_denied", (Gauge<Long>) permits::denied);
--- a/router/src/main/java/org/hornbeampass/router/relay/RelayBounds.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/RelayBounds.java
@@ -12,7 +12,7 @@
     /** How many upstreams may be found unreachable before the request is refused. */
     static final int MAX_UNREACHABLE = 3;
 
-    /** How many permits may be denied before the request is refused. */
+    /** How many permits may be denied before upstreams with rate limits are left out. */
     static final int MAX_DENIED = 4;
 
     /** How many sends may meet another upstream than meant. */
--- a/router/src/main/java/org/hornbeampass/router/relay/UpstreamSearch.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/UpstreamSearch.java
@@ -111,10 +111,9 @@
                     "permit-denied",
                     new LogFields().add("upstream", choice.instance().id()));
             if (mCounts.onDenied()) {
-                mListener.onNoneUsable(nowMs);
-            } else {
-                start(nowMs);
+                mTried.addAll(mParts.board().rateLimited());
             }
+            start(nowMs);
             return;
         }
         if (mCounts.sentBefore() && !mParts.takeRetry(nowMs, mPlan.service().name())) {
