Take no pause from a late answer to another request

Cause, found by listing what upstreams may send: an answer that belongs to no request in progress may be late, and the pause in it over; it was taken as asked for now.

Change: such an answer tells no pause and no rate limit, but still that its upstream leaves.

Evidence: AnswerSignalsTest.lateAnswerToAnotherRequest_asksForNoPause failed with the condition taken out, and passes.

--- a/router/src/main/java/org/hornbeampass/router/relay/AnswerSignals.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/AnswerSignals.java
@@ -20,7 +20,8 @@
     }
 
     /**
-     * Takes the head of an answer; one of another upstream at the same address says nothing.
+     * Takes the head of an answer. One of another upstream at the same address says nothing; one to
+     * another request may be late, and says only what is never taken back.
      *
      * @param nowMs the present time in milliseconds
      * @param askedMs when the request was sent, in milliseconds
@@ -31,7 +32,8 @@
         if (answer.kind() == AnswerClass.ANOTHER_UPSTREAM) {
             return;
         }
-        if (answer.pauseMs().isPresent()) {
+        boolean current = answer.kind() != AnswerClass.UNRELATED;
+        if (current && answer.pauseMs().isPresent()) {
             long pauseMs = answer.pauseMs().getAsLong();
             upstream.onPauseAsked(nowMs, pauseMs);
             mLog.believes(
@@ -39,17 +41,13 @@
                     "upstream-pauses",
                     new LogFields().add("upstream", upstream.id()).add("pause_ms", pauseMs));
         }
-        mExchange.onAnswer(
-                nowMs,
-                upstream,
-                new UpstreamSignals(answer.leaving(), rateLimit(nowMs, askedMs, answer)));
+        RateLimit limit = current ? rateLimit(nowMs, askedMs, answer) : RateLimit.UNKNOWN;
+        mExchange.onAnswer(nowMs, upstream, new UpstreamSignals(answer.leaving(), limit));
     }
 
     /** Only a proven answer tells that there is no limit: refusals and errors may name none. */
     private static RateLimit rateLimit(long nowMs, long askedMs, AnswerHead answer) {
-        boolean tells =
-                answer.kind() != AnswerClass.UNRELATED
-                        && (answer.limitPerSecond().isPresent() || answer.proven());
+        boolean tells = answer.limitPerSecond().isPresent() || answer.proven();
         return tells ? new RateLimit(answer.limitPerSecond(), askedMs, nowMs) : RateLimit.UNKNOWN;
     }
 }
--- a/router/src/test/java/org/hornbeampass/router/relay/AnswerSignalsTest.java
+++ b/router/src/test/java/org/hornbeampass/router/relay/AnswerSignalsTest.java
@@ -106,6 +106,42 @@
         assertThat(limit()).isEmpty();
     }
 
+    private void answerWithPause(AnswerClass kind) {
+        mSignals.onAnswer(
+                HEARD_MS,
+                ASKED_MS,
+                mUpstream,
+                new AnswerHead(
+                        kind, false, false, OptionalLong.of(60_000), OptionalDouble.empty()));
+    }
+
+    @Test
+    void lateAnswerToAnotherRequest_asksForNoPause() {
+        answerWithPause(AnswerClass.UNRELATED);
+        assertThat(mBoard.pauseLeftMs(HEARD_MS, "s")).isEmpty();
+    }
+
+    @Test
+    void refusalOfTheRequest_asksForAPause() {
+        answerWithPause(AnswerClass.NOT_RUN);
+        assertThat(mBoard.pauseLeftMs(HEARD_MS, "s")).hasValue(60_000);
+    }
+
+    @Test
+    void lateAnswerToAnotherRequest_tellsThatItsUpstreamLeaves() {
+        mSignals.onAnswer(
+                HEARD_MS,
+                ASKED_MS,
+                mUpstream,
+                new AnswerHead(
+                        AnswerClass.UNRELATED,
+                        false,
+                        true,
+                        OptionalLong.empty(),
+                        OptionalDouble.empty()));
+        assertThat(mUpstream.leaving()).isTrue();
+    }
+
     /** A network without other VMs. */
     private static final class NoPeers implements PeerNetwork {
         @Override
