Share the arguments that name an object between the commands

Change: a mixin for each kind of object holds the arguments and makes the path. Names, order and help of the arguments are the same.

--- a/cli/src/main/java/org/hornbeampass/cli/command/BudgetCommand.java
+++ b/cli/src/main/java/org/hornbeampass/cli/command/BudgetCommand.java
@@ -12,6 +12,7 @@
 import org.hornbeampass.state.Failure;
 
 import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
 
@@ -40,10 +41,6 @@
             "  hornbeamctl budget list flight"
         })
 public final class BudgetCommand extends GroupCommand {
-    private static String path(String organisation, String... rest) {
-        return Session.path(Session.path(AdminPaths.ORGANISATIONS, organisation, "budgets"), rest);
-    }
-
     private static String table(BudgetList list) {
         TextTable table =
                 new TextTable("BUDGET", "PAID", "SPENT", "HELD", "WRITTEN OFF", "AVAILABLE");
@@ -59,18 +56,12 @@
             description = "Adds a budget to an organisation, with nothing paid into it.",
             footer = {"%nExample:", "  hornbeamctl budget create flight spare"})
     static final class Create extends AdminCommand {
-        @Parameters(index = "0", paramLabel = "ORGANISATION", description = "The organisation.")
-        private String mOrganisation;
-
-        @Parameters(index = "1", paramLabel = "NAME", description = "The budget's name.")
-        private String mName;
+        @Mixin private BudgetArguments mBudget;
 
         @Override
         protected Either<Failure, Integer> run(Session session) {
             return session.show(
-                    AdminCall.repeatablePost(path(mOrganisation, mName)),
-                    Changed.class,
-                    Fields::table);
+                    AdminCall.repeatablePost(mBudget.path()), Changed.class, Fields::table);
         }
     }
 
@@ -80,16 +71,11 @@
             description = "Shows a budget's account in tokens.",
             footer = {"%nExample:", "  hornbeamctl budget show flight main"})
     static final class Show extends AdminCommand {
-        @Parameters(index = "0", paramLabel = "ORGANISATION", description = "The organisation.")
-        private String mOrganisation;
-
-        @Parameters(index = "1", paramLabel = "NAME", description = "The budget's name.")
-        private String mName;
+        @Mixin private BudgetArguments mBudget;
 
         @Override
         protected Either<Failure, Integer> run(Session session) {
-            return session.show(
-                    AdminCall.get(path(mOrganisation, mName)), BudgetView.class, Fields::table);
+            return session.show(AdminCall.get(mBudget.path()), BudgetView.class, Fields::table);
         }
     }
 
@@ -105,7 +91,9 @@
         @Override
         protected Either<Failure, Integer> run(Session session) {
             return session.show(
-                    AdminCall.get(path(mOrganisation)), BudgetList.class, BudgetCommand::table);
+                    AdminCall.get(Session.path(AdminPaths.ORGANISATIONS, mOrganisation, "budgets")),
+                    BudgetList.class,
+                    BudgetCommand::table);
         }
     }
 
@@ -121,11 +109,7 @@
                 "  hornbeamctl budget top-up flight main 1000000 --id invoice-2026-117"
             })
     static final class TopUp extends AdminCommand {
-        @Parameters(index = "0", paramLabel = "ORGANISATION", description = "The organisation.")
-        private String mOrganisation;
-
-        @Parameters(index = "1", paramLabel = "NAME", description = "The budget's name.")
-        private String mName;
+        @Mixin private BudgetArguments mBudget;
 
         @Parameters(index = "2", paramLabel = "TOKENS", description = "How many tokens.")
         private long mTokens;
@@ -138,8 +122,7 @@
             String id = Optional.ofNullable(mId).orElseGet(session.surroundings().newId());
             session.note("id " + id + "; with it the command is safe to repeat");
             return session.show(
-                    AdminCall.repeatablePost(
-                            path(mOrganisation, mName, "top-up"), new TopUpBody(id, mTokens)),
+                    AdminCall.repeatablePost(mBudget.path("top-up"), new TopUpBody(id, mTokens)),
                     BudgetView.class,
                     Fields::table);
         }
@@ -154,11 +137,7 @@
             },
             footer = {"%nExample:", "  hornbeamctl budget lower flight main --to 500000"})
     static final class Lower extends AdminCommand {
-        @Parameters(index = "0", paramLabel = "ORGANISATION", description = "The organisation.")
-        private String mOrganisation;
-
-        @Parameters(index = "1", paramLabel = "NAME", description = "The budget's name.")
-        private String mName;
+        @Mixin private BudgetArguments mBudget;
 
         @Option(
                 names = "--to",
@@ -169,7 +148,7 @@
 
         @Override
         protected Either<Failure, Integer> run(Session session) {
-            return new PaidEditor(path(mOrganisation, mName), mTo).lower(session);
+            return new PaidEditor(mBudget.path(), mTo).lower(session);
         }
     }
 
@@ -179,11 +158,7 @@
             description = "Sets what is paid to a total, up or down; safe to repeat.",
             footer = {"%nExample:", "  hornbeamctl budget set flight main --paid 2000000"})
     static final class Change extends AdminCommand {
-        @Parameters(index = "0", paramLabel = "ORGANISATION", description = "The organisation.")
-        private String mOrganisation;
-
-        @Parameters(index = "1", paramLabel = "NAME", description = "The budget's name.")
-        private String mName;
+        @Mixin private BudgetArguments mBudget;
 
         @Option(
                 names = "--paid",
@@ -194,7 +169,7 @@
 
         @Override
         protected Either<Failure, Integer> run(Session session) {
-            return new PaidEditor(path(mOrganisation, mName), mPaid).set(session);
+            return new PaidEditor(mBudget.path(), mPaid).set(session);
         }
     }
 
@@ -204,16 +179,11 @@
             description = "Removes a budget in which nothing is left.",
             footer = {"%nExample:", "  hornbeamctl budget delete flight spare"})
     static final class Delete extends AdminCommand {
-        @Parameters(index = "0", paramLabel = "ORGANISATION", description = "The organisation.")
-        private String mOrganisation;
-
-        @Parameters(index = "1", paramLabel = "NAME", description = "The budget's name.")
-        private String mName;
+        @Mixin private BudgetArguments mBudget;
 
         @Override
         protected Either<Failure, Integer> run(Session session) {
-            return session.show(
-                    AdminCall.delete(path(mOrganisation, mName), 0), Changed.class, Fields::table);
+            return session.show(AdminCall.delete(mBudget.path(), 0), Changed.class, Fields::table);
         }
     }
 }
--- a/cli/src/main/java/org/hornbeampass/cli/command/KeyCommand.java
+++ b/cli/src/main/java/org/hornbeampass/cli/command/KeyCommand.java
@@ -3,13 +3,12 @@
 import io.vavr.control.Either;
 
 import org.hornbeampass.cli.client.AdminCall;
-import org.hornbeampass.protocol.admin.AdminPaths;
 import org.hornbeampass.protocol.admin.Changed;
 import org.hornbeampass.protocol.admin.KeyCreated;
 import org.hornbeampass.state.Failure;
 
 import picocli.CommandLine.Command;
-import picocli.CommandLine.Parameters;
+import picocli.CommandLine.Mixin;
 
 /**
  * Commands on callers' keys.
@@ -22,10 +21,6 @@
         subcommands = {KeyCommand.Add.class, KeyCommand.Revoke.class},
         footer = {"%nExample:", "  hornbeamctl organisation key add flight booking-desk"})
 public final class KeyCommand extends GroupCommand {
-    private static String path(String organisation, String name) {
-        return Session.path(AdminPaths.ORGANISATIONS, organisation, "keys", name);
-    }
-
     /** Says that a key won't be shown again. */
     static void noteKey(Session session) {
         session.note("the key is shown this once; only its hash is kept");
@@ -37,15 +32,11 @@
             description = "Adds a key and prints it, this once.",
             footer = {"%nExample:", "  hornbeamctl organisation key add flight booking-desk"})
     static final class Add extends AdminCommand {
-        @Parameters(index = "0", paramLabel = "ID", description = "The organisation.")
-        private String mId;
-
-        @Parameters(index = "1", paramLabel = "NAME", description = "The key's name.")
-        private String mName;
+        @Mixin private KeyArguments mKey;
 
         @Override
         protected Either<Failure, Integer> run(Session session) {
-            return session.show(AdminCall.post(path(mId, mName)), KeyCreated.class, Fields::table)
+            return session.show(AdminCall.post(mKey.path()), KeyCreated.class, Fields::table)
                     .peek(code -> noteKey(session));
         }
     }
@@ -56,16 +47,11 @@
             description = "Revokes a key; it is refused once the revision is in force.",
             footer = {"%nExample:", "  hornbeamctl organisation key revoke flight booking-desk"})
     static final class Revoke extends AdminCommand {
-        @Parameters(index = "0", paramLabel = "ID", description = "The organisation.")
-        private String mId;
-
-        @Parameters(index = "1", paramLabel = "NAME", description = "The key's name.")
-        private String mName;
+        @Mixin private KeyArguments mKey;
 
         @Override
         protected Either<Failure, Integer> run(Session session) {
-            return session.show(
-                    AdminCall.delete(path(mId, mName), 0), Changed.class, Fields::table);
+            return session.show(AdminCall.delete(mKey.path(), 0), Changed.class, Fields::table);
         }
     }
 }
--- a/cli/src/main/java/org/hornbeampass/cli/command/OrganisationCommand.java
+++ b/cli/src/main/java/org/hornbeampass/cli/command/OrganisationCommand.java
@@ -13,7 +13,6 @@
 import org.hornbeampass.state.Failure;
 import org.hornbeampass.state.config.Parameters;
 
-import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Mixin;
 import picocli.CommandLine.Option;
@@ -47,9 +46,10 @@
 public final class OrganisationCommand extends GroupCommand {
     private static final String FIRST_BUDGET = "main";
 
-    private static ObjectEditor<OrganisationView, OrganisationBody> editor(String id) {
+    private static ObjectEditor<OrganisationView, OrganisationBody> editor(
+            OrganisationArgument organisation) {
         return new ObjectEditor<>(
-                Session.path(AdminPaths.ORGANISATIONS, id),
+                organisation.path(),
                 OrganisationView.class,
                 OrganisationView::revision,
                 OrganisationCommand::body);
@@ -74,8 +74,7 @@
                 "  hornbeamctl organisation create flight --template desk --budget main,spare"
             })
     static final class Create extends AdminCommand {
-        @CommandLine.Parameters(paramLabel = "ID", description = "The organisation.")
-        private String mId;
+        @Mixin private OrganisationArgument mOrganisation;
 
         @Option(
                 names = "--template",
@@ -99,7 +98,7 @@
             OrganisationBody body =
                     new OrganisationBody(mTemplate, Optional.of(mOptions.set()), ids(mBudgets));
             return session.show(
-                            AdminCall.post(Session.path(AdminPaths.ORGANISATIONS, mId), body),
+                            AdminCall.post(mOrganisation.path(), body),
                             KeyCreated.class,
                             Fields::table)
                     .peek(code -> KeyCommand.noteKey(session));
@@ -112,15 +111,12 @@
             description = "Shows an organisation, its own values and its terms in force.",
             footer = {"%nExample:", "  hornbeamctl organisation show flight"})
     static final class Show extends AdminCommand {
-        @CommandLine.Parameters(paramLabel = "ID", description = "The organisation.")
-        private String mId;
+        @Mixin private OrganisationArgument mOrganisation;
 
         @Override
         protected Either<Failure, Integer> run(Session session) {
             return session.show(
-                    AdminCall.get(Session.path(AdminPaths.ORGANISATIONS, mId)),
-                    OrganisationView.class,
-                    Fields::table);
+                    AdminCall.get(mOrganisation.path()), OrganisationView.class, Fields::table);
         }
     }
 
@@ -170,8 +166,7 @@
                 "  hornbeamctl organisation set flight --unset priority --if-revision 12"
             })
     static final class Change extends AdminCommand {
-        @CommandLine.Parameters(paramLabel = "ID", description = "The organisation.")
-        private String mId;
+        @Mixin private OrganisationArgument mOrganisation;
 
         @Option(names = "--template", paramLabel = "NAME", description = "Another template.")
         private String mTemplate;
@@ -188,7 +183,7 @@
 
         @Override
         protected Either<Failure, Integer> run(Session session) {
-            return editor(mId).set(session, mRevision.value(), this::changed);
+            return editor(mOrganisation).set(session, mRevision.value(), this::changed);
         }
 
         private OrganisationBody changed(OrganisationBody base) {
@@ -206,14 +201,13 @@
             description = "Deletes an organisation; its ledger and bills stay on the platform.",
             footer = {"%nExample:", "  hornbeamctl organisation delete flight --if-revision 12"})
     static final class Delete extends AdminCommand {
-        @CommandLine.Parameters(paramLabel = "ID", description = "The organisation.")
-        private String mId;
+        @Mixin private OrganisationArgument mOrganisation;
 
         @Mixin private RevisionOption mRevision;
 
         @Override
         protected Either<Failure, Integer> run(Session session) {
-            return editor(mId).delete(session, mRevision.value());
+            return editor(mOrganisation).delete(session, mRevision.value());
         }
     }
 }
--- a/cli/src/main/java/org/hornbeampass/cli/command/TemplateCommand.java
+++ b/cli/src/main/java/org/hornbeampass/cli/command/TemplateCommand.java
@@ -10,7 +10,6 @@
 import org.hornbeampass.state.Failure;
 import org.hornbeampass.state.config.Parameters;
 
-import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Mixin;
 import picocli.CommandLine.Option;
@@ -38,9 +37,9 @@
             "  hornbeamctl template set desk --max-concurrent 200"
         })
 public final class TemplateCommand extends GroupCommand {
-    private static ObjectEditor<TemplateView, Parameters> editor(String name) {
+    private static ObjectEditor<TemplateView, Parameters> editor(TemplateArgument template) {
         return new ObjectEditor<>(
-                Session.path(AdminPaths.TEMPLATES, name),
+                template.path(),
                 TemplateView.class,
                 TemplateView::revision,
                 TemplateView::parameters);
@@ -55,14 +54,13 @@
                 "  hornbeamctl template create desk --models flight-desk --priority 7"
             })
     static final class Create extends AdminCommand {
-        @CommandLine.Parameters(paramLabel = "NAME", description = "The template's name.")
-        private String mName;
+        @Mixin private TemplateArgument mTemplate;
 
         @Mixin private ParameterOptions mOptions;
 
         @Override
         protected Either<Failure, Integer> run(Session session) {
-            return editor(mName).create(session, mOptions.set());
+            return editor(mTemplate).create(session, mOptions.set());
         }
     }
 
@@ -72,15 +70,11 @@
             description = "Shows a template with its revision.",
             footer = {"%nExample:", "  hornbeamctl template show desk --output json"})
     static final class Show extends AdminCommand {
-        @CommandLine.Parameters(paramLabel = "NAME", description = "The template's name.")
-        private String mName;
+        @Mixin private TemplateArgument mTemplate;
 
         @Override
         protected Either<Failure, Integer> run(Session session) {
-            return session.show(
-                    AdminCall.get(Session.path(AdminPaths.TEMPLATES, mName)),
-                    TemplateView.class,
-                    Fields::table);
+            return session.show(AdminCall.get(mTemplate.path()), TemplateView.class, Fields::table);
         }
     }
 
@@ -122,8 +116,7 @@
                 "  hornbeamctl template set desk --unset priority,adapters"
             })
     static final class Change extends AdminCommand {
-        @CommandLine.Parameters(paramLabel = "NAME", description = "The template's name.")
-        private String mName;
+        @Mixin private TemplateArgument mTemplate;
 
         @Mixin private ParameterOptions mOptions;
         @Mixin private RevisionOption mRevision;
@@ -137,7 +130,7 @@
 
         @Override
         protected Either<Failure, Integer> run(Session session) {
-            return editor(mName)
+            return editor(mTemplate)
                     .set(session, mRevision.value(), base -> mOptions.changed(base, mUnset));
         }
     }
@@ -148,14 +141,13 @@
             description = "Deletes a template that no organisation uses.",
             footer = {"%nExample:", "  hornbeamctl template delete desk"})
     static final class Delete extends AdminCommand {
-        @CommandLine.Parameters(paramLabel = "NAME", description = "The template's name.")
-        private String mName;
+        @Mixin private TemplateArgument mTemplate;
 
         @Mixin private RevisionOption mRevision;
 
         @Override
         protected Either<Failure, Integer> run(Session session) {
-            return editor(mName).delete(session, mRevision.value());
+            return editor(mTemplate).delete(session, mRevision.value());
         }
     }
 }
--- a/cli/src/main/java/org/hornbeampass/cli/command/UpstreamCommand.java
+++ b/cli/src/main/java/org/hornbeampass/cli/command/UpstreamCommand.java
@@ -15,7 +15,6 @@
 
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Mixin;
-import picocli.CommandLine.Parameters;
 
 import java.util.Optional;
 
@@ -41,12 +40,9 @@
                     + " --model flight-desk --domain catania --region sicily"
         })
 public final class UpstreamCommand extends GroupCommand {
-    private static ObjectEditor<UpstreamView, UpstreamSpec> editor(String id) {
+    private static ObjectEditor<UpstreamView, UpstreamSpec> editor(UpstreamArgument upstream) {
         return new ObjectEditor<>(
-                Session.path(AdminPaths.UPSTREAMS, id),
-                UpstreamView.class,
-                UpstreamView::revision,
-                UpstreamView::spec);
+                upstream.path(), UpstreamView.class, UpstreamView::revision, UpstreamView::spec);
     }
 
     /** Creates an upstream. */
@@ -59,8 +55,7 @@
                         + " --model flight-desk --domain catania --region sicily"
             })
     static final class Create extends AdminCommand {
-        @Parameters(paramLabel = "ID", description = "The upstream.")
-        private String mId;
+        @Mixin private UpstreamArgument mUpstream;
 
         @Mixin private UpstreamOptions mOptions;
 
@@ -69,7 +64,7 @@
             Optional<String> missing = mOptions.missing();
             return missing.isPresent()
                     ? Either.left(Failure.of(ErrorKind.FIELD_INVALID, missing.get()))
-                    : editor(mId).create(session, mOptions.made(mId));
+                    : editor(mUpstream).create(session, mOptions.made(mUpstream.id()));
         }
     }
 
@@ -79,15 +74,11 @@
             description = "Shows an upstream with its revision.",
             footer = {"%nExample:", "  hornbeamctl upstream show runner-1"})
     static final class Show extends AdminCommand {
-        @Parameters(paramLabel = "ID", description = "The upstream.")
-        private String mId;
+        @Mixin private UpstreamArgument mUpstream;
 
         @Override
         protected Either<Failure, Integer> run(Session session) {
-            return session.show(
-                    AdminCall.get(Session.path(AdminPaths.UPSTREAMS, mId)),
-                    UpstreamView.class,
-                    Fields::table);
+            return session.show(AdminCall.get(mUpstream.path()), UpstreamView.class, Fields::table);
         }
     }
 
@@ -146,15 +137,14 @@
             description = "Sets parts of an upstream; the others stay as they are.",
             footer = {"%nExample:", "  hornbeamctl upstream set runner-1 --max-concurrent 64"})
     static final class Change extends AdminCommand {
-        @Parameters(paramLabel = "ID", description = "The upstream.")
-        private String mId;
+        @Mixin private UpstreamArgument mUpstream;
 
         @Mixin private UpstreamOptions mOptions;
         @Mixin private RevisionOption mRevision;
 
         @Override
         protected Either<Failure, Integer> run(Session session) {
-            return editor(mId).set(session, mRevision.value(), mOptions::changed);
+            return editor(mUpstream).set(session, mRevision.value(), mOptions::changed);
         }
     }
 
@@ -164,14 +154,13 @@
             description = "Removes an upstream; requests in progress there are finished.",
             footer = {"%nExample:", "  hornbeamctl upstream delete runner-1"})
     static final class Delete extends AdminCommand {
-        @Parameters(paramLabel = "ID", description = "The upstream.")
-        private String mId;
+        @Mixin private UpstreamArgument mUpstream;
 
         @Mixin private RevisionOption mRevision;
 
         @Override
         protected Either<Failure, Integer> run(Session session) {
-            return editor(mId).delete(session, mRevision.value());
+            return editor(mUpstream).delete(session, mRevision.value());
         }
     }
 
@@ -188,13 +177,12 @@
                 "  hornbeamctl revision --wait"
             })
     static final class Drain extends AdminCommand {
-        @Parameters(paramLabel = "ID", description = "The upstream.")
-        private String mId;
+        @Mixin private UpstreamArgument mUpstream;
 
         @Override
         protected Either<Failure, Integer> run(Session session) {
             return session.show(
-                    AdminCall.repeatablePost(Session.path(AdminPaths.UPSTREAMS, mId, "drain")),
+                    AdminCall.repeatablePost(mUpstream.path("drain")),
                     Changed.class,
                     Fields::table);
         }
