Judge what all VMs send in the tests of failing homes

Cause, found by a second reading: three tests of RateLimiterTest judged only VMs that an answer had told. With 95 VMs and one request a second these were so few that the largest window was 1 of 11, so that a small fault could pass.

Change: they also bound what all VMs together send once the limit has settled, and ask that anything was sent at all.

--- a/coordination/src/test/java/org/hornbeampass/coordination/ratelimit/RateLimiterTest.java
+++ b/coordination/src/test/java/org/hornbeampass/coordination/ratelimit/RateLimiterTest.java
@@ -38,6 +38,13 @@
         assertThat((double) upstream.largestJudged()).isLessThanOrEqualTo(upstream.allowed());
     }
 
+    /** Judges what all VMs send from a time on, told by an answer or by another VM. */
+    private static void assertKeptByAll(RateLimitFleet fleet, long fromMs) {
+        LimitedUpstream upstream = fleet.upstream(0);
+        assertThat(upstream.largestWindow(fromMs)).isPositive();
+        assertThat((double) upstream.largestWindow(fromMs)).isLessThanOrEqualTo(upstream.allowed());
+    }
+
     @ParameterizedTest
     @CsvSource({
         "8,0.2", "8,1", "8,5", "8,20", "8,100", "95,0.2", "95,1", "95,5", "95,20", "95,100"
@@ -97,12 +104,14 @@
         for (long seed = 0; seed < 20; seed++) {
             RateLimitFleet fleet = limited(vms, 5, seed);
             fleet.load(HEAVY_LOAD, 6_000);
+            long settledMs = fleet.nowMs();
             String home = fleet.homeOf(0);
             fleet.kill(home, 3_000);
             fleet.load(HEAVY_LOAD, 5_000);
             fleet.start(home, 1_000);
             fleet.load(HEAVY_LOAD, 10_000);
             assertKept(fleet);
+            assertKeptByAll(fleet, settledMs);
             long fromMs = fleet.nowMs();
             fleet.load(HEAVY_LOAD, 10_000);
             assertThat(fleet.upstream(0).arrivedSince(fromMs)).isGreaterThanOrEqualTo(45);
@@ -117,11 +126,13 @@
             fleet.loseMessages(0.1);
             String home = fleet.homeOf(0);
             fleet.load(load(1), 4_000);
+            long fromMs = fleet.nowMs();
             fleet.cutOff(home, true);
             fleet.load(load(1), 6_000);
             fleet.cutOff(home, false);
             fleet.load(load(1), 10_000);
             assertKept(fleet);
+            assertKeptByAll(fleet, fromMs);
         }
     }
 
@@ -138,8 +149,11 @@
             for (int i = 0; i < vms; i++) {
                 fleet.start("vm-" + i, 1);
             }
+            fleet.load(load(1), SETTLE_MS);
+            long fromMs = fleet.nowMs();
             fleet.load(load(1), 15_000);
             assertKept(fleet);
+            assertKeptByAll(fleet, fromMs);
         }
     }
 
