--- a/coordination/src/main/java/org/hornbeampass/coordination/config/ConfigStore.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/config/ConfigStore.java
@@ -10,6 +10,7 @@
 import org.hornbeampass.coordination.platform.Platform;
 import org.hornbeampass.state.ErrorKind;
 import org.hornbeampass.state.Failure;
+import org.hornbeampass.state.ViewKind;
 import org.hornbeampass.state.VmId;
 import org.hornbeampass.state.config.ConfigChange;
 import org.hornbeampass.state.config.ConfigSnapshot;
@@ -84,7 +85,11 @@
         membership.addListener(
                 new MembershipListener() {
                     @Override
-                    public void onPeerRevision(long nowMs, VmId from, long revision) {
+                    public void onPeerRevision(
+                            long nowMs, VmId from, ViewKind view, long revision) {
+                        if (view != ViewKind.CONFIGURATION) {
+                            return;
+                        }
                         runLocked(
                                 nowMs,
                                 o -> mPeerFollower.onRevisionAnnounced(nowMs, from, revision, o));
@@ -272,7 +277,10 @@
             ConfigSnapshot snapshot = mState.mHistory.snapshot();
             mSnapshot = snapshot;
             mRevisionTracker.dropFormerIncarnations();
-            out.add(() -> mMembership.announceRevision(nowMs, snapshot.revision()));
+            out.add(
+                    () ->
+                            mMembership.announceRevision(
+                                    nowMs, ViewKind.CONFIGURATION, snapshot.revision()));
             out.add(() -> mListeners.forEach(l -> l.onChange(nowMs, snapshot)));
         }
         mReady |= mLogFollower.reachedEnd() || hasEnoughPeers();
--- a/coordination/src/main/java/org/hornbeampass/coordination/membership/Membership.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/membership/Membership.java
@@ -2,6 +2,7 @@
 
 import org.hornbeampass.coordination.peer.PeerMessage;
 import org.hornbeampass.coordination.peer.PeerNetwork;
+import org.hornbeampass.state.ViewKind;
 import org.hornbeampass.state.VmId;
 import org.hornbeampass.state.member.ListedVm;
 import org.hornbeampass.state.member.Member;
@@ -139,23 +140,14 @@
     }
 
     /**
-     * Announces the revision of the configuration that this VM uses.
+     * Announces the revision of one of this VM's views of the store.
      *
      * @param nowMs the current time in milliseconds
+     * @param view the view
      * @param revision the revision; ignored unless it is higher than the last one
      */
-    public void announceRevision(long nowMs, long revision) {
-        runLocked(nowMs, out -> mCore.advanceOwnRevision(mCore.mConfigRevisions, revision));
-    }
-
-    /**
-     * Announces the newest change of an upstream that this VM knows.
-     *
-     * @param nowMs the current time in milliseconds
-     * @param revision the revision of the change; ignored unless it is higher than the last one
-     */
-    public void announceUpstreamsRevision(long nowMs, long revision) {
-        runLocked(nowMs, out -> mCore.advanceOwnRevision(mCore.mUpstreamsRevisions, revision));
+    public void announceRevision(long nowMs, ViewKind view, long revision) {
+        runLocked(nowMs, out -> mCore.advanceOwnRevision(view, revision));
     }
 
     /**
@@ -403,17 +395,11 @@
         for (VmId vm : mCore.takeProvedGone()) {
             out.add(() -> mListeners.forEach(l -> l.onProvedGone(nowMs, vm)));
         }
-        for (PeerRevisions.Announcement announcement : mCore.mConfigRevisions.drainNewer()) {
-            notifyListeners(
-                    out,
-                    l -> l.onPeerRevision(nowMs, announcement.from(), announcement.revision()));
-        }
-        for (PeerRevisions.Announcement announcement : mCore.mUpstreamsRevisions.drainNewer()) {
-            notifyListeners(
-                    out,
-                    l ->
-                            l.onPeerUpstreamsRevision(
-                                    nowMs, announcement.from(), announcement.revision()));
+        for (ViewKind view : ViewKind.values()) {
+            for (PeerRevisions.Announcement each : mCore.revisions(view).drainNewer()) {
+                notifyListeners(
+                        out, l -> l.onPeerRevision(nowMs, each.from(), view, each.revision()));
+            }
         }
     }
 
--- a/coordination/src/main/java/org/hornbeampass/coordination/membership/MembershipCore.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/membership/MembershipCore.java
@@ -2,10 +2,14 @@
 
 import org.hornbeampass.coordination.peer.PeerNetwork;
 import org.hornbeampass.state.Region;
+import org.hornbeampass.state.ViewKind;
+import org.hornbeampass.state.ViewRevisions;
 import org.hornbeampass.state.VmId;
 
 import java.util.ArrayList;
+import java.util.EnumMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
 
@@ -24,11 +28,8 @@
     final MemberTable mTable;
     private final UpdateQueue mQueue;
 
-    /** Revisions of the configurations that VMs use. */
-    final PeerRevisions mConfigRevisions = new PeerRevisions();
-
-    /** Revisions of the newest changes of upstreams that VMs know. */
-    final PeerRevisions mUpstreamsRevisions = new PeerRevisions();
+    /** The revisions of the VMs' views of the store. */
+    private final Map<ViewKind, PeerRevisions> mRevisions = new EnumMap<>(ViewKind.class);
 
     final RejectedAccusations mRejected = new RejectedAccusations();
     private final List<VmId> mProvedGone = new ArrayList<>();
@@ -49,11 +50,19 @@
         mLockedRunner = guard;
         mTable = table;
         mQueue = new UpdateQueue(settings.maxUpdateBytes());
+        for (ViewKind view : ViewKind.values()) {
+            mRevisions.put(view, new PeerRevisions());
+        }
+    }
+
+    /** Returns the revisions of one view. */
+    PeerRevisions revisions(ViewKind view) {
+        return mRevisions.get(view);
     }
 
     /** Sets one of this VM's own revisions, and requests gossip if it is newer. */
-    void advanceOwnRevision(PeerRevisions revisions, long revision) {
-        mGossipDue |= revisions.advanceOwn(revision);
+    void advanceOwnRevision(ViewKind view, long revision) {
+        mGossipDue |= revisions(view).advanceOwn(revision);
     }
 
     /** Returns the gossip data for a message to a peer; updates on the peer itself come first. */
@@ -75,7 +84,12 @@
     }
 
     private Rumours rumours(List<MemberUpdate> updates, long digest) {
-        return new Rumours(digest, mConfigRevisions.own(), mUpstreamsRevisions.own(), updates);
+        ViewRevisions own =
+                new ViewRevisions(
+                        revisions(ViewKind.CONFIGURATION).own(),
+                        revisions(ViewKind.UPSTREAMS).own(),
+                        revisions(ViewKind.EVACUATIONS).own());
+        return new Rumours(digest, own, updates);
     }
 
     /**
@@ -99,8 +113,7 @@
         for (MemberUpdate update : rumours.updates()) {
             lacks |= merge(nowMs, update, region) == MergeResult.LACKS_DETAILS;
         }
-        mConfigRevisions.onAnnouncement(from, rumours.revision());
-        mUpstreamsRevisions.onAnnouncement(from, rumours.upstreamsRevision());
+        mRevisions.forEach((view, r) -> r.onAnnouncement(from, rumours.revisions().of(view)));
         return unknown || lacks;
     }
 
@@ -216,8 +229,7 @@
     }
 
     private void forgetRevisions(String vmName) {
-        mConfigRevisions.forget(vmName);
-        mUpstreamsRevisions.forget(vmName);
+        mRevisions.values().forEach(r -> r.forget(vmName));
     }
 
     List<VmId> takeNewSuspects() {
--- a/coordination/src/main/java/org/hornbeampass/coordination/membership/MembershipListener.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/membership/MembershipListener.java
@@ -1,5 +1,6 @@
 package org.hornbeampass.coordination.membership;
 
+import org.hornbeampass.state.ViewKind;
 import org.hornbeampass.state.VmId;
 import org.hornbeampass.state.member.MembershipView;
 
@@ -28,22 +29,13 @@
     default void onProvedGone(long nowMs, VmId vm) {}
 
     /**
-     * Called when a peer announces a newer configuration than before, if it is also newer than this
-     * VM's own.
+     * Called when a peer announces a newer revision of a view than before, if it is also newer than
+     * this VM's own.
      *
      * @param nowMs the current time in milliseconds
      * @param from the peer
-     * @param revision the revision of its configuration
+     * @param view the view
+     * @param revision the revision of the peer's view
      */
-    default void onPeerRevision(long nowMs, VmId from, long revision) {}
-
-    /**
-     * Called when a peer announces a newer change of an upstream than before, if it is also newer
-     * than the newest one known to this VM.
-     *
-     * @param nowMs the current time in milliseconds
-     * @param from the peer
-     * @param revision the revision of the change
-     */
-    default void onPeerUpstreamsRevision(long nowMs, VmId from, long revision) {}
+    default void onPeerRevision(long nowMs, VmId from, ViewKind view, long revision) {}
 }
--- a/coordination/src/main/java/org/hornbeampass/coordination/membership/Rumours.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/membership/Rumours.java
@@ -2,6 +2,8 @@
 
 import com.fasterxml.jackson.annotation.JsonFormat;
 
+import org.hornbeampass.state.ViewRevisions;
+
 import java.util.List;
 
 /**
@@ -10,13 +12,11 @@
  * <p>Immutable; safe for use by any thread.
  *
  * @param digest a hash of the sender's table, equal for equal tables
- * @param revision the revision of the configuration that the sender uses
- * @param upstreamsRevision the revision of the newest change of an upstream that the sender knows
+ * @param revisions the revisions of the sender's views of the store
  * @param updates updates on members, of limited size
  */
 @JsonFormat(shape = JsonFormat.Shape.ARRAY)
-public record Rumours(
-        long digest, long revision, long upstreamsRevision, List<MemberUpdate> updates) {
+public record Rumours(long digest, ViewRevisions revisions, List<MemberUpdate> updates) {
     /** Copies the list. */
     public Rumours {
         updates = List.copyOf(updates);
--- a/coordination/src/main/java/org/hornbeampass/coordination/service/UpstreamRegistry.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/service/UpstreamRegistry.java
@@ -1,5 +1,6 @@
 package org.hornbeampass.coordination.service;
 
+import org.hornbeampass.state.service.HomeRegions;
 import org.hornbeampass.state.service.Prompt;
 import org.hornbeampass.state.service.ServiceSpec;
 import org.hornbeampass.state.service.UpstreamEntry;
@@ -22,7 +23,8 @@
  * <p>Invariants: an upstream that is leaving or gone is never chosen; the state of an upstream
  * belongs to one incarnation, and an older incarnation never replaces a newer one; an upstream that
  * is paused after failures is chosen only if all usable upstreams of its service are paused; an
- * upstream whose rate limit the fleet has used up is not chosen. Confined to one thread.
+ * upstream whose rate limit the fleet has used up, or whose failure domain is evacuated, is not
+ * chosen. Confined to one thread.
  */
 public final class UpstreamRegistry {
     /**
@@ -31,43 +33,18 @@
      */
     static final long MISSING_GRACE_MS = 1_900;
 
-    /**
-     * The factor by which this VM's own load is multiplied to stand for that of the other VMs when
-     * no reports arrive from them. Callers choose VMs at random, so that their loads are similar.
-     */
-    private static final double UNREPORTED_LOAD_FACTOR = 2.0;
-
-    /** How much each running request adds to the wait of another at an engine, in milliseconds. */
-    private static final double COST_PER_RUNNING_REQUEST_MS = 0.5;
-
-    /**
-     * The weight of a token that is cached at another upstream and would be read a second time,
-     * compared to a token that has to be read anyway. Reading it again delays all other requests at
-     * the upstream and is billed.
-     */
-    private static final double REPEATED_PREFILL_WEIGHT = 3.0;
-
-    /**
-     * The cost of a certain failure when upstreams are compared, in milliseconds: about the wait of
-     * a second attempt.
-     */
-    private static final double FAILURE_COST_MS = 3_000;
-
-    /** The upper bound of the random cost that breaks ties between upstreams, in milliseconds. */
-    private static final double MAX_TIE_BREAK_MS = 4.0;
-
     private final Map<String, UpstreamInstance> mById = new HashMap<>();
     private final Map<String, List<UpstreamInstance>> mByService = new HashMap<>();
     private final FormerUpstreams mFormer = new FormerUpstreams();
     private final SignalTable mSignals;
     private final SendGate mGate;
     private final FleetLoad mFleetLoad = new FleetLoad();
-    private final RandomGenerator mRandom;
-    private final IntSupplier mVms;
+    private final UpstreamCosts mCosts;
+    private final Placement mPlacement;
 
-    /** Creates an empty registry for upstreams without signals and rate limits. */
+    /** Creates an empty registry for upstreams without signals, rate limits and restrictions. */
     public UpstreamRegistry(RandomGenerator random, IntSupplier vms) {
-        this(random, vms, new SignalTable(), SendGate.OPEN);
+        this(random, vms, new SignalTable(), SendGate.OPEN, Placement.unrestricted());
     }
 
     /**
@@ -77,13 +54,18 @@
      * @param vms how many VMs send requests to the upstreams
      * @param signals the signals of upstreams' answers
      * @param gate decides which upstreams get no requests because of their rate limits
+     * @param placement decides in which failure domains requests may run
      */
     public UpstreamRegistry(
-            RandomGenerator random, IntSupplier vms, SignalTable signals, SendGate gate) {
-        mRandom = random;
-        mVms = vms;
+            RandomGenerator random,
+            IntSupplier vms,
+            SignalTable signals,
+            SendGate gate,
+            Placement placement) {
         mSignals = signals;
         mGate = gate;
+        mPlacement = placement;
+        mCosts = new UpstreamCosts(random, vms, mFleetLoad);
     }
 
     /** Returns the load that the other VMs reported. */
@@ -228,7 +210,7 @@
      * their incarnation, entries without one are left out, since upstreams did not write them. If
      * fewer do, those entries may come from another writer and must not exclude the rest.
      */
-    private List<UpstreamInstance> selectable(long nowMs, String service) {
+    private List<UpstreamInstance> selectable(long nowMs, String service, HomeRegions homes) {
         List<UpstreamInstance> all = mByService.getOrDefault(service, List.of());
         int identified = 0;
         for (UpstreamInstance each : all) {
@@ -238,7 +220,8 @@
         List<UpstreamInstance> selectable = new ArrayList<>(all.size());
         for (UpstreamInstance each : all) {
             boolean eligible =
-                    each.isUsable(nowMs) && (!requireIncarnation || each.hasIncarnation());
+                    mayReceive(nowMs, each, homes)
+                            && (!requireIncarnation || each.hasIncarnation());
             if (eligible && mGate.waitMs(nowMs, each.incarnation()) == 0) {
                 selectable.add(each);
             }
@@ -246,21 +229,59 @@
         return selectable;
     }
 
+    /**
+     * Returns whether an upstream may be sent a request now; a pause after failures and rate limits
+     * are not considered. Must be asked again right before the request is sent.
+     *
+     * @param nowMs the present time in milliseconds
+     * @param instance the upstream
+     * @param homes the regions in which the request may run
+     */
+    public boolean mayReceive(long nowMs, UpstreamInstance instance, HomeRegions homes) {
+        return instance.isUsable(nowMs) && mPlacement.allows(instance.entry().domain(), homes);
+    }
+
+    /** Returns the evacuated failure domains. */
+    public EvacuatedDomains evacuated() {
+        return mPlacement.evacuated();
+    }
+
+    /** Chooses the upstream of a request that may run in any region. */
+    public Optional<UpstreamChoice> choose(
+            long nowMs, ServiceSpec service, Prompt prompt, Set<String> tried) {
+        return choose(nowMs, service, prompt, HomeRegions.ANY, tried);
+    }
+
     /**
      * Chooses the upstream of a request.
      *
      * @param nowMs the present time in milliseconds
      * @param service the service
      * @param prompt the request's prompt
+     * @param homes the regions in which the request may run
      * @param tried upstreams to which the request was sent before, which are not chosen again
      */
     public Optional<UpstreamChoice> choose(
-            long nowMs, ServiceSpec service, Prompt prompt, Set<String> tried) {
-        List<UpstreamInstance> instances = selectable(nowMs, service.name());
-        Optional<UpstreamInstance> cacheHolder = cacheHolder(prompt, instances);
-        Optional<UpstreamInstance> cheapest =
-                cheapest(nowMs, service, prompt, tried, cacheHolder, instances);
-        return cheapest.map(b -> new UpstreamChoice(b, tokensToRead(b, prompt, cacheHolder)));
+            long nowMs, ServiceSpec service, Prompt prompt, HomeRegions homes, Set<String> tried) {
+        return mCosts.choose(
+                nowMs, service, prompt, tried, selectable(nowMs, service.name(), homes));
+    }
+
+    /**
+     * Returns whether evacuations alone keep a request from all upstreams of a service.
+     *
+     * @param nowMs the present time in milliseconds
+     * @param service the service's name
+     * @param homes the regions in which the request may run
+     */
+    public boolean isEvacuated(long nowMs, String service, HomeRegions homes) {
+        List<UpstreamInstance> usable =
+                mByService.getOrDefault(service, List.of()).stream()
+                        .filter(i -> !i.isLeaving() && !i.isGone(nowMs))
+                        .filter(i -> mPlacement.isHome(i.entry().domain(), homes))
+                        .toList();
+        return !usable.isEmpty()
+                && usable.stream().allMatch(i -> evacuated().contains(i.entry().domain()));
     }
 
     /**
@@ -295,113 +316,11 @@
             long nowMs, String service, ToLongFunction<UpstreamInstance> waitMs) {
         return mByService.getOrDefault(service, List.of()).stream()
                 .filter(i -> !i.isLeaving() && !i.isGone(nowMs))
+                .filter(i -> !evacuated().contains(i.entry().domain()))
                 .mapToLong(waitMs)
                 .min()
                 .stream()
                 .filter(leftMs -> leftMs > 0)
                 .findFirst();
     }
-
-    /**
-     * Returns the upstream with the lowest cost that is not paused; if all are paused, the one with
-     * the lowest cost.
-     */
-    private Optional<UpstreamInstance> cheapest(
-            long nowMs,
-            ServiceSpec service,
-            Prompt prompt,
-            Set<String> tried,
-            Optional<UpstreamInstance> cacheHolder,
-            List<UpstreamInstance> instances) {
-        double lowest = Double.MAX_VALUE;
-        boolean lowestPaused = true;
-        UpstreamInstance cheapest = null;
-        for (UpstreamInstance each : instances) {
-            boolean paused = each.isPaused(nowMs);
-            if (tried.contains(each.id()) || (paused && !lowestPaused)) {
-                continue;
-            }
-            double cost =
-                    service.engine().isPresent()
-                            ? engineCost(nowMs, each, prompt, cacheHolder)
-                            : serviceCost(nowMs, each);
-            boolean firstUnpaused = lowestPaused && !paused;
-            if (firstUnpaused || cost < lowest) {
-                lowest = cost;
-                lowestPaused = paused;
-                cheapest = each;
-            }
-        }
-        return Optional.ofNullable(cheapest);
-    }
-
-    /**
-     * Returns the upstream that most likely has the shared parts of a prompt cached. Rendezvous
-     * hashing makes all VMs choose the same one.
-     */
-    private static Optional<UpstreamInstance> cacheHolder(
-            Prompt prompt, List<UpstreamInstance> instances) {
-        long key = prompt.sharedHash();
-        if (key == 0) {
-            return Optional.empty();
-        }
-        long highest = Long.MIN_VALUE;
-        UpstreamInstance holder = null;
-        for (UpstreamInstance each : instances) {
-            long rank = mix(key ^ (each.id().hashCode() * 0x9E3779B97F4A7C15L));
-            if (rank > highest) {
-                highest = rank;
-                holder = each;
-            }
-        }
-        return Optional.ofNullable(holder);
-    }
-
-    private static long mix(long value) {
-        long mixed = (value ^ (value >>> 33)) * 0xFF51AFD7ED558CCDL;
-        mixed = (mixed ^ (mixed >>> 33)) * 0xC4CEB9FE1A85EC53L;
-        return mixed ^ (mixed >>> 33);
-    }
-
-    private double engineCost(
-            long nowMs,
-            UpstreamInstance each,
-            Prompt prompt,
-            Optional<UpstreamInstance> cacheHolder) {
-        boolean cached = cacheHolder.isPresent() && cacheHolder.get() == each;
-        long own = prompt.promptTokens() - prompt.sharedTokens();
-        double toRead = own + (cached ? 0 : REPEATED_PREFILL_WEIGHT * prompt.sharedTokens());
-        FleetLoad.Work others = mFleetLoad.at(each.id());
-        double ownWeight = ownWeight();
-        double unread = ownWeight * each.unreadTokens() + others.unreadTokens();
-        double requests = ownWeight * each.inFlight() + others.requests();
-        return (toRead + unread) / UpstreamInstance.PREFILL_TOKENS_PER_MS
-                + COST_PER_RUNNING_REQUEST_MS * requests
-                + each.delayMs(nowMs)
-                + commonCost(nowMs, each);
-    }
-
-    /**
-     * Returns the factor for this VM's own load, which also stands for the VMs whose reports are
-     * missing.
-     */
-    private double ownWeight() {
-        int others = Math.max(1, mVms.getAsInt() - 1);
-        double unreportedShare = Math.max(0, 1 - (double) mFleetLoad.reportingVms() / others);
-        return 1 + unreportedShare * (UNREPORTED_LOAD_FACTOR - 1);
-    }
-
-    private static long tokensToRead(
-            UpstreamInstance each, Prompt prompt, Optional<UpstreamInstance> cacheHolder) {
-        boolean cached = cacheHolder.isPresent() && cacheHolder.get() == each;
-        return prompt.promptTokens() - (cached ? prompt.sharedTokens() : 0);
-    }
-
-    private double serviceCost(long nowMs, UpstreamInstance each) {
-        return (each.inFlight() + 0.5) * Math.max(1, each.latencyMs()) + commonCost(nowMs, each);
-    }
-
-    private double commonCost(long nowMs, UpstreamInstance each) {
-        return each.failureShare(nowMs) * FAILURE_COST_MS + mRandom.nextDouble() * MAX_TIE_BREAK_MS;
-    }
 }
--- a/coordination/src/main/java/org/hornbeampass/state/service/PrepaidOrganisation.java
+++ b/coordination/src/main/java/org/hornbeampass/state/service/PrepaidOrganisation.java
@@ -13,9 +13,20 @@
  * @param priority its priority, which takes precedence over that of the route; 0 is the most urgent
  * @param prepaidTokens the total number of tokens that it may use, not an increment; empty if its
  *     use is unlimited
+ * @param homes the regions in which its requests may run
  */
 public record PrepaidOrganisation(
-        String name, List<String> keys, int priority, OptionalLong prepaidTokens) {
+        String name,
+        List<String> keys,
+        int priority,
+        OptionalLong prepaidTokens,
+        HomeRegions homes) {
+    /** Creates an organisation whose requests may run in any region. */
+    public PrepaidOrganisation(
+            String name, List<String> keys, int priority, OptionalLong prepaidTokens) {
+        this(name, keys, priority, prepaidTokens, HomeRegions.ANY);
+    }
+
     /** Copies the list. */
     public PrepaidOrganisation {
         keys = List.copyOf(keys);
--- a/coordination/src/main/java/org/hornbeampass/state/service/Route.java
+++ b/coordination/src/main/java/org/hornbeampass/state/service/Route.java
@@ -20,6 +20,7 @@
  * @param resumable whether a stream may be resumed at another upstream
  * @param gapTargetMs the longest gap between events of an answer that meets the objective, in
  *     milliseconds; 0 if there are no events
+ * @param homes the regions in which its requests may run
  */
 public record Route(
         String name,
@@ -33,7 +34,38 @@
         int maxAttempts,
         boolean allowsAnonymous,
         boolean resumable,
-        long gapTargetMs) {
+        long gapTargetMs,
+        HomeRegions homes) {
+    /** Creates a route whose requests may run in any region. */
+    public Route(
+            String name,
+            String host,
+            String pathPrefix,
+            RouteKind kind,
+            long timeoutMs,
+            long objectiveMs,
+            int priority,
+            List<Target> targets,
+            int maxAttempts,
+            boolean allowsAnonymous,
+            boolean resumable,
+            long gapTargetMs) {
+        this(
+                name,
+                host,
+                pathPrefix,
+                kind,
+                timeoutMs,
+                objectiveMs,
+                priority,
+                targets,
+                maxAttempts,
+                allowsAnonymous,
+                resumable,
+                gapTargetMs,
+                HomeRegions.ANY);
+    }
+
     /** Copies the list. */
     public Route {
         targets = List.copyOf(targets);
--- a/coordination/src/main/java/org/hornbeampass/state/service/UpstreamEntry.java
+++ b/coordination/src/main/java/org/hornbeampass/state/service/UpstreamEntry.java
@@ -18,6 +18,8 @@
  * @param domain its failure domain
  * @param slots how many requests it runs concurrently
  * @param leaving whether it accepts no new requests
+ * @param coldLeftMs how much longer it is in its slow start, in milliseconds, when the entry was
+ *     written; 0 where it is not
  */
 public record UpstreamEntry(
         String id,
@@ -26,7 +28,20 @@
         String address,
         FailureDomain domain,
         int slots,
-        boolean leaving) {
+        boolean leaving,
+        long coldLeftMs) {
+    /** Creates the entry of an upstream that is not in its slow start. */
+    public UpstreamEntry(
+            String id,
+            OptionalLong bornMs,
+            String service,
+            String address,
+            FailureDomain domain,
+            int slots,
+            boolean leaving) {
+        this(id, bornMs, service, address, domain, slots, leaving, 0);
+    }
+
     /** Returns whether this entry is of a later incarnation than another entry of the same id. */
     public boolean startedAfter(UpstreamEntry other) {
         return bornMs.isPresent()
--- a/coordination/src/test/java/org/hornbeampass/coordination/fleet/FleetMutant.java
+++ b/coordination/src/test/java/org/hornbeampass/coordination/fleet/FleetMutant.java
@@ -167,10 +167,7 @@
 
     private Rumours rewriteRumours(Rumours rumours) {
         return new Rumours(
-                rumours.digest(),
-                rumours.revision(),
-                rumours.upstreamsRevision(),
-                rewriteUpdates(rumours.updates()));
+                rumours.digest(), rumours.revisions(), rewriteUpdates(rumours.updates()));
     }
 
     private List<MemberUpdate> rewriteUpdates(List<MemberUpdate> updates) {
--- a/coordination/src/test/java/org/hornbeampass/coordination/ratelimit/RateLimitFleet.java
+++ b/coordination/src/test/java/org/hornbeampass/coordination/ratelimit/RateLimitFleet.java
@@ -7,6 +7,7 @@
 import org.hornbeampass.coordination.peer.PeerNetwork;
 import org.hornbeampass.coordination.service.BroadcastPaths;
 import org.hornbeampass.coordination.service.IncarnationListener;
+import org.hornbeampass.coordination.service.Placement;
 import org.hornbeampass.coordination.service.RateLimit;
 import org.hornbeampass.coordination.service.SignalExchange;
 import org.hornbeampass.coordination.service.SignalListener;
@@ -73,7 +74,9 @@
             mSelf = self;
             mStartedMs = mNowMs;
             mLimiter = new RateLimiter(mTable, this::exchange, this, this);
-            mUpstreamRegistry = new UpstreamRegistry(mRandom, mVms::size, mTable, mLimiter);
+            mUpstreamRegistry =
+                    new UpstreamRegistry(
+                            mRandom, mVms::size, mTable, mLimiter, Placement.unrestricted());
             mExchange = new SignalExchange(mUpstreamRegistry, mTable, this, this::paths, this);
         }
 
--- a/coordination/src/test/java/org/hornbeampass/coordination/service/SignalExchangeTest.java
+++ b/coordination/src/test/java/org/hornbeampass/coordination/service/SignalExchangeTest.java
@@ -85,7 +85,8 @@
         mMembers.add(self);
         SignalTable table = new SignalTable();
         UpstreamRegistry registry =
-                new UpstreamRegistry(new Random(1), () -> 8, table, SendGate.OPEN);
+                new UpstreamRegistry(
+                        new Random(1), () -> 8, table, SendGate.OPEN, Placement.unrestricted());
         mRegistries.put(self.name(), registry);
         mTables.put(self.name(), table);
         mExchanges.put(
--- a/router/src/main/java/org/hornbeampass/router/daemon/RelayDaemon.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/RelayDaemon.java
@@ -16,15 +16,17 @@
 import org.hornbeampass.coordination.membership.Ping;
 import org.hornbeampass.coordination.membership.SyncRequest;
 import org.hornbeampass.coordination.news.ViewChangesRequest;
-import org.hornbeampass.coordination.platform.WatchedView;
+import org.hornbeampass.coordination.platform.CatchUpMode;
 import org.hornbeampass.coordination.quarantine.Quarantine;
 import org.hornbeampass.coordination.quarantine.RequestHasher;
 import org.hornbeampass.coordination.quarantine.SuspectReport;
 import org.hornbeampass.coordination.ratelimit.PermitCounts;
 import org.hornbeampass.coordination.ratelimit.PermitRequest;
 import org.hornbeampass.coordination.ratelimit.RateLimiter;
+import org.hornbeampass.coordination.service.EvacuatedDomains;
 import org.hornbeampass.coordination.service.InFlightReport;
 import org.hornbeampass.coordination.service.LoadExchange;
+import org.hornbeampass.coordination.service.Placement;
 import org.hornbeampass.coordination.service.SignalExchange;
 import org.hornbeampass.coordination.service.SignalReport;
 import org.hornbeampass.coordination.service.SignalTable;
@@ -33,6 +35,7 @@
 import org.hornbeampass.router.relay.RelayHandler;
 import org.hornbeampass.router.relay.RelayLog;
 import org.hornbeampass.router.relay.WireFormat;
+import org.hornbeampass.state.ViewKind;
 import org.hornbeampass.state.VmId;
 import org.hornbeampass.state.service.CallerLimits;
 import org.hornbeampass.transport.Clock;
@@ -52,6 +55,7 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.security.SecureRandom;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
@@ -122,7 +126,13 @@
                         name -> fleet().flatMap(f -> f.peerAddress(name)));
         mFleet = new FleetView(settings, vm, mPeers, mStore, new Random(mRandom.nextLong()));
         mLimiter = new RateLimiter(mSignalTable, this::signals, mPeers, mFleet);
-        mUpstreamRegistry = new UpstreamRegistry(mRandom, this::vms, mSignalTable, mLimiter);
+        mUpstreamRegistry =
+                new UpstreamRegistry(
+                        mRandom,
+                        this::vms,
+                        mSignalTable,
+                        mLimiter,
+                        new Placement(new EvacuatedDomains(), settings.domainRegions()));
         mViews = newStoreViews();
         mBudgets = newEscrowBook(ip);
         mBudgetMetrics = new BudgetMetrics(mMetrics, mBudgets);
@@ -138,7 +148,7 @@
         mPool = new UpstreamPool(mLoops, mClock);
         mQuarantine = newQuarantine();
         mContext = newContext();
-        mChanges = new StoreChanges(mContext, mViews.upstreams());
+        mChanges = new StoreChanges(mContext, mViews.view(ViewKind.UPSTREAMS));
         registerListeners();
         mCallers =
                 CallerServer.start(
@@ -181,7 +191,7 @@
                 mLog,
                 mRandom,
                 mFleet::sharingVmCount,
-                mViews::configMayBeBehind);
+                mViews);
     }
 
     private Optional<FleetView> fleet() {
@@ -203,16 +213,27 @@
     private StoreViews newStoreViews() {
         return new StoreViews(
                 mStore,
-                mWire.configPrefix(),
-                mWire.upstreamPrefix(),
+                List.of(
+                        new StoreViews.Source(
+                                ViewKind.CONFIGURATION,
+                                mWire.configPrefix(),
+                                CatchUpMode.NEWEST_VERSION,
+                                (nowMs, change) -> changes().onConfig(nowMs, change)),
+                        new StoreViews.Source(
+                                ViewKind.UPSTREAMS,
+                                mWire.upstreamPrefix(),
+                                CatchUpMode.ALL_VERSIONS,
+                                (nowMs, change) -> changes().onUpstream(nowMs, change)),
+                        new StoreViews.Source(
+                                ViewKind.EVACUATIONS,
+                                mWire.evacuationPrefix(),
+                                CatchUpMode.ALL_VERSIONS,
+                                (nowMs, change) -> changes().onEvacuation(nowMs, change))),
                 mPeers,
                 mFleet::otherLiveNames,
                 mLog,
                 mFleet.membership()::announceRevision,
-                mFleet.membership()::announceUpstreamsRevision,
-                mRandom,
-                (nowMs, change) -> changes().onConfig(nowMs, change),
-                (nowMs, change) -> changes().onUpstream(nowMs, change));
+                mRandom);
     }
 
     private EscrowBook newEscrowBook(String vm) {
@@ -263,9 +284,14 @@
 
     private void registerMetrics() {
         mMetrics.register("config_version", (Gauge<Long>) this::configVersion);
-        mMetrics.register("config_failing_ms", (Gauge<Long>) () -> failingMs(mViews.config()));
         mMetrics.register(
-                "upstreams_failing_ms", (Gauge<Long>) () -> failingMs(mViews.upstreams()));
+                "config_failing_ms", (Gauge<Long>) () -> failingMs(ViewKind.CONFIGURATION));
+        for (ViewKind view : List.of(ViewKind.UPSTREAMS, ViewKind.EVACUATIONS)) {
+            mMetrics.register(view.label() + "_failing_ms", (Gauge<Long>) () -> failingMs(view));
+        }
+        mMetrics.register(
+                "evacuated_domains",
+                (Gauge<Integer>) () -> mUpstreamRegistry.evacuated().all().size());
         mMetrics.register("peer_bytes_sent", (Gauge<Long>) mPeers.counters()::bytesSent);
         mMetrics.register("peer_bytes_received", (Gauge<Long>) mPeers.counters()::bytesReceived);
         mMetrics.register("suspected_requests", (Gauge<Integer>) mQuarantine.suspects()::size);
@@ -283,8 +309,8 @@
         mMetrics.register("upstream_connections_opened", (Gauge<Long>) mPool::openedConnections);
     }
 
-    private long failingMs(WatchedView view) {
-        return view.failingForMs(mClock.nowMs());
+    private long failingMs(ViewKind view) {
+        return mViews.view(view).failingForMs(mClock.nowMs());
     }
 
     private int connections() {
@@ -339,7 +365,7 @@
     }
 
     private boolean isReady() {
-        return mContext.routes().isPresent() && !mShutdown.hasBegun();
+        return mContext.isConfigured() && !mShutdown.hasBegun();
     }
 
     private void tick(long nowMs) {
--- a/router/src/main/java/org/hornbeampass/router/daemon/RelayDaemonSettings.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/RelayDaemonSettings.java
@@ -2,6 +2,7 @@
 
 import org.hornbeampass.protocol.settings.Secret;
 import org.hornbeampass.router.relay.RelaySettings;
+import org.hornbeampass.state.DomainRegions;
 import org.hornbeampass.state.FailureDomain;
 import org.hornbeampass.state.Region;
 
@@ -26,6 +27,7 @@
  * @param relay the limits of retries
  * @param graceMs how long a shutdown may take before the process is killed, in milliseconds
  * @param keepAddressesMs how long callers may cache an answer about addresses, in milliseconds
+ * @param domainRegions the region of each failure domain
  * @param budgetShards the number of records in the store over which the budgets are spread; must be
  *     the same on all VMs
  */
@@ -40,6 +42,7 @@
         RelaySettings relay,
         long graceMs,
         long keepAddressesMs,
+        DomainRegions domainRegions,
         int budgetShards) {
     /** Copies the list, so that the settings are immutable. */
     public RelayDaemonSettings {
@@ -62,6 +65,7 @@
                 newer.relay,
                 graceMs,
                 newer.keepAddressesMs,
+                domainRegions,
                 budgetShards);
     }
 
@@ -78,6 +82,7 @@
         add(names, "platform", platform, newer.platform);
         add(names, "cluster_key", cluster, newer.cluster);
         add(names, "grace", graceMs, newer.graceMs);
+        add(names, "domains", domainRegions, newer.domainRegions);
         add(names, "budget_shards", budgetShards, newer.budgetShards);
         return names;
     }
--- a/router/src/main/java/org/hornbeampass/router/daemon/RelaySettingsFile.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/RelaySettingsFile.java
@@ -7,6 +7,7 @@
 import org.hornbeampass.protocol.settings.SettingsNode;
 import org.hornbeampass.protocol.settings.SettingsReader;
 import org.hornbeampass.router.relay.RelaySettings;
+import org.hornbeampass.state.DomainRegions;
 import org.hornbeampass.state.FailureDomain;
 import org.hornbeampass.state.Region;
 
@@ -53,6 +54,7 @@
                 retries(node.requiredNode("retries")),
                 node.optionalDuration("grace", 8 * SECOND_MS, 0, HOUR_MS),
                 node.optionalDuration("keep_addresses", 2 * SECOND_MS, 1, HOUR_MS),
+                domains(node),
                 node.optionalInt("budget_shards", 4, 1, 4_096));
     }
 
@@ -65,6 +67,26 @@
                 node.optionalAddress("metrics"));
     }
 
+    /** Reads the regions of all failure domains, to which the VM's own one is added. */
+    private static DomainRegions domains(SettingsNode node) {
+        record DomainRegion(FailureDomain domain, Region region) {}
+        List<DomainRegion> listed =
+                node.list(
+                        "domains",
+                        n ->
+                                new DomainRegion(
+                                        new FailureDomain(n.requiredString("name")),
+                                        new Region(n.requiredString("region"))));
+        DomainRegions regions =
+                DomainRegions.NONE.with(
+                        new FailureDomain(node.requiredString("failure_domain")),
+                        new Region(node.requiredString("region")));
+        for (DomainRegion each : listed) {
+            regions = regions.with(each.domain(), each.region());
+        }
+        return regions;
+    }
+
     private static RelaySettings retries(SettingsNode node) {
         return new RelaySettings(
                 node.optionalDouble("ratio", 0.1, 0, 10),
--- a/router/src/main/java/org/hornbeampass/router/daemon/StoreChanges.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/StoreChanges.java
@@ -3,15 +3,18 @@
 import org.hornbeampass.coordination.platform.PlatformReply.Change;
 import org.hornbeampass.coordination.platform.WatchedView;
 import org.hornbeampass.coordination.service.EntryResult;
+import org.hornbeampass.coordination.service.EvacuatedDomains;
 import org.hornbeampass.coordination.service.RouteTable;
 import org.hornbeampass.router.relay.LogFields;
 import org.hornbeampass.router.relay.RelayContext;
 import org.hornbeampass.state.Failure;
+import org.hornbeampass.state.FailureDomain;
 import org.hornbeampass.state.service.FleetConfig;
 import org.hornbeampass.state.service.UpstreamEntry;
 
 /**
- * Applies the configuration and the upstreams' entries that are written to the store.
+ * Applies the configuration, the upstreams' entries and the evacuations that are written to the
+ * store.
  *
  * <p>Invariants: an object that can't be parsed affects only its own entry, and is logged with the
  * reason; the version of the configuration never decreases. Confined to one event loop.
@@ -114,6 +117,29 @@
                 .orElse(false);
     }
 
+    /** Applies the beginning or the end of an evacuation. */
+    void onEvacuation(long nowMs, Change change) {
+        FailureDomain domain = mContext.wire().readEvacuation(change.key());
+        EvacuatedDomains evacuated = mContext.upstreamRegistry().evacuated();
+        LogFields fields =
+                new LogFields().add("domain", domain.value()).add("revision", change.version());
+        if (change.value().isPresent()) {
+            if (evacuated.begin(nowMs, domain)) {
+                mContext.log().logStateChange(nowMs, "domain-evacuated", fields);
+            }
+            return;
+        }
+        evacuated
+                .end(nowMs, domain)
+                .ifPresent(
+                        lastedMs ->
+                                mContext.log()
+                                        .logStateChange(
+                                                nowMs,
+                                                "domain-restored",
+                                                fields.add("lasted_ms", lastedMs)));
+    }
+
     private void logUnreadable(long nowMs, String decision, Change change, Failure failure) {
         mContext.log()
                 .logStateChange(
--- a/router/src/main/java/org/hornbeampass/router/daemon/StoreViews.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/StoreViews.java
@@ -9,9 +9,13 @@
 import org.hornbeampass.coordination.platform.RetryPolicy;
 import org.hornbeampass.coordination.platform.WatchedView;
 import org.hornbeampass.router.relay.RelayLog;
+import org.hornbeampass.router.relay.ViewStatus;
+import org.hornbeampass.state.ViewKind;
 import org.hornbeampass.state.VmId;
 
 import java.time.Duration;
+import java.util.EnumMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
@@ -19,12 +23,12 @@
 import java.util.function.Supplier;
 
 /**
- * This VM's views of the configuration and the upstreams in the store, which are kept current by
- * its own watches and by other VMs.
+ * This VM's views of the objects in the store, which are kept current by its own watches and by
+ * other VMs.
  *
  * <p>Confined to one event loop.
  */
-final class StoreViews implements MembershipListener {
+final class StoreViews implements MembershipListener, ViewStatus {
     /**
      * How long a watch waits, in milliseconds. Each watch is a call that is charged, whether it
      * waits long or not; the platform lets one wait for 30 s at most. A silent connection is closed
@@ -46,13 +50,29 @@
      */
     private static final long MIN_RESTART_INTERVAL_MS = 2_000;
 
+    /**
+     * One of the views.
+     *
+     * @param kind the objects
+     * @param prefix the prefix of their keys
+     * @param catchUp which of several missed changes are reported
+     * @param onChange receives the time in milliseconds and each change
+     */
+    record Source(
+            ViewKind kind, String prefix, CatchUpMode catchUp, BiConsumer<Long, Change> onChange) {}
+
+    /** Announces the revision of a view to other VMs. */
+    @FunctionalInterface
+    interface Announcer {
+        /** Announces a revision at the present time in milliseconds. */
+        void announce(long nowMs, ViewKind view, long revision);
+    }
+
     private final Platform mStore;
     private final Random mRandom;
-    private final WatchedView mConfig;
-    private final WatchedView mUpstreams;
+    private final Map<ViewKind, WatchedView> mViews = new EnumMap<>(ViewKind.class);
+    private final Map<ViewKind, ViewRevisionTracker> mRevisions = new EnumMap<>(ViewKind.class);
     private final ViewExchange mViewExchange;
-    private final ViewRevisionTracker mConfigRevisions;
-    private final ViewRevisionTracker mUpstreamsRevisions;
     private long mRestartWatchesAtMs = Long.MAX_VALUE;
     private long mLastRestartMs;
 
@@ -60,104 +80,76 @@
      * Creates the views; the store is first called at the first {@link #tick}.
      *
      * @param store the platform that is watched
-     * @param configPrefix the prefix of the keys of the configuration
-     * @param upstreamPrefix the prefix of the keys of the upstreams' entries
+     * @param sources the views, one of each kind
      * @param peers sends messages to other VMs
      * @param otherVms returns the names of other VMs that are up
      * @param log receives a line when a view is behind
-     * @param announceConfig announces a revision of the configuration to other VMs; receives the
-     *     time in milliseconds first
-     * @param announceUpstreams announces the revision of an upstream's change to other VMs;
-     *     receives the time in milliseconds first
+     * @param announcer announces this VM's revisions to other VMs
      * @param random chooses the VM to request changes from, and spreads retries
-     * @param onConfig receives the time in milliseconds and each change of the configuration
-     * @param onUpstream receives the time in milliseconds and each change of an upstream
      */
     StoreViews(
             Platform store,
-            String configPrefix,
-            String upstreamPrefix,
+            List<Source> sources,
             PeerNetwork peers,
             Supplier<List<String>> otherVms,
             RelayLog log,
-            BiConsumer<Long, Long> announceConfig,
-            BiConsumer<Long, Long> announceUpstreams,
-            Random random,
-            BiConsumer<Long, Change> onConfig,
-            BiConsumer<Long, Change> onUpstream) {
+            Announcer announcer,
+            Random random) {
         mStore = store;
         mRandom = random;
-        mConfig =
-                view(
-                        configPrefix,
-                        CatchUpMode.NEWEST_VERSION,
-                        (nowMs, change) -> {
-                            onConfig.accept(nowMs, change);
-                            configRevisions().onChange(nowMs, change.version());
-                        });
-        mUpstreams =
-                view(
-                        upstreamPrefix,
-                        CatchUpMode.ALL_VERSIONS,
-                        (nowMs, change) -> {
-                            onUpstream.accept(nowMs, change);
-                            upstreamsRevisions().onChange(nowMs, change.version());
-                        });
-        mViewExchange =
-                new ViewExchange(
-                        Map.of(configPrefix, mConfig, upstreamPrefix, mUpstreams),
-                        peers,
-                        otherVms,
-                        random);
-        mConfigRevisions =
-                new ViewRevisionTracker(
-                        "configuration",
-                        log,
-                        announceConfig,
-                        (nowMs, name) -> mViewExchange.requestNow(nowMs, configPrefix, name));
-        mUpstreamsRevisions =
-                new ViewRevisionTracker(
-                        "upstreams",
-                        log,
-                        announceUpstreams,
-                        (nowMs, name) -> mViewExchange.requestNow(nowMs, upstreamPrefix, name));
+        Map<String, WatchedView> byPrefix = new LinkedHashMap<>();
+        for (Source source : sources) {
+            WatchedView view = view(source);
+            mViews.put(source.kind(), view);
+            byPrefix.put(source.prefix(), view);
+        }
+        mViewExchange = new ViewExchange(byPrefix, peers, otherVms, random);
+        for (Source source : sources) {
+            mRevisions.put(
+                    source.kind(),
+                    new ViewRevisionTracker(
+                            source.kind(),
+                            log,
+                            announcer,
+                            (nowMs, name) ->
+                                    mViewExchange.requestNow(nowMs, source.prefix(), name)));
+        }
     }
 
-    private WatchedView view(String prefix, CatchUpMode missed, BiConsumer<Long, Change> onChange) {
+    private WatchedView view(Source source) {
         return new WatchedView(
                 mStore,
-                prefix,
+                source.prefix(),
                 Duration.ofMillis(WATCH_TIMEOUT_MS),
                 BACKOFF,
-                missed,
+                source.catchUp(),
                 mRandom.nextLong(),
-                onChange);
-    }
-
-    private ViewRevisionTracker configRevisions() {
-        return mConfigRevisions;
-    }
-
-    private ViewRevisionTracker upstreamsRevisions() {
-        return mUpstreamsRevisions;
+                (nowMs, change) -> {
+                    source.onChange().accept(nowMs, change);
+                    mRevisions.get(source.kind()).onChange(nowMs, change.version());
+                });
     }
 
-    WatchedView config() {
-        return mConfig;
+    /** Returns one of the views. */
+    WatchedView view(ViewKind kind) {
+        return mViews.get(kind);
     }
 
-    WatchedView upstreams() {
-        return mUpstreams;
+    @Override
+    public boolean evacuationsKnown() {
+        return view(ViewKind.EVACUATIONS).ready();
     }
 
     /**
      * Returns whether there may be a newer configuration: another VM has one, one is being
      * received, or the store does not answer.
      */
-    boolean configMayBeBehind(long nowMs) {
-        return mConfigRevisions.isBehind(nowMs)
-                || mConfig.isReceiving(nowMs)
-                || mConfig.failingForMs(nowMs) >= ViewExchange.MIN_FAILING_MS;
+    @Override
+    public boolean configMayBeStale(long nowMs) {
+        WatchedView config = view(ViewKind.CONFIGURATION);
+        return mRevisions.get(ViewKind.CONFIGURATION).isBehind(nowMs)
+                || config.isReceiving(nowMs)
+                || config.failingForMs(nowMs) >= ViewExchange.MIN_FAILING_MS;
     }
 
     /**
@@ -175,8 +167,7 @@
         }
         mRestartWatchesAtMs = Long.MAX_VALUE;
         mLastRestartMs = nowMs;
-        mConfig.restartWatch(nowMs);
-        mUpstreams.restartWatch(nowMs);
+        mViews.values().forEach(v -> v.restartWatch(nowMs));
     }
 
     /** Returns the exchange that answers other VMs' requests for changes. */
@@ -185,22 +176,15 @@
     }
 
     @Override
-    public void onPeerRevision(long nowMs, VmId from, long revision) {
-        mConfigRevisions.onPeerRevision(nowMs, from, revision);
-    }
-
-    @Override
-    public void onPeerUpstreamsRevision(long nowMs, VmId from, long revision) {
-        mUpstreamsRevisions.onPeerRevision(nowMs, from, revision);
+    public void onPeerRevision(long nowMs, VmId from, ViewKind view, long revision) {
+        mRevisions.get(view).onPeerRevision(nowMs, from, revision);
     }
 
     /** Runs periodic work at the current time in milliseconds. */
     void tick(long nowMs) {
         restartWatches(nowMs);
-        mConfig.tick(nowMs);
-        mUpstreams.tick(nowMs);
+        mViews.values().forEach(v -> v.tick(nowMs));
         mViewExchange.tick(nowMs);
-        mConfigRevisions.tick(nowMs);
-        mUpstreamsRevisions.tick(nowMs);
+        mRevisions.values().forEach(r -> r.tick(nowMs));
     }
 }
--- a/router/src/main/java/org/hornbeampass/router/daemon/ViewRevisionTracker.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/ViewRevisionTracker.java
@@ -2,6 +2,7 @@
 
 import org.hornbeampass.router.relay.LogFields;
 import org.hornbeampass.router.relay.RelayLog;
+import org.hornbeampass.state.ViewKind;
 import org.hornbeampass.state.VmId;
 
 import java.util.Optional;
@@ -38,9 +39,9 @@
     /** A newer view that another VM has reported. */
     private record NewerView(VmId vm, long revision, long receivedMs) {}
 
-    private final String mView;
+    private final ViewKind mView;
     private final RelayLog mLog;
-    private final BiConsumer<Long, Long> mAnnounce;
+    private final StoreViews.Announcer mAnnouncer;
     private final BiConsumer<Long, String> mRequest;
     private long mOwnRevision;
     private long mPeerRevision;
@@ -50,19 +51,19 @@
     /**
      * Creates the tracker of one view.
      *
-     * @param view the view's name, for the log
+     * @param view the view
      * @param log receives a line for each request
-     * @param announce announces a revision to other VMs; receives the time in milliseconds first
+     * @param announcer announces a revision to other VMs
      * @param request requests the view of the VM of a name; receives the time in milliseconds first
      */
     ViewRevisionTracker(
-            String view,
+            ViewKind view,
             RelayLog log,
-            BiConsumer<Long, Long> announce,
+            StoreViews.Announcer announcer,
             BiConsumer<Long, String> request) {
         mView = view;
         mLog = log;
-        mAnnounce = announce;
+        mAnnouncer = announcer;
         mRequest = request;
     }
 
@@ -72,7 +73,7 @@
             return;
         }
         mOwnRevision = revision;
-        mAnnounce.accept(nowMs, revision);
+        mAnnouncer.announce(nowMs, mView, revision);
     }
 
     /** Receives the revision of another VM's view. */
@@ -112,7 +113,7 @@
                 nowMs,
                 "view-behind",
                 new LogFields()
-                        .add("view", mView)
+                        .add("view", mView.label())
                         .add("peer", newer.vm().name())
                         .add("revision", newer.revision())
                         .add("own_revision", mOwnRevision)
--- a/router/src/main/java/org/hornbeampass/router/relay/Refusals.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/Refusals.java
@@ -37,6 +37,15 @@
     /** When to retry at a VM that has no configuration yet, or perhaps an outdated one. */
     private static final long CONFIGURATION_RETRY_MS = 300;
 
+    /**
+     * When to retry where all failure domains with upstreams are evacuated. Operators evacuate a
+     * failure domain for seconds at least, and no end is announced.
+     */
+    private static final long EVACUATED_RETRY_MS = 3_000;
+
+    /** Over what time the retries of callers that were refused by an evacuation are spread. */
+    private static final long EVACUATED_JITTER_MS = 1_000;
+
     /**
      * Over what time the retries are spread once an upstream's rate limit allows a request again.
      */
@@ -130,6 +139,18 @@
                 ErrorKind.NO_UPSTREAM, "all upstreams have asked for a pause", pauseLeftMs);
     }
 
+    /**
+     * Returns the failure for a service whose upstreams are all in evacuated failure domains.
+     *
+     * @param random spreads the retries of callers that are refused at the same time
+     */
+    static Failure evacuated(RandomGenerator random) {
+        return Failure.retryAfter(
+                ErrorKind.NO_UPSTREAM,
+                "all failure domains with upstreams of the service are evacuated",
+                EVACUATED_RETRY_MS + random.nextLong(EVACUATED_JITTER_MS));
+    }
+
     /**
      * Returns the failure for a time at which all upstreams have reached their rate limits.
      *
--- a/router/src/main/java/org/hornbeampass/router/relay/RelayAttempts.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/RelayAttempts.java
@@ -363,6 +363,11 @@
         }
     }
 
+    @Override
+    public void onTooLate(long nowMs) {
+        onDeadline(nowMs);
+    }
+
     @Override
     public void onNoneAvailable(long nowMs) {
         if (mAnswer.headSent() || mCounts.mayHaveRun()) {
@@ -370,6 +375,10 @@
             return;
         }
         String service = mPlan.service().name();
+        if (mContext.upstreamRegistry().isEvacuated(nowMs, service, mPlan.homes())) {
+            fail(nowMs, Refusals.evacuated(mContext.random()));
+            return;
+        }
         OptionalLong pauseLeftMs = mContext.upstreamRegistry().requestedPauseLeftMs(nowMs, service);
         OptionalLong closedForMs = mContext.upstreamRegistry().unavailableForMs(nowMs, service);
         if (pauseLeftMs.isPresent()) {
--- a/router/src/main/java/org/hornbeampass/router/relay/RelayCall.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/RelayCall.java
@@ -12,6 +12,7 @@
 import org.hornbeampass.coordination.service.RouteTable;
 import org.hornbeampass.state.ErrorKind;
 import org.hornbeampass.state.Failure;
+import org.hornbeampass.state.service.HomeRegions;
 import org.hornbeampass.state.service.PrepaidOrganisation;
 import org.hornbeampass.state.service.Prompt;
 import org.hornbeampass.state.service.Route;
@@ -93,7 +94,7 @@
             return Optional.of(read.getLeft());
         }
         mHead = read.get();
-        if (mContext.routes().isEmpty()) {
+        if (!mContext.isConfigured()) {
             return Optional.of(Refusals.noConfiguration());
         }
         if (mContext.refusingNewRequests()) {
@@ -264,6 +265,12 @@
         return admission;
     }
 
+    /** Returns the regions that both the route and the organisation allow. */
+    private HomeRegions homes() {
+        HomeRegions ofRoute = mRoute.orElseThrow().homes();
+        return mOrganisation.map(o -> ofRoute.and(o.homes())).orElse(ofRoute);
+    }
+
     private String organisation() {
         return mOrganisation.map(PrepaidOrganisation::name).orElse("");
     }
@@ -286,6 +293,7 @@
                                             mRoute.orElseThrow(),
                                             mService.orElseThrow(),
                                             mOrganisation.map(PrepaidOrganisation::name),
+                                            homes(),
                                             mDeadlineMs),
                                     mBody,
                                     mCrashes.orElseThrow()));
--- a/router/src/main/java/org/hornbeampass/router/relay/RelayContext.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/RelayContext.java
@@ -18,7 +18,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.IntSupplier;
-import java.util.function.LongPredicate;
 import java.util.random.RandomGenerator;
 
 /**
@@ -43,16 +42,12 @@
     private final RelayLog mLog;
     private final RandomGenerator mRandom;
     private final IntSupplier mVmCount;
-    private final LongPredicate mConfigMayBeStale;
+    private final ViewStatus mViews;
     private final Map<String, RetryWindow> mRetryWindows = new HashMap<>();
     private Optional<RouteTable> mRoutes = Optional.empty();
     private boolean mRefusingNewRequests;
 
-    /**
-     * Creates the context. {@code vmCount} returns how many VMs share the fleet's budgets, and
-     * {@code configMayBeStale} returns whether there may be a newer configuration at a time in
-     * milliseconds.
-     */
+    /** Creates the context. {@code vmCount} returns how many VMs share the fleet's budgets. */
     public RelayContext(
             WireFormat wire,
             RelaySettings settings,
@@ -69,7 +64,7 @@
             RelayLog log,
             RandomGenerator random,
             IntSupplier vmCount,
-            LongPredicate configMayBeStale) {
+            ViewStatus views) {
         mWire = wire;
         mSettings = settings;
         mLoop = loop;
@@ -86,7 +81,7 @@
         mLog = log;
         mRandom = random;
         mVmCount = vmCount;
-        mConfigMayBeStale = configMayBeStale;
+        mViews = views;
     }
 
     /** Returns the wire format of the installation. */
@@ -155,9 +150,17 @@
         return mRoutes;
     }
 
+    /**
+     * Returns whether this VM knows the configuration and the evacuations, without which it must
+     * send nothing.
+     */
+    public boolean isConfigured() {
+        return mRoutes.isPresent() && mViews.evacuationsKnown();
+    }
+
     /** Returns whether there may be a newer configuration than the one in force. */
     boolean configMayBeStale(long nowMs) {
-        return mConfigMayBeStale.test(nowMs);
+        return mViews.configMayBeStale(nowMs);
     }
 
     /** Sets the configuration for the requests that arrive from now on. */
--- a/router/src/main/java/org/hornbeampass/router/relay/RelayPlan.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/RelayPlan.java
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 
 import org.hornbeampass.coordination.service.PrefillUrgency;
+import org.hornbeampass.state.service.HomeRegions;
 import org.hornbeampass.state.service.Route;
 import org.hornbeampass.state.service.ServiceSpec;
 
@@ -24,6 +25,7 @@
  * @param route the request's route
  * @param service the service that was picked for the request
  * @param organisation the organisation that pays; empty where none does
+ * @param homes the regions in which the request may run
  * @param deadlineMs the time by which the request must be answered, in milliseconds
  */
 record RelayPlan(
@@ -32,6 +34,7 @@
         Route route,
         ServiceSpec service,
         Optional<String> organisation,
+        HomeRegions homes,
         long deadlineMs) {
     /** Returns the most tokens that one event of the answer holds. */
     int tokensPerEvent() {
--- a/router/src/main/java/org/hornbeampass/router/relay/UpstreamSearch.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/UpstreamSearch.java
@@ -15,7 +15,9 @@
  * rate limit, and opens a connection.
  *
  * <p>Invariants: the request is sent to no upstream twice; each send after the first uses up the
- * fleet's retry limit; each send uses up a permit of its upstream. Confined to one event loop.
+ * fleet's retry limit; each send uses up a permit of its upstream; nothing is sent after the
+ * request's deadline, to a failure domain that is evacuated, or outside the request's home regions,
+ * all of which is checked last, on an open connection. Confined to one event loop.
  */
 final class UpstreamSearch {
     /** Receives the result of a search. */
@@ -28,6 +30,9 @@
          */
         void onNoneAvailable(long nowMs);
 
+        /** Reports that the deadline has passed. */
+        void onTooLate(long nowMs);
+
         /** Reports that the request is quarantined and may not be sent. */
         void onQuarantined(long nowMs);
 
@@ -42,6 +47,7 @@
     private final SendCounts mCounts;
     private final Listener mListener;
     private final IncarnationListener mOnInstanceEnd;
+    private final SendConditions mConditions;
     private final Set<String> mTried = new HashSet<>();
     private Optional<InFlightSend> mConnecting = Optional.empty();
 
@@ -71,10 +77,16 @@
         mCounts = counts;
         mListener = listener;
         mOnInstanceEnd = onInstanceEnd;
+        mConditions =
+                new SendConditions(context.upstreamRegistry(), plan.homes(), plan.deadlineMs());
     }
 
     /** Starts a search for an upstream to which the request was not sent yet. */
     void start(long nowMs) {
+        if (mConditions.isOverdue(nowMs)) {
+            mListener.onTooLate(nowMs);
+            return;
+        }
         if (!mCrashes.mayBeSent(nowMs)) {
             mListener.onQuarantined(nowMs);
             return;
@@ -94,7 +106,7 @@
 
     private Optional<UpstreamChoice> choose(long nowMs) {
         return mContext.upstreamRegistry()
-                .choose(nowMs, mPlan.service(), mPlan.head().prompt(), mTried);
+                .choose(nowMs, mPlan.service(), mPlan.head().prompt(), mPlan.homes(), mTried);
     }
 
     /** Returns whether there is an upstream to which the request was not sent yet. */
@@ -167,7 +179,9 @@
             }
             return;
         }
-        if (!instance.isUsable(nowMs)) {
+        Optional<String> obstacle = mConditions.obstacle(nowMs, instance);
+        if (obstacle.isPresent()) {
+            logDecision(nowMs, "not-sent", send.fields().add("reason", obstacle.get()));
             mContext.rateLimiter().returnUnused(nowMs, permit);
             closeAndSearchAgain(nowMs, connection.get());
             return;
--- a/router/src/main/java/org/hornbeampass/router/relay/WireFormat.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/WireFormat.java
@@ -6,6 +6,7 @@
 import io.vavr.control.Either;
 
 import org.hornbeampass.state.Failure;
+import org.hornbeampass.state.FailureDomain;
 import org.hornbeampass.state.service.FleetConfig;
 import org.hornbeampass.state.service.UpstreamEntry;
 
@@ -64,6 +65,12 @@
     /** Returns the prefix of the store keys under which upstreams register themselves. */
     String upstreamPrefix();
 
+    /** Returns the prefix of the store keys under which operators evacuate failure domains. */
+    String evacuationPrefix();
+
+    /** Returns the failure domain that the entry at a store key evacuates. */
+    FailureDomain readEvacuation(String key);
+
     /** Reads the entry of an upstream from its store key and JSON text. */
     Either<Failure, UpstreamEntry> readUpstream(String key, String json);
 }
--- a/router/src/test/java/org/hornbeampass/router/daemon/SlowLinkFleet.java
+++ b/router/src/test/java/org/hornbeampass/router/daemon/SlowLinkFleet.java
@@ -9,6 +9,7 @@
 import org.hornbeampass.coordination.peer.PeerMessage;
 import org.hornbeampass.coordination.peer.PeerNetwork;
 import org.hornbeampass.coordination.platform.AnswerProgress;
+import org.hornbeampass.coordination.platform.CatchUpMode;
 import org.hornbeampass.coordination.platform.MemoryPlatform;
 import org.hornbeampass.coordination.platform.Platform;
 import org.hornbeampass.coordination.platform.PlatformCall;
@@ -17,6 +18,7 @@
 import org.hornbeampass.router.relay.RelayLog;
 import org.hornbeampass.state.ErrorKind;
 import org.hornbeampass.state.Failure;
+import org.hornbeampass.state.ViewKind;
 import org.hornbeampass.state.VmId;
 
 import java.util.ArrayList;
@@ -172,16 +174,22 @@
             mViews =
                     new StoreViews(
                             new Store(),
-                            "config/",
-                            "upstreams/",
+                            List.of(
+                                    new StoreViews.Source(
+                                            ViewKind.CONFIGURATION,
+                                            "config/",
+                                            CatchUpMode.NEWEST_VERSION,
+                                            (nowMs, change) -> onConfig(change)),
+                                    new StoreViews.Source(
+                                            ViewKind.UPSTREAMS,
+                                            "upstreams/",
+                                            CatchUpMode.ALL_VERSIONS,
+                                            (nowMs, change) -> {})),
                             new Peers(),
                             () -> mVms.stream().map(v -> v.mName).filter(this::isOther).toList(),
                             new RelayLog(new MetricRegistry()),
-                            (nowMs, revision) -> mAnnouncedRevision = revision,
-                            (nowMs, revision) -> {},
-                            new Random(mRandom.nextLong()),
-                            (nowMs, change) -> onConfig(change),
-                            (nowMs, change) -> {});
+                            (nowMs, view, revision) -> onOwnRevision(view, revision),
+                            new Random(mRandom.nextLong()));
         }
 
         /** Returns the versions of the configuration that were applied, in order. */
@@ -198,6 +206,12 @@
             mTime.every(mRandom.nextLong(GOSSIP_MS), GOSSIP_MS, this::gossip);
         }
 
+        private void onOwnRevision(ViewKind view, long revision) {
+            if (view == ViewKind.CONFIGURATION) {
+                mAnnouncedRevision = revision;
+            }
+        }
+
         private void onConfig(Change change) {
             change.value().ifPresent(v -> mConfigVersion = Long.parseLong(v.strip()));
             mVersions.add(mConfigVersion);
@@ -215,7 +229,8 @@
             boolean known = mPeerRevisions.getOrDefault(from, 0L) >= revision;
             mPeerRevisions.merge(from, revision, Math::max);
             if (!known && revision > mAnnouncedRevision) {
-                mViews.onPeerRevision(mTime.nowMs(), new VmId(from, 1), revision);
+                mViews.onPeerRevision(
+                        mTime.nowMs(), new VmId(from, 1), ViewKind.CONFIGURATION, revision);
             }
         }
 
--- a/router/src/test/java/org/hornbeampass/router/daemon/StoreViewsTest.java
+++ b/router/src/test/java/org/hornbeampass/router/daemon/StoreViewsTest.java
@@ -10,11 +10,13 @@
 import org.hornbeampass.coordination.news.ViewChangesRequest;
 import org.hornbeampass.coordination.peer.PeerMessage;
 import org.hornbeampass.coordination.peer.PeerNetwork;
+import org.hornbeampass.coordination.platform.CatchUpMode;
 import org.hornbeampass.coordination.platform.MemoryPlatform;
 import org.hornbeampass.coordination.platform.PlatformCall;
 import org.hornbeampass.coordination.platform.PlatformReply;
 import org.hornbeampass.router.relay.RelayLog;
 import org.hornbeampass.state.Failure;
+import org.hornbeampass.state.ViewKind;
 import org.hornbeampass.state.VmId;
 import org.junit.jupiter.api.Test;
 
@@ -46,16 +48,23 @@
     private final StoreViews mViews =
             new StoreViews(
                     this::submit,
-                    "config/",
-                    "upstreams/",
+                    List.of(
+                            new StoreViews.Source(
+                                    ViewKind.CONFIGURATION,
+                                    "config/",
+                                    CatchUpMode.NEWEST_VERSION,
+                                    (nowMs, change) ->
+                                            mReceivedConfigs.add(change.value().orElse("deleted"))),
+                            new StoreViews.Source(
+                                    ViewKind.UPSTREAMS,
+                                    "upstreams/",
+                                    CatchUpMode.ALL_VERSIONS,
+                                    (nowMs, change) -> {})),
                     new UpToDatePeer(),
                     () -> List.of("peer"),
                     new RelayLog(new MetricRegistry()),
-                    (nowMs, revision) -> {},
-                    (nowMs, revision) -> {},
-                    new Random(1),
-                    (nowMs, change) -> mReceivedConfigs.add(change.value().orElse("deleted")),
-                    (nowMs, change) -> {});
+                    (nowMs, view, revision) -> {},
+                    new Random(1));
 
     private void submit(long nowMs, PlatformCall call, BiConsumer<Long, PlatformReply> done) {
         boolean configWatch =
@@ -155,7 +164,7 @@
     }
 
     private void receivePeerRevisions(long nowMs, long configRevision, long upstreamsRevision) {
-        mViews.onPeerRevision(nowMs, PEER, configRevision);
-        mViews.onPeerUpstreamsRevision(nowMs, PEER, upstreamsRevision);
+        mViews.onPeerRevision(nowMs, PEER, ViewKind.CONFIGURATION, configRevision);
+        mViews.onPeerRevision(nowMs, PEER, ViewKind.UPSTREAMS, upstreamsRevision);
     }
 }
--- a/router/src/test/java/org/hornbeampass/router/daemon/ViewRevisionTrackerTest.java
+++ b/router/src/test/java/org/hornbeampass/router/daemon/ViewRevisionTrackerTest.java
@@ -5,6 +5,7 @@
 import com.codahale.metrics.MetricRegistry;
 
 import org.hornbeampass.router.relay.RelayLog;
+import org.hornbeampass.state.ViewKind;
 import org.hornbeampass.state.VmId;
 import org.junit.jupiter.api.Test;
 
@@ -21,9 +22,9 @@
     private final List<String> mRequested = new ArrayList<>();
     private final ViewRevisionTracker mTracker =
             new ViewRevisionTracker(
-                    "configuration",
+                    ViewKind.CONFIGURATION,
                     new RelayLog(new MetricRegistry()),
-                    (nowMs, revision) -> mAnnounced.add(revision),
+                    (nowMs, view, revision) -> mAnnounced.add(revision),
                     (nowMs, vmName) -> mRequested.add(vmName));
 
     private void runUntil(long untilMs) {
--- a/router/src/test/java/org/hornbeampass/router/relay/AnswerSignalsTest.java
+++ b/router/src/test/java/org/hornbeampass/router/relay/AnswerSignalsTest.java
@@ -9,6 +9,7 @@
 import org.hornbeampass.coordination.peer.PeerMessage;
 import org.hornbeampass.coordination.peer.PeerNetwork;
 import org.hornbeampass.coordination.service.BroadcastPaths;
+import org.hornbeampass.coordination.service.Placement;
 import org.hornbeampass.coordination.service.SendGate;
 import org.hornbeampass.coordination.service.SignalExchange;
 import org.hornbeampass.coordination.service.SignalListener;
@@ -45,7 +46,8 @@
 
     private final SignalTable mTable = new SignalTable();
     private final UpstreamRegistry mUpstreamRegistry =
-            new UpstreamRegistry(new Random(1), () -> 1, mTable, SendGate.OPEN);
+            new UpstreamRegistry(
+                    new Random(1), () -> 1, mTable, SendGate.OPEN, Placement.unrestricted());
     private final AnswerSignals mSignals =
             new AnswerSignals(
                     new SignalExchange(
