--- a/coordination/src/main/java/org/hornbeampass/coordination/ratelimit/RateLimiter.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/ratelimit/RateLimiter.java
@@ -5,12 +5,8 @@
 import org.hornbeampass.coordination.peer.PeerMessage;
 import org.hornbeampass.coordination.peer.PeerNetwork;
 import org.hornbeampass.coordination.service.SendGate;
-import org.hornbeampass.coordination.service.SignalExchange;
-import org.hornbeampass.coordination.service.SignalReport;
-import org.hornbeampass.coordination.service.SignalTable;
 import org.hornbeampass.coordination.service.UpstreamIncarnation;
 import org.hornbeampass.state.Failure;
-import org.hornbeampass.state.VmId;
 
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -19,35 +15,26 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
-import java.util.function.Consumer;
-import java.util.function.Supplier;
 
 /**
- * Keeps the fleet's requests to each upstream within the rate limit that the upstream announced.
+ * Gets the permits of one kind that this VM needs for its requests.
  *
- * <p>Each request sent to an upstream with a rate limit needs a permit, which one VM, the
- * upstream's home, issues for the whole fleet. Invariants: a permit is used once, and at most
- * {@link #PERMIT_VALIDITY_MS} after it was requested, as measured by the requesting VM, so no
- * clocks of different VMs are compared; a VM that can't reach the home sends nothing to the
- * upstream. Confined to one thread, on which the network must deliver replies.
+ * <p>Invariants: a permit is used once, and only for a short time after it was requested, as
+ * measured by the requesting VM, so no clocks of different VMs are compared; a VM that can't reach
+ * an issuer sends nothing to the upstream. Confined to one thread, on which the network must deliver
+ * replies.
  */
 public final class RateLimiter implements SendGate {
-    /** How long a permit is valid after it was requested, in milliseconds. */
-    static final long PERMIT_VALIDITY_MS = 500;
-
     /**
-     * The timeout of a request to a home, in milliseconds; a home normally answers within a few.
+     * The timeout of a request to an issuer, in milliseconds; it normally answers within a few.
      */
     private static final long REQUEST_TIMEOUT_MS = 150;
 
-    /** How long no permit is requested after the home did not answer, in milliseconds. */
+    /** How long no permit is requested after the issuer did not answer, in milliseconds. */
     private static final long UNANSWERED_WAIT_MS = 500;
 
-    /**
-     * How long no permit is requested after the asked VM did not consider itself the home or no
-     * home was known, in milliseconds.
-     */
-    private static final long NOT_HOME_WAIT_MS = 200;
+    /** How long no permit is requested after no issuer was known, in milliseconds. */
+    private static final long NO_ISSUER_WAIT_MS = 200;
 
     /** The shortest time for which no permit is requested after a denial, in milliseconds. */
     private static final long MIN_WAIT_MS = 20;
@@ -61,11 +48,9 @@
      */
     private record Denial(long untilMs, OptionalDouble perSecond) {}
 
-    private final SignalTable mSignals;
-    private final Supplier<SignalExchange> mExchange;
+    private final PermitPolicy mPolicy;
     private final PeerNetwork mPeers;
-    private final PermitHomeResolver mHomes;
-    private final PermitIssuer mIssuer;
+    private final String mSelf;
     private final PermitCounts mCounts = new PermitCounts();
     private final Map<UpstreamIncarnation, Denial> mDenials = new HashMap<>();
     private final Map<UpstreamIncarnation, Deque<SendPermit>> mUnused = new HashMap<>();
@@ -73,34 +58,24 @@
     /**
      * Creates a limiter without permits.
      *
-     * @param signals the known signals of upstreams, with their rate limits
-     * @param exchange returns the exchange that receives signals from other VMs; called only once
-     *     there is a limit
+     * @param policy decides which upstreams need permits and who issues them
      * @param peers sends messages to other VMs
-     * @param homes determines the home of each upstream
+     * @param self this VM's name
      */
-    public RateLimiter(
-            SignalTable signals,
-            Supplier<SignalExchange> exchange,
-            PeerNetwork peers,
-            PermitHomeResolver homes) {
-        mSignals = signals;
-        mExchange = exchange;
+    public RateLimiter(PermitPolicy policy, PeerNetwork peers, String self) {
+        mPolicy = policy;
         mPeers = peers;
-        mHomes = homes;
-        mIssuer = new PermitIssuer(signals);
+        mSelf = self;
     }
 
-    private OptionalDouble limit(UpstreamIncarnation upstream) {
-        if (mSignals.isEmpty()) {
-            return OptionalDouble.empty();
-        }
-        return mSignals.get(upstream).rateLimit().perSecond();
+    /** Returns the kind of its permits. */
+    PermitKind kind() {
+        return mPolicy.kind();
     }
 
     /** Returns whether each request sent to an upstream needs a permit. */
-    public boolean isLimited(UpstreamIncarnation upstream) {
-        return limit(upstream).isPresent();
+    boolean isLimited(long nowMs, UpstreamIncarnation upstream) {
+        return mPolicy.perSecond(nowMs, upstream).isPresent();
     }
 
     @Override
@@ -112,7 +87,7 @@
         boolean denialOver =
                 denial == null
                         || nowMs >= denial.untilMs()
-                        || !denial.perSecond().equals(limit(upstream));
+                        || !denial.perSecond().equals(mPolicy.perSecond(nowMs, upstream));
         return denialOver || mUnused.containsKey(upstream) ? 0 : denial.untilMs() - nowMs;
     }
 
@@ -121,33 +96,28 @@
      *
      * @param nowMs the present time in milliseconds
      * @param upstream the upstream
-     * @param done called at once if the upstream has no limit, an unused permit is available, or no
-     *     message to another VM is needed; otherwise when the home has answered or the request has
-     *     timed out
+     * @param done called at once if an unused permit is available or no message to another VM is
+     *     needed; otherwise when the issuer has answered or the request has timed out
      */
-    public void acquire(long nowMs, UpstreamIncarnation upstream, PermitListener done) {
-        if (!isLimited(upstream)) {
-            done.onAnswer(nowMs, Optional.of(SendPermit.unlimited(upstream)));
-            return;
-        }
+    void acquire(long nowMs, UpstreamIncarnation upstream, PermitListener done) {
         Optional<SendPermit> unused = takeUnused(nowMs, upstream);
         if (unused.isPresent()) {
             done.onAnswer(nowMs, unused);
             return;
         }
-        Optional<String> home = mHomes.homeOf(upstream.upstream());
-        if (home.isEmpty()) {
-            deny(nowMs, upstream, NOT_HOME_WAIT_MS, done);
+        Optional<String> issuer = mPolicy.issuer(upstream);
+        if (issuer.isEmpty()) {
+            deny(nowMs, upstream, NO_ISSUER_WAIT_MS, done);
             return;
         }
-        if (home.get().equals(mHomes.self())) {
-            onPermitReply(nowMs, nowMs, upstream, mIssuer.issue(nowMs, upstream), done);
+        if (issuer.get().equals(mSelf)) {
+            onPermitReply(nowMs, nowMs, upstream, mPolicy.issue(nowMs, upstream), done);
             return;
         }
         mPeers.request(
                 nowMs,
-                home.get(),
-                new PermitRequest(SignalReport.Item.of(nowMs, upstream, mSignals.get(upstream))),
+                issuer.get(),
+                mPolicy.request(nowMs, upstream),
                 REQUEST_TIMEOUT_MS,
                 (t, reply) -> onReply(t, nowMs, upstream, reply, done));
     }
@@ -179,12 +149,14 @@
         }
         mCounts.onGranted();
         done.onAnswer(
-                nowMs, Optional.of(new SendPermit(upstream, requestedMs + PERMIT_VALIDITY_MS)));
+                nowMs,
+                Optional.of(
+                        new SendPermit(upstream, kind(), requestedMs + kind().validityMs())));
     }
 
     private void deny(long nowMs, UpstreamIncarnation upstream, long waitMs, PermitListener done) {
         long untilMs = nowMs + Math.max(MIN_WAIT_MS, waitMs);
-        mDenials.put(upstream, new Denial(untilMs, limit(upstream)));
+        mDenials.put(upstream, new Denial(untilMs, mPolicy.perSecond(nowMs, upstream)));
         done.onAnswer(nowMs, Optional.empty());
     }
 
@@ -215,46 +187,28 @@
         }
     }
 
-    /**
-     * Uses up a permit right before the request is sent.
-     *
-     * @return whether the request may be sent; false if the permit has expired or the upstream has
-     *     announced its first limit since
-     */
-    public boolean redeem(long nowMs, SendPermit permit) {
-        if (!isLimited(permit.upstream())) {
-            return true;
-        }
-        boolean redeemed = permit.limited() && permit.valid(nowMs);
-        if (redeemed) {
+    /** Uses up a permit of this kind; returns whether it was still valid. */
+    boolean redeem(long nowMs, SendPermit permit) {
+        if (permit.valid(nowMs)) {
             mCounts.onUsed();
-        } else if (permit.limited()) {
-            mCounts.onExpired();
+            return true;
         }
-        return redeemed;
+        mCounts.onExpired();
+        return false;
     }
 
-    /** Returns an unused permit, so that another request of this VM can use it. */
-    public void returnUnused(long nowMs, SendPermit permit) {
-        if (permit.limited() && permit.valid(nowMs)) {
+    /** Returns an unused permit of this kind, so that another request of this VM can use it. */
+    void returnUnused(long nowMs, SendPermit permit) {
+        if (permit.valid(nowMs)) {
             mUnused.computeIfAbsent(permit.upstream(), u -> new ArrayDeque<>()).add(permit);
-        } else if (permit.limited()) {
+        } else {
             mCounts.onExpired();
         }
     }
 
-    /** Answers another VM that considers this VM the home. */
-    public void onRequest(
-            long nowMs, VmId from, PermitRequest request, Consumer<PeerMessage> reply) {
-        UpstreamIncarnation upstream = request.known().upstream();
-        mExchange.get().onItem(nowMs, from, request.known());
-        boolean home = mHomes.homeOf(upstream.upstream()).filter(mHomes.self()::equals).isPresent();
-        reply.accept(home ? mIssuer.issue(nowMs, upstream) : PermitReply.denied(NOT_HOME_WAIT_MS));
-    }
-
     /** Removes expired permits, denials and buckets. */
-    public void tick(long nowMs) {
-        mIssuer.tick(nowMs);
+    void tick(long nowMs) {
+        mPolicy.tick(nowMs);
         mDenials.values().removeIf(d -> nowMs >= d.untilMs());
         Map.copyOf(mUnused).keySet().forEach(u -> removeExpired(nowMs, u));
     }
--- a/coordination/src/main/java/org/hornbeampass/coordination/ratelimit/SendPermit.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/ratelimit/SendPermit.java
@@ -8,20 +8,18 @@
  * <p>Immutable; safe for use by any thread.
  *
  * @param upstream the upstream
- * @param validUntilMs when the permit expires, in milliseconds of its holder's clock; {@link
- *     #NEVER_EXPIRES} if the upstream had no rate limit
+ * @param kind what it covers
+ * @param validUntilMs when the permit expires, in milliseconds of its holder's clock
  */
-public record SendPermit(UpstreamIncarnation upstream, long validUntilMs) {
-    private static final long NEVER_EXPIRES = Long.MAX_VALUE;
-
-    /** Returns a permit for an upstream without a rate limit. */
+public record SendPermit(UpstreamIncarnation upstream, PermitKind kind, long validUntilMs) {
+    /** Returns a permit for an upstream without a limit, which never expires. */
     static SendPermit unlimited(UpstreamIncarnation upstream) {
-        return new SendPermit(upstream, NEVER_EXPIRES);
+        return new SendPermit(upstream, PermitKind.UNLIMITED, Long.MAX_VALUE);
     }
 
-    /** Returns whether the permit was issued under a rate limit. */
+    /** Returns whether the permit was issued under a limit. */
     boolean limited() {
-        return validUntilMs != NEVER_EXPIRES;
+        return kind != PermitKind.UNLIMITED;
     }
 
     /** Returns whether the permit has not expired. */
--- a/coordination/src/main/java/org/hornbeampass/coordination/service/FormerUpstreams.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/service/FormerUpstreams.java
@@ -35,6 +35,12 @@
         mById.put(entry.id(), new Former(entry, leaving, nowMs));
     }
 
+    /** Returns whether an entry belongs to the incarnation that was last removed. */
+    boolean contains(UpstreamEntry entry) {
+        Former former = mById.get(entry.id());
+        return former != null && !entry.startedAfter(former.entry());
+    }
+
     /** Returns whether an entry belongs to an incarnation that has ended. */
     boolean hasEnded(UpstreamEntry entry) {
         Former former = mById.get(entry.id());
--- a/coordination/src/main/java/org/hornbeampass/coordination/service/UpstreamCosts.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/service/UpstreamCosts.java
@@ -44,6 +44,7 @@
     private final RandomGenerator mRandom;
     private final IntSupplier mVms;
     private final FleetLoad mFleetLoad;
+    private final SlowStarts mSlowStarts;
 
     /**
      * Creates the comparison.
@@ -51,11 +52,17 @@
      * @param random breaks ties
      * @param vms how many VMs send requests to the upstreams
      * @param fleetLoad the load that the other VMs reported
+     * @param slowStarts the upstreams in their slow start, whose caches are empty
      */
-    UpstreamCosts(RandomGenerator random, IntSupplier vms, FleetLoad fleetLoad) {
+    UpstreamCosts(
+            RandomGenerator random,
+            IntSupplier vms,
+            FleetLoad fleetLoad,
+            SlowStarts slowStarts) {
         mRandom = random;
         mVms = vms;
         mFleetLoad = fleetLoad;
+        mSlowStarts = slowStarts;
     }
 
     /**
@@ -68,7 +75,7 @@
             Prompt prompt,
             Set<String> tried,
             List<UpstreamInstance> instances) {
-        Optional<UpstreamInstance> cacheHolder = cacheHolder(prompt, instances);
+        Optional<UpstreamInstance> cacheHolder = cacheHolder(nowMs, prompt, instances);
         Optional<UpstreamInstance> cheapest =
                 cheapest(nowMs, service, prompt, tried, cacheHolder, instances);
         return cheapest.map(b -> new UpstreamChoice(b, tokensToRead(b, prompt, cacheHolder)));
@@ -109,10 +116,11 @@
 
     /**
      * Returns the upstream that most likely has the shared parts of a prompt cached. Rendezvous
-     * hashing makes all VMs choose the same one.
+     * hashing makes all VMs choose the same one. An upstream in its slow start takes too few
+     * requests to hold the parts of its share of the prompts.
      */
-    private static Optional<UpstreamInstance> cacheHolder(
-            Prompt prompt, List<UpstreamInstance> instances) {
+    private Optional<UpstreamInstance> cacheHolder(
+            long nowMs, Prompt prompt, List<UpstreamInstance> instances) {
         long key = prompt.sharedHash();
         if (key == 0) {
             return Optional.empty();
@@ -121,7 +129,7 @@
         UpstreamInstance holder = null;
         for (UpstreamInstance each : instances) {
             long rank = mix(key ^ (each.id().hashCode() * 0x9E3779B97F4A7C15L));
-            if (rank > highest) {
+            if (rank > highest && !mSlowStarts.isCold(nowMs, each.incarnation())) {
                 highest = rank;
                 holder = each;
             }
--- a/coordination/src/main/java/org/hornbeampass/coordination/service/UpstreamRegistry.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/service/UpstreamRegistry.java
@@ -1,5 +1,6 @@
 package org.hornbeampass.coordination.service;
 
+import org.hornbeampass.state.FailureDomain;
 import org.hornbeampass.state.service.HomeRegions;
 import org.hornbeampass.state.service.Prompt;
 import org.hornbeampass.state.service.ServiceSpec;
@@ -33,6 +34,12 @@
      */
     static final long MISSING_GRACE_MS = 1_900;
 
+    /**
+     * Time after the first entry in which unknown upstreams may have run for long, in milliseconds;
+     * one that is added later has just started.
+     */
+    private static final long FIRST_ENTRIES_MS = 2_000;
+
     private final Map<String, UpstreamInstance> mById = new HashMap<>();
     private final Map<String, List<UpstreamInstance>> mByService = new HashMap<>();
     private final FormerUpstreams mFormer = new FormerUpstreams();
@@ -41,10 +48,18 @@
     private final FleetLoad mFleetLoad = new FleetLoad();
     private final UpstreamCosts mCosts;
     private final Placement mPlacement;
+    private final SlowStarts mSlowStarts;
+    private long mFirstEntryMs = Long.MAX_VALUE;
 
     /** Creates an empty registry for upstreams without signals, rate limits and restrictions. */
     public UpstreamRegistry(RandomGenerator random, IntSupplier vms) {
-        this(random, vms, new SignalTable(), SendGate.OPEN, Placement.unrestricted());
+        this(
+                random,
+                vms,
+                new SignalTable(),
+                SendGate.OPEN,
+                Placement.unrestricted(),
+                new SlowStarts());
     }
 
     /**
@@ -55,17 +70,20 @@
      * @param signals the signals of upstreams' answers
      * @param gate decides which upstreams get no requests because of their rate limits
      * @param placement decides in which failure domains requests may run
+     * @param slowStarts the upstreams in their slow start
      */
     public UpstreamRegistry(
             RandomGenerator random,
             IntSupplier vms,
             SignalTable signals,
             SendGate gate,
-            Placement placement) {
+            Placement placement,
+            SlowStarts slowStarts) {
         mSignals = signals;
         mGate = gate;
         mPlacement = placement;
-        mCosts = new UpstreamCosts(random, vms, mFleetLoad);
+        mSlowStarts = slowStarts;
+        mCosts = new UpstreamCosts(random, vms, mFleetLoad, slowStarts);
     }
 
     /** Returns the load that the other VMs reported. */
@@ -91,6 +109,25 @@
      * @return how the entry was handled
      */
     public EntryResult onEntry(long nowMs, UpstreamEntry entry) {
+        mFirstEntryMs = Math.min(mFirstEntryMs, nowMs);
+        boolean returned = mFormer.contains(entry);
+        EntryResult result = apply(nowMs, entry);
+        if (!result.isAccepted()) {
+            return result;
+        }
+        UpstreamInstance instance = mById.get(entry.id());
+        mSlowStarts.onStated(nowMs, instance, entry.coldLeftMs());
+        boolean addedLater =
+                result == EntryResult.ADDED
+                        && !returned
+                        && nowMs - mFirstEntryMs >= FIRST_ENTRIES_MS;
+        if (addedLater || result == EntryResult.STARTED_AGAIN) {
+            mSlowStarts.onStarted(nowMs, instance);
+        }
+        return result;
+    }
+
+    private EntryResult apply(long nowMs, UpstreamEntry entry) {
         UpstreamInstance current = mById.get(entry.id());
         if (current == null) {
             if (mFormer.hasEnded(entry)) {
@@ -170,14 +207,31 @@
                 .toList();
     }
 
-    /** Returns the registered upstreams that have a rate limit. */
-    public Set<String> rateLimited() {
+    /** Returns the registered upstreams that have a rate limit or are in their slow start. */
+    public Set<String> rateLimited(long nowMs) {
         return mById.values().stream()
-                .filter(i -> mSignals.get(i.incarnation()).rateLimit().hasLimit())
+                .filter(
+                        i ->
+                                mSignals.get(i.incarnation()).rateLimit().hasLimit()
+                                        || mSlowStarts.isCold(nowMs, i.incarnation()))
                 .map(UpstreamInstance::id)
                 .collect(Collectors.toSet());
     }
 
+    /**
+     * Handles the end of an evacuation: the failure domain's upstreams may have become cold, which
+     * their next entries state.
+     *
+     * @param nowMs the present time in milliseconds
+     * @param domain the failure domain
+     * @param untilNextEntryMs the longest time until their next entries, in milliseconds
+     */
+    public void onEvacuationEnded(long nowMs, FailureDomain domain, long untilNextEntryMs) {
+        mById.values().stream()
+                .filter(i -> i.entry().domain().equals(domain))
+                .forEach(i -> mSlowStarts.onSuspected(nowMs, i, untilNextEntryMs));
+    }
+
     /**
      * Marks an upstream as gone because the server at its address answered that it is another one.
      */
@@ -191,6 +245,7 @@
     public void tick(long nowMs) {
         mFormer.tick(nowMs);
         mFleetLoad.tick(nowMs);
+        mSlowStarts.tick(nowMs);
         mById.values().removeIf(i -> forgetIfGone(nowMs, i));
         for (List<UpstreamInstance> instances : mByService.values()) {
             instances.removeIf(i -> i.isGone(nowMs) && i.inFlight() == 0);
@@ -241,6 +296,11 @@
         return instance.isUsable(nowMs) && mPlacement.allows(instance.entry().domain(), homes);
     }
 
+    /** Returns the upstreams in their slow start. */
+    public SlowStarts slowStarts() {
+        return mSlowStarts;
+    }
+
     /** Returns the evacuated failure domains. */
     public EvacuatedDomains evacuated() {
         return mPlacement.evacuated();
--- a/coordination/src/test/java/org/hornbeampass/coordination/ratelimit/LimitedUpstream.java
+++ b/coordination/src/test/java/org/hornbeampass/coordination/ratelimit/LimitedUpstream.java
@@ -15,6 +15,7 @@
  */
 final class LimitedUpstream {
     static final long WINDOW_MS = 4_000;
+    private static final long SECOND_MS = 1_000;
 
     private static final double ALLOWED_RATIO = 1.5;
     private static final int ALLOWED_EXTRA = 5;
@@ -96,11 +97,20 @@
                 counted.stream().filter(a -> a.atMs() >= checkedFromMs - WINDOW_MS).toList());
     }
 
+    /** Returns the largest number of requests of all VMs in a second. */
+    long largestSecond() {
+        return largestWindow(mArrivals, SECOND_MS);
+    }
+
     private static long largestWindow(List<Arrival> arrivals) {
+        return largestWindow(arrivals, WINDOW_MS);
+    }
+
+    private static long largestWindow(List<Arrival> arrivals, long windowMs) {
         int from = 0;
         int largest = 0;
         for (int i = 0; i < arrivals.size(); i++) {
-            while (arrivals.get(from).atMs() <= arrivals.get(i).atMs() - WINDOW_MS) {
+            while (arrivals.get(from).atMs() <= arrivals.get(i).atMs() - windowMs) {
                 from++;
             }
             largest = Math.max(largest, i - from + 1);
--- a/coordination/src/test/java/org/hornbeampass/coordination/ratelimit/RateLimitFleet.java
+++ b/coordination/src/test/java/org/hornbeampass/coordination/ratelimit/RateLimitFleet.java
@@ -13,6 +13,7 @@
 import org.hornbeampass.coordination.service.SignalListener;
 import org.hornbeampass.coordination.service.SignalReport;
 import org.hornbeampass.coordination.service.SignalTable;
+import org.hornbeampass.coordination.service.SlowStarts;
 import org.hornbeampass.coordination.service.TestMembers;
 import org.hornbeampass.coordination.service.UpstreamIncarnation;
 import org.hornbeampass.coordination.service.UpstreamInstance;
@@ -21,6 +22,7 @@
 import org.hornbeampass.state.ErrorKind;
 import org.hornbeampass.state.Failure;
 import org.hornbeampass.state.FailureDomain;
+import org.hornbeampass.state.VmId;
 import org.hornbeampass.state.member.Member;
 import org.hornbeampass.state.service.Prompt;
 import org.hornbeampass.state.service.ServiceSpec;
@@ -40,6 +42,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 
 /**
  * Simulates in virtual time a fleet that sends requests to upstreams that announce rate limits,
@@ -53,7 +56,18 @@
     private static final long WARM_UP_MS = 2_000;
     private static final int MAX_DENIALS = 4;
     private static final long ONE_WAY_MS = 2;
-    private static final ServiceSpec SERVICE = new ServiceSpec(SERVICE_NAME, 100, Optional.empty());
+    private static final long COLD_MS = 600_000;
+    static final SlowStartBounds SLOW_START_BOUNDS = new SlowStartBounds(1.5, 5);
+
+    /** How the permits of upstreams in their slow start are issued. */
+    enum Issuing {
+        /** By three fixed VMs, a third of the rate each. */
+        FIXED_VMS,
+        /** By one VM of those that are up. */
+        ONE_HOME,
+        /** By four fixed VMs to themselves, without messages. */
+        OWN_SHARES
+    }
 
     /**
      * An event at a time; events of the same time run in the order in which they were scheduled.
@@ -61,25 +75,46 @@
     private record Event(long atMs, long number, Runnable action) {}
 
     /** One incarnation of a VM. */
-    private final class Vm implements PeerNetwork, PermitHomeResolver, SignalListener {
+    private final class Vm implements PeerNetwork, PermitHomeResolver, SlowStartIssuers, SignalListener {
         private final Member mSelf;
         private final long mStartedMs;
         private final Set<String> mKnownVms = new HashSet<>();
+        private final Set<String> mEverKnownVms = new HashSet<>();
         private final SignalTable mTable = new SignalTable();
         private final UpstreamRegistry mUpstreamRegistry;
         private final SignalExchange mExchange;
-        private final RateLimiter mLimiter;
+        private final SlowStarts mSlowStarts = new SlowStarts();
+        private final AnnouncedLimits mAnnouncedLimits;
+        private final SlowStartLimits mSlowStartLimits;
+        private final SendPermits mPermits;
 
         Vm(Member self) {
             mSelf = self;
             mStartedMs = mNowMs;
-            mLimiter = new RateLimiter(mTable, this::exchange, this, this);
+            mSlowStarts.setServices(List.of(mService));
+            mAnnouncedLimits = new AnnouncedLimits(mTable, this::exchange, this);
+            mSlowStartLimits =
+                    new SlowStartLimits(
+                            mSlowStarts, mAnnouncedLimits, this, SLOW_START_BOUNDS, mRandom);
+            mPermits =
+                    new SendPermits(
+                            List.of(
+                                    new RateLimiter(mSlowStartLimits, this, self.name()),
+                                    new RateLimiter(mAnnouncedLimits, this, self.name())));
             mUpstreamRegistry =
                     new UpstreamRegistry(
-                            mRandom, mVms::size, mTable, mLimiter, Placement.unrestricted());
+                            mRandom, mVms::size, mTable, mPermits, Placement.unrestricted(), mSlowStarts);
             mExchange = new SignalExchange(mUpstreamRegistry, mTable, this, this::paths, this);
         }
 
+        private void onRequest(VmId from, PeerMessage request, Consumer<PeerMessage> reply) {
+            if (request instanceof SlowStartRequest slowStart) {
+                mSlowStartLimits.onRequest(mNowMs, from, slowStart, reply);
+            } else {
+                mAnnouncedLimits.onRequest(mNowMs, from, (PermitRequest) request, reply);
+            }
+        }
+
         private SignalExchange exchange() {
             return mExchange;
         }
@@ -96,6 +131,24 @@
             return warmingUp ? Optional.empty() : RendezvousHash.choose(upstream, mKnownVms);
         }
 
+        @Override
+        public List<String> issuersOf(String upstream) {
+            boolean warmingUp = mStartedMs > 0 && mNowMs - mStartedMs < WARM_UP_MS;
+            if (warmingUp) {
+                return List.of();
+            }
+            return switch (mIssuing) {
+                case FIXED_VMS -> RendezvousHash.choose(upstream, mEverKnownVms, 3);
+                case ONE_HOME -> RendezvousHash.choose(upstream, mKnownVms, 1);
+                case OWN_SHARES -> RendezvousHash.choose(upstream, mEverKnownVms, 4);
+            };
+        }
+
+        @Override
+        public boolean isLive(String vm) {
+            return mIssuing == Issuing.OWN_SHARES ? vm.equals(self()) : mKnownVms.contains(vm);
+        }
+
         @Override
         public String self() {
             return mSelf.name();
@@ -125,10 +178,9 @@
                     this,
                     vmName,
                     to ->
-                            to.mLimiter.onRequest(
-                                    mNowMs,
+                            to.onRequest(
                                     mSelf.vm(),
-                                    (PermitRequest) request,
+                                    request,
                                     reply ->
                                             deliver(
                                                     to,
@@ -175,6 +227,9 @@
     private final PriorityQueue<Event> mEvents =
             new PriorityQueue<>(
                     Comparator.comparingLong(Event::atMs).thenComparingLong(Event::number));
+    private final ServiceSpec mService;
+    private final Issuing mIssuing;
+    private final Set<String> mDivided = new HashSet<>();
     private final Map<String, Vm> mVms = new TreeMap<>();
     private final List<Member> mMembers = new ArrayList<>();
     private final Set<String> mPartitioned = new HashSet<>();
@@ -186,8 +241,21 @@
     private long mNowMs;
     private long mNumber;
 
+    /** Creates a fleet whose upstreams have no slow start. */
     RateLimitFleet(int vms, int upstreams, long seed) {
+        this(vms, upstreams, seed, Optional.empty(), Issuing.FIXED_VMS);
+    }
+
+    /** Creates a fleet whose upstreams may have a slow start. */
+    RateLimitFleet(
+            int vms,
+            int upstreams,
+            long seed,
+            Optional<ServiceSpec.SlowStart> slowStart,
+            Issuing issuing) {
         mRandom = new Random(seed);
+        mService = new ServiceSpec(SERVICE_NAME, 100, Optional.empty(), slowStart);
+        mIssuing = issuing;
         for (int i = 0; i < upstreams; i++) {
             mUpstreams.put("i-" + i, new LimitedUpstream());
         }
@@ -201,6 +269,7 @@
     private void startVm(Member member) {
         Vm vm = new Vm(member);
         mMembers.forEach(m -> vm.mKnownVms.add(m.name()));
+        vm.mEverKnownVms.addAll(vm.mKnownVms);
         mVms.put(member.name(), vm);
         mUpstreams.keySet().forEach(u -> addUpstream(vm, u));
     }
@@ -218,6 +287,59 @@
                         false));
     }
 
+    /** Adds an upstream that is in its slow start; VMs learn of it within a bound. */
+    void addColdUpstream(String id, long knownWithinMs) {
+        mUpstreams.put(id, new LimitedUpstream());
+        for (Vm vm : mVms.values()) {
+            schedule(
+                    mRandom.nextLong(knownWithinMs),
+                    () ->
+                            vm.mUpstreamRegistry.onEntry(
+                                    mNowMs,
+                                    new UpstreamEntry(
+                                            id,
+                                            OptionalLong.of(1),
+                                            SERVICE_NAME,
+                                            id + ":80",
+                                            new FailureDomain("d0"),
+                                            6,
+                                            false,
+                                            COLD_MS)));
+        }
+    }
+
+    LimitedUpstream upstream(String id) {
+        return mUpstreams.get(id);
+    }
+
+    /** Returns the VMs that issue the permits of an upstream, as one VM sees them. */
+    List<String> issuersOf(String upstream) {
+        return mVms.values().iterator().next().issuersOf(upstream);
+    }
+
+    /**
+     * Divides the fleet into some VMs and all others, which still reach the upstreams; each VM
+     * notices within a bound that the other part is gone. An empty part ends the division.
+     */
+    void divide(Set<String> part, long noticedWithinMs) {
+        mDivided.clear();
+        mDivided.addAll(part);
+        for (Vm vm : mVms.values()) {
+            schedule(
+                    mRandom.nextLong(noticedWithinMs),
+                    () -> {
+                        vm.mKnownVms.clear();
+                        mVms.keySet().stream()
+                                .filter(n -> inSamePart(n, vm.self()))
+                                .forEach(vm.mKnownVms::add);
+                    });
+        }
+    }
+
+    private boolean inSamePart(String a, String b) {
+        return mDivided.contains(a) == mDivided.contains(b);
+    }
+
     LimitedUpstream upstream(int number) {
         return mUpstreams.get("i-" + number);
     }
@@ -313,7 +435,7 @@
     private void tick() {
         for (Vm vm : List.copyOf(mVms.values())) {
             vm.mExchange.tick(mNowMs);
-            vm.mLimiter.tick(mNowMs);
+            vm.mPermits.tick(mNowMs);
             vm.mUpstreamRegistry.tick(mNowMs);
         }
         schedule(TICK_MS, this::tick);
@@ -329,7 +451,8 @@
                 ONE_WAY_MS + mRandom.nextInt(2),
                 () -> {
                     Vm receiver = mVms.get(to);
-                    if (!lost && receiver != null && !mPartitioned.contains(to)) {
+                    boolean reachable = !mPartitioned.contains(to) && inSamePart(from.self(), to);
+                    if (!lost && receiver != null && reachable) {
                         handler.handle(receiver);
                     }
                 });
@@ -345,18 +468,18 @@
     /** Chooses an upstream and requests a permit, as the relay does. */
     private void attempt(Vm vm, int denials) {
         Set<String> excluded =
-                denials >= MAX_DENIALS ? vm.mUpstreamRegistry.rateLimited() : Set.of();
-        var chosen = vm.mUpstreamRegistry.choose(mNowMs, SERVICE, Prompt.NONE, excluded);
+                denials >= MAX_DENIALS ? vm.mUpstreamRegistry.rateLimited(mNowMs) : Set.of();
+        var chosen = vm.mUpstreamRegistry.choose(mNowMs, mService, Prompt.NONE, excluded);
         if (chosen.isEmpty()) {
             mRefused++;
             return;
         }
         UpstreamInstance instance = chosen.get().instance();
-        vm.mLimiter.acquire(
+        vm.mPermits.acquire(
                 mNowMs,
                 instance.incarnation(),
                 (t, permit) -> {
-                    if (permit.isPresent() && vm.mLimiter.redeem(t, permit.get())) {
+                    if (permit.isPresent() && vm.mPermits.redeem(t, permit.get())) {
                         send(vm, instance);
                     } else {
                         attempt(vm, denials + 1);
--- a/coordination/src/test/java/org/hornbeampass/coordination/service/EvacuatedDomainsTest.java
+++ b/coordination/src/test/java/org/hornbeampass/coordination/service/EvacuatedDomainsTest.java
@@ -28,7 +28,8 @@
                     () -> 8,
                     new SignalTable(),
                     SendGate.OPEN,
-                    new Placement(mEvacuated, DomainRegions.NONE));
+                    new Placement(mEvacuated, DomainRegions.NONE),
+                    new SlowStarts());
 
     private void addUpstreams() {
         add("n", NORTH);
--- a/coordination/src/test/java/org/hornbeampass/coordination/service/SignalExchangeTest.java
+++ b/coordination/src/test/java/org/hornbeampass/coordination/service/SignalExchangeTest.java
@@ -86,7 +86,7 @@
         SignalTable table = new SignalTable();
         UpstreamRegistry registry =
                 new UpstreamRegistry(
-                        new Random(1), () -> 8, table, SendGate.OPEN, Placement.unrestricted());
+                        new Random(1), () -> 8, table, SendGate.OPEN, Placement.unrestricted(), new SlowStarts());
         mRegistries.put(self.name(), registry);
         mTables.put(self.name(), table);
         mExchanges.put(
--- a/router/src/main/java/org/hornbeampass/router/daemon/FleetView.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/FleetView.java
@@ -11,6 +11,7 @@
 import org.hornbeampass.coordination.platform.PlatformCall;
 import org.hornbeampass.coordination.platform.PlatformReply;
 import org.hornbeampass.coordination.ratelimit.PermitHomeResolver;
+import org.hornbeampass.coordination.ratelimit.SlowStartIssuers;
 import org.hornbeampass.coordination.service.BroadcastPaths;
 import org.hornbeampass.state.Json;
 import org.hornbeampass.state.VmId;
@@ -21,7 +22,9 @@
 
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
 import java.util.function.Function;
@@ -33,7 +36,7 @@
  * <p>VMs use their IP addresses as names among each other, so that a seed's name is known from its
  * address. Confined to one event loop.
  */
-final class FleetView implements PermitHomeResolver {
+final class FleetView implements PermitHomeResolver, SlowStartIssuers {
     private static final String VM_PREFIX = "vms/";
 
     /** Delay before the registration is retried after a failed call, in milliseconds. */
@@ -57,6 +60,9 @@
      */
     private static final int ASSUMED_VMS = 8;
 
+    /** The number of VMs that issue the permits of an upstream in its slow start. */
+    private static final int SLOW_START_ISSUERS = 3;
+
     private final Platform mPlatform;
     private final Membership mMembership;
     private final VmListReader mListReader;
@@ -72,6 +78,11 @@
     private boolean mSettled;
     private boolean mMembersKnown;
 
+    /** The issuers of each upstream's permits in {@link #mIssuersView}. */
+    private final Map<String, List<String>> mIssuers = new HashMap<>();
+
+    private MembershipView mIssuersView;
+
     FleetView(
             RelayDaemonSettings settings,
             VmId vm,
@@ -100,6 +111,7 @@
         mHasSeeds = seeds.stream().anyMatch(s -> !s.name().equals(vm.name()));
         mMembership = new Membership(self, peers, seeds, MembershipSettings.defaults(), random);
         mListReader = new VmListReader(mMembership, platform, random);
+        mIssuersView = mMembership.view();
     }
 
     private static String hostAndPort(InetSocketAddress address) {
@@ -163,6 +175,33 @@
         return RendezvousHash.choose("permits-" + upstream, names);
     }
 
+    @Override
+    public List<String> issuersOf(String upstream) {
+        if (!mMembersKnown) {
+            return List.of();
+        }
+        MembershipView view = mMembership.view();
+        if (view != mIssuersView) {
+            mIssuersView = view;
+            mIssuers.clear();
+        }
+        return mIssuers.computeIfAbsent(upstream, u -> chooseIssuers(view, u));
+    }
+
+    private static List<String> chooseIssuers(MembershipView view, String upstream) {
+        List<String> names = view.members().stream().map(Member::name).toList();
+        return RendezvousHash.choose("slow-start-" + upstream, names, SLOW_START_ISSUERS);
+    }
+
+    @Override
+    public boolean isLive(String vm) {
+        return mMembership
+                .view()
+                .member(vm)
+                .filter(m -> m.state() == MemberState.LIVE)
+                .isPresent();
+    }
+
     @Override
     public String self() {
         return mSelf.vm().name();
--- a/router/src/main/java/org/hornbeampass/router/daemon/RelayDaemon.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/RelayDaemon.java
@@ -20,9 +20,13 @@
 import org.hornbeampass.coordination.quarantine.Quarantine;
 import org.hornbeampass.coordination.quarantine.RequestHasher;
 import org.hornbeampass.coordination.quarantine.SuspectReport;
+import org.hornbeampass.coordination.ratelimit.AnnouncedLimits;
 import org.hornbeampass.coordination.ratelimit.PermitCounts;
 import org.hornbeampass.coordination.ratelimit.PermitRequest;
 import org.hornbeampass.coordination.ratelimit.RateLimiter;
+import org.hornbeampass.coordination.ratelimit.SendPermits;
+import org.hornbeampass.coordination.ratelimit.SlowStartLimits;
+import org.hornbeampass.coordination.ratelimit.SlowStartRequest;
 import org.hornbeampass.coordination.service.EvacuatedDomains;
 import org.hornbeampass.coordination.service.InFlightReport;
 import org.hornbeampass.coordination.service.LoadExchange;
@@ -30,6 +34,7 @@
 import org.hornbeampass.coordination.service.SignalExchange;
 import org.hornbeampass.coordination.service.SignalReport;
 import org.hornbeampass.coordination.service.SignalTable;
+import org.hornbeampass.coordination.service.SlowStarts;
 import org.hornbeampass.coordination.service.UpstreamRegistry;
 import org.hornbeampass.router.relay.RelayContext;
 import org.hornbeampass.router.relay.RelayHandler;
@@ -84,7 +89,12 @@
     private final Random mRandom = new Random(mSecure.nextLong());
 
     private final SignalTable mSignalTable = new SignalTable();
-    private final RateLimiter mLimiter;
+    private final SlowStarts mSlowStarts = new SlowStarts();
+    private final AnnouncedLimits mAnnouncedLimits;
+    private final SlowStartLimits mSlowStartLimits;
+    private final RateLimiter mAnnouncedLimiter;
+    private final RateLimiter mSlowStartLimiter;
+    private final SendPermits mPermits;
     private final UpstreamRegistry mUpstreamRegistry;
     private final ObservedStore mStore;
     private final FleetView mFleet;
@@ -125,14 +135,25 @@
                         mClock,
                         name -> fleet().flatMap(f -> f.peerAddress(name)));
         mFleet = new FleetView(settings, vm, mPeers, mStore, new Random(mRandom.nextLong()));
-        mLimiter = new RateLimiter(mSignalTable, this::signals, mPeers, mFleet);
+        mAnnouncedLimits = new AnnouncedLimits(mSignalTable, this::signals, mFleet);
+        mSlowStartLimits =
+                new SlowStartLimits(
+                        mSlowStarts,
+                        mAnnouncedLimits,
+                        mFleet,
+                        settings.relay().slowStart(),
+                        mRandom);
+        mAnnouncedLimiter = new RateLimiter(mAnnouncedLimits, mPeers, ip);
+        mSlowStartLimiter = new RateLimiter(mSlowStartLimits, mPeers, ip);
+        mPermits = new SendPermits(List.of(mSlowStartLimiter, mAnnouncedLimiter));
         mUpstreamRegistry =
                 new UpstreamRegistry(
                         mRandom,
                         this::vms,
                         mSignalTable,
-                        mLimiter,
-                        new Placement(new EvacuatedDomains(), settings.domainRegions()));
+                        mPermits,
+                        new Placement(new EvacuatedDomains(), settings.domainRegions()),
+                        mSlowStarts);
         mViews = newStoreViews();
         mBudgets = newEscrowBook(ip);
         mBudgetMetrics = new BudgetMetrics(mMetrics, mBudgets);
@@ -148,7 +169,11 @@
         mPool = new UpstreamPool(mLoops, mClock);
         mQuarantine = newQuarantine();
         mContext = newContext();
-        mChanges = new StoreChanges(mContext, mViews.view(ViewKind.UPSTREAMS));
+        mChanges = 
+                new StoreChanges(
+                        mContext,
+                        mViews.view(ViewKind.UPSTREAMS),
+                        settings.upstreamHeartbeatMs());
         registerListeners();
         mCallers =
                 CallerServer.start(
@@ -185,7 +210,7 @@
                 new RequestHasher(mSettings.cluster().revealBytes()),
                 mQuarantine,
                 mSignalExchange,
-                mLimiter,
+                mPermits,
                 mBudgets,
                 mLoans,
                 mLog,
@@ -278,7 +303,8 @@
         mPeers.on(TokenTransfer.class, mLoans::onTransfer);
         mPeers.on(InFlightReport.class, mLoadExchange::onReport);
         mPeers.on(SignalReport.class, mSignalExchange::onReport);
-        mPeers.on(PermitRequest.class, mLimiter::onRequest);
+        mPeers.on(PermitRequest.class, mAnnouncedLimits::onRequest);
+        mPeers.on(SlowStartRequest.class, mSlowStartLimits::onRequest);
         mPeers.on(SuspectReport.class, mQuarantine::onReport);
     }
 
@@ -297,18 +323,23 @@
         mMetrics.register("suspected_requests", (Gauge<Integer>) mQuarantine.suspects()::size);
         mMetrics.register(
                 "rate_limited_upstreams",
-                (Gauge<Integer>) () -> mUpstreamRegistry.rateLimited().size());
-        PermitCounts permits = mLimiter.counts();
-        mMetrics.register("permits_granted", (Gauge<Long>) permits::granted);
-        mMetrics.register("permits_denied", (Gauge<Long>) permits::denied);
-        mMetrics.register("permits_unanswered", (Gauge<Long>) permits::unanswered);
-        mMetrics.register("permits_used", (Gauge<Long>) permits::used);
-        mMetrics.register("permits_expired", (Gauge<Long>) permits::expired);
+                (Gauge<Integer>) () -> mUpstreamRegistry.rateLimited(mClock.nowMs()).size());
+        mMetrics.register("cold_upstreams", (Gauge<Integer>) mSlowStarts::size);
+        registerPermits("permits", mAnnouncedLimiter.counts());
+        registerPermits("slow_start_permits", mSlowStartLimiter.counts());
         mMetrics.register("vms", (Gauge<Integer>) mFleet::sharingVmCount);
         mMetrics.register("caller_connections", (Gauge<Integer>) this::connections);
         mMetrics.register("upstream_connections_opened", (Gauge<Long>) mPool::openedConnections);
     }
 
+    private void registerPermits(String prefix, PermitCounts permits) {
+        mMetrics.register(prefix + "_granted", (Gauge<Long>) permits::granted);
+        mMetrics.register(prefix + "_denied", (Gauge<Long>) permits::denied);
+        mMetrics.register(prefix + "_unanswered", (Gauge<Long>) permits::unanswered);
+        mMetrics.register(prefix + "_used", (Gauge<Long>) permits::used);
+        mMetrics.register(prefix + "_expired", (Gauge<Long>) permits::expired);
+    }
+
     private long failingMs(ViewKind view) {
         return mViews.view(view).failingForMs(mClock.nowMs());
     }
@@ -376,7 +407,7 @@
         mLoans.tick(nowMs);
         mLoadExchange.tick(nowMs);
         mSignalExchange.tick(nowMs);
-        mLimiter.tick(nowMs);
+        mPermits.tick(nowMs);
         mQuarantine.tick(nowMs);
         mUpstreamRegistry.tick(nowMs);
         mPool.tick(nowMs);
--- a/router/src/main/java/org/hornbeampass/router/daemon/RelayDaemonSettings.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/RelayDaemonSettings.java
@@ -28,6 +28,7 @@
  * @param graceMs how long a shutdown may take before the process is killed, in milliseconds
  * @param keepAddressesMs how long callers may cache an answer about addresses, in milliseconds
  * @param domainRegions the region of each failure domain
+ * @param upstreamHeartbeatMs the interval at which upstreams renew their entries, in milliseconds
  * @param budgetShards the number of records in the store over which the budgets are spread; must be
  *     the same on all VMs
  */
@@ -43,6 +44,7 @@
         long graceMs,
         long keepAddressesMs,
         DomainRegions domainRegions,
+        long upstreamHeartbeatMs,
         int budgetShards) {
     /** Copies the list, so that the settings are immutable. */
     public RelayDaemonSettings {
@@ -66,6 +68,7 @@
                 graceMs,
                 newer.keepAddressesMs,
                 domainRegions,
+                upstreamHeartbeatMs,
                 budgetShards);
     }
 
@@ -83,6 +86,8 @@
         add(names, "cluster_key", cluster, newer.cluster);
         add(names, "grace", graceMs, newer.graceMs);
         add(names, "domains", domainRegions, newer.domainRegions);
+        add(names, "upstream_heartbeat", upstreamHeartbeatMs, newer.upstreamHeartbeatMs);
+        add(names, "slow_start", relay.slowStart(), newer.relay.slowStart());
         add(names, "budget_shards", budgetShards, newer.budgetShards);
         return names;
     }
--- a/router/src/main/java/org/hornbeampass/router/daemon/RelaySettingsFile.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/RelaySettingsFile.java
@@ -2,6 +2,7 @@
 
 import io.vavr.control.Either;
 
+import org.hornbeampass.coordination.ratelimit.SlowStartBounds;
 import org.hornbeampass.protocol.settings.Faults;
 import org.hornbeampass.protocol.settings.Secret;
 import org.hornbeampass.protocol.settings.SettingsNode;
@@ -51,10 +52,11 @@
                 node.requiredUri("platform"),
                 Secret.of(node.requiredString("cluster_key")),
                 seeds,
-                retries(node.requiredNode("retries")),
+                relay(node),
                 node.optionalDuration("grace", 8 * SECOND_MS, 0, HOUR_MS),
                 node.optionalDuration("keep_addresses", 2 * SECOND_MS, 1, HOUR_MS),
                 domains(node),
+                node.optionalDuration("upstream_heartbeat", SECOND_MS, 1, HOUR_MS),
                 node.optionalInt("budget_shards", 4, 1, 4_096));
     }
 
@@ -87,10 +89,21 @@
         return regions;
     }
 
-    private static RelaySettings retries(SettingsNode node) {
+    private static RelaySettings relay(SettingsNode node) {
+        SettingsNode retries = node.requiredNode("retries");
         return new RelaySettings(
-                node.optionalDouble("ratio", 0.1, 0, 10),
-                node.optionalDouble("extra", 10, 0, 1_000_000),
-                node.optionalDuration("window", 10 * SECOND_MS, 1, HOUR_MS));
+                retries.optionalDouble("ratio", 0.1, 0, 10),
+                retries.optionalDouble("extra", 10, 0, 1_000_000),
+                retries.optionalDuration("window", 10 * SECOND_MS, 1, HOUR_MS),
+                node.optionalNode("slow_start")
+                        .map(RelaySettingsFile::slowStart)
+                        .orElse(SlowStartBounds.DEFAULT));
+    }
+
+    private static SlowStartBounds slowStart(SettingsNode node) {
+        SlowStartBounds defaults = SlowStartBounds.DEFAULT;
+        return new SlowStartBounds(
+                node.optionalDouble("excess", defaults.excess(), 0, 1_000),
+                node.optionalDouble("extra", defaults.extra(), 0, 1_000_000));
     }
 }
--- a/router/src/main/java/org/hornbeampass/router/daemon/StoreChanges.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/StoreChanges.java
@@ -1,5 +1,7 @@
 package org.hornbeampass.router.daemon;
 
+import java.util.OptionalLong;
+
 import org.hornbeampass.coordination.platform.PlatformReply.Change;
 import org.hornbeampass.coordination.platform.WatchedView;
 import org.hornbeampass.coordination.service.EntryResult;
@@ -26,12 +28,17 @@
      */
     private static final long OUTAGE_RECOVERY_MS = 2_500;
 
+    /** The most heartbeats of an upstream until a change of its state is in its entry. */
+    private static final int MAX_HEARTBEATS_TO_NEXT_ENTRY = 2;
+
     private final RelayContext mContext;
     private final WatchedView mUpstreams;
+    private final long mUpstreamHeartbeatMs;
 
-    StoreChanges(RelayContext context, WatchedView upstreams) {
+    StoreChanges(RelayContext context, WatchedView upstreams, long upstreamHeartbeatMs) {
         mContext = context;
         mUpstreams = upstreams;
+        mUpstreamHeartbeatMs = upstreamHeartbeatMs;
     }
 
     /** Returns the version of the current configuration; 0 if there is none. */
@@ -57,6 +64,7 @@
             return;
         }
         mContext.setRoutes(new RouteTable(config));
+        mContext.upstreamRegistry().slowStarts().setServices(config.services());
         mContext.budgets().onOrganisations(config.organisations());
         mContext.budgets().tick(nowMs);
         mContext.log().logStateChange(nowMs, "config-in-force", fields.add("revision", revision));
@@ -101,6 +109,7 @@
                                 .add("upstream", entry.id())
                                 .add("born_ms", entry.bornMs().orElse(-1))
                                 .add("leaving", entry.leaving())
+                                .add("cold_left_ms", entry.coldLeftMs())
                                 .add("service_known", isServiceConfigured(entry))
                                 .add("verdict", verdict.name())
                                 .add("revision", revision));
@@ -129,15 +138,17 @@
             }
             return;
         }
-        evacuated
-                .end(nowMs, domain)
-                .ifPresent(
-                        lastedMs ->
-                                mContext.log()
-                                        .logStateChange(
-                                                nowMs,
-                                                "domain-restored",
-                                                fields.add("lasted_ms", lastedMs)));
+        OptionalLong lastedMs = evacuated.end(nowMs, domain);
+        if (lastedMs.isPresent()) {
+            mContext.upstreamRegistry()
+                    .onEvacuationEnded(
+                            nowMs, domain, MAX_HEARTBEATS_TO_NEXT_ENTRY * mUpstreamHeartbeatMs);
+            mContext.log()
+                    .logStateChange(
+                            nowMs,
+                            "domain-restored",
+                            fields.add("lasted_ms", lastedMs.getAsLong()));
+        }
     }
 
     private void logUnreadable(long nowMs, String decision, Change change, Failure failure) {
--- a/router/src/main/java/org/hornbeampass/router/relay/AnswerHead.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/AnswerHead.java
@@ -16,10 +16,13 @@
  *     where it does not ask
  * @param limitPerSecond how many requests per second the upstream accepts from all VMs together;
  *     empty where it states no limit
+ * @param coldLeftMs how much longer the upstream is in its slow start, in milliseconds; empty where
+ *     the answer does not state it
  */
 public record AnswerHead(
         AnswerOutcome outcome,
         boolean hasSeal,
         boolean leaving,
         OptionalLong pauseMs,
-        OptionalDouble limitPerSecond) {}
+        OptionalDouble limitPerSecond,
+        OptionalLong coldLeftMs) {}
--- a/router/src/main/java/org/hornbeampass/router/relay/AnswerSignals.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/AnswerSignals.java
@@ -2,6 +2,7 @@
 
 import org.hornbeampass.coordination.service.RateLimit;
 import org.hornbeampass.coordination.service.SignalExchange;
+import org.hornbeampass.coordination.service.SlowStarts;
 import org.hornbeampass.coordination.service.UpstreamInstance;
 import org.hornbeampass.coordination.service.UpstreamSignals;
 
@@ -13,10 +14,12 @@
  */
 final class AnswerSignals {
     private final SignalExchange mExchange;
+    private final SlowStarts mSlowStarts;
     private final RelayLog mLog;
 
-    AnswerSignals(SignalExchange exchange, RelayLog log) {
+    AnswerSignals(SignalExchange exchange, SlowStarts slowStarts, RelayLog log) {
         mExchange = exchange;
+        mSlowStarts = slowStarts;
         mLog = log;
     }
 
@@ -43,6 +46,9 @@
                     "upstream-pauses",
                     new LogFields().add("upstream", upstream.id()).add("pause_ms", pauseMs));
         }
+        if (current && answer.coldLeftMs().isPresent()) {
+            mSlowStarts.onStated(nowMs, upstream, answer.coldLeftMs().getAsLong());
+        }
         RateLimit limit = current ? rateLimit(nowMs, askedMs, answer) : RateLimit.UNKNOWN;
         mExchange.onAnswer(nowMs, upstream, new UpstreamSignals(answer.leaving(), limit));
     }
--- a/router/src/main/java/org/hornbeampass/router/relay/RelayContext.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/RelayContext.java
@@ -6,7 +6,7 @@
 import org.hornbeampass.coordination.escrow.EscrowLoans;
 import org.hornbeampass.coordination.quarantine.Quarantine;
 import org.hornbeampass.coordination.quarantine.RequestHasher;
-import org.hornbeampass.coordination.ratelimit.RateLimiter;
+import org.hornbeampass.coordination.ratelimit.SendPermits;
 import org.hornbeampass.coordination.service.RetryWindow;
 import org.hornbeampass.coordination.service.RouteTable;
 import org.hornbeampass.coordination.service.SignalExchange;
@@ -36,7 +36,7 @@
     private final RequestHasher mHasher;
     private final Quarantine mQuarantine;
     private final AnswerSignals mAnswerSignals;
-    private final RateLimiter mRateLimiter;
+    private final SendPermits mPermits;
     private final EscrowBook mBudgets;
     private final EscrowLoans mLoans;
     private final RelayLog mLog;
@@ -58,7 +58,7 @@
             RequestHasher hasher,
             Quarantine quarantine,
             SignalExchange signals,
-            RateLimiter rateLimiter,
+            SendPermits permits,
             EscrowBook budgets,
             EscrowLoans loans,
             RelayLog log,
@@ -73,8 +73,8 @@
         mPool = pool;
         mCrashDetector = new CrashDetector(pool, clock, log, quarantine);
         mQuarantine = quarantine;
-        mAnswerSignals = new AnswerSignals(signals, log);
-        mRateLimiter = rateLimiter;
+        mAnswerSignals = new AnswerSignals(signals, upstreamRegistry.slowStarts(), log);
+        mPermits = permits;
         mHasher = hasher;
         mBudgets = budgets;
         mLoans = loans;
@@ -119,8 +119,8 @@
         return mAnswerSignals;
     }
 
-    RateLimiter rateLimiter() {
-        return mRateLimiter;
+    SendPermits permits() {
+        return mPermits;
     }
 
     Quarantine quarantine() {
--- a/router/src/main/java/org/hornbeampass/router/relay/RelaySettings.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/RelaySettings.java
@@ -1,7 +1,9 @@
 package org.hornbeampass.router.relay;
 
+import org.hornbeampass.coordination.ratelimit.SlowStartBounds;
+
 /**
- * The bounds on retries that the settings of the installation state.
+ * The bounds on sends that the settings of the installation state.
  *
  * <p>Immutable; safe for use by any thread.
  *
@@ -9,5 +11,7 @@
  *     fleet-wide
  * @param retryExtra how many more requests may be sent again in each window, fleet-wide
  * @param retryWindowMs the length of the window, in milliseconds
+ * @param slowStart the bound on the requests to an upstream in its slow start, fleet-wide
  */
-public record RelaySettings(double retryRatio, double retryExtra, long retryWindowMs) {}
+public record RelaySettings(
+        double retryRatio, double retryExtra, long retryWindowMs, SlowStartBounds slowStart) {}
--- a/router/src/main/java/org/hornbeampass/router/relay/UpstreamSearch.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/UpstreamSearch.java
@@ -97,7 +97,7 @@
             return;
         }
         UpstreamChoice choice = chosen.get();
-        mContext.rateLimiter()
+        mContext.permits()
                 .acquire(
                         nowMs,
                         choice.instance().incarnation(),
@@ -116,7 +116,7 @@
 
     private void onPermit(long nowMs, UpstreamChoice choice, Optional<SendPermit> permit) {
         if (mCall.ended()) {
-            permit.ifPresent(p -> mContext.rateLimiter().returnUnused(nowMs, p));
+            permit.ifPresent(p -> mContext.permits().returnUnused(nowMs, p));
             return;
         }
         if (permit.isEmpty()) {
@@ -125,13 +125,13 @@
                     "permit-denied",
                     new LogFields().add("upstream", choice.instance().id()));
             if (mCounts.onPermitDenied()) {
-                mTried.addAll(mContext.upstreamRegistry().rateLimited());
+                mTried.addAll(mContext.upstreamRegistry().rateLimited(nowMs));
             }
             start(nowMs);
             return;
         }
         if (mCounts.sentBefore() && !mContext.tryTakeRetry(nowMs, mPlan.service().name())) {
-            mContext.rateLimiter().returnUnused(nowMs, permit.get());
+            mContext.permits().returnUnused(nowMs, permit.get());
             mListener.onGivenUp(nowMs, "too many requests are being retried at present");
             return;
         }
@@ -163,12 +163,12 @@
         UpstreamInstance instance = send.instance();
         boolean current = mConnecting.equals(Optional.of(send)) && !mCall.ended();
         if (!current) {
-            mContext.rateLimiter().returnUnused(nowMs, permit);
+            mContext.permits().returnUnused(nowMs, permit);
             connection.ifPresent(UpstreamConnection::cancel);
             return;
         }
         if (connection.isEmpty()) {
-            mContext.rateLimiter().returnUnused(nowMs, permit);
+            mContext.permits().returnUnused(nowMs, permit);
             instance.onNoAnswer(nowMs);
             cancel();
             logDecision(nowMs, "unreachable", send.fields());
@@ -182,11 +182,11 @@
         Optional<String> obstacle = mConditions.obstacle(nowMs, instance);
         if (obstacle.isPresent()) {
             logDecision(nowMs, "not-sent", send.fields().add("reason", obstacle.get()));
-            mContext.rateLimiter().returnUnused(nowMs, permit);
+            mContext.permits().returnUnused(nowMs, permit);
             closeAndSearchAgain(nowMs, connection.get());
             return;
         }
-        if (!mContext.rateLimiter().redeem(nowMs, permit)) {
+        if (!mContext.permits().redeem(nowMs, permit)) {
             mTried.remove(instance.id());
             closeAndSearchAgain(nowMs, connection.get());
             return;
--- a/router/src/test/java/org/hornbeampass/router/relay/AnswerSignalsTest.java
+++ b/router/src/test/java/org/hornbeampass/router/relay/AnswerSignalsTest.java
@@ -14,6 +14,7 @@
 import org.hornbeampass.coordination.service.SignalExchange;
 import org.hornbeampass.coordination.service.SignalListener;
 import org.hornbeampass.coordination.service.SignalTable;
+import org.hornbeampass.coordination.service.SlowStarts;
 import org.hornbeampass.coordination.service.UpstreamIncarnation;
 import org.hornbeampass.coordination.service.UpstreamInstance;
 import org.hornbeampass.coordination.service.UpstreamRegistry;
@@ -47,7 +48,7 @@
     private final SignalTable mTable = new SignalTable();
     private final UpstreamRegistry mUpstreamRegistry =
             new UpstreamRegistry(
-                    new Random(1), () -> 1, mTable, SendGate.OPEN, Placement.unrestricted());
+                    new Random(1), () -> 1, mTable, SendGate.OPEN, Placement.unrestricted(), new SlowStarts());
     private final AnswerSignals mSignals =
             new AnswerSignals(
                     new SignalExchange(
@@ -58,6 +59,7 @@
                                     new BroadcastPaths(
                                             "vm-1", Optional.empty(), List.of(), List.of()),
                             new NoListener()),
+                    mUpstreamRegistry.slowStarts(),
                     new RelayLog(new MetricRegistry()));
     private UpstreamInstance mUpstream;
 
@@ -79,7 +81,7 @@
                 askedMs + RECEIVED_MS - ASKED_MS,
                 askedMs,
                 mUpstream,
-                new AnswerHead(outcome, proven, false, OptionalLong.empty(), limit));
+                new AnswerHead(outcome, proven, false, OptionalLong.empty(), limit, OptionalLong.empty()));
     }
 
     private void answerWithLimit() {
@@ -125,7 +127,7 @@
                 ASKED_MS,
                 mUpstream,
                 new AnswerHead(
-                        outcome, false, false, OptionalLong.of(60_000), OptionalDouble.empty()));
+                        outcome, false, false, OptionalLong.of(60_000), OptionalDouble.empty(), OptionalLong.empty()));
     }
 
     @Test
@@ -151,7 +153,8 @@
                         false,
                         true,
                         OptionalLong.empty(),
-                        OptionalDouble.empty()));
+                        OptionalDouble.empty(),
+                        OptionalLong.empty()));
         assertThat(mUpstream.isLeaving()).isTrue();
     }
 
--- a/router/src/test/java/org/hornbeampass/router/relay/SendConditionsTest.java
+++ b/router/src/test/java/org/hornbeampass/router/relay/SendConditionsTest.java
@@ -6,6 +6,7 @@
 import org.hornbeampass.coordination.service.Placement;
 import org.hornbeampass.coordination.service.SendGate;
 import org.hornbeampass.coordination.service.SignalTable;
+import org.hornbeampass.coordination.service.SlowStarts;
 import org.hornbeampass.coordination.service.UpstreamInstance;
 import org.hornbeampass.coordination.service.UpstreamRegistry;
 import org.hornbeampass.state.DomainRegions;
@@ -35,7 +36,8 @@
                     () -> 1,
                     new SignalTable(),
                     SendGate.OPEN,
-                    new Placement(mEvacuated, DomainRegions.NONE.with(DOMAIN, REGION)));
+                    new Placement(mEvacuated, DomainRegions.NONE.with(DOMAIN, REGION)),
+                    new SlowStarts());
 
     private SendConditions conditions(HomeRegions homes) {
         return new SendConditions(mRegistry, homes, DEADLINE_MS);
--- a/transport/src/main/java/org/hornbeampass/protocol/peer/PeerMessageType.java
+++ b/transport/src/main/java/org/hornbeampass/protocol/peer/PeerMessageType.java
@@ -29,6 +29,7 @@
 import org.hornbeampass.coordination.quarantine.SuspectReport;
 import org.hornbeampass.coordination.ratelimit.PermitReply;
 import org.hornbeampass.coordination.ratelimit.PermitRequest;
+import org.hornbeampass.coordination.ratelimit.SlowStartRequest;
 import org.hornbeampass.coordination.requests.EntriesDecided;
 import org.hornbeampass.coordination.requests.EntriesRefused;
 import org.hornbeampass.coordination.requests.SubmitEntries;
@@ -76,6 +77,7 @@
     SIGNAL_REPORT(83, SignalReport.class, Form.ONE_WAY),
     PERMIT_REQUEST(84, PermitRequest.class, Form.REQUEST),
     PERMIT_REPLY(85, PermitReply.class, Form.REPLY),
+    SLOW_START_REQUEST(86, SlowStartRequest.class, Form.REQUEST),
     DRAIN_ORDER(95, DrainOrder.class, Form.REQUEST),
     DRAIN_ANSWER(96, DrainAnswer.class, Form.REPLY);
 
