Let few VMs watch the store and feed the others

Feeds carry the changes, or only their versions where they are large; a VM that missed some requests them from the sender, and reads large ones from the store. Changes gather for 150 ms before a watch is renewed. A watch waits 2 s at most, so that a lost answer is noticed.

--- a/coordination/src/main/java/org/hornbeampass/coordination/platform/WatchedView.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/platform/WatchedView.java
@@ -20,7 +20,7 @@
  * A listing that is older than what was already reported is discarded and requested again. Until
  * the first listing is complete, the view is empty and {@link #ready} is false. During an outage
  * the view keeps its last state. At most one call is in progress, including a watch; the reply to a
- * cancelled call is ignored.
+ * cancelled call is ignored. A suspended view that is complete makes no calls.
  *
  * <p>Thread-safe: one lock guards the state; calls and the listener run without it. {@link #tick}
  * retries failed calls with backoff.
@@ -42,12 +42,14 @@
     private final BiConsumer<Long, Change> mListener;
     private final RetryPolicy mBackoff;
     private final CatchUpMode mCatchUpMode;
+    private final long mGatherMs;
     private final Object mLock = new Object();
     private final SplittableRandom mRandom;
     private final VersionedObjects mObjects = new VersionedObjects();
     private final List<StoredObject> mListing = new ArrayList<>();
 
     private boolean mReady;
+    private boolean mSuspended;
     private boolean mCallInProgress;
     private long mCallNumber;
     private Runnable mCancelCall = () -> {};
@@ -76,7 +78,7 @@
             Duration watchTime,
             long seed,
             BiConsumer<Long, Change> listener) {
-        this(platform, prefix, watchTime, BACKOFF, CatchUpMode.ALL_VERSIONS, seed, listener);
+        this(platform, prefix, watchTime, 0, BACKOFF, CatchUpMode.ALL_VERSIONS, seed, listener);
     }
 
     /**
@@ -85,6 +87,8 @@
      * @param platform the platform that is watched
      * @param prefix the prefix that the keys share
      * @param watchTime how long one watch waits
+     * @param gatherMs how long to wait after changes before the next watch, in milliseconds, so
+     *     that further changes gather; each watch is a call that is charged
      * @param backoff the backoff after failed calls
      * @param catchUpMode which of the missed changes are reported
      * @param seed seeds the jitter of the backoff
@@ -94,6 +98,7 @@
             Platform platform,
             String prefix,
             Duration watchTime,
+            long gatherMs,
             RetryPolicy backoff,
             CatchUpMode catchUpMode,
             long seed,
@@ -101,6 +106,7 @@
         mPlatform = platform;
         mPrefix = prefix;
         mWatchTime = watchTime;
+        mGatherMs = gatherMs;
         mBackoff = backoff;
         mCatchUpMode = catchUpMode;
         mRandom = new SplittableRandom(seed);
@@ -158,6 +164,63 @@
         }
     }
 
+    /**
+     * Suspends the view, which other VMs then keep up to date, or resumes it from its version.
+     *
+     * @param nowMs the present time in milliseconds
+     * @param watching whether this view watches the platform itself
+     */
+    public void setWatching(long nowMs, boolean watching) {
+        Runnable cancel = () -> {};
+        synchronized (mLock) {
+            if (mSuspended != watching) {
+                return;
+            }
+            mSuspended = !watching;
+            mRetryAtMs = Long.MIN_VALUE;
+            if (mSuspended && mReady) {
+                mFailingSinceMs = NEVER;
+                mFailures = 0;
+                boolean waiting = mCallInProgress && !mListNext && !isReceiving(nowMs);
+                if (waiting) {
+                    mCallInProgress = false;
+                    mCallNumber++;
+                    cancel = mCancelCall;
+                }
+                mListNext &= mCallInProgress;
+            }
+        }
+        cancel.run();
+        tick(nowMs);
+    }
+
+    /**
+     * Applies changes that another VM's view received after a version.
+     *
+     * @param nowMs the present time in milliseconds
+     * @param baseVersion the version after which the changes begin
+     * @param upToVersion the version that the other VM's view reflects
+     * @param changes the changes
+     * @return whether this view now reflects them; false if it is older than {@code baseVersion}
+     */
+    public boolean applyPeerChanges(
+            long nowMs, long baseVersion, long upToVersion, List<Change> changes) {
+        List<Change> reported = new ArrayList<>();
+        synchronized (mLock) {
+            if (mStopped || !mReady || mUpToVersion < baseVersion) {
+                return false;
+            }
+            if (upToVersion <= mUpToVersion) {
+                return true;
+            }
+            changes.forEach(c -> mObjects.apply(c, reported));
+            mUpToVersion = upToVersion;
+            mObjects.dropTombstones(mUpToVersion);
+        }
+        reported.forEach(c -> mListener.accept(nowMs, c));
+        return true;
+    }
+
     /**
      * Merges the state of another VM's view; ignored unless it is newer than this view.
      *
@@ -187,7 +250,7 @@
 
     /**
      * Cancels a watch that has received nothing and lists again, for a view that is known to be
-     * outdated. Does nothing while an answer is being received, a listing is in progress or failed
+     * outdated; a suspended view lists once. Does nothing while an answer is being received, a listing is in progress or failed
      * calls are retried.
      *
      * @param nowMs the present time in milliseconds
@@ -209,7 +272,9 @@
     private void replaceWatch(long nowMs, boolean relist) {
         Runnable cancel;
         synchronized (mLock) {
-            if (mStopped || !mCallInProgress || mListNext || isReceiving(nowMs)) {
+            boolean idle = mSuspended && !mCallInProgress && relist;
+            boolean watching = mCallInProgress && !mListNext && !isReceiving(nowMs);
+            if (mStopped || !(idle || watching)) {
                 return;
             }
             mCallInProgress = false;
@@ -239,7 +304,9 @@
         PlatformCall call;
         long callNumber;
         synchronized (mLock) {
-            if (mStopped || mCallInProgress || nowMs < mRetryAtMs) {
+            boolean complete = mReady && !mListNext;
+            boolean suspended = mSuspended && complete;
+            if (mStopped || mCallInProgress || suspended || nowMs < mRetryAtMs) {
                 return;
             }
             mCallInProgress = true;
@@ -311,7 +378,11 @@
             }
             mUpToVersion = Math.max(mUpToVersion, changed.upToVersion());
             mObjects.dropTombstones(mUpToVersion);
-            return true;
+            boolean gather = !changed.changes().isEmpty() && mGatherMs > 0;
+            if (gather) {
+                mRetryAtMs = nowMs + mGatherMs;
+            }
+            return !gather;
         }
         if (reply instanceof PlatformReply.WatchGap) {
             restartListing();
--- a/coordination/src/test/java/org/hornbeampass/coordination/news/ViewExchangeTest.java
+++ b/coordination/src/test/java/org/hornbeampass/coordination/news/ViewExchangeTest.java
@@ -64,6 +64,7 @@
                 platform,
                 PREFIX,
                 Duration.ofSeconds(1),
+                0,
                 new RetryPolicy(10, 10, 100),
                 CatchUpMode.NEWEST_VERSION,
                 1,
--- /dev/null
+++ b/coordination/src/test/java/org/hornbeampass/coordination/news/ViewFeedFleet.java
@@ -0,0 +1,370 @@
+package org.hornbeampass.coordination.news;
+
+import io.vavr.control.Either;
+
+import org.hornbeampass.coordination.hash.RendezvousHash;
+import org.hornbeampass.coordination.peer.PeerMessage;
+import org.hornbeampass.coordination.peer.PeerNetwork;
+import org.hornbeampass.coordination.platform.CatchUpMode;
+import org.hornbeampass.coordination.platform.MemoryPlatform;
+import org.hornbeampass.coordination.platform.PlatformCall;
+import org.hornbeampass.coordination.platform.PlatformReply;
+import org.hornbeampass.coordination.platform.RetryPolicy;
+import org.hornbeampass.coordination.platform.WatchedView;
+import org.hornbeampass.state.ErrorKind;
+import org.hornbeampass.state.Failure;
+import org.hornbeampass.state.VmId;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.BiConsumer;
+
+/**
+ * Simulates in virtual time a fleet whose VMs keep a view of upstreams, with failures of VMs, of
+ * their links and of the platform for some of them. Not thread-safe.
+ */
+final class ViewFeedFleet {
+    static final String PREFIX = "upstreams/";
+
+    private static final int DOMAINS = 3;
+    private static final long TICK_MS = 100;
+    private static final long STORE_MS = 4;
+    private static final long ONE_WAY_MS = 2;
+    private static final Duration WATCH_TIME = Duration.ofSeconds(2);
+
+    /** When a call without any reply fails, in milliseconds. */
+    private static final long CALL_TIMEOUT_MS = WATCH_TIME.toMillis() + 500;
+
+    private record Event(long atMs, long number, Runnable action) {}
+
+    /** One VM. */
+    final class Vm implements PeerNetwork {
+        private final VmId mId;
+        private final String mName;
+        private final int mDomain;
+        private final WatchedView mView;
+        private final ViewFeeds mFeeds;
+        private final ViewExchange mExchange;
+        private final Map<String, Long> mLearnedMs = new HashMap<>();
+        private final List<OpenCall> mOpenCalls = new ArrayList<>();
+        private int mCalls;
+
+        Vm(int number) {
+            mId = new VmId("vm-" + number, 1);
+            mName = mId.name();
+            mDomain = number % DOMAINS;
+            mView =
+                    new WatchedView(
+                            this::call,
+                            PREFIX,
+                            WATCH_TIME,
+                            150,
+                            new RetryPolicy(150, 700, Integer.MAX_VALUE),
+                            CatchUpMode.ALL_VERSIONS,
+                            number,
+                            this::onChange);
+            mExchange =
+                    new ViewExchange(
+                            Map.of(PREFIX, mView), this, () -> othersUp(this), new Random(number));
+            mFeeds =
+                    new ViewFeeds(
+                            Map.of(PREFIX, mView),
+                            this,
+                            () -> paths(this),
+                            mExchange::requestNow,
+                            (nowMs, watching, silentMs) -> {});
+        }
+
+        private void onChange(long nowMs, PlatformReply.Change change) {
+            mLearnedMs.put(change.key(), nowMs);
+            mFeeds.onChange(PREFIX, change);
+        }
+
+        /** Returns when it learned of the last change of an upstream, in milliseconds. */
+        long learnedMs(String upstream) {
+            return mLearnedMs.getOrDefault(PREFIX + upstream, Long.MAX_VALUE);
+        }
+
+        String name() {
+            return mName;
+        }
+
+        boolean isWatching() {
+            return mFeeds.isWatching();
+        }
+
+        private void call(long nowMs, PlatformCall call, BiConsumer<Long, PlatformReply> done) {
+            mCalls++;
+            if (mTurnedAway.contains(mName)) {
+                at(
+                        STORE_MS,
+                        () -> done.accept(mNowMs, new PlatformReply.Unavailable("turned away")));
+                return;
+            }
+            OpenCall open = new OpenCall(done);
+            mOpenCalls.add(open);
+            at(CALL_TIMEOUT_MS, () -> open.end(new PlatformReply.Unavailable("silent")));
+            mStore.submit(
+                    nowMs,
+                    call,
+                    (t, reply) ->
+                            at(
+                                    STORE_MS,
+                                    () -> {
+                                        if (!mTurnedAway.contains(mName)) {
+                                            open.end(reply);
+                                        }
+                                    }));
+        }
+
+        /** A call that ends once, with its reply or its timeout. */
+        private final class OpenCall {
+            private final BiConsumer<Long, PlatformReply> mDone;
+            private boolean mEnded;
+
+            OpenCall(BiConsumer<Long, PlatformReply> done) {
+                mDone = done;
+            }
+
+            private void end(PlatformReply reply) {
+                if (!mEnded && isUp()) {
+                    mEnded = true;
+                    mOpenCalls.remove(this);
+                    mDone.accept(mNowMs, reply);
+                }
+            }
+        }
+
+        private boolean isUp() {
+            return mVms.get(mName) == this;
+        }
+
+        private void tick() {
+            mFeeds.tick(mNowMs);
+            mView.tick(mNowMs);
+            mExchange.tick(mNowMs);
+        }
+
+        @Override
+        public void send(String vmName, PeerMessage message) {
+            mMessages++;
+            boolean lost = mRandom.nextDouble() < mLossShare;
+            at(
+                    ONE_WAY_MS,
+                    () -> {
+                        Vm to = mVms.get(vmName);
+                        if (to != null && isUp() && !lost && connected(this, to)) {
+                            to.mFeeds.onFeed(mNowMs, mId, (ViewFeed) message, r -> {});
+                        }
+                    });
+        }
+
+        @Override
+        public void request(
+                long nowMs,
+                String vmName,
+                PeerMessage request,
+                long timeoutMs,
+                BiConsumer<Long, Either<Failure, PeerMessage>> done) {
+            mMessages += 2;
+            Vm to = mVms.get(vmName);
+            if (to == null || !connected(this, to)) {
+                at(
+                        timeoutMs,
+                        () ->
+                                done.accept(
+                                        mNowMs,
+                                        Either.left(Failure.of(ErrorKind.NO_UPSTREAM, "silent"))));
+                return;
+            }
+            at(
+                    ONE_WAY_MS,
+                    () ->
+                            to.mExchange.onRequest(
+                                    mNowMs,
+                                    mId,
+                                    (ViewChangesRequest) request,
+                                    reply ->
+                                            at(
+                                                    ONE_WAY_MS,
+                                                    () ->
+                                                            done.accept(
+                                                                    mNowMs,
+                                                                    Either.right(reply)))));
+        }
+    }
+
+    private final MemoryPlatform mStore = new MemoryPlatform();
+    private final Map<String, Vm> mVms = new TreeMap<>();
+    private final Set<String> mTurnedAway = new HashSet<>();
+    private final Set<String> mCutOff = new HashSet<>();
+    private final Map<String, Long> mVersions = new HashMap<>();
+    private final Random mRandom;
+    private final PriorityQueue<Event> mEvents =
+            new PriorityQueue<>(
+                    Comparator.comparingLong(Event::atMs).thenComparingLong(Event::number));
+    private long mNumber;
+    private long mNowMs = 1_000;
+    private long mMessages;
+    private double mLossShare;
+
+    ViewFeedFleet(int vms, long seed) {
+        mRandom = new Random(seed);
+        for (int i = 0; i < vms; i++) {
+            Vm vm = new Vm(i);
+            mVms.put(vm.mName, vm);
+        }
+        List.copyOf(mVms.values()).forEach(vm -> at(mRandom.nextLong(TICK_MS), () -> tick(vm)));
+        at(TICK_MS, this::expireWatches);
+    }
+
+    private void tick(Vm vm) {
+        if (vm.isUp()) {
+            vm.tick();
+            at(TICK_MS, () -> tick(vm));
+        }
+    }
+
+    private void expireWatches() {
+        mStore.expireWatches(mNowMs);
+        at(TICK_MS, this::expireWatches);
+    }
+
+    private boolean connected(Vm a, Vm b) {
+        return mCutOff.contains(a.mName) == mCutOff.contains(b.mName);
+    }
+
+    private List<String> othersUp(Vm vm) {
+        return mVms.keySet().stream().filter(n -> !n.equals(vm.mName)).toList();
+    }
+
+    /** Members as VMs see them: those that were killed stay until {@link #forget}. */
+    private final Set<String> mMembers = new HashSet<>();
+
+    private WatchPaths paths(Vm vm) {
+        List<String> watchers = new ArrayList<>();
+        List<String> own = List.of();
+        for (int domain = 0; domain < DOMAINS; domain++) {
+            List<String> names = new ArrayList<>();
+            for (Vm each : mVms.values()) {
+                if (each.mDomain == domain) {
+                    names.add(each.mName);
+                }
+            }
+            for (String killed : mMembers) {
+                if (Integer.parseInt(killed.substring(3)) % DOMAINS == domain) {
+                    names.add(killed);
+                }
+            }
+            List<String> ranked = RendezvousHash.choose("watch-" + domain, names, names.size());
+            if (domain == vm.mDomain) {
+                own = ranked;
+            } else if (!ranked.isEmpty()) {
+                watchers.add(ranked.get(0));
+            }
+        }
+        return new WatchPaths(
+                true,
+                own.indexOf(vm.mName),
+                own.stream().filter(n -> !n.equals(vm.mName)).toList(),
+                watchers);
+    }
+
+    private void at(long inMs, Runnable action) {
+        mEvents.add(new Event(mNowMs + inMs, mNumber++, action));
+    }
+
+    void run(long forMs) {
+        long untilMs = mNowMs + forMs;
+        while (!mEvents.isEmpty() && mEvents.peek().atMs() <= untilMs) {
+            Event event = mEvents.poll();
+            mNowMs = event.atMs();
+            event.action().run();
+        }
+        mNowMs = untilMs;
+    }
+
+    long nowMs() {
+        return mNowMs;
+    }
+
+    Random random() {
+        return mRandom;
+    }
+
+    List<Vm> vms() {
+        return List.copyOf(mVms.values());
+    }
+
+    /** Returns the VMs that watch the platform themselves. */
+    List<Vm> watching() {
+        return mVms.values().stream().filter(Vm::isWatching).toList();
+    }
+
+    long calls() {
+        return mVms.values().stream().mapToLong(v -> v.mCalls).sum();
+    }
+
+    long messages() {
+        return mMessages;
+    }
+
+    /** Writes the entry of an upstream. */
+    void write(String upstream, String value) {
+        String key = PREFIX + upstream;
+        long version = mVersions.getOrDefault(key, 0L);
+        mStore.submit(
+                mNowMs,
+                version == 0
+                        ? new PlatformCall.Create(key, value)
+                        : new PlatformCall.Update(key, value, version),
+                (t, reply) -> mVersions.put(key, ((PlatformReply.Written) reply).version()));
+    }
+
+    /** Ends a VM, which the others still take for a member until {@link #forget}. */
+    void kill(String vm) {
+        mVms.remove(vm);
+        mMembers.add(vm);
+    }
+
+    /** Lets all VMs notice that a VM is gone. */
+    void forget(String vm) {
+        mMembers.remove(vm);
+    }
+
+    /** Lets the platform reject a VM's calls; those that wait are cut, or get no reply. */
+    void turnAway(Vm vm, boolean silently) {
+        mTurnedAway.add(vm.mName);
+        if (!silently) {
+            PlatformReply cut = new PlatformReply.Unavailable("cut");
+            List.copyOf(vm.mOpenCalls).forEach(c -> c.end(cut));
+        }
+    }
+
+    /** Lets the platform serve all VMs again. */
+    void serveAll() {
+        mTurnedAway.clear();
+    }
+
+    /** Cuts a VM off from the other VMs, but not from the platform, or reconnects it. */
+    void cutOff(String vm, boolean cut) {
+        if (cut) {
+            mCutOff.add(vm);
+        } else {
+            mCutOff.remove(vm);
+        }
+    }
+
+    void loseMessages(double share) {
+        mLossShare = share;
+    }
+}
--- a/coordination/src/test/java/org/hornbeampass/coordination/platform/WatchedViewTest.java
+++ b/coordination/src/test/java/org/hornbeampass/coordination/platform/WatchedViewTest.java
@@ -151,6 +151,7 @@
                 },
                 "config/",
                 Duration.ofSeconds(30),
+                0,
                 new RetryPolicy(10, 10, 100),
                 CatchUpMode.NEWEST_VERSION,
                 1,
--- a/router/src/main/java/org/hornbeampass/router/daemon/FleetView.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/FleetView.java
@@ -6,6 +6,7 @@
 import org.hornbeampass.coordination.membership.Membership;
 import org.hornbeampass.coordination.membership.MembershipSettings;
 import org.hornbeampass.coordination.membership.Seed;
+import org.hornbeampass.coordination.news.WatchPaths;
 import org.hornbeampass.coordination.peer.PeerNetwork;
 import org.hornbeampass.coordination.platform.Platform;
 import org.hornbeampass.coordination.platform.PlatformCall;
@@ -13,6 +14,7 @@
 import org.hornbeampass.coordination.ratelimit.PermitHomeResolver;
 import org.hornbeampass.coordination.ratelimit.SlowStartIssuers;
 import org.hornbeampass.coordination.service.BroadcastPaths;
+import org.hornbeampass.state.FailureDomain;
 import org.hornbeampass.state.Json;
 import org.hornbeampass.state.VmId;
 import org.hornbeampass.state.member.ListedVm;
@@ -27,6 +29,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.TreeMap;
 import java.util.function.Function;
 
 /**
@@ -82,6 +85,8 @@
     private final Map<String, List<String>> mIssuers = new HashMap<>();
 
     private MembershipView mIssuersView;
+    private List<Member> mWatchMembers = List.of();
+    private WatchPaths mWatchPaths = new WatchPaths(false, 0, List.of(), List.of());
 
     FleetView(
             RelayDaemonSettings settings,
@@ -207,6 +212,40 @@
         return mSelf.vm().name();
     }
 
+    /** Returns this VM's rank among the VMs that may watch the store for the others. */
+    WatchPaths watchPaths() {
+        List<Member> live = mMembership.view().live();
+        if (live != mWatchMembers || mWatchPaths.known() != mMembersKnown) {
+            mWatchMembers = live;
+            mWatchPaths = chooseWatchPaths(live);
+        }
+        return mWatchPaths;
+    }
+
+    private WatchPaths chooseWatchPaths(List<Member> live) {
+        Map<FailureDomain, List<String>> byDomain = new TreeMap<>();
+        live.forEach(
+                m -> byDomain.computeIfAbsent(m.domain(), d -> new ArrayList<>()).add(m.name()));
+        List<String> own = byDomain.getOrDefault(mSelf.domain(), List.of());
+        List<String> ranked =
+                RendezvousHash.choose("watch-" + mSelf.domain().value(), own, own.size());
+        byDomain.remove(mSelf.domain());
+        List<String> otherWatchers =
+                byDomain.entrySet().stream()
+                        .flatMap(
+                                e ->
+                                        RendezvousHash.choose(
+                                                "watch-" + e.getKey().value(), e.getValue())
+                                                .stream())
+                        .toList();
+        int rank = ranked.indexOf(self());
+        return new WatchPaths(
+                mMembersKnown,
+                rank < 0 ? ranked.size() : rank,
+                ranked.stream().filter(n -> !n.equals(self())).toList(),
+                otherWatchers);
+    }
+
     /** Returns the paths on which this VM broadcasts its requests in flight. */
     BroadcastPaths broadcastPaths() {
         return mBroadcastPaths.apply(mMembership.view().live());
--- a/router/src/main/java/org/hornbeampass/router/daemon/RelayDaemon.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/RelayDaemon.java
@@ -16,6 +16,7 @@
 import org.hornbeampass.coordination.membership.Ping;
 import org.hornbeampass.coordination.membership.SyncRequest;
 import org.hornbeampass.coordination.news.ViewChangesRequest;
+import org.hornbeampass.coordination.news.ViewFeed;
 import org.hornbeampass.coordination.platform.CatchUpMode;
 import org.hornbeampass.coordination.quarantine.Quarantine;
 import org.hornbeampass.coordination.quarantine.RequestHasher;
@@ -256,6 +257,7 @@
                                 (nowMs, change) -> changes().onEvacuation(nowMs, change))),
                 mPeers,
                 mFleet::otherLiveNames,
+                mFleet::watchPaths,
                 mLog,
                 mFleet.membership()::announceRevision,
                 mRandom);
@@ -299,6 +301,7 @@
         mPeers.on(IndirectPing.class, membership::onIndirectPing);
         mPeers.on(SyncRequest.class, membership::onSyncRequest);
         mPeers.on(ViewChangesRequest.class, mViews.viewExchange()::onRequest);
+        mPeers.on(ViewFeed.class, mViews.feeds()::onFeed);
         mPeers.on(LoanRequest.class, mLoans::onRequest);
         mPeers.on(TokenTransfer.class, mLoans::onTransfer);
         mPeers.on(InFlightReport.class, mLoadExchange::onReport);
@@ -318,6 +321,11 @@
         mMetrics.register(
                 "evacuated_domains",
                 (Gauge<Integer>) () -> mUpstreamRegistry.evacuated().all().size());
+        mMetrics.register(
+                "watches_store", (Gauge<Integer>) () -> mViews.feeds().isWatching() ? 1 : 0);
+        mMetrics.register(
+                "view_feed_age_ms",
+                (Gauge<Long>) () -> mViews.feeds().silentForMs(mClock.nowMs()));
         mMetrics.register("peer_bytes_sent", (Gauge<Long>) mPeers.counters()::bytesSent);
         mMetrics.register("peer_bytes_received", (Gauge<Long>) mPeers.counters()::bytesReceived);
         mMetrics.register("suspected_requests", (Gauge<Integer>) mQuarantine.suspects()::size);
--- a/router/src/main/java/org/hornbeampass/router/daemon/StoreViews.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/StoreViews.java
@@ -2,12 +2,15 @@
 
 import org.hornbeampass.coordination.membership.MembershipListener;
 import org.hornbeampass.coordination.news.ViewExchange;
+import org.hornbeampass.coordination.news.ViewFeeds;
+import org.hornbeampass.coordination.news.WatchPaths;
 import org.hornbeampass.coordination.peer.PeerNetwork;
 import org.hornbeampass.coordination.platform.CatchUpMode;
 import org.hornbeampass.coordination.platform.Platform;
 import org.hornbeampass.coordination.platform.PlatformReply.Change;
 import org.hornbeampass.coordination.platform.RetryPolicy;
 import org.hornbeampass.coordination.platform.WatchedView;
+import org.hornbeampass.router.relay.LogFields;
 import org.hornbeampass.router.relay.RelayLog;
 import org.hornbeampass.router.relay.ViewStatus;
 import org.hornbeampass.state.ViewKind;
@@ -30,13 +33,16 @@
  */
 final class StoreViews implements MembershipListener, ViewStatus {
     /**
-     * How long a watch waits, in milliseconds. Each watch is a call that is charged, whether it
-     * waits long or not; the platform lets one wait for 30 s at most. A silent connection is closed
-     * by its own probes, and a change that a watch misses is reported by other VMs. With 2.5 s the
-     * watches of 19 VMs made some 900 calls in a day compressed to 53 s, of which 240 returned
-     * changes.
+     * How long a watch waits, in milliseconds. A watch whose answer was lost misses changes for this
+     * long, unless another VM reports them. Each watch is a call that is charged.
      */
-    private static final long WATCH_TIMEOUT_MS = 25_000;
+    private static final long WATCH_TIMEOUT_MS = 2_000;
+
+    /**
+     * How long changes gather before the next watch, in milliseconds. Changes are due within
+     * seconds.
+     */
+    private static final long GATHER_MS = 150;
 
     /**
      * Delays after failed calls: several calls a second would all be charged, and a delay of ten
@@ -73,6 +79,7 @@
     private final Map<ViewKind, WatchedView> mViews = new EnumMap<>(ViewKind.class);
     private final Map<ViewKind, ViewRevisionTracker> mRevisions = new EnumMap<>(ViewKind.class);
     private final ViewExchange mViewExchange;
+    private final ViewFeeds mFeeds;
     private long mRestartWatchesAtMs = Long.MAX_VALUE;
     private long mLastRestartMs;
 
@@ -83,6 +90,7 @@
      * @param sources the views, one of each kind
      * @param peers sends messages to other VMs
      * @param otherVms returns the names of other VMs that are up
+     * @param watchPaths returns this VM's rank among the VMs that watch the store for others
      * @param log receives a line when a view is behind
      * @param announcer announces this VM's revisions to other VMs
      * @param random chooses the VM to request changes from, and spreads retries
@@ -92,6 +100,7 @@
             List<Source> sources,
             PeerNetwork peers,
             Supplier<List<String>> otherVms,
+            Supplier<WatchPaths> watchPaths,
             RelayLog log,
             Announcer announcer,
             Random random) {
@@ -104,6 +113,17 @@
             byPrefix.put(source.prefix(), view);
         }
         mViewExchange = new ViewExchange(byPrefix, peers, otherVms, random);
+        mFeeds =
+                new ViewFeeds(
+                        byPrefix,
+                        peers,
+                        watchPaths,
+                        mViewExchange::requestNow,
+                        (nowMs, watching, silentMs) ->
+                                log.logStateChange(
+                                        nowMs,
+                                        watching ? "watch-begun" : "watch-ended",
+                                        new LogFields().add("silent_ms", silentMs)));
         for (Source source : sources) {
             mRevisions.put(
                     source.kind(),
@@ -121,12 +141,14 @@
                 mStore,
                 source.prefix(),
                 Duration.ofMillis(WATCH_TIMEOUT_MS),
+                GATHER_MS,
                 BACKOFF,
                 source.catchUp(),
                 mRandom.nextLong(),
                 (nowMs, change) -> {
                     source.onChange().accept(nowMs, change);
                     mRevisions.get(source.kind()).onChange(nowMs, change.version());
+                    mFeeds.onChange(source.prefix(), change);
                 });
     }
 
@@ -148,6 +170,7 @@
     public boolean configMayBeStale(long nowMs) {
         WatchedView config = view(ViewKind.CONFIGURATION);
         return mRevisions.get(ViewKind.CONFIGURATION).isBehind(nowMs)
+                || mFeeds.isBehind(nowMs)
                 || config.isReceiving(nowMs)
                 || config.failingForMs(nowMs) >= ViewExchange.MIN_FAILING_MS;
     }
@@ -170,6 +193,11 @@
         mViews.values().forEach(v -> v.restartWatch(nowMs));
     }
 
+    /** Returns the feeds between the VMs that watch the store and the others. */
+    ViewFeeds feeds() {
+        return mFeeds;
+    }
+
     /** Returns the exchange that answers other VMs' requests for changes. */
     ViewExchange viewExchange() {
         return mViewExchange;
@@ -183,6 +211,7 @@
     /** Runs periodic work at the current time in milliseconds. */
     void tick(long nowMs) {
         restartWatches(nowMs);
+        mFeeds.tick(nowMs);
         mViews.values().forEach(v -> v.tick(nowMs));
         mViewExchange.tick(nowMs);
         mRevisions.values().forEach(r -> r.tick(nowMs));
--- a/router/src/test/java/org/hornbeampass/router/daemon/SlowLinkFleet.java
+++ b/router/src/test/java/org/hornbeampass/router/daemon/SlowLinkFleet.java
@@ -6,6 +6,7 @@
 
 import org.hornbeampass.coordination.news.ViewChangesReply;
 import org.hornbeampass.coordination.news.ViewChangesRequest;
+import org.hornbeampass.coordination.news.WatchPaths;
 import org.hornbeampass.coordination.peer.PeerMessage;
 import org.hornbeampass.coordination.peer.PeerNetwork;
 import org.hornbeampass.coordination.platform.AnswerProgress;
@@ -187,6 +188,7 @@
                                             (nowMs, change) -> {})),
                             new Peers(),
                             () -> mVms.stream().map(v -> v.mName).filter(this::isOther).toList(),
+                            () -> new WatchPaths(true, 0, List.of(), List.of()),
                             new RelayLog(new MetricRegistry()),
                             (nowMs, view, revision) -> onOwnRevision(view, revision),
                             new Random(mRandom.nextLong()));
--- a/router/src/test/java/org/hornbeampass/router/daemon/StoreViewsTest.java
+++ b/router/src/test/java/org/hornbeampass/router/daemon/StoreViewsTest.java
@@ -8,6 +8,7 @@
 
 import org.hornbeampass.coordination.news.ViewChangesReply;
 import org.hornbeampass.coordination.news.ViewChangesRequest;
+import org.hornbeampass.coordination.news.WatchPaths;
 import org.hornbeampass.coordination.peer.PeerMessage;
 import org.hornbeampass.coordination.peer.PeerNetwork;
 import org.hornbeampass.coordination.platform.CatchUpMode;
@@ -62,6 +63,7 @@
                                     (nowMs, change) -> {})),
                     new UpToDatePeer(),
                     () -> List.of("peer"),
+                    () -> new WatchPaths(true, 0, List.of(), List.of()),
                     new RelayLog(new MetricRegistry()),
                     (nowMs, view, revision) -> {},
                     new Random(1));
--- a/transport/src/main/java/org/hornbeampass/protocol/peer/PeerMessageType.java
+++ b/transport/src/main/java/org/hornbeampass/protocol/peer/PeerMessageType.java
@@ -25,6 +25,7 @@
 import org.hornbeampass.coordination.membership.SyncRequest;
 import org.hornbeampass.coordination.news.ViewChangesReply;
 import org.hornbeampass.coordination.news.ViewChangesRequest;
+import org.hornbeampass.coordination.news.ViewFeed;
 import org.hornbeampass.coordination.peer.PeerMessage;
 import org.hornbeampass.coordination.quarantine.SuspectReport;
 import org.hornbeampass.coordination.ratelimit.PermitReply;
@@ -62,6 +63,7 @@
     REVISIONS_REPLY(26, RevisionsReply.class, Form.REPLY),
     VIEW_CHANGES_REQUEST(27, ViewChangesRequest.class, Form.REQUEST),
     VIEW_CHANGES_REPLY(28, ViewChangesReply.class, Form.REPLY),
+    VIEW_FEED(29, ViewFeed.class, Form.ONE_WAY),
     ASK_GRANT(40, AskGrant.class, Form.REQUEST),
     ASK_REFUSED(41, AskRefused.class, Form.REPLY),
     MOVE_GRANT(42, MoveGrant.class, Form.REQUEST),
