--- a/coordination/src/main/java/org/hornbeampass/coordination/platform/PlatformCall.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/platform/PlatformCall.java
@@ -15,6 +15,9 @@
     /** Returns the kind by which the platform counts and limits the call. */
     Kind kind();
 
+    /** Returns the key that the call is about, or the prefix of several keys. */
+    String target();
+
     /** The kinds by which calls are counted and limited. */
     enum Kind {
         READ,
@@ -39,6 +42,11 @@
         public Kind kind() {
             return Kind.READ;
         }
+
+        @Override
+        public String target() {
+            return key;
+        }
     }
 
     /**
@@ -53,6 +61,11 @@
         public Kind kind() {
             return Kind.READ;
         }
+
+        @Override
+        public String target() {
+            return prefix;
+        }
     }
 
     /**
@@ -66,6 +79,11 @@
         public Kind kind() {
             return Kind.WRITE;
         }
+
+        @Override
+        public String target() {
+            return key;
+        }
     }
 
     /**
@@ -80,6 +98,11 @@
         public Kind kind() {
             return Kind.WRITE;
         }
+
+        @Override
+        public String target() {
+            return key;
+        }
     }
 
     /**
@@ -93,6 +116,11 @@
         public Kind kind() {
             return Kind.WRITE;
         }
+
+        @Override
+        public String target() {
+            return key;
+        }
     }
 
     /**
@@ -108,5 +136,10 @@
         public Kind kind() {
             return Kind.WATCH;
         }
+
+        @Override
+        public String target() {
+            return prefix;
+        }
     }
 }
--- a/coordination/src/main/java/org/hornbeampass/coordination/service/FleetLoad.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/service/FleetLoad.java
@@ -74,6 +74,11 @@
         return mReportsByVm.values().stream().mapToInt(t -> t.report().vms()).sum();
     }
 
+    /** Returns the requests in progress of all other VMs. */
+    int requests() {
+        return mWorkByUpstream.values().stream().mapToInt(Work::requests).sum();
+    }
+
     /** Returns whether any other VM has requests in progress. */
     boolean hasWork() {
         return !mWorkByUpstream.isEmpty();
--- a/coordination/src/main/java/org/hornbeampass/coordination/service/RouteTable.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/service/RouteTable.java
@@ -1,6 +1,7 @@
 package org.hornbeampass.coordination.service;
 
 import org.hornbeampass.state.service.FleetConfig;
+import org.hornbeampass.state.service.HomeRegions;
 import org.hornbeampass.state.service.PrepaidOrganisation;
 import org.hornbeampass.state.service.Route;
 import org.hornbeampass.state.service.ServiceSpec;
@@ -70,6 +71,15 @@
         return Optional.empty();
     }
 
+    /** Returns the regions in which requests of all restricted routes of a host may run. */
+    public HomeRegions homesOf(String host) {
+        HomeRegions homes = HomeRegions.ANY;
+        for (Route route : mRoutesByHost.getOrDefault(host.toLowerCase(Locale.ROOT), List.of())) {
+            homes = homes.and(route.homes());
+        }
+        return homes;
+    }
+
     /** Finds the organisation to which a key belongs. */
     public Optional<PrepaidOrganisation> organisationOf(String key) {
         return Optional.ofNullable(mOrganisationsByKey.get(key));
--- a/coordination/src/main/java/org/hornbeampass/coordination/service/UpstreamRegistry.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/service/UpstreamRegistry.java
@@ -91,6 +91,21 @@
         return mFleetLoad;
     }
 
+    /**
+     * The requests in progress.
+     *
+     * @param own those of this VM
+     * @param mean the mean of this VM and of those that report their load
+     */
+    public record Requests(int own, double mean) {}
+
+    /** Returns the requests in progress at this VM and on average. */
+    public Requests requests() {
+        int own = mById.values().stream().mapToInt(UpstreamInstance::inFlight).sum();
+        int vms = 1 + mFleetLoad.reportingVms();
+        return new Requests(own, (own + mFleetLoad.requests()) / (double) vms);
+    }
+
     /** Returns this VM's own load, for the other VMs. */
     InFlightReport inFlight() {
         return new InFlightReport(
--- a/router/src/main/java/org/hornbeampass/router/daemon/FleetView.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/FleetView.java
@@ -1,5 +1,6 @@
 package org.hornbeampass.router.daemon;
 
+import org.hornbeampass.coordination.address.AnswerableMembers;
 import org.hornbeampass.coordination.escrow.MemberHomes;
 import org.hornbeampass.coordination.escrow.PoolHomes;
 import org.hornbeampass.coordination.hash.RendezvousHash;
@@ -63,6 +64,12 @@
      */
     private static final int ASSUMED_VMS = 8;
 
+    /**
+     * How long an unreachable VM may be named in answers about addresses, in milliseconds. It was
+     * silent for some seconds before, and callers must not be sent to ended VMs for long.
+     */
+    private static final long MAX_UNREACHABLE_MS = 1_500;
+
     /** The number of VMs that issue the permits of an upstream in its slow start. */
     private static final int SLOW_START_ISSUERS = 3;
 
@@ -70,6 +77,7 @@
     private final Membership mMembership;
     private final VmListReader mListReader;
     private final ListedVm mSelf;
+    private final AnswerableMembers mAnswerable = new AnswerableMembers(MAX_UNREACHABLE_MS);
     private final MemberHomes mHomes = new MemberHomes();
     private final Function<List<Member>, BroadcastPaths> mBroadcastPaths;
     private final boolean mHasSeeds;
@@ -150,6 +158,7 @@
         mSettled |= nowMs - mStartedMs >= DISCOVERY_MS;
         mMembership.tick(nowMs);
         updateHomes(nowMs);
+        mAnswerable.update(nowMs, mMembership.view());
         if (!mRegistered && !mRegistrationInFlight && nowMs >= mNextRegistrationMs) {
             register(nowMs);
         }
@@ -316,23 +325,15 @@
     }
 
     /**
-     * Returns the addresses that callers should use. If fewer than half of the other VMs are up,
-     * this VM is assumed to be the one that is cut off: callers may still reach the others, which
-     * therefore remain in the answer.
+     * Returns the VMs that may be named in answers about addresses.
+     *
+     * @param nowMs the present time in milliseconds
+     * @param platformAnswers whether the platform answers this VM
+     * @param withSelf whether this VM accepts requests
      */
-    List<InetSocketAddress> callerAddresses(boolean withSelf) {
-        MembershipView view = mMembership.view();
-        List<Member> usable = new ArrayList<>(view.live());
-        int others = view.members().size() - view.leaving().size() - 1;
-        boolean cutOff = usable.size() - 1 < others / 2.0;
-        if (cutOff) {
-            usable.addAll(view.suspect());
-            usable.addAll(view.gone());
-        }
-        return usable.stream()
+    List<Member> answerableMembers(long nowMs, boolean platformAnswers, boolean withSelf) {
+        return mAnswerable.select(nowMs, mMembership.view(), platformAnswers).stream()
                 .filter(m -> withSelf || !m.vm().equals(mSelf.vm()))
-                .map(m -> PeerAddresses.parse(m.httpAddress()))
-                .flatMap(Optional::stream)
                 .toList();
     }
 
--- a/router/src/main/java/org/hornbeampass/router/daemon/ObservedStore.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/ObservedStore.java
@@ -12,7 +12,9 @@
 
 import java.util.LinkedHashSet;
 import java.util.Locale;
+import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.function.BiConsumer;
 import java.util.function.LongConsumer;
 
@@ -35,11 +37,16 @@
      */
     private static final int LARGE_ANSWER_BYTES = 128 << 10;
 
+    /** The interval between lines about the number of calls, in milliseconds. */
+    private static final long CALLS_LINE_INTERVAL_MS = 5_000;
+
     private final Platform mStore;
     private final RelayLog mLog;
     private final MetricRegistry mMetrics;
     private final Set<OpenCall> mOpen = new LinkedHashSet<>();
     private LongConsumer mRegainedListener = nowMs -> {};
+    private final Map<String, Long> mCallsByTopic = new TreeMap<>();
+    private long mNextCallsLineMs;
     private boolean mLost;
     private long mLostAtMs;
     private long mLastAnswerMs;
@@ -75,6 +82,11 @@
         }
     }
 
+    /** Returns whether the store answers this VM, as far as calls have shown. */
+    boolean answers() {
+        return !mLost;
+    }
+
     /**
      * Sets the listener that is called with the current time in milliseconds when the store answers
      * again.
@@ -96,6 +108,7 @@
             BiConsumer<Long, PlatformReply> done) {
         OpenCall open = new OpenCall(call, nowMs);
         mOpen.add(open);
+        countByTopic(call);
         Runnable giveUp =
                 mStore.submit(
                         nowMs,
@@ -130,6 +143,31 @@
         }
     }
 
+    /** Counts a call by what it is about, which is the first part of its key or prefix. */
+    private void countByTopic(PlatformCall call) {
+        String key = call.target();
+        String topic = key.substring(0, Math.max(0, key.indexOf('/')));
+        String name = call.getClass().getSimpleName().toLowerCase(Locale.ROOT);
+        mMetrics.counter("store_calls_about{topic=\"" + topic + "\",call=\"" + name + "\"}")
+                .inc();
+        mCallsByTopic.merge(topic + "-" + name, 1L, Long::sum);
+    }
+
+    /** Logs how many calls there were since the last line, by topic. */
+    private void logCalls(long nowMs) {
+        if (nowMs < mNextCallsLineMs) {
+            return;
+        }
+        mNextCallsLineMs = nowMs + CALLS_LINE_INTERVAL_MS;
+        if (mCallsByTopic.isEmpty()) {
+            return;
+        }
+        LogFields fields = new LogFields();
+        mCallsByTopic.forEach(fields::add);
+        mCallsByTopic.clear();
+        mLog.logStateChange(nowMs, "store-calls", fields);
+    }
+
     /** Counts the bytes of an answer, and logs an answer that occupies a slow link for long. */
     private void recordSize(long nowMs, OpenCall open, String kind) {
         mMetrics.counter("store_bytes{kind=\"" + kind + "\"}").inc(open.mBytes);
@@ -171,8 +209,9 @@
         mRegainedListener.accept(nowMs);
     }
 
-    /** Reports the store as lost if a call hangs. */
+    /** Reports the store as lost if a call hangs, and logs the number of calls. */
     void tick(long nowMs) {
+        logCalls(nowMs);
         for (OpenCall each : mOpen) {
             if (each.isHanging(nowMs)) {
                 onLost(nowMs, each.mCall, "no answer for " + (nowMs - each.mStartMs) + " ms");
--- a/router/src/main/java/org/hornbeampass/router/daemon/RelayDaemon.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/RelayDaemon.java
@@ -6,6 +6,10 @@
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.HttpRequest;
 
+import org.hornbeampass.coordination.address.OverloadDetector;
+import org.hornbeampass.coordination.address.OverloadExchange;
+import org.hornbeampass.coordination.address.OverloadReport;
+import org.hornbeampass.coordination.address.PreferredMembers;
 import org.hornbeampass.coordination.escrow.EscrowBook;
 import org.hornbeampass.coordination.escrow.EscrowLoans;
 import org.hornbeampass.coordination.escrow.EscrowOwner;
@@ -37,13 +41,17 @@
 import org.hornbeampass.coordination.service.SignalTable;
 import org.hornbeampass.coordination.service.SlowStarts;
 import org.hornbeampass.coordination.service.UpstreamRegistry;
+import org.hornbeampass.router.relay.AddressRequest;
+import org.hornbeampass.router.relay.LogFields;
 import org.hornbeampass.router.relay.RelayContext;
 import org.hornbeampass.router.relay.RelayHandler;
 import org.hornbeampass.router.relay.RelayLog;
 import org.hornbeampass.router.relay.WireFormat;
 import org.hornbeampass.state.ViewKind;
 import org.hornbeampass.state.VmId;
+import org.hornbeampass.state.member.Member;
 import org.hornbeampass.state.service.CallerLimits;
+import org.hornbeampass.state.service.HomeRegions;
 import org.hornbeampass.transport.Clock;
 import org.hornbeampass.transport.EventLoops;
 import org.hornbeampass.transport.http.HttpClient;
@@ -110,6 +118,9 @@
     private final Quarantine mQuarantine;
     private final RelayContext mContext;
     private final StoreChanges mChanges;
+    private final OverloadExchange mOverloads;
+    private final OverloadDetector mOverloadDetector = new OverloadDetector();
+    private final LoopDelay mLoopDelay = new LoopDelay(TICK_MS);
     private final CallerServer mCallers;
     private final CallerServer mDirectory;
     private final CallerServer mReadiness;
@@ -166,6 +177,8 @@
                         mPeers,
                         mFleet::broadcastPaths,
                         new SignalLog(mLog));
+        mOverloads =
+                new OverloadExchange(ip, vm.incarnation(), mPeers, mFleet::broadcastPaths);
         mLoans = new EscrowLoans(mBudgets, mPeers, mFleet.homes(), mRandom);
         mPool = new UpstreamPool(mLoops, mClock);
         mQuarantine = newQuarantine();
@@ -306,6 +319,7 @@
         mPeers.on(TokenTransfer.class, mLoans::onTransfer);
         mPeers.on(InFlightReport.class, mLoadExchange::onReport);
         mPeers.on(SignalReport.class, mSignalExchange::onReport);
+        mPeers.on(OverloadReport.class, mOverloads::onReport);
         mPeers.on(PermitRequest.class, mAnnouncedLimits::onRequest);
         mPeers.on(SlowStartRequest.class, mSlowStartLimits::onRequest);
         mPeers.on(SuspectReport.class, mQuarantine::onReport);
@@ -332,6 +346,9 @@
         mMetrics.register(
                 "rate_limited_upstreams",
                 (Gauge<Integer>) () -> mUpstreamRegistry.rateLimited(mClock.nowMs()).size());
+        mMetrics.register("loop_delay_ms", (Gauge<Long>) mLoopDelay::delayMs);
+        mMetrics.register(
+                "overloaded_vms", (Gauge<Integer>) () -> mOverloads.overloaded().size());
         mMetrics.register("cold_upstreams", (Gauge<Integer>) mSlowStarts::size);
         registerPermits("permits", mAnnouncedLimiter.counts());
         registerPermits("slow_start_permits", mSlowStartLimiter.counts());
@@ -370,17 +387,28 @@
 
     private CallerListener onAddressesRequest(
             long nowMs, CallerConnection caller, HttpRequest head) {
-        if (!mWire.asksForAddresses(head)) {
+        Optional<AddressRequest> request = mWire.readAddressRequest(head);
+        if (request.isEmpty()) {
             respond(caller, 404, "{}");
             return CallerListener.IGNORING;
         }
-        String body =
-                mWire.addresses(
-                        mFleet.callerAddresses(isReady()), mSettings.keepAddressesMs() / 1_000.0);
-        respond(caller, 200, body);
+        List<InetSocketAddress> addresses =
+                membersFor(nowMs, request.get()).stream()
+                        .map(m -> PeerAddresses.parse(m.httpAddress()))
+                        .flatMap(Optional::stream)
+                        .toList();
+        respond(caller, 200, mWire.addresses(addresses, mSettings.keepAddressesMs() / 1_000.0));
         return CallerListener.IGNORING;
     }
 
+    private List<Member> membersFor(long nowMs, AddressRequest request) {
+        return PreferredMembers.select(
+                mFleet.answerableMembers(nowMs, mStore.answers(), isReady()),
+                mContext.routes().map(r -> r.homesOf(request.host())).orElse(HomeRegions.ANY),
+                request.region(),
+                mOverloads.overloaded());
+    }
+
     private CallerListener onReadinessRequest(
             long nowMs, CallerConnection caller, HttpRequest head) {
         respond(caller, isReady() && mWire.asksForReadiness(head) ? 200 : 503, "{}");
@@ -408,6 +436,8 @@
     }
 
     private void tick(long nowMs) {
+        mLoopDelay.onTick(nowMs);
+        updateOverload(nowMs);
         mStore.tick(nowMs);
         mFleet.tick(nowMs);
         mViews.tick(nowMs);
@@ -423,6 +453,24 @@
         mShutdown.tick(nowMs);
     }
 
+    private void updateOverload(long nowMs) {
+        UpstreamRegistry.Requests requests = mUpstreamRegistry.requests();
+        boolean before = mOverloads.overloaded().contains(mFleet.self());
+        boolean overloaded =
+                mOverloadDetector.update(
+                        nowMs, requests.own(), requests.mean(), mLoopDelay.delayMs());
+        mOverloads.tick(nowMs, overloaded);
+        if (overloaded != before) {
+            mLog.logStateChange(
+                    nowMs,
+                    overloaded ? "overload-begun" : "overload-ended",
+                    new LogFields()
+                            .add("requests", requests.own())
+                            .add("mean_requests", Math.round(requests.mean()))
+                            .add("loop_delay_ms", mLoopDelay.delayMs()));
+        }
+    }
+
     /** Applies newer settings as far as they can change while the daemon runs. */
     void apply(RelayDaemonSettings settings) {
         loop().execute(
--- a/router/src/main/java/org/hornbeampass/router/relay/WireFormat.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/WireFormat.java
@@ -12,6 +12,7 @@
 
 import java.net.InetSocketAddress;
 import java.util.List;
+import java.util.Optional;
 
 /**
  * Translates between the headers and documents of an installation and the types of the router. It
@@ -47,8 +48,8 @@
      */
     String addresses(List<InetSocketAddress> addresses, double keepSeconds);
 
-    /** Returns whether a request asks for the addresses of VMs. */
-    boolean asksForAddresses(HttpRequest head);
+    /** Reads a request for the addresses of VMs; empty if it is not one. */
+    Optional<AddressRequest> readAddressRequest(HttpRequest head);
 
     /** Returns whether a request asks if this VM accepts requests. */
     boolean asksForReadiness(HttpRequest head);
