Refuse at once what a late event loop would serve late

Cause: a request lay 1.7 s in a VM before it reached an upstream, its answer was not passed on, and it was sent again until its caller's time was over; nothing took the VM's own delay for a sign.

--- a/router/src/main/java/org/hornbeampass/router/daemon/RelayDaemon.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/RelayDaemon.java
@@ -230,7 +230,8 @@
                 mLog,
                 mRandom,
                 mFleet::sharingVmCount,
-                mViews);
+                mViews,
+                mLoopDelay::delayMs);
     }
 
     private Optional<FleetView> fleet() {
--- a/router/src/main/java/org/hornbeampass/router/relay/Refusals.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/Refusals.java
@@ -34,6 +34,9 @@
     /** When to retry where no upstream has free capacity. */
     private static final long NO_UPSTREAM_RETRY_MS = 250;
 
+    /** When to retry at another VM, or at a VM whose event loop was late. */
+    private static final long OVERLOADED_RETRY_MS = 100;
+
     /** When to retry at a VM that has no configuration yet, or perhaps an outdated one. */
     private static final long CONFIGURATION_RETRY_MS = 300;
 
@@ -99,6 +102,14 @@
                 0);
     }
 
+    /** Returns the failure for a router whose event loop is too late to serve more requests. */
+    static Failure overloaded() {
+        return Failure.retryAfter(
+                ErrorKind.OVERLOADED,
+                "this router handles as many requests as it can; send the request to another address",
+                OVERLOADED_RETRY_MS);
+    }
+
     /** Returns the failure for an organisation without tokens left. */
     static Failure exhausted() {
         return Failure.of(ErrorKind.BUDGET_EXHAUSTED, "the prepaid tokens are used up");
--- a/router/src/main/java/org/hornbeampass/router/relay/RelayCall.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/RelayCall.java
@@ -109,6 +109,9 @@
                     notConfigured(
                             nowMs, ErrorKind.NOT_FOUND, "no route matches the host and path"));
         }
+        if (!IntakeGate.admits(mRoute.get(), mContext.loopDelayMs())) {
+            return Optional.of(Refusals.overloaded());
+        }
         return authorise(nowMs, routes).or(() -> selectService(nowMs, routes));
     }
 
--- a/router/src/main/java/org/hornbeampass/router/relay/RelayContext.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/RelayContext.java
@@ -18,6 +18,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.IntSupplier;
+import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
 
 /**
@@ -43,11 +44,13 @@
     private final RandomGenerator mRandom;
     private final IntSupplier mVmCount;
     private final ViewStatus mViews;
+    private final LongSupplier mLoopDelayMs;
     private final Map<String, RetryWindow> mRetryWindows = new HashMap<>();
     private Optional<RouteTable> mRoutes = Optional.empty();
     private boolean mRefusingNewRequests;
 
-    /** Creates the context. {@code vmCount} returns how many VMs share the fleet's budgets. */
+    /** Creates the context. {@code vmCount} returns how many VMs share the fleet's budgets, and
+     * {@code loopDelayMs} how late the event loop is, in milliseconds. */
     public RelayContext(
             WireFormat wire,
             RelaySettings settings,
@@ -64,7 +67,8 @@
             RelayLog log,
             RandomGenerator random,
             IntSupplier vmCount,
-            ViewStatus views) {
+            ViewStatus views,
+            LongSupplier loopDelayMs) {
         mWire = wire;
         mSettings = settings;
         mLoop = loop;
@@ -82,6 +86,7 @@
         mRandom = random;
         mVmCount = vmCount;
         mViews = views;
+        mLoopDelayMs = loopDelayMs;
     }
 
     /** Returns the wire format of the installation. */
@@ -136,6 +141,11 @@
         return mLoans;
     }
 
+    /** Returns how late the event loop is, in milliseconds. */
+    long loopDelayMs() {
+        return mLoopDelayMs.getAsLong();
+    }
+
     /** Returns the log of decisions. */
     public RelayLog log() {
         return mLog;
