--- a/coordination/src/main/java/org/hornbeampass/coordination/address/AnswerableMembers.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/address/AnswerableMembers.java
@@ -12,8 +12,8 @@
 /**
  * The VMs that answers about addresses may name, according to one VM's view.
  *
- * <p>If fewer than half of the other VMs are up, this VM may be the one that is cut off, and callers
- * may still reach the others. Invariants: a VM that is leaving is never named; one that is
+ * <p>If fewer than half of the other VMs are up, this VM may be the one that is cut off, and
+ * callers may still reach the others. Invariants: a VM that is leaving is never named; one that is
  * unreachable is named only if this VM may be cut off, and for a limited time while the platform
  * answers this VM, since then the others may as well have ended. Confined to one thread.
  */
--- a/coordination/src/main/java/org/hornbeampass/coordination/address/OverloadExchange.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/address/OverloadExchange.java
@@ -18,8 +18,8 @@
 /**
  * Shares which VMs are overloaded, so that answers about addresses leave them out.
  *
- * <p>Sends nothing while no VM is overloaded. An overload that is not repeated expires, since its VM
- * may have ended. Confined to one thread.
+ * <p>Sends nothing while no VM is overloaded. An overload that is not repeated expires, since its
+ * VM may have ended. Confined to one thread.
  */
 public final class OverloadExchange {
     /** How long an overload counts that is not repeated, in milliseconds. */
@@ -56,7 +56,10 @@
 
     private OverloadReport report(List<String> names) {
         return new OverloadReport(
-                names.stream().filter(mStates::containsKey).map(n -> mStates.get(n).item()).toList());
+                names.stream()
+                        .filter(mStates::containsKey)
+                        .map(n -> mStates.get(n).item())
+                        .toList());
     }
 
     /** Applies this VM's own state and sends what has changed. */
@@ -66,8 +69,7 @@
         if (changed || (overloaded && mBroadcasts.isRepeatDue(nowMs))) {
             mNumber++;
             mStates.put(
-                    mSelf,
-                    new State(new OverloadReport.Item(mSelf, mNumber, overloaded), nowMs));
+                    mSelf, new State(new OverloadReport.Item(mSelf, mNumber, overloaded), nowMs));
             mBroadcasts.add(mSelf);
         }
         mBroadcasts.tick(nowMs);
--- a/coordination/src/main/java/org/hornbeampass/coordination/address/PreferredMembers.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/address/PreferredMembers.java
@@ -12,8 +12,8 @@
 /**
  * Narrows the VMs that an answer about addresses may name to those that serve the caller best.
  *
- * <p>Invariant: a preference that would leave too few VMs is not applied. Stateless; safe for use by
- * any thread.
+ * <p>Invariant: a preference that would leave too few VMs is not applied. Stateless; safe for use
+ * by any thread.
  */
 public final class PreferredMembers {
     private PreferredMembers() {}
@@ -32,11 +32,12 @@
             Optional<Region> callerRegion,
             Set<String> overloaded) {
         Predicate<Member> near =
-                m -> homes.allows(m.region()) || callerRegion.filter(m.region()::equals).isPresent();
+                m ->
+                        homes.allows(m.region())
+                                || callerRegion.filter(m.region()::equals).isPresent();
         List<Member> atHome = candidates.stream().filter(near).toList();
         List<Member> eligible = atHome.isEmpty() ? candidates : atHome;
-        List<Member> calm =
-                eligible.stream().filter(m -> !overloaded.contains(m.name())).toList();
+        List<Member> calm = eligible.stream().filter(m -> !overloaded.contains(m.name())).toList();
         return 2 * calm.size() > eligible.size() ? calm : eligible;
     }
 }
--- a/coordination/src/main/java/org/hornbeampass/coordination/news/ViewFeeds.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/news/ViewFeeds.java
@@ -18,8 +18,8 @@
  *
  * <p>A watching VM sends what changed to the other VMs of its failure domain and to one VM of each
  * other failure domain. A VM that is not watching requests what it has missed from the sender, and
- * reads large changes from the platform. Invariant: a view never goes back, since versions are those
- * of the platform's store. Confined to one thread.
+ * reads large changes from the platform. Invariant: a view never goes back, since versions are
+ * those of the platform's store. Confined to one thread.
  */
 public final class ViewFeeds {
     /**
@@ -70,11 +70,8 @@
 
         ViewFeed.Item toItem(String prefix) {
             List<ViewFeed.Change> changes =
-                    mTooLarge
-                            ? List.of()
-                            : mChanges.stream().map(ViewFeed.Change::of).toList();
-            return new ViewFeed.Item(
-                    prefix, mFedVersion, mView.upToVersion(), mTooLarge, changes);
+                    mTooLarge ? List.of() : mChanges.stream().map(ViewFeed.Change::of).toList();
+            return new ViewFeed.Item(prefix, mFedVersion, mView.upToVersion(), mTooLarge, changes);
         }
     }
 
@@ -150,8 +147,7 @@
 
     private void sendFeed(long nowMs, WatchPaths paths) {
         boolean ready = mViews.values().stream().allMatch(f -> f.mView.ready());
-        boolean direct =
-                mViews.values().stream().allMatch(f -> f.mView.failingForMs(nowMs) == 0);
+        boolean direct = mViews.values().stream().allMatch(f -> f.mView.failingForMs(nowMs) == 0);
         boolean relayed = nowMs - mOtherDomainFedMs < WatchDuty.SILENCE_MS;
         if (!ready || !(direct || relayed)) {
             return;
--- a/coordination/src/main/java/org/hornbeampass/coordination/platform/WatchedView.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/platform/WatchedView.java
@@ -250,8 +250,8 @@
 
     /**
      * Cancels a watch that has received nothing and lists again, for a view that is known to be
-     * outdated; a suspended view lists once. Does nothing while an answer is being received, a listing is in progress or failed
-     * calls are retried.
+     * outdated; a suspended view lists once. Does nothing while an answer is being received, a
+     * listing is in progress or failed calls are retried.
      *
      * @param nowMs the present time in milliseconds
      */
--- a/coordination/src/main/java/org/hornbeampass/coordination/ratelimit/PermitPolicy.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/ratelimit/PermitPolicy.java
@@ -22,7 +22,8 @@
     OptionalDouble perSecond(long nowMs, UpstreamIncarnation upstream);
 
     /**
-     * Returns the name of the VM from which this VM gets its next permit; empty while it knows none.
+     * Returns the name of the VM from which this VM gets its next permit; empty while it knows
+     * none.
      */
     Optional<String> issuer(UpstreamIncarnation upstream);
 
--- a/coordination/src/main/java/org/hornbeampass/coordination/ratelimit/RateLimiter.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/ratelimit/RateLimiter.java
@@ -21,13 +21,11 @@
  *
  * <p>Invariants: a permit is used once, and only for a short time after it was requested, as
  * measured by the requesting VM, so no clocks of different VMs are compared; a VM that can't reach
- * an issuer sends nothing to the upstream. Confined to one thread, on which the network must deliver
- * replies.
+ * an issuer sends nothing to the upstream. Confined to one thread, on which the network must
+ * deliver replies.
  */
 public final class RateLimiter implements SendGate {
-    /**
-     * The timeout of a request to an issuer, in milliseconds; it normally answers within a few.
-     */
+    /** The timeout of a request to an issuer, in milliseconds; it normally answers within a few. */
     private static final long REQUEST_TIMEOUT_MS = 150;
 
     /** How long no permit is requested after the issuer did not answer, in milliseconds. */
@@ -150,8 +148,7 @@
         mCounts.onGranted();
         done.onAnswer(
                 nowMs,
-                Optional.of(
-                        new SendPermit(upstream, kind(), requestedMs + kind().validityMs())));
+                Optional.of(new SendPermit(upstream, kind(), requestedMs + kind().validityMs())));
     }
 
     private void deny(long nowMs, UpstreamIncarnation upstream, long waitMs, PermitListener done) {
--- a/coordination/src/main/java/org/hornbeampass/coordination/ratelimit/SlowStartLimits.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/ratelimit/SlowStartLimits.java
@@ -18,12 +18,14 @@
  * Permits for upstreams in their slow start, for a restart of some or many upstreams under load.
  *
  * <p>Each of a few fixed VMs issues a share of an upstream's rate. Invariant: no VM takes over the
- * share of another, so that the shares add up to no more than the rate while the fleet is divided or
- * VMs are cut off; a dead issuer's share is unused meanwhile. After a denial the next permit may
+ * share of another, so that the shares add up to no more than the rate while the fleet is divided
+ * or VMs are cut off; a dead issuer's share is unused meanwhile. After a denial the next permit may
  * come from another issuer, so that the wait is divided by their number. Confined to one thread.
  */
 public final class SlowStartLimits implements PermitPolicy {
-    /** The wait after a request to a VM that does not consider itself an issuer, in milliseconds. */
+    /**
+     * The wait after a request to a VM that does not consider itself an issuer, in milliseconds.
+     */
     private static final long NOT_ISSUER_WAIT_MS = 100;
 
     private final SlowStarts mSlowStarts;
@@ -100,8 +102,7 @@
                 mBounds.share(perSecond.getAsDouble(), issuers.size(), kind().validityMs());
         TokenBucket bucket =
                 mBuckets.computeIfAbsent(
-                        upstream,
-                        u -> TokenBucket.empty(share.perSecond(), share.burst(), nowMs));
+                        upstream, u -> TokenBucket.empty(share.perSecond(), share.burst(), nowMs));
         bucket.setRate(nowMs, share.perSecond(), share.burst());
         return bucket.tryTake(nowMs)
                 ? PermitReply.GRANTED
--- a/coordination/src/main/java/org/hornbeampass/coordination/service/SlowStarts.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/service/SlowStarts.java
@@ -10,7 +10,8 @@
 import java.util.OptionalDouble;
 
 /**
- * The upstreams in their slow start, which take only a few requests per second from the whole fleet.
+ * The upstreams in their slow start, which take only a few requests per second from the whole
+ * fleet.
  *
  * <p>Invariant: an upstream counts as cold at least as long as it is, since what is reported about
  * the time left ages on its way. Confined to one thread.
--- a/coordination/src/main/java/org/hornbeampass/coordination/service/UpstreamCosts.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/service/UpstreamCosts.java
@@ -55,10 +55,7 @@
      * @param slowStarts the upstreams in their slow start, whose caches are empty
      */
     UpstreamCosts(
-            RandomGenerator random,
-            IntSupplier vms,
-            FleetLoad fleetLoad,
-            SlowStarts slowStarts) {
+            RandomGenerator random, IntSupplier vms, FleetLoad fleetLoad, SlowStarts slowStarts) {
         mRandom = random;
         mVms = vms;
         mFleetLoad = fleetLoad;
--- a/coordination/src/test/java/org/hornbeampass/coordination/address/CallerSpreadTest.java
+++ b/coordination/src/test/java/org/hornbeampass/coordination/address/CallerSpreadTest.java
@@ -102,19 +102,13 @@
     private Vm answer(Vm asked) {
         List<Member> named =
                 PreferredMembers.select(
-                        members(),
-                        HomeRegions.ANY,
-                        Optional.empty(),
-                        asked.mExchange.overloaded());
+                        members(), HomeRegions.ANY, Optional.empty(), asked.mExchange.overloaded());
         return vm(named.get(mRandom.nextInt(named.size())).name());
     }
 
     private boolean names(Vm asked, Vm vm) {
         return PreferredMembers.select(
-                        members(),
-                        HomeRegions.ANY,
-                        Optional.empty(),
-                        asked.mExchange.overloaded())
+                        members(), HomeRegions.ANY, Optional.empty(), asked.mExchange.overloaded())
                 .contains(vm.mMember);
     }
 
--- a/coordination/src/test/java/org/hornbeampass/coordination/news/ViewFeedFleet.java
+++ b/coordination/src/test/java/org/hornbeampass/coordination/news/ViewFeedFleet.java
@@ -198,8 +198,7 @@
                                                     ONE_WAY_MS,
                                                     () ->
                                                             done.accept(
-                                                                    mNowMs,
-                                                                    Either.right(reply)))));
+                                                                    mNowMs, Either.right(reply)))));
         }
     }
 
--- a/coordination/src/test/java/org/hornbeampass/coordination/news/ViewFeedsTest.java
+++ b/coordination/src/test/java/org/hornbeampass/coordination/news/ViewFeedsTest.java
@@ -34,9 +34,7 @@
         fleet.write(upstream, "draining");
         fleet.run(withinMs);
         for (ViewFeedFleet.Vm vm : fleet.vms()) {
-            assertThat(vm.learnedMs(upstream))
-                    .as(vm.name())
-                    .isBetween(fromMs, fromMs + withinMs);
+            assertThat(vm.learnedMs(upstream)).as(vm.name()).isBetween(fromMs, fromMs + withinMs);
         }
     }
 
--- a/coordination/src/test/java/org/hornbeampass/coordination/ratelimit/RateLimitFleet.java
+++ b/coordination/src/test/java/org/hornbeampass/coordination/ratelimit/RateLimitFleet.java
@@ -75,7 +75,8 @@
     private record Event(long atMs, long number, Runnable action) {}
 
     /** One incarnation of a VM. */
-    private final class Vm implements PeerNetwork, PermitHomeResolver, SlowStartIssuers, SignalListener {
+    private final class Vm
+            implements PeerNetwork, PermitHomeResolver, SlowStartIssuers, SignalListener {
         private final Member mSelf;
         private final long mStartedMs;
         private final Set<String> mKnownVms = new HashSet<>();
@@ -103,7 +104,12 @@
                                     new RateLimiter(mAnnouncedLimits, this, self.name())));
             mUpstreamRegistry =
                     new UpstreamRegistry(
-                            mRandom, mVms::size, mTable, mPermits, Placement.unrestricted(), mSlowStarts);
+                            mRandom,
+                            mVms::size,
+                            mTable,
+                            mPermits,
+                            Placement.unrestricted(),
+                            mSlowStarts);
             mExchange = new SignalExchange(mUpstreamRegistry, mTable, this, this::paths, this);
         }
 
--- a/coordination/src/test/java/org/hornbeampass/coordination/ratelimit/SlowStartLimitsTest.java
+++ b/coordination/src/test/java/org/hornbeampass/coordination/ratelimit/SlowStartLimitsTest.java
@@ -32,11 +32,7 @@
 
     private static RateLimitFleet fleet(int vms, double perSecond, long seed, Issuing issuing) {
         return new RateLimitFleet(
-                vms,
-                UPSTREAMS,
-                seed,
-                Optional.of(new SlowStart(600_000, perSecond)),
-                issuing);
+                vms, UPSTREAMS, seed, Optional.of(new SlowStart(600_000, perSecond)), issuing);
     }
 
     private static RateLimitFleet fleet(int vms, double perSecond, long seed) {
--- a/coordination/src/test/java/org/hornbeampass/coordination/service/SignalExchangeTest.java
+++ b/coordination/src/test/java/org/hornbeampass/coordination/service/SignalExchangeTest.java
@@ -86,7 +86,12 @@
         SignalTable table = new SignalTable();
         UpstreamRegistry registry =
                 new UpstreamRegistry(
-                        new Random(1), () -> 8, table, SendGate.OPEN, Placement.unrestricted(), new SlowStarts());
+                        new Random(1),
+                        () -> 8,
+                        table,
+                        SendGate.OPEN,
+                        Placement.unrestricted(),
+                        new SlowStarts());
         mRegistries.put(self.name(), registry);
         mTables.put(self.name(), table);
         mExchanges.put(
--- a/router/src/main/java/org/hornbeampass/router/daemon/FleetView.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/FleetView.java
@@ -209,11 +209,7 @@
 
     @Override
     public boolean isLive(String vm) {
-        return mMembership
-                .view()
-                .member(vm)
-                .filter(m -> m.state() == MemberState.LIVE)
-                .isPresent();
+        return mMembership.view().member(vm).filter(m -> m.state() == MemberState.LIVE).isPresent();
     }
 
     @Override
--- a/router/src/main/java/org/hornbeampass/router/daemon/ObservedStore.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/ObservedStore.java
@@ -148,8 +148,7 @@
         String key = call.target();
         String topic = key.substring(0, Math.max(0, key.indexOf('/')));
         String name = call.getClass().getSimpleName().toLowerCase(Locale.ROOT);
-        mMetrics.counter("store_calls_about{topic=\"" + topic + "\",call=\"" + name + "\"}")
-                .inc();
+        mMetrics.counter("store_calls_about{topic=\"" + topic + "\",call=\"" + name + "\"}").inc();
         mCallsByTopic.merge(topic + "-" + name, 1L, Long::sum);
     }
 
--- a/router/src/main/java/org/hornbeampass/router/daemon/RelayDaemon.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/RelayDaemon.java
@@ -177,17 +177,14 @@
                         mPeers,
                         mFleet::broadcastPaths,
                         new SignalLog(mLog));
-        mOverloads =
-                new OverloadExchange(ip, vm.incarnation(), mPeers, mFleet::broadcastPaths);
+        mOverloads = new OverloadExchange(ip, vm.incarnation(), mPeers, mFleet::broadcastPaths);
         mLoans = new EscrowLoans(mBudgets, mPeers, mFleet.homes(), mRandom);
         mPool = new UpstreamPool(mLoops, mClock);
         mQuarantine = newQuarantine();
         mContext = newContext();
-        mChanges = 
+        mChanges =
                 new StoreChanges(
-                        mContext,
-                        mViews.view(ViewKind.UPSTREAMS),
-                        settings.upstreamHeartbeatMs());
+                        mContext, mViews.view(ViewKind.UPSTREAMS), settings.upstreamHeartbeatMs());
         registerListeners();
         mCallers =
                 CallerServer.start(
@@ -339,8 +336,7 @@
         mMetrics.register(
                 "watches_store", (Gauge<Integer>) () -> mViews.feeds().isWatching() ? 1 : 0);
         mMetrics.register(
-                "view_feed_age_ms",
-                (Gauge<Long>) () -> mViews.feeds().silentForMs(mClock.nowMs()));
+                "view_feed_age_ms", (Gauge<Long>) () -> mViews.feeds().silentForMs(mClock.nowMs()));
         mMetrics.register("peer_bytes_sent", (Gauge<Long>) mPeers.counters()::bytesSent);
         mMetrics.register("peer_bytes_received", (Gauge<Long>) mPeers.counters()::bytesReceived);
         mMetrics.register("suspected_requests", (Gauge<Integer>) mQuarantine.suspects()::size);
@@ -348,8 +344,7 @@
                 "rate_limited_upstreams",
                 (Gauge<Integer>) () -> mUpstreamRegistry.rateLimited(mClock.nowMs()).size());
         mMetrics.register("loop_delay_ms", (Gauge<Long>) mLoopDelay::delayMs);
-        mMetrics.register(
-                "overloaded_vms", (Gauge<Integer>) () -> mOverloads.overloaded().size());
+        mMetrics.register("overloaded_vms", (Gauge<Integer>) () -> mOverloads.overloaded().size());
         mMetrics.register("cold_upstreams", (Gauge<Integer>) mSlowStarts::size);
         registerPermits("permits", mAnnouncedLimiter.counts());
         registerPermits("slow_start_permits", mSlowStartLimiter.counts());
--- a/router/src/main/java/org/hornbeampass/router/daemon/StoreChanges.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/StoreChanges.java
@@ -1,7 +1,5 @@
 package org.hornbeampass.router.daemon;
 
-import java.util.OptionalLong;
-
 import org.hornbeampass.coordination.platform.PlatformReply.Change;
 import org.hornbeampass.coordination.platform.WatchedView;
 import org.hornbeampass.coordination.service.EntryResult;
@@ -14,6 +12,8 @@
 import org.hornbeampass.state.service.FleetConfig;
 import org.hornbeampass.state.service.UpstreamEntry;
 
+import java.util.OptionalLong;
+
 /**
  * Applies the configuration, the upstreams' entries and the evacuations that are written to the
  * store.
--- a/router/src/main/java/org/hornbeampass/router/daemon/StoreViews.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/StoreViews.java
@@ -33,8 +33,8 @@
  */
 final class StoreViews implements MembershipListener, ViewStatus {
     /**
-     * How long a watch waits, in milliseconds. A watch whose answer was lost misses changes for this
-     * long, unless another VM reports them. Each watch is a call that is charged.
+     * How long a watch waits, in milliseconds. A watch whose answer was lost misses changes for
+     * this long, unless another VM reports them. Each watch is a call that is charged.
      */
     private static final long WATCH_TIMEOUT_MS = 2_000;
 
--- a/router/src/main/java/org/hornbeampass/router/relay/IntakeGate.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/IntakeGate.java
@@ -3,9 +3,9 @@
 import org.hornbeampass.state.service.Route;
 
 /**
- * Decides whether a VM takes in a new request, by how late its event loop is: a VM that is asked for
- * more than its processor can do refuses at once what it would serve late, and spends its time on
- * the requests and answers that it has.
+ * Decides whether a VM takes in a new request, by how late its event loop is: a VM that is asked
+ * for more than its processor can do refuses at once what it would serve late, and spends its time
+ * on the requests and answers that it has.
  *
  * <p>Stateless; safe for use by any thread.
  */
--- a/router/src/main/java/org/hornbeampass/router/relay/Refusals.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/Refusals.java
@@ -106,7 +106,8 @@
     static Failure overloaded() {
         return Failure.retryAfter(
                 ErrorKind.OVERLOADED,
-                "this router handles as many requests as it can; send the request to another address",
+                "this router handles as many requests as it can; send the request to another"
+                        + " address",
                 OVERLOADED_RETRY_MS);
     }
 
--- a/router/src/main/java/org/hornbeampass/router/relay/RelayContext.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/RelayContext.java
@@ -49,8 +49,10 @@
     private Optional<RouteTable> mRoutes = Optional.empty();
     private boolean mRefusingNewRequests;
 
-    /** Creates the context. {@code vmCount} returns how many VMs share the fleet's budgets, and
-     * {@code loopDelayMs} how late the event loop is, in milliseconds. */
+    /**
+     * Creates the context. {@code vmCount} returns how many VMs share the fleet's budgets, and
+     * {@code loopDelayMs} how late the event loop is, in milliseconds.
+     */
     public RelayContext(
             WireFormat wire,
             RelaySettings settings,
--- a/router/src/test/java/org/hornbeampass/router/relay/AnswerSignalsTest.java
+++ b/router/src/test/java/org/hornbeampass/router/relay/AnswerSignalsTest.java
@@ -48,7 +48,12 @@
     private final SignalTable mTable = new SignalTable();
     private final UpstreamRegistry mUpstreamRegistry =
             new UpstreamRegistry(
-                    new Random(1), () -> 1, mTable, SendGate.OPEN, Placement.unrestricted(), new SlowStarts());
+                    new Random(1),
+                    () -> 1,
+                    mTable,
+                    SendGate.OPEN,
+                    Placement.unrestricted(),
+                    new SlowStarts());
     private final AnswerSignals mSignals =
             new AnswerSignals(
                     new SignalExchange(
@@ -81,7 +86,8 @@
                 askedMs + RECEIVED_MS - ASKED_MS,
                 askedMs,
                 mUpstream,
-                new AnswerHead(outcome, proven, false, OptionalLong.empty(), limit, OptionalLong.empty()));
+                new AnswerHead(
+                        outcome, proven, false, OptionalLong.empty(), limit, OptionalLong.empty()));
     }
 
     private void answerWithLimit() {
@@ -127,7 +133,12 @@
                 ASKED_MS,
                 mUpstream,
                 new AnswerHead(
-                        outcome, false, false, OptionalLong.of(60_000), OptionalDouble.empty(), OptionalLong.empty()));
+                        outcome,
+                        false,
+                        false,
+                        OptionalLong.of(60_000),
+                        OptionalDouble.empty(),
+                        OptionalLong.empty()));
     }
 
     @Test
