Let the wait for tokens end only where it helps

Cause: each transfer of spent tokens to a home cleared what requests waited for there and ran the answers to other VMs, before the exchange with the store that would have brought the tokens. A loan that waited for a delayed exchange was answered after its VM had given up, so that its tokens were lost.

Change: a transfer ends the wait only where it brings enough; a loan is answered after 60 ms at most, whatever the exchange does; a VM whose search finds no home with access to the store waits for an exchange of its own. The daemon's permits and its overload state are classes of their own.

--- a/coordination/src/main/java/org/hornbeampass/coordination/address/OverloadExchange.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/address/OverloadExchange.java
@@ -25,6 +25,7 @@
     /** How long an overload counts that is not repeated, in milliseconds. */
     private static final long EXPIRY_MS = 3_000;
 
+    /** A VM's state as reported last, and when it was received in milliseconds. */
     private record State(OverloadReport.Item item, long receivedMs) {}
 
     private final String mSelf;
--- a/coordination/src/main/java/org/hornbeampass/coordination/escrow/EscrowAccount.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/escrow/EscrowAccount.java
@@ -74,10 +74,15 @@
         addDemand(nowMs, tokens);
     }
 
-    /** Adds tokens that another VM has deducted from its account. */
+    /**
+     * Adds tokens that another VM has deducted from its account. Requests wait on for an exchange
+     * unless these tokens suffice.
+     */
     void borrow(long tokens) {
         mBorrowed += tokens;
-        clearWanted();
+        if (free() >= mWanted) {
+            clearWanted();
+        }
     }
 
     /**
--- a/coordination/src/main/java/org/hornbeampass/coordination/escrow/EscrowBook.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/escrow/EscrowBook.java
@@ -167,22 +167,14 @@
         return shard(organisation).extraTokens(nowMs, organisation);
     }
 
-    /**
-     * Allows this VM to exchange with the store about a budget for a limited time, since no home
-     * answers.
-     */
-    void allowStoreExchanges(long nowMs, String organisation) {
-        shard(organisation).allowStoreExchanges(nowMs);
-    }
-
     /**
      * Allows this VM to exchange with the store about a budget for a limited time, since it knows
-     * no other VM.
+     * no other VM, or since no home answers or reaches the store.
      *
      * @return whether it is worth waiting for the exchange
      */
-    boolean allowStoreExchangesWithoutPeers(long nowMs, String organisation) {
-        return shard(organisation).allowStoreExchangesWithoutPeers(nowMs);
+    boolean allowStoreExchangesWithoutHomes(long nowMs, String organisation) {
+        return shard(organisation).allowStoreExchangesWithoutHomes(nowMs);
     }
 
     /** Returns the number of the pool that an organisation's budget belongs to. */
--- a/coordination/src/main/java/org/hornbeampass/coordination/escrow/EscrowLoans.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/escrow/EscrowLoans.java
@@ -124,7 +124,7 @@
     }
 
     private boolean waitForStoreExchange(long nowMs, String organisation, Runnable done) {
-        boolean helps = mBook.allowStoreExchangesWithoutPeers(nowMs, organisation);
+        boolean helps = mBook.allowStoreExchangesWithoutHomes(nowMs, organisation);
         if (helps) {
             mBook.afterNextExchange(nowMs, organisation, done);
         }
@@ -143,18 +143,23 @@
         return homes;
     }
 
-    private void onSearchEnded(long nowMs, String organisation, LoanSearch search) {
+    /**
+     * Handles the end of a search.
+     *
+     * @return whether its requests wait on, for an exchange of this VM with the store
+     */
+    private boolean onSearchEnded(long nowMs, String organisation, LoanSearch search) {
         mSearches.remove(organisation);
         search.lastLender().ifPresent(l -> mLastLender.put(organisation, l));
         search.unresponsivePeers()
                 .forEach(n -> mUnresponsiveUntilMs.put(n, nowMs + UNRESPONSIVE_MS));
         if (search.isSatisfied()) {
-            return;
+            return false;
         }
         mNextSearchMs.put(organisation, nowMs + SEARCH_RETRY_MS);
-        if (search.unresponsivePeers().containsAll(mHomes.otherHomes(mBook.pool(organisation)))) {
-            mBook.allowStoreExchanges(nowMs, organisation);
-        }
+        boolean homesFail =
+                search.peersWithoutStore().containsAll(mHomes.otherHomes(mBook.pool(organisation)));
+        return homesFail && waitForStoreExchange(nowMs, organisation, search::notifyRequests);
     }
 
     /**
--- a/coordination/src/main/java/org/hornbeampass/coordination/escrow/EscrowShard.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/escrow/EscrowShard.java
@@ -74,6 +74,9 @@
      */
     private static final long SLOW_CALL_MS = 150;
 
+    /** Another VM's request for a loan that waits for an exchange since a time in milliseconds. */
+    private record WaitingLoan(long sinceMs, Runnable answer) {}
+
     private final EscrowOwner mOwner;
     private final GrantListener mListener;
     private final Map<String, EscrowAccount> mAccounts = new HashMap<>();
@@ -83,7 +86,7 @@
     private final PoolHomes mHomes;
     private final int mPool;
     private final List<Runnable> mRequestCallbacks = new ArrayList<>();
-    private final List<Runnable> mLenderCallbacks = new ArrayList<>();
+    private final List<WaitingLoan> mWaitingLoans = new ArrayList<>();
 
     private final RecordExchange mExchange;
     private boolean mReturning;
@@ -201,7 +204,8 @@
             return;
         }
         account.addWanted(request.needed(), nowMs + RECHECK_MS);
-        mLenderCallbacks.add(() -> done.accept(mLending.lendToWaiting(nowMs, request)));
+        mWaitingLoans.add(
+                new WaitingLoan(nowMs, () -> done.accept(mLending.lendToWaiting(nowMs, request))));
         tick(nowMs);
     }
 
@@ -216,14 +220,14 @@
     }
 
     /**
-     * Allows a VM that knows no other VM to exchange with the store, but only for the tokens that
-     * its requests need, since it is not a home. After all VMs lost power, a VM knows no other for
-     * up to a second.
+     * Allows a VM that finds no home with access to the store to exchange with the store itself,
+     * but only for the tokens that its requests need. After all VMs lost power, a VM knows no other
+     * for up to a second; the store may turn away the homes while it serves other VMs.
      *
      * @return whether it is worth waiting for the next exchange; false if the store is unreachable,
      *     or if it was already asked and lacks the tokens
      */
-    boolean allowStoreExchangesWithoutPeers(long nowMs) {
+    boolean allowStoreExchangesWithoutHomes(long nowMs) {
         boolean allowed =
                 !isStoreUnreachable(nowMs)
                         && !(exchangesWithStore(nowMs) && mExchange.isVersionKnown());
@@ -277,10 +281,11 @@
     }
 
     void acceptTransfer(long nowMs, TokenTransfer transfer) {
-        mAccounts
-                .get(transfer.organisation())
-                .acceptTransfer(nowMs, transfer.tokens(), transfer.spent());
-        runCallbacks();
+        EscrowAccount account = mAccounts.get(transfer.organisation());
+        account.acceptTransfer(nowMs, transfer.tokens(), transfer.spent());
+        if (transfer.tokens() > 0 && account.smallestWanted().isEmpty()) {
+            runCallbacks();
+        }
     }
 
     EscrowBook.AdmissionState admissionState(long nowMs, String organisation) {
@@ -299,9 +304,7 @@
     }
 
     void tick(long nowMs) {
-        if (mExchange.openForMs(nowMs) >= LENDER_WAIT_MS) {
-            run(mLenderCallbacks);
-        }
+        answerOverdueLoans(nowMs);
         if (!mKnownBudgets.organisations().isEmpty()
                 && mExchange.isReady(nowMs)
                 && isExchangeDue(nowMs)) {
@@ -327,7 +330,7 @@
         if (sinceMs < IDLE_INTERVAL_MS) {
             return false;
         }
-        if (!mRequestCallbacks.isEmpty() || !mLenderCallbacks.isEmpty()) {
+        if (!mRequestCallbacks.isEmpty() || !mWaitingLoans.isEmpty()) {
             return true;
         }
         boolean reportDue = nowMs - mLastExchangeMs >= REPORT_INTERVAL_MS;
@@ -428,14 +431,20 @@
                         mKnownBudgets.prepaid(organisation) - stored.spent()));
     }
 
-    private void runCallbacks() {
-        run(mRequestCallbacks);
-        run(mLenderCallbacks);
+    /** Answers loans that wait for too long: their VMs give up, and what came later is lost. */
+    private void answerOverdueLoans(long nowMs) {
+        List<WaitingLoan> overdue =
+                mWaitingLoans.stream().filter(l -> nowMs - l.sinceMs() >= LENDER_WAIT_MS).toList();
+        mWaitingLoans.removeAll(overdue);
+        overdue.forEach(l -> l.answer().run());
     }
 
-    private static void run(List<Runnable> actions) {
-        List<Runnable> pending = List.copyOf(actions);
-        actions.clear();
-        pending.forEach(Runnable::run);
+    private void runCallbacks() {
+        List<Runnable> requests = List.copyOf(mRequestCallbacks);
+        mRequestCallbacks.clear();
+        requests.forEach(Runnable::run);
+        List<WaitingLoan> loans = List.copyOf(mWaitingLoans);
+        mWaitingLoans.clear();
+        loans.forEach(l -> l.answer().run());
     }
 }
--- a/coordination/src/main/java/org/hornbeampass/coordination/escrow/LoanSearch.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/escrow/LoanSearch.java
@@ -13,15 +13,14 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.BiConsumer;
 import java.util.random.RandomGenerator;
 
 /**
  * Asks one VM after another for the tokens that requests of one organisation wait for.
  *
  * <p>Invariants: one VM is asked at a time, and each at most once. Every waiting request is
- * notified once, when enough tokens were found or all VMs were asked. Not thread-safe; must be used
- * on the thread of the {@link EscrowBook}.
+ * notified once, when enough tokens were found or all VMs were asked, or by the listener later. Not
+ * thread-safe; must be used on the thread of the {@link EscrowBook}.
  */
 final class LoanSearch {
     /**
@@ -36,13 +35,21 @@
      */
     private static final int MAX_PEERS = 8;
 
+    /** Receives the end of a search. */
+    @FunctionalInterface
+    interface EndListener {
+        /** Called at the end; returns whether the listener notifies the waiting requests itself. */
+        boolean onEnded(long nowMs, LoanSearch search);
+    }
+
     private final EscrowBook mBook;
     private final PeerNetwork mPeers;
     private final String mOrganisation;
     private final Deque<String> mPeersToAsk;
-    private final BiConsumer<Long, LoanSearch> mOnEnded;
+    private final EndListener mOnEnded;
     private final List<Runnable> mCallbacks = new ArrayList<>();
     private final Set<String> mUnresponsive = new HashSet<>();
+    private final Set<String> mWithoutStore = new HashSet<>();
     private Optional<String> mLastLender = Optional.empty();
     private int mHomesToAsk;
     private long mNeeded;
@@ -53,7 +60,7 @@
             String organisation,
             List<String> peersToAsk,
             int homes,
-            BiConsumer<Long, LoanSearch> onEnded) {
+            EndListener onEnded) {
         mBook = book;
         mPeers = peers;
         mOrganisation = organisation;
@@ -104,14 +111,26 @@
         return mUnresponsive;
     }
 
+    /** Returns the VMs that did not answer, or for which the store is unreachable. */
+    Set<String> peersWithoutStore() {
+        return mWithoutStore;
+    }
+
     private long missingTokens() {
         return mNeeded - mBook.free(mOrganisation);
     }
 
+    /** Notifies the waiting requests. */
+    void notifyRequests() {
+        mCallbacks.forEach(Runnable::run);
+    }
+
     private void askNextPeer(long nowMs) {
         if (isSatisfied() || mPeersToAsk.isEmpty()) {
-            mOnEnded.accept(nowMs, this);
-            mCallbacks.forEach(Runnable::run);
+            boolean deferred = mOnEnded.onEnded(nowMs, this);
+            if (!deferred) {
+                notifyRequests();
+            }
             return;
         }
         String peer = mPeersToAsk.removeFirst();
@@ -128,7 +147,11 @@
     private void onReply(long nowMs, String peer, Either<Failure, PeerMessage> reply) {
         if (reply.isLeft()) {
             mUnresponsive.add(peer);
+            mWithoutStore.add(peer);
         } else if (reply.get() instanceof LoanReply loan) {
+            if (loan.status().known() && loan.status().storeLost()) {
+                mWithoutStore.add(peer);
+            }
             mLastLender = loan.tokens() > 0 ? Optional.of(peer) : mLastLender;
             mBook.onLoanReply(nowMs, loan);
         }
--- a/coordination/src/test/java/org/hornbeampass/coordination/escrow/EscrowLoansTest.java
+++ b/coordination/src/test/java/org/hornbeampass/coordination/escrow/EscrowLoansTest.java
@@ -112,6 +112,16 @@
         }
     }
 
+    @Test
+    void transferOfSpentTokens_doesNotEndTheWaitForAnExchange() {
+        EscrowAccount account = new EscrowAccount();
+        account.addWanted(500, 1_000);
+        account.acceptTransfer(0, 0, 300);
+        assertThat(account.wanted()).isEqualTo(500);
+        account.acceptTransfer(0, 600, 0);
+        assertThat(account.wanted()).isZero();
+    }
+
     @Test
     void vmWithThrottledStore_borrowsTokensFromPeer() {
         mStoreThrottled = true;
--- a/coordination/src/test/java/org/hornbeampass/coordination/escrow/EscrowSimulation.java
+++ b/coordination/src/test/java/org/hornbeampass/coordination/escrow/EscrowSimulation.java
@@ -365,7 +365,7 @@
     }
 
     private void sendRequest(int organisation, SimulatedLoad.Size size, boolean first) {
-        Vm vm = mVms.get(mRandom.nextInt(mSize.vms()));
+        Vm vm = chooseVm(organisation);
         if (!vm.isUp()) {
             refuse(organisation, size, first, 300);
             return;
@@ -373,6 +373,15 @@
         new WaitingRequest(vm, organisation, size, first, mNowMs + MAX_WAIT_MS).tryToReserve();
     }
 
+    private Vm chooseVm(int organisation) {
+        Vm random = mVms.get(mRandom.nextInt(mSize.vms()));
+        if (organisation > 0 || !mLoad.largestKeepsToOneVm()) {
+            return random;
+        }
+        int pool = random.mBook.pool("org-0");
+        return mVms.stream().filter(v -> !v.mHomes.isHome(pool)).findFirst().orElse(random);
+    }
+
     /** A request that waits for tokens. */
     private final class WaitingRequest {
         private final Vm mVm;
--- a/coordination/src/test/java/org/hornbeampass/coordination/escrow/GrantPolicyTest.java
+++ b/coordination/src/test/java/org/hornbeampass/coordination/escrow/GrantPolicyTest.java
@@ -88,6 +88,26 @@
         assertThat(mean(GrantPolicy.DEMAND_HORIZON, KILL, Result::lostFraction)).isLessThan(0.03);
     }
 
+    @Test
+    void organisationThatKeepsToOneVm_isNotRefusedWhileTheStoreHasItsTokens() {
+        // About 0.1 % refused; 12 % if each transfer of spent tokens ended the wait for an
+        // exchange.
+        double refused =
+                IntStream.range(0, SEEDS)
+                        .mapToObj(
+                                seed ->
+                                        EscrowSimulation.simulate(
+                                                seed,
+                                                SimulatedLoad.ONE_VM,
+                                                GrantPolicy.DEMAND_HORIZON,
+                                                NONE,
+                                                new EscrowSimulation.Size(24, 24, false)))
+                        .mapToDouble(Result::refusedFraction)
+                        .average()
+                        .orElseThrow();
+        assertThat(refused).isLessThan(0.01);
+    }
+
     private static double servedWorthOfLongPrompts(Faults faults) {
         return mean(
                 SimulatedLoad.LONG_PROMPTS,
--- a/coordination/src/test/java/org/hornbeampass/coordination/escrow/SimulatedLoad.java
+++ b/coordination/src/test/java/org/hornbeampass/coordination/escrow/SimulatedLoad.java
@@ -15,6 +15,21 @@
             return kind < 0.65 ? Size.of(1_120, 0.9, 1) : Size.of(2_400, 0.99, 1);
         }
     },
+    /**
+     * Long prompts, of which those of the largest organisation all arrive at one VM that is no home
+     * of its budget, faster than that VM can hold tokens ahead.
+     */
+    ONE_VM(0.06, 30_000, 30_000) {
+        @Override
+        Size draw(Random random) {
+            return LONG_PROMPTS.draw(random);
+        }
+
+        @Override
+        boolean largestKeepsToOneVm() {
+            return true;
+        }
+    },
     /**
      * Long prompts of very uneven size and many short ones. The budgets last for 1.3 times two
      * thirds of the simulated time, so that each lost token is missed before the end.
@@ -82,6 +97,11 @@
 
     abstract Size draw(Random random);
 
+    /** Returns whether all requests of the largest organisation arrive at one VM. */
+    boolean largestKeepsToOneVm() {
+        return false;
+    }
+
     double requestsPerMs() {
         return mRequestsPerMs;
     }
--- a/coordination/src/test/java/org/hornbeampass/coordination/news/ViewFeedFleet.java
+++ b/coordination/src/test/java/org/hornbeampass/coordination/news/ViewFeedFleet.java
@@ -44,6 +44,7 @@
     /** When a call without any reply fails, in milliseconds. */
     private static final long CALL_TIMEOUT_MS = WATCH_TIME.toMillis() + 500;
 
+    /** An action at a time in milliseconds; the number orders those of the same time. */
     private record Event(long atMs, long number, Runnable action) {}
 
     /** One VM. */
--- a/coordination/src/test/java/org/hornbeampass/coordination/ratelimit/RateLimitFleet.java
+++ b/coordination/src/test/java/org/hornbeampass/coordination/ratelimit/RateLimitFleet.java
@@ -59,16 +59,6 @@
     private static final long COLD_MS = 600_000;
     static final SlowStartBounds SLOW_START_BOUNDS = new SlowStartBounds(1.5, 5);
 
-    /** How the permits of upstreams in their slow start are issued. */
-    enum Issuing {
-        /** By three fixed VMs, a third of the rate each. */
-        FIXED_VMS,
-        /** By one VM of those that are up. */
-        ONE_HOME,
-        /** By four fixed VMs to themselves, without messages. */
-        OWN_SHARES
-    }
-
     /**
      * An event at a time; events of the same time run in the order in which they were scheduled.
      */
@@ -143,16 +133,12 @@
             if (warmingUp) {
                 return List.of();
             }
-            return switch (mIssuing) {
-                case FIXED_VMS -> RendezvousHash.choose(upstream, mEverKnownVms, 3);
-                case ONE_HOME -> RendezvousHash.choose(upstream, mKnownVms, 1);
-                case OWN_SHARES -> RendezvousHash.choose(upstream, mEverKnownVms, 4);
-            };
+            return mIssuing.issuers(upstream, mKnownVms, mEverKnownVms);
         }
 
         @Override
         public boolean isLive(String vm) {
-            return mIssuing == Issuing.OWN_SHARES ? vm.equals(self()) : mKnownVms.contains(vm);
+            return mIssuing.mayAsk(self(), vm, mKnownVms);
         }
 
         @Override
@@ -224,11 +210,6 @@
         public void onEnded(long nowMs) {}
     }
 
-    /** Handles a message on the receiving VM. */
-    private interface MessageHandler {
-        void handle(Vm to);
-    }
-
     private final Random mRandom;
     private final PriorityQueue<Event> mEvents =
             new PriorityQueue<>(
@@ -277,20 +258,13 @@
         mMembers.forEach(m -> vm.mKnownVms.add(m.name()));
         vm.mEverKnownVms.addAll(vm.mKnownVms);
         mVms.put(member.name(), vm);
-        mUpstreams.keySet().forEach(u -> addUpstream(vm, u));
+        mUpstreams.keySet().forEach(u -> vm.mUpstreamRegistry.onEntry(mNowMs, entry(u, 0)));
     }
 
-    private void addUpstream(Vm vm, String upstream) {
-        vm.mUpstreamRegistry.onEntry(
-                mNowMs,
-                new UpstreamEntry(
-                        upstream,
-                        OptionalLong.of(1),
-                        SERVICE_NAME,
-                        upstream + ":80",
-                        new FailureDomain("d0"),
-                        6,
-                        false));
+    private static UpstreamEntry entry(String id, long coldLeftMs) {
+        FailureDomain domain = new FailureDomain("d0");
+        return new UpstreamEntry(
+                id, OptionalLong.of(1), SERVICE_NAME, id + ":80", domain, 6, false, coldLeftMs);
     }
 
     /** Adds an upstream that is in its slow start; VMs learn of it within a bound. */
@@ -299,18 +273,7 @@
         for (Vm vm : mVms.values()) {
             schedule(
                     mRandom.nextLong(knownWithinMs),
-                    () ->
-                            vm.mUpstreamRegistry.onEntry(
-                                    mNowMs,
-                                    new UpstreamEntry(
-                                            id,
-                                            OptionalLong.of(1),
-                                            SERVICE_NAME,
-                                            id + ":80",
-                                            new FailureDomain("d0"),
-                                            6,
-                                            false,
-                                            COLD_MS)));
+                    () -> vm.mUpstreamRegistry.onEntry(mNowMs, entry(id, COLD_MS)));
         }
     }
 
@@ -451,7 +414,7 @@
         return mVms.get(vm.self()) == vm;
     }
 
-    private void deliver(Vm from, String to, MessageHandler handler) {
+    private void deliver(Vm from, String to, Consumer<Vm> handler) {
         boolean lost = mPartitioned.contains(from.self()) || mRandom.nextDouble() < mLossShare;
         schedule(
                 ONE_WAY_MS + mRandom.nextInt(2),
@@ -459,7 +422,7 @@
                     Vm receiver = mVms.get(to);
                     boolean reachable = !mPartitioned.contains(to) && inSamePart(from.self(), to);
                     if (!lost && receiver != null && reachable) {
-                        handler.handle(receiver);
+                        handler.accept(receiver);
                     }
                 });
     }
--- a/coordination/src/test/java/org/hornbeampass/coordination/ratelimit/SlowStartLimitsTest.java
+++ b/coordination/src/test/java/org/hornbeampass/coordination/ratelimit/SlowStartLimitsTest.java
@@ -2,7 +2,6 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import org.hornbeampass.coordination.ratelimit.RateLimitFleet.Issuing;
 import org.hornbeampass.state.service.ServiceSpec.SlowStart;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
--- a/router/src/main/java/org/hornbeampass/router/daemon/RelayDaemon.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/RelayDaemon.java
@@ -6,7 +6,6 @@
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.HttpRequest;
 
-import org.hornbeampass.coordination.address.OverloadDetector;
 import org.hornbeampass.coordination.address.OverloadExchange;
 import org.hornbeampass.coordination.address.OverloadReport;
 import org.hornbeampass.coordination.address.PreferredMembers;
@@ -25,12 +24,7 @@
 import org.hornbeampass.coordination.quarantine.Quarantine;
 import org.hornbeampass.coordination.quarantine.RequestHasher;
 import org.hornbeampass.coordination.quarantine.SuspectReport;
-import org.hornbeampass.coordination.ratelimit.AnnouncedLimits;
-import org.hornbeampass.coordination.ratelimit.PermitCounts;
 import org.hornbeampass.coordination.ratelimit.PermitRequest;
-import org.hornbeampass.coordination.ratelimit.RateLimiter;
-import org.hornbeampass.coordination.ratelimit.SendPermits;
-import org.hornbeampass.coordination.ratelimit.SlowStartLimits;
 import org.hornbeampass.coordination.ratelimit.SlowStartRequest;
 import org.hornbeampass.coordination.service.EvacuatedDomains;
 import org.hornbeampass.coordination.service.InFlightReport;
@@ -42,7 +36,6 @@
 import org.hornbeampass.coordination.service.SlowStarts;
 import org.hornbeampass.coordination.service.UpstreamRegistry;
 import org.hornbeampass.router.relay.AddressRequest;
-import org.hornbeampass.router.relay.LogFields;
 import org.hornbeampass.router.relay.RelayContext;
 import org.hornbeampass.router.relay.RelayHandler;
 import org.hornbeampass.router.relay.RelayLog;
@@ -99,11 +92,7 @@
 
     private final SignalTable mSignalTable = new SignalTable();
     private final SlowStarts mSlowStarts = new SlowStarts();
-    private final AnnouncedLimits mAnnouncedLimits;
-    private final SlowStartLimits mSlowStartLimits;
-    private final RateLimiter mAnnouncedLimiter;
-    private final RateLimiter mSlowStartLimiter;
-    private final SendPermits mPermits;
+    private final PermitServices mPermits;
     private final UpstreamRegistry mUpstreamRegistry;
     private final ObservedStore mStore;
     private final FleetView mFleet;
@@ -118,9 +107,8 @@
     private final Quarantine mQuarantine;
     private final RelayContext mContext;
     private final StoreChanges mChanges;
-    private final OverloadExchange mOverloads;
-    private final OverloadDetector mOverloadDetector = new OverloadDetector();
-    private final LoopDelay mLoopDelay = new LoopDelay(TICK_MS);
+    private final OverloadExchange mOverloadExchange;
+    private final OverloadMonitor mOverloads;
     private final CallerServer mCallers;
     private final CallerServer mDirectory;
     private final CallerServer mReadiness;
@@ -147,25 +135,8 @@
                         mClock,
                         name -> fleet().flatMap(f -> f.peerAddress(name)));
         mFleet = new FleetView(settings, vm, mPeers, mStore, new Random(mRandom.nextLong()));
-        mAnnouncedLimits = new AnnouncedLimits(mSignalTable, this::signals, mFleet);
-        mSlowStartLimits =
-                new SlowStartLimits(
-                        mSlowStarts,
-                        mAnnouncedLimits,
-                        mFleet,
-                        settings.relay().slowStart(),
-                        mRandom);
-        mAnnouncedLimiter = new RateLimiter(mAnnouncedLimits, mPeers, ip);
-        mSlowStartLimiter = new RateLimiter(mSlowStartLimits, mPeers, ip);
-        mPermits = new SendPermits(List.of(mSlowStartLimiter, mAnnouncedLimiter));
-        mUpstreamRegistry =
-                new UpstreamRegistry(
-                        mRandom,
-                        this::vms,
-                        mSignalTable,
-                        mPermits,
-                        new Placement(new EvacuatedDomains(), settings.domainRegions()),
-                        mSlowStarts);
+        mPermits = newPermits();
+        mUpstreamRegistry = newUpstreamRegistry();
         mViews = newStoreViews();
         mBudgets = newEscrowBook(ip);
         mBudgetMetrics = new BudgetMetrics(mMetrics, mBudgets);
@@ -177,7 +148,9 @@
                         mPeers,
                         mFleet::broadcastPaths,
                         new SignalLog(mLog));
-        mOverloads = new OverloadExchange(ip, vm.incarnation(), mPeers, mFleet::broadcastPaths);
+        mOverloadExchange =
+                new OverloadExchange(ip, vm.incarnation(), mPeers, mFleet::broadcastPaths);
+        mOverloads = new OverloadMonitor(mOverloadExchange, mUpstreamRegistry, TICK_MS, mLog);
         mLoans = new EscrowLoans(mBudgets, mPeers, mFleet.homes(), mRandom);
         mPool = new UpstreamPool(mLoops, mClock);
         mQuarantine = newQuarantine();
@@ -210,6 +183,27 @@
         return new RelayDaemon(settings, wire, platforms);
     }
 
+    private UpstreamRegistry newUpstreamRegistry() {
+        return new UpstreamRegistry(
+                mRandom,
+                this::vms,
+                mSignalTable,
+                mPermits.permits(),
+                new Placement(new EvacuatedDomains(), mSettings.domainRegions()),
+                mSlowStarts);
+    }
+
+    private PermitServices newPermits() {
+        return new PermitServices(
+                mSignalTable,
+                this::signals,
+                mSlowStarts,
+                mSettings.relay().slowStart(),
+                mFleet,
+                mPeers,
+                mRandom);
+    }
+
     private RelayContext newContext() {
         return new RelayContext(
                 mWire,
@@ -221,14 +215,14 @@
                 new RequestHasher(mSettings.cluster().revealBytes()),
                 mQuarantine,
                 mSignalExchange,
-                mPermits,
+                mPermits.permits(),
                 mBudgets,
                 mLoans,
                 mLog,
                 mRandom,
                 mFleet::sharingVmCount,
                 mViews,
-                mLoopDelay::delayMs);
+                mOverloads::loopDelayMs);
     }
 
     private Optional<FleetView> fleet() {
@@ -317,9 +311,9 @@
         mPeers.on(TokenTransfer.class, mLoans::onTransfer);
         mPeers.on(InFlightReport.class, mLoadExchange::onReport);
         mPeers.on(SignalReport.class, mSignalExchange::onReport);
-        mPeers.on(OverloadReport.class, mOverloads::onReport);
-        mPeers.on(PermitRequest.class, mAnnouncedLimits::onRequest);
-        mPeers.on(SlowStartRequest.class, mSlowStartLimits::onRequest);
+        mPeers.on(OverloadReport.class, mOverloadExchange::onReport);
+        mPeers.on(PermitRequest.class, mPermits.announcedLimits()::onRequest);
+        mPeers.on(SlowStartRequest.class, mPermits.slowStartLimits()::onRequest);
         mPeers.on(SuspectReport.class, mQuarantine::onReport);
     }
 
@@ -343,24 +337,14 @@
         mMetrics.register(
                 "rate_limited_upstreams",
                 (Gauge<Integer>) () -> mUpstreamRegistry.rateLimited(mClock.nowMs()).size());
-        mMetrics.register("loop_delay_ms", (Gauge<Long>) mLoopDelay::delayMs);
-        mMetrics.register("overloaded_vms", (Gauge<Integer>) () -> mOverloads.overloaded().size());
+        mOverloads.registerMetrics(mMetrics);
         mMetrics.register("cold_upstreams", (Gauge<Integer>) mSlowStarts::size);
-        registerPermits("permits", mAnnouncedLimiter.counts());
-        registerPermits("slow_start_permits", mSlowStartLimiter.counts());
+        mPermits.registerMetrics(mMetrics);
         mMetrics.register("vms", (Gauge<Integer>) mFleet::sharingVmCount);
         mMetrics.register("caller_connections", (Gauge<Integer>) this::connections);
         mMetrics.register("upstream_connections_opened", (Gauge<Long>) mPool::openedConnections);
     }
 
-    private void registerPermits(String prefix, PermitCounts permits) {
-        mMetrics.register(prefix + "_granted", (Gauge<Long>) permits::granted);
-        mMetrics.register(prefix + "_denied", (Gauge<Long>) permits::denied);
-        mMetrics.register(prefix + "_unanswered", (Gauge<Long>) permits::unanswered);
-        mMetrics.register(prefix + "_used", (Gauge<Long>) permits::used);
-        mMetrics.register(prefix + "_expired", (Gauge<Long>) permits::expired);
-    }
-
     private long failingMs(ViewKind view) {
         return mViews.view(view).failingForMs(mClock.nowMs());
     }
@@ -432,8 +416,7 @@
     }
 
     private void tick(long nowMs) {
-        mLoopDelay.onTick(nowMs);
-        updateOverload(nowMs);
+        mOverloads.tick(nowMs);
         mStore.tick(nowMs);
         mFleet.tick(nowMs);
         mViews.tick(nowMs);
@@ -441,7 +424,7 @@
         mLoans.tick(nowMs);
         mLoadExchange.tick(nowMs);
         mSignalExchange.tick(nowMs);
-        mPermits.tick(nowMs);
+        mPermits.permits().tick(nowMs);
         mQuarantine.tick(nowMs);
         mUpstreamRegistry.tick(nowMs);
         mPool.tick(nowMs);
@@ -449,24 +432,6 @@
         mShutdown.tick(nowMs);
     }
 
-    private void updateOverload(long nowMs) {
-        UpstreamRegistry.Requests requests = mUpstreamRegistry.requests();
-        boolean before = mOverloads.overloaded().contains(mFleet.self());
-        boolean overloaded =
-                mOverloadDetector.update(
-                        nowMs, requests.own(), requests.mean(), mLoopDelay.delayMs());
-        mOverloads.tick(nowMs, overloaded);
-        if (overloaded != before) {
-            mLog.logStateChange(
-                    nowMs,
-                    overloaded ? "overload-begun" : "overload-ended",
-                    new LogFields()
-                            .add("requests", requests.own())
-                            .add("mean_requests", Math.round(requests.mean()))
-                            .add("loop_delay_ms", mLoopDelay.delayMs()));
-        }
-    }
-
     /** Applies newer settings as far as they can change while the daemon runs. */
     void apply(RelayDaemonSettings settings) {
         loop().execute(
--- a/router/src/main/java/org/hornbeampass/router/daemon/RelaySettingsFile.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/RelaySettingsFile.java
@@ -26,6 +26,9 @@
     private static final long SECOND_MS = 1_000;
     private static final long HOUR_MS = 3_600_000;
 
+    /** The region of one failure domain. */
+    private record DomainRegion(FailureDomain domain, Region region) {}
+
     private RelaySettingsFile() {}
 
     /**
@@ -71,7 +74,6 @@
 
     /** Reads the regions of all failure domains, to which the VM's own one is added. */
     private static DomainRegions domains(SettingsNode node) {
-        record DomainRegion(FailureDomain domain, Region region) {}
         List<DomainRegion> listed =
                 node.list(
                         "domains",
