--- a/coordination/src/main/java/org/hornbeampass/coordination/escrow/EscrowShard.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/escrow/EscrowShard.java
@@ -33,6 +33,12 @@
      */
     private static final long DIRECT_EXCHANGE_MS = 3_000;
 
+    /**
+     * The time after a failed exchange of a VM that is not a home until it tries again, in
+     * milliseconds: in an outage for all, each VM of a large fleet would try.
+     */
+    private static final long DIRECT_RETRY_MS = 8_000;
+
     /**
      * The time after which another VM that waits for an exchange receives what is available, in
      * milliseconds. That VM gives up after {@link LoanSearch#TIMEOUT_MS}, and tokens lent later are
@@ -92,6 +98,7 @@
     private boolean mReturning;
     private long mLastExchangeMs = Long.MIN_VALUE / 2;
     private long mDirectUntilMs = Long.MIN_VALUE;
+    private long mNextDirectMs = Long.MIN_VALUE;
 
     EscrowShard(
             Platform platform,
@@ -229,7 +236,8 @@
      */
     boolean allowStoreExchangesWithoutHomes(long nowMs) {
         boolean allowed =
-                !isStoreUnreachable(nowMs)
+                nowMs >= mNextDirectMs
+                        && mExchange.openForMs(nowMs) < SLOW_CALL_MS
                         && !(exchangesWithStore(nowMs) && mExchange.isVersionKnown());
         if (allowed) {
             allowStoreExchanges(nowMs);
@@ -399,6 +407,10 @@
 
     @Override
     public void onFailed(long nowMs) {
+        if (!mHomes.isHome(mPool)) {
+            mDirectUntilMs = nowMs;
+            mNextDirectMs = nowMs + DIRECT_RETRY_MS;
+        }
         runCallbacks();
     }
 
--- a/coordination/src/test/java/org/hornbeampass/coordination/news/ViewFeedFleet.java
+++ b/coordination/src/test/java/org/hornbeampass/coordination/news/ViewFeedFleet.java
@@ -205,6 +205,7 @@
 
     private final MemoryPlatform mStore = new MemoryPlatform();
     private final Map<String, Vm> mVms = new TreeMap<>();
+    private final Map<Integer, List<String>> mRanked = new HashMap<>();
     private final Set<String> mTurnedAway = new HashSet<>();
     private final Set<String> mCutOff = new HashSet<>();
     private final Map<String, Long> mVersions = new HashMap<>();
@@ -252,26 +253,12 @@
 
     private WatchPaths paths(Vm vm) {
         List<String> watchers = new ArrayList<>();
-        List<String> own = List.of();
         for (int domain = 0; domain < DOMAINS; domain++) {
-            List<String> names = new ArrayList<>();
-            for (Vm each : mVms.values()) {
-                if (each.mDomain == domain) {
-                    names.add(each.mName);
-                }
-            }
-            for (String killed : mMembers) {
-                if (Integer.parseInt(killed.substring(3)) % DOMAINS == domain) {
-                    names.add(killed);
-                }
-            }
-            List<String> ranked = RendezvousHash.choose("watch-" + domain, names, names.size());
-            if (domain == vm.mDomain) {
-                own = ranked;
-            } else if (!ranked.isEmpty()) {
-                watchers.add(ranked.get(0));
+            if (domain != vm.mDomain && !ranked(domain).isEmpty()) {
+                watchers.add(ranked(domain).get(0));
             }
         }
+        List<String> own = ranked(vm.mDomain);
         return new WatchPaths(
                 true,
                 own.indexOf(vm.mName),
@@ -279,6 +266,18 @@
                 watchers);
     }
 
+    /** Returns the members of a failure domain in the order of their ranks. */
+    private List<String> ranked(int domain) {
+        return mRanked.computeIfAbsent(domain, this::rank);
+    }
+
+    private List<String> rank(int domain) {
+        Set<String> names = new HashSet<>(mMembers);
+        names.addAll(mVms.keySet());
+        names.removeIf(n -> Integer.parseInt(n.substring(3)) % DOMAINS != domain);
+        return RendezvousHash.choose("watch-" + domain, names, names.size());
+    }
+
     private void at(long inMs, Runnable action) {
         mEvents.add(new Event(mNowMs + inMs, mNumber++, action));
     }
@@ -334,11 +333,13 @@
     void kill(String vm) {
         mVms.remove(vm);
         mMembers.add(vm);
+        mRanked.clear();
     }
 
     /** Lets all VMs notice that a VM is gone. */
     void forget(String vm) {
         mMembers.remove(vm);
+        mRanked.clear();
     }
 
     /** Lets the platform reject a VM's calls; those that wait are cut, or get no reply. */
