Exchange for waiting requests after 20 ms, and answer loans within 120 ms

Cause: an exchange that a loan waited for was put off to the next tick by the interval of 50 ms, and the loan was answered after 60 ms, before it. Change: 20 ms and 120 ms.

--- a/coordination/src/main/java/org/hornbeampass/coordination/escrow/EscrowShard.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/escrow/EscrowShard.java
@@ -44,7 +44,7 @@
      * milliseconds. That VM gives up after {@link LoanSearch#TIMEOUT_MS}, and tokens lent later are
      * lost.
      */
-    private static final long LENDER_WAIT_MS = 60;
+    private static final long LENDER_WAIT_MS = 120;
 
     /**
      * The interval at which the store is checked for an organisation whose requests were refused
@@ -63,7 +63,7 @@
      * The minimum interval between exchanges, in milliseconds. One exchange then serves several
      * requests that wait at a home, even if the home holds less than any of them needs.
      */
-    private static final long MIN_INTERVAL_MS = 50;
+    private static final long MIN_INTERVAL_MS = 20;
 
     /** The minimum interval between exchanges that no request waits for, in milliseconds. */
     private static final long IDLE_INTERVAL_MS = 500;
