Answer only the loans that a transfer can serve

Change: a transfer that brings tokens wakes this VM's requests and the loans of its organisation; one that only reports spending wakes nothing.

--- a/coordination/src/main/java/org/hornbeampass/coordination/escrow/EscrowAccount.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/escrow/EscrowAccount.java
@@ -74,13 +74,10 @@
         addDemand(nowMs, tokens);
     }
 
-    /**
-     * Adds tokens that another VM has deducted from its account. Requests wait on for an exchange
-     * unless these tokens suffice.
-     */
+    /** Adds tokens that another VM has deducted from its account; waiting requests ask again. */
     void borrow(long tokens) {
         mBorrowed += tokens;
-        if (free() >= mWanted) {
+        if (tokens > 0) {
             clearWanted();
         }
     }
--- a/coordination/src/main/java/org/hornbeampass/coordination/escrow/EscrowShard.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/escrow/EscrowShard.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.OptionalLong;
 import java.util.function.LongConsumer;
+import java.util.function.Predicate;
 
 /**
  * Manages the budgets that are kept in one record of the store.
@@ -81,7 +82,7 @@
     private static final long SLOW_CALL_MS = 150;
 
     /** Another VM's request for a loan that waits for an exchange since a time in milliseconds. */
-    private record WaitingLoan(long sinceMs, Runnable answer) {}
+    private record WaitingLoan(String organisation, long sinceMs, Runnable answer) {}
 
     private final EscrowOwner mOwner;
     private final GrantListener mListener;
@@ -212,7 +213,10 @@
         }
         account.addWanted(request.needed(), nowMs + RECHECK_MS);
         mWaitingLoans.add(
-                new WaitingLoan(nowMs, () -> done.accept(mLending.lendToWaiting(nowMs, request))));
+                new WaitingLoan(
+                        organisation,
+                        nowMs,
+                        () -> done.accept(mLending.lendToWaiting(nowMs, request))));
         tick(nowMs);
     }
 
@@ -289,10 +293,12 @@
     }
 
     void acceptTransfer(long nowMs, TokenTransfer transfer) {
-        EscrowAccount account = mAccounts.get(transfer.organisation());
-        account.acceptTransfer(nowMs, transfer.tokens(), transfer.spent());
-        if (transfer.tokens() > 0 && account.smallestWanted().isEmpty()) {
-            runCallbacks();
+        mAccounts
+                .get(transfer.organisation())
+                .acceptTransfer(nowMs, transfer.tokens(), transfer.spent());
+        if (transfer.tokens() > 0) {
+            runRequestCallbacks();
+            answerLoans(l -> l.organisation().equals(transfer.organisation()));
         }
     }
 
@@ -312,7 +318,8 @@
     }
 
     void tick(long nowMs) {
-        answerOverdueLoans(nowMs);
+        // VMs give up after a while, and tokens that come later are lost.
+        answerLoans(l -> nowMs - l.sinceMs() >= LENDER_WAIT_MS);
         if (!mKnownBudgets.organisations().isEmpty()
                 && mExchange.isReady(nowMs)
                 && isExchangeDue(nowMs)) {
@@ -443,20 +450,20 @@
                         mKnownBudgets.prepaid(organisation) - stored.spent()));
     }
 
-    /** Answers loans that wait for too long: their VMs give up, and what came later is lost. */
-    private void answerOverdueLoans(long nowMs) {
-        List<WaitingLoan> overdue =
-                mWaitingLoans.stream().filter(l -> nowMs - l.sinceMs() >= LENDER_WAIT_MS).toList();
-        mWaitingLoans.removeAll(overdue);
-        overdue.forEach(l -> l.answer().run());
+    private void runCallbacks() {
+        runRequestCallbacks();
+        answerLoans(l -> true);
     }
 
-    private void runCallbacks() {
+    private void runRequestCallbacks() {
         List<Runnable> requests = List.copyOf(mRequestCallbacks);
         mRequestCallbacks.clear();
         requests.forEach(Runnable::run);
-        List<WaitingLoan> loans = List.copyOf(mWaitingLoans);
-        mWaitingLoans.clear();
-        loans.forEach(l -> l.answer().run());
+    }
+
+    private void answerLoans(Predicate<WaitingLoan> due) {
+        List<WaitingLoan> answered = mWaitingLoans.stream().filter(due).toList();
+        mWaitingLoans.removeAll(answered);
+        answered.forEach(l -> l.answer().run());
     }
 }
