Name the list of evacuated domains after what it prints

The command is hornbeamctl evacuated and the metric evacuation_failing_ms, so that no platform name stands outside platform/.

--- a/cli/src/main/java/org/hornbeampass/cli/Hornbeamctl.java
+++ b/cli/src/main/java/org/hornbeampass/cli/Hornbeamctl.java
@@ -8,7 +8,7 @@
 import org.hornbeampass.cli.command.CheckCommand;
 import org.hornbeampass.cli.command.CompletionCommand;
 import org.hornbeampass.cli.command.DrainCommand;
-import org.hornbeampass.cli.command.EvacuationsCommand;
+import org.hornbeampass.cli.command.EvacuatedCommand;
 import org.hornbeampass.cli.command.ExplainCommand;
 import org.hornbeampass.cli.command.LossesCommand;
 import org.hornbeampass.cli.command.OrganisationCommand;
@@ -63,7 +63,7 @@
             CheckCommand.class,
             ExplainCommand.class,
             LossesCommand.class,
-            EvacuationsCommand.class,
+            EvacuatedCommand.class,
             CompletionCommand.class
         },
         exitCodeListHeading = "%nExit codes:%n",
--- a/cli/src/main/java/org/hornbeampass/cli/command/EvacuationsCommand.java
+++ b/cli/src/main/java/org/hornbeampass/cli/command/EvacuatedCommand.java
@@ -19,13 +19,13 @@
  * <p>Needs no server. For use by one thread.
  */
 @Command(
-        name = "evacuations",
+        name = "evacuated",
         description = {
             "Prints from routers' logs which failure domains are evacuated: the revision of the",
             "entry in the store, for how long, and how many VMs keep requests away."
         },
-        footer = {"%nExamples:", "  hornbeamctl evacuations vm-1.log vm-2.log"})
-public final class EvacuationsCommand implements Callable<Integer> {
+        footer = {"%nExamples:", "  hornbeamctl evacuated vm-1.log vm-2.log"})
+public final class EvacuatedCommand implements Callable<Integer> {
     @Spec private CommandSpec mSpec;
 
     @Parameters(
--- a/cli/src/test/java/org/hornbeampass/cli/EvacuationsCommandTest.java
+++ b/cli/src/test/java/org/hornbeampass/cli/EvacuatedCommandTest.java
@@ -11,7 +11,7 @@
 import java.util.Map;
 
 /** Tests the list of evacuated failure domains, from logs of several VMs. */
-class EvacuationsCommandTest {
+class EvacuatedCommandTest {
     @TempDir private Path mDirectory;
 
     private String log(String name, String text) throws IOException {
@@ -42,7 +42,7 @@
                         {"at_ms":1200,"kind":"domain-evacuated","domain":"b","revision":8}
                         {"at_ms":1300,"kind":"started"}
                         """);
-        Run run = Run.in(Map.of(), "evacuations", one, two, restarted);
+        Run run = Run.in(Map.of(), "evacuated", one, two, restarted);
         assertThat(run.code()).isZero();
         assertThat(run.out().strip()).isEqualTo("b  revision 8  for 1900 ms  at 2 of 3 VMs");
     }
--- a/coordination/src/main/java/org/hornbeampass/state/ViewKind.java
+++ b/coordination/src/main/java/org/hornbeampass/state/ViewKind.java
@@ -11,7 +11,7 @@
     /** The upstreams' entries. */
     UPSTREAMS("upstreams"),
     /** The failure domains whose upstreams an operator has evacuated. */
-    EVACUATIONS("evacuations");
+    EVACUATIONS("evacuation");
 
     private final String mLabel;
 
--- a/coordination/src/test/java/org/hornbeampass/coordination/escrow/GrantPolicyTest.java
+++ b/coordination/src/test/java/org/hornbeampass/coordination/escrow/GrantPolicyTest.java
@@ -90,8 +90,6 @@
 
     @Test
     void organisationThatKeepsToOneVm_isNotRefusedWhileTheStoreHasItsTokens() {
-        // About 0.1 % refused; 12 % if each transfer of spent tokens ended the wait for an
-        // exchange.
         double refused =
                 IntStream.range(0, SEEDS)
                         .mapToObj(
