--- a/coordination/src/main/java/org/hornbeampass/coordination/service/EvacuatedDomains.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/service/EvacuatedDomains.java
@@ -16,7 +16,6 @@
  */
 public final class EvacuatedDomains {
     private final Map<FailureDomain, Long> mSinceMs = new HashMap<>();
-    private final Map<FailureDomain, Long> mEndedMs = new HashMap<>();
 
     /**
      * Marks a failure domain as evacuated.
@@ -26,7 +25,6 @@
      * @return whether it was not evacuated before
      */
     public boolean begin(long nowMs, FailureDomain domain) {
-        mEndedMs.remove(domain);
         return mSinceMs.putIfAbsent(domain, nowMs) == null;
     }
 
@@ -40,11 +38,7 @@
      */
     public OptionalLong end(long nowMs, FailureDomain domain) {
         Long sinceMs = mSinceMs.remove(domain);
-        if (sinceMs == null) {
-            return OptionalLong.empty();
-        }
-        mEndedMs.put(domain, nowMs);
-        return OptionalLong.of(nowMs - sinceMs);
+        return sinceMs == null ? OptionalLong.empty() : OptionalLong.of(nowMs - sinceMs);
     }
 
     /** Returns whether a failure domain is evacuated. */
@@ -52,12 +46,6 @@
         return mSinceMs.containsKey(domain);
     }
 
-    /** Returns whether an evacuation of a failure domain ended within {@code ms} milliseconds. */
-    boolean endedWithin(long nowMs, FailureDomain domain, long ms) {
-        Long endedMs = mEndedMs.get(domain);
-        return endedMs != null && nowMs - endedMs < ms;
-    }
-
     /** Returns the evacuated failure domains. */
     public Set<FailureDomain> all() {
         return new TreeSet<>(mSinceMs.keySet());
