Let at least eight VMs of a fleet watch the store

Cause: one VM of each failure domain watched.

Change: at least eight VMs watch, spread evenly over the failure domains. A fleet of eight watches as a whole, as before the feeds, and sends no heartbeats of feeds, since no VM depends on them.

--- a/coordination/src/main/java/org/hornbeampass/coordination/news/ViewFeed.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/news/ViewFeed.java
@@ -10,7 +10,7 @@
 
 /**
  * What changed in the views of a VM that watches the platform; sent at an interval even where
- * nothing changed, so that its receivers know that they are up to date.
+ * nothing changed, so that VMs that do not watch know that they are up to date.
  *
  * <p>Immutable; safe for use by any thread.
  *
--- a/coordination/src/main/java/org/hornbeampass/coordination/news/ViewFeeds.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/news/ViewFeeds.java
@@ -16,8 +16,8 @@
 /**
  * Keeps the views of most VMs up to date through the few VMs that watch the platform.
  *
- * <p>A watching VM sends what changed to the other VMs of its failure domain and to one VM of each
- * other failure domain. A VM that is not watching requests what it has missed from the sender, and
+ * <p>A watching VM sends what changed to the other VMs of its failure domain and to the watching
+ * VMs of the others. A VM that is not watching requests what it has missed from the sender, and
  * reads large changes from the platform. Invariant: a view never goes back, since versions are
  * those of the platform's store. Confined to one thread.
  */
@@ -140,7 +140,8 @@
             mViews.values().forEach(Fed::reset);
         }
         mViews.values().forEach(f -> f.mView.setWatching(nowMs, watching));
-        if (watching && (mChanged || nowMs >= mNextFeedMs)) {
+        boolean due = paths.hasDependents() && nowMs >= mNextFeedMs;
+        if (watching && (mChanged || due)) {
             sendFeed(nowMs, paths);
         }
     }
--- a/coordination/src/main/java/org/hornbeampass/coordination/news/WatchDuty.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/news/WatchDuty.java
@@ -4,16 +4,19 @@
  * Decides whether this VM watches the platform itself or is kept up to date by another VM of its
  * failure domain, so that the calls to the platform do not grow with the number of VMs.
  *
- * <p>The VM of rank 0 watches. Any other watches once it has heard from no watching VM for a time
- * that grows with its rank, so that few take over from one that has died, is cut off, or is turned
- * away by the platform. VMs that disagree about the ranks only make more calls. Confined to one
- * thread.
+ * <p>The VMs with the lowest ranks watch. Any other watches once it has heard from no watching VM
+ * for a time that grows with its rank, so that few take over from one that has died, is cut off, or
+ * is turned away by the platform. VMs that disagree about the ranks only make more calls. Confined
+ * to one thread.
  */
 final class WatchDuty {
     /** Interval between feeds, in milliseconds. */
     static final long FEED_INTERVAL_MS = 250;
 
-    /** Silence after which the VM of rank 1 watches, in milliseconds: three feeds are missing. */
+    /**
+     * Silence after which the first VM that does not watch begins to, in milliseconds: three feeds
+     * are missing.
+     */
     static final long SILENCE_MS = 800;
 
     /** Further silence for each rank, in milliseconds: a feed arrives within it. */
@@ -59,12 +62,9 @@
      */
     boolean update(long nowMs, WatchPaths paths) {
         mStartedMs = Math.min(mStartedMs, nowMs);
-        boolean first = paths.known() && paths.rank() == 0;
-        long allowedMs =
-                Math.min(
-                        MAX_SILENCE_MS,
-                        SILENCE_MS + (paths.known() ? paths.rank() * RANK_DELAY_MS : 0));
-        boolean needed = first || silentForMs(nowMs) >= allowedMs;
+        int place = paths.known() ? Math.max(0, paths.rank() - paths.watchers()) : 0;
+        long allowedMs = Math.min(MAX_SILENCE_MS, SILENCE_MS + place * RANK_DELAY_MS);
+        boolean needed = paths.isWatcher() || silentForMs(nowMs) >= allowedMs;
         boolean early = mWatching && nowMs - mWatchingSinceMs < MIN_WATCH_MS;
         boolean watching = needed || early;
         if (watching && !mWatching) {
--- a/coordination/src/test/java/org/hornbeampass/coordination/ratelimit/SlowStartLimitsTest.java
+++ b/coordination/src/test/java/org/hornbeampass/coordination/ratelimit/SlowStartLimitsTest.java
@@ -168,6 +168,7 @@
                                 1.5 * perSecond + 5,
                                 fleet.upstream(COLD).largestSecond(),
                                 sent / (double) Math.max(1, used)));
+                assertThat((double) calm).isLessThanOrEqualTo(1.5 * perSecond + 5);
                 if (issuing == Issuing.FIXED_VMS) {
                     assertWithinBound(fleet, perSecond);
                 }
--- a/router/src/main/java/org/hornbeampass/router/daemon/FleetView.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/FleetView.java
@@ -94,7 +94,7 @@
 
     private MembershipView mIssuersView;
     private List<Member> mWatchMembers = List.of();
-    private WatchPaths mWatchPaths = new WatchPaths(false, 0, List.of(), List.of());
+    private WatchPaths mWatchPaths = new WatchPaths(false, 0, 1, List.of(), List.of());
 
     FleetView(
             RelayDaemonSettings settings,
@@ -231,22 +231,23 @@
         Map<FailureDomain, List<String>> byDomain = new TreeMap<>();
         live.forEach(
                 m -> byDomain.computeIfAbsent(m.domain(), d -> new ArrayList<>()).add(m.name()));
-        List<String> own = byDomain.getOrDefault(mSelf.domain(), List.of());
-        List<String> ranked =
-                RendezvousHash.choose("watch-" + mSelf.domain().value(), own, own.size());
-        byDomain.remove(mSelf.domain());
-        List<String> otherWatchers =
-                byDomain.entrySet().stream()
-                        .flatMap(
-                                e ->
-                                        RendezvousHash.choose(
-                                                "watch-" + e.getKey().value(), e.getValue())
-                                                .stream())
-                        .toList();
+        int watchers = WatchPaths.watchersPerDomain(byDomain.size());
+        List<String> ranked = List.of();
+        List<String> otherWatchers = new ArrayList<>();
+        for (Map.Entry<FailureDomain, List<String>> each : byDomain.entrySet()) {
+            String key = "watch-" + each.getKey().value();
+            List<String> names = each.getValue();
+            if (each.getKey().equals(mSelf.domain())) {
+                ranked = RendezvousHash.choose(key, names, names.size());
+            } else {
+                otherWatchers.addAll(RendezvousHash.choose(key, names, watchers));
+            }
+        }
         int rank = ranked.indexOf(self());
         return new WatchPaths(
                 mMembersKnown,
                 rank < 0 ? ranked.size() : rank,
+                watchers,
                 ranked.stream().filter(n -> !n.equals(self())).toList(),
                 otherWatchers);
     }
