Credit the tokens of a loan whenever its reply arrives

Callers saw: after a restart of all VMs, or at a VM with a late event loop, requests of one organisation were refused for want of tokens while its budget was unspent.

Cause: the lender deducts tokens before it replies; the borrower gave the transport 250 ms for the reply, which then discarded it with the tokens in it. At a VM whose event loop is late by more than that, each search took tokens from the store through up to eight VMs and lost them all.

Why this works: the time that a search waits for one VM is now a matter of the search, checked at each tick; the reply itself is taken for ten seconds, and its tokens are credited also where the search has gone on or ended. What comes too late for its requests goes back to a home as other surplus does.

--- a/coordination/src/main/java/org/hornbeampass/coordination/escrow/EscrowLoans.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/escrow/EscrowLoans.java
@@ -9,11 +9,9 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 
@@ -27,13 +25,22 @@
  * requests need the tokens, from the other homes if there are any.
  *
  * <p>Invariant: the lender deducts tokens before it sends them, and the borrower adds them once,
- * when the reply arrives; if the reply is lost, the tokens are lost, never duplicated. Not
+ * whenever the reply arrives; if the reply is lost, the tokens are lost, never duplicated. Not
  * thread-safe; must be used on the thread of the {@link EscrowBook}, and the network must reply on
  * it.
  */
 public final class EscrowLoans {
-    /** The timeout of a reply, in milliseconds; other VMs normally answer within a few. */
-    private static final long REPLY_TIMEOUT_MS = 500;
+    /**
+     * The time after which a reply, and the tokens in it, are considered lost, in milliseconds.
+     * Other VMs normally reply within a few; one whose event loop is late may take seconds.
+     */
+    static final long REPLY_TIMEOUT_MS = 10_000;
+
+    /**
+     * The time after which another VM is asked for a loan ahead of requests where the first did not
+     * reply, in milliseconds.
+     */
+    private static final long LOAN_AHEAD_RETRY_MS = 500;
 
     /** The interval at which transfers and loans ahead of requests are started, in milliseconds. */
     private static final long INTERVAL_MS = 200;
@@ -55,7 +62,7 @@
     private final PeerNetwork mPeers;
     private final PoolHomes mHomes;
     private final RandomGenerator mRandom;
-    private final Set<String> mOpenRequests = new HashSet<>();
+    private final Map<String, Long> mNextLoanAheadMs = new HashMap<>();
     private final Map<String, LoanSearch> mSearches = new HashMap<>();
     private final Map<String, Long> mNextSearchMs = new HashMap<>();
     private final Map<String, String> mLastLender = new HashMap<>();
@@ -167,6 +174,7 @@
      * asks another VM for tokens of each organisation that runs low.
      */
     public void tick(long nowMs) {
+        List.copyOf(mSearches.values()).forEach(s -> s.tick(nowMs));
         if (nowMs < mNextTickMs) {
             return;
         }
@@ -217,9 +225,10 @@
     }
 
     private void borrowAhead(long nowMs, String organisation, long tokens) {
-        if (!mOpenRequests.add(organisation)) {
+        if (nowMs < mNextLoanAheadMs.getOrDefault(organisation, Long.MIN_VALUE)) {
             return;
         }
+        mNextLoanAheadMs.put(organisation, nowMs + LOAN_AHEAD_RETRY_MS);
         List<String> homes = mHomes.otherHomes(mBook.pool(organisation));
         mPeers.request(
                 nowMs,
@@ -230,7 +239,7 @@
     }
 
     private void onReply(long nowMs, String organisation, Either<Failure, PeerMessage> reply) {
-        mOpenRequests.remove(organisation);
+        mNextLoanAheadMs.remove(organisation);
         if (reply.isRight() && reply.get() instanceof LoanReply loan) {
             mBook.onLoanReply(nowMs, loan);
         }
--- a/coordination/src/main/java/org/hornbeampass/coordination/escrow/EscrowShard.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/escrow/EscrowShard.java
@@ -42,8 +42,7 @@
 
     /**
      * The time after which another VM that waits for an exchange receives what is available, in
-     * milliseconds. That VM gives up after {@link LoanSearch#TIMEOUT_MS}, and tokens lent later are
-     * lost.
+     * milliseconds. That VM asks the next one after {@link LoanSearch#PATIENCE_MS}.
      */
     private static final long LENDER_WAIT_MS = 120;
 
@@ -318,7 +317,6 @@
     }
 
     void tick(long nowMs) {
-        // VMs give up after a while, and tokens that come later are lost.
         answerLoans(l -> nowMs - l.sinceMs() >= LENDER_WAIT_MS);
         if (!mKnownBudgets.organisations().isEmpty()
                 && mExchange.isReady(nowMs)
--- a/coordination/src/main/java/org/hornbeampass/coordination/escrow/LoanSearch.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/escrow/LoanSearch.java
@@ -19,15 +19,17 @@
  * Asks one VM after another for the tokens that requests of one organisation wait for.
  *
  * <p>Invariants: one VM is asked at a time, and each at most once. Every waiting request is
- * notified once, when enough tokens were found or all VMs were asked, or by the listener later. Not
- * thread-safe; must be used on the thread of the {@link EscrowBook}.
+ * notified once, when enough tokens were found or all VMs were asked, or by the listener later. The
+ * tokens in a reply are added to the book whenever it arrives, since its lender has deducted them.
+ * Not thread-safe; must be used on the thread of the {@link EscrowBook}.
  */
 final class LoanSearch {
     /**
-     * The timeout of one VM's reply, in milliseconds, including an exchange with the store. It is
-     * little shorter than the time for which a request waits.
+     * How long the search waits for one VM's reply before it asks the next VM, in milliseconds. It
+     * includes an exchange with the store, and is little shorter than the time for which a request
+     * waits.
      */
-    static final long TIMEOUT_MS = 250;
+    static final long PATIENCE_MS = 250;
 
     /**
      * The maximum number of VMs to ask. Eight VMs answer within about 30 ms where a message takes
@@ -51,6 +53,8 @@
     private final Set<String> mUnresponsive = new HashSet<>();
     private final Set<String> mWithoutStore = new HashSet<>();
     private Optional<String> mLastLender = Optional.empty();
+    private Optional<String> mAskedPeer = Optional.empty();
+    private long mAskedMs;
     private int mHomesToAsk;
     private long mNeeded;
 
@@ -126,6 +130,7 @@
     }
 
     private void askNextPeer(long nowMs) {
+        mAskedPeer = Optional.empty();
         if (isSatisfied() || mPeersToAsk.isEmpty()) {
             boolean deferred = mOnEnded.onEnded(nowMs, this);
             if (!deferred) {
@@ -134,27 +139,45 @@
             return;
         }
         String peer = mPeersToAsk.removeFirst();
+        mAskedPeer = Optional.of(peer);
+        mAskedMs = nowMs;
         boolean atHome = mHomesToAsk-- > 0;
         long tokens = missingTokens() + mBook.extraTokens(nowMs, mOrganisation);
         mPeers.request(
                 nowMs,
                 peer,
                 new LoanRequest(mOrganisation, missingTokens(), tokens, atHome),
-                TIMEOUT_MS,
+                EscrowLoans.REPLY_TIMEOUT_MS,
                 (t, reply) -> onReply(t, peer, reply));
     }
 
+    /** Asks the next VM where the one that was asked has not replied in time. */
+    void tick(long nowMs) {
+        if (mAskedPeer.isPresent() && nowMs - mAskedMs >= PATIENCE_MS) {
+            skip(nowMs, mAskedPeer.get());
+        }
+    }
+
+    private void skip(long nowMs, String peer) {
+        mUnresponsive.add(peer);
+        mWithoutStore.add(peer);
+        askNextPeer(nowMs);
+    }
+
     private void onReply(long nowMs, String peer, Either<Failure, PeerMessage> reply) {
-        if (reply.isLeft()) {
-            mUnresponsive.add(peer);
-            mWithoutStore.add(peer);
-        } else if (reply.get() instanceof LoanReply loan) {
+        boolean waitedFor = mAskedPeer.equals(Optional.of(peer));
+        if (reply.isRight() && reply.get() instanceof LoanReply loan) {
             if (loan.status().known() && loan.status().storeLost()) {
                 mWithoutStore.add(peer);
             }
             mLastLender = loan.tokens() > 0 ? Optional.of(peer) : mLastLender;
             mBook.onLoanReply(nowMs, loan);
+        } else if (waitedFor) {
+            skip(nowMs, peer);
+            return;
+        }
+        if (waitedFor) {
+            askNextPeer(nowMs);
         }
-        askNextPeer(nowMs);
     }
 }
