Log unsuccessful searches for tokens and what was written off

The logs could not tell why requests were refused for tokens that were unspent: how long a search took, how many VMs it asked and how many did not reply in time; and how much of the unspent had been written off with incarnations that ended. The former are a line of their own, only where a search ends without all that was needed; the latter is a field of the refusals.

--- a/coordination/src/main/java/org/hornbeampass/coordination/escrow/EscrowBook.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/escrow/EscrowBook.java
@@ -125,6 +125,11 @@
         shard(organisation).afterNextExchange(nowMs, action);
     }
 
+    /** Returns what is notified of loans. */
+    GrantListener listener() {
+        return mListener;
+    }
+
     /** Returns the tokens that each organisation lacks here while the store is unreachable. */
     Map<String, Long> shortfalls(long nowMs) {
         Map<String, Long> shortfalls = new HashMap<>();
@@ -254,6 +259,8 @@
      * @param free the tokens that can be reserved here
      * @param unallocated the tokens that are not granted to any VM, as last read from the store
      * @param unspent the tokens not known to be spent by any VM, as last read
+     * @param writtenOff the tokens among them that ended incarnations held and that no VM can
+     *     spend, as last read
      * @param storeReplyAgeMs the time since the store last replied, in milliseconds; empty if it
      *     never did
      * @param storeUnreachable whether the store is currently unreachable
@@ -262,6 +269,7 @@
             long free,
             long unallocated,
             long unspent,
+            long writtenOff,
             OptionalLong storeReplyAgeMs,
             boolean storeUnreachable) {}
 
--- a/coordination/src/main/java/org/hornbeampass/coordination/escrow/EscrowLoans.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/escrow/EscrowLoans.java
@@ -163,6 +163,7 @@
         if (search.isSatisfied()) {
             return false;
         }
+        mBook.listener().onUnsuccessfulSearch(nowMs, organisation, search.summary(nowMs));
         mNextSearchMs.put(organisation, nowMs + SEARCH_RETRY_MS);
         boolean homesFail =
                 search.peersWithoutStore().containsAll(mHomes.otherHomes(mBook.pool(organisation)));
--- a/coordination/src/main/java/org/hornbeampass/coordination/escrow/EscrowShard.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/escrow/EscrowShard.java
@@ -306,6 +306,7 @@
                 free(organisation),
                 mKnownBudgets.unallocated(organisation),
                 unspent(organisation),
+                mKnownBudgets.writtenOff(organisation),
                 mKnownBudgets.storeReplyAgeMs(nowMs),
                 isStoreUnreachableFor(nowMs, organisation));
     }
--- a/coordination/src/main/java/org/hornbeampass/coordination/escrow/GrantListener.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/escrow/GrantListener.java
@@ -14,6 +14,9 @@
 
                 @Override
                 public void onLoan(long nowMs, String organisation, long tokens) {}
+
+                @Override
+                public void onUnsuccessfulSearch(long nowMs, String organisation, Search search) {}
             };
 
     /**
@@ -34,6 +37,25 @@
      */
     void onLoan(long nowMs, String organisation, long tokens);
 
+    /**
+     * Called when other VMs did not lend all the tokens that requests waited for.
+     *
+     * @param nowMs the current time in milliseconds
+     * @param organisation the organisation's name
+     * @param search how the search went
+     */
+    void onUnsuccessfulSearch(long nowMs, String organisation, Search search);
+
+    /**
+     * A search for tokens at other VMs.
+     *
+     * @param tookMs how long it took, in milliseconds
+     * @param askedVms the number of VMs that were asked
+     * @param unresponsiveVms the number of those that did not reply in time
+     * @param missing the tokens that requests still lack
+     */
+    record Search(long tookMs, int askedVms, int unresponsiveVms, long missing) {}
+
     /**
      * A change of a grant, in tokens.
      *
--- a/coordination/src/main/java/org/hornbeampass/coordination/escrow/KnownBudgets.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/escrow/KnownBudgets.java
@@ -150,6 +150,14 @@
         return prepaid(organisation) - stored(organisation).spent() - unreported;
     }
 
+    /**
+     * Returns the tokens that ended incarnations held and did not report as spent, as far as known.
+     */
+    long writtenOff(String organisation) {
+        EscrowRecord.Organisation stored = stored(organisation);
+        return stored.closed() - stored.closedSpent();
+    }
+
     /** Returns the tokens that are not granted to any VM, as far as known. */
     long unallocated(String organisation) {
         return mRecordKnown
--- a/coordination/src/main/java/org/hornbeampass/coordination/escrow/LoanSearch.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/escrow/LoanSearch.java
@@ -55,6 +55,8 @@
     private Optional<String> mLastLender = Optional.empty();
     private Optional<String> mAskedPeer = Optional.empty();
     private long mAskedMs;
+    private long mStartMs;
+    private int mAskedVms;
     private int mHomesToAsk;
     private long mNeeded;
 
@@ -97,6 +99,7 @@
     }
 
     void start(long nowMs) {
+        mStartMs = nowMs;
         askNextPeer(nowMs);
     }
 
@@ -105,6 +108,12 @@
         return missingTokens() <= 0;
     }
 
+    /** Returns how the search has gone so far, for logs. */
+    GrantListener.Search summary(long nowMs) {
+        return new GrantListener.Search(
+                nowMs - mStartMs, mAskedVms, mUnresponsive.size(), missingTokens());
+    }
+
     /** Returns the VM that lent tokens last. */
     Optional<String> lastLender() {
         return mLastLender;
@@ -141,6 +150,7 @@
         String peer = mPeersToAsk.removeFirst();
         mAskedPeer = Optional.of(peer);
         mAskedMs = nowMs;
+        mAskedVms++;
         boolean atHome = mHomesToAsk-- > 0;
         long tokens = missingTokens() + mBook.extraTokens(nowMs, mOrganisation);
         mPeers.request(
--- a/router/src/main/java/org/hornbeampass/router/daemon/GrantLog.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/GrantLog.java
@@ -37,4 +37,17 @@
                 "tokens-borrowed",
                 new LogFields().add("organisation", organisation).add("tokens", tokens));
     }
+
+    @Override
+    public void onUnsuccessfulSearch(long nowMs, String organisation, Search search) {
+        mLog.logStateChange(
+                nowMs,
+                "loan-search-unsuccessful",
+                new LogFields()
+                        .add("organisation", organisation)
+                        .add("took_ms", search.tookMs())
+                        .add("asked_vms", search.askedVms())
+                        .add("unresponsive_vms", search.unresponsiveVms())
+                        .add("missing", search.missing()));
+    }
 }
--- a/router/src/main/java/org/hornbeampass/router/relay/RelayCall.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/RelayCall.java
@@ -341,6 +341,7 @@
                 .add("free", admission.free())
                 .add("unallocated", admission.unallocated())
                 .add("unspent", admission.unspent())
+                .add("written_off", admission.writtenOff())
                 .add("heard_ago_ms", admission.storeReplyAgeMs().orElse(-1))
                 .add("store_lost", admission.storeUnreachable());
     }
