Serve each request as soon as a loan covers it

Cause: a search woke the requests that waited for it only once it had tokens for all of them, or had asked eight VMs; requests whose time was over went on counting, and a request was refused at the end of its time without a look at what had become free.

Why this works: after each reply and at each tick, the requests that the free tokens cover are served in the order in which they came; those that wait no longer don't count; the last look is at the tokens. The pause after a search stays for searches that served nobody.

--- a/coordination/src/main/java/org/hornbeampass/coordination/escrow/EscrowLoans.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/escrow/EscrowLoans.java
@@ -46,9 +46,9 @@
     private static final long INTERVAL_MS = 200;
 
     /**
-     * The time after an unsuccessful search during which it is not repeated, in milliseconds.
-     * Otherwise, each request of an organisation whose tokens are used up everywhere would ask all
-     * VMs.
+     * The time after a search that served no request during which it is not repeated, in
+     * milliseconds. Otherwise, each request of an organisation whose tokens are used up everywhere
+     * would ask all VMs.
      */
     private static final long SEARCH_RETRY_MS = 300;
 
@@ -93,14 +93,14 @@
      * @param nowMs the current time in milliseconds
      * @param organisation the organisation's name
      * @param tokens the tokens that the request needs
-     * @param done run once when the search ends, whatever it found; not run if this method returns
-     *     false
+     * @param waiter the request; notified once, when its tokens are free or the search ends, but
+     *     not if this method returns false
      * @return whether a search is in progress; false if no tokens can be expected at present
      */
-    public boolean search(long nowMs, String organisation, long tokens, Runnable done) {
+    public boolean search(long nowMs, String organisation, long tokens, TokenWaiter waiter) {
         LoanSearch open = mSearches.get(organisation);
         if (open != null) {
-            open.addRequest(tokens, done);
+            open.addRequest(tokens, waiter);
             return true;
         }
         if (nowMs < mNextSearchMs.getOrDefault(organisation, Long.MIN_VALUE)) {
@@ -114,7 +114,7 @@
                         mLastLender.getOrDefault(organisation, ""),
                         mRandom);
         if (order.isEmpty()) {
-            return waitForStoreExchange(nowMs, organisation, done);
+            return waitForStoreExchange(nowMs, organisation, waiter::retry);
         }
         LoanSearch search =
                 new LoanSearch(
@@ -124,7 +124,7 @@
                         order,
                         homes.size(),
                         (t, s) -> onSearchEnded(t, organisation, s));
-        search.addRequest(tokens, done);
+        search.addRequest(tokens, waiter);
         mSearches.put(organisation, search);
         search.start(nowMs);
         return true;
@@ -164,7 +164,9 @@
             return false;
         }
         mBook.listener().onUnsuccessfulSearch(nowMs, organisation, search.summary(nowMs));
-        mNextSearchMs.put(organisation, nowMs + SEARCH_RETRY_MS);
+        if (!search.hasServedAny()) {
+            mNextSearchMs.put(organisation, nowMs + SEARCH_RETRY_MS);
+        }
         boolean homesFail =
                 search.peersWithoutStore().containsAll(mHomes.otherHomes(mBook.pool(organisation)));
         return homesFail && waitForStoreExchange(nowMs, organisation, search::notifyRequests);
--- a/coordination/src/main/java/org/hornbeampass/coordination/escrow/LoanSearch.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/escrow/LoanSearch.java
@@ -19,9 +19,9 @@
  * Asks one VM after another for the tokens that requests of one organisation wait for.
  *
  * <p>Invariants: one VM is asked at a time, and each at most once. Every waiting request is
- * notified once, when enough tokens were found or all VMs were asked, or by the listener later. The
- * tokens in a reply are added to the book whenever it arrives, since its lender has deducted them.
- * Not thread-safe; must be used on the thread of the {@link EscrowBook}.
+ * notified once: as soon as the free tokens cover it, when all VMs were asked, or by the listener
+ * later. The tokens in a reply are added to the book whenever it arrives, since its lender has
+ * deducted them. Not thread-safe; must be used on the thread of the {@link EscrowBook}.
  */
 final class LoanSearch {
     /**
@@ -37,6 +37,9 @@
      */
     private static final int MAX_PEERS = 8;
 
+    /** A request that waits for a number of tokens. */
+    private record Waiting(long tokens, TokenWaiter waiter) {}
+
     /** Receives the end of a search. */
     @FunctionalInterface
     interface EndListener {
@@ -49,7 +52,7 @@
     private final String mOrganisation;
     private final Deque<String> mPeersToAsk;
     private final EndListener mOnEnded;
-    private final List<Runnable> mCallbacks = new ArrayList<>();
+    private final List<Waiting> mWaiting = new ArrayList<>();
     private final Set<String> mUnresponsive = new HashSet<>();
     private final Set<String> mWithoutStore = new HashSet<>();
     private Optional<String> mLastLender = Optional.empty();
@@ -58,7 +61,7 @@
     private long mStartMs;
     private int mAskedVms;
     private int mHomesToAsk;
-    private long mNeeded;
+    private boolean mServedAny;
 
     LoanSearch(
             EscrowBook book,
@@ -93,9 +96,8 @@
     }
 
     /** Adds a waiting request. */
-    void addRequest(long tokens, Runnable done) {
-        mNeeded += tokens;
-        mCallbacks.add(done);
+    void addRequest(long tokens, TokenWaiter waiter) {
+        mWaiting.add(new Waiting(tokens, waiter));
     }
 
     void start(long nowMs) {
@@ -103,9 +105,14 @@
         askNextPeer(nowMs);
     }
 
-    /** Returns whether the free tokens cover the needs of all waiting requests. */
+    /** Returns whether no request waits any more. */
     boolean isSatisfied() {
-        return missingTokens() <= 0;
+        return mWaiting.isEmpty();
+    }
+
+    /** Returns whether the search has found the tokens of any request. */
+    boolean hasServedAny() {
+        return mServedAny;
     }
 
     /** Returns how the search has gone so far, for logs. */
@@ -130,16 +137,32 @@
     }
 
     private long missingTokens() {
-        return mNeeded - mBook.free(mOrganisation);
+        long needed = mWaiting.stream().mapToLong(Waiting::tokens).sum();
+        return Math.max(0, needed - mBook.free(mOrganisation));
     }
 
-    /** Notifies the waiting requests. */
+    /** Notifies the requests that still wait. */
     void notifyRequests() {
-        mCallbacks.forEach(Runnable::run);
+        List<Waiting> waiting = List.copyOf(mWaiting);
+        mWaiting.clear();
+        waiting.forEach(w -> w.waiter().retry());
+    }
+
+    /** Notifies the requests that the free tokens cover, in the order in which they came. */
+    private void serveCovered() {
+        mWaiting.removeIf(w -> !w.waiter().isWaiting());
+        for (Waiting each : List.copyOf(mWaiting)) {
+            if (each.tokens() <= mBook.free(mOrganisation)) {
+                mWaiting.remove(each);
+                mServedAny = true;
+                each.waiter().retry();
+            }
+        }
     }
 
     private void askNextPeer(long nowMs) {
         mAskedPeer = Optional.empty();
+        serveCovered();
         if (isSatisfied() || mPeersToAsk.isEmpty()) {
             boolean deferred = mOnEnded.onEnded(nowMs, this);
             if (!deferred) {
@@ -161,8 +184,12 @@
                 (t, reply) -> onReply(t, peer, reply));
     }
 
-    /** Asks the next VM where the one that was asked has not replied in time. */
+    /**
+     * Serves requests from tokens that became free meanwhile, and asks the next VM where the one
+     * that was asked has not replied in time.
+     */
     void tick(long nowMs) {
+        serveCovered();
         if (mAskedPeer.isPresent() && nowMs - mAskedMs >= PATIENCE_MS) {
             skip(nowMs, mAskedPeer.get());
         }
--- a/router/src/main/java/org/hornbeampass/router/relay/RelayCall.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/RelayCall.java
@@ -7,6 +7,7 @@
 
 import org.hornbeampass.coordination.escrow.Admission;
 import org.hornbeampass.coordination.escrow.EscrowBook;
+import org.hornbeampass.coordination.escrow.TokenWaiter;
 import org.hornbeampass.coordination.quarantine.RequestDigest;
 import org.hornbeampass.coordination.quarantine.SuspectTable;
 import org.hornbeampass.coordination.service.RouteTable;
@@ -70,6 +71,18 @@
     private boolean mCallerGone;
     private Runnable mDeadlineTimer = () -> {};
     private Runnable mGrantTimer = () -> {};
+    private final TokenWaiter mTokenWaiter =
+            new TokenWaiter() {
+                @Override
+                public void retry() {
+                    retryAdmission();
+                }
+
+                @Override
+                public boolean isWaiting() {
+                    return isWaitingForTokens();
+                }
+            };
 
     RelayCall(RelayContext context, CallerConnection caller, HttpRequest request, long nowMs) {
         mContext = context;
@@ -216,10 +229,21 @@
             onAdmission(nowMs, admission);
             return;
         }
-        mGrantTimer = timer(grantWaitMs(), t -> onAdmission(t, Admission.INSUFFICIENT_HERE));
+        mGrantTimer = timer(grantWaitMs(), this::onGrantTimeout);
         waitForTokens(nowMs);
     }
 
+    /** Refuses the request unless its tokens have become free by now. */
+    private void onGrantTimeout(long nowMs) {
+        if (isWaitingForTokens()) {
+            onAdmission(nowMs, reserve(nowMs));
+        }
+    }
+
+    private boolean isWaitingForTokens() {
+        return !mEnded && mAttempts.isEmpty();
+    }
+
     /**
      * Returns how long a request may wait for tokens, in milliseconds: at most its objective, and
      * only while an exchange with the store or a search for a loan is under way, both of which end
@@ -236,15 +260,14 @@
             mContext.budgets().afterNextExchange(nowMs, organisation(), this::retryAdmission);
             return;
         }
-        boolean searching =
-                mContext.loans().search(nowMs, organisation(), tokens, this::retryAdmission);
+        boolean searching = mContext.loans().search(nowMs, organisation(), tokens, mTokenWaiter);
         if (!searching) {
             onAdmission(nowMs, Admission.INSUFFICIENT_HERE);
         }
     }
 
     private void retryAdmission() {
-        if (mEnded || mAttempts.isPresent()) {
+        if (!isWaitingForTokens()) {
             return;
         }
         long nowMs = mContext.clock().nowMs();
@@ -279,7 +302,7 @@
     }
 
     private void onAdmission(long nowMs, Admission admission) {
-        if (mEnded || mAttempts.isPresent()) {
+        if (!isWaitingForTokens()) {
             return;
         }
         mGrantTimer.run();
