--- a/router/src/main/java/org/hornbeampass/router/daemon/RelayDaemon.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/RelayDaemon.java
@@ -466,6 +466,11 @@
         return mDirectory.address();
     }
 
+    /** Returns the address for messages of other VMs. */
+    public InetSocketAddress peersAddress() {
+        return mPeers.address();
+    }
+
     /** Returns the address for readiness checks of this VM. */
     public InetSocketAddress readinessAddress() {
         return mReadiness.address();
