--- a/coordination/src/main/java/org/hornbeampass/coordination/address/OverloadExchange.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/address/ConditionExchange.java
@@ -12,27 +12,30 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
 
 /**
- * Shares which VMs are overloaded, so that answers about addresses leave them out.
+ * Shares which VMs are overloaded or have lost their links to services, so that answers about
+ * addresses leave them out and no such request is forwarded to them.
  *
- * <p>Sends nothing while no VM is overloaded. An overload that is not repeated expires, since its
- * VM may have ended. Confined to one thread.
+ * <p>Sends nothing while no VM is in such a condition. A condition that is not repeated expires,
+ * since its VM may have ended. Confined to one thread.
  */
-public final class OverloadExchange {
-    /** How long an overload counts that is not repeated, in milliseconds. */
+public final class ConditionExchange {
+    /** How long a condition counts that is not repeated, in milliseconds. */
     private static final long EXPIRY_MS = 3_000;
 
     /** A VM's state as reported last, and when it was received in milliseconds. */
-    private record State(OverloadReport.Item item, long receivedMs) {}
+    private record State(ConditionReport.Item item, long receivedMs) {}
 
     private final String mSelf;
     private final Map<String, State> mStates = new HashMap<>();
     private final BroadcastQueue<String> mBroadcasts;
     private long mNumber;
     private boolean mOverloaded;
+    private Set<String> mLostServices = Set.of();
 
     /**
      * Creates an exchange.
@@ -42,7 +45,7 @@
      * @param peers sends messages to other VMs
      * @param paths provides the current recipients
      */
-    public OverloadExchange(
+    public ConditionExchange(
             String self, long startNumber, PeerNetwork peers, Supplier<BroadcastPaths> paths) {
         mSelf = self;
         mNumber = startNumber;
@@ -50,27 +53,33 @@
                 new BroadcastQueue<>(
                         paths,
                         (nowMs, vms, names) -> {
-                            OverloadReport report = report(names);
+                            ConditionReport report = report(names);
                             vms.forEach(vm -> peers.send(vm, report));
                         });
     }
 
-    private OverloadReport report(List<String> names) {
-        return new OverloadReport(
+    private ConditionReport report(List<String> names) {
+        return new ConditionReport(
                 names.stream()
                         .filter(mStates::containsKey)
                         .map(n -> mStates.get(n).item())
                         .toList());
     }
 
-    /** Applies this VM's own state and sends what has changed. */
-    public void tick(long nowMs, boolean overloaded) {
-        boolean changed = overloaded != mOverloaded;
+    /** Applies this VM's own condition and sends what has changed. */
+    public void tick(long nowMs, boolean overloaded, Set<String> lostServices) {
+        boolean changed = overloaded != mOverloaded || !lostServices.equals(mLostServices);
         mOverloaded = overloaded;
-        if (changed || (overloaded && mBroadcasts.isRepeatDue(nowMs))) {
+        mLostServices = Set.copyOf(lostServices);
+        boolean any = overloaded || !lostServices.isEmpty();
+        if (changed || (any && mBroadcasts.isRepeatDue(nowMs))) {
             mNumber++;
             mStates.put(
-                    mSelf, new State(new OverloadReport.Item(mSelf, mNumber, overloaded), nowMs));
+                    mSelf,
+                    new State(
+                            new ConditionReport.Item(
+                                    mSelf, mNumber, overloaded, List.copyOf(lostServices)),
+                            nowMs));
             mBroadcasts.add(mSelf);
         }
         mBroadcasts.tick(nowMs);
@@ -79,9 +88,9 @@
 
     /** Applies another VM's report; a {@code PeerHandler}. */
     public void onReport(
-            long nowMs, VmId from, OverloadReport report, Consumer<PeerMessage> reply) {
+            long nowMs, VmId from, ConditionReport report, Consumer<PeerMessage> reply) {
         List<String> changed = new ArrayList<>();
-        for (OverloadReport.Item item : report.items()) {
+        for (ConditionReport.Item item : report.items()) {
             State known = mStates.get(item.vm());
             boolean newer = known == null || item.number() > known.item().number();
             if (newer && !item.vm().equals(mSelf)) {
@@ -94,9 +103,24 @@
 
     /** Returns the names of the overloaded VMs. */
     public Set<String> overloaded() {
+        return vmsWith(ConditionReport.Item::overloaded);
+    }
+
+    /** Returns the names of the VMs that have lost their links to any service. */
+    public Set<String> withLostServices() {
+        return vmsWith(i -> !i.lostServices().isEmpty());
+    }
+
+    /** Returns the names of the VMs that have lost their links to a service. */
+    public Set<String> withoutService(String service) {
+        return vmsWith(i -> i.lostServices().contains(service));
+    }
+
+    private Set<String> vmsWith(Predicate<ConditionReport.Item> condition) {
         return mStates.values().stream()
-                .filter(s -> s.item().overloaded())
-                .map(s -> s.item().vm())
+                .map(State::item)
+                .filter(condition)
+                .map(ConditionReport.Item::vm)
                 .collect(Collectors.toSet());
     }
 }
--- /dev/null
+++ b/coordination/src/main/java/org/hornbeampass/coordination/service/UpstreamReach.java
@@ -0,0 +1,75 @@
+package org.hornbeampass.coordination.service;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
+
+/**
+ * Decides to which services this VM has lost its links, from the outcomes of the connections that
+ * it opens.
+ *
+ * <p>Invariants: the links to a service are lost only after connections to several of its upstreams
+ * failed with none opened in between, and until one opens. Says nothing about the upstreams
+ * themselves. Confined to one thread.
+ */
+public final class UpstreamReach {
+    /** The number of different upstreams that must be unreachable, unless there are fewer. */
+    private static final int MIN_UNREACHABLE = 3;
+
+    private final Map<String, LinkEvidence> mServices = new HashMap<>();
+    private final LinkEvidence mAll = new LinkEvidence();
+    private long mOpenedMs = Long.MIN_VALUE;
+
+    /** Returns whether the links to a service are lost. */
+    public boolean isLost(String service) {
+        LinkEvidence evidence = mServices.get(service);
+        return evidence != null && evidence.isLost();
+    }
+
+    /** Returns the services to which the links are lost. */
+    public Set<String> lostServices() {
+        return mServices.entrySet().stream()
+                .filter(e -> e.getValue().isLost())
+                .map(Map.Entry::getKey)
+                .collect(Collectors.toSet());
+    }
+
+    /** Returns whether this VM reaches no upstream of any service. */
+    public boolean isCutOff() {
+        return mAll.isLost();
+    }
+
+    /**
+     * Returns whether a connection to any upstream has opened since a time.
+     *
+     * @param sinceMs the time in milliseconds
+     */
+    public boolean hasOpenedSince(long sinceMs) {
+        return mOpenedMs >= sinceMs;
+    }
+
+    /** Records that a new connection to an upstream of a service opened. */
+    public void onOpened(long nowMs, String service) {
+        mOpenedMs = nowMs;
+        mAll.onOpened();
+        evidence(service).onOpened();
+    }
+
+    /**
+     * Records that a connection to an upstream could not be opened.
+     *
+     * @param nowMs the present time in milliseconds
+     * @param service the upstream's service
+     * @param address the upstream's address
+     * @param upstreams the number of upstreams of the service, this one included
+     */
+    public void onUnreachable(long nowMs, String service, String address, int upstreams) {
+        mAll.onFailed(nowMs, address, MIN_UNREACHABLE);
+        evidence(service).onFailed(nowMs, address, Math.min(MIN_UNREACHABLE, upstreams));
+    }
+
+    private LinkEvidence evidence(String service) {
+        return mServices.computeIfAbsent(service, s -> new LinkEvidence());
+    }
+}
--- a/coordination/src/main/java/org/hornbeampass/coordination/service/UpstreamRegistry.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/service/UpstreamRegistry.java
@@ -311,6 +311,24 @@
         return instance.isUsable(nowMs) && mPlacement.allows(instance.entry().domain(), homes);
     }
 
+    /** Returns the addresses of a service's upstreams that may get requests. */
+    public List<String> usableAddresses(long nowMs, String service) {
+        return mByService.getOrDefault(service, List.of()).stream()
+                .filter(i -> i.isUsable(nowMs))
+                .map(i -> i.entry().address())
+                .toList();
+    }
+
+    /** Returns the service of the upstream at an address; empty if none is registered there. */
+    public Optional<String> serviceAt(long nowMs, String address) {
+        return mById.values().stream()
+                .filter(i -> !i.isGone(nowMs))
+                .map(UpstreamInstance::entry)
+                .filter(e -> e.address().equals(address))
+                .map(UpstreamEntry::service)
+                .findFirst();
+    }
+
     /** Returns the upstreams in their slow start. */
     public SlowStarts slowStarts() {
         return mSlowStarts;
--- a/coordination/src/test/java/org/hornbeampass/coordination/address/CallerSpreadTest.java
+++ b/coordination/src/test/java/org/hornbeampass/coordination/address/CallerSpreadTest.java
@@ -23,6 +23,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
 import java.util.function.BiConsumer;
 
 /**
@@ -41,7 +42,7 @@
     private final class Vm implements PeerNetwork {
         private final Member mMember;
         private final OverloadDetector mDetector = new OverloadDetector();
-        private final OverloadExchange mExchange;
+        private final ConditionExchange mExchange;
         private int mRequests;
 
         Vm(int number) {
@@ -54,7 +55,7 @@
                             new Region("r"),
                             new FailureDomain("d" + number % 3),
                             MemberState.LIVE);
-            mExchange = new OverloadExchange(name, 1, this, this::paths);
+            mExchange = new ConditionExchange(name, 1, this, this::paths);
         }
 
         private BroadcastPaths paths() {
@@ -70,7 +71,7 @@
                                     .onReport(
                                             mNowMs,
                                             mMember.vm(),
-                                            (OverloadReport) message,
+                                            (ConditionReport) message,
                                             r -> {}));
         }
 
@@ -102,13 +103,21 @@
     private Vm answer(Vm asked) {
         List<Member> named =
                 PreferredMembers.select(
-                        members(), HomeRegions.ANY, Optional.empty(), asked.mExchange.overloaded());
+                        members(),
+                        HomeRegions.ANY,
+                        Optional.empty(),
+                        Set.of(),
+                        asked.mExchange.overloaded());
         return vm(named.get(mRandom.nextInt(named.size())).name());
     }
 
     private boolean names(Vm asked, Vm vm) {
         return PreferredMembers.select(
-                        members(), HomeRegions.ANY, Optional.empty(), asked.mExchange.overloaded())
+                        members(),
+                        HomeRegions.ANY,
+                        Optional.empty(),
+                        Set.of(),
+                        asked.mExchange.overloaded())
                 .contains(vm.mMember);
     }
 
@@ -130,7 +139,7 @@
         mVmOfCaller.values().forEach(v -> v.mRequests += REQUESTS_PER_CALLER);
         double mean = mVms.stream().mapToInt(v -> v.mRequests).average().orElseThrow();
         for (Vm vm : mVms) {
-            vm.mExchange.tick(mNowMs, vm.mDetector.update(mNowMs, vm.mRequests, mean, 0));
+            vm.mExchange.tick(mNowMs, vm.mDetector.update(mNowMs, vm.mRequests, mean, 0), Set.of());
         }
     }
 
--- a/coordination/src/test/java/org/hornbeampass/coordination/address/PreferredMembersTest.java
+++ b/coordination/src/test/java/org/hornbeampass/coordination/address/PreferredMembersTest.java
@@ -34,7 +34,7 @@
 
     private static List<String> select(
             HomeRegions homes, Optional<Region> caller, Set<String> overloaded) {
-        return PreferredMembers.select(ALL, homes, caller, overloaded).stream()
+        return PreferredMembers.select(ALL, homes, caller, Set.of(), overloaded).stream()
                 .map(Member::name)
                 .toList();
     }
@@ -60,4 +60,18 @@
                 .containsExactly("n2", "s1");
         assertThat(select(HomeRegions.ANY, Optional.empty(), Set.of("n1", "n2"))).hasSize(3);
     }
+
+    @Test
+    void vmsWithLostServices_areLeftOutWhileTwoOthersRemain() {
+        assertThat(selectReaching(Set.of("n1"))).containsExactly("n2", "s1");
+        assertThat(selectReaching(Set.of("n1", "n2"))).hasSize(3);
+    }
+
+    private static List<String> selectReaching(Set<String> withoutService) {
+        return PreferredMembers.select(
+                        ALL, HomeRegions.ANY, Optional.empty(), withoutService, Set.of())
+                .stream()
+                .map(Member::name)
+                .toList();
+    }
 }
--- a/router/src/main/java/org/hornbeampass/router/daemon/FleetView.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/FleetView.java
@@ -312,13 +312,16 @@
         return mSettled ? mMaxVmsSeen : Math.max(mMaxVmsSeen, ASSUMED_VMS);
     }
 
+    /** Returns the other VMs that are up. */
+    List<Member> otherLiveMembers() {
+        return mMembership.view().live().stream()
+                .filter(m -> !m.name().equals(mSelf.vm().name()))
+                .toList();
+    }
+
     /** Returns the names of the other VMs that are up. */
     List<String> otherLiveNames() {
-        MembershipView view = mMembership.view();
-        return view.live().stream()
-                .map(Member::name)
-                .filter(n -> !n.equals(mSelf.vm().name()))
-                .toList();
+        return otherLiveMembers().stream().map(Member::name).toList();
     }
 
     /**
--- a/router/src/main/java/org/hornbeampass/router/daemon/RelayDaemon.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/RelayDaemon.java
@@ -6,8 +6,9 @@
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.HttpRequest;
 
-import org.hornbeampass.coordination.address.OverloadExchange;
-import org.hornbeampass.coordination.address.OverloadReport;
+import org.hornbeampass.coordination.address.ConditionExchange;
+import org.hornbeampass.coordination.address.ConditionReport;
+import org.hornbeampass.coordination.address.ForwardTargets;
 import org.hornbeampass.coordination.address.PreferredMembers;
 import org.hornbeampass.coordination.escrow.EscrowBook;
 import org.hornbeampass.coordination.escrow.EscrowLoans;
@@ -36,6 +37,7 @@
 import org.hornbeampass.coordination.service.SlowStarts;
 import org.hornbeampass.coordination.service.UpstreamRegistry;
 import org.hornbeampass.router.relay.AddressRequest;
+import org.hornbeampass.router.relay.Forwarding;
 import org.hornbeampass.router.relay.RelayContext;
 import org.hornbeampass.router.relay.RelayHandler;
 import org.hornbeampass.router.relay.RelayLog;
@@ -66,6 +68,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 
 /**
@@ -103,11 +106,13 @@
     private final EscrowLoans mLoans;
     private final LoadExchange mLoadExchange;
     private final SignalExchange mSignalExchange;
+    private final UpstreamReachMonitor mReachMonitor;
     private final UpstreamPool mPool;
+    private final UpstreamPool mVmPool;
     private final Quarantine mQuarantine;
     private final RelayContext mContext;
     private final StoreChanges mChanges;
-    private final OverloadExchange mOverloadExchange;
+    private final ConditionExchange mConditionExchange;
     private final OverloadMonitor mOverloads;
     private final CallerServer mCallers;
     private final CallerServer mDirectory;
@@ -148,11 +153,13 @@
                         mPeers,
                         mFleet::broadcastPaths,
                         new SignalLog(mLog));
-        mOverloadExchange =
-                new OverloadExchange(ip, vm.incarnation(), mPeers, mFleet::broadcastPaths);
-        mOverloads = new OverloadMonitor(mOverloadExchange, mUpstreamRegistry, TICK_MS, mLog);
+        mConditionExchange =
+                new ConditionExchange(ip, vm.incarnation(), mPeers, mFleet::broadcastPaths);
+        mOverloads = new OverloadMonitor(mConditionExchange, mUpstreamRegistry, TICK_MS, mLog);
         mLoans = new EscrowLoans(mBudgets, mPeers, mFleet.homes(), mRandom);
-        mPool = new UpstreamPool(mLoops, mClock);
+        mReachMonitor = new UpstreamReachMonitor(mUpstreamRegistry, mLog, mRandom);
+        mPool = new UpstreamPool(mLoops, mClock, mReachMonitor);
+        mVmPool = new UpstreamPool(mLoops, mClock, UpstreamPool.ConnectListener.NONE);
         mQuarantine = newQuarantine();
         mContext = newContext();
         mChanges =
@@ -167,7 +174,7 @@
                         new RelayHandler(mContext),
                         this::limits);
         mShutdown = new RelayShutdown(settings.graceMs(), mCallers, mBudgets, mFleet, mContext);
-        mDirectory = serve(settings.listen().directory(), this::onAddressesRequest);
+        mDirectory = serve(settings.listen().directory(), newAddressHandler());
         mReadiness = serve(settings.listen().readiness(), this::onReadinessRequest);
         settings.listen().metrics().ifPresent(a -> serve(a, this::onMetricsRequest));
         mTicks.every(TICK_MS, this::tick);
@@ -212,6 +219,7 @@
                 mClock,
                 mUpstreamRegistry,
                 mPool,
+                new Forwarding(mReachMonitor.reach(), mVmPool, this::forwardTarget),
                 new RequestHasher(mSettings.cluster().revealBytes()),
                 mQuarantine,
                 mSignalExchange,
@@ -225,6 +233,15 @@
                 mOverloads::loopDelayMs);
     }
 
+    private Optional<Member> forwardTarget(String service, Set<String> tried) {
+        return ForwardTargets.choose(
+                mFleet.otherLiveMembers(),
+                mConditionExchange.withoutService(service),
+                mOverloads.overloaded(),
+                tried,
+                mRandom);
+    }
+
     private Optional<FleetView> fleet() {
         return Optional.ofNullable(mFleet);
     }
@@ -311,7 +328,7 @@
         mPeers.on(TokenTransfer.class, mLoans::onTransfer);
         mPeers.on(InFlightReport.class, mLoadExchange::onReport);
         mPeers.on(SignalReport.class, mSignalExchange::onReport);
-        mPeers.on(OverloadReport.class, mOverloadExchange::onReport);
+        mPeers.on(ConditionReport.class, mConditionExchange::onReport);
         mPeers.on(PermitRequest.class, mPermits.announcedLimits()::onRequest);
         mPeers.on(SlowStartRequest.class, mPermits.slowStartLimits()::onRequest);
         mPeers.on(SuspectReport.class, mQuarantine::onReport);
@@ -341,18 +358,16 @@
         mMetrics.register("cold_upstreams", (Gauge<Integer>) mSlowStarts::size);
         mPermits.registerMetrics(mMetrics);
         mMetrics.register("vms", (Gauge<Integer>) mFleet::sharingVmCount);
-        mMetrics.register("caller_connections", (Gauge<Integer>) this::connections);
+        mMetrics.register("caller_connections", (Gauge<Integer>) () -> mCallers.connections());
         mMetrics.register("upstream_connections_opened", (Gauge<Long>) mPool::openedConnections);
+        mMetrics.register("forward_connections_opened", (Gauge<Long>) mVmPool::openedConnections);
+        mReachMonitor.registerMetrics(mMetrics);
     }
 
     private long failingMs(ViewKind view) {
         return mViews.view(view).failingForMs(mClock.nowMs());
     }
 
-    private int connections() {
-        return mCallers.connections();
-    }
-
     private long configVersion() {
         return mChanges.configVersion();
     }
@@ -365,20 +380,8 @@
         return CallerServer.start(mLoops, address, mClock, handler, this::limits);
     }
 
-    private CallerListener onAddressesRequest(
-            long nowMs, CallerConnection caller, HttpRequest head) {
-        Optional<AddressRequest> request = mWire.readAddressRequest(head);
-        if (request.isEmpty()) {
-            respond(caller, 404, "{}");
-            return CallerListener.IGNORING;
-        }
-        List<InetSocketAddress> addresses =
-                membersFor(nowMs, request.get()).stream()
-                        .map(m -> PeerAddresses.parse(m.httpAddress()))
-                        .flatMap(Optional::stream)
-                        .toList();
-        respond(caller, 200, mWire.addresses(addresses, mSettings.keepAddressesMs() / 1_000.0));
-        return CallerListener.IGNORING;
+    private AddressHandler newAddressHandler() {
+        return new AddressHandler(mWire, this::membersFor, () -> mSettings.keepAddressesMs());
     }
 
     private List<Member> membersFor(long nowMs, AddressRequest request) {
@@ -386,6 +389,7 @@
                 mFleet.answerableMembers(nowMs, mStore.answers(), isReady()),
                 mContext.routes().map(r -> r.homesOf(request.host())).orElse(HomeRegions.ANY),
                 request.region(),
+                mConditionExchange.withLostServices(),
                 mOverloads.overloaded());
     }
 
@@ -416,7 +420,8 @@
     }
 
     private void tick(long nowMs) {
-        mOverloads.tick(nowMs);
+        mReachMonitor.tick(nowMs, mPool);
+        mOverloads.tick(nowMs, mReachMonitor.reach().lostServices());
         mStore.tick(nowMs);
         mFleet.tick(nowMs);
         mViews.tick(nowMs);
@@ -428,6 +433,7 @@
         mQuarantine.tick(nowMs);
         mUpstreamRegistry.tick(nowMs);
         mPool.tick(nowMs);
+        mVmPool.tick(nowMs);
         mCallers.tick(nowMs);
         mShutdown.tick(nowMs);
     }
--- /dev/null
+++ b/router/src/main/java/org/hornbeampass/router/daemon/UpstreamReachMonitor.java
@@ -0,0 +1,104 @@
+package org.hornbeampass.router.daemon;
+
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.MetricRegistry;
+
+import org.hornbeampass.coordination.service.UpstreamReach;
+import org.hornbeampass.coordination.service.UpstreamRegistry;
+import org.hornbeampass.router.relay.LogFields;
+import org.hornbeampass.router.relay.RelayLog;
+import org.hornbeampass.transport.relay.UpstreamPool;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.random.RandomGenerator;
+
+/**
+ * Watches to which services this VM has lost its links, and opens connections to their upstreams to
+ * notice the end of a loss, since requests are forwarded to other VMs meanwhile.
+ *
+ * <p>Confined to one event loop.
+ */
+final class UpstreamReachMonitor implements UpstreamPool.ConnectListener {
+    /** The interval between probes during a loss, in milliseconds. */
+    private static final long PROBE_INTERVAL_MS = 300;
+
+    /** How long a probe may take to connect, in milliseconds. */
+    private static final int PROBE_TIMEOUT_MS = 350;
+
+    private final UpstreamReach mReach = new UpstreamReach();
+    private final UpstreamRegistry mUpstreams;
+    private final RelayLog mLog;
+    private final RandomGenerator mRandom;
+    private final Map<String, Long> mLostSinceMs = new HashMap<>();
+    private long mNextProbeMs;
+
+    /**
+     * Creates the monitor.
+     *
+     * @param upstreams the upstreams
+     * @param log receives a line when the links are lost or regained
+     * @param random chooses the upstreams to probe
+     */
+    UpstreamReachMonitor(UpstreamRegistry upstreams, RelayLog log, RandomGenerator random) {
+        mUpstreams = upstreams;
+        mLog = log;
+        mRandom = random;
+    }
+
+    void registerMetrics(MetricRegistry metrics) {
+        metrics.register("lost_services", (Gauge<Integer>) () -> mReach.lostServices().size());
+    }
+
+    UpstreamReach reach() {
+        return mReach;
+    }
+
+    @Override
+    public void onOpened(long nowMs, String address) {
+        mUpstreams.serviceAt(nowMs, address).ifPresent(s -> onOpenedTo(nowMs, s));
+    }
+
+    private void onOpenedTo(long nowMs, String service) {
+        mReach.onOpened(nowMs, service);
+        Long sinceMs = mLostSinceMs.remove(service);
+        if (sinceMs != null) {
+            mLog.logStateChange(
+                    nowMs,
+                    "service-regained",
+                    new LogFields().add("service", service).add("lost_ms", nowMs - sinceMs));
+        }
+    }
+
+    @Override
+    public void onUnreachable(long nowMs, String address) {
+        mUpstreams.serviceAt(nowMs, address).ifPresent(s -> onUnreachable(nowMs, s, address));
+    }
+
+    private void onUnreachable(long nowMs, String service, String address) {
+        int upstreams = mUpstreams.usableAddresses(nowMs, service).size();
+        mReach.onUnreachable(nowMs, service, address, Math.max(1, upstreams));
+        if (mReach.isLost(service) && mLostSinceMs.putIfAbsent(service, nowMs) == null) {
+            mLog.logStateChange(
+                    nowMs,
+                    "service-lost",
+                    new LogFields().add("service", service).add("upstreams", upstreams));
+        }
+    }
+
+    /** Probes one upstream of each service to which the links are lost. */
+    void tick(long nowMs, UpstreamPool pool) {
+        if (nowMs < mNextProbeMs) {
+            return;
+        }
+        mNextProbeMs = nowMs + PROBE_INTERVAL_MS;
+        for (String service : mReach.lostServices()) {
+            List<String> addresses = mUpstreams.usableAddresses(nowMs, service);
+            if (!addresses.isEmpty()) {
+                String address = addresses.get(mRandom.nextInt(addresses.size()));
+                pool.probe(address, PROBE_TIMEOUT_MS, opened -> {});
+            }
+        }
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/hornbeampass/router/relay/BodyTransfer.java
@@ -0,0 +1,46 @@
+package org.hornbeampass.router.relay;
+
+import io.netty.buffer.ByteBuf;
+
+import org.hornbeampass.transport.relay.UpstreamConnection;
+
+/**
+ * Sends a request's body on a connection, as far as it has arrived.
+ *
+ * <p>Invariant: reading from the caller pauses while the connection is not writable. Confined to
+ * one event loop.
+ */
+final class BodyTransfer {
+    private final RelayCall mCall;
+    private final RequestBody mBody;
+    private boolean mSent;
+
+    BodyTransfer(RelayCall call, RequestBody body) {
+        mCall = call;
+        mBody = body;
+    }
+
+    /** Begins again from the start of the body, for another connection. */
+    void restart() {
+        mSent = false;
+    }
+
+    /** Sends the parts that have arrived and were not sent yet. */
+    void send(UpstreamConnection connection) {
+        if (mSent) {
+            return;
+        }
+        for (ByteBuf part : mBody.takeParts()) {
+            connection.sendPart(part);
+        }
+        if (mBody.fullyReceived()) {
+            mSent = true;
+            connection.sendEnd();
+            return;
+        }
+        connection.flush();
+        if (!connection.isWritable()) {
+            mCall.caller().setReading(false);
+        }
+    }
+}
--- a/router/src/main/java/org/hornbeampass/router/relay/CallerHead.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/CallerHead.java
@@ -17,6 +17,7 @@
  * @param prompt the prompt that a model has to read, and the most tokens that it may generate
  * @param lastEventId the id of the last event that the caller has received, where it resumes a
  *     stream
+ * @param forwarded whether another VM forwarded the request to this one
  */
 public record CallerHead(
         String id,
@@ -24,4 +25,5 @@
         OptionalLong timeoutMs,
         Optional<String> apiKey,
         Prompt prompt,
-        OptionalLong lastEventId) {}
+        OptionalLong lastEventId,
+        boolean forwarded) {}
--- /dev/null
+++ b/router/src/main/java/org/hornbeampass/router/relay/ForwardedRequest.java
@@ -0,0 +1,293 @@
+package org.hornbeampass.router.relay;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpVersion;
+
+import org.hornbeampass.state.ErrorKind;
+import org.hornbeampass.state.Failure;
+import org.hornbeampass.state.member.Member;
+import org.hornbeampass.state.service.RouteKind;
+import org.hornbeampass.transport.relay.UpstreamConnection;
+import org.hornbeampass.transport.relay.UpstreamListener;
+
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * Forwards one request to another VM, which handles it like a request of its own caller, and
+ * returns its answer.
+ *
+ * <p>The other VM reserves and bills the tokens, chooses the upstream and decides what may be sent
+ * again. Invariants: at most one other VM handles the request at a time; it is forwarded again only
+ * where the VM before stated that the request did not run; a failure that states that the request
+ * did not run is answered only where that is certain. Confined to one event loop.
+ */
+final class ForwardedRequest implements RequestExecution, UpstreamListener {
+    /** How many VMs a request may be forwarded to, one after another. */
+    private static final int MAX_TARGETS = 3;
+
+    private static final int PAYMENT_REQUIRED = 402;
+
+    private final RelayContext mContext;
+    private final RelayCall mCall;
+    private final RelayPlan mPlan;
+    private final RequestBody mBody;
+    private final BodyTransfer mTransfer;
+    private final CallerAnswer mAnswer;
+    private final Set<String> mTried = new HashSet<>();
+    private Optional<Member> mTarget = Optional.empty();
+    private Optional<UpstreamConnection> mConnection = Optional.empty();
+    private boolean mMayHaveRun;
+    private boolean mSealed;
+
+    ForwardedRequest(RelayContext context, RelayCall call, RelayPlan plan, RequestBody body) {
+        mContext = context;
+        mCall = call;
+        mPlan = plan;
+        mBody = body;
+        mTransfer = new BodyTransfer(call, body);
+        mAnswer = new CallerAnswer(call, plan);
+    }
+
+    @Override
+    public void start(long nowMs) {
+        if (nowMs >= mPlan.deadlineMs()) {
+            onDeadline(nowMs);
+            return;
+        }
+        mTarget = mTried.size() < MAX_TARGETS ? target() : mTarget;
+        Optional<Member> target = mTarget.filter(t -> mTried.add(t.name()));
+        if (target.isEmpty()) {
+            fail(nowMs, Refusals.noUpstream("no router that was asked reaches an upstream"));
+            return;
+        }
+        Member vm = target.get();
+        long remainingMs = mPlan.deadlineMs() - nowMs;
+        mContext.forwarding()
+                .pool()
+                .connect(
+                        nowMs,
+                        vm.httpAddress(),
+                        RelayBounds.MAX_IDLE_NOT_REPEATABLE_MS,
+                        (int) Math.min(RelayBounds.CONNECT_TIMEOUT_MS, remainingMs),
+                        connection -> onConnected(vm, connection));
+    }
+
+    private void onConnected(Member vm, Optional<UpstreamConnection> connection) {
+        long nowMs = mContext.clock().nowMs();
+        if (mCall.ended()) {
+            connection.ifPresent(UpstreamConnection::cancel);
+            return;
+        }
+        if (connection.isEmpty()) {
+            logDecision(nowMs, "forward-unreachable", new LogFields().add("to", vm.name()));
+            start(nowMs);
+            return;
+        }
+        logDecision(nowMs, "forwarded", new LogFields().add("to", vm.name()));
+        mMayHaveRun = true;
+        mConnection = connection;
+        mTransfer.restart();
+        connection.get().start(mPlan.forwardHead(nowMs, mContext.wire()), this);
+        mTransfer.send(connection.get());
+    }
+
+    @Override
+    public void onBody(long nowMs) {
+        mConnection.ifPresent(mTransfer::send);
+    }
+
+    @Override
+    public void onUpstreamWritable(long nowMs) {
+        mCall.caller().setReading(true);
+    }
+
+    @Override
+    public boolean onHead(long nowMs, HttpResponse head) {
+        AnswerHead answer = mContext.wire().readAnswer(head, mPlan.head().id());
+        if (answer.outcome() == AnswerOutcome.UNRELATED) {
+            return false;
+        }
+        if (answer.outcome() == AnswerOutcome.UNVERIFIED) {
+            cancelConnection();
+            onLost(nowMs, "the answer lacks the headers that prove its origin");
+            return true;
+        }
+        mSealed = answer.hasSeal();
+        if (!mSealed) {
+            mMayHaveRun = !statesNotRun(head.status().code());
+            if (!mMayHaveRun && mayForwardAgain()) {
+                logDecision(
+                        nowMs,
+                        "forward-refused",
+                        new LogFields()
+                                .add("to", mTarget.orElseThrow().name())
+                                .add("status", head.status().code()));
+                cancelConnection();
+                start(nowMs);
+                return true;
+            }
+        }
+        HttpResponse copy =
+                new DefaultHttpResponse(
+                        HttpVersion.HTTP_1_1, head.status(), EndToEndHeaders.of(head.headers()));
+        boolean streams =
+                mPlan.route().kind().streams() && answer.outcome() == AnswerOutcome.SUCCEEDED;
+        if (streams && mSealed) {
+            mAnswer.startStream(copy);
+        } else {
+            mAnswer.startBuffered(copy);
+        }
+        return true;
+    }
+
+    /**
+     * Returns whether a router's own answer with a status states that it did not run the request. A
+     * 4xx also tells that its configuration differs from this router's, which accepts the request.
+     */
+    private static boolean statesNotRun(int status) {
+        boolean clientError = status >= 400 && status < 500;
+        return status == 503 || (clientError && status != PAYMENT_REQUIRED);
+    }
+
+    private boolean mayForwardAgain() {
+        return mBody.replayable()
+                && !mCall.callerGone()
+                && mTried.size() < MAX_TARGETS
+                && target().isPresent();
+    }
+
+    private Optional<Member> target() {
+        return mContext.forwarding().target(mPlan.service().name(), mTried);
+    }
+
+    @Override
+    public void onPart(long nowMs, ByteBuf part) {
+        if (mCall.ended() || mConnection.isEmpty()) {
+            part.release();
+            return;
+        }
+        boolean continuous = mAnswer.append(part);
+        if (!continuous) {
+            cancelConnection();
+            abortAnswer(nowMs, "a router omitted events of the stream");
+        }
+    }
+
+    @Override
+    public void onReadComplete(long nowMs) {
+        if (mCall.ended() || mConnection.isEmpty()) {
+            return;
+        }
+        mCall.caller().flush();
+        if (!mCall.caller().isWritable() && !mCall.callerGone()) {
+            mConnection.get().setReading(false);
+        }
+    }
+
+    @Override
+    public void onCallerWritable() {
+        mConnection.ifPresent(c -> c.setReading(true));
+    }
+
+    @Override
+    public void onEnd(long nowMs) {
+        if (mCall.ended() || mConnection.isEmpty()) {
+            return;
+        }
+        mConnection = Optional.empty();
+        mAnswer.end();
+        mCall.end(nowMs, mSealed ? "answered" : "refused-by-vm", 0);
+        mCall.caller().sendEnd();
+    }
+
+    @Override
+    public void onBroken(long nowMs, String reason) {
+        if (mCall.ended() || mConnection.isEmpty()) {
+            return;
+        }
+        mConnection = Optional.empty();
+        onLost(nowMs, reason);
+    }
+
+    private void onLost(long nowMs, String reason) {
+        logDecision(
+                nowMs,
+                "forward-lost",
+                new LogFields()
+                        .add("to", mTarget.map(Member::name).orElse(""))
+                        .add("reason", reason)
+                        .add("events", mAnswer.eventCount()));
+        if (mAnswer.headSent()) {
+            abortAnswer(nowMs, reason);
+            return;
+        }
+        ErrorKind kind =
+                mPlan.route().kind() == RouteKind.NON_IDEMPOTENT
+                        ? ErrorKind.OUTCOME_UNKNOWN
+                        : ErrorKind.UPSTREAM_FAILED;
+        fail(nowMs, Failure.of(kind, "the router that handled the request was lost"));
+    }
+
+    @Override
+    public void onDeadline(long nowMs) {
+        cancelConnection();
+        if (mAnswer.headSent()) {
+            abortAnswer(nowMs, "the deadline has passed");
+        } else if (mMayHaveRun) {
+            fail(nowMs, Failure.of(ErrorKind.DEADLINE_EXCEEDED, "the deadline has passed"));
+        } else {
+            fail(nowMs, Refusals.noUpstream("the deadline passed before the request was sent"));
+        }
+    }
+
+    @Override
+    public void refuse(long nowMs, Failure failure) {
+        cancelConnection();
+        if (mAnswer.headSent()) {
+            abortAnswer(nowMs, failure.message());
+        } else {
+            fail(nowMs, failure);
+        }
+    }
+
+    /** Closes the connection, so that the other VM handles the loss of the caller in its turn. */
+    @Override
+    public void onCallerGone(long nowMs) {
+        cancelConnection();
+        mAnswer.release();
+        mCall.end(nowMs, "caller-gone", 0);
+    }
+
+    @Override
+    public LogFields summary() {
+        return new LogFields()
+                .add("forwarded_to", mTarget.map(Member::name).orElse(""))
+                .add("vms_tried", mTried.size())
+                .add("events", mAnswer.eventCount());
+    }
+
+    private void fail(long nowMs, Failure failure) {
+        mAnswer.release();
+        mCall.fail(nowMs, failure, 0);
+    }
+
+    private void abortAnswer(long nowMs, String why) {
+        logDecision(nowMs, "broken-off", new LogFields().add("reason", why));
+        mAnswer.release();
+        mCall.end(nowMs, "broken", 0);
+        mCall.caller().abort();
+    }
+
+    private void cancelConnection() {
+        mConnection.ifPresent(UpstreamConnection::cancel);
+        mConnection = Optional.empty();
+    }
+
+    private void logDecision(long nowMs, String decision, LogFields fields) {
+        mContext.log().logDecision(nowMs, mPlan.head().id(), decision, fields);
+    }
+}
--- a/router/src/main/java/org/hornbeampass/router/relay/Refusals.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/Refusals.java
@@ -16,21 +16,6 @@
     static final String QUARANTINED_MESSAGE =
             "upstreams crashed each time they ran this request, so it is not sent to any other";
 
-    /** When to retry for tokens: after the next exchange with the store. */
-    private static final long STORE_EXCHANGE_RETRY_MS = 200;
-
-    /**
-     * When to retry for tokens while the store is unreachable; a caller that retries during the
-     * same outage is refused again.
-     */
-    private static final long STORE_UNREACHABLE_RETRY_MS = 2_500;
-
-    /**
-     * When to retry where the store is reachable, but neither it nor other VMs have the tokens:
-     * once requests in flight have ended and returned what they did not use.
-     */
-    private static final long TOKENS_IN_USE_RETRY_MS = 1_500;
-
     /** When to retry where no upstream has free capacity. */
     private static final long NO_UPSTREAM_RETRY_MS = 250;
 
@@ -56,24 +41,6 @@
 
     private Refusals() {}
 
-    /** Why a VM lacks the tokens for a request. */
-    enum TokenShortage {
-        /** The store is unreachable, and so are the tokens that it holds. */
-        STORE_UNREACHABLE(STORE_UNREACHABLE_RETRY_MS),
-
-        /** The store may hold more tokens. */
-        STORE_MAY_HAVE_MORE(STORE_EXCHANGE_RETRY_MS),
-
-        /** Requests in flight have reserved the remaining tokens. */
-        TOKENS_IN_USE(TOKENS_IN_USE_RETRY_MS);
-
-        private final long mRetryMs;
-
-        TokenShortage(long retryMs) {
-            mRetryMs = retryMs;
-        }
-    }
-
     /** Returns the failure for a router that has no configuration yet. */
     static Failure noConfiguration() {
         return notReady("this router has no configuration yet; retry later or at another address");
@@ -117,11 +84,11 @@
     }
 
     /** Returns the failure for an organisation that has tokens left, but too few on this VM. */
-    static Failure tooFewTokens(TokenShortage shortage) {
+    static Failure tooFewTokens(TokenShortage.Reason reason) {
         return Failure.retryAfter(
                 ErrorKind.BUDGET_UNREACHABLE,
                 "this router holds too few tokens at present; retry later or at another address",
-                shortage.mRetryMs);
+                reason.retryMs());
     }
 
     /**
--- a/router/src/main/java/org/hornbeampass/router/relay/RelayAttempts.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/RelayAttempts.java
@@ -23,11 +23,12 @@
  * within the route's maximum, not counting sends that reached a different upstream than intended.
  * Confined to one event loop.
  */
-final class RelayAttempts implements UpstreamListener, UpstreamSearch.Listener {
+final class RelayAttempts implements RequestExecution, UpstreamListener, UpstreamSearch.Listener {
     private final RelayContext mContext;
     private final RelayCall mCall;
     private final RelayPlan mPlan;
     private final RequestBody mBody;
+    private final BodyTransfer mTransfer;
     private final CrashHistory mCrashes;
     private final CallerAnswer mAnswer;
     private final SendCounts mCounts;
@@ -35,7 +36,6 @@
     private final UpstreamSearch mSearch;
     private Optional<InFlightSend> mSend = Optional.empty();
     private Optional<UpstreamConnection> mConnection = Optional.empty();
-    private boolean mBodySent;
     private long mSentMs;
     private long mFirstByteMs = -1;
 
@@ -49,6 +49,7 @@
         mCall = call;
         mPlan = plan;
         mBody = body;
+        mTransfer = new BodyTransfer(call, body);
         mCrashes = crashes;
         mAnswer = new CallerAnswer(call, plan);
         mCounts = new SendCounts(plan.route());
@@ -58,8 +59,13 @@
                         context, call, plan, crashes, mCounts, this, this::onInstanceEnded);
     }
 
+    @Override
+    public void start(long nowMs) {
+        startAttempt(nowMs);
+    }
+
     /** Sends the request to an upstream to which it was not sent yet. */
-    void startAttempt(long nowMs) {
+    private void startAttempt(long nowMs) {
         mSearch.start(nowMs);
     }
 
@@ -71,34 +77,16 @@
             mContext.countFirstSend(nowMs, mPlan.service().name());
         }
         mSentMs = nowMs;
-        mBodySent = false;
+        mTransfer.restart();
         connection.start(
                 mPlan.upstreamHead(nowMs, mContext.wire(), send, mAnswer.lastEventId()), this);
-        sendBody();
+        mTransfer.send(connection);
         mSilenceTimeout.startForAnswer();
     }
 
-    /** Sends the parts of the body that have arrived. */
-    void onBody(long nowMs) {
-        if (mConnection.isPresent() && !mBodySent) {
-            sendBody();
-        }
-    }
-
-    private void sendBody() {
-        UpstreamConnection connection = mConnection.orElseThrow();
-        for (ByteBuf part : mBody.takeParts()) {
-            connection.sendPart(part);
-        }
-        if (mBody.fullyReceived()) {
-            mBodySent = true;
-            connection.sendEnd();
-            return;
-        }
-        connection.flush();
-        if (!connection.isWritable()) {
-            mCall.caller().setReading(false);
-        }
+    @Override
+    public void onBody(long nowMs) {
+        mConnection.ifPresent(mTransfer::send);
     }
 
     @Override
@@ -223,8 +211,8 @@
         }
     }
 
-    /** Resumes reading the answer once the caller's connection is writable again. */
-    void onCallerWritable() {
+    @Override
+    public void onCallerWritable() {
         mConnection.ifPresent(c -> c.setReading(true));
     }
 
@@ -308,8 +296,8 @@
         onAttemptLost(nowMs, "the upstream was silent for too long", mCrashes.status());
     }
 
-    /** Ends the request at its deadline. */
-    void onDeadline(long nowMs) {
+    @Override
+    public void onDeadline(long nowMs) {
         if (mConnection.isPresent() && mFirstByteMs < 0) {
             mSend.ifPresent(u -> u.instance().onNoAnswer(nowMs));
         }
@@ -327,11 +315,8 @@
         }
     }
 
-    /**
-     * Refuses the request while it is still being sent; the body is incomplete, so no upstream can
-     * run it.
-     */
-    void refuse(long nowMs, Failure failure) {
+    @Override
+    public void refuse(long nowMs, Failure failure) {
         abandonSend();
         if (mAnswer.headSent()) {
             abortAnswer(nowMs, failure.message());
@@ -344,7 +329,8 @@
      * Handles the loss of the caller. A request that may not be repeated continues to run, so that
      * its outcome becomes known.
      */
-    void onCallerGone(long nowMs) {
+    @Override
+    public void onCallerGone(long nowMs) {
         boolean sent = mConnection.isPresent();
         if (sent && !mPlan.route().kind().cancelsOnCallerDisconnect()) {
             return;
@@ -374,6 +360,9 @@
             giveUp(nowMs, "no upstream accepts requests at present");
             return;
         }
+        if (mCall.forwardIfAdvised(nowMs)) {
+            return;
+        }
         String service = mPlan.service().name();
         if (mContext.upstreamRegistry().isEvacuated(nowMs, service, mPlan.homes())) {
             fail(nowMs, Refusals.evacuated(mContext.random()));
@@ -392,6 +381,10 @@
 
     @Override
     public void onGivenUp(long nowMs, String why) {
+        boolean mayForward = !mAnswer.headSent() && !mCounts.mayHaveRun();
+        if (mayForward && mCall.forwardIfAdvised(nowMs)) {
+            return;
+        }
         giveUp(nowMs, why);
     }
 
@@ -456,11 +449,8 @@
         return mPlan.head().prompt().promptTokens() + mAnswer.eventCount() * mPlan.tokensPerEvent();
     }
 
-    /**
-     * Returns the counts of sends and events and the time to the first byte as fields of a log
-     * line.
-     */
-    LogFields summary() {
+    @Override
+    public LogFields summary() {
         return mCounts.fields()
                 .add("events", mAnswer.eventCount())
                 .add("first_ms", mFirstByteMs < 0 ? -1 : mFirstByteMs - mSentMs);
--- a/router/src/main/java/org/hornbeampass/router/relay/RelayCall.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/RelayCall.java
@@ -6,7 +6,6 @@
 import io.vavr.control.Either;
 
 import org.hornbeampass.coordination.escrow.Admission;
-import org.hornbeampass.coordination.escrow.EscrowBook;
 import org.hornbeampass.coordination.escrow.TokenWaiter;
 import org.hornbeampass.coordination.quarantine.RequestDigest;
 import org.hornbeampass.coordination.quarantine.SuspectTable;
@@ -57,12 +56,13 @@
                     OptionalLong.empty(),
                     Optional.empty(),
                     Prompt.NONE,
-                    OptionalLong.empty());
+                    OptionalLong.empty(),
+                    false);
     private Optional<Route> mRoute = Optional.empty();
     private Optional<ServiceSpec> mService = Optional.empty();
     private Optional<PrepaidOrganisation> mOrganisation = Optional.empty();
     private Optional<CrashHistory> mCrashes = Optional.empty();
-    private Optional<RelayAttempts> mAttempts = Optional.empty();
+    private Optional<RequestExecution> mExecution = Optional.empty();
     private long mDeadlineMs;
     private long mReserved;
     private LogFields mShortageFields = new LogFields();
@@ -175,8 +175,8 @@
             onTooLarge(nowMs);
             return;
         }
-        if (mAttempts.isPresent()) {
-            mAttempts.get().onBody(nowMs);
+        if (mExecution.isPresent()) {
+            mExecution.get().onBody(nowMs);
         } else if (mBody.large()) {
             mCaller.setReading(false);
             admit(nowMs);
@@ -185,8 +185,8 @@
 
     private void onTooLarge(long nowMs) {
         Failure failure = Failure.of(ErrorKind.REQUEST_TOO_LARGE, "the body is too large");
-        if (mAttempts.isPresent()) {
-            mAttempts.get().refuse(nowMs, failure);
+        if (mExecution.isPresent()) {
+            mExecution.get().refuse(nowMs, failure);
         } else {
             fail(nowMs, failure);
         }
@@ -202,8 +202,8 @@
             return;
         }
         mBody.end();
-        if (mAttempts.isPresent()) {
-            mAttempts.get().onBody(nowMs);
+        if (mExecution.isPresent()) {
+            mExecution.get().onBody(nowMs);
         } else {
             admit(nowMs);
         }
@@ -224,6 +224,9 @@
             fail(nowMs, quarantined(nowMs, crashes.digest()));
             return;
         }
+        if (forwardIfAdvised(nowMs)) {
+            return;
+        }
         Admission admission = reserve(nowMs);
         if (admission != Admission.INSUFFICIENT_HERE) {
             onAdmission(nowMs, admission);
@@ -241,7 +244,7 @@
     }
 
     private boolean isWaitingForTokens() {
-        return !mEnded && mAttempts.isEmpty();
+        return !mEnded && mExecution.isEmpty();
     }
 
     /**
@@ -307,31 +310,53 @@
         }
         mGrantTimer.run();
         if (admission == Admission.RESERVED || admission == Admission.UNMETERED) {
-            mCaller.setReading(true);
-            mAttempts =
-                    Optional.of(
-                            new RelayAttempts(
-                                    mContext,
-                                    this,
-                                    new RelayPlan(
-                                            mRequest,
-                                            mHead,
-                                            mRoute.orElseThrow(),
-                                            mService.orElseThrow(),
-                                            mOrganisation.map(PrepaidOrganisation::name),
-                                            homes(),
-                                            mDeadlineMs),
-                                    mBody,
-                                    mCrashes.orElseThrow()));
-            mAttempts.get().startAttempt(nowMs);
+            execute(
+                    nowMs,
+                    new RelayAttempts(mContext, this, plan(), mBody, mCrashes.orElseThrow()));
             return;
         }
-        mShortageFields = shortageFields(nowMs);
+        TokenShortage shortage =
+                new TokenShortage(mContext.budgets(), organisation(), mHead.prompt().maxTokens());
+        mShortageFields = shortage.fields(nowMs);
         fail(
                 nowMs,
                 admission == Admission.EXHAUSTED
                         ? Refusals.exhausted()
-                        : Refusals.tooFewTokens(tokenShortage(nowMs)));
+                        : Refusals.tooFewTokens(shortage.reason(nowMs)));
+    }
+
+    private void execute(long nowMs, RequestExecution execution) {
+        mCaller.setReading(true);
+        mExecution = Optional.of(execution);
+        execution.start(nowMs);
+    }
+
+    private RelayPlan plan() {
+        return new RelayPlan(
+                mRequest,
+                mHead,
+                mRoute.orElseThrow(),
+                mService.orElseThrow(),
+                mOrganisation.map(PrepaidOrganisation::name),
+                homes(),
+                mDeadlineMs);
+    }
+
+    /**
+     * Forwards the request to another VM where this one has lost its links to the service; it must
+     * not have run. Tokens that were reserved are released: the other VM reserves its own.
+     *
+     * @return whether the request is being forwarded
+     */
+    boolean forwardIfAdvised(long nowMs) {
+        String service = mService.orElseThrow().name();
+        if (!mBody.replayable() || !mContext.forwarding().isAdvised(mHead, service)) {
+            return false;
+        }
+        mContext.budgets().settle(nowMs, organisation(), mReserved, 0);
+        mReserved = 0;
+        execute(nowMs, new ForwardedRequest(mContext, this, plan(), mBody));
+        return true;
     }
 
     /** Returns the identity of the request; its caller is the organisation that pays. */
@@ -345,38 +370,14 @@
         return identity;
     }
 
-    private Refusals.TokenShortage tokenShortage(long nowMs) {
-        if (mContext.budgets().isStoreUnreachable(nowMs, organisation())) {
-            return Refusals.TokenShortage.STORE_UNREACHABLE;
-        }
-        long tokens = mHead.prompt().maxTokens();
-        return mContext.budgets().mayObtainTokens(nowMs, organisation(), tokens)
-                ? Refusals.TokenShortage.STORE_MAY_HAVE_MORE
-                : Refusals.TokenShortage.TOKENS_IN_USE;
-    }
-
-    /** Returns the state of the budget that led to the refusal, as fields of a log line. */
-    private LogFields shortageFields(long nowMs) {
-        EscrowBook.AdmissionState admission =
-                mContext.budgets().admissionState(nowMs, organisation());
-        return new LogFields()
-                .add("wanted", mHead.prompt().maxTokens())
-                .add("free", admission.free())
-                .add("unallocated", admission.unallocated())
-                .add("unspent", admission.unspent())
-                .add("written_off", admission.writtenOff())
-                .add("heard_ago_ms", admission.storeReplyAgeMs().orElse(-1))
-                .add("store_lost", admission.storeUnreachable());
-    }
-
     private void onDeadline(long nowMs) {
-        if (mAttempts.isEmpty()) {
+        if (mExecution.isEmpty()) {
             fail(
                     nowMs,
                     Refusals.noUpstream("the deadline passed before the request could be sent"));
             return;
         }
-        mAttempts.get().onDeadline(nowMs);
+        mExecution.get().onDeadline(nowMs);
     }
 
     /**
@@ -400,16 +401,16 @@
             return;
         }
         mCallerGone = true;
-        if (mAttempts.isEmpty()) {
+        if (mExecution.isEmpty()) {
             end(nowMs, "caller-gone", 0);
             return;
         }
-        mAttempts.get().onCallerGone(nowMs);
+        mExecution.get().onCallerGone(nowMs);
     }
 
     @Override
     public void onCallerWritable(long nowMs) {
-        mAttempts.ifPresent(RelayAttempts::onCallerWritable);
+        mExecution.ifPresent(RequestExecution::onCallerWritable);
     }
 
     CallerConnection caller() {
@@ -460,8 +461,8 @@
                                 .add("used", usedTokens)
                                 .addAll(mShortageFields)
                                 .addAll(
-                                        mAttempts
-                                                .map(RelayAttempts::summary)
+                                        mExecution
+                                                .map(RequestExecution::summary)
                                                 .orElseGet(LogFields::new)),
                         nowMs - mArrivedMs);
     }
--- a/router/src/main/java/org/hornbeampass/router/relay/RelayContext.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/RelayContext.java
@@ -33,6 +33,7 @@
     private final Clock mClock;
     private final UpstreamRegistry mUpstreamRegistry;
     private final UpstreamPool mPool;
+    private final Forwarding mForwarding;
     private final CrashDetector mCrashDetector;
     private final RequestHasher mHasher;
     private final Quarantine mQuarantine;
@@ -60,6 +61,7 @@
             Clock clock,
             UpstreamRegistry upstreamRegistry,
             UpstreamPool pool,
+            Forwarding forwarding,
             RequestHasher hasher,
             Quarantine quarantine,
             SignalExchange signals,
@@ -77,6 +79,7 @@
         mClock = clock;
         mUpstreamRegistry = upstreamRegistry;
         mPool = pool;
+        mForwarding = forwarding;
         mCrashDetector = new CrashDetector(pool, clock, log, quarantine);
         mQuarantine = quarantine;
         mAnswerSignals = new AnswerSignals(signals, upstreamRegistry.slowStarts(), log);
@@ -114,6 +117,10 @@
         return mPool;
     }
 
+    Forwarding forwarding() {
+        return mForwarding;
+    }
+
     CrashDetector crashDetector() {
         return mCrashDetector;
     }
--- a/router/src/main/java/org/hornbeampass/router/relay/RelayPlan.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/RelayPlan.java
@@ -50,6 +50,32 @@
      * @param lastEventId the id of the last event that the caller has received; -1 for none
      */
     HttpRequest upstreamHead(long nowMs, WireFormat wire, InFlightSend send, long lastEventId) {
+        HttpRequest copy = copyOfRequest();
+        OptionalLong after = lastEventId >= 0 ? OptionalLong.of(lastEventId) : OptionalLong.empty();
+        OptionalInt urgency =
+                service.engine().isPresent()
+                        ? OptionalInt.of(PrefillUrgency.of(send.tokensToRead()).rank())
+                        : OptionalInt.empty();
+        wire.writeUpstreamHead(
+                copy.headers(),
+                new UpstreamHead(
+                        send.instance().id(), organisation, remainingMs(nowMs), after, urgency));
+        return copy;
+    }
+
+    /**
+     * Creates the head of the request that is forwarded to another VM.
+     *
+     * @param nowMs the present time in milliseconds
+     * @param wire the wire format of the installation
+     */
+    HttpRequest forwardHead(long nowMs, WireFormat wire) {
+        HttpRequest copy = copyOfRequest();
+        wire.writeForwardHead(copy.headers(), remainingMs(nowMs));
+        return copy;
+    }
+
+    private HttpRequest copyOfRequest() {
         HttpRequest copy =
                 new DefaultHttpRequest(
                         HttpVersion.HTTP_1_1,
@@ -59,18 +85,13 @@
         if (request.headers().contains(HttpHeaderNames.TRANSFER_ENCODING)) {
             copy.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
         }
-        OptionalLong remainingMs =
-                head.timeoutMs().isPresent()
-                        ? OptionalLong.of(Math.max(1, deadlineMs - nowMs))
-                        : OptionalLong.empty();
-        OptionalLong after = lastEventId >= 0 ? OptionalLong.of(lastEventId) : OptionalLong.empty();
-        OptionalInt urgency =
-                service.engine().isPresent()
-                        ? OptionalInt.of(PrefillUrgency.of(send.tokensToRead()).rank())
-                        : OptionalInt.empty();
-        wire.writeUpstreamHead(
-                copy.headers(),
-                new UpstreamHead(send.instance().id(), organisation, remainingMs, after, urgency));
         return copy;
     }
+
+    /** Returns how much longer the caller waits, in milliseconds; empty where it does not say. */
+    private OptionalLong remainingMs(long nowMs) {
+        return head.timeoutMs().isPresent()
+                ? OptionalLong.of(Math.max(1, deadlineMs - nowMs))
+                : OptionalLong.empty();
+    }
 }
--- a/router/src/main/java/org/hornbeampass/router/relay/WireFormat.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/WireFormat.java
@@ -13,6 +13,7 @@
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 
 /**
  * Translates between the headers and documents of an installation and the types of the router. It
@@ -32,6 +33,15 @@
      */
     void writeUpstreamHead(HttpHeaders headers, UpstreamHead head);
 
+    /**
+     * Changes a caller's headers into those that are sent to another VM, which must not forward the
+     * request again.
+     *
+     * @param headers the caller's headers, which are changed in place
+     * @param remainingMs how much longer the caller waits, in milliseconds
+     */
+    void writeForwardHead(HttpHeaders headers, OptionalLong remainingMs);
+
     /**
      * Reads the head of an upstream's answer.
      *
--- a/transport/src/main/java/org/hornbeampass/protocol/peer/PeerMessageType.java
+++ b/transport/src/main/java/org/hornbeampass/protocol/peer/PeerMessageType.java
@@ -1,6 +1,6 @@
 package org.hornbeampass.protocol.peer;
 
-import org.hornbeampass.coordination.address.OverloadReport;
+import org.hornbeampass.coordination.address.ConditionReport;
 import org.hornbeampass.coordination.budget.AskGrant;
 import org.hornbeampass.coordination.budget.AskRefused;
 import org.hornbeampass.coordination.budget.MoveAck;
@@ -81,7 +81,7 @@
     PERMIT_REQUEST(84, PermitRequest.class, Form.REQUEST),
     PERMIT_REPLY(85, PermitReply.class, Form.REPLY),
     SLOW_START_REQUEST(86, SlowStartRequest.class, Form.REQUEST),
-    OVERLOAD_REPORT(87, OverloadReport.class, Form.ONE_WAY),
+    CONDITION_REPORT(87, ConditionReport.class, Form.ONE_WAY),
     DRAIN_ORDER(95, DrainOrder.class, Form.REQUEST),
     DRAIN_ANSWER(96, DrainAnswer.class, Form.REPLY);
 
--- a/transport/src/main/java/org/hornbeampass/transport/relay/UpstreamPool.java
+++ b/transport/src/main/java/org/hornbeampass/transport/relay/UpstreamPool.java
@@ -4,9 +4,11 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.util.concurrent.Future;
 
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -35,15 +37,48 @@
     private static final int LOW_WATER_BYTES = 32 << 10;
     private static final int HIGH_WATER_BYTES = 128 << 10;
 
+    /**
+     * The least time given to a connection, in milliseconds, for its failure to say that the
+     * address is unreachable.
+     */
+    private static final int MIN_CONCLUSIVE_MS = 200;
+
+    /** Receives whether connections could be opened. */
+    public interface ConnectListener {
+        /** Ignores all connections. */
+        ConnectListener NONE =
+                new ConnectListener() {
+                    @Override
+                    public void onOpened(long nowMs, String address) {}
+
+                    @Override
+                    public void onUnreachable(long nowMs, String address) {}
+                };
+
+        /** Called when a new connection to an address has opened. */
+        void onOpened(long nowMs, String address);
+
+        /** Called when an address refused a connection, or did not accept it in time. */
+        void onUnreachable(long nowMs, String address);
+    }
+
     private final EventLoops mLoops;
     private final Clock mClock;
+    private final ConnectListener mConnectListener;
     private final Map<String, ArrayDeque<UpstreamConnection>> mIdle = new HashMap<>();
     private long mOpened;
 
-    /** Creates an empty pool; the event loops must have exactly one thread. */
-    public UpstreamPool(EventLoops loops, Clock clock) {
+    /**
+     * Creates an empty pool.
+     *
+     * @param loops the event loops, which must have exactly one thread
+     * @param clock the clock
+     * @param connectListener receives whether connections could be opened
+     */
+    public UpstreamPool(EventLoops loops, Clock clock, ConnectListener connectListener) {
         mLoops = loops;
         mClock = clock;
+        mConnectListener = connectListener;
     }
 
     /**
@@ -102,11 +137,26 @@
                 .handler(new Initializer(connection))
                 .connect(socketAddress(address))
                 .addListener(
-                        opened ->
-                                done.accept(
-                                        opened.isSuccess()
-                                                ? Optional.of(connection)
-                                                : Optional.empty()));
+                        opened -> {
+                            notifyListener(opened, address, connectTimeoutMs);
+                            done.accept(
+                                    opened.isSuccess()
+                                            ? Optional.of(connection)
+                                            : Optional.empty());
+                        });
+    }
+
+    private void notifyListener(Future<?> opened, String address, int connectTimeoutMs) {
+        if (opened.isSuccess()) {
+            mConnectListener.onOpened(mClock.nowMs(), address);
+            return;
+        }
+        boolean tooShort =
+                opened.cause() instanceof ConnectTimeoutException
+                        && connectTimeoutMs < MIN_CONCLUSIVE_MS;
+        if (!tooShort) {
+            mConnectListener.onUnreachable(mClock.nowMs(), address);
+        }
     }
 
     private static InetSocketAddress socketAddress(String address) {
