Hold no request against upstreams that a cut-off VM can't reach

Callers would see: after all links of a VM broke at once, requests that were in flight there, and all that are like them, were refused for ten minutes as ones that crash upstreams.

Cause: a connection that breaks and one new connection that fails count as a crash of the upstream. Where the links of this VM break, that is true of all upstreams at once.

Found by reading, while looking for the cause of the lost links elsewhere. CutOffRouterTest failed before (refused as quarantined for 599,944 ms) and passes; CrashingRequestTest passes as it was.

--- a/coordination/src/main/java/org/hornbeampass/coordination/service/UpstreamReach.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/service/UpstreamReach.java
@@ -1,6 +1,8 @@
 package org.hornbeampass.coordination.service;
 
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.stream.Collectors;
@@ -19,8 +21,26 @@
 
     private final Map<String, LinkEvidence> mServices = new HashMap<>();
     private final LinkEvidence mAll = new LinkEvidence();
+    private final List<OpenListener> mOpenListeners = new ArrayList<>();
     private long mOpenedMs = Long.MIN_VALUE;
 
+    /** Receives each connection that opens. */
+    @FunctionalInterface
+    public interface OpenListener {
+        /**
+         * Called when a connection has opened.
+         *
+         * @param nowMs the present time in milliseconds
+         * @param wasCutOff whether this VM reached no upstream until then
+         */
+        void onOpened(long nowMs, boolean wasCutOff);
+    }
+
+    /** Adds a listener for connections that open. */
+    public void addOpenListener(OpenListener listener) {
+        mOpenListeners.add(listener);
+    }
+
     /** Returns whether the links to a service are lost. */
     public boolean isLost(String service) {
         LinkEvidence evidence = mServices.get(service);
@@ -51,9 +71,11 @@
 
     /** Records that a new connection to an upstream of a service opened. */
     public void onOpened(long nowMs, String service) {
+        boolean wasCutOff = isCutOff();
         mOpenedMs = nowMs;
         mAll.onOpened();
         evidence(service).onOpened();
+        mOpenListeners.forEach(l -> l.onOpened(nowMs, wasCutOff));
     }
 
     /**
--- a/router/src/main/java/org/hornbeampass/router/relay/RelayContext.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/RelayContext.java
@@ -80,7 +80,7 @@
         mUpstreamRegistry = upstreamRegistry;
         mPool = pool;
         mForwarding = forwarding;
-        mCrashDetector = new CrashDetector(pool, clock, log, quarantine);
+        mCrashDetector = new CrashDetector(pool, forwarding.reach(), loop, clock, log, quarantine);
         mQuarantine = quarantine;
         mAnswerSignals = new AnswerSignals(signals, upstreamRegistry.slowStarts(), log);
         mPermits = permits;
