--- a/coordination/src/main/java/org/hornbeampass/coordination/escrow/LoanSearch.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/escrow/LoanSearch.java
@@ -19,15 +19,17 @@
  * Asks one VM after another for the tokens that requests of one organisation wait for.
  *
  * <p>Invariants: one VM is asked at a time, and each at most once. Every waiting request is
- * notified once, when enough tokens were found or all VMs were asked, or by the listener later. Not
- * thread-safe; must be used on the thread of the {@link EscrowBook}.
+ * notified once: as soon as the free tokens cover it, when all VMs were asked, or by the listener
+ * later. The tokens in a reply are added to the book whenever it arrives, since its lender has
+ * deducted them. Not thread-safe; must be used on the thread of the {@link EscrowBook}.
  */
 final class LoanSearch {
     /**
-     * The timeout of one VM's reply, in milliseconds, including an exchange with the store. It is
-     * little shorter than the time for which a request waits.
+     * How long the search waits for one VM's reply before it asks the next VM, in milliseconds. It
+     * includes an exchange with the store, and is little shorter than the time for which a request
+     * waits.
      */
-    static final long TIMEOUT_MS = 250;
+    static final long PATIENCE_MS = 250;
 
     /**
      * The maximum number of VMs to ask. Eight VMs answer within about 30 ms where a message takes
@@ -35,6 +37,9 @@
      */
     private static final int MAX_PEERS = 8;
 
+    /** A request that waits for a number of tokens. */
+    private record Waiting(long tokens, TokenWaiter waiter) {}
+
     /** Receives the end of a search. */
     @FunctionalInterface
     interface EndListener {
@@ -47,12 +52,16 @@
     private final String mOrganisation;
     private final Deque<String> mPeersToAsk;
     private final EndListener mOnEnded;
-    private final List<Runnable> mCallbacks = new ArrayList<>();
+    private final List<Waiting> mWaiting = new ArrayList<>();
     private final Set<String> mUnresponsive = new HashSet<>();
     private final Set<String> mWithoutStore = new HashSet<>();
     private Optional<String> mLastLender = Optional.empty();
+    private Optional<String> mAskedPeer = Optional.empty();
+    private long mAskedMs;
+    private long mStartMs;
+    private int mAskedVms;
     private int mHomesToAsk;
-    private long mNeeded;
+    private boolean mServedAny;
 
     LoanSearch(
             EscrowBook book,
@@ -87,18 +96,29 @@
     }
 
     /** Adds a waiting request. */
-    void addRequest(long tokens, Runnable done) {
-        mNeeded += tokens;
-        mCallbacks.add(done);
+    void addRequest(long tokens, TokenWaiter waiter) {
+        mWaiting.add(new Waiting(tokens, waiter));
     }
 
     void start(long nowMs) {
+        mStartMs = nowMs;
         askNextPeer(nowMs);
     }
 
-    /** Returns whether the free tokens cover the needs of all waiting requests. */
+    /** Returns whether no request waits any more. */
     boolean isSatisfied() {
-        return missingTokens() <= 0;
+        return mWaiting.isEmpty();
+    }
+
+    /** Returns whether the search has found the tokens of any request. */
+    boolean hasServedAny() {
+        return mServedAny;
+    }
+
+    /** Returns how the search has gone so far, for logs. */
+    GrantListener.Search summary(long nowMs) {
+        return new GrantListener.Search(
+                nowMs - mStartMs, mAskedVms, mUnresponsive.size(), missingTokens());
     }
 
     /** Returns the VM that lent tokens last. */
@@ -117,15 +137,32 @@
     }
 
     private long missingTokens() {
-        return mNeeded - mBook.free(mOrganisation);
+        long needed = mWaiting.stream().mapToLong(Waiting::tokens).sum();
+        return Math.max(0, needed - mBook.free(mOrganisation));
     }
 
-    /** Notifies the waiting requests. */
+    /** Notifies the requests that still wait. */
     void notifyRequests() {
-        mCallbacks.forEach(Runnable::run);
+        List<Waiting> waiting = List.copyOf(mWaiting);
+        mWaiting.clear();
+        waiting.forEach(w -> w.waiter().retry());
+    }
+
+    /** Notifies the requests that the free tokens cover, in the order in which they came. */
+    private void serveCovered() {
+        mWaiting.removeIf(w -> !w.waiter().isWaiting());
+        for (Waiting each : List.copyOf(mWaiting)) {
+            if (each.tokens() <= mBook.free(mOrganisation)) {
+                mWaiting.remove(each);
+                mServedAny = true;
+                each.waiter().retry();
+            }
+        }
     }
 
     private void askNextPeer(long nowMs) {
+        mAskedPeer = Optional.empty();
+        serveCovered();
         if (isSatisfied() || mPeersToAsk.isEmpty()) {
             boolean deferred = mOnEnded.onEnded(nowMs, this);
             if (!deferred) {
@@ -134,27 +171,50 @@
             return;
         }
         String peer = mPeersToAsk.removeFirst();
+        mAskedPeer = Optional.of(peer);
+        mAskedMs = nowMs;
+        mAskedVms++;
         boolean atHome = mHomesToAsk-- > 0;
         long tokens = missingTokens() + mBook.extraTokens(nowMs, mOrganisation);
         mPeers.request(
                 nowMs,
                 peer,
                 new LoanRequest(mOrganisation, missingTokens(), tokens, atHome),
-                TIMEOUT_MS,
+                EscrowLoans.REPLY_TIMEOUT_MS,
                 (t, reply) -> onReply(t, peer, reply));
     }
 
+    /**
+     * Serves requests from tokens that became free meanwhile, and asks the next VM where the one
+     * that was asked has not replied in time.
+     */
+    void tick(long nowMs) {
+        serveCovered();
+        if (mAskedPeer.isPresent() && nowMs - mAskedMs >= PATIENCE_MS) {
+            skip(nowMs, mAskedPeer.get());
+        }
+    }
+
+    private void skip(long nowMs, String peer) {
+        mUnresponsive.add(peer);
+        mWithoutStore.add(peer);
+        askNextPeer(nowMs);
+    }
+
     private void onReply(long nowMs, String peer, Either<Failure, PeerMessage> reply) {
-        if (reply.isLeft()) {
-            mUnresponsive.add(peer);
-            mWithoutStore.add(peer);
-        } else if (reply.get() instanceof LoanReply loan) {
+        boolean waitedFor = mAskedPeer.equals(Optional.of(peer));
+        if (reply.isRight() && reply.get() instanceof LoanReply loan) {
             if (loan.status().known() && loan.status().storeLost()) {
                 mWithoutStore.add(peer);
             }
             mLastLender = loan.tokens() > 0 ? Optional.of(peer) : mLastLender;
             mBook.onLoanReply(nowMs, loan);
+        } else if (waitedFor) {
+            skip(nowMs, peer);
+            return;
+        }
+        if (waitedFor) {
+            askNextPeer(nowMs);
         }
-        askNextPeer(nowMs);
     }
 }
