End the loss of a service that has no upstream left

A service whose last upstreams ended while its links were lost stayed lost for good, since there was nothing to probe: such a VM would be left out of answers about addresses for as long as it runs. Found by reading; the test could not fail before, since the call is new.

--- a/coordination/src/main/java/org/hornbeampass/coordination/service/UpstreamReach.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/service/UpstreamReach.java
@@ -12,8 +12,8 @@
  * it opens.
  *
  * <p>Invariants: the links to a service are lost only after connections to several of its upstreams
- * failed with none opened in between, and until one opens. Says nothing about the upstreams
- * themselves. Confined to one thread.
+ * failed with none opened in between, and until one opens or none is left. Says nothing about the
+ * upstreams themselves. Confined to one thread.
  */
 public final class UpstreamReach {
     /** The number of different upstreams that must be unreachable, unless there are fewer. */
@@ -91,6 +91,11 @@
         evidence(service).onFailed(nowMs, address, Math.min(MIN_UNREACHABLE, upstreams));
     }
 
+    /** Records that a service has no upstream left that could be reached. */
+    public void onNoUpstreams(String service) {
+        mServices.remove(service);
+    }
+
     private LinkEvidence evidence(String service) {
         return mServices.computeIfAbsent(service, s -> new LinkEvidence());
     }
--- a/coordination/src/test/java/org/hornbeampass/coordination/service/UpstreamReachTest.java
+++ b/coordination/src/test/java/org/hornbeampass/coordination/service/UpstreamReachTest.java
@@ -82,4 +82,11 @@
         assertThat(mReach.hasOpenedSince(500)).isTrue();
         assertThat(mReach.hasOpenedSince(501)).isFalse();
     }
+
+    @Test
+    void serviceWhoseUpstreamsAreGone_isNotLostForEver() {
+        mReach.onUnreachable(0, DESK, "a:1", 1);
+        mReach.onNoUpstreams(DESK);
+        assertThat(mReach.lostServices()).isEmpty();
+    }
 }
--- a/router/src/main/java/org/hornbeampass/router/daemon/UpstreamReachMonitor.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/UpstreamReachMonitor.java
@@ -12,6 +12,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.random.RandomGenerator;
 
 /**
@@ -62,13 +63,19 @@
 
     private void onOpenedTo(long nowMs, String service) {
         mReach.onOpened(nowMs, service);
-        Long sinceMs = mLostSinceMs.remove(service);
-        if (sinceMs != null) {
-            mLog.logStateChange(
-                    nowMs,
-                    "service-regained",
-                    new LogFields().add("service", service).add("lost_ms", nowMs - sinceMs));
-        }
+        logEnd(nowMs, service, "service-regained");
+    }
+
+    private void logEnd(long nowMs, String service, String kind) {
+        Optional.ofNullable(mLostSinceMs.remove(service))
+                .ifPresent(
+                        sinceMs ->
+                                mLog.logStateChange(
+                                        nowMs,
+                                        kind,
+                                        new LogFields()
+                                                .add("service", service)
+                                                .add("lost_ms", nowMs - sinceMs)));
     }
 
     @Override
@@ -95,10 +102,13 @@
         mNextProbeMs = nowMs + PROBE_INTERVAL_MS;
         for (String service : mReach.lostServices()) {
             List<String> addresses = mUpstreams.usableAddresses(nowMs, service);
-            if (!addresses.isEmpty()) {
-                String address = addresses.get(mRandom.nextInt(addresses.size()));
-                pool.probe(address, PROBE_TIMEOUT_MS, opened -> {});
+            if (addresses.isEmpty()) {
+                mReach.onNoUpstreams(service);
+                logEnd(nowMs, service, "service-gone");
+                continue;
             }
+            String address = addresses.get(mRandom.nextInt(addresses.size()));
+            pool.probe(address, PROBE_TIMEOUT_MS, opened -> {});
         }
     }
 }
