Forward a request again only where another VM itself states it did not run

Callers would see: a call that may not be repeated runs twice.

Cause: a VM that forwards a request took each unsealed 503 or 4xx for the other VM's own refusal. But a VM passes on what its upstreams answer, and a broken or faulty one may answer so after it ran the request.

Change: a router's own answers state whether the request ran, in a header that routers remove from the answers of upstreams. Only 'not run' in that header lets a request be forwarded again or be answered 503 here; of these only 503, and what the other VM's configuration lacks.

Why this works: the statement comes from the one that knows.

--- a/router/src/main/java/org/hornbeampass/router/relay/ForwardedRequest.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/ForwardedRequest.java
@@ -3,10 +3,13 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 
+import org.hornbeampass.protocol.http.ErrorAnswer;
 import org.hornbeampass.state.ErrorKind;
 import org.hornbeampass.state.Failure;
+import org.hornbeampass.state.RunState;
 import org.hornbeampass.state.member.Member;
 import org.hornbeampass.state.service.RouteKind;
 import org.hornbeampass.transport.relay.UpstreamConnection;
@@ -29,8 +32,12 @@
     /** How many VMs a request may be forwarded to, one after another. */
     private static final int MAX_TARGETS = 3;
 
-    private static final int PAYMENT_REQUIRED = 402;
-    private static final int TOO_MANY_REQUESTS = 429;
+    /** How a router refuses what its configuration lacks; this router's has it. */
+    private static final Set<HttpResponseStatus> MISSING_IN_CONFIGURATION =
+            Set.of(
+                    HttpResponseStatus.UNAUTHORIZED,
+                    HttpResponseStatus.FORBIDDEN,
+                    HttpResponseStatus.NOT_FOUND);
 
     private final RelayContext mContext;
     private final RelayCall mCall;
@@ -42,7 +49,6 @@
     private Optional<Member> mTarget = Optional.empty();
     private Optional<UpstreamConnection> mConnection = Optional.empty();
     private boolean mMayHaveRun;
-    private boolean mSealed;
 
     ForwardedRequest(RelayContext context, RelayCall call, RelayPlan plan, RequestBody body) {
         mContext = context;
@@ -118,10 +124,9 @@
             onLost(nowMs, "the answer lacks the headers that prove its origin");
             return true;
         }
-        mSealed = answer.hasSeal();
-        if (!mSealed && isRefusal(head.status().code())) {
+        if (statesNotRun(head)) {
             mMayHaveRun = false;
-            if (handleRefusal(nowMs, head.status().code())) {
+            if (handleRefusal(nowMs, head.status())) {
                 return true;
             }
         }
@@ -130,7 +135,7 @@
                         HttpVersion.HTTP_1_1, head.status(), EndToEndHeaders.of(head.headers()));
         boolean streams =
                 mPlan.route().kind().streams() && answer.outcome() == AnswerOutcome.SUCCEEDED;
-        if (streams && mSealed) {
+        if (streams) {
             mAnswer.startStream(copy);
         } else {
             mAnswer.startBuffered(copy);
@@ -138,36 +143,40 @@
         return true;
     }
 
-    /** Returns whether a router's own answer with a status states that the request did not run. */
-    private static boolean isRefusal(int status) {
-        return status == 503 || (isClientError(status) && status != PAYMENT_REQUIRED);
-    }
-
-    private static boolean isClientError(int status) {
-        return status >= 400 && status < 500;
+    /**
+     * Returns whether the other VM itself states that the request did not run; it removes such a
+     * statement from the answers of upstreams.
+     */
+    private static boolean statesNotRun(HttpResponse head) {
+        return head.headers()
+                .contains(ErrorAnswer.RUN_STATE_HEADER, RunState.NOT_RUN.wireName(), false);
     }
 
     /**
      * Handles the other VM's refusal: tries the next VM, or answers itself where the other VM's
-     * configuration differs from this one's, which accepts the request.
+     * configuration lacks what this one's has.
      *
      * @return whether the answer is not to be passed on
      */
-    private boolean handleRefusal(long nowMs, int status) {
-        boolean again = mayForwardAgain();
-        boolean configurationDiffers = isClientError(status) && status != TOO_MANY_REQUESTS;
+    private boolean handleRefusal(long nowMs, HttpResponseStatus status) {
+        boolean configurationDiffers = MISSING_IN_CONFIGURATION.contains(status);
+        boolean mayBeServedElsewhere =
+                configurationDiffers || status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE);
+        boolean again = mayBeServedElsewhere && mayForwardAgain();
         if (!again && !configurationDiffers) {
             return false;
         }
         logDecision(
                 nowMs,
                 "forward-refused",
-                new LogFields().add("to", mTarget.orElseThrow().name()).add("status", status));
+                new LogFields()
+                        .add("to", mTarget.orElseThrow().name())
+                        .add("status", status.code()));
         cancelConnection();
         if (again) {
             start(nowMs);
         } else {
-            fail(nowMs, Refusals.missingHere("another router answered " + status));
+            fail(nowMs, Refusals.missingHere("another router answered " + status.code()));
         }
         return true;
     }
@@ -218,7 +227,7 @@
         }
         mConnection = Optional.empty();
         mAnswer.end();
-        mCall.end(nowMs, mSealed ? "answered" : "refused-by-vm", 0);
+        mCall.end(nowMs, mMayHaveRun ? "answered" : "refused-by-vm", 0);
         mCall.caller().sendEnd();
     }
 
--- a/router/src/main/java/org/hornbeampass/router/relay/RelayAttempts.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/RelayAttempts.java
@@ -7,6 +7,7 @@
 
 import org.hornbeampass.coordination.quarantine.QuarantineStatus;
 import org.hornbeampass.coordination.service.UpstreamInstance;
+import org.hornbeampass.protocol.http.ErrorAnswer;
 import org.hornbeampass.state.ErrorKind;
 import org.hornbeampass.state.Failure;
 import org.hornbeampass.state.service.RouteKind;
@@ -167,6 +168,7 @@
         HttpResponse copy =
                 new DefaultHttpResponse(
                         HttpVersion.HTTP_1_1, head.status(), EndToEndHeaders.of(head.headers()));
+        copy.headers().remove(ErrorAnswer.RUN_STATE_HEADER);
         boolean streams = mPlan.route().kind().streams() && outcome == AnswerOutcome.SUCCEEDED;
         if (streams) {
             mAnswer.startStream(copy);
--- a/transport/src/main/java/org/hornbeampass/protocol/http/ErrorAnswer.java
+++ b/transport/src/main/java/org/hornbeampass/protocol/http/ErrorAnswer.java
@@ -22,6 +22,9 @@
  * @param body the JSON text in UTF-8
  */
 public record ErrorAnswer(int status, Map<String, String> headers, byte[] body) {
+    /** States in a router's own answer whether the request ran, to the router that forwarded it. */
+    public static final String RUN_STATE_HEADER = "router-run-state";
+
     private static final String CONTENT_TYPE = "application/json";
     private static final long MS_PER_SECOND = 1000;
 
--- a/transport/src/main/java/org/hornbeampass/transport/relay/CallerConnection.java
+++ b/transport/src/main/java/org/hornbeampass/transport/relay/CallerConnection.java
@@ -278,6 +278,7 @@
     public void fail(Failure failure) {
         ErrorAnswer answer = ErrorAnswer.of(failure);
         Map<String, String> headers = new HashMap<>(answer.headers());
+        headers.put(ErrorAnswer.RUN_STATE_HEADER, failure.kind().runState().wireName());
         failure.retryAfterMs()
                 .ifPresent(
                         ms ->
