Look through the requests that wait for a loan once a reply

Each request that a loan covered was searched for again in the list to take it out, and the sum of the rest was computed twice a question: work that grows with the square of the requests that wait, at the VM that has most of them. No change of behaviour; LoanWaitersTest, LateLoanTest and the other tests of the escrow pass.

--- a/coordination/src/main/java/org/hornbeampass/coordination/escrow/LoanSearch.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/escrow/LoanSearch.java
@@ -150,13 +150,18 @@
 
     /** Notifies the requests that the free tokens cover, in the order in which they came. */
     private void serveCovered() {
-        mWaiting.removeIf(w -> !w.waiter().isWaiting());
-        for (Waiting each : List.copyOf(mWaiting)) {
-            if (each.tokens() <= mBook.free(mOrganisation)) {
-                mWaiting.remove(each);
-                mServedAny = true;
-                each.waiter().retry();
+        List<Waiting> waiting = List.copyOf(mWaiting);
+        mWaiting.clear();
+        for (Waiting each : waiting) {
+            if (!each.waiter().isWaiting()) {
+                continue;
+            }
+            if (each.tokens() > mBook.free(mOrganisation)) {
+                mWaiting.add(each);
+                continue;
             }
+            mServedAny = true;
+            each.waiter().retry();
         }
     }
 
@@ -171,15 +176,16 @@
             return;
         }
         String peer = mPeersToAsk.removeFirst();
+        long missing = missingTokens();
         mAskedPeer = Optional.of(peer);
         mAskedMs = nowMs;
         mAskedVms++;
         boolean atHome = mHomesToAsk-- > 0;
-        long tokens = missingTokens() + mBook.extraTokens(nowMs, mOrganisation);
+        long tokens = missing + mBook.extraTokens(nowMs, mOrganisation);
         mPeers.request(
                 nowMs,
                 peer,
-                new LoanRequest(mOrganisation, missingTokens(), tokens, atHome),
+                new LoanRequest(mOrganisation, missing, tokens, atHome),
                 EscrowLoans.REPLY_TIMEOUT_MS,
                 (t, reply) -> onReply(t, peer, reply));
     }
