Tidy the loss of links after a second reading

* The service of an upstream is found by an index of addresses, not by a look at all upstreams for each connection that opens.
* Since when links are lost is kept once, with the evidence; a VM's own condition is the one it told last.
* One copy each of: the time limit of a connection, the copy of an answer's head, the error of a request that was lost, JSON answers.
No change of behaviour.

--- a/coordination/src/main/java/org/hornbeampass/coordination/address/ConditionExchange.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/address/ConditionExchange.java
@@ -34,8 +34,6 @@
     private final Map<String, State> mStates = new HashMap<>();
     private final BroadcastQueue<String> mBroadcasts;
     private long mNumber;
-    private boolean mOverloaded;
-    private Set<String> mLostServices = Set.of();
 
     /**
      * Creates an exchange.
@@ -68,11 +66,8 @@
 
     /** Applies this VM's own condition and sends what has changed. */
     public void tick(long nowMs, boolean overloaded, Set<String> lostServices) {
-        boolean changed = overloaded != mOverloaded || !lostServices.equals(mLostServices);
-        mOverloaded = overloaded;
-        mLostServices = Set.copyOf(lostServices);
         boolean any = overloaded || !lostServices.isEmpty();
-        if (changed || (any && mBroadcasts.isRepeatDue(nowMs))) {
+        if (isChanged(overloaded, lostServices) || (any && mBroadcasts.isRepeatDue(nowMs))) {
             mNumber++;
             mStates.put(
                     mSelf,
@@ -86,6 +81,14 @@
         mStates.values().removeIf(s -> nowMs - s.receivedMs() >= EXPIRY_MS);
     }
 
+    private boolean isChanged(boolean overloaded, Set<String> lostServices) {
+        State known = mStates.get(mSelf);
+        return known == null
+                ? overloaded || !lostServices.isEmpty()
+                : overloaded != known.item().overloaded()
+                        || !lostServices.equals(Set.copyOf(known.item().lostServices()));
+    }
+
     /** Applies another VM's report; a {@code PeerHandler}. */
     public void onReport(
             long nowMs, VmId from, ConditionReport report, Consumer<PeerMessage> reply) {
--- a/coordination/src/main/java/org/hornbeampass/coordination/service/UpstreamReach.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/service/UpstreamReach.java
@@ -4,6 +4,8 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.stream.Collectors;
 
@@ -43,21 +45,29 @@
 
     /** Returns whether the links to a service are lost. */
     public boolean isLost(String service) {
-        LinkEvidence evidence = mServices.get(service);
-        return evidence != null && evidence.isLost();
+        return lostSinceMs(service).isPresent();
+    }
+
+    /**
+     * Returns since when the links to a service are lost, in milliseconds; empty if they are not.
+     */
+    public OptionalLong lostSinceMs(String service) {
+        return Optional.ofNullable(mServices.get(service))
+                .map(LinkEvidence::lostSinceMs)
+                .orElseGet(OptionalLong::empty);
     }
 
     /** Returns the services to which the links are lost. */
     public Set<String> lostServices() {
         return mServices.entrySet().stream()
-                .filter(e -> e.getValue().isLost())
+                .filter(e -> e.getValue().lostSinceMs().isPresent())
                 .map(Map.Entry::getKey)
                 .collect(Collectors.toSet());
     }
 
     /** Returns whether this VM reaches no upstream of any service. */
     public boolean isCutOff() {
-        return mAll.isLost();
+        return mAll.lostSinceMs().isPresent();
     }
 
     /**
--- a/coordination/src/main/java/org/hornbeampass/coordination/service/UpstreamRegistry.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/service/UpstreamRegistry.java
@@ -42,6 +42,10 @@
 
     private final Map<String, UpstreamInstance> mById = new HashMap<>();
     private final Map<String, List<UpstreamInstance>> mByService = new HashMap<>();
+
+    /** The last upstream that was registered at each address. */
+    private final Map<String, UpstreamInstance> mByAddress = new HashMap<>();
+
     private final FormerUpstreams mFormer = new FormerUpstreams();
     private final SignalTable mSignals;
     private final SendGate mGate;
@@ -165,6 +169,8 @@
     }
 
     private void update(UpstreamInstance current, UpstreamEntry entry) {
+        mByAddress.remove(current.entry().address(), current);
+        mByAddress.put(entry.address(), current);
         boolean serviceChanged = !current.entry().service().equals(entry.service());
         if (serviceChanged) {
             mByService.get(current.entry().service()).remove(current);
@@ -179,6 +185,7 @@
             added.markLeaving();
         }
         mById.put(entry.id(), added);
+        mByAddress.put(entry.address(), added);
         mByService.computeIfAbsent(entry.service(), s -> new ArrayList<>()).add(added);
     }
 
@@ -270,6 +277,7 @@
     private boolean forgetIfGone(long nowMs, UpstreamInstance instance) {
         boolean removable = instance.isGone(nowMs) && instance.inFlight() == 0;
         if (removable) {
+            mByAddress.remove(instance.entry().address(), instance);
             mFormer.add(nowMs, instance.entry(), instance.isLeaving());
         }
         return removable;
@@ -320,13 +328,8 @@
     }
 
     /** Returns the service of the upstream at an address; empty if none is registered there. */
-    public Optional<String> serviceAt(long nowMs, String address) {
-        return mById.values().stream()
-                .filter(i -> !i.isGone(nowMs))
-                .map(UpstreamInstance::entry)
-                .filter(e -> e.address().equals(address))
-                .map(UpstreamEntry::service)
-                .findFirst();
+    public Optional<String> serviceAt(String address) {
+        return Optional.ofNullable(mByAddress.get(address)).map(i -> i.entry().service());
     }
 
     /** Returns the upstreams in their slow start. */
--- a/coordination/src/main/java/org/hornbeampass/state/service/RouteKind.java
+++ b/coordination/src/main/java/org/hornbeampass/state/service/RouteKind.java
@@ -1,5 +1,7 @@
 package org.hornbeampass.state.service;
 
+import org.hornbeampass.state.ErrorKind;
+
 /**
  * Whether the requests of a route may be repeated, and the form of their answers.
  *
@@ -39,4 +41,9 @@
     public boolean cancelsOnCallerDisconnect() {
         return mRepeatable || mStreaming;
     }
+
+    /** Returns the error of a request that was lost after it may have run. */
+    public ErrorKind lossError() {
+        return this == NON_IDEMPOTENT ? ErrorKind.OUTCOME_UNKNOWN : ErrorKind.UPSTREAM_FAILED;
+    }
 }
--- a/coordination/src/test/java/org/hornbeampass/coordination/service/UpstreamReachTest.java
+++ b/coordination/src/test/java/org/hornbeampass/coordination/service/UpstreamReachTest.java
@@ -4,7 +4,7 @@
 
 import org.junit.jupiter.api.Test;
 
-/** Tests when a VM takes its links to the upstreams for lost. */
+/** Tests when a VM concludes that its links to the upstreams are lost. */
 class UpstreamReachTest {
     private static final int UPSTREAMS = 12;
     private static final String MODEL = "model";
--- a/router/src/main/java/org/hornbeampass/router/daemon/AddressHandler.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/AddressHandler.java
@@ -10,9 +10,7 @@
 import org.hornbeampass.transport.relay.CallerListener;
 
 import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.function.LongSupplier;
 
@@ -28,7 +26,6 @@
         List<Member> membersFor(long nowMs, AddressRequest request);
     }
 
-    private static final Map<String, String> HEADERS = Map.of("content-type", "application/json");
     private static final double MS_PER_S = 1_000.0;
 
     private final WireFormat mWire;
@@ -52,7 +49,7 @@
     public CallerListener onRequest(long nowMs, CallerConnection caller, HttpRequest head) {
         Optional<AddressRequest> request = mWire.readAddressRequest(head);
         if (request.isEmpty()) {
-            respond(caller, 404, "{}");
+            JsonAnswers.respond(caller, 404, "{}");
             return CallerListener.IGNORING;
         }
         List<InetSocketAddress> addresses =
@@ -60,11 +57,8 @@
                         .map(m -> PeerAddresses.parse(m.httpAddress()))
                         .flatMap(Optional::stream)
                         .toList();
-        respond(caller, 200, mWire.addresses(addresses, mKeepMs.getAsLong() / MS_PER_S));
+        JsonAnswers.respond(
+                caller, 200, mWire.addresses(addresses, mKeepMs.getAsLong() / MS_PER_S));
         return CallerListener.IGNORING;
     }
-
-    private static void respond(CallerConnection caller, int status, String json) {
-        caller.respond(status, HEADERS, json.getBytes(StandardCharsets.UTF_8));
-    }
 }
--- a/router/src/main/java/org/hornbeampass/router/daemon/RelayDaemon.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/RelayDaemon.java
@@ -395,7 +395,7 @@
 
     private CallerListener onReadinessRequest(
             long nowMs, CallerConnection caller, HttpRequest head) {
-        respond(caller, isReady() && mWire.asksForReadiness(head) ? 200 : 503, "{}");
+        JsonAnswers.respond(caller, isReady() && mWire.asksForReadiness(head) ? 200 : 503, "{}");
         return CallerListener.IGNORING;
     }
 
@@ -408,13 +408,6 @@
         return CallerListener.IGNORING;
     }
 
-    private static void respond(CallerConnection caller, int status, String json) {
-        caller.respond(
-                status,
-                Map.of("content-type", "application/json"),
-                json.getBytes(StandardCharsets.UTF_8));
-    }
-
     private boolean isReady() {
         return mContext.isConfigured() && !mShutdown.hasBegun();
     }
--- a/router/src/main/java/org/hornbeampass/router/daemon/UpstreamReachMonitor.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/UpstreamReachMonitor.java
@@ -6,13 +6,12 @@
 import org.hornbeampass.coordination.service.UpstreamReach;
 import org.hornbeampass.coordination.service.UpstreamRegistry;
 import org.hornbeampass.router.relay.LogFields;
+import org.hornbeampass.router.relay.RelayBounds;
 import org.hornbeampass.router.relay.RelayLog;
 import org.hornbeampass.transport.relay.UpstreamPool;
 
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
-import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.random.RandomGenerator;
 
 /**
@@ -25,14 +24,10 @@
     /** The interval between probes during a loss, in milliseconds. */
     private static final long PROBE_INTERVAL_MS = 300;
 
-    /** How long a probe may take to connect, in milliseconds. */
-    private static final int PROBE_TIMEOUT_MS = 350;
-
     private final UpstreamReach mReach = new UpstreamReach();
     private final UpstreamRegistry mUpstreams;
     private final RelayLog mLog;
     private final RandomGenerator mRandom;
-    private final Map<String, Long> mLostSinceMs = new HashMap<>();
     private long mNextProbeMs;
 
     /**
@@ -58,35 +53,36 @@
 
     @Override
     public void onOpened(long nowMs, String address) {
-        mUpstreams.serviceAt(nowMs, address).ifPresent(s -> onOpenedTo(nowMs, s));
+        mUpstreams.serviceAt(address).ifPresent(s -> onOpenedTo(nowMs, s));
     }
 
     private void onOpenedTo(long nowMs, String service) {
+        OptionalLong lostSinceMs = mReach.lostSinceMs(service);
         mReach.onOpened(nowMs, service);
-        logEnd(nowMs, service, "service-regained");
+        logEnd(nowMs, service, lostSinceMs, "service-regained");
     }
 
-    private void logEnd(long nowMs, String service, String kind) {
-        Optional.ofNullable(mLostSinceMs.remove(service))
-                .ifPresent(
-                        sinceMs ->
-                                mLog.logStateChange(
-                                        nowMs,
-                                        kind,
-                                        new LogFields()
-                                                .add("service", service)
-                                                .add("lost_ms", nowMs - sinceMs)));
+    private void logEnd(long nowMs, String service, OptionalLong lostSinceMs, String kind) {
+        lostSinceMs.ifPresent(
+                sinceMs ->
+                        mLog.logStateChange(
+                                nowMs,
+                                kind,
+                                new LogFields()
+                                        .add("service", service)
+                                        .add("lost_ms", nowMs - sinceMs)));
     }
 
     @Override
     public void onUnreachable(long nowMs, String address) {
-        mUpstreams.serviceAt(nowMs, address).ifPresent(s -> onUnreachable(nowMs, s, address));
+        mUpstreams.serviceAt(address).ifPresent(s -> onUnreachable(nowMs, s, address));
     }
 
     private void onUnreachable(long nowMs, String service, String address) {
         int upstreams = mUpstreams.usableAddresses(nowMs, service).size();
+        boolean wasLost = mReach.isLost(service);
         mReach.onUnreachable(nowMs, service, address, Math.max(1, upstreams));
-        if (mReach.isLost(service) && mLostSinceMs.putIfAbsent(service, nowMs) == null) {
+        if (mReach.isLost(service) && !wasLost) {
             mLog.logStateChange(
                     nowMs,
                     "service-lost",
@@ -103,12 +99,12 @@
         for (String service : mReach.lostServices()) {
             List<String> addresses = mUpstreams.usableAddresses(nowMs, service);
             if (addresses.isEmpty()) {
+                logEnd(nowMs, service, mReach.lostSinceMs(service), "service-gone");
                 mReach.onNoUpstreams(service);
-                logEnd(nowMs, service, "service-gone");
                 continue;
             }
             String address = addresses.get(mRandom.nextInt(addresses.size()));
-            pool.probe(address, PROBE_TIMEOUT_MS, opened -> {});
+            pool.probe(address, RelayBounds.CONNECT_TIMEOUT_MS, opened -> {});
         }
     }
 }
--- a/router/src/main/java/org/hornbeampass/router/relay/EndToEndHeaders.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/EndToEndHeaders.java
@@ -1,8 +1,11 @@
 package org.hornbeampass.router.relay;
 
 import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
+import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpVersion;
 
 import java.util.List;
 import java.util.Locale;
@@ -44,6 +47,11 @@
         return copy;
     }
 
+    /** Returns a copy of an answer's head without the headers that concern a single connection. */
+    static HttpResponse copyOf(HttpResponse head) {
+        return new DefaultHttpResponse(HttpVersion.HTTP_1_1, head.status(), of(head.headers()));
+    }
+
     private static boolean isListed(List<String> connection, String name) {
         for (String value : connection) {
             for (String token : value.split(",", -1)) {
--- a/router/src/main/java/org/hornbeampass/router/relay/ForwardedRequest.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/ForwardedRequest.java
@@ -1,17 +1,14 @@
 package org.hornbeampass.router.relay;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpVersion;
 
 import org.hornbeampass.protocol.http.ErrorAnswer;
 import org.hornbeampass.state.ErrorKind;
 import org.hornbeampass.state.Failure;
 import org.hornbeampass.state.RunState;
 import org.hornbeampass.state.member.Member;
-import org.hornbeampass.state.service.RouteKind;
 import org.hornbeampass.transport.relay.UpstreamConnection;
 import org.hornbeampass.transport.relay.UpstreamListener;
 
@@ -130,9 +127,7 @@
                 return true;
             }
         }
-        HttpResponse copy =
-                new DefaultHttpResponse(
-                        HttpVersion.HTTP_1_1, head.status(), EndToEndHeaders.of(head.headers()));
+        HttpResponse copy = EndToEndHeaders.copyOf(head);
         boolean streams =
                 mPlan.route().kind().streams() && answer.outcome() == AnswerOutcome.SUCCEEDED;
         if (streams) {
@@ -252,10 +247,7 @@
             abortAnswer(nowMs, reason);
             return;
         }
-        ErrorKind kind =
-                mPlan.route().kind() == RouteKind.NON_IDEMPOTENT
-                        ? ErrorKind.OUTCOME_UNKNOWN
-                        : ErrorKind.UPSTREAM_FAILED;
+        ErrorKind kind = mPlan.route().kind().lossError();
         fail(nowMs, Failure.of(kind, "the router that handled the request was lost"));
     }
 
--- a/router/src/main/java/org/hornbeampass/router/relay/RelayAttempts.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/RelayAttempts.java
@@ -1,16 +1,13 @@
 package org.hornbeampass.router.relay;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpVersion;
 
 import org.hornbeampass.coordination.quarantine.QuarantineStatus;
 import org.hornbeampass.coordination.service.UpstreamInstance;
 import org.hornbeampass.protocol.http.ErrorAnswer;
 import org.hornbeampass.state.ErrorKind;
 import org.hornbeampass.state.Failure;
-import org.hornbeampass.state.service.RouteKind;
 import org.hornbeampass.transport.relay.UpstreamConnection;
 import org.hornbeampass.transport.relay.UpstreamListener;
 
@@ -165,9 +162,7 @@
             mSilenceTimeout.startForEvent();
             return;
         }
-        HttpResponse copy =
-                new DefaultHttpResponse(
-                        HttpVersion.HTTP_1_1, head.status(), EndToEndHeaders.of(head.headers()));
+        HttpResponse copy = EndToEndHeaders.copyOf(head);
         copy.headers().remove(ErrorAnswer.RUN_STATE_HEADER);
         boolean streams = mPlan.route().kind().streams() && outcome == AnswerOutcome.SUCCEEDED;
         if (streams) {
@@ -399,11 +394,7 @@
             fail(nowMs, Refusals.noUpstream(why));
             return;
         }
-        ErrorKind kind =
-                mPlan.route().kind() == RouteKind.NON_IDEMPOTENT
-                        ? ErrorKind.OUTCOME_UNKNOWN
-                        : ErrorKind.UPSTREAM_FAILED;
-        fail(nowMs, Failure.of(kind, why));
+        fail(nowMs, Failure.of(mPlan.route().kind().lossError(), why));
     }
 
     private void fail(long nowMs, Failure failure) {
--- a/router/src/main/java/org/hornbeampass/router/relay/RelayBounds.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/RelayBounds.java
@@ -5,11 +5,11 @@
  *
  * <p>Constants only; safe for use by any thread.
  */
-final class RelayBounds {
+public final class RelayBounds {
     /**
      * How long opening a connection may take. A round trip in the network takes a few milliseconds.
      */
-    static final int CONNECT_TIMEOUT_MS = 350;
+    public static final int CONNECT_TIMEOUT_MS = 350;
 
     /** How many upstreams may be unreachable before the request is refused. */
     static final int MAX_UNREACHABLE_UPSTREAMS = 3;
