Log the framing of answers and the bytes of a partial event at their end

Lines 'ended' state now the framing of the upstream's last answer and how many bytes of an event were left over; answers are counted by framing. No decision changes.

--- a/router/src/main/java/org/hornbeampass/router/relay/AnswerStream.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/AnswerStream.java
@@ -48,6 +48,11 @@
         return mLastEventId;
     }
 
+    /** Returns how many bytes were received of an event that has not ended. */
+    long partialEventBytes() {
+        return mScanner.partialEventBytes();
+    }
+
     /** Returns whether an upstream omitted events, so that the stream can't be continued. */
     boolean hasGap() {
         return mGap;
--- a/router/src/main/java/org/hornbeampass/router/relay/CallerAnswer.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/CallerAnswer.java
@@ -92,6 +92,11 @@
         return mStream.eventCount();
     }
 
+    /** Returns how many bytes of a stream were received of an event that has not ended. */
+    long partialEventBytes() {
+        return mStream.partialEventBytes();
+    }
+
     /**
      * Returns the id of the event after which another upstream would resume the stream; -1 for
      * none.
--- a/router/src/main/java/org/hornbeampass/router/relay/RelayAttempts.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/RelayAttempts.java
@@ -8,6 +8,7 @@
 import org.hornbeampass.protocol.http.ErrorAnswer;
 import org.hornbeampass.state.ErrorKind;
 import org.hornbeampass.state.Failure;
+import org.hornbeampass.transport.relay.AnswerFraming;
 import org.hornbeampass.transport.relay.UpstreamConnection;
 import org.hornbeampass.transport.relay.UpstreamListener;
 
@@ -34,6 +35,7 @@
     private final UpstreamSearch mSearch;
     private Optional<InFlightSend> mSend = Optional.empty();
     private Optional<UpstreamConnection> mConnection = Optional.empty();
+    private Optional<AnswerFraming> mFraming = Optional.empty();
     private long mSentMs;
     private long mFirstByteMs = -1;
 
@@ -150,6 +152,9 @@
                 }
             }
         }
+        AnswerFraming framing = AnswerFraming.of(mPlan.request().method(), head);
+        mFraming = Optional.of(framing);
+        mContext.log().countAnswer(framing);
         if (mFirstByteMs < 0) {
             mFirstByteMs = nowMs;
         }
@@ -446,7 +451,9 @@
     public LogFields summary() {
         return mCounts.fields()
                 .add("events", mAnswer.eventCount())
-                .add("first_ms", mFirstByteMs < 0 ? -1 : mFirstByteMs - mSentMs);
+                .add("first_ms", mFirstByteMs < 0 ? -1 : mFirstByteMs - mSentMs)
+                .add("framing", mFraming.map(AnswerFraming::logName).orElse(""))
+                .add("partial_event_bytes", mAnswer.partialEventBytes());
     }
 
     private void logDecision(long nowMs, String decision, LogFields fields) {
--- a/router/src/main/java/org/hornbeampass/router/relay/RelayLog.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/RelayLog.java
@@ -5,6 +5,7 @@
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.hornbeampass.state.service.Route;
+import org.hornbeampass.transport.relay.AnswerFraming;
 
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
@@ -72,6 +73,11 @@
         write(nowMs, allowed, "ended", head.id(), fields);
     }
 
+    /** Counts an answer of an upstream by its framing. */
+    void countAnswer(AnswerFraming framing) {
+        mMetrics.counter("answers{framing=\"" + framing.logName() + "\"}").inc();
+    }
+
     /** Counts and logs a decision within a request. */
     void logDecision(long nowMs, String id, String decision, LogFields inputs) {
         mMetrics.counter("decisions{kind=\"" + decision + "\"}").inc();
--- a/transport/src/main/java/org/hornbeampass/transport/relay/EventScanner.java
+++ b/transport/src/main/java/org/hornbeampass/transport/relay/EventScanner.java
@@ -18,6 +18,8 @@
     private int mMatched;
     private boolean mReadingId;
     private boolean mEventHasLines;
+    private boolean mComment;
+    private long mEventBytes;
 
     /**
      * Receives the end of each event.
@@ -35,6 +37,14 @@
         void onEvent(int endIndex, long id);
     }
 
+    /**
+     * Returns how many bytes of an event were scanned whose end has not been; 0 between events.
+     * Comments belong to no event.
+     */
+    public long partialEventBytes() {
+        return mComment ? mEventBytes : mEventBytes + mLineLength;
+    }
+
     /** Scans all readable bytes of a buffer, without moving its reader index. */
     public void scan(ByteBuf part, Sink sink) {
         for (int i = part.readerIndex(); i < part.writerIndex(); i++) {
@@ -48,6 +58,7 @@
             }
             boolean endsEvent = mLineLength == 0 && mEventHasLines;
             mEventHasLines |= mLineLength > 0;
+            countLine();
             startLine();
             if (endsEvent) {
                 long id = mEventId;
@@ -58,13 +69,23 @@
         }
     }
 
+    private void countLine() {
+        if (mLineLength == 0) {
+            mEventBytes = 0;
+        } else if (!mComment) {
+            mEventBytes += mLineLength + 1;
+        }
+    }
+
     private void startLine() {
         mLineLength = 0;
+        mComment = false;
         mMatched = 0;
         mReadingId = false;
     }
 
     private void onByte(char c) {
+        mComment |= mLineLength == 0 && c == ':';
         if (mReadingId) {
             if (c >= '0' && c <= '9') {
                 mEventId = Math.max(0, mEventId) * 10 + (c - '0');
--- a/transport/src/main/java/org/hornbeampass/transport/relay/UpstreamConnection.java
+++ b/transport/src/main/java/org/hornbeampass/transport/relay/UpstreamConnection.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
@@ -38,6 +39,7 @@
     private final Clock mClock;
     private Channel mChannel;
     private Optional<UpstreamListener> mListener = Optional.empty();
+    private HttpMethod mMethod = HttpMethod.GET;
     private boolean mHeadAccepted;
     private boolean mSkippingAnswer;
     private boolean mReusable;
@@ -61,6 +63,7 @@
     /** Writes the head of a request, without flushing it; the listener receives the answer. */
     public void start(HttpRequest head, UpstreamListener listener) {
         mListener = Optional.of(listener);
+        mMethod = head.method();
         mHeadAccepted = false;
         mSkippingAnswer = false;
         mRequestWritten = false;
@@ -158,12 +161,7 @@
             return;
         }
         mHeadAccepted = true;
-        boolean framed =
-                HttpUtil.isContentLengthSet(head)
-                        || HttpUtil.isTransferEncodingChunked(head)
-                        || status == 204
-                        || status == 304;
-        mReusable = framed && HttpUtil.isKeepAlive(head);
+        mReusable = AnswerFraming.of(mMethod, head).isExplicit() && HttpUtil.isKeepAlive(head);
         mIdleLimitMs = parseIdleLimitMs(head);
     }
 
--- a/transport/src/test/java/org/hornbeampass/transport/relay/EventScannerTest.java
+++ b/transport/src/test/java/org/hornbeampass/transport/relay/EventScannerTest.java
@@ -76,4 +76,25 @@
     void eventWithoutId_isReportedWithMinusOne() {
         assertThat(ids(List.of("data: a\n\n"))).containsExactly(-1L);
     }
+
+    private static long partialEventBytes(String stream) {
+        EventScanner scanner = new EventScanner();
+        scanner.scan(Unpooled.copiedBuffer(stream, StandardCharsets.UTF_8), (end, id) -> {});
+        return scanner.partialEventBytes();
+    }
+
+    @Test
+    void partialEventBytes_countsFromTheLastEmptyLine() {
+        assertThat(partialEventBytes("id: 1\ndata: a\n\nid: 2\nda")).isEqualTo(8);
+        assertThat(partialEventBytes("id: 1\ndata: a\n\nid: 2\n")).isEqualTo(6);
+    }
+
+    @Test
+    void partialEventBytes_isZeroBetweenEventsAndInComments() {
+        assertThat(partialEventBytes("")).isZero();
+        assertThat(partialEventBytes("data: a\n\n")).isZero();
+        assertThat(partialEventBytes("data: a\r\n\r\n\n")).isZero();
+        assertThat(partialEventBytes("data: a\n\n: alive\n")).isZero();
+        assertThat(partialEventBytes("data: a\n\n: ali")).isZero();
+    }
 }
