Send what was written of an answer before it is aborted

Callers saw a connection closed without any answer where the first events and the loss of the upstream were read at once: the events had been written, not flushed, and the close dropped them. They were counted as delivered and billed, and a caller that takes its stream up again had to begin earlier.

Change: an abort flushes first. Measured: the new case of CallerConnectionTest fails before and passes after.

--- a/transport/src/main/java/org/hornbeampass/transport/relay/CallerConnection.java
+++ b/transport/src/main/java/org/hornbeampass/transport/relay/CallerConnection.java
@@ -324,8 +324,12 @@
         deliver();
     }
 
-    /** Closes the connection without completing the answer, so that it can't look complete. */
+    /**
+     * Sends what was written and closes the connection without completing the answer, so that it
+     * can't look complete.
+     */
     public void abort() {
+        mChannel.flush();
         mClosed = true;
         mListener = Optional.empty();
         releaseQueued();
--- a/transport/src/test/java/org/hornbeampass/transport/relay/CallerConnectionTest.java
+++ b/transport/src/test/java/org/hornbeampass/transport/relay/CallerConnectionTest.java
@@ -22,8 +22,8 @@
 import java.nio.charset.StandardCharsets;
 
 /**
- * Guards against buffers that leak, and connections that are closed with a request pending, before
- * a request is handed over or after the connection was aborted.
+ * Guards against buffers that leak, connections that are closed with a request pending, and parts
+ * of answers that are lost, before a request is handed over or when the connection is aborted.
  */
 class CallerConnectionTest {
     private final EventLoops mLoops = EventLoops.create(1, "test");
@@ -65,6 +65,16 @@
         assertThat(channel.isOpen()).isTrue();
     }
 
+    @Test
+    void partsBeforeAnAbort_areSent() {
+        CallerConnection caller = new CallerConnection(mServer, Clock.monotonic());
+        EmbeddedChannel channel = new EmbeddedChannel(caller);
+        HttpContent part = part();
+        caller.sendPart(part);
+        caller.abort();
+        assertThat(channel.<HttpContent>readOutbound()).isSameAs(part);
+    }
+
     @Test
     void partAfterTheConnectionWasAborted_isReleased() {
         CallerConnection caller = new CallerConnection(mServer, Clock.monotonic());
