Take a stream that ends inside an event for broken off

Callers saw a 200 with an upstream's seal, properly ended chunks, and a body that lacked the last events. The route's streams may be resumed, and were not.

Cause: the end of a connection was taken for the end of the answer. An answer with neither a length nor chunks ends with its connection; the decoder reports that end, and the router ended the caller's chunks, after forwarding what it had of the event. Nothing asked the stream itself.

Change: an answer that has ended is asked for a defect before it is ended for the caller: a stream inside an event, however it is framed; a stream without framing and without any event. A defect is handled like a broken connection: resumed after the last whole event where the route allows it, else broken off, and it counts against the upstream. The same is asked of answers that come through another VM. Only a 2xx answer that may hold events is a stream at all; a refusal or a plain body on such a route is passed on whole, and can't be spliced into a stream that is being resumed.

The chat path ends a stream at its final event only, and refuses answers without framing; it needs no change.

--- a/router/src/main/java/org/hornbeampass/router/relay/AnswerStream.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/AnswerStream.java
@@ -4,9 +4,12 @@
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultHttpContent;
 
+import org.hornbeampass.transport.relay.AnswerFraming;
 import org.hornbeampass.transport.relay.CallerConnection;
 import org.hornbeampass.transport.relay.EventScanner;
 
+import java.util.Optional;
+
 /**
  * Forwards a stream of events to the caller and remembers the last event that the caller received.
  *
@@ -58,6 +61,21 @@
         return mGap;
     }
 
+    /**
+     * Returns why a stream that an upstream has ended can't be complete; empty where it may be.
+     *
+     * @param framing how the upstream marked the end
+     */
+    Optional<String> defect(AnswerFraming framing) {
+        if (partialEventBytes() > 0) {
+            return Optional.of("the stream ended inside an event");
+        }
+        boolean empty = mEventCount == 0 && mLastEventId == NONE;
+        return empty && !framing.isExplicit()
+                ? Optional.of("the connection was closed before the first event")
+                : Optional.empty();
+    }
+
     /** Discards an incomplete event, which the next upstream will send again in whole. */
     void discardPartialEvent() {
         mPartialEvent.release();
@@ -99,7 +117,7 @@
         }
     }
 
-    /** Forwards the bytes that follow the last whole event, once the answer has ended properly. */
+    /** Forwards the empty lines and comments after the last event of a complete stream. */
     void end() {
         if (mPartialEvent.isReadable()) {
             mCaller.sendPart(
--- a/router/src/main/java/org/hornbeampass/router/relay/CallerAnswer.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/CallerAnswer.java
@@ -3,6 +3,10 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpResponse;
 
+import org.hornbeampass.transport.relay.AnswerFraming;
+
+import java.util.Optional;
+
 /**
  * The answer to the caller of one request: a stream that is forwarded as it arrives, or an answer
  * that is buffered until it is whole.
@@ -61,7 +65,16 @@
         return !mStream.hasGap();
     }
 
-    /** Writes the rest of the answer; the user of this class must then end it. */
+    /**
+     * Returns why an answer that an upstream has ended can't be complete; empty where it may be.
+     *
+     * @param framing how the upstream marked the end
+     */
+    Optional<String> defect(AnswerFraming framing) {
+        return streaming() ? mStream.defect(framing) : Optional.empty();
+    }
+
+    /** Writes the rest of a complete answer; the user of this class must then end it. */
     void end() {
         if (mBuffered.started()) {
             mBuffered.end();
--- a/router/src/main/java/org/hornbeampass/router/relay/CrashHistory.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/CrashHistory.java
@@ -1,11 +1,9 @@
 package org.hornbeampass.router.relay;
 
-import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpUtil;
-
 import org.hornbeampass.coordination.quarantine.QuarantineStatus;
 import org.hornbeampass.coordination.quarantine.RequestDigest;
 import org.hornbeampass.coordination.service.UpstreamInstance;
+import org.hornbeampass.transport.relay.AnswerFraming;
 
 /**
  * The crashes of upstreams that one request may have caused: those known to the fleet, and those
@@ -17,7 +15,6 @@
     private final RelayContext mContext;
     private final RequestIdentity mIdentity;
     private final String mRequestId;
-    private boolean mDelimited;
     private boolean mTrial;
 
     CrashHistory(RelayContext context, RequestIdentity identity, String requestId) {
@@ -84,17 +81,12 @@
         }
     }
 
-    /** Records from the head of an answer whether the answer states its own end. */
-    void onAnswerHead(HttpResponse head) {
-        mDelimited = HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head);
-    }
-
     /**
      * Clears the request, since an upstream has answered it in whole. Where the answer does not
      * state its own end, the end of the connection may be a crash.
      */
-    void onAnswered(long nowMs, UpstreamInstance instance) {
-        if (!mDelimited) {
+    void onAnswered(long nowMs, UpstreamInstance instance, AnswerFraming framing) {
+        if (!framing.isExplicit()) {
             mContext.crashDetector().onConnectionLost(instance, digest());
         } else if (status() != QuarantineStatus.UNSUSPECTED) {
             mContext.quarantine().clear(nowMs, digest());
--- a/router/src/main/java/org/hornbeampass/router/relay/ForwardedRequest.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/ForwardedRequest.java
@@ -9,6 +9,7 @@
 import org.hornbeampass.state.Failure;
 import org.hornbeampass.state.RunState;
 import org.hornbeampass.state.member.Member;
+import org.hornbeampass.transport.relay.AnswerFraming;
 import org.hornbeampass.transport.relay.UpstreamConnection;
 import org.hornbeampass.transport.relay.UpstreamListener;
 
@@ -45,6 +46,7 @@
     private final Set<String> mTried = new HashSet<>();
     private Optional<Member> mTarget = Optional.empty();
     private Optional<UpstreamConnection> mConnection = Optional.empty();
+    private Optional<AnswerFraming> mFraming = Optional.empty();
     private boolean mMayHaveRun;
 
     ForwardedRequest(RelayContext context, RelayCall call, RelayPlan plan, RequestBody body) {
@@ -128,9 +130,8 @@
             }
         }
         HttpResponse copy = EndToEndHeaders.copyOf(head);
-        boolean streams =
-                mPlan.route().kind().streams() && answer.outcome() == AnswerOutcome.SUCCEEDED;
-        if (streams) {
+        mFraming = Optional.of(AnswerFraming.of(mPlan.request().method(), head));
+        if (mPlan.isStream(head, answer.outcome())) {
             mAnswer.startStream(copy);
         } else {
             mAnswer.startBuffered(copy);
@@ -220,6 +221,11 @@
         if (mCall.ended() || mConnection.isEmpty()) {
             return;
         }
+        Optional<String> defect = mAnswer.defect(mFraming.orElseThrow());
+        if (defect.isPresent()) {
+            onBroken(nowMs, defect.get());
+            return;
+        }
         mConnection = Optional.empty();
         mAnswer.end();
         mCall.end(nowMs, mMayHaveRun ? "answered" : "refused-by-vm", 0);
--- a/router/src/main/java/org/hornbeampass/router/relay/RelayAttempts.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/RelayAttempts.java
@@ -139,7 +139,8 @@
 
     private void onProcessed(long nowMs, HttpResponse head, AnswerOutcome outcome) {
         UpstreamInstance instance = mSend.orElseThrow().instance();
-        mCrashes.onAnswerHead(head);
+        AnswerFraming framing = AnswerFraming.of(mPlan.request().method(), head);
+        mFraming = Optional.of(framing);
         if (outcome == AnswerOutcome.FAILED) {
             instance.onErrorAnswer(nowMs);
             if (mayRetry() && !mAnswer.headSent()) {
@@ -152,14 +153,12 @@
                 }
             }
         }
-        AnswerFraming framing = AnswerFraming.of(mPlan.request().method(), head);
-        mFraming = Optional.of(framing);
         mContext.log().countAnswer(framing);
         if (mFirstByteMs < 0) {
             mFirstByteMs = nowMs;
         }
         if (mAnswer.headSent()) {
-            if (outcome != AnswerOutcome.SUCCEEDED) {
+            if (!mPlan.isStream(head, outcome)) {
                 abandonSend();
                 abortAnswer(nowMs, "the stream could not be resumed at another upstream");
                 return;
@@ -169,8 +168,7 @@
         }
         HttpResponse copy = EndToEndHeaders.copyOf(head);
         copy.headers().remove(ErrorAnswer.RUN_STATE_HEADER);
-        boolean streams = mPlan.route().kind().streams() && outcome == AnswerOutcome.SUCCEEDED;
-        if (streams) {
+        if (mPlan.isStream(head, outcome)) {
             mAnswer.startStream(copy);
             mSilenceTimeout.startForEvent();
         } else {
@@ -223,9 +221,15 @@
         if (mCall.ended()) {
             return;
         }
+        AnswerFraming framing = mFraming.orElseThrow();
+        Optional<String> defect = mAnswer.defect(framing);
+        if (defect.isPresent()) {
+            onBroken(nowMs, defect.get());
+            return;
+        }
         mSend.orElseThrow().onAnswerPart(nowMs, mSentMs);
         mConnection = Optional.empty();
-        mCrashes.onAnswered(nowMs, mSend.orElseThrow().instance());
+        mCrashes.onAnswered(nowMs, mSend.orElseThrow().instance(), framing);
         releaseSend();
         mSilenceTimeout.stop();
         if (mCall.callerGone()) {
--- a/router/src/main/java/org/hornbeampass/router/relay/RelayPlan.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/RelayPlan.java
@@ -4,6 +4,9 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 
 import org.hornbeampass.coordination.service.PrefillUrgency;
@@ -41,6 +44,25 @@
         return service.engine().map(e -> e.tokensPerEvent()).orElse(0);
     }
 
+    /**
+     * Returns whether an answer is a stream of events, which may be resumed and must not end inside
+     * an event.
+     *
+     * @param head the head of the answer
+     * @param outcome how the upstream handled the request
+     */
+    boolean isStream(HttpResponse head, AnswerOutcome outcome) {
+        boolean succeeded =
+                outcome == AnswerOutcome.SUCCEEDED
+                        && head.status().codeClass() == HttpStatusClass.SUCCESS;
+        return succeeded && route.kind().streams() && mayHoldEvents(head);
+    }
+
+    private static boolean mayHoldEvents(HttpResponse head) {
+        CharSequence type = HttpUtil.getMimeType(head);
+        return type == null || HttpHeaderValues.TEXT_EVENT_STREAM.contentEqualsIgnoreCase(type);
+    }
+
     /**
      * Creates the head of the request that is sent to an upstream.
      *
