End an answer without framing only with the upstream's own output

Callers could see a cut answer as complete where this VM's side ended the connection: the decoder reports the end of an unframed answer at each end of its connection, and a flag told only ends that an exception had announced. Closing the event loops, as at the end of a shutdown, announces none.

Change: connections to upstreams keep their half-closed state, so that the end of the upstream's output (FIN) is an event of its own. An unframed answer ends with that event; each other end of the connection breaks it. So a way to lose a connection that nobody thought of can't look complete.

UpstreamConnectionTest: the case of a connection that this VM closes fails on the code before ('end' in place of 'broken'); the three that deliver the new event failed for want of it.

--- a/transport/src/main/java/org/hornbeampass/transport/relay/UpstreamConnection.java
+++ b/transport/src/main/java/org/hornbeampass/transport/relay/UpstreamConnection.java
@@ -4,6 +4,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpMethod;
@@ -23,9 +24,11 @@
  * Sends requests to an upstream over one connection, one request at a time.
  *
  * <p>Invariants: bytes that arrive while no request is in progress close the connection, since they
- * belong to no request. A connection is reused only if the last answer was complete, had explicit
- * framing (a content length, chunked encoding or a status without a body) and did not ask to close
- * the connection, and if the whole request had been written. Confined to the channel's event loop.
+ * belong to no request. An answer without framing is complete only if the upstream ended its output
+ * in order; a connection that fails or is closed by this VM breaks it. A connection is reused only
+ * if the last answer was complete, had explicit framing (a content length, chunked encoding or a
+ * status without a body) and did not ask to close the connection, and if the whole request had been
+ * written. Confined to the channel's event loop.
  */
 public final class UpstreamConnection extends ChannelInboundHandlerAdapter {
     /** How long an idle connection may be reused if the upstream states no timeout. */
@@ -40,11 +43,12 @@
     private Channel mChannel;
     private Optional<UpstreamListener> mListener = Optional.empty();
     private HttpMethod mMethod = HttpMethod.GET;
+    private AnswerFraming mFraming = AnswerFraming.NO_BODY;
     private boolean mHeadAccepted;
     private boolean mSkippingAnswer;
     private boolean mReusable;
     private boolean mRequestWritten;
-    private boolean mFailed;
+    private boolean mAwaitingEndOfInput;
     private boolean mClosed;
     private long mIdleLimitMs = DEFAULT_IDLE_LIMIT_MS;
     private long mIdleSinceMs;
@@ -66,6 +70,7 @@
         mMethod = head.method();
         mHeadAccepted = false;
         mSkippingAnswer = false;
+        mAwaitingEndOfInput = false;
         mRequestWritten = false;
         mReusable = false;
         var unused = mChannel.write(head, mChannel.voidPromise());
@@ -161,7 +166,8 @@
             return;
         }
         mHeadAccepted = true;
-        mReusable = AnswerFraming.of(mMethod, head).isExplicit() && HttpUtil.isKeepAlive(head);
+        mFraming = AnswerFraming.of(mMethod, head);
+        mReusable = mFraming.isExplicit() && HttpUtil.isKeepAlive(head);
         mIdleLimitMs = parseIdleLimitMs(head);
     }
 
@@ -198,8 +204,28 @@
         } else {
             content.release();
         }
-        if (last && mListener.isPresent() && !mFailed) {
+        if (!last || mListener.isEmpty()) {
+            return;
+        }
+        if (mFraming.isExplicit()) {
             onAnswerEnded(listener);
+        } else {
+            // The decoder reports this end for each end of the connection, whatever its cause.
+            mAwaitingEndOfInput = true;
+        }
+    }
+
+    /** Handles the end of the upstream's output, after the decoder has. */
+    @Override
+    public void userEventTriggered(ChannelHandlerContext context, Object event) {
+        if (!(event instanceof ChannelInputShutdownEvent)) {
+            context.fireUserEventTriggered(event);
+            return;
+        }
+        if (mAwaitingEndOfInput && mListener.isPresent()) {
+            onAnswerEnded(mListener.get());
+        } else {
+            onConnectionBroken("the upstream closed the connection");
         }
     }
 
@@ -235,14 +261,11 @@
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         mPool.onClosed(this);
-        onConnectionBroken("the upstream closed the connection");
+        onConnectionBroken("the connection was closed");
     }
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-        // When a connection closes, even by a reset, the decoder reports the end of an answer
-        // without framing. The flag keeps such an answer from being taken for a complete one.
-        mFailed = true;
         mPool.onFault(cause);
         onConnectionBroken("the connection to the upstream failed: " + cause.getMessage());
     }
--- a/transport/src/main/java/org/hornbeampass/transport/relay/UpstreamPool.java
+++ b/transport/src/main/java/org/hornbeampass/transport/relay/UpstreamPool.java
@@ -130,6 +130,8 @@
                 .group(mLoops.group())
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
+                // Tells the end of the upstream's output from other ends of the connection.
+                .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeoutMs)
                 .option(
                         ChannelOption.WRITE_BUFFER_WATER_MARK,
--- /dev/null
+++ b/transport/src/test/java/org/hornbeampass/transport/relay/UpstreamConnectionTest.java
@@ -0,0 +1,158 @@
+package org.hornbeampass.transport.relay;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
+import io.netty.handler.codec.http.DefaultHttpRequest;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpVersion;
+
+import org.hornbeampass.transport.Channels;
+import org.hornbeampass.transport.Clock;
+import org.hornbeampass.transport.EventLoops;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Checks which ends of a connection are taken for the end of an answer. */
+class UpstreamConnectionTest {
+    private static final String UNFRAMED = "HTTP/1.1 200 OK\r\n\r\nbody";
+    private static final String FRAMED = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody";
+
+    private final EventLoops mLoops = EventLoops.create(1, "test");
+    private final UpstreamPool mPool =
+            new UpstreamPool(mLoops, Clock.monotonic(), UpstreamPool.ConnectListener.NONE);
+    private final UpstreamConnection mConnection =
+            new UpstreamConnection(mPool, "127.0.0.1:1", Clock.monotonic());
+    private final EmbeddedChannel mChannel =
+            new EmbeddedChannel(new HttpClientCodec(), mConnection);
+    private final Recorder mRecorder = new Recorder();
+
+    /** Records the calls to a listener. */
+    private static final class Recorder implements UpstreamListener {
+        private final List<String> mCalls = new ArrayList<>();
+
+        @Override
+        public boolean onHead(long nowMs, HttpResponse head) {
+            mCalls.add("head");
+            return true;
+        }
+
+        @Override
+        public void onPart(long nowMs, ByteBuf part) {
+            mCalls.add(part.toString(StandardCharsets.US_ASCII));
+            part.release();
+        }
+
+        @Override
+        public void onReadComplete(long nowMs) {}
+
+        @Override
+        public void onEnd(long nowMs) {
+            mCalls.add("end");
+        }
+
+        @Override
+        public void onBroken(long nowMs, String reason) {
+            mCalls.add("broken");
+        }
+
+        @Override
+        public void onUpstreamWritable(long nowMs) {}
+    }
+
+    @BeforeEach
+    void send() {
+        start(HttpMethod.GET);
+    }
+
+    private void start(HttpMethod method) {
+        mConnection.start(new DefaultHttpRequest(HttpVersion.HTTP_1_1, method, "/"), mRecorder);
+        mConnection.sendEnd();
+    }
+
+    @AfterEach
+    void close() {
+        mChannel.finishAndReleaseAll();
+        mLoops.close();
+    }
+
+    private void receive(String text) {
+        mChannel.writeInbound(Unpooled.copiedBuffer(text, StandardCharsets.US_ASCII));
+    }
+
+    private void receiveEndOfInput() {
+        mChannel.pipeline().fireUserEventTriggered(ChannelInputShutdownEvent.INSTANCE);
+    }
+
+    @Test
+    void unframedAnswer_endsWithTheInput() {
+        receive(UNFRAMED);
+        assertThat(mRecorder.mCalls).containsExactly("head", "body");
+        receiveEndOfInput();
+        assertThat(mRecorder.mCalls).containsExactly("head", "body", "end");
+        assertThat(mChannel.isOpen()).isFalse();
+    }
+
+    @Test
+    void unframedAnswerOnAConnectionThatThisVmCloses_isBroken() {
+        receive(UNFRAMED);
+        Channels.close(mChannel);
+        assertThat(mRecorder.mCalls).containsExactly("head", "body", "broken");
+    }
+
+    @Test
+    void unframedAnswerOnAConnectionThatFails_isBroken() {
+        receive(UNFRAMED);
+        mChannel.pipeline().fireExceptionCaught(new IOException("Connection reset"));
+        receiveEndOfInput();
+        assertThat(mRecorder.mCalls).containsExactly("head", "body", "broken");
+    }
+
+    @Test
+    void framedAnswer_endsBeforeTheInput() {
+        receive(FRAMED);
+        assertThat(mRecorder.mCalls).containsExactly("head", "body", "end");
+        assertThat(mChannel.isOpen()).isTrue();
+    }
+
+    @Test
+    void framedAnswerThatIsCutShort_isBroken() {
+        receive(FRAMED.substring(0, FRAMED.length() - 1));
+        receiveEndOfInput();
+        assertThat(mRecorder.mCalls).containsExactly("head", "bod", "broken");
+        assertThat(mChannel.isOpen()).isFalse();
+    }
+
+    @Test
+    void endOfInputWithoutAnAnswer_isBroken() {
+        receiveEndOfInput();
+        assertThat(mRecorder.mCalls).containsExactly("broken");
+    }
+
+    @Test
+    void endOfInputOnAnIdleConnection_closesIt() {
+        receive(FRAMED);
+        receiveEndOfInput();
+        assertThat(mRecorder.mCalls).containsExactly("head", "body", "end");
+        assertThat(mChannel.isOpen()).isFalse();
+    }
+
+    @Test
+    void answerToAHeadRequest_endsWithItsHead() {
+        receive(FRAMED);
+        start(HttpMethod.HEAD);
+        receive("HTTP/1.1 200 OK\r\n\r\n");
+        assertThat(mRecorder.mCalls).containsExactly("head", "body", "end", "head", "end");
+    }
+}
