Reset the connection of an HTTP/1.0 caller whose answer is broken off

An HTTP/1.0 caller of an answer without a length could take a broken answer for a complete one: we send it neither a length nor chunks, and an abort closed its connection in order. This is the same fault as in the answers of upstreams, with this VM as the sender.

Change: from the head of such an answer to its end the connection is set to reset when it is closed, so that each way to lose it, the end of the process included, tells the caller; a complete answer is closed in order.

What a process that ends does to such a connection is not tested. Callers with HTTP/1.1 always get chunks or a length.

--- a/transport/src/main/java/org/hornbeampass/transport/relay/CallerConnection.java
+++ b/transport/src/main/java/org/hornbeampass/transport/relay/CallerConnection.java
@@ -4,6 +4,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
@@ -35,9 +36,10 @@
  * before it hands over the next.
  *
  * <p>Invariants: the handler processes at most one request at a time. An answer that ends early
- * closes the connection, so that the caller can't mistake it for a complete one. If part of a large
- * request body is still to be received when the answer ends, the connection is closed after the
- * answer. Confined to the channel's event loop.
+ * closes the connection, and resets it where nothing but its close ends the answer, so that the
+ * caller can't mistake it for a complete one. If part of a large request body is still to be
+ * received when the answer ends, the connection is closed after the answer. Confined to the
+ * channel's event loop.
  */
 public final class CallerConnection extends ChannelInboundHandlerAdapter {
     /** Reading stops while more decoded messages than this are queued, as with pipelining. */
@@ -57,6 +59,9 @@
      */
     private static final long MAX_READ_AGE_MS = 100;
 
+    /** The value of {@code SO_LINGER} with which a close sends what was written. */
+    private static final int LINGER_OFF = -1;
+
     private final CallerServer mServer;
     private final Clock mClock;
     private final ArrayDeque<HttpObject> mQueued = new ArrayDeque<>();
@@ -234,6 +239,8 @@
         boolean hasBody = !HttpUtil.isContentLengthSet(head) && mayHaveBody(head);
         if (hasBody && mHttp10) {
             mKeepAlive = false;
+            // Until the answer is complete, any close of the connection resets it.
+            setLinger(0);
         } else if (hasBody) {
             HttpUtil.setTransferEncodingChunked(head, true);
         }
@@ -243,6 +250,10 @@
         var unused = mChannel.write(head, mChannel.voidPromise());
     }
 
+    private void setLinger(int seconds) {
+        mChannel.config().setOption(ChannelOption.SO_LINGER, seconds);
+    }
+
     private static boolean mayHaveBody(HttpResponse head) {
         int status = head.status().code();
         return status >= 200 && status != 204 && status != 304;
@@ -314,6 +325,7 @@
         mIdleSinceMs = mClock.nowMs();
         var written = mChannel.writeAndFlush(last);
         if (close) {
+            setLinger(LINGER_OFF);
             mClosed = true;
             mListener = Optional.empty();
             releaseQueued();
