Drop the length of a stream that may be resumed

Callers could get an answer whose stated length is wrong: the head comes from the upstream that began the stream, and the rest from the one that ended it. With more bytes than stated, a caller takes the cut stream for complete and the rest for the next answer.

--- a/router/src/main/java/org/hornbeampass/router/relay/CallerAnswer.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/CallerAnswer.java
@@ -1,6 +1,7 @@
 package org.hornbeampass.router.relay;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpResponse;
 
 import org.hornbeampass.transport.relay.AnswerFraming;
@@ -16,17 +17,15 @@
  */
 final class CallerAnswer {
     private final RelayCall mCall;
+    private final boolean mResumable;
     private final AnswerStream mStream;
     private final BufferedAnswer mBuffered;
     private boolean mHeadSent;
 
     CallerAnswer(RelayCall call, RelayPlan plan) {
         mCall = call;
-        mStream =
-                new AnswerStream(
-                        call.caller(),
-                        plan.route().resumable(),
-                        plan.head().lastEventId().orElse(-1));
+        mResumable = plan.route().resumable();
+        mStream = new AnswerStream(call.caller(), mResumable, plan.head().lastEventId().orElse(-1));
         mBuffered = new BufferedAnswer(call);
     }
 
@@ -43,6 +42,10 @@
     /** Starts a stream and writes its head. */
     void startStream(HttpResponse head) {
         mHeadSent = true;
+        if (mResumable) {
+            // The length was stated by an upstream that may not be the one to end the stream.
+            head.headers().remove(HttpHeaderNames.CONTENT_LENGTH);
+        }
         mCall.sendHead(head);
     }
 
