End an answer without framing only while its upstream listens

Callers could see a stream as complete whose upstream's process had died between two events: the system closes the connections of a dead process in order, which no answer without framing can tell from its end.

Change: an answer without framing is ended for the caller once a connection that was opened after its close shows that the upstream listens. That probe was made before too, for the quarantine, and nobody waited for it. An upstream that refuses it has crashed as far as its answers are concerned: the stream is resumed, or broken off. One that is leaving is expected to end and needs no probe. Requests that ask while a probe is under way wait for the next one, as its success says nothing about a later close.

Costs: one round trip at the end of an answer without framing.

--- a/router/src/main/java/org/hornbeampass/router/relay/CrashDetector.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/CrashDetector.java
@@ -10,12 +10,14 @@
 import org.hornbeampass.transport.Clock;
 import org.hornbeampass.transport.relay.UpstreamPool;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 /**
  * Distinguishes the crash of an upstream from the loss of a single connection.
@@ -40,9 +42,33 @@
     private final Clock mClock;
     private final RelayLog mLog;
     private final Quarantine mQuarantine;
-    private final Map<UpstreamIncarnation, Set<RequestDigest>> mPendingProbes = new HashMap<>();
+    private final Map<UpstreamIncarnation, Probe> mPendingProbes = new HashMap<>();
     private final Set<UpstreamIncarnation> mUnconfirmed = new LinkedHashSet<>();
 
+    /**
+     * What waits for the result of a probe.
+     *
+     * @param request the digest of the request
+     * @param onProbed receives whether the upstream accepted the connection
+     */
+    private record Waiting(RequestDigest request, Consumer<Boolean> onProbed) {}
+
+    /** A probe, from its start until it is known what its failure means. */
+    private static final class Probe {
+        private final Set<RequestDigest> mRequests = new LinkedHashSet<>();
+        private final List<Waiting> mWaiting = new ArrayList<>();
+
+        /** Asked after the probe had been started, so that its success tells them nothing. */
+        private final List<Waiting> mWaitingForNext = new ArrayList<>();
+
+        private boolean mFailed;
+
+        private void add(Waiting waiting) {
+            mRequests.add(waiting.request());
+            mWaiting.add(waiting);
+        }
+    }
+
     /**
      * Creates the detector.
      *
@@ -80,25 +106,74 @@
         if (instance.isLeaving()) {
             return;
         }
-        UpstreamIncarnation incarnation = instance.incarnation();
-        Set<RequestDigest> pending = mPendingProbes.get(incarnation);
+        Probe pending = mPendingProbes.get(instance.incarnation());
         if (pending != null) {
-            pending.add(digest);
+            pending.mRequests.add(digest);
+            return;
+        }
+        Probe first = new Probe();
+        first.mRequests.add(digest);
+        open(instance.incarnation(), instance.entry().address(), first);
+    }
+
+    /**
+     * Checks whether an upstream has crashed, after it closed a connection on which a request was
+     * in flight.
+     *
+     * @param instance the upstream
+     * @param digest the digest of the request
+     * @param onProbed receives whether the upstream accepts connections after the close; an
+     *     upstream that is leaving counts as one that does, since its end is expected
+     */
+    void onConnectionClosed(
+            UpstreamInstance instance, RequestDigest digest, Consumer<Boolean> onProbed) {
+        if (instance.isLeaving()) {
+            onProbed.accept(true);
             return;
         }
-        mPendingProbes.put(incarnation, new LinkedHashSet<>(Set.of(digest)));
-        long lostMs = mClock.nowMs();
+        Waiting waiting = new Waiting(digest, onProbed);
+        Probe pending = mPendingProbes.get(instance.incarnation());
+        if (pending == null) {
+            Probe first = new Probe();
+            first.add(waiting);
+            open(instance.incarnation(), instance.entry().address(), first);
+        } else if (pending.mFailed) {
+            pending.mRequests.add(digest);
+            onProbed.accept(false);
+        } else {
+            pending.mWaitingForNext.add(waiting);
+        }
+    }
+
+    private void open(UpstreamIncarnation incarnation, String address, Probe probe) {
+        mPendingProbes.put(incarnation, probe);
+        long startedMs = mClock.nowMs();
         mPool.probe(
-                instance.entry().address(),
+                address,
                 RelayBounds.CONNECT_TIMEOUT_MS,
-                listens -> onProbed(incarnation, lostMs, listens));
+                listens -> onProbed(incarnation, address, startedMs, listens));
     }
 
-    private void onProbed(UpstreamIncarnation incarnation, long lostMs, boolean listening) {
-        if (listening) {
+    private void onProbed(
+            UpstreamIncarnation incarnation, String address, long startedMs, boolean listening) {
+        Probe probe = mPendingProbes.get(incarnation);
+        if (!listening) {
+            probe.mFailed = true;
+            probe.mWaitingForNext.forEach(probe::add);
+            onFailed(incarnation, startedMs);
+        } else if (probe.mWaitingForNext.isEmpty()) {
             mPendingProbes.remove(incarnation);
-        } else if (mReach.hasOpenedSince(lostMs)) {
-            report(mClock.nowMs(), incarnation, mPendingProbes.remove(incarnation));
+        } else {
+            Probe next = new Probe();
+            probe.mWaitingForNext.forEach(next::add);
+            open(incarnation, address, next);
+        }
+        probe.mWaiting.forEach(w -> w.onProbed().accept(listening));
+    }
+
+    private void onFailed(UpstreamIncarnation incarnation, long startedMs) {
+        if (mReach.hasOpenedSince(startedMs)) {
+            report(mClock.nowMs(), incarnation, mPendingProbes.remove(incarnation).mRequests);
         } else {
             mUnconfirmed.add(incarnation);
             var unused =
@@ -123,7 +198,7 @@
 
     private void decide(long nowMs, UpstreamIncarnation incarnation, boolean cutOff) {
         mUnconfirmed.remove(incarnation);
-        Set<RequestDigest> requests = mPendingProbes.remove(incarnation);
+        Set<RequestDigest> requests = mPendingProbes.remove(incarnation).mRequests;
         if (cutOff) {
             mLog.logStateChange(
                     nowMs,
--- a/router/src/main/java/org/hornbeampass/router/relay/CrashHistory.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/CrashHistory.java
@@ -3,7 +3,8 @@
 import org.hornbeampass.coordination.quarantine.QuarantineStatus;
 import org.hornbeampass.coordination.quarantine.RequestDigest;
 import org.hornbeampass.coordination.service.UpstreamInstance;
-import org.hornbeampass.transport.relay.AnswerFraming;
+
+import java.util.function.Consumer;
 
 /**
  * The crashes of upstreams that one request may have caused: those known to the fleet, and those
@@ -81,15 +82,21 @@
         }
     }
 
-    /**
-     * Clears the request, since an upstream has answered it in whole. Where the answer does not
-     * state its own end, the end of the connection may be a crash.
-     */
-    void onAnswered(long nowMs, UpstreamInstance instance, AnswerFraming framing) {
-        if (!framing.isExplicit()) {
-            mContext.crashDetector().onConnectionLost(instance, digest());
-        } else if (status() != QuarantineStatus.UNSUSPECTED) {
+    /** Clears the request, since an upstream has answered it in whole. */
+    void onAnswered(long nowMs) {
+        if (status() != QuarantineStatus.UNSUSPECTED) {
             mContext.quarantine().clear(nowMs, digest());
         }
     }
+
+    /**
+     * Handles the end of an answer that does not state its own end: the upstream may have answered
+     * the request in whole, or crashed.
+     *
+     * @param instance the upstream
+     * @param onProbed receives whether the upstream accepts connections after that
+     */
+    void onConnectionClosed(UpstreamInstance instance, Consumer<Boolean> onProbed) {
+        mContext.crashDetector().onConnectionClosed(instance, digest(), onProbed);
+    }
 }
--- a/router/src/main/java/org/hornbeampass/router/relay/RelayAttempts.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/RelayAttempts.java
@@ -22,7 +22,11 @@
  * within the route's maximum, not counting sends that reached a different upstream than intended.
  * Confined to one event loop.
  */
-final class RelayAttempts implements RequestExecution, UpstreamListener, UpstreamSearch.Listener {
+final class RelayAttempts
+        implements RequestExecution,
+                UpstreamListener,
+                UpstreamSearch.Listener,
+                UnframedAnswerCheck.Listener {
     private final RelayContext mContext;
     private final RelayCall mCall;
     private final RelayPlan mPlan;
@@ -33,8 +37,10 @@
     private final SendCounts mCounts;
     private final SilenceTimeout mSilenceTimeout;
     private final UpstreamSearch mSearch;
+    private final UnframedAnswerCheck mEndCheck;
     private Optional<InFlightSend> mSend = Optional.empty();
     private Optional<UpstreamConnection> mConnection = Optional.empty();
+
     private Optional<AnswerFraming> mFraming = Optional.empty();
     private long mSentMs;
     private long mFirstByteMs = -1;
@@ -54,6 +60,7 @@
         mAnswer = new CallerAnswer(call, plan);
         mCounts = new SendCounts(plan.route());
         mSilenceTimeout = new SilenceTimeout(call, plan.route(), this::onSilent);
+        mEndCheck = new UnframedAnswerCheck(context, call, crashes, this);
         mSearch =
                 new UpstreamSearch(
                         context, call, plan, crashes, mCounts, this, this::onInstanceEnded);
@@ -229,7 +236,27 @@
         }
         mSend.orElseThrow().onAnswerPart(nowMs, mSentMs);
         mConnection = Optional.empty();
-        mCrashes.onAnswered(nowMs, mSend.orElseThrow().instance(), framing);
+        if (!framing.isExplicit()) {
+            mSilenceTimeout.stop();
+            mEndCheck.start(mSend.get());
+            return;
+        }
+        mCrashes.onAnswered(nowMs);
+        onComplete(nowMs);
+    }
+
+    @Override
+    public void onAnswerConfirmed(long nowMs) {
+        onComplete(nowMs);
+    }
+
+    @Override
+    public void onAnswerDoubtful(long nowMs, QuarantineStatus before) {
+        mSend.orElseThrow().instance().onNoAnswer(nowMs);
+        onAttemptLost(nowMs, "the upstream has ended with its connection", before);
+    }
+
+    private void onComplete(long nowMs) {
         releaseSend();
         mSilenceTimeout.stop();
         if (mCall.callerGone()) {
@@ -256,10 +283,11 @@
 
     /** Handles the restart of the upstream: what was sent to its former incarnation is lost. */
     private void onInstanceEnded(long nowMs) {
-        if (mCall.ended() || mConnection.isEmpty()) {
+        if (mCall.ended() || (mConnection.isEmpty() && !mEndCheck.isPending())) {
             return;
         }
         cancelConnection();
+        mEndCheck.cancel();
         QuarantineStatus before =
                 mCrashes.onUpstreamRestarted(nowMs, mSend.orElseThrow().instance());
         onAttemptLost(nowMs, "the upstream has restarted", before);
