Log upstreams' software versions and the streams that callers take up

Entries keep the version that they state; 'upstream-listed' and the lines on what an upstream did tell it, as it was when the request was sent. Lines 'ended' name the attempt that a request resumes, and its last event. No decision changes.

--- a/coordination/src/main/java/org/hornbeampass/state/service/UpstreamEntry.java
+++ b/coordination/src/main/java/org/hornbeampass/state/service/UpstreamEntry.java
@@ -20,6 +20,8 @@
  * @param leaving whether it accepts no new requests
  * @param coldLeftMs how much longer it is in its slow start, in milliseconds, when the entry was
  *     written; 0 where it is not
+ * @param softwareVersion the version of the software that it runs; what two versions write does not
+ *     fit together in one stream
  */
 public record UpstreamEntry(
         String id,
@@ -29,8 +31,22 @@
         FailureDomain domain,
         int slots,
         boolean leaving,
-        long coldLeftMs) {
-    /** Creates the entry of an upstream that is not in its slow start. */
+        long coldLeftMs,
+        String softwareVersion) {
+    /** Creates the entry of an upstream that states no version. */
+    public UpstreamEntry(
+            String id,
+            OptionalLong bornMs,
+            String service,
+            String address,
+            FailureDomain domain,
+            int slots,
+            boolean leaving,
+            long coldLeftMs) {
+        this(id, bornMs, service, address, domain, slots, leaving, coldLeftMs, "");
+    }
+
+    /** Creates the entry of an upstream that is not in its slow start and states no version. */
     public UpstreamEntry(
             String id,
             OptionalLong bornMs,
--- a/router/src/main/java/org/hornbeampass/router/daemon/StoreChanges.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/StoreChanges.java
@@ -110,6 +110,7 @@
                                 .add("born_ms", entry.bornMs().orElse(-1))
                                 .add("leaving", entry.leaving())
                                 .add("cold_left_ms", entry.coldLeftMs())
+                                .add("software_version", entry.softwareVersion())
                                 .add("service_known", isServiceConfigured(entry))
                                 .add("verdict", verdict.name())
                                 .add("revision", revision));
--- a/router/src/main/java/org/hornbeampass/router/relay/CallerHead.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/CallerHead.java
@@ -17,6 +17,8 @@
  * @param prompt the prompt that a model has to read, and the most tokens that it may generate
  * @param lastEventId the id of the last event that the caller has received, where it resumes a
  *     stream
+ * @param resumes the id of the caller's attempt that brought the first event of the stream, where
+ *     it states it
  * @param forwarded whether another VM forwarded the request to this one
  */
 public record CallerHead(
@@ -26,4 +28,17 @@
         Optional<String> apiKey,
         Prompt prompt,
         OptionalLong lastEventId,
-        boolean forwarded) {}
+        Optional<String> resumes,
+        boolean forwarded) {
+    /** Stands for a head that was not read. */
+    static final CallerHead NONE =
+            new CallerHead(
+                    "",
+                    "",
+                    OptionalLong.empty(),
+                    Optional.empty(),
+                    Prompt.NONE,
+                    OptionalLong.empty(),
+                    Optional.empty(),
+                    false);
+}
--- a/router/src/main/java/org/hornbeampass/router/relay/InFlightSend.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/InFlightSend.java
@@ -12,6 +12,7 @@
  */
 final class InFlightSend implements IncarnationListener {
     private final UpstreamInstance mInstance;
+    private final String mSoftwareVersion;
     private final long mTokensToRead;
     private final IncarnationListener mOnInstanceEnd;
     private boolean mPromptRead;
@@ -19,6 +20,7 @@
 
     InFlightSend(UpstreamChoice choice, IncarnationListener onInstanceEnd) {
         mInstance = choice.instance();
+        mSoftwareVersion = mInstance.entry().softwareVersion();
         mTokensToRead = choice.tokensToRead();
         mOnInstanceEnd = onInstanceEnd;
         mInstance.onSent(mTokensToRead, this);
@@ -28,6 +30,11 @@
         return mInstance;
     }
 
+    /** Returns the version of the upstream's software when the request was sent. */
+    String softwareVersion() {
+        return mSoftwareVersion;
+    }
+
     /** Records the first part of an answer, which shows that the upstream has read the prompt. */
     void onAnswerPart(long nowMs, long sentMs) {
         if (!mPromptRead) {
@@ -58,10 +65,14 @@
         mOnInstanceEnd.onEnded(nowMs);
     }
 
-    /** Returns the upstream's id and its requests in flight as fields of a log line. */
+    /**
+     * Returns the upstream's id and software version and its requests in flight as fields of a log
+     * line.
+     */
     LogFields fields() {
         return new LogFields()
                 .add("upstream", mInstance.id())
+                .add("software_version", mSoftwareVersion)
                 .add("in_flight", mInstance.inFlight());
     }
 }
--- a/router/src/main/java/org/hornbeampass/router/relay/RelayCall.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/RelayCall.java
@@ -14,14 +14,12 @@
 import org.hornbeampass.state.Failure;
 import org.hornbeampass.state.service.HomeRegions;
 import org.hornbeampass.state.service.PrepaidOrganisation;
-import org.hornbeampass.state.service.Prompt;
 import org.hornbeampass.state.service.Route;
 import org.hornbeampass.state.service.ServiceSpec;
 import org.hornbeampass.transport.relay.CallerConnection;
 import org.hornbeampass.transport.relay.CallerListener;
 
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -49,15 +47,7 @@
     private final HttpRequest mRequest;
     private final long mArrivedMs;
     private final RequestBody mBody = new RequestBody();
-    private CallerHead mHead =
-            new CallerHead(
-                    "",
-                    "",
-                    OptionalLong.empty(),
-                    Optional.empty(),
-                    Prompt.NONE,
-                    OptionalLong.empty(),
-                    false);
+    private CallerHead mHead = CallerHead.NONE;
     private Optional<Route> mRoute = Optional.empty();
     private Optional<ServiceSpec> mService = Optional.empty();
     private Optional<PrepaidOrganisation> mOrganisation = Optional.empty();
--- a/router/src/main/java/org/hornbeampass/router/relay/RelayLog.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/RelayLog.java
@@ -67,12 +67,21 @@
                         .add("route", route.map(Route::name).orElse(""))
                         .add("outcome", outcome)
                         .add("took_ms", tookMs)
+                        .addAll(resumption(head))
                         .addAll(inputs);
         boolean allowed =
                 outcome.equals("answered") ? allowSuccessLine(nowMs) : allowFailureLine(nowMs);
         write(nowMs, allowed, "ended", head.id(), fields);
     }
 
+    /** Returns the earlier attempt that a caller resumes, and the last event that it received. */
+    private static LogFields resumption(CallerHead head) {
+        LogFields fields = new LogFields();
+        head.resumes().ifPresent(id -> fields.add("resumes", id));
+        head.lastEventId().ifPresent(id -> fields.add("last_event_id", id));
+        return fields;
+    }
+
     /** Counts an answer of an upstream by its framing. */
     void countAnswer(AnswerFraming framing) {
         mMetrics.counter("answers{framing=\"" + framing.logName() + "\"}").inc();
