Resume a stream only at the software version that began it

Cause: the choice of an upstream knew no software version. The entry's field was checked for being there, then dropped.

Change: the first event that reaches the caller fixes the version of its stream. From then on the search offers upstreams of that version only, and the check right before a send, on the open connection, asks again, as an entry may have changed meanwhile. An attempt that brought no event fixes nothing. Without an upstream of the version the stream is broken off at once; waiting for its deadline would help nobody.

BrokenAnswerTest, RelayDaemonTest, UpstreamRegistryTest, CrashingRequestTest, LostUpstreamsTest, EvacuationTest pass.

A caller that takes its stream up in another attempt is not covered yet.

--- a/coordination/src/main/java/org/hornbeampass/coordination/service/UpstreamInstance.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/service/UpstreamInstance.java
@@ -4,6 +4,7 @@
 
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 
 /**
@@ -76,6 +77,11 @@
         return mEntry.id();
     }
 
+    /** Returns whether it runs a version of its software; true where none is asked for. */
+    public boolean runsVersion(Optional<String> softwareVersion) {
+        return softwareVersion.isEmpty() || softwareVersion.get().equals(mEntry.softwareVersion());
+    }
+
     void update(UpstreamEntry entry) {
         mEntry = entry;
         mIncarnation = UpstreamIncarnation.of(entry);
--- a/coordination/src/main/java/org/hornbeampass/coordination/service/UpstreamRegistry.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/service/UpstreamRegistry.java
@@ -342,10 +342,10 @@
         return mPlacement.evacuated();
     }
 
-    /** Chooses the upstream of a request that may run in any region. */
+    /** Chooses the upstream of a request that may run in any region and at any version. */
     public Optional<UpstreamChoice> choose(
             long nowMs, ServiceSpec service, Prompt prompt, Set<String> tried) {
-        return choose(nowMs, service, prompt, HomeRegions.ANY, tried);
+        return choose(nowMs, service, prompt, HomeRegions.ANY, Optional.empty(), tried);
     }
 
     /**
@@ -355,12 +355,19 @@
      * @param service the service
      * @param prompt the request's prompt
      * @param homes the regions in which the request may run
+     * @param version the software version at which the request must run; empty for any
      * @param tried upstreams to which the request was sent before, which are not chosen again
      */
     public Optional<UpstreamChoice> choose(
-            long nowMs, ServiceSpec service, Prompt prompt, HomeRegions homes, Set<String> tried) {
-        return mCosts.choose(
-                nowMs, service, prompt, tried, selectable(nowMs, service.name(), homes));
+            long nowMs,
+            ServiceSpec service,
+            Prompt prompt,
+            HomeRegions homes,
+            Optional<String> version,
+            Set<String> tried) {
+        List<UpstreamInstance> selectable = selectable(nowMs, service.name(), homes);
+        selectable.removeIf(i -> !i.runsVersion(version));
+        return mCosts.choose(nowMs, service, prompt, tried, selectable);
     }
 
     /**
--- a/router/src/main/java/org/hornbeampass/router/relay/RelayAttempts.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/RelayAttempts.java
@@ -198,6 +198,9 @@
         }
         mSend.orElseThrow().onAnswerPart(nowMs, mSentMs);
         boolean continuous = mAnswer.append(part);
+        if (mAnswer.eventCount() > 0) {
+            mSearch.onEvents(mSend.get());
+        }
         if (!continuous) {
             abandonSend();
             abortAnswer(nowMs, "an upstream omitted events of the stream");
--- a/router/src/main/java/org/hornbeampass/router/relay/SendConditions.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/SendConditions.java
@@ -10,13 +10,16 @@
  * Decides right before a request is sent whether it may still be sent to the upstream that was
  * chosen for it, since a connection, a permit or the event loop may have taken long.
  *
- * <p>Immutable; confined to one event loop.
+ * <p>Immutable, apart from the version, which becomes known with a stream's first event; confined
+ * to one event loop.
  *
  * @param upstreams the upstreams and where requests may run
  * @param homes the regions in which the request may run
+ * @param version the software version at which the request must run
  * @param deadlineMs the time by which the request must be answered, in milliseconds
  */
-record SendConditions(UpstreamRegistry upstreams, HomeRegions homes, long deadlineMs) {
+record SendConditions(
+        UpstreamRegistry upstreams, HomeRegions homes, StreamVersion version, long deadlineMs) {
     /** Returns whether the request's deadline has passed. */
     boolean isOverdue(long nowMs) {
         return nowMs >= deadlineMs;
@@ -30,6 +33,9 @@
         if (upstreams.evacuated().contains(instance.entry().domain())) {
             return Optional.of("the failure domain is evacuated");
         }
+        if (!version.allows(instance)) {
+            return Optional.of("the upstream runs another software version");
+        }
         return upstreams.mayReceive(nowMs, instance, homes)
                 ? Optional.empty()
                 : Optional.of("the upstream accepts no requests");
--- /dev/null
+++ b/router/src/main/java/org/hornbeampass/router/relay/StreamVersion.java
@@ -0,0 +1,42 @@
+package org.hornbeampass.router.relay;
+
+import org.hornbeampass.coordination.service.UpstreamInstance;
+
+import java.util.Optional;
+
+/**
+ * The software version at which a stream must go on: that of the upstream which brought the first
+ * event that the caller received.
+ *
+ * <p>Invariant: once known, the version does not change. Confined to one event loop.
+ */
+final class StreamVersion {
+    private Optional<String> mVersion;
+
+    /**
+     * Creates the version of one answer's stream.
+     *
+     * @param version the version that began the stream in an earlier attempt of the caller; empty
+     *     where the stream begins with this answer
+     */
+    StreamVersion(Optional<String> version) {
+        mVersion = version;
+    }
+
+    /** Records that events of a send were forwarded to the caller. */
+    void onEvents(InFlightSend send) {
+        if (mVersion.isEmpty()) {
+            mVersion = Optional.of(send.softwareVersion());
+        }
+    }
+
+    /** Returns the version; empty while the stream may begin at any. */
+    Optional<String> get() {
+        return mVersion;
+    }
+
+    /** Returns whether the stream may go on at an upstream. */
+    boolean allows(UpstreamInstance instance) {
+        return instance.runsVersion(mVersion);
+    }
+}
--- a/router/src/main/java/org/hornbeampass/router/relay/UpstreamSearch.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/UpstreamSearch.java
@@ -16,8 +16,9 @@
  *
  * <p>Invariants: the request is sent to no upstream twice; each send after the first uses up the
  * fleet's retry limit; each send uses up a permit of its upstream; nothing is sent after the
- * request's deadline, to a failure domain that is evacuated, or outside the request's home regions,
- * all of which is checked last, on an open connection. Confined to one event loop.
+ * request's deadline, to a failure domain that is evacuated, outside the request's home regions, or
+ * to another software version than the one that began the stream, all of which is checked last, on
+ * an open connection. Confined to one event loop.
  */
 final class UpstreamSearch {
     /** Receives the result of a search. */
@@ -47,6 +48,7 @@
     private final SendCounts mCounts;
     private final Listener mListener;
     private final IncarnationListener mOnInstanceEnd;
+    private final StreamVersion mVersion = new StreamVersion(Optional.empty());
     private final SendConditions mConditions;
     private final Set<String> mTried = new HashSet<>();
     private Optional<InFlightSend> mConnecting = Optional.empty();
@@ -78,7 +80,8 @@
         mListener = listener;
         mOnInstanceEnd = onInstanceEnd;
         mConditions =
-                new SendConditions(context.upstreamRegistry(), plan.homes(), plan.deadlineMs());
+                new SendConditions(
+                        context.upstreamRegistry(), plan.homes(), mVersion, plan.deadlineMs());
     }
 
     /** Starts a search for an upstream to which the request was not sent yet. */
@@ -106,7 +109,21 @@
 
     private Optional<UpstreamChoice> choose(long nowMs) {
         return mContext.upstreamRegistry()
-                .choose(nowMs, mPlan.service(), mPlan.head().prompt(), mPlan.homes(), mTried);
+                .choose(
+                        nowMs,
+                        mPlan.service(),
+                        mPlan.head().prompt(),
+                        mPlan.homes(),
+                        mVersion.get(),
+                        mTried);
+    }
+
+    /**
+     * Records that events of a send were forwarded to the caller: the stream goes on at the same
+     * software version only.
+     */
+    void onEvents(InFlightSend send) {
+        mVersion.onEvents(send);
     }
 
     /** Returns whether there is an upstream to which the request was not sent yet. */
