Resume callers' streams at the version that began them, on any VM

Callers whose connection broke took their streams up at another VM, which let them go on at any software version: the count of the first play began 35 ms after all open connections had been reset. No VM but the one that served the first attempt knew the version, and that one did not ask.

Change: right before the first event of a stream that may be resumed is sent, its VM stores the version under the caller's attempt, service and organisation, and tells one VM in each of three failure domains, chosen by rendezvous hashing. A VM that is asked to resume looks at what it has stored, then asks two VMs in each of these domains, since it does not know which VM began the stream and was left out. The stream goes on at that version or, where nobody knows it, is refused as not run: a guess would join what does not fit. Only where this VM's view is up to date and has shown one version of the service for twice the route's timeout, it takes that one.

Weighed: telling all VMs in batches costs messages that grow with the square of the fleet; a history of versions in the store survives the death of all VMs, at the price of a call before each new version may be used. It is not built: after the death of all VMs streams can't be taken up for a while.

VersionedStreamTest: five cases failed before, all 8 pass, each 20 times in a scratch copy. The case of a router that dies waits until all three know each other, and the case of a version that is gone until its removal has arrived; both were fixed in the test after runs whose logs showed it. OriginHoldersTest: at 8, 77 and 390 VMs each VM asks one that was told, after the death of the VM or the loss of its failure domain. StreamOriginsTest and SoftwareVersionsTest pass.

--- a/coordination/src/main/java/org/hornbeampass/coordination/service/UpstreamRegistry.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/service/UpstreamRegistry.java
@@ -53,6 +53,7 @@
     private final UpstreamCosts mCosts;
     private final Placement mPlacement;
     private final SlowStarts mSlowStarts;
+    private final SoftwareVersions mVersions = new SoftwareVersions();
     private long mFirstEntryMs = Long.MAX_VALUE;
 
     /** Creates an empty registry for upstreams without signals, rate limits and restrictions. */
@@ -134,6 +135,7 @@
         if (!result.isAccepted()) {
             return result;
         }
+        onSeen(nowMs, entry);
         UpstreamInstance instance = mById.get(entry.id());
         mSlowStarts.onStated(nowMs, instance, entry.coldLeftMs());
         boolean addedLater =
@@ -268,12 +270,18 @@
         mFormer.tick(nowMs);
         mFleetLoad.tick(nowMs);
         mSlowStarts.tick(nowMs);
+        mVersions.tick(nowMs);
+        mById.values().forEach(i -> onSeen(nowMs, i.entry()));
         mById.values().removeIf(i -> forgetIfGone(nowMs, i));
         for (List<UpstreamInstance> instances : mByService.values()) {
             instances.removeIf(i -> i.isGone(nowMs) && i.inFlight() == 0);
         }
     }
 
+    private void onSeen(long nowMs, UpstreamEntry entry) {
+        mVersions.onSeen(nowMs, entry.service(), entry.softwareVersion());
+    }
+
     private boolean forgetIfGone(long nowMs, UpstreamInstance instance) {
         boolean removable = instance.isGone(nowMs) && instance.inFlight() == 0;
         if (removable) {
@@ -332,6 +340,11 @@
         return Optional.ofNullable(mByAddress.get(address)).map(i -> i.entry().service());
     }
 
+    /** Returns the software versions of the services. */
+    public SoftwareVersions versions() {
+        return mVersions;
+    }
+
     /** Returns the upstreams in their slow start. */
     public SlowStarts slowStarts() {
         return mSlowStarts;
--- /dev/null
+++ b/coordination/src/main/java/org/hornbeampass/coordination/stream/OriginRequest.java
@@ -0,0 +1,15 @@
+package org.hornbeampass.coordination.stream;
+
+import com.fasterxml.jackson.annotation.JsonFormat;
+
+import org.hornbeampass.coordination.peer.PeerMessage;
+
+/**
+ * Asks a VM for the software version that began a stream.
+ *
+ * <p>Immutable; safe for use by any thread.
+ *
+ * @param key the stream
+ */
+@JsonFormat(shape = JsonFormat.Shape.ARRAY)
+public record OriginRequest(StreamKey key) implements PeerMessage {}
--- a/router/src/main/java/org/hornbeampass/router/daemon/FleetView.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/FleetView.java
@@ -319,6 +319,11 @@
                 .toList();
     }
 
+    /** Returns the other VMs that are up or suspected to be down. */
+    List<Member> otherMembers() {
+        return homeMembers().stream().filter(m -> !m.name().equals(self())).toList();
+    }
+
     /** Returns the names of the other VMs that are up. */
     List<String> otherLiveNames() {
         return otherLiveMembers().stream().map(Member::name).toList();
--- a/router/src/main/java/org/hornbeampass/router/daemon/RelayDaemon.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/RelayDaemon.java
@@ -36,6 +36,9 @@
 import org.hornbeampass.coordination.service.SignalTable;
 import org.hornbeampass.coordination.service.SlowStarts;
 import org.hornbeampass.coordination.service.UpstreamRegistry;
+import org.hornbeampass.coordination.stream.OriginRequest;
+import org.hornbeampass.coordination.stream.StreamBegun;
+import org.hornbeampass.coordination.stream.StreamOrigins;
 import org.hornbeampass.router.relay.AddressRequest;
 import org.hornbeampass.router.relay.Forwarding;
 import org.hornbeampass.router.relay.RelayContext;
@@ -104,6 +107,7 @@
     private final EscrowBook mBudgets;
     private final BudgetMetrics mBudgetMetrics;
     private final EscrowLoans mLoans;
+    private final StreamOrigins mOrigins;
     private final LoadExchange mLoadExchange;
     private final SignalExchange mSignalExchange;
     private final UpstreamReachMonitor mReachMonitor;
@@ -157,6 +161,7 @@
                 new ConditionExchange(ip, vm.incarnation(), mPeers, mFleet::broadcastPaths);
         mOverloads = new OverloadMonitor(mConditionExchange, mUpstreamRegistry, TICK_MS, mLog);
         mLoans = new EscrowLoans(mBudgets, mPeers, mFleet.homes(), mRandom);
+        mOrigins = new StreamOrigins(mPeers, mFleet::otherLiveMembers, mFleet::otherMembers);
         mReachMonitor = new UpstreamReachMonitor(mUpstreamRegistry, mLog, mRandom);
         mPool = new UpstreamPool(mLoops, mClock, mReachMonitor);
         mVmPool = new UpstreamPool(mLoops, mClock, UpstreamPool.ConnectListener.NONE);
@@ -193,7 +198,7 @@
     private UpstreamRegistry newUpstreamRegistry() {
         return new UpstreamRegistry(
                 mRandom,
-                this::vms,
+                mFleet::sharingVmCount,
                 mSignalTable,
                 mPermits.permits(),
                 new Placement(new EvacuatedDomains(), mSettings.domainRegions()),
@@ -226,6 +231,7 @@
                 mPermits.permits(),
                 mBudgets,
                 mLoans,
+                mOrigins,
                 mLog,
                 mRandom,
                 mFleet::sharingVmCount,
@@ -246,10 +252,6 @@
         return Optional.ofNullable(mFleet);
     }
 
-    private int vms() {
-        return mFleet.sharingVmCount();
-    }
-
     private StoreChanges changes() {
         return mChanges;
     }
@@ -332,6 +334,8 @@
         mPeers.on(PermitRequest.class, mPermits.announcedLimits()::onRequest);
         mPeers.on(SlowStartRequest.class, mPermits.slowStartLimits()::onRequest);
         mPeers.on(SuspectReport.class, mQuarantine::onReport);
+        mPeers.on(StreamBegun.class, mOrigins::onReport);
+        mPeers.on(OriginRequest.class, mOrigins::onRequest);
     }
 
     private void registerMetrics() {
@@ -354,6 +358,7 @@
         mMetrics.register(
                 "rate_limited_upstreams",
                 (Gauge<Integer>) () -> mUpstreamRegistry.rateLimited(mClock.nowMs()).size());
+        mMetrics.register("stream_origins", (Gauge<Integer>) mOrigins::size);
         mOverloads.registerMetrics(mMetrics);
         mMetrics.register("cold_upstreams", (Gauge<Integer>) mSlowStarts::size);
         mPermits.registerMetrics(mMetrics);
@@ -424,6 +429,7 @@
         mSignalExchange.tick(nowMs);
         mPermits.permits().tick(nowMs);
         mQuarantine.tick(nowMs);
+        mOrigins.tick(nowMs);
         mUpstreamRegistry.tick(nowMs);
         mPool.tick(nowMs);
         mVmPool.tick(nowMs);
--- a/router/src/main/java/org/hornbeampass/router/daemon/StoreViews.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/StoreViews.java
@@ -168,11 +168,20 @@
      */
     @Override
     public boolean configMayBeStale(long nowMs) {
-        WatchedView config = view(ViewKind.CONFIGURATION);
-        return mRevisions.get(ViewKind.CONFIGURATION).isBehind(nowMs)
+        return mayBeStale(nowMs, ViewKind.CONFIGURATION);
+    }
+
+    @Override
+    public boolean upstreamsMayBeStale(long nowMs) {
+        return mayBeStale(nowMs, ViewKind.UPSTREAMS);
+    }
+
+    private boolean mayBeStale(long nowMs, ViewKind kind) {
+        WatchedView view = view(kind);
+        return mRevisions.get(kind).isBehind(nowMs)
                 || mFeeds.isBehind(nowMs)
-                || config.isReceiving(nowMs)
-                || config.failingForMs(nowMs) >= ViewExchange.MIN_FAILING_MS;
+                || view.isReceiving(nowMs)
+                || view.failingForMs(nowMs) >= ViewExchange.MIN_FAILING_MS;
     }
 
     /**
--- a/router/src/main/java/org/hornbeampass/router/relay/CrashHistory.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/CrashHistory.java
@@ -2,7 +2,9 @@
 
 import org.hornbeampass.coordination.quarantine.QuarantineStatus;
 import org.hornbeampass.coordination.quarantine.RequestDigest;
+import org.hornbeampass.coordination.quarantine.SuspectTable;
 import org.hornbeampass.coordination.service.UpstreamInstance;
+import org.hornbeampass.state.Failure;
 
 import java.util.function.Consumer;
 
@@ -74,6 +76,19 @@
         return mTrial;
     }
 
+    /**
+     * Logs that the request is quarantined, and returns the failure for it; the request did not
+     * run.
+     */
+    Failure quarantined(long nowMs) {
+        SuspectTable suspects = mContext.quarantine().suspects();
+        long leftMs = suspects.quarantineLeftMs(nowMs, digest());
+        LogFields fields =
+                new LogFields().add("digest", digest().toString()).add("left_ms", leftMs);
+        mContext.log().logDecision(nowMs, mRequestId, "quarantined", fields);
+        return Refusals.quarantined(suspects.retryAfterMs(nowMs, digest()));
+    }
+
     /** Ends a trial: the request has left its upstream, and the result is recorded. */
     void onSendEnded(long nowMs) {
         if (mTrial) {
--- a/router/src/main/java/org/hornbeampass/router/relay/RelayAttempts.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/RelayAttempts.java
@@ -382,7 +382,7 @@
         if (mCounts.mayHaveRun()) {
             giveUp(nowMs, Refusals.QUARANTINED_MESSAGE);
         } else {
-            fail(nowMs, mCall.quarantined(nowMs, mCrashes.digest()));
+            fail(nowMs, mCrashes.quarantined(nowMs));
         }
     }
 
--- a/router/src/main/java/org/hornbeampass/router/relay/RelayCall.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/RelayCall.java
@@ -7,8 +7,6 @@
 
 import org.hornbeampass.coordination.escrow.Admission;
 import org.hornbeampass.coordination.escrow.TokenWaiter;
-import org.hornbeampass.coordination.quarantine.RequestDigest;
-import org.hornbeampass.coordination.quarantine.SuspectTable;
 import org.hornbeampass.coordination.service.RouteTable;
 import org.hornbeampass.state.ErrorKind;
 import org.hornbeampass.state.Failure;
@@ -51,6 +49,7 @@
     private Optional<Route> mRoute = Optional.empty();
     private Optional<ServiceSpec> mService = Optional.empty();
     private Optional<PrepaidOrganisation> mOrganisation = Optional.empty();
+    private Optional<String> mSoftwareVersion = Optional.empty();
     private Optional<CrashHistory> mCrashes = Optional.empty();
     private Optional<RequestExecution> mExecution = Optional.empty();
     private long mDeadlineMs;
@@ -211,12 +210,39 @@
         CrashHistory crashes = new CrashHistory(mContext, identity(), mHead.id());
         mCrashes = Optional.of(crashes);
         if (!crashes.mayBeSent(nowMs)) {
-            fail(nowMs, quarantined(nowMs, crashes.digest()));
+            fail(nowMs, crashes.quarantined(nowMs));
             return;
         }
         if (forwardIfAdvised(nowMs)) {
             return;
         }
+        StreamResumption resumption =
+                new StreamResumption(
+                        mContext,
+                        mHead,
+                        mRoute.orElseThrow(),
+                        mService.orElseThrow().name(),
+                        organisation());
+        if (resumption.isRequested()) {
+            resumption.findVersion(nowMs, this::onVersionFound);
+        } else {
+            admitTokens(nowMs);
+        }
+    }
+
+    private void onVersionFound(long nowMs, Optional<String> softwareVersion) {
+        if (mEnded) {
+            return;
+        }
+        mSoftwareVersion = softwareVersion;
+        if (softwareVersion.isPresent()) {
+            admitTokens(nowMs);
+        } else {
+            fail(nowMs, Refusals.noUpstream("the version that began the stream is not known"));
+        }
+    }
+
+    private void admitTokens(long nowMs) {
         Admission admission = reserve(nowMs);
         if (admission != Admission.INSUFFICIENT_HERE) {
             onAdmission(nowMs, admission);
@@ -329,6 +355,7 @@
                 mService.orElseThrow(),
                 mOrganisation.map(PrepaidOrganisation::name),
                 homes(),
+                mSoftwareVersion,
                 mDeadlineMs);
     }
 
@@ -370,21 +397,6 @@
         mExecution.get().onDeadline(nowMs);
     }
 
-    /**
-     * Logs that a request is quarantined, and returns the failure for it; the request did not run.
-     */
-    Failure quarantined(long nowMs, RequestDigest digest) {
-        SuspectTable suspects = mContext.quarantine().suspects();
-        long leftMs = suspects.quarantineLeftMs(nowMs, digest);
-        mContext.log()
-                .logDecision(
-                        nowMs,
-                        mHead.id(),
-                        "quarantined",
-                        new LogFields().add("digest", digest.toString()).add("left_ms", leftMs));
-        return Refusals.quarantined(suspects.retryAfterMs(nowMs, digest));
-    }
-
     @Override
     public void onCallerGone(long nowMs) {
         if (mEnded) {
--- a/router/src/main/java/org/hornbeampass/router/relay/RelayContext.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/RelayContext.java
@@ -11,6 +11,7 @@
 import org.hornbeampass.coordination.service.RouteTable;
 import org.hornbeampass.coordination.service.SignalExchange;
 import org.hornbeampass.coordination.service.UpstreamRegistry;
+import org.hornbeampass.coordination.stream.StreamOrigins;
 import org.hornbeampass.transport.Clock;
 import org.hornbeampass.transport.relay.UpstreamPool;
 
@@ -41,6 +42,7 @@
     private final SendPermits mPermits;
     private final EscrowBook mBudgets;
     private final EscrowLoans mLoans;
+    private final StreamOrigins mOrigins;
     private final RelayLog mLog;
     private final RandomGenerator mRandom;
     private final IntSupplier mVmCount;
@@ -68,6 +70,7 @@
             SendPermits permits,
             EscrowBook budgets,
             EscrowLoans loans,
+            StreamOrigins origins,
             RelayLog log,
             RandomGenerator random,
             IntSupplier vmCount,
@@ -87,6 +90,7 @@
         mHasher = hasher;
         mBudgets = budgets;
         mLoans = loans;
+        mOrigins = origins;
         mLog = log;
         mRandom = random;
         mVmCount = vmCount;
@@ -121,6 +125,15 @@
         return mForwarding;
     }
 
+    StreamOrigins origins() {
+        return mOrigins;
+    }
+
+    /** Returns whether there may be upstreams at a time in milliseconds that this VM misses. */
+    boolean upstreamsMayBeStale(long nowMs) {
+        return mViews.upstreamsMayBeStale(nowMs);
+    }
+
     CrashDetector crashDetector() {
         return mCrashDetector;
     }
--- a/router/src/main/java/org/hornbeampass/router/relay/RelayPlan.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/RelayPlan.java
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 
 import org.hornbeampass.coordination.service.PrefillUrgency;
+import org.hornbeampass.coordination.stream.StreamKey;
 import org.hornbeampass.state.service.HomeRegions;
 import org.hornbeampass.state.service.Route;
 import org.hornbeampass.state.service.ServiceSpec;
@@ -29,6 +30,8 @@
  * @param service the service that was picked for the request
  * @param organisation the organisation that pays; empty where none does
  * @param homes the regions in which the request may run
+ * @param softwareVersion the software version that began the stream which the caller takes up;
+ *     empty where the request begins anew
  * @param deadlineMs the time by which the request must be answered, in milliseconds
  */
 record RelayPlan(
@@ -38,12 +41,18 @@
         ServiceSpec service,
         Optional<String> organisation,
         HomeRegions homes,
+        Optional<String> softwareVersion,
         long deadlineMs) {
     /** Returns the most tokens that one event of the answer holds. */
     int tokensPerEvent() {
         return service.engine().map(e -> e.tokensPerEvent()).orElse(0);
     }
 
+    /** Returns the identity under which the caller may take this attempt's stream up. */
+    StreamKey streamKey() {
+        return new StreamKey(service.name(), organisation.orElse(""), head.id());
+    }
+
     /**
      * Returns whether an answer is a stream of events, which may be resumed and must not end inside
      * an event.
--- a/router/src/main/java/org/hornbeampass/router/relay/StreamVersion.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/StreamVersion.java
@@ -3,6 +3,7 @@
 import org.hornbeampass.coordination.service.UpstreamInstance;
 
 import java.util.Optional;
+import java.util.function.Consumer;
 
 /**
  * The software version at which a stream must go on: that of the upstream which brought the first
@@ -11,6 +12,7 @@
  * <p>Invariant: once known, the version does not change. Confined to one event loop.
  */
 final class StreamVersion {
+    private final Consumer<String> mOnBegun;
     private Optional<String> mVersion;
 
     /**
@@ -18,15 +20,18 @@
      *
      * @param version the version that began the stream in an earlier attempt of the caller; empty
      *     where the stream begins with this answer
+     * @param onBegun receives the version once the stream begins with this answer
      */
-    StreamVersion(Optional<String> version) {
+    StreamVersion(Optional<String> version, Consumer<String> onBegun) {
         mVersion = version;
+        mOnBegun = onBegun;
     }
 
     /** Records that events of a send were forwarded to the caller. */
     void onEvents(InFlightSend send) {
         if (mVersion.isEmpty()) {
             mVersion = Optional.of(send.softwareVersion());
+            mOnBegun.accept(send.softwareVersion());
         }
     }
 
--- a/router/src/main/java/org/hornbeampass/router/relay/UpstreamSearch.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/UpstreamSearch.java
@@ -48,7 +48,7 @@
     private final SendCounts mCounts;
     private final Listener mListener;
     private final IncarnationListener mOnInstanceEnd;
-    private final StreamVersion mVersion = new StreamVersion(Optional.empty());
+    private final StreamVersion mVersion;
     private final SendConditions mConditions;
     private final Set<String> mTried = new HashSet<>();
     private Optional<InFlightSend> mConnecting = Optional.empty();
@@ -79,6 +79,7 @@
         mCounts = counts;
         mListener = listener;
         mOnInstanceEnd = onInstanceEnd;
+        mVersion = new StreamVersion(plan.softwareVersion(), this::onStreamBegun);
         mConditions =
                 new SendConditions(
                         context.upstreamRegistry(), plan.homes(), mVersion, plan.deadlineMs());
@@ -126,6 +127,13 @@
         mVersion.onEvents(send);
     }
 
+    private void onStreamBegun(String softwareVersion) {
+        if (mPlan.route().resumable()) {
+            long nowMs = mContext.clock().nowMs();
+            mContext.origins().onBegun(nowMs, mPlan.streamKey(), softwareVersion);
+        }
+    }
+
     /** Returns whether there is an upstream to which the request was not sent yet. */
     boolean hasUntriedUpstream(long nowMs) {
         return choose(nowMs).isPresent();
--- a/router/src/main/java/org/hornbeampass/router/relay/ViewStatus.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/ViewStatus.java
@@ -9,6 +9,9 @@
     /** Returns whether there may be a newer configuration at a time in milliseconds. */
     boolean configMayBeStale(long nowMs);
 
+    /** Returns whether there may be upstreams at a time in milliseconds that are not known here. */
+    boolean upstreamsMayBeStale(long nowMs);
+
     /** Returns whether the evacuated failure domains are known. */
     boolean evacuationsKnown();
 }
--- a/router/src/test/java/org/hornbeampass/router/relay/SendConditionsTest.java
+++ b/router/src/test/java/org/hornbeampass/router/relay/SendConditionsTest.java
@@ -44,7 +44,8 @@
     }
 
     private SendConditions conditions(HomeRegions homes, Optional<String> version) {
-        return new SendConditions(mRegistry, homes, new StreamVersion(version), DEADLINE_MS);
+        return new SendConditions(
+                mRegistry, homes, new StreamVersion(version, begun -> {}), DEADLINE_MS);
     }
 
     private UpstreamInstance chosen() {
--- a/transport/src/main/java/org/hornbeampass/protocol/peer/PeerMessageType.java
+++ b/transport/src/main/java/org/hornbeampass/protocol/peer/PeerMessageType.java
@@ -37,6 +37,9 @@
 import org.hornbeampass.coordination.requests.SubmitEntries;
 import org.hornbeampass.coordination.service.InFlightReport;
 import org.hornbeampass.coordination.service.SignalReport;
+import org.hornbeampass.coordination.stream.OriginReply;
+import org.hornbeampass.coordination.stream.OriginRequest;
+import org.hornbeampass.coordination.stream.StreamBegun;
 import org.hornbeampass.protocol.peer.PeerType.Form;
 
 /**
@@ -82,6 +85,9 @@
     PERMIT_REPLY(85, PermitReply.class, Form.REPLY),
     SLOW_START_REQUEST(86, SlowStartRequest.class, Form.REQUEST),
     CONDITION_REPORT(87, ConditionReport.class, Form.ONE_WAY),
+    STREAM_BEGUN(88, StreamBegun.class, Form.ONE_WAY),
+    ORIGIN_REQUEST(89, OriginRequest.class, Form.REQUEST),
+    ORIGIN_REPLY(90, OriginReply.class, Form.REPLY),
     DRAIN_ORDER(95, DrainOrder.class, Form.REQUEST),
     DRAIN_ANSWER(96, DrainAnswer.class, Form.REPLY);
 
