Resume a caller's stream at the service that began it

Callers of a route that is split over services were refused, or not, by the draw of the service: each attempt picks one anew, and the origin of a stream was stored under the service of the first one.

Change: an origin names the service and the version. A stream that is taken up goes on at that service, if the route still leads there, else it is refused as not run. Without an origin the only version of a service counts only on a route with this one service.

--- a/coordination/src/main/java/org/hornbeampass/coordination/stream/OriginRequest.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/stream/OriginRequest.java
@@ -5,7 +5,7 @@
 import org.hornbeampass.coordination.peer.PeerMessage;
 
 /**
- * Asks a VM for the software version that began a stream.
+ * Asks a VM where a stream began.
  *
  * <p>Immutable; safe for use by any thread.
  *
--- a/coordination/src/main/java/org/hornbeampass/coordination/stream/StreamBegun.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/stream/StreamBegun.java
@@ -10,7 +10,7 @@
  * <p>Immutable; safe for use by any thread.
  *
  * @param key the stream
- * @param softwareVersion the software version of the upstream that began it
+ * @param origin where it began
  */
 @JsonFormat(shape = JsonFormat.Shape.ARRAY)
-public record StreamBegun(StreamKey key, String softwareVersion) implements PeerMessage {}
+public record StreamBegun(StreamKey key, StreamOrigin origin) implements PeerMessage {}
--- a/coordination/src/main/java/org/hornbeampass/coordination/stream/StreamKey.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/stream/StreamKey.java
@@ -8,12 +8,11 @@
  * <p>The organisation is part of the identity, so that no organisation learns of another's streams
  * by guessing ids. Immutable; safe for use by any thread.
  *
- * @param service the name of the service
  * @param organisation the name of the organisation that pays; empty where none does
  * @param attempt the caller's id of the attempt
  */
 @JsonFormat(shape = JsonFormat.Shape.ARRAY)
-public record StreamKey(String service, String organisation, String attempt) {
+public record StreamKey(String organisation, String attempt) {
     private static final int MAX_ATTEMPT_LENGTH = 256;
 
     /** Returns whether the id is short enough to be stored. */
@@ -23,6 +22,6 @@
 
     /** Returns the text from which the VMs are chosen that store the stream's origin. */
     String hashText() {
-        return "stream-" + service + '/' + organisation + '/' + attempt;
+        return "stream-" + organisation + '/' + attempt;
     }
 }
--- a/coordination/src/main/java/org/hornbeampass/coordination/stream/StreamOrigins.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/stream/StreamOrigins.java
@@ -18,11 +18,11 @@
 import java.util.function.Supplier;
 
 /**
- * Knows which software version began the recent streams, and shares it with other VMs.
+ * Knows where the recent streams began, and shares it with other VMs.
  *
  * <p>A caller most often takes its stream up because the VM that served it has died, so that VM
  * tells others as soon as the stream begins. Invariants: an origin never changes once it is stored;
- * a version that is returned is the one that began the stream. Confined to one thread.
+ * one that is returned is where the stream began. Confined to one thread.
  */
 public final class StreamOrigins {
     /** Longer than a caller waits for a stream, all its attempts included. */
@@ -37,15 +37,15 @@
     private final PeerNetwork mPeers;
     private final Supplier<List<Member>> mOthersUp;
     private final Supplier<List<Member>> mOthersPossiblyUp;
-    private final Map<StreamKey, Origin> mOrigins = new LinkedHashMap<>();
+    private final Map<StreamKey, Stored> mOrigins = new LinkedHashMap<>();
 
     /**
-     * The origin of a stream.
+     * A stored origin.
      *
-     * @param softwareVersion the software version that began it
+     * @param origin where the stream began
      * @param storedMs when it was stored here, in milliseconds
      */
-    private record Origin(String softwareVersion, long storedMs) {}
+    private record Stored(StreamOrigin origin, long storedMs) {}
 
     /**
      * Creates an empty store.
@@ -68,26 +68,26 @@
      *
      * @param nowMs the present time in milliseconds
      * @param key the stream
-     * @param softwareVersion the software version that begins it
+     * @param origin where it begins
      */
-    public void onBegun(long nowMs, StreamKey key, String softwareVersion) {
+    public void onBegun(long nowMs, StreamKey key, StreamOrigin origin) {
         if (!key.isStorable()) {
             return;
         }
-        store(nowMs, key, softwareVersion);
-        StreamBegun message = new StreamBegun(key, softwareVersion);
+        store(nowMs, key, origin);
+        StreamBegun message = new StreamBegun(key, origin);
         OriginHolders.toTell(key, mOthersUp.get()).forEach(vm -> mPeers.send(vm, message));
     }
 
     /** Stores the origin of a stream that another VM has begun. */
     public void onReport(long nowMs, VmId from, StreamBegun report, Consumer<PeerMessage> reply) {
         if (report.key().isStorable()) {
-            store(nowMs, report.key(), report.softwareVersion());
+            store(nowMs, report.key(), report.origin());
         }
     }
 
-    private void store(long nowMs, StreamKey key, String softwareVersion) {
-        mOrigins.putIfAbsent(key, new Origin(softwareVersion, nowMs));
+    private void store(long nowMs, StreamKey key, StreamOrigin origin) {
+        mOrigins.putIfAbsent(key, new Stored(origin, nowMs));
         if (mOrigins.size() > MAX_ORIGINS) {
             Iterator<StreamKey> oldest = mOrigins.keySet().iterator();
             oldest.next();
@@ -98,11 +98,11 @@
     /** Answers another VM. */
     public void onRequest(
             long nowMs, VmId from, OriginRequest request, Consumer<PeerMessage> reply) {
-        reply.accept(new OriginReply(stored(request.key()).orElse("")));
+        reply.accept(OriginReply.of(stored(request.key())));
     }
 
-    private Optional<String> stored(StreamKey key) {
-        return Optional.ofNullable(mOrigins.get(key)).map(Origin::softwareVersion);
+    private Optional<StreamOrigin> stored(StreamKey key) {
+        return Optional.ofNullable(mOrigins.get(key)).map(Stored::origin);
     }
 
     /** Returns the number of stored origins. */
@@ -111,14 +111,14 @@
     }
 
     /**
-     * Finds the software version that began a stream: here, or at the VMs that should know it.
+     * Finds the origin of a stream: here, or at the VMs that should know it.
      *
      * @param nowMs the present time in milliseconds
      * @param key the stream
      * @param done receives the time in milliseconds and the result; called once
      */
     public void find(long nowMs, StreamKey key, BiConsumer<Long, FoundOrigin> done) {
-        Optional<String> own = stored(key);
+        Optional<StreamOrigin> own = stored(key);
         if (own.isPresent()) {
             done.accept(nowMs, new FoundOrigin(own, FoundOrigin.Source.THIS_VM, 0, 0));
             return;
@@ -136,7 +136,7 @@
 
     /** Discards the origins of streams that can't be taken up any more. */
     public void tick(long nowMs) {
-        Iterator<Origin> oldest = mOrigins.values().iterator();
+        Iterator<Stored> oldest = mOrigins.values().iterator();
         while (oldest.hasNext() && nowMs - oldest.next().storedMs() > KEEP_MS) {
             oldest.remove();
         }
@@ -160,16 +160,16 @@
             if (mFound) {
                 return;
             }
-            Optional<String> version = Optional.empty();
+            Optional<StreamOrigin> found = Optional.empty();
             if (reply.isRight() && reply.get() instanceof OriginReply origin) {
                 mReplied++;
-                version = Optional.of(origin.softwareVersion()).filter(v -> !v.isEmpty());
+                found = origin.first();
             }
-            if (version.isPresent()) {
+            if (found.isPresent()) {
                 mFound = true;
                 mDone.accept(
                         nowMs,
-                        new FoundOrigin(version, FoundOrigin.Source.ANOTHER_VM, mAsked, mReplied));
+                        new FoundOrigin(found, FoundOrigin.Source.ANOTHER_VM, mAsked, mReplied));
             } else if (mEnded == mAsked) {
                 mDone.accept(nowMs, FoundOrigin.unknown(mAsked, mReplied));
             }
--- a/coordination/src/test/java/org/hornbeampass/coordination/stream/OriginHoldersTest.java
+++ b/coordination/src/test/java/org/hornbeampass/coordination/stream/OriginHoldersTest.java
@@ -50,7 +50,7 @@
         List<Member> all = members(vms, domains);
         Random random = new Random(1);
         for (int i = 0; i < STREAMS; i++) {
-            StreamKey key = new StreamKey("s", "o", "q" + i);
+            StreamKey key = new StreamKey("o", "q" + i);
             Member dead = all.get(random.nextInt(vms));
             List<Member> others = without(all, dead::equals);
             List<String> told = OriginHolders.toTell(key, others);
@@ -66,7 +66,7 @@
         List<Member> all = members(vms, domains);
         Random random = new Random(1);
         for (int i = 0; i < STREAMS; i++) {
-            StreamKey key = new StreamKey("s", "o", "q" + i);
+            StreamKey key = new StreamKey("o", "q" + i);
             Member dead = all.get(random.nextInt(vms));
             List<Member> left = without(all, m -> m.domain().equals(dead.domain()));
             List<String> told =
@@ -82,7 +82,7 @@
     @CsvSource({"8,3,3,6", "390,6,3,6"})
     void numberOfMessages_doesNotGrowWithTheFleet(int vms, int domains, int told, int asked) {
         List<Member> others = members(vms, domains).subList(1, vms);
-        StreamKey key = new StreamKey("s", "o", "q");
+        StreamKey key = new StreamKey("o", "q");
         assertThat(OriginHolders.toTell(key, others)).hasSize(told);
         assertThat(OriginHolders.toAsk(key, others)).hasSize(asked);
     }
--- a/coordination/src/test/java/org/hornbeampass/coordination/stream/StreamOriginsTest.java
+++ b/coordination/src/test/java/org/hornbeampass/coordination/stream/StreamOriginsTest.java
@@ -22,7 +22,9 @@
 
 /** Checks what one VM stores, tells and asks about the origins of streams. */
 class StreamOriginsTest {
-    private static final StreamKey KEY = new StreamKey("s", "o", "q");
+    private static final StreamKey KEY = new StreamKey("o", "q");
+    private static final StreamOrigin ONE = new StreamOrigin("s", "v1");
+    private static final StreamOrigin TWO = new StreamOrigin("s", "v2");
     private static final VmId OTHER = new VmId("vm-1", 1);
     private static final List<Member> OTHERS =
             List.of(
@@ -41,7 +43,7 @@
     /** Records messages and answers requests. */
     private static final class Network implements PeerNetwork {
         private final List<PeerMessage> mSent = new ArrayList<>();
-        private Optional<String> mReply = Optional.empty();
+        private Optional<OriginReply> mReply = Optional.empty();
 
         @Override
         public void send(String vmName, PeerMessage message) {
@@ -59,7 +61,7 @@
             done.accept(
                     nowMs,
                     mReply.isPresent()
-                            ? Either.right(new OriginReply(mReply.get()))
+                            ? Either.right(mReply.get())
                             : Either.left(Failure.of(ErrorKind.INTERNAL, "no reply")));
         }
     }
@@ -73,44 +75,45 @@
 
     @Test
     void streamThatBeganHere_isToldAndFoundWithoutAMessage() {
-        mOrigins.onBegun(0, KEY, "v1");
-        assertThat(mNetwork.mSent).containsExactly(new StreamBegun(KEY, "v1"));
-        assertThat(find(0).softwareVersion()).contains("v1");
+        mOrigins.onBegun(0, KEY, ONE);
+        assertThat(mNetwork.mSent).containsExactly(new StreamBegun(KEY, ONE));
+        assertThat(find(0).origin()).contains(ONE);
         assertThat(mNetwork.mSent).hasSize(1);
     }
 
     @Test
     void origin_neverChanges() {
-        mOrigins.onBegun(0, KEY, "v1");
-        mOrigins.onReport(1, OTHER, new StreamBegun(KEY, "v2"), reply -> {});
-        assertThat(find(1).softwareVersion()).contains("v1");
+        mOrigins.onBegun(0, KEY, ONE);
+        mOrigins.onReport(1, OTHER, new StreamBegun(KEY, TWO), reply -> {});
+        assertThat(find(1).origin()).contains(ONE);
     }
 
     @Test
     void originThatNoVmKnows_isUnknown() {
         assertThat(find(0)).isEqualTo(FoundOrigin.unknown(1, 0));
-        mNetwork.mReply = Optional.of("");
+        mNetwork.mReply = Optional.of(new OriginReply(List.of()));
         assertThat(find(0)).isEqualTo(FoundOrigin.unknown(1, 1));
     }
 
     @Test
     void originThatAnotherVmKnows_isFound() {
-        mNetwork.mReply = Optional.of("v2");
-        assertThat(find(0).softwareVersion()).contains("v2");
+        mNetwork.mReply = Optional.of(new OriginReply(List.of(TWO)));
+        assertThat(find(0).origin()).contains(TWO);
     }
 
     @Test
     void request_isAnsweredFromTheStoredOrigins() {
         List<PeerMessage> replies = new ArrayList<>();
         mOrigins.onRequest(0, OTHER, new OriginRequest(KEY), replies::add);
-        mOrigins.onReport(1, OTHER, new StreamBegun(KEY, "v2"), reply -> {});
+        mOrigins.onReport(1, OTHER, new StreamBegun(KEY, TWO), reply -> {});
         mOrigins.onRequest(2, OTHER, new OriginRequest(KEY), replies::add);
-        assertThat(replies).containsExactly(new OriginReply(""), new OriginReply("v2"));
+        assertThat(replies)
+                .containsExactly(new OriginReply(List.of()), new OriginReply(List.of(TWO)));
     }
 
     @Test
     void origin_isKeptForAMinute() {
-        mOrigins.onBegun(0, KEY, "v1");
+        mOrigins.onBegun(0, KEY, ONE);
         mOrigins.tick(60_000);
         assertThat(mOrigins.size()).isEqualTo(1);
         mOrigins.tick(60_001);
@@ -119,7 +122,7 @@
 
     @Test
     void attemptWithAnOverlongId_isNotStored() {
-        mOrigins.onBegun(0, new StreamKey("s", "o", "x".repeat(257)), "v1");
+        mOrigins.onBegun(0, new StreamKey("o", "x".repeat(257)), ONE);
         assertThat(mOrigins.size()).isZero();
         assertThat(mNetwork.mSent).isEmpty();
     }
--- a/router/src/main/java/org/hornbeampass/router/relay/RelayCall.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/RelayCall.java
@@ -8,6 +8,7 @@
 import org.hornbeampass.coordination.escrow.Admission;
 import org.hornbeampass.coordination.escrow.TokenWaiter;
 import org.hornbeampass.coordination.service.RouteTable;
+import org.hornbeampass.coordination.stream.StreamOrigin;
 import org.hornbeampass.state.ErrorKind;
 import org.hornbeampass.state.Failure;
 import org.hornbeampass.state.service.HomeRegions;
@@ -217,29 +218,27 @@
             return;
         }
         StreamResumption resumption =
-                new StreamResumption(
-                        mContext,
-                        mHead,
-                        mRoute.orElseThrow(),
-                        mService.orElseThrow().name(),
-                        organisation());
+                new StreamResumption(mContext, mHead, mRoute.orElseThrow(), organisation());
         if (resumption.isRequested()) {
-            resumption.findVersion(nowMs, this::onVersionFound);
+            resumption.findOrigin(nowMs, this::onOriginFound);
         } else {
             admitTokens(nowMs);
         }
     }
 
-    private void onVersionFound(long nowMs, Optional<String> softwareVersion) {
+    private void onOriginFound(long nowMs, Optional<StreamOrigin> origin) {
         if (mEnded) {
             return;
         }
-        mSoftwareVersion = softwareVersion;
-        if (softwareVersion.isPresent()) {
-            admitTokens(nowMs);
-        } else {
-            fail(nowMs, Refusals.noUpstream("the version that began the stream is not known"));
+        RouteTable routes = mContext.routes().orElseThrow();
+        Optional<ServiceSpec> service = origin.flatMap(o -> routes.service(o.service()));
+        if (service.isEmpty()) {
+            fail(nowMs, Refusals.noUpstream("the upstreams that may go on are not known"));
+            return;
         }
+        mService = service;
+        mSoftwareVersion = origin.map(StreamOrigin::softwareVersion);
+        admitTokens(nowMs);
     }
 
     private void admitTokens(long nowMs) {
--- a/router/src/main/java/org/hornbeampass/router/relay/RelayPlan.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/RelayPlan.java
@@ -50,7 +50,7 @@
 
     /** Returns the identity under which the caller may take this attempt's stream up. */
     StreamKey streamKey() {
-        return new StreamKey(service.name(), organisation.orElse(""), head.id());
+        return new StreamKey(organisation.orElse(""), head.id());
     }
 
     /**
--- a/router/src/main/java/org/hornbeampass/router/relay/StreamResumption.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/StreamResumption.java
@@ -2,15 +2,17 @@
 
 import org.hornbeampass.coordination.stream.FoundOrigin;
 import org.hornbeampass.coordination.stream.StreamKey;
+import org.hornbeampass.coordination.stream.StreamOrigin;
 import org.hornbeampass.state.service.Route;
 
 import java.util.Optional;
 import java.util.function.BiConsumer;
 
 /**
- * Finds the software version at which a stream must go on that a caller takes up.
+ * Finds the service and the software version at which a stream must go on that a caller takes up.
  *
- * <p>Invariant: the version is never guessed. Confined to one event loop.
+ * <p>Invariants: the origin is never guessed; it is a service of the route. Confined to one event
+ * loop.
  */
 final class StreamResumption {
     /** How many times a route's timeout a caller may wait for a stream, in all its attempts. */
@@ -19,7 +21,6 @@
     private final RelayContext mContext;
     private final CallerHead mHead;
     private final Route mRoute;
-    private final String mService;
     private final String mOrganisation;
 
     /**
@@ -28,19 +29,12 @@
      * @param context what all requests of the VM share
      * @param head the caller's head
      * @param route the request's route
-     * @param service the name of the service that was picked for the request
      * @param organisation the name of the organisation that pays; empty where none does
      */
-    StreamResumption(
-            RelayContext context,
-            CallerHead head,
-            Route route,
-            String service,
-            String organisation) {
+    StreamResumption(RelayContext context, CallerHead head, Route route, String organisation) {
         mContext = context;
         mHead = head;
         mRoute = route;
-        mService = service;
         mOrganisation = organisation;
     }
 
@@ -50,20 +44,24 @@
     }
 
     /**
-     * Finds the software version that began the stream.
+     * Finds where the stream began.
      *
      * @param nowMs the present time in milliseconds
-     * @param done receives the time in milliseconds and the version, which is empty where it is not
-     *     known; called once
+     * @param done receives the time in milliseconds and the origin, which is empty where it is not
+     *     known or the route no longer leads there; called once
      */
-    void findVersion(long nowMs, BiConsumer<Long, Optional<String>> done) {
-        StreamKey key = new StreamKey(mService, mOrganisation, mHead.resumes().orElse(""));
+    void findOrigin(long nowMs, BiConsumer<Long, Optional<StreamOrigin>> done) {
+        StreamKey key = new StreamKey(mOrganisation, mHead.resumes().orElse(""));
         mContext.origins().find(nowMs, key, (t, found) -> onFound(t, t - nowMs, found, done));
     }
 
     private void onFound(
-            long nowMs, long tookMs, FoundOrigin found, BiConsumer<Long, Optional<String>> done) {
-        FoundOrigin origin = found.orOnlyVersion(onlyVersion(nowMs));
+            long nowMs,
+            long tookMs,
+            FoundOrigin found,
+            BiConsumer<Long, Optional<StreamOrigin>> done) {
+        FoundOrigin result = found.orOnlyVersion(onlyOrigin(nowMs));
+        Optional<StreamOrigin> origin = result.origin().filter(o -> leadsTo(o.service()));
         mContext.log()
                 .logDecision(
                         nowMs,
@@ -71,19 +69,30 @@
                         "stream-taken-up",
                         new LogFields()
                                 .add("resumes", mHead.resumes().orElse(""))
-                                .add("software_version", origin.softwareVersion().orElse(""))
-                                .add("source", origin.source().logName())
-                                .add("asked_vms", origin.askedVms())
-                                .add("replied_vms", origin.repliedVms())
+                                .add("service", result.origin().map(o -> o.service()).orElse(""))
+                                .add(
+                                        "software_version",
+                                        origin.map(o -> o.softwareVersion()).orElse(""))
+                                .add("source", result.source().logName())
+                                .add("asked_vms", result.askedVms())
+                                .add("replied_vms", result.repliedVms())
                                 .add("took_ms", tookMs));
-        done.accept(nowMs, origin.softwareVersion());
+        done.accept(nowMs, origin);
     }
 
-    private Optional<String> onlyVersion(long nowMs) {
-        if (mContext.upstreamsMayBeStale(nowMs)) {
+    private boolean leadsTo(String service) {
+        return mRoute.targets().stream().anyMatch(t -> t.service().equals(service));
+    }
+
+    private Optional<StreamOrigin> onlyOrigin(long nowMs) {
+        if (mContext.upstreamsMayBeStale(nowMs) || mRoute.targets().size() != 1) {
             return Optional.empty();
         }
         long periodMs = ATTEMPTS_TIMEOUTS * mRoute.timeoutMs();
-        return mContext.upstreamRegistry().versions().onlyVersion(nowMs, mService, periodMs);
+        String service = mRoute.targets().get(0).service();
+        return mContext.upstreamRegistry()
+                .versions()
+                .onlyVersion(nowMs, service, periodMs)
+                .map(version -> new StreamOrigin(service, version));
     }
 }
--- a/router/src/main/java/org/hornbeampass/router/relay/UpstreamSearch.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/UpstreamSearch.java
@@ -4,6 +4,7 @@
 import org.hornbeampass.coordination.service.IncarnationListener;
 import org.hornbeampass.coordination.service.UpstreamChoice;
 import org.hornbeampass.coordination.service.UpstreamInstance;
+import org.hornbeampass.coordination.stream.StreamOrigin;
 import org.hornbeampass.transport.relay.UpstreamConnection;
 
 import java.util.HashSet;
@@ -130,7 +131,8 @@
     private void onStreamBegun(String softwareVersion) {
         if (mPlan.route().resumable()) {
             long nowMs = mContext.clock().nowMs();
-            mContext.origins().onBegun(nowMs, mPlan.streamKey(), softwareVersion);
+            StreamOrigin origin = new StreamOrigin(mPlan.service().name(), softwareVersion);
+            mContext.origins().onBegun(nowMs, mPlan.streamKey(), origin);
         }
     }
 
