Send to a port at which nothing listens in the test of that name

The test closed a server and took its port for closed. A listening socket that a selector still knows is closed by the JDK only with the selector's next turn; until then the system accepts connections and resets them, which the answer told as it was. Another process may also take the port.

The test holds a bound socket that does not listen; what is checked is unchanged. It passes; the failure itself was not reproduced, so that this was its cause is likely, not shown.

--- a/transport/src/test/java/org/hornbeampass/transport/http/HttpLoopTest.java
+++ b/transport/src/test/java/org/hornbeampass/transport/http/HttpLoopTest.java
@@ -6,7 +6,9 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
@@ -78,13 +80,15 @@
 
     @Test
     void send_toClosedPort_failsUnsent() throws Exception {
-        serve((now, exchange) -> exchange.respond(200, Map.of(), new byte[0]));
-        InetSocketAddress address = mServer.address();
-        mServer.close().get(WAIT_S, TimeUnit.SECONDS);
+        // A bound socket that does not listen keeps the port from being used by others.
+        try (Socket closed = new Socket()) {
+            closed.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+            InetSocketAddress address = (InetSocketAddress) closed.getLocalSocketAddress();
 
-        Answer answer = send(address, "GET", "/", "").get(WAIT_S, TimeUnit.SECONDS);
+            Answer answer = send(address, "GET", "/", "").get(WAIT_S, TimeUnit.SECONDS);
 
-        assertThat(answer.failure()).startsWith("sent=false");
+            assertThat(answer.failure()).startsWith("sent=false");
+        }
     }
 
     private void serve(HttpHandler handler) {
