Ask no VM for a stream that its caller does not name

A caller that takes a stream up without naming an attempt, or with an id that is too long to be stored, cost six messages whose replies are known. StreamOriginsTest has a new case; it passes.

--- a/coordination/src/main/java/org/hornbeampass/coordination/stream/StreamKey.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/stream/StreamKey.java
@@ -15,9 +15,9 @@
 public record StreamKey(String organisation, String attempt) {
     private static final int MAX_ATTEMPT_LENGTH = 256;
 
-    /** Returns whether the id is short enough to be stored. */
+    /** Returns whether there is an id that is short enough to be stored. */
     public boolean isStorable() {
-        return attempt.length() <= MAX_ATTEMPT_LENGTH;
+        return !attempt.isEmpty() && attempt.length() <= MAX_ATTEMPT_LENGTH;
     }
 
     /** Returns the text from which the VMs are chosen that store the stream's origin. */
--- a/coordination/src/main/java/org/hornbeampass/coordination/stream/StreamOrigins.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/stream/StreamOrigins.java
@@ -123,7 +123,8 @@
             done.accept(nowMs, new FoundOrigin(own, FoundOrigin.Source.THIS_VM, 0, 0));
             return;
         }
-        List<String> holders = OriginHolders.toAsk(key, mOthersPossiblyUp.get());
+        List<String> holders =
+                key.isStorable() ? OriginHolders.toAsk(key, mOthersPossiblyUp.get()) : List.of();
         if (holders.isEmpty()) {
             done.accept(nowMs, FoundOrigin.unknown(0, 0));
             return;
--- a/coordination/src/test/java/org/hornbeampass/coordination/stream/StreamOriginsTest.java
+++ b/coordination/src/test/java/org/hornbeampass/coordination/stream/StreamOriginsTest.java
@@ -120,6 +120,13 @@
         assertThat(mOrigins.size()).isZero();
     }
 
+    @Test
+    void attemptWithoutAnId_isNotAskedFor() {
+        mOrigins.find(0, new StreamKey("o", ""), (t, found) -> mFound.add(found));
+        assertThat(mFound).containsExactly(FoundOrigin.unknown(0, 0));
+        assertThat(mNetwork.mSent).isEmpty();
+    }
+
     @Test
     void attemptWithAnOverlongId_isNotStored() {
         mOrigins.onBegun(0, new StreamKey("o", "x".repeat(257)), ONE);
