Close all channels of an event loop whenever its shutdown begins

Callers, upstreams and other VMs whose connections were open kept waiting after a router had been closed: where the close began while the loop ran a task, connections and listeners stayed open until the process ended, and no handler was told.

Cause: Netty's loop closes its channels in a step before it runs tasks. A shutdown that begins during the tasks, with a quiet period of zero, ends the loop in the same round; only its selector is closed.

Evidence: EventLoopsTest closes loops at seven moments, with one and with four threads, without HTTP and without writes.

Change: the loops close their channels before each decision whether they may end, while tasks still run and handlers are told, and after the tasks that remain. A quiet period of 1 ms would do on an idle machine, but rests on the time between two steps of a loop.

--- a/transport/src/main/java/org/hornbeampass/transport/EventLoops.java
+++ b/transport/src/main/java/org/hornbeampass/transport/EventLoops.java
@@ -1,17 +1,21 @@
 package org.hornbeampass.transport;
 
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.IoEventLoop;
+import io.netty.channel.IoHandlerFactory;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.util.concurrent.DefaultThreadFactory;
 
+import java.util.concurrent.Executor;
+import java.util.concurrent.ThreadFactory;
 import java.util.concurrent.TimeUnit;
 
 /**
  * Owns the event loop threads that servers and clients share.
  *
- * <p>Invariant: the loops use NIO selectors only, and their threads are daemon threads.
- * Thread-safe.
+ * <p>Invariants: the loops use NIO selectors only, and their threads are daemon threads; closing
+ * them closes all of their channels. Thread-safe.
  */
 public final class EventLoops implements AutoCloseable {
     private static final long QUIET_PERIOD_MS = 0;
@@ -31,6 +35,19 @@
                         "shared-loop");
     }
 
+    /** Creates loops that close their channels before they end. */
+    private static final class Group extends MultiThreadIoEventLoopGroup {
+        Group(int threads, ThreadFactory threadFactory) {
+            super(threads, threadFactory, NioIoHandler.newFactory());
+        }
+
+        @Override
+        protected IoEventLoop newChild(
+                Executor executor, IoHandlerFactory factory, Object... arguments) {
+            return new ChannelClosingEventLoop(this, executor, factory);
+        }
+    }
+
     private EventLoops(EventLoopGroup group) {
         mGroup = group;
     }
@@ -42,9 +59,7 @@
      * @param name the prefix of the threads' names
      */
     public static EventLoops create(int threads, String name) {
-        return new EventLoops(
-                new MultiThreadIoEventLoopGroup(
-                        threads, new DefaultThreadFactory(name, true), NioIoHandler.newFactory()));
+        return new EventLoops(new Group(threads, new DefaultThreadFactory(name, true)));
     }
 
     /** Returns the process-wide loops; closing them has no effect. */
@@ -58,8 +73,8 @@
     }
 
     /**
-     * Starts closing the loops. Returns without waiting, so that a thread of a loop may call it;
-     * has no effect on the shared loops.
+     * Starts closing the loops and all of their channels. Returns without waiting, so that a thread
+     * of a loop may call it; has no effect on the shared loops.
      */
     @Override
     public void close() {
