Give a request quarantined alone a trial where another may be the cause

Callers of a harmless request were refused for ten minutes (left_ms 599,882) after it had run beside one that crashes upstreams: where one crash of the guilty request is missed, the harmless one has three and it has two, and it is quarantined alone.

Cause: a trial was due only where another quarantined request shares crashes. A missed crash, or a report of another VM that is lost, leaves no way back.

Change: a request that has too few crashes for a quarantine, but all of a quarantined request's crashes except one, makes a trial due as well. A trial that crashes an upstream ends this, since the request then has a crash more. Whether another request may be the cause is computed once for each change of the table, as refusals ask it.

SuspectTableTest: the case of a missed crash failed before; that a request which crashed an upstream in its trial gets no other, and that one crash in common is not enough, held before as well. QuarantineTest and CrashingRequestModelTest pass unchanged.

--- a/coordination/src/main/java/org/hornbeampass/coordination/quarantine/Suspect.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/quarantine/Suspect.java
@@ -37,6 +37,8 @@
     private boolean mObservedLocally;
     private int mTrials;
     private long mNextTrialMs = Long.MAX_VALUE;
+    private boolean mMayBeExplained;
+    private long mExplanationCheckedAt = -1;
 
     Suspect(RequestDigest digest) {
         mDigest = digest;
@@ -142,6 +144,22 @@
         mNextTrialMs = ms;
     }
 
+    /** Returns whether another request may have caused the crashes, as set last. */
+    boolean mayBeExplained() {
+        return mMayBeExplained;
+    }
+
+    /** Returns after how many changes of the table that was determined; -1 if it was not. */
+    long explanationCheckedAt() {
+        return mExplanationCheckedAt;
+    }
+
+    /** Sets whether another request may have caused the crashes. */
+    void setMayBeExplained(boolean explained, long checkedAt) {
+        mMayBeExplained = explained;
+        mExplanationCheckedAt = checkedAt;
+    }
+
     boolean isRecorded() {
         return mRecorded;
     }
--- a/coordination/src/main/java/org/hornbeampass/coordination/quarantine/SuspectTable.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/quarantine/SuspectTable.java
@@ -54,6 +54,12 @@
     /** The largest number of requests kept; an upstream may run some hundred when it crashes. */
     static final int MAX_SUSPECTS = 4_096;
 
+    /**
+     * How many crashes of a request may be missing from the entry of another request that may have
+     * caused them all: a VM can miss a crash, and a report can be lost.
+     */
+    private static final int MAX_MISSED_CRASHES = 1;
+
     /**
      * How many entries are evicted at once when the table is full, since each eviction scans the
      * whole table.
@@ -69,6 +75,9 @@
     private final QuarantineListener mListener;
     private Optional<RequestDigest> mTrial = Optional.empty();
 
+    /** Counts the changes of entries, so that what follows from them is computed once. */
+    private long mChanges;
+
     /** Creates an empty table. */
     public SuspectTable(QuarantineListener listener) {
         mListener = listener;
@@ -110,17 +119,17 @@
     }
 
     /**
-     * Returns whether a quarantined request may run as a trial. Where several quarantined requests
-     * were interrupted by the same crashes, some of them may not cause any. An answer to the trial
-     * clears the request; one more crash explains the crashes of the others. Two trials at the same
-     * time could be interrupted by the same crash and would then prove nothing.
+     * Returns whether a quarantined request may run as a trial. Where other requests were
+     * interrupted by the same crashes, it may not have caused any. An answer to the trial clears
+     * the request; one more crash explains the crashes of the others. Two trials at the same time
+     * could be interrupted by the same crash and would then prove nothing.
      */
     boolean isTrialDue(long nowMs, RequestDigest digest) {
         Suspect suspect = mByDigest.get(digest);
         return mTrial.isEmpty()
                 && suspect != null
                 && suspect.isTrialDue(nowMs)
-                && sharesCrashes(suspect);
+                && mayBeExplained(suspect);
     }
 
     /**
@@ -151,15 +160,33 @@
      */
     public long retryAfterMs(long nowMs, RequestDigest digest) {
         long leftMs = quarantineLeftMs(nowMs, digest);
-        boolean mayBeCleared = leftMs > 0 && sharesCrashes(mByDigest.get(digest));
+        boolean mayBeCleared = leftMs > 0 && mayBeExplained(mByDigest.get(digest));
         return mayBeCleared ? Math.min(leftMs, TRIAL_DELAY_MS) : leftMs;
     }
 
-    private boolean sharesCrashes(Suspect suspect) {
-        Set<UpstreamIncarnation> uncleared = suspect.unclearedCrashes();
-        return mCandidates.values().stream()
-                .filter(s -> s != suspect && s.isQuarantined())
-                .anyMatch(s -> !Collections.disjoint(s.unclearedCrashes(), uncleared));
+    /** Returns whether another request may have caused the crashes of a quarantined one. */
+    private boolean mayBeExplained(Suspect suspect) {
+        if (suspect.explanationCheckedAt() != mChanges) {
+            Set<UpstreamIncarnation> uncleared = suspect.unclearedCrashes();
+            boolean explained =
+                    mByDigest.values().stream()
+                            .anyMatch(s -> s != suspect && mayHaveCaused(s, uncleared));
+            suspect.setMayBeExplained(explained, mChanges);
+        }
+        return suspect.mayBeExplained();
+    }
+
+    /**
+     * Returns whether a request may have caused crashes: a quarantined one at least some of them,
+     * one with too few crashes for a quarantine nearly all.
+     */
+    private static boolean mayHaveCaused(Suspect other, Set<UpstreamIncarnation> crashes) {
+        Set<UpstreamIncarnation> others = other.unclearedCrashes();
+        if (other.isQuarantined()) {
+            return !Collections.disjoint(others, crashes);
+        }
+        long missing = crashes.stream().filter(c -> !others.contains(c)).count();
+        return !other.hasEnoughCrashes() && missing <= MAX_MISSED_CRASHES;
     }
 
     /** Returns the state of the quarantined requests for a report. */
@@ -290,6 +317,7 @@
             }
         }
         if (!changed.isEmpty()) {
+            mChanges++;
             mCandidates.values().forEach(s -> updateQuarantines(nowMs, s));
         }
     }
@@ -340,6 +368,7 @@
     }
 
     private void removeSuspect(RequestDigest digest) {
+        mChanges++;
         mByDigest.remove(digest);
         mCandidates.remove(digest);
     }
--- a/coordination/src/test/java/org/hornbeampass/coordination/quarantine/SuspectTableTest.java
+++ b/coordination/src/test/java/org/hornbeampass/coordination/quarantine/SuspectTableTest.java
@@ -93,6 +93,30 @@
         assertThat(mTable.retryAfterMs(0, CRASHING)).isEqualTo(SuspectTable.RETENTION_MS);
     }
 
+    @Test
+    void requestQuarantinedAloneBecauseACrashOfTheOtherWasMissed_getsATrial() {
+        crashes(1, 2, CRASHING, HARMLESS);
+        crashes(3, 3, HARMLESS);
+        assertThat(mTable.status(HARMLESS)).isEqualTo(QuarantineStatus.QUARANTINED);
+        assertThat(mTable.retryAfterMs(0, HARMLESS)).isEqualTo(SuspectTable.TRIAL_DELAY_MS);
+        assertThat(mTable.tryStartTrial(SuspectTable.TRIAL_DELAY_MS, HARMLESS)).isTrue();
+    }
+
+    @Test
+    void requestThatCrashesAnUpstreamInItsTrial_getsNoOther() {
+        crashes(1, 2, CRASHING, HARMLESS);
+        crashes(3, 4, CRASHING);
+        assertThat(mTable.retryAfterMs(0, CRASHING)).isEqualTo(SuspectTable.RETENTION_MS);
+        assertThat(mTable.isTrialDue(SuspectTable.RETENTION_MS - 1, CRASHING)).isFalse();
+    }
+
+    @Test
+    void requestWithOneCrashInCommonWithOthers_getsNoTrial() {
+        crashes(1, 1, CRASHING, HARMLESS);
+        crashes(2, 3, CRASHING);
+        assertThat(mTable.isTrialDue(SuspectTable.TRIAL_DELAY_MS, CRASHING)).isFalse();
+    }
+
     @Test
     void reportsInAnyOrder_giveTheSameStatuses() {
         SuspectTable sender = table();
