Limit lines on lost upstreams apart from those on refusals

In a failure of CrashingRequestTest the lines upstream-lost of the crash in question were missing: refusals of the same second, some hundreds to 24,000, had used up the 100 lines that both share. These lines carry the digest by which requests are tied to crashes, and have a limit of their own now.

--- a/router/src/main/java/org/hornbeampass/router/relay/RelayAttempts.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/RelayAttempts.java
@@ -308,7 +308,7 @@
         fields.add("reason", reason)
                 .add("events", mAnswer.eventCount())
                 .add("digest", mCrashes.digest().toString());
-        logDecision(nowMs, "upstream-lost", fields);
+        mContext.log().logUpstreamLost(nowMs, mPlan.head().id(), fields);
         releaseSend();
         mSilenceTimeout.stop();
         if (mCall.callerGone()) {
--- a/router/src/main/java/org/hornbeampass/router/relay/RelayLog.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/RelayLog.java
@@ -35,6 +35,12 @@
      */
     private static final int STATE_CHANGE_LINES_PER_S = 100;
 
+    /**
+     * The most lines on lost upstreams per second. They have a limit of their own, because in a
+     * flood of refusals they show which requests were in progress at an upstream that crashed.
+     */
+    private static final int LOSS_LINES_PER_S = 100;
+
     private static final long SECOND_MS = 1_000;
 
     private final MetricRegistry mMetrics;
@@ -42,6 +48,7 @@
     private int mSuccessLines;
     private int mFailureLines;
     private int mStateChangeLines;
+    private int mLossLines;
     private long mDroppedLines;
 
     /** Creates a log that counts decisions in a metric registry. */
@@ -93,6 +100,13 @@
         write(nowMs, allowFailureLine(nowMs), decision, id, inputs);
     }
 
+    /** Counts and logs that a request has lost the upstream that ran it. */
+    void logUpstreamLost(long nowMs, String id, LogFields inputs) {
+        mMetrics.counter("decisions{kind=\"upstream-lost\"}").inc();
+        beginSecond(nowMs);
+        write(nowMs, mLossLines++ < LOSS_LINES_PER_S, "upstream-lost", id, inputs);
+    }
+
     /**
      * Counts and logs a change in this VM's view of the fleet, such as a lost or regained store.
      */
@@ -134,6 +148,7 @@
             mSuccessLines = 0;
             mFailureLines = 0;
             mStateChangeLines = 0;
+            mLossLines = 0;
             if (mDroppedLines > 0) {
                 LOG.info(
                         "{\"at_ms\":{},\"kind\":\"lines-left-out\",\"count\":{}}",
