Take an upstream that accepts a connection while it exits for crashed

Callers of a harmless request were refused for ten minutes, and one request could crash every upstream of a service, where upstreams accept one more connection after a crash. Callers got answers without framing as complete that a crash had cut off.

Cause: after the loss of a connection one new connection (a probe) was taken for proof that the upstream runs, and the requests were forgotten. A process may close its connections before its listener: in the test, a thread that waits in accept() keeps it alive in the system. A second loss a moment later was probed anew, refused, and counted alone.

Change: a probe must stay open for 30 ms, a dropped one is repeated at once, accepted ones after 150 ms and one more second, unless the upstream has answered meanwhile. For 10 s a refused connection, a later start or the removal of the entry counts for all requests that lost connections there and were not answered since. While crashes are undecided they count against sending the request to yet another upstream, which is refused as not run.

An answer without framing ends 30 ms later than before. One loss may cost two connections more.

--- a/coordination/src/main/java/org/hornbeampass/coordination/quarantine/SuspectTable.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/quarantine/SuspectTable.java
@@ -107,6 +107,18 @@
         return suspect.isQuarantined() ? QuarantineStatus.QUARANTINED : QuarantineStatus.SUSPECTED;
     }
 
+    /**
+     * Returns whether a request would have enough crashes for a quarantine if a number of other
+     * upstreams had crashed during it as well.
+     */
+    public boolean wouldQuarantine(RequestDigest digest, int moreCrashes) {
+        int crashes =
+                Optional.ofNullable(mByDigest.get(digest))
+                        .map(s -> s.unclearedCrashes().size())
+                        .orElse(0);
+        return crashes + moreCrashes >= CRASHES_TO_QUARANTINE;
+    }
+
     /**
      * Returns the remaining time of a request's quarantine in milliseconds; 0 if it is not
      * quarantined.
--- a/coordination/src/main/java/org/hornbeampass/coordination/service/UpstreamInstance.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/service/UpstreamInstance.java
@@ -47,6 +47,7 @@
     static final double PREFILL_TOKENS_PER_MS = 50;
 
     private final Set<IncarnationListener> mListeners = new LinkedHashSet<>();
+    private final Set<IncarnationListener> mEndListeners = new LinkedHashSet<>();
     private UpstreamEntry mEntry;
     private UpstreamIncarnation mIncarnation;
     private boolean mLeaving;
@@ -184,10 +185,21 @@
         mListeners.remove(listener);
     }
 
+    /** Adds a listener for the incarnation's end that stands for no request in progress. */
+    public void addEndListener(IncarnationListener listener) {
+        mEndListeners.add(listener);
+    }
+
+    /** Removes a listener for the incarnation's end. */
+    public void removeEndListener(IncarnationListener listener) {
+        mEndListeners.remove(listener);
+    }
+
     /** Ends this incarnation: it gets no more requests, and those in progress are lost. */
     void end(long nowMs) {
         mGoneAtMs = nowMs;
         List.copyOf(mListeners).forEach(l -> l.onEnded(nowMs));
+        List.copyOf(mEndListeners).forEach(l -> l.onEnded(nowMs));
     }
 
     /**
--- a/coordination/src/main/java/org/hornbeampass/coordination/service/UpstreamReach.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/service/UpstreamReach.java
@@ -23,12 +23,11 @@
 
     private final Map<String, LinkEvidence> mServices = new HashMap<>();
     private final LinkEvidence mAll = new LinkEvidence();
-    private final List<OpenListener> mOpenListeners = new ArrayList<>();
+    private final List<LinkListener> mListeners = new ArrayList<>();
     private long mOpenedMs = Long.MIN_VALUE;
 
-    /** Receives each connection that opens. */
-    @FunctionalInterface
-    public interface OpenListener {
+    /** Receives the outcome of each connection. */
+    public interface LinkListener {
         /**
          * Called when a connection has opened.
          *
@@ -36,11 +35,19 @@
          * @param wasCutOff whether this VM reached no upstream until then
          */
         void onOpened(long nowMs, boolean wasCutOff);
+
+        /**
+         * Called when a connection could not be opened.
+         *
+         * @param nowMs the present time in milliseconds
+         * @param address the upstream's address
+         */
+        void onUnreachable(long nowMs, String address);
     }
 
-    /** Adds a listener for connections that open. */
-    public void addOpenListener(OpenListener listener) {
-        mOpenListeners.add(listener);
+    /** Adds a listener for connections. */
+    public void addLinkListener(LinkListener listener) {
+        mListeners.add(listener);
     }
 
     /** Returns whether the links to a service are lost. */
@@ -85,7 +92,7 @@
         mOpenedMs = nowMs;
         mAll.onOpened();
         evidence(service).onOpened();
-        mOpenListeners.forEach(l -> l.onOpened(nowMs, wasCutOff));
+        mListeners.forEach(l -> l.onOpened(nowMs, wasCutOff));
     }
 
     /**
@@ -99,6 +106,7 @@
     public void onUnreachable(long nowMs, String service, String address, int upstreams) {
         mAll.onFailed(nowMs, address, MIN_UNREACHABLE);
         evidence(service).onFailed(nowMs, address, Math.min(MIN_UNREACHABLE, upstreams));
+        mListeners.forEach(l -> l.onUnreachable(nowMs, address));
     }
 
     /** Records that a service has no upstream left that could be reached. */
--- a/coordination/src/main/java/org/hornbeampass/coordination/service/UpstreamRegistry.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/service/UpstreamRegistry.java
@@ -287,6 +287,7 @@
         if (removable) {
             mByAddress.remove(instance.entry().address(), instance);
             mFormer.add(nowMs, instance.entry(), instance.isLeaving());
+            instance.end(nowMs);
         }
         return removable;
     }
--- a/coordination/src/test/java/org/hornbeampass/coordination/service/UpstreamReachTest.java
+++ b/coordination/src/test/java/org/hornbeampass/coordination/service/UpstreamReachTest.java
@@ -4,6 +4,9 @@
 
 import org.junit.jupiter.api.Test;
 
+import java.util.ArrayList;
+import java.util.List;
+
 /** Tests when a VM concludes that its links to the upstreams are lost. */
 class UpstreamReachTest {
     private static final int UPSTREAMS = 12;
@@ -16,6 +19,26 @@
         mReach.onUnreachable(nowMs, service, address, UPSTREAMS);
     }
 
+    @Test
+    void linkListener_isNotifiedOfOpenedAndOfUnreachableUpstreams() {
+        List<String> links = new ArrayList<>();
+        mReach.addLinkListener(
+                new UpstreamReach.LinkListener() {
+                    @Override
+                    public void onOpened(long nowMs, boolean wasCutOff) {
+                        links.add(nowMs + " opened, cut off: " + wasCutOff);
+                    }
+
+                    @Override
+                    public void onUnreachable(long nowMs, String address) {
+                        links.add(nowMs + " unreachable: " + address);
+                    }
+                });
+        fail(1, MODEL, "a:1");
+        mReach.onOpened(2, MODEL);
+        assertThat(links).containsExactly("1 unreachable: a:1", "2 opened, cut off: false");
+    }
+
     @Test
     void threeDifferentUpstreamsUnreachable_areALoss() {
         fail(0, MODEL, "a:1");
--- a/coordination/src/test/java/org/hornbeampass/coordination/service/UpstreamRegistryTest.java
+++ b/coordination/src/test/java/org/hornbeampass/coordination/service/UpstreamRegistryTest.java
@@ -62,6 +62,29 @@
         assertThat(choose(100, PLAIN, Prompt.NONE)).isEmpty();
     }
 
+    @Test
+    void endListener_isNotifiedOfARemovedEntryAfterTheGracePeriod() {
+        List<Long> ends = new ArrayList<>();
+        only("a").addEndListener(ends::add);
+        mRegistry.onRemoved(100, "a", true);
+        mRegistry.tick(100 + UpstreamRegistry.MISSING_GRACE_MS - 1);
+        assertThat(ends).isEmpty();
+        mRegistry.tick(100 + UpstreamRegistry.MISSING_GRACE_MS);
+        assertThat(ends).containsExactly(100 + UpstreamRegistry.MISSING_GRACE_MS);
+    }
+
+    @Test
+    void endListener_isNotifiedOfALaterStartAndCountsAsNoRequest() {
+        mRegistry.onEntry(0, entryOf("a", 1, false));
+        UpstreamInstance first =
+                mRegistry.choose(0, PLAIN, Prompt.NONE, Set.of()).orElseThrow().instance();
+        List<Long> ends = new ArrayList<>();
+        first.addEndListener(ends::add);
+        assertThat(first.inFlight()).isZero();
+        mRegistry.onEntry(100, entryOf("a", 2, false));
+        assertThat(ends).containsExactly(100L);
+    }
+
     @Test
     void entryMissingAfterAnOutage_staysInUseForTheGracePeriod() {
         mRegistry.onEntry(0, entry("a", false));
--- /dev/null
+++ b/router/src/main/java/org/hornbeampass/router/relay/ConnectionLoss.java
@@ -0,0 +1,211 @@
+package org.hornbeampass.router.relay;
+
+import org.hornbeampass.coordination.quarantine.RequestDigest;
+import org.hornbeampass.coordination.service.IncarnationListener;
+import org.hornbeampass.coordination.service.UpstreamIncarnation;
+import org.hornbeampass.coordination.service.UpstreamInstance;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+
+/**
+ * The requests whose connections to one incarnation of an upstream were lost, while it is not known
+ * whether the upstream crashed.
+ *
+ * <p>Invariants: each request is kept until its loss is too old to be explained by what is observed
+ * later; a waiting request is taken once. Confined to one event loop.
+ */
+final class ConnectionLoss {
+    /** How many accepted probes show that the upstream is not exiting. */
+    private static final int CONCLUSIVE_PROBES = 2;
+
+    private final UpstreamInstance mInstance;
+    private final IncarnationListener mEndListener;
+    private final Map<RequestDigest, Long> mLostMsByRequest = new LinkedHashMap<>();
+    private final List<Waiting> mWaiting = new ArrayList<>();
+
+    /** Added after the probe had been started, so that its success tells them nothing. */
+    private final List<Waiting> mWaitingForNext = new ArrayList<>();
+
+    private long mLastLostMs;
+    private boolean mProbing;
+    private boolean mRefused;
+    private boolean mAnswered;
+    private boolean mProbedAfterCut;
+    private int mAcceptedProbes;
+    private int mDroppedProbes;
+
+    /**
+     * A request whose connection the upstream closed in order, which is a loss only if the upstream
+     * accepts no connections.
+     *
+     * @param request the digest of the request
+     * @param closedMs when the connection was closed, in milliseconds
+     * @param onProbed receives whether the upstream accepts connections
+     */
+    record Waiting(RequestDigest request, long closedMs, Consumer<Boolean> onProbed) {}
+
+    /** Creates a record without requests; {@code onEnd} is called when the incarnation ends. */
+    ConnectionLoss(UpstreamInstance instance, IncarnationListener onEnd) {
+        mInstance = instance;
+        mEndListener = onEnd;
+        instance.addEndListener(onEnd);
+    }
+
+    UpstreamIncarnation incarnation() {
+        return mInstance.incarnation();
+    }
+
+    String address() {
+        return mInstance.entry().address();
+    }
+
+    boolean isLeaving() {
+        return mInstance.isLeaving();
+    }
+
+    /** Adds a lost request; earlier probes do not count for it. */
+    void add(long nowMs, RequestDigest request) {
+        mLostMsByRequest.put(request, nowMs);
+        mLastLostMs = nowMs;
+        mAnswered = false;
+        mProbedAfterCut = false;
+        mAcceptedProbes = 0;
+        mDroppedProbes = 0;
+    }
+
+    /** Adds a request that waits for a probe which is started from now on. */
+    void addWaiting(Waiting waiting) {
+        if (mProbing) {
+            mWaitingForNext.add(waiting);
+        } else {
+            mWaiting.add(waiting);
+        }
+    }
+
+    boolean contains(RequestDigest request) {
+        return mLostMsByRequest.containsKey(request);
+    }
+
+    Set<RequestDigest> requests() {
+        return Set.copyOf(mLostMsByRequest.keySet());
+    }
+
+    void remove(RequestDigest request) {
+        mLostMsByRequest.remove(request);
+    }
+
+    /** Removes the requests whose connections were lost at a time in milliseconds or before. */
+    void removeLostUntil(long ms) {
+        mLostMsByRequest.values().removeIf(lostMs -> lostMs <= ms);
+    }
+
+    /** Returns whether a probe is open, or it is being decided what a refused one means. */
+    boolean isBeingChecked() {
+        return mProbing || mRefused;
+    }
+
+    /** Returns whether the upstream refused a probe. */
+    boolean isRefused() {
+        return mRefused;
+    }
+
+    /** Returns whether the upstream may have crashed, as far as the probes can tell. */
+    boolean isUndecided() {
+        return mRefused || (mAcceptedProbes < CONCLUSIVE_PROBES && !mAnswered);
+    }
+
+    /** Returns whether the upstream has answered a request that was sent after the last loss. */
+    boolean isAnswered() {
+        return mAnswered;
+    }
+
+    /** Returns whether no request is left whose connection was lost. */
+    boolean isEmpty() {
+        return mLostMsByRequest.isEmpty();
+    }
+
+    void onProbeStarted() {
+        mProbing = true;
+    }
+
+    /** Records an accepted probe; returns the number of those since the last loss. */
+    int onAccepted() {
+        mProbing = false;
+        mProbedAfterCut = false;
+        return ++mAcceptedProbes;
+    }
+
+    /**
+     * Records a probe that was accepted and then closed; returns the number of those since the last
+     * loss.
+     */
+    int onDropped() {
+        mProbing = false;
+        return ++mDroppedProbes;
+    }
+
+    void onRefused() {
+        mProbing = false;
+        mRefused = true;
+    }
+
+    /** Records that this VM reaches upstreams again after it was cut off from all of them. */
+    void onCutEnded() {
+        mRefused = false;
+        mProbedAfterCut = true;
+    }
+
+    /** Returns whether the probe was started when this VM was no longer cut off. */
+    boolean isProbedAfterCut() {
+        return mProbedAfterCut;
+    }
+
+    /** Records the answer to a request that was sent at a time in milliseconds. */
+    void onAnswered(long sentMs) {
+        mAnswered |= sentMs > mLastLostMs;
+    }
+
+    /** Returns whether the upstream has accepted a probe since the last loss. */
+    boolean hasAcceptedProbe() {
+        return mAcceptedProbes + mDroppedProbes > 0;
+    }
+
+    /** Returns the number of accepted probes since the last loss. */
+    int acceptedProbes() {
+        return mAcceptedProbes;
+    }
+
+    /** Returns whether requests wait for a probe that is to be started. */
+    boolean isAwaited() {
+        return !mWaiting.isEmpty();
+    }
+
+    /** Takes the requests whom an accepted probe concerns; they are not lost. */
+    List<Waiting> takeAccepted() {
+        List<Waiting> accepted = List.copyOf(mWaiting);
+        mWaiting.clear();
+        mWaiting.addAll(mWaitingForNext);
+        mWaitingForNext.clear();
+        return accepted;
+    }
+
+    /** Takes all waiting requests, which are lost. */
+    List<Waiting> takeRefused() {
+        List<Waiting> refused = new ArrayList<>(mWaiting);
+        refused.addAll(mWaitingForNext);
+        mWaiting.clear();
+        mWaitingForNext.clear();
+        refused.forEach(w -> mLostMsByRequest.put(w.request(), w.closedMs()));
+        return refused;
+    }
+
+    /** Stops listening to the end of the incarnation. */
+    void close() {
+        mInstance.removeEndListener(mEndListener);
+    }
+}
--- a/router/src/main/java/org/hornbeampass/router/relay/CrashDetector.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/CrashDetector.java
@@ -8,11 +8,10 @@
 import org.hornbeampass.coordination.service.UpstreamInstance;
 import org.hornbeampass.coordination.service.UpstreamReach;
 import org.hornbeampass.transport.Clock;
+import org.hornbeampass.transport.relay.ProbeResult;
 import org.hornbeampass.transport.relay.UpstreamPool;
 
-import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -24,50 +23,44 @@
  *
  * <p>A connection is lost where a link resets it, an answer is lost or damaged, or its upstream
  * crashes. After a crash nothing listens at the upstream's address any more, which opening one new
- * connection (a probe) shows, unless this VM itself is cut off from all upstreams. Invariants: at
- * most one probe per upstream is open at a time; the end of an upstream that had announced that it
- * is leaving is not a crash, and neither is one that is seen while this VM is cut off. Confined to
- * one event loop.
+ * connection (a probe) shows, unless this VM itself is cut off from all upstreams. A process that
+ * is exiting may accept connections for a while after it has closed others: a probe must stay open,
+ * it is repeated, and what is observed later counts for all requests whose connections were lost:
+ * that a connection is refused, that the upstream started again, or that its entry was removed.
+ *
+ * <p>Invariants: at most one probe per upstream is open at a time; the end of an upstream that had
+ * announced that it is leaving is not a crash, and neither is one that is seen while this VM is cut
+ * off. Confined to one event loop.
  */
-final class CrashDetector {
+final class CrashDetector implements UpstreamReach.LinkListener {
     /**
      * How long a failed probe is kept back, in milliseconds, until a connection to any upstream
      * opens: by then, other connections show whether this VM is cut off.
      */
     private static final long CONFIRMATION_MS = 600;
 
+    /**
+     * How long a probe must stay open, in milliseconds: a connection that an exiting process has
+     * not accepted is reset when its listener closes.
+     */
+    private static final int PROBE_HOLD_MS = 30;
+
+    /** The times between an accepted probe and the next one, in milliseconds. */
+    private static final List<Long> PROBE_INTERVALS_MS = List.of(150L, 1_000L);
+
+    /**
+     * For how long after the loss of a connection a later start of the upstream, or the removal of
+     * its entry, counts as a crash during the request, in milliseconds.
+     */
+    private static final long EVIDENCE_MS = 10_000;
+
     private final UpstreamPool mPool;
     private final UpstreamReach mReach;
     private final EventLoop mLoop;
     private final Clock mClock;
     private final RelayLog mLog;
     private final Quarantine mQuarantine;
-    private final Map<UpstreamIncarnation, Probe> mPendingProbes = new HashMap<>();
-    private final Set<UpstreamIncarnation> mUnconfirmed = new LinkedHashSet<>();
-
-    /**
-     * What waits for the result of a probe.
-     *
-     * @param request the digest of the request
-     * @param onProbed receives whether the upstream accepted the connection
-     */
-    private record Waiting(RequestDigest request, Consumer<Boolean> onProbed) {}
-
-    /** A probe, from its start until it is known what its failure means. */
-    private static final class Probe {
-        private final Set<RequestDigest> mRequests = new LinkedHashSet<>();
-        private final List<Waiting> mWaiting = new ArrayList<>();
-
-        /** Asked after the probe had been started, so that its success tells them nothing. */
-        private final List<Waiting> mWaitingForNext = new ArrayList<>();
-
-        private boolean mFailed;
-
-        private void add(Waiting waiting) {
-            mRequests.add(waiting.request());
-            mWaiting.add(waiting);
-        }
-    }
+    private final Map<UpstreamIncarnation, ConnectionLoss> mLosses = new HashMap<>();
 
     /**
      * Creates the detector.
@@ -92,138 +85,292 @@
         mClock = clock;
         mLog = log;
         mQuarantine = quarantine;
-        reach.addOpenListener(this::onOpened);
+        reach.addLinkListener(this);
     }
 
     /**
      * Checks whether an upstream has crashed, after a connection was lost on which a request was in
      * flight.
      *
+     * @param nowMs the present time in milliseconds
      * @param instance the upstream
-     * @param digest the digest of the request
+     * @param request the digest of the request
      */
-    void onConnectionLost(UpstreamInstance instance, RequestDigest digest) {
+    void onConnectionLost(long nowMs, UpstreamInstance instance, RequestDigest request) {
         if (instance.isLeaving()) {
             return;
         }
-        Probe pending = mPendingProbes.get(instance.incarnation());
-        if (pending != null) {
-            pending.mRequests.add(digest);
-            return;
+        ConnectionLoss loss = lossAt(instance);
+        loss.add(nowMs, request);
+        if (!loss.isBeingChecked()) {
+            probe(loss);
         }
-        Probe first = new Probe();
-        first.mRequests.add(digest);
-        open(instance.incarnation(), instance.entry().address(), first);
     }
 
     /**
      * Checks whether an upstream has crashed, after it closed a connection on which a request was
      * in flight.
      *
+     * @param nowMs the present time in milliseconds
      * @param instance the upstream
-     * @param digest the digest of the request
+     * @param request the digest of the request
      * @param onProbed receives whether the upstream accepts connections after the close; an
      *     upstream that is leaving counts as one that does, since its end is expected
      */
     void onConnectionClosed(
-            UpstreamInstance instance, RequestDigest digest, Consumer<Boolean> onProbed) {
+            long nowMs,
+            UpstreamInstance instance,
+            RequestDigest request,
+            Consumer<Boolean> onProbed) {
         if (instance.isLeaving()) {
             onProbed.accept(true);
             return;
         }
-        Waiting waiting = new Waiting(digest, onProbed);
-        Probe pending = mPendingProbes.get(instance.incarnation());
-        if (pending == null) {
-            Probe first = new Probe();
-            first.add(waiting);
-            open(instance.incarnation(), instance.entry().address(), first);
-        } else if (pending.mFailed) {
-            pending.mRequests.add(digest);
+        ConnectionLoss loss = lossAt(instance);
+        if (loss.isRefused()) {
+            loss.add(nowMs, request);
             onProbed.accept(false);
+            return;
+        }
+        loss.addWaiting(new ConnectionLoss.Waiting(request, nowMs, onProbed));
+        if (!loss.isBeingChecked()) {
+            probe(loss);
+        }
+    }
+
+    /** Returns whether no connection was lost recently. */
+    boolean isIdle() {
+        return mLosses.isEmpty();
+    }
+
+    /**
+     * Returns at how many incarnations a request was in flight whose connection was lost and of
+     * which it is not known yet whether they crashed.
+     */
+    int undecidedLosses(RequestDigest request) {
+        return (int)
+                mLosses.values().stream()
+                        .filter(l -> l.isUndecided() && l.contains(request))
+                        .count();
+    }
+
+    /**
+     * Records the complete answer to a request: it did not cause the losses before, and its
+     * upstream runs.
+     *
+     * @param instance the upstream
+     * @param request the digest of the request
+     * @param sentMs when the request was sent, in milliseconds
+     */
+    void onAnswered(UpstreamInstance instance, RequestDigest request, long sentMs) {
+        mLosses.values().forEach(l -> l.remove(request));
+        ConnectionLoss loss = mLosses.get(instance.incarnation());
+        if (loss != null) {
+            loss.onAnswered(sentMs);
+        }
+    }
+
+    private ConnectionLoss lossAt(UpstreamInstance instance) {
+        UpstreamIncarnation incarnation = instance.incarnation();
+        ConnectionLoss known = mLosses.get(incarnation);
+        if (known != null) {
+            return known;
+        }
+        ConnectionLoss added =
+                new ConnectionLoss(instance, nowMs -> onIncarnationEnded(nowMs, incarnation));
+        mLosses.put(incarnation, added);
+        schedule(EVIDENCE_MS, () -> expire(added));
+        return added;
+    }
+
+    private void schedule(long delayMs, Runnable action) {
+        var unused = mLoop.schedule(action, delayMs, TimeUnit.MILLISECONDS);
+    }
+
+    private void expire(ConnectionLoss loss) {
+        if (!isCurrent(loss)) {
+            return;
+        }
+        long nowMs = mClock.nowMs();
+        loss.removeLostUntil(nowMs - EVIDENCE_MS);
+        if (loss.isEmpty() && loss.isRefused()) {
+            ruleOut(nowMs, loss);
+        } else if (loss.isEmpty() && !loss.isBeingChecked()) {
+            remove(loss);
         } else {
-            pending.mWaitingForNext.add(waiting);
+            schedule(EVIDENCE_MS, () -> expire(loss));
         }
     }
 
-    private void open(UpstreamIncarnation incarnation, String address, Probe probe) {
-        mPendingProbes.put(incarnation, probe);
+    private boolean isCurrent(ConnectionLoss loss) {
+        return mLosses.get(loss.incarnation()) == loss;
+    }
+
+    private void remove(ConnectionLoss loss) {
+        loss.close();
+        mLosses.remove(loss.incarnation());
+    }
+
+    private void probe(ConnectionLoss loss) {
+        loss.onProbeStarted();
         long startedMs = mClock.nowMs();
         mPool.probe(
-                address,
+                loss.address(),
                 RelayBounds.CONNECT_TIMEOUT_MS,
-                listens -> onProbed(incarnation, address, startedMs, listens));
-    }
-
-    private void onProbed(
-            UpstreamIncarnation incarnation, String address, long startedMs, boolean listening) {
-        Probe probe = mPendingProbes.get(incarnation);
-        if (!listening) {
-            probe.mFailed = true;
-            probe.mWaitingForNext.forEach(probe::add);
-            onFailed(incarnation, startedMs);
-        } else if (probe.mWaitingForNext.isEmpty()) {
-            mPendingProbes.remove(incarnation);
-        } else {
-            Probe next = new Probe();
-            probe.mWaitingForNext.forEach(next::add);
-            open(incarnation, address, next);
+                PROBE_HOLD_MS,
+                result -> onProbed(loss, startedMs, result));
+    }
+
+    private void onProbed(ConnectionLoss loss, long startedMs, ProbeResult result) {
+        if (!isCurrent(loss)) {
+            notifyWaiting(loss.takeRefused(), false); // The incarnation ended meanwhile.
+            return;
+        }
+        switch (result) {
+            case OPEN -> onAccepted(loss);
+            case DROPPED -> onDropped(loss);
+            case REFUSED -> onRefused(loss, startedMs);
+            default -> throw new IllegalStateException("no such result: " + result);
         }
-        probe.mWaiting.forEach(w -> w.onProbed().accept(listening));
     }
 
-    private void onFailed(UpstreamIncarnation incarnation, long startedMs) {
-        if (mReach.hasOpenedSince(startedMs)) {
-            report(mClock.nowMs(), incarnation, mPendingProbes.remove(incarnation).mRequests);
+    private void onAccepted(ConnectionLoss loss) {
+        int accepted = loss.onAccepted();
+        List<ConnectionLoss.Waiting> confirmed = loss.takeAccepted();
+        if (loss.isAwaited()) {
+            probe(loss);
+        } else if (loss.isEmpty()) {
+            remove(loss);
         } else {
-            mUnconfirmed.add(incarnation);
-            var unused =
-                    mLoop.schedule(
-                            () -> onConfirmationDue(incarnation),
-                            CONFIRMATION_MS,
-                            TimeUnit.MILLISECONDS);
+            logLoss(mClock.nowMs(), "upstream-listens", loss.incarnation(), loss.requests());
+            scheduleRepeat(loss, accepted);
         }
+        notifyWaiting(confirmed, true);
     }
 
-    /** Decides on the failed probes: they are crashes unless this VM reached no upstream. */
-    private void onOpened(long nowMs, boolean wasCutOff) {
-        List<UpstreamIncarnation> unconfirmed = List.copyOf(mUnconfirmed);
-        unconfirmed.forEach(i -> decide(nowMs, i, wasCutOff));
+    private static void notifyWaiting(List<ConnectionLoss.Waiting> waiting, boolean listening) {
+        waiting.forEach(w -> w.onProbed().accept(listening));
+    }
+
+    private void scheduleRepeat(ConnectionLoss loss, int accepted) {
+        if (accepted <= PROBE_INTERVALS_MS.size()) {
+            schedule(PROBE_INTERVALS_MS.get(accepted - 1), () -> repeatProbe(loss, accepted));
+        }
     }
 
-    private void onConfirmationDue(UpstreamIncarnation incarnation) {
-        if (mUnconfirmed.contains(incarnation)) {
-            decide(mClock.nowMs(), incarnation, mReach.isCutOff());
+    /** Repeats a probe, unless the upstream proved to run or another connection was lost. */
+    private void repeatProbe(ConnectionLoss loss, int accepted) {
+        boolean open = isCurrent(loss) && !loss.isBeingChecked() && !loss.isEmpty();
+        if (open && !loss.isAnswered() && loss.acceptedProbes() == accepted) {
+            probe(loss);
         }
     }
 
-    private void decide(long nowMs, UpstreamIncarnation incarnation, boolean cutOff) {
-        mUnconfirmed.remove(incarnation);
-        Set<RequestDigest> requests = mPendingProbes.remove(incarnation).mRequests;
-        if (cutOff) {
-            mLog.logStateChange(
-                    nowMs,
-                    "crash-not-assumed",
-                    new LogFields().add("upstream", incarnation.upstream()));
+    /** Probes once more; an upstream that drops that one too is not the one that crashed. */
+    private void onDropped(ConnectionLoss loss) {
+        if (loss.onDropped() == 1) {
+            probe(loss);
             return;
         }
-        report(nowMs, incarnation, requests);
+        List<ConnectionLoss.Waiting> refused = loss.takeRefused();
+        onAccepted(loss);
+        notifyWaiting(refused, false);
+    }
+
+    private void onRefused(ConnectionLoss loss, long startedMs) {
+        loss.onRefused();
+        List<ConnectionLoss.Waiting> refused = loss.takeRefused();
+        if (mReach.hasOpenedSince(startedMs) || loss.isProbedAfterCut()) {
+            report(mClock.nowMs(), loss);
+        } else {
+            schedule(CONFIRMATION_MS, () -> onConfirmationDue(loss));
+        }
+        notifyWaiting(refused, false);
+    }
+
+    private void onConfirmationDue(ConnectionLoss loss) {
+        if (!isCurrent(loss) || !loss.isRefused()) {
+            return;
+        }
+        if (!mReach.isCutOff()) {
+            report(mClock.nowMs(), loss);
+        } else if (!loss.hasAcceptedProbe()) {
+            ruleOut(mClock.nowMs(), loss);
+        }
+    }
+
+    /**
+     * Decides on the refused probes: they show crashes unless this VM reached no upstream. Several
+     * crashes can look like that, too. So where an earlier probe was accepted, and the link had
+     * therefore survived the loss, another one decides.
+     */
+    @Override
+    public void onOpened(long nowMs, boolean wasCutOff) {
+        List<ConnectionLoss> refused =
+                mLosses.values().stream().filter(ConnectionLoss::isRefused).toList();
+        for (ConnectionLoss loss : refused) {
+            if (!wasCutOff) {
+                report(nowMs, loss);
+            } else if (loss.hasAcceptedProbe()) {
+                loss.onCutEnded();
+                probe(loss);
+            } else {
+                ruleOut(nowMs, loss);
+            }
+        }
+    }
+
+    private void ruleOut(long nowMs, ConnectionLoss loss) {
+        remove(loss);
+        logLoss(nowMs, "crash-not-assumed", loss.incarnation(), loss.requests());
+    }
+
+    /** Probes an upstream again that accepted a probe and now refuses another connection. */
+    @Override
+    public void onUnreachable(long nowMs, String address) {
+        List<ConnectionLoss> unchecked =
+                mLosses.values().stream()
+                        .filter(l -> l.address().equals(address))
+                        .filter(l -> !l.isBeingChecked() && !l.isAnswered())
+                        .toList();
+        unchecked.forEach(this::probe);
+    }
+
+    private void onIncarnationEnded(long nowMs, UpstreamIncarnation incarnation) {
+        ConnectionLoss loss = mLosses.get(incarnation);
+        loss.removeLostUntil(nowMs - EVIDENCE_MS);
+        if (loss.isLeaving() || loss.isEmpty()) {
+            remove(loss);
+        } else {
+            report(nowMs, loss);
+        }
     }
 
     /**
      * Records a crash of an upstream whose registered entry shows a later start while a request was
      * in flight there.
      */
-    void onRestarted(long nowMs, UpstreamInstance instance, RequestDigest digest) {
+    void onRestarted(long nowMs, UpstreamInstance instance, RequestDigest request) {
         if (!instance.isLeaving()) {
-            report(nowMs, instance.incarnation(), Set.of(digest));
+            report(nowMs, instance.incarnation(), Set.of(request));
         }
     }
 
+    private void report(long nowMs, ConnectionLoss loss) {
+        remove(loss);
+        report(nowMs, loss.incarnation(), loss.requests());
+    }
+
     private void report(long nowMs, UpstreamIncarnation incarnation, Set<RequestDigest> requests) {
         mQuarantine.onCrash(nowMs, incarnation, requests);
+        logLoss(nowMs, "upstream-crashed", incarnation, requests);
+    }
+
+    private void logLoss(
+            long nowMs, String kind, UpstreamIncarnation incarnation, Set<RequestDigest> requests) {
         mLog.logStateChange(
                 nowMs,
-                "upstream-crashed",
+                kind,
                 new LogFields()
                         .add("upstream", incarnation.upstream())
                         .add("born_ms", incarnation.bornMs())
--- a/router/src/main/java/org/hornbeampass/router/relay/CrashHistory.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/CrashHistory.java
@@ -39,9 +39,9 @@
      * Handles the loss of the request's connection; returns the request's quarantine status before
      * it.
      */
-    QuarantineStatus onConnectionLost(UpstreamInstance instance) {
+    QuarantineStatus onConnectionLost(long nowMs, UpstreamInstance instance) {
         QuarantineStatus before = status();
-        mContext.crashDetector().onConnectionLost(instance, digest());
+        mContext.crashDetector().onConnectionLost(nowMs, instance, digest());
         return before;
     }
 
@@ -57,7 +57,23 @@
 
     /** Returns whether the request may be sent to an upstream at present, possibly as a trial. */
     boolean mayBeSent(long nowMs) {
-        return status().mayBeSent() || mContext.quarantine().isTrialDue(nowMs, digest());
+        return status().mayBeSent()
+                ? !isUndecided()
+                : mContext.quarantine().isTrialDue(nowMs, digest());
+    }
+
+    /**
+     * Returns whether the request is to be quarantined if the upstreams crashed of which that is
+     * not known yet.
+     */
+    private boolean isUndecided() {
+        CrashDetector detector = mContext.crashDetector();
+        if (detector.isIdle()) {
+            return false;
+        }
+        int undecided = detector.undecidedLosses(digest());
+        return undecided > 0
+                && mContext.quarantine().suspects().wouldQuarantine(digest(), undecided);
     }
 
     /**
@@ -66,7 +82,7 @@
      */
     boolean tryBeginSend(long nowMs) {
         if (status().mayBeSent()) {
-            return true;
+            return !isUndecided();
         }
         mTrial = mContext.quarantine().tryStartTrial(nowMs, digest());
         if (mTrial) {
@@ -77,10 +93,23 @@
     }
 
     /**
-     * Logs that the request is quarantined, and returns the failure for it; the request did not
+     * Logs why the request may not be sent, and returns the failure for it; the request did not
      * run.
      */
-    Failure quarantined(long nowMs) {
+    Failure refuse(long nowMs) {
+        return status().mayBeSent() ? refuseUndecided(nowMs) : refuseQuarantined(nowMs);
+    }
+
+    private Failure refuseUndecided(long nowMs) {
+        LogFields fields =
+                new LogFields()
+                        .add("digest", digest().toString())
+                        .add("losses", mContext.crashDetector().undecidedLosses(digest()));
+        mContext.log().logDecision(nowMs, mRequestId, "crash-undecided", fields);
+        return Refusals.crashUndecided();
+    }
+
+    private Failure refuseQuarantined(long nowMs) {
         SuspectTable suspects = mContext.quarantine().suspects();
         long leftMs = suspects.quarantineLeftMs(nowMs, digest());
         LogFields fields =
@@ -89,6 +118,13 @@
         return Refusals.quarantined(suspects.retryAfterMs(nowMs, digest()));
     }
 
+    /** Returns why the request may not be sent. */
+    String reasonNotSent() {
+        return status().mayBeSent()
+                ? Refusals.CRASH_UNDECIDED_MESSAGE
+                : Refusals.QUARANTINED_MESSAGE;
+    }
+
     /** Ends a trial: the request has left its upstream, and the result is recorded. */
     void onSendEnded(long nowMs) {
         if (mTrial) {
@@ -97,8 +133,17 @@
         }
     }
 
-    /** Clears the request, since an upstream has answered it in whole. */
-    void onAnswered(long nowMs) {
+    /**
+     * Clears the request, since an upstream has answered it in whole.
+     *
+     * @param nowMs the present time in milliseconds
+     * @param instance the upstream
+     * @param sentMs when the request was sent there, in milliseconds
+     */
+    void onAnswered(long nowMs, UpstreamInstance instance, long sentMs) {
+        if (!mContext.crashDetector().isIdle()) {
+            mContext.crashDetector().onAnswered(instance, digest(), sentMs);
+        }
         if (status() != QuarantineStatus.UNSUSPECTED) {
             mContext.quarantine().clear(nowMs, digest());
         }
@@ -108,10 +153,11 @@
      * Handles the end of an answer that does not state its own end: the upstream may have answered
      * the request in whole, or crashed.
      *
+     * @param nowMs the present time in milliseconds
      * @param instance the upstream
      * @param onProbed receives whether the upstream accepts connections after that
      */
-    void onConnectionClosed(UpstreamInstance instance, Consumer<Boolean> onProbed) {
-        mContext.crashDetector().onConnectionClosed(instance, digest(), onProbed);
+    void onConnectionClosed(long nowMs, UpstreamInstance instance, Consumer<Boolean> onProbed) {
+        mContext.crashDetector().onConnectionClosed(nowMs, instance, digest(), onProbed);
     }
 }
--- a/router/src/main/java/org/hornbeampass/router/relay/Refusals.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/Refusals.java
@@ -16,9 +16,17 @@
     static final String QUARANTINED_MESSAGE =
             "upstreams crashed each time they ran this request, so it is not sent to any other";
 
+    /** Tells a caller why its request is not sent to upstreams for a moment. */
+    static final String CRASH_UNDECIDED_MESSAGE =
+            "connections of this request were lost at several upstreams; whether these crashed is"
+                    + " being checked";
+
     /** When to retry where no upstream has free capacity. */
     private static final long NO_UPSTREAM_RETRY_MS = 250;
 
+    /** When to retry where it is being checked whether upstreams crashed. */
+    private static final long CRASH_CHECK_RETRY_MS = 250;
+
     /** When to retry at another VM, or at a VM whose event loop was late. */
     private static final long OVERLOADED_RETRY_MS = 100;
 
@@ -103,6 +111,12 @@
                 retryAfterMs);
     }
 
+    /** Returns the failure for a request during which upstreams may have crashed. */
+    static Failure crashUndecided() {
+        return Failure.retryAfter(
+                ErrorKind.NO_UPSTREAM, CRASH_UNDECIDED_MESSAGE, CRASH_CHECK_RETRY_MS);
+    }
+
     /** Returns the failure for a request that no upstream could accept. */
     static Failure noUpstream(String why) {
         return Failure.retryAfter(ErrorKind.NO_UPSTREAM, why, NO_UPSTREAM_RETRY_MS);
--- a/router/src/main/java/org/hornbeampass/router/relay/RelayAttempts.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/RelayAttempts.java
@@ -241,10 +241,10 @@
         mConnection = Optional.empty();
         if (!framing.isExplicit()) {
             mSilenceTimeout.stop();
-            mEndCheck.start(mSend.get());
+            mEndCheck.start(nowMs, mSend.get());
             return;
         }
-        mCrashes.onAnswered(nowMs);
+        mCrashes.onAnswered(nowMs, mSend.get().instance(), mSentMs);
         onComplete(nowMs);
     }
 
@@ -280,7 +280,7 @@
         mConnection = Optional.empty();
         UpstreamInstance instance = mSend.orElseThrow().instance();
         instance.onNoAnswer(nowMs);
-        QuarantineStatus before = mCrashes.onConnectionLost(instance);
+        QuarantineStatus before = mCrashes.onConnectionLost(nowMs, instance);
         onAttemptLost(nowMs, reason, before);
     }
 
@@ -380,9 +380,9 @@
     @Override
     public void onQuarantined(long nowMs) {
         if (mCounts.mayHaveRun()) {
-            giveUp(nowMs, Refusals.QUARANTINED_MESSAGE);
+            giveUp(nowMs, mCrashes.reasonNotSent());
         } else {
-            fail(nowMs, mCrashes.quarantined(nowMs));
+            fail(nowMs, mCrashes.refuse(nowMs));
         }
     }
 
--- a/router/src/main/java/org/hornbeampass/router/relay/RelayCall.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/RelayCall.java
@@ -211,7 +211,7 @@
         CrashHistory crashes = new CrashHistory(mContext, identity(), mHead.id());
         mCrashes = Optional.of(crashes);
         if (!crashes.mayBeSent(nowMs)) {
-            fail(nowMs, crashes.quarantined(nowMs));
+            fail(nowMs, crashes.refuse(nowMs));
             return;
         }
         if (forwardIfAdvised(nowMs)) {
--- a/router/src/main/java/org/hornbeampass/router/relay/UnframedAnswerCheck.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/UnframedAnswerCheck.java
@@ -41,11 +41,11 @@
     }
 
     /** Starts the check of the upstream to which the request was sent. */
-    void start(InFlightSend send) {
+    void start(long nowMs, InFlightSend send) {
         mPending = Optional.of(send);
         QuarantineStatus before = mCrashes.status();
         mCrashes.onConnectionClosed(
-                send.instance(), listening -> onProbed(send, before, listening));
+                nowMs, send.instance(), listening -> onProbed(send, before, listening));
     }
 
     private void onProbed(InFlightSend send, QuarantineStatus before, boolean listening) {
--- a/transport/src/main/java/org/hornbeampass/transport/relay/UpstreamConnection.java
+++ b/transport/src/main/java/org/hornbeampass/transport/relay/UpstreamConnection.java
@@ -14,11 +14,14 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import io.netty.util.concurrent.ScheduledFuture;
 
 import org.hornbeampass.transport.Channels;
 import org.hornbeampass.transport.Clock;
 
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 /**
  * Sends requests to an upstream over one connection, one request at a time.
@@ -117,6 +120,27 @@
         mPool.onIdle(this);
     }
 
+    /**
+     * Keeps the connection unused for a time in milliseconds, then closes it; the listener receives
+     * whether it stayed open.
+     */
+    void hold(int ms, Consumer<ProbeResult> done) {
+        ScheduledFuture<?> end =
+                mChannel.eventLoop().schedule(() -> endHold(done), ms, TimeUnit.MILLISECONDS);
+        mChannel.closeFuture()
+                .addListener(
+                        closed -> {
+                            if (end.cancel(false)) {
+                                done.accept(ProbeResult.DROPPED);
+                            }
+                        });
+    }
+
+    private void endHold(Consumer<ProbeResult> done) {
+        close();
+        done.accept(ProbeResult.OPEN);
+    }
+
     /** Returns whether it is open and was idle for less than a given and its own limit. */
     boolean isFresh(long nowMs, long maxIdleMs) {
         long idleMs = nowMs - mIdleSinceMs;
--- a/transport/src/main/java/org/hornbeampass/transport/relay/UpstreamPool.java
+++ b/transport/src/main/java/org/hornbeampass/transport/relay/UpstreamPool.java
@@ -122,6 +122,29 @@
                 });
     }
 
+    /**
+     * Checks whether an address accepts connections and keeps them open. The connection is not used
+     * for requests, since the process that accepted it may be exiting.
+     *
+     * @param address the upstream's address, as an IP address and a port
+     * @param connectTimeoutMs how long opening the connection may take, in milliseconds
+     * @param holdMs how long it must stay open, in milliseconds
+     * @param done receives the result; run once, on the loop
+     */
+    public void probe(
+            String address, int connectTimeoutMs, int holdMs, Consumer<ProbeResult> done) {
+        open(
+                address,
+                connectTimeoutMs,
+                opened -> {
+                    if (opened.isPresent()) {
+                        opened.get().hold(holdMs, done);
+                    } else {
+                        done.accept(ProbeResult.REFUSED);
+                    }
+                });
+    }
+
     private void open(
             String address, int connectTimeoutMs, Consumer<Optional<UpstreamConnection>> done) {
         UpstreamConnection connection = new UpstreamConnection(this, address, mClock);
--- /dev/null
+++ b/transport/src/test/java/org/hornbeampass/transport/relay/UpstreamPoolTest.java
@@ -0,0 +1,71 @@
+package org.hornbeampass.transport.relay;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.hornbeampass.transport.Clock;
+import org.hornbeampass.transport.EventLoops;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.concurrent.CompletableFuture;
+
+/** Checks over real sockets what a probe tells of an address. */
+@Timeout(60)
+class UpstreamPoolTest {
+    private static final int CONNECT_TIMEOUT_MS = 20_000;
+    private static final int HOLD_MS = 100;
+
+    /** Far more than the other end takes to close the connection. */
+    private static final int LONG_HOLD_MS = 20_000;
+
+    private final EventLoops mLoops = EventLoops.create(1, "test");
+    private final UpstreamPool mPool =
+            new UpstreamPool(mLoops, Clock.monotonic(), UpstreamPool.ConnectListener.NONE);
+
+    @AfterEach
+    void close() {
+        mLoops.close();
+    }
+
+    private static ServerSocket listen() throws IOException {
+        return new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+    }
+
+    private CompletableFuture<ProbeResult> probe(int port, int holdMs) {
+        CompletableFuture<ProbeResult> result = new CompletableFuture<>();
+        String address = "127.0.0.1:" + port;
+        mLoops.group()
+                .execute(() -> mPool.probe(address, CONNECT_TIMEOUT_MS, holdMs, result::complete));
+        return result;
+    }
+
+    @Test
+    void probeThatStaysOpen_isOpen() throws IOException {
+        try (ServerSocket listener = listen()) {
+            assertThat(probe(listener.getLocalPort(), HOLD_MS).join()).isEqualTo(ProbeResult.OPEN);
+        }
+    }
+
+    @Test
+    void probeClosedAtTheOtherEnd_isDropped() throws IOException {
+        try (ServerSocket listener = listen()) {
+            CompletableFuture<ProbeResult> result = probe(listener.getLocalPort(), LONG_HOLD_MS);
+            listener.accept().close();
+            assertThat(result.join()).isEqualTo(ProbeResult.DROPPED);
+        }
+    }
+
+    @Test
+    void probeOfAPortAtWhichNothingListens_isRefused() throws IOException {
+        try (Socket bound = new Socket()) {
+            bound.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+            assertThat(probe(bound.getLocalPort(), HOLD_MS).join()).isEqualTo(ProbeResult.REFUSED);
+        }
+    }
+}
