Hash requests for undecided crashes only where their scope was lost

While connections had been lost within 10 s, each request and each whole answer computed the digest of its body, up to 256 KiB, to see whether it was among those that lost them. Now the scope (path, caller and length) is compared first, and before a send only while a crash is undecided, which it is for some 0.2 s.

--- a/router/src/main/java/org/hornbeampass/router/relay/ConnectionLoss.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/ConnectionLoss.java
@@ -91,6 +91,16 @@
         return mLostMsByRequest.containsKey(request);
     }
 
+    /** Returns whether it contains any request whose digest has a scope. */
+    boolean containsScope(long scope) {
+        for (RequestDigest request : mLostMsByRequest.keySet()) {
+            if (request.scope() == scope) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     Set<RequestDigest> requests() {
         return Set.copyOf(mLostMsByRequest.keySet());
     }
--- a/router/src/main/java/org/hornbeampass/router/relay/CrashDetector.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/CrashDetector.java
@@ -143,6 +143,16 @@
         return mLosses.isEmpty();
     }
 
+    /** Returns whether it is not known of any upstream whether it crashed. */
+    boolean hasUndecidedLosses() {
+        return mLosses.values().stream().anyMatch(l -> l.isUndecided() && !l.isEmpty());
+    }
+
+    /** Returns whether the connection of any request was lost whose digest has a scope. */
+    boolean containsScope(long scope) {
+        return mLosses.values().stream().anyMatch(l -> l.containsScope(scope));
+    }
+
     /**
      * Returns at how many incarnations a request was in flight whose connection was lost and of
      * which it is not known yet whether they crashed.
@@ -154,16 +164,18 @@
                         .count();
     }
 
+    /** Records that a request was answered completely, and so did not cause the losses before. */
+    void clear(RequestDigest request) {
+        mLosses.values().forEach(l -> l.remove(request));
+    }
+
     /**
-     * Records the complete answer to a request: it did not cause the losses before, and its
-     * upstream runs.
+     * Records a complete answer, which shows that its upstream runs.
      *
      * @param instance the upstream
-     * @param request the digest of the request
      * @param sentMs when the request was sent, in milliseconds
      */
-    void onAnswered(UpstreamInstance instance, RequestDigest request, long sentMs) {
-        mLosses.values().forEach(l -> l.remove(request));
+    void onAnswered(UpstreamInstance instance, long sentMs) {
         ConnectionLoss loss = mLosses.get(instance.incarnation());
         if (loss != null) {
             loss.onAnswered(sentMs);
--- a/router/src/main/java/org/hornbeampass/router/relay/CrashHistory.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/CrashHistory.java
@@ -68,7 +68,7 @@
      */
     private boolean isUndecided() {
         CrashDetector detector = mContext.crashDetector();
-        if (detector.isIdle()) {
+        if (!detector.hasUndecidedLosses() || !mIdentity.hasScope(detector::containsScope)) {
             return false;
         }
         int undecided = detector.undecidedLosses(digest());
@@ -141,8 +141,12 @@
      * @param sentMs when the request was sent there, in milliseconds
      */
     void onAnswered(long nowMs, UpstreamInstance instance, long sentMs) {
-        if (!mContext.crashDetector().isIdle()) {
-            mContext.crashDetector().onAnswered(instance, digest(), sentMs);
+        CrashDetector detector = mContext.crashDetector();
+        if (!detector.isIdle()) {
+            detector.onAnswered(instance, sentMs);
+            if (mIdentity.hasScope(detector::containsScope)) {
+                detector.clear(digest());
+            }
         }
         if (status() != QuarantineStatus.UNSUSPECTED) {
             mContext.quarantine().clear(nowMs, digest());
--- a/router/src/main/java/org/hornbeampass/router/relay/RequestIdentity.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/RequestIdentity.java
@@ -7,6 +7,7 @@
 
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.function.LongPredicate;
 
 /**
  * Identifies repeats of one request by host, path, caller and body.
@@ -51,6 +52,11 @@
                 : suspects.status(digest());
     }
 
+    /** Returns whether a predicate holds for the scope of the request's digest. */
+    boolean hasScope(LongPredicate scopes) {
+        return scopes.test(scope());
+    }
+
     /** Returns the digest of the request. */
     RequestDigest digest() {
         if (mDigest.isEmpty()) {
