Keep the incarnation at which connections were lost as it was known then

An entry that states the start of its upstream later than the first entry did changes the incarnation in place. A record of lost connections was then found under one incarnation and removed under the other, and would have counted as undecided for good.

--- a/router/src/main/java/org/hornbeampass/router/relay/ConnectionLoss.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/ConnectionLoss.java
@@ -24,6 +24,7 @@
     private static final int CONCLUSIVE_PROBES = 2;
 
     private final UpstreamInstance mInstance;
+    private final UpstreamIncarnation mIncarnation;
     private final IncarnationListener mEndListener;
     private final Map<RequestDigest, Long> mLostMsByRequest = new LinkedHashMap<>();
     private final List<Waiting> mWaiting = new ArrayList<>();
@@ -52,12 +53,14 @@
     /** Creates a record without requests; {@code onEnd} is called when the incarnation ends. */
     ConnectionLoss(UpstreamInstance instance, IncarnationListener onEnd) {
         mInstance = instance;
+        mIncarnation = instance.incarnation();
         mEndListener = onEnd;
         instance.addEndListener(onEnd);
     }
 
+    /** Returns the incarnation as it was known at the first loss. */
     UpstreamIncarnation incarnation() {
-        return mInstance.incarnation();
+        return mIncarnation;
     }
 
     String address() {
--- a/router/src/main/java/org/hornbeampass/router/relay/CrashDetector.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/CrashDetector.java
@@ -143,7 +143,7 @@
         return mLosses.isEmpty();
     }
 
-    /** Returns whether it is not known of any upstream whether it crashed. */
+    /** Returns whether there is an upstream of which it is not known yet whether it crashed. */
     boolean hasUndecidedLosses() {
         return mLosses.values().stream().anyMatch(l -> l.isUndecided() && !l.isEmpty());
     }
@@ -278,7 +278,7 @@
         }
     }
 
-    /** Probes once more; an upstream that drops that one too is not the one that crashed. */
+    /** Probes once more; an upstream that drops that one too runs, but its answer is doubtful. */
     private void onDropped(ConnectionLoss loss) {
         if (loss.onDropped() == 1) {
             probe(loss);
