Log the era of the store, and a revision that goes back

Cause: neither the revision that the store states nor the header Store-Era was in logs or metrics, so that a restored store couldn't be told from an outdated answer. Change: the era of each answer is read; lines store-era and store-revision-lower, metrics store_era and store_revision.

--- a/coordination/src/main/java/org/hornbeampass/coordination/platform/AnswerProgress.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/platform/AnswerProgress.java
@@ -17,4 +17,13 @@
      * @param bytes the number of bytes
      */
     void onBytes(long nowMs, int bytes);
+
+    /**
+     * Called when the head of an answer, of whatever outcome, states the era of the store. The era
+     * increases each time the store is restored from an older copy.
+     *
+     * @param nowMs the present time in milliseconds
+     * @param era the era
+     */
+    default void onEra(long nowMs, long era) {}
 }
--- a/router/src/main/java/org/hornbeampass/router/daemon/ObservedStore.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/ObservedStore.java
@@ -19,8 +19,8 @@
 import java.util.function.LongConsumer;
 
 /**
- * Wraps the store to count its calls by kind and result, and to log when the store is lost or
- * regained.
+ * Wraps the store to count its calls by kind and result, and to log when the store is lost,
+ * regained or restored.
  *
  * <p>Invariants: a line "store-lost" is followed by "store-regained" before the next "store-lost";
  * a hanging call counts as a loss of the store before it fails. Confined to one event loop.
@@ -43,6 +43,7 @@
     private final Platform mStore;
     private final RelayLog mLog;
     private final MetricRegistry mMetrics;
+    private final StoreHistoryMonitor mHistory;
     private final Set<OpenCall> mOpen = new LinkedHashSet<>();
     private LongConsumer mRegainedListener = nowMs -> {};
     private final Map<String, Long> mCallsByTopic = new TreeMap<>();
@@ -55,6 +56,7 @@
         mStore = store;
         mLog = log;
         mMetrics = metrics;
+        mHistory = new StoreHistoryMonitor(log, metrics);
         metrics.register("store_lost", (Gauge<Integer>) () -> mLost ? 1 : 0);
     }
 
@@ -62,12 +64,14 @@
     private static final class OpenCall {
         private final PlatformCall mCall;
         private final long mStartMs;
+        private final long mRevisionBefore;
         private long mBytes;
         private long mLastBytesMs;
 
-        OpenCall(PlatformCall call, long sinceMs) {
+        OpenCall(PlatformCall call, long sinceMs, long revisionBefore) {
             mCall = call;
             mStartMs = sinceMs;
+            mRevisionBefore = revisionBefore;
             mLastBytesMs = sinceMs;
         }
 
@@ -106,17 +110,14 @@
             PlatformCall call,
             AnswerProgress progress,
             BiConsumer<Long, PlatformReply> done) {
-        OpenCall open = new OpenCall(call, nowMs);
+        OpenCall open = new OpenCall(call, nowMs, mHistory.revision());
         mOpen.add(open);
         countByTopic(call);
         Runnable giveUp =
                 mStore.submit(
                         nowMs,
                         call,
-                        (t, bytes) -> {
-                            open.onBytes(t, bytes);
-                            progress.onBytes(t, bytes);
-                        },
+                        new ObservedProgress(open, progress),
                         (t, reply) -> {
                             mOpen.remove(open);
                             onReply(t, open, reply);
@@ -128,7 +129,31 @@
         };
     }
 
+    /** Records the progress of an answer before it is passed on. */
+    private final class ObservedProgress implements AnswerProgress {
+        private final OpenCall mCall;
+        private final AnswerProgress mListener;
+
+        ObservedProgress(OpenCall call, AnswerProgress listener) {
+            mCall = call;
+            mListener = listener;
+        }
+
+        @Override
+        public void onBytes(long nowMs, int bytes) {
+            mCall.onBytes(nowMs, bytes);
+            mListener.onBytes(nowMs, bytes);
+        }
+
+        @Override
+        public void onEra(long nowMs, long era) {
+            mHistory.onEra(nowMs, era);
+            mListener.onEra(nowMs, era);
+        }
+    }
+
     private void onReply(long nowMs, OpenCall open, PlatformReply reply) {
+        mHistory.onReply(nowMs, reply, open.mRevisionBefore);
         PlatformCall call = open.mCall;
         String result = reply.getClass().getSimpleName().toLowerCase(Locale.ROOT);
         String kind = call.kind().name().toLowerCase(Locale.ROOT);
--- a/router/src/test/java/org/hornbeampass/router/daemon/ObservedStoreTest.java
+++ b/router/src/test/java/org/hornbeampass/router/daemon/ObservedStoreTest.java
@@ -79,6 +79,33 @@
         assertThat(logLines("store-lost")).isEqualTo(2);
     }
 
+    @Test
+    void laterEraAndLowerRevision_areEachLogged() {
+        call(GET, 0);
+        mProgress.remove().onEra(1, 4);
+        reply(1, new PlatformReply.Written(90));
+        call(GET, 10);
+        mProgress.remove().onEra(11, 4);
+        reply(11, new PlatformReply.Written(91));
+        assertThat(logLines("store-era")).isEqualTo(1);
+        assertThat(logLines("store-revision-lower")).isZero();
+        call(GET, 20);
+        mProgress.remove().onEra(21, 5);
+        reply(21, new PlatformReply.Listed(List.of(), false, 60));
+        assertThat(logLines("store-era")).isEqualTo(2);
+        assertThat(logLines("store-revision-lower")).isEqualTo(1);
+    }
+
+    @Test
+    void answerThatWasOvertaken_isNotLoggedAsLowerRevision() {
+        call(GET, 0);
+        call(GET, 0);
+        BiConsumer<Long, PlatformReply> overtaken = mOpenCalls.remove();
+        reply(1, new PlatformReply.Written(91));
+        overtaken.accept(2L, new PlatformReply.Written(90));
+        assertThat(logLines("store-revision-lower")).isZero();
+    }
+
     @Test
     void hangingCall_isLoggedAsLossBeforeItIsCancelled() {
         call(GET, 0);
