--- a/coordination/src/main/java/org/hornbeampass/coordination/platform/MemoryPlatform.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/platform/MemoryPlatform.java
@@ -16,10 +16,11 @@
 /**
  * An in-memory platform for embedding, stand-ins and tests.
  *
- * <p>Invariants: versions increase by one with each write; at most {@value #MAX_HISTORY} changes
- * are kept for watches. A watch is answered at once if there are changes; otherwise it is held
- * until a write below its prefix or until {@link #expireWatches} is called after its time.
- * Thread-safe: one lock guards all state, and callbacks are run after it is released.
+ * <p>Invariants: versions increase by one with each write, and go back only when the platform is
+ * restored from a copy; at most {@value #MAX_HISTORY} changes are kept for watches. A watch is
+ * answered at once if there are changes; otherwise it is held until a write below its prefix or
+ * until {@link #expireWatches} is called after its time. Thread-safe: one lock guards all state,
+ * and callbacks are run after it is released.
  */
 public final class MemoryPlatform implements Platform {
     private static final int MAX_HISTORY = 100_000;
@@ -30,6 +31,20 @@
     private final List<PendingWatch> mWatches = new ArrayList<>();
     private long mVersion;
     private long mDiscardedUpToVersion;
+    private long mEra;
+
+    /**
+     * The objects of a platform at a point in time. Immutable.
+     *
+     * @param objects the objects by their keys
+     * @param version the platform's version
+     */
+    public record Copy(Map<String, StoredObject> objects, long version) {
+        /** Copies the objects. */
+        public Copy {
+            objects = Map.copyOf(objects);
+        }
+    }
 
     /** A watch that waits for a change. */
     private record PendingWatch(
@@ -74,6 +89,43 @@
         ready.forEach(r -> r.done().accept(nowMs, r.reply()));
     }
 
+    /** Returns a copy of the present objects, for {@link #restore}. */
+    public Copy copy() {
+        synchronized (mLock) {
+            return new Copy(mObjects, mVersion);
+        }
+    }
+
+    /** Returns how often the platform was restored from a copy. */
+    public long era() {
+        synchronized (mLock) {
+            return mEra;
+        }
+    }
+
+    /**
+     * Restores a copy: everything written since is lost, and the versions since are given out
+     * again. Waiting watches are cut off.
+     *
+     * @param nowMs the present time in milliseconds
+     * @param copy the copy
+     */
+    public void restore(long nowMs, Copy copy) {
+        List<PendingWatch> cut;
+        synchronized (mLock) {
+            mEra++;
+            mObjects.clear();
+            mObjects.putAll(copy.objects());
+            mVersion = copy.version();
+            mHistory.removeIf(c -> c.version() > mVersion);
+            mDiscardedUpToVersion = Math.min(mDiscardedUpToVersion, mVersion);
+            cut = List.copyOf(mWatches);
+            mWatches.clear();
+        }
+        PlatformReply reply = new PlatformReply.Unavailable("the platform was restored");
+        cut.forEach(w -> w.done().accept(nowMs, reply));
+    }
+
     private PlatformReply apply(PlatformCall call) {
         if (call instanceof PlatformCall.Get get) {
             StoredObject object = mObjects.get(get.key());
@@ -156,7 +208,8 @@
     }
 
     private Optional<PlatformReply> changesSince(PlatformCall.Watch watch) {
-        if (watch.afterVersion() < mDiscardedUpToVersion) {
+        boolean beyond = watch.afterVersion() > mVersion;
+        if (beyond || watch.afterVersion() < mDiscardedUpToVersion) {
             return Optional.of(new PlatformReply.WatchGap());
         }
         List<Change> changes = new ArrayList<>();
--- a/coordination/src/test/java/org/hornbeampass/coordination/escrow/RandomizedEscrowFleet.java
+++ b/coordination/src/test/java/org/hornbeampass/coordination/escrow/RandomizedEscrowFleet.java
@@ -292,6 +292,16 @@
         mFaultsEnabled = true;
     }
 
+    /** Returns a copy of the store's objects, for {@link #restoreStore}. */
+    MemoryPlatform.Copy copyStore() {
+        return mStore.copy();
+    }
+
+    /** Restores the store from a copy, which loses everything written since. */
+    void restoreStore(MemoryPlatform.Copy copy) {
+        mStore.restore(mNowMs, copy);
+    }
+
     void restart(int vm) {
         mVms.get(vm).start();
     }
--- /dev/null
+++ b/coordination/src/test/java/org/hornbeampass/coordination/escrow/RestoredBudgetsTest.java
@@ -0,0 +1,60 @@
+package org.hornbeampass.coordination.escrow;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.hornbeampass.coordination.platform.MemoryPlatform;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/**
+ * Guards against tokens that are spent twice because the store, restored from an older copy, has
+ * forgotten that they were granted.
+ */
+class RestoredBudgetsTest {
+    private static final long PREPAID = 10_000;
+    private static final long REQUEST = 100;
+
+    /** Sends requests to one VM until {@code tokens} are used or none is admitted any more. */
+    private static void use(RandomizedEscrowFleet fleet, int vm, long tokens) {
+        int refused = 0;
+        for (long used = 0; used < tokens && refused < 50; ) {
+            if (fleet.request(vm, REQUEST) == Admission.RESERVED) {
+                used += REQUEST;
+                fleet.finishAllUsingAll(vm);
+            } else {
+                refused++;
+            }
+            fleet.runWithoutFaults(100);
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {1, 2, 4})
+    void tokensWhoseGrantWasForgotten_areNotGrantedToAnotherVm(int others) {
+        RandomizedEscrowFleet fleet = new RandomizedEscrowFleet(1, 1 + others, PREPAID);
+        fleet.runWithoutFaults(2_000);
+        MemoryPlatform.Copy copy = fleet.copyStore();
+        use(fleet, 0, PREPAID * 6 / 10);
+        fleet.restoreStore(copy);
+        for (int vm = 1; vm <= others; vm++) {
+            use(fleet, vm, PREPAID);
+        }
+        use(fleet, 0, PREPAID);
+        assertThat(fleet.usedOrReserved()).isBetween(PREPAID * 9 / 10, PREPAID);
+    }
+
+    @Test
+    void tokensOfAVmThatEndedAfterTheRestore_areNotGrantedToAnotherVm() {
+        RandomizedEscrowFleet fleet = new RandomizedEscrowFleet(1, 2, PREPAID);
+        fleet.runWithoutFaults(2_000);
+        MemoryPlatform.Copy copy = fleet.copyStore();
+        use(fleet, 0, PREPAID * 6 / 10);
+        fleet.runWithoutFaults(4_000);
+        fleet.restoreStore(copy);
+        fleet.restart(0);
+        use(fleet, 1, PREPAID);
+        use(fleet, 0, PREPAID);
+        assertThat(fleet.usedOrReserved()).isLessThanOrEqualTo(PREPAID);
+    }
+}
--- a/coordination/src/test/java/org/hornbeampass/coordination/news/ViewFeedFleet.java
+++ b/coordination/src/test/java/org/hornbeampass/coordination/news/ViewFeedFleet.java
@@ -1,5 +1,7 @@
 package org.hornbeampass.coordination.news;
 
+import static org.assertj.core.api.Assertions.assertThat;
+
 import io.vavr.control.Either;
 
 import org.hornbeampass.coordination.hash.RendezvousHash;
@@ -9,6 +11,7 @@
 import org.hornbeampass.coordination.platform.MemoryPlatform;
 import org.hornbeampass.coordination.platform.PlatformCall;
 import org.hornbeampass.coordination.platform.PlatformReply;
+import org.hornbeampass.coordination.platform.PlatformReply.StoredObject;
 import org.hornbeampass.coordination.platform.RetryPolicy;
 import org.hornbeampass.coordination.platform.WatchedView;
 import org.hornbeampass.state.ErrorKind;
@@ -22,10 +25,12 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.BiConsumer;
 
 /**
@@ -208,7 +213,6 @@
     private final Map<Integer, List<String>> mRanked = new HashMap<>();
     private final Set<String> mTurnedAway = new HashSet<>();
     private final Set<String> mCutOff = new HashSet<>();
-    private final Map<String, Long> mVersions = new HashMap<>();
     private final Random mRandom;
     private final PriorityQueue<Event> mEvents =
             new PriorityQueue<>(
@@ -331,13 +335,45 @@
     /** Writes the entry of an upstream. */
     void write(String upstream, String value) {
         String key = PREFIX + upstream;
-        long version = mVersions.getOrDefault(key, 0L);
+        Optional<StoredObject> current = read(key);
         mStore.submit(
                 mNowMs,
-                version == 0
+                current.isEmpty()
                         ? new PlatformCall.Create(key, value)
-                        : new PlatformCall.Update(key, value, version),
-                (t, reply) -> mVersions.put(key, ((PlatformReply.Written) reply).version()));
+                        : new PlatformCall.Update(key, value, current.get().version()),
+                (t, reply) -> assertThat(reply).isInstanceOf(PlatformReply.Written.class));
+    }
+
+    private Optional<StoredObject> read(String key) {
+        AtomicReference<Optional<StoredObject>> found = new AtomicReference<>(Optional.empty());
+        mStore.submit(
+                mNowMs,
+                new PlatformCall.Get(key),
+                (t, reply) -> {
+                    if (reply instanceof PlatformReply.Found object) {
+                        found.set(Optional.of(object.object()));
+                    }
+                });
+        return found.get();
+    }
+
+    /** Removes the entry of an upstream. */
+    void remove(String upstream) {
+        String key = PREFIX + upstream;
+        mStore.submit(
+                mNowMs,
+                new PlatformCall.Delete(key, read(key).orElseThrow().version()),
+                (t, reply) -> assertThat(reply).isInstanceOf(PlatformReply.Written.class));
+    }
+
+    /** Returns a copy of the platform's objects, for {@link #restore}. */
+    MemoryPlatform.Copy copy() {
+        return mStore.copy();
+    }
+
+    /** Restores the platform from a copy, which loses everything written since. */
+    void restore(MemoryPlatform.Copy copy) {
+        mStore.restore(mNowMs, copy);
     }
 
     /** Ends a VM, which the others still take for a member until {@link #forget}. */
