Keep grants that the store has forgotten after it was restored

Cause: a record read from the restored store was taken for the present one, so that tokens whose grant it had forgotten were granted again. Change: a VM keeps the last record it knew of the former era, writes the largest grants of both, and grants nothing for a second; a VM that knows none waits for those that do. Homes tell each other what they write, so that the grants of a VM that ends are known. Ended holders are kept apart, by id, where the store states an era; a holder takes no more than it has written itself. Records name their era. Why it works: what any living VM knows as granted counts until it is in the store.

--- a/coordination/src/main/java/org/hornbeampass/coordination/escrow/EscrowAccount.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/escrow/EscrowAccount.java
@@ -26,6 +26,7 @@
     private long mLent;
     private long mBorrowed;
     private long mGranted;
+    private long mLargestSentGrant;
     private long mReportedSpent;
     private long mMaxWrittenSpent;
     private double mDemandPerMs;
@@ -109,11 +110,33 @@
     }
 
     /**
-     * Records that a write which reports all spending has been sent. The write may never be
-     * answered.
+     * Records that a write which reports all spending and a grant has been sent. The write may
+     * never be answered.
      */
-    void onWriteSent() {
+    void onWriteSent(long grant) {
         mMaxWrittenSpent = Math.max(mMaxWrittenSpent, mSpent);
+        mLargestSentGrant = Math.max(mLargestSentGrant, grant);
+    }
+
+    /** Records that the last write has taken effect. */
+    void onWritten(long grant) {
+        mLargestSentGrant = grant;
+    }
+
+    /**
+     * Handles that the store was restored: only what may be spent now was certainly granted, and
+     * what the restored store shows beyond that was returned before.
+     */
+    void onStoreRestored() {
+        mLargestSentGrant = mLimit;
+    }
+
+    /**
+     * Returns how much of a stored grant of this incarnation is its own: no more than it has
+     * written itself. Other VMs may restore a grant that it has returned since.
+     */
+    long ownPart(long storedGrant) {
+        return Math.min(storedGrant, mLargestSentGrant);
     }
 
     /** Returns the grant of this incarnation that was last read from the store. */
--- a/coordination/src/main/java/org/hornbeampass/coordination/escrow/EscrowBook.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/escrow/EscrowBook.java
@@ -59,6 +59,28 @@
         }
     }
 
+    /** Sets the listener that receives each record that this VM has written, to tell the homes. */
+    void setNoticeListener(Consumer<RecordNotice> listener) {
+        mShards.forEach(s -> s.setNoticeListener(listener));
+    }
+
+    /** Receives the record that another home has written. */
+    void onNotice(RecordNotice notice) {
+        if (notice.pool() >= 0 && notice.pool() < mShards.size()) {
+            mShards.get(notice.pool()).onNotice(notice);
+        }
+    }
+
+    /**
+     * Handles that the store was restored from an older copy, which may have forgotten grants.
+     *
+     * @param nowMs the current time in milliseconds
+     * @param era the store's present era
+     */
+    public void onEra(long nowMs, long era) {
+        mShards.forEach(s -> s.onEra(nowMs, era));
+    }
+
     /** Returns the VM incarnation that holds the grants. */
     public EscrowOwner owner() {
         return mOwner;
--- a/coordination/src/main/java/org/hornbeampass/coordination/escrow/EscrowLoans.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/escrow/EscrowLoans.java
@@ -84,6 +84,16 @@
         mPeers = peers;
         mHomes = homes;
         mRandom = random;
+        book.setNoticeListener(this::sendNotice);
+    }
+
+    private void sendNotice(RecordNotice notice) {
+        mHomes.otherHomes(notice.pool()).forEach(home -> mPeers.send(home, notice));
+    }
+
+    /** Receives the record that another home has written. */
+    public void onNotice(long nowMs, VmId from, RecordNotice notice, Consumer<PeerMessage> reply) {
+        mBook.onNotice(notice);
     }
 
     /**
--- a/coordination/src/main/java/org/hornbeampass/coordination/escrow/EscrowRecord.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/escrow/EscrowRecord.java
@@ -1,20 +1,26 @@
 package org.hornbeampass.coordination.escrow;
 
+import com.fasterxml.jackson.annotation.JsonInclude;
 import com.fasterxml.jackson.annotation.JsonProperty;
 
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
 import java.util.TreeMap;
 
 /**
  * The stored form of one shard of the budgets: the holders of grants of each organisation.
  *
- * <p>Invariant: the sum of {@code closed} and all grants of an organisation is never raised above
- * its prepaid budget, and a holder's grant is lowered only by that holder. Immutable by convention:
- * changes are made to a copy. Thread-safe unless it is modified.
+ * <p>Invariant: the sum of all grants of an organisation, also of former holders, is never raised
+ * above its prepaid budget, and a holder's grant is lowered only by that holder. Immutable by
+ * convention: changes are made to a copy. Thread-safe unless it is modified.
  *
  * @param organisations grants by organisation name
+ * @param era the era of the store in which the record was written; 0 if the store states none
  */
 public record EscrowRecord(
-        @JsonProperty("organisations") TreeMap<String, Organisation> organisations) {
+        @JsonProperty("organisations") TreeMap<String, Organisation> organisations,
+        @JsonProperty("era") @JsonInclude(JsonInclude.Include.NON_DEFAULT) long era) {
     /**
      * The grants of one organisation.
      *
@@ -22,19 +28,78 @@
      *     permanently
      * @param closedSpent how many of the closed tokens were reported as spent
      * @param holders the current holders by incarnation
+     * @param ended the last holders that no longer exist, in the order in which they were closed,
+     *     if the store may be restored from an older copy; they are not part of {@code closed}
      */
     public record Organisation(
             @JsonProperty("closed") long closed,
             @JsonProperty("closed_spent") long closedSpent,
-            @JsonProperty("holders") TreeMap<String, Holder> holders) {
+            @JsonProperty("holders") TreeMap<String, Holder> holders,
+            @JsonProperty("ended") @JsonInclude(JsonInclude.Include.NON_EMPTY) List<Ended> ended) {
+        /** Copies the ended holders; a record without them has none. */
+        public Organisation {
+            ended = ended == null ? List.of() : List.copyOf(ended);
+        }
+
         /** Returns the tokens that were granted to current and former holders. */
         public long granted() {
-            return closed + holders.values().stream().mapToLong(Holder::granted).sum();
+            return closedTokens() + holders.values().stream().mapToLong(Holder::granted).sum();
         }
 
         /** Returns the tokens that were reported as spent. */
         public long spent() {
-            return closedSpent + holders.values().stream().mapToLong(Holder::spent).sum();
+            return closedSpentTokens() + holders.values().stream().mapToLong(Holder::spent).sum();
+        }
+
+        /** Returns the tokens that were granted to holders that no longer exist. */
+        long closedTokens() {
+            return closed + ended.stream().mapToLong(Ended::granted).sum();
+        }
+
+        /** Returns how many of the closed tokens were reported as spent. */
+        long closedSpentTokens() {
+            return closedSpent + ended.stream().mapToLong(Ended::spent).sum();
+        }
+
+        private Organisation mergedWith(Organisation other) {
+            Map<String, Ended> mergedEnded = new LinkedHashMap<>();
+            ended.forEach(e -> mergedEnded.put(e.incarnation(), e));
+            other.ended.forEach(e -> mergedEnded.merge(e.incarnation(), e, Ended::mergedWith));
+            TreeMap<String, Holder> merged = new TreeMap<>(holders);
+            other.holders().forEach((id, h) -> merged.merge(id, h, Holder::mergedWith));
+            mergedEnded.replaceAll(
+                    (id, e) -> {
+                        Holder holder = merged.remove(id);
+                        return holder == null ? e : e.mergedWith(Ended.of(id, holder));
+                    });
+            return new Organisation(
+                    Math.max(closed, other.closed()),
+                    Math.max(closedSpent, other.closedSpent()),
+                    merged,
+                    List.copyOf(mergedEnded.values()));
+        }
+    }
+
+    /**
+     * The grant of an incarnation of a VM that no longer exists.
+     *
+     * @param incarnation the incarnation
+     * @param granted the tokens granted to it
+     * @param spent the tokens that it has reported as spent
+     */
+    public record Ended(
+            @JsonProperty("incarnation") String incarnation,
+            @JsonProperty("granted") long granted,
+            @JsonProperty("spent") long spent) {
+        static Ended of(String incarnation, Holder holder) {
+            return new Ended(incarnation, holder.granted(), holder.spent());
+        }
+
+        private Ended mergedWith(Ended other) {
+            return new Ended(
+                    incarnation,
+                    Math.max(granted, other.granted()),
+                    Math.max(spent, other.spent()));
         }
     }
 
@@ -48,16 +113,21 @@
     public record Holder(
             @JsonProperty("vm") String vm,
             @JsonProperty("granted") long granted,
-            @JsonProperty("spent") long spent) {}
+            @JsonProperty("spent") long spent) {
+        private Holder mergedWith(Holder other) {
+            return new Holder(
+                    vm, Math.max(granted, other.granted()), Math.max(spent, other.spent()));
+        }
+    }
 
     /** Returns a record without organisations. */
     public static EscrowRecord empty() {
-        return new EscrowRecord(new TreeMap<>());
+        return new EscrowRecord(new TreeMap<>(), 0);
     }
 
     /** Returns an organisation's grants. */
     public Organisation organisation(String name) {
-        return organisations.getOrDefault(name, new Organisation(0, 0, new TreeMap<>()));
+        return organisations.getOrDefault(name, new Organisation(0, 0, new TreeMap<>(), List.of()));
     }
 
     /** Returns a copy that shares nothing with this record. */
@@ -68,7 +138,28 @@
                         copies.put(
                                 name,
                                 new Organisation(
-                                        o.closed(), o.closedSpent(), new TreeMap<>(o.holders()))));
-        return new EscrowRecord(copies);
+                                        o.closed(),
+                                        o.closedSpent(),
+                                        new TreeMap<>(o.holders()),
+                                        o.ended())));
+        return new EscrowRecord(copies, era);
+    }
+
+    /** Returns a copy that is marked as written in an era of the store. */
+    EscrowRecord writtenIn(long writtenEra) {
+        return new EscrowRecord(copy().organisations(), writtenEra);
+    }
+
+    /**
+     * Returns the largest grants and spending of this record and another one, each of which may
+     * lack writes of the other; no token that either shows as granted is free in the result.
+     */
+    EscrowRecord mergedWith(EscrowRecord other) {
+        EscrowRecord merged = copy();
+        other.organisations()
+                .forEach(
+                        (name, o) ->
+                                merged.organisations().merge(name, o, Organisation::mergedWith));
+        return new EscrowRecord(merged.organisations(), Math.max(era, other.era()));
     }
 }
--- a/coordination/src/main/java/org/hornbeampass/coordination/escrow/EscrowShard.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/escrow/EscrowShard.java
@@ -1,12 +1,14 @@
 package org.hornbeampass.coordination.escrow;
 
 import org.hornbeampass.coordination.platform.Platform;
+import org.hornbeampass.state.Json;
 
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
+import java.util.function.Consumer;
 import java.util.function.LongConsumer;
 import java.util.function.Predicate;
 
@@ -80,6 +82,12 @@
      */
     private static final long SLOW_CALL_MS = 150;
 
+    /**
+     * The time after the store was restored in which no tokens are granted, in milliseconds: VMs
+     * that know of grants which the store has forgotten write them again in it.
+     */
+    private static final long RESTORE_SETTLE_MS = 1_000;
+
     /** Another VM's request for a loan that waits for an exchange since a time in milliseconds. */
     private record WaitingLoan(String organisation, long sinceMs, Runnable answer) {}
 
@@ -97,6 +105,9 @@
     private final RecordExchange mExchange;
     private boolean mReturning;
     private long mLastExchangeMs = Long.MIN_VALUE / 2;
+    private boolean mWaitedForOthers;
+    private long mSuspendedUntilMs = Long.MIN_VALUE;
+    private Consumer<RecordNotice> mNoticeListener = notice -> {};
     private long mDirectUntilMs = Long.MIN_VALUE;
     private long mNextDirectMs = Long.MIN_VALUE;
 
@@ -118,6 +129,38 @@
                 new RecordExchange(platform, "budgets/shard-" + pool, mKnownBudgets, seed, this);
     }
 
+    /** Sets the listener that receives each record that this VM has written. */
+    void setNoticeListener(Consumer<RecordNotice> listener) {
+        mNoticeListener = listener;
+    }
+
+    /** Receives the record that another home has written. */
+    void onNotice(RecordNotice notice) {
+        Json.decode(notice.record(), EscrowRecord.class)
+                .peek(r -> mKnownBudgets.records().onReported(r, notice.version()));
+    }
+
+    /**
+     * Handles that the store was restored: it may have forgotten grants, which are to be written
+     * again before further tokens are granted.
+     */
+    void onEra(long nowMs, long era) {
+        mExchange.onRestored();
+        mAccounts.values().forEach(EscrowAccount::onStoreRestored);
+        mWaitedForOthers = false;
+        mKnownBudgets.records().beginEra(era);
+        if (mKnownBudgets.records().hasForgottenGrants()) {
+            suspendGrants(nowMs);
+            sendNotice();
+        }
+        tick(nowMs);
+    }
+
+    private void suspendGrants(long nowMs) {
+        mSuspendedUntilMs = nowMs + RESTORE_SETTLE_MS;
+        mKnownBudgets.setGrantsSuspended(true);
+    }
+
     void setPrepaid(String organisation, long tokens) {
         mKnownBudgets.setPrepaid(organisation, tokens);
         mAccounts.computeIfAbsent(organisation, o -> new EscrowAccount());
@@ -318,6 +361,9 @@
     }
 
     void tick(long nowMs) {
+        if (nowMs >= mSuspendedUntilMs) {
+            mKnownBudgets.setGrantsSuspended(false);
+        }
         answerLoans(l -> nowMs - l.sinceMs() >= LENDER_WAIT_MS);
         if (!mKnownBudgets.organisations().isEmpty()
                 && mExchange.isReady(nowMs)
@@ -336,6 +382,9 @@
         if (!exchangesWithStore(nowMs) || sinceMs < MIN_INTERVAL_MS) {
             return false;
         }
+        if (mKnownBudgets.records().hasForgottenGrants()) {
+            return true;
+        }
         boolean canServeWanted =
                 mKnownBudgets.organisations().stream().anyMatch(this::mayServeWanted);
         if (canServeWanted) {
@@ -354,7 +403,12 @@
 
     /** Returns whether this VM currently exchanges with the store. */
     private boolean exchangesWithStore(long nowMs) {
-        return nowMs < mDirectUntilMs || mHomes.isHome(mPool);
+        boolean mustKeepGrants = mKnownBudgets.records().hasForgottenGrants() && hasGrants();
+        return nowMs < mDirectUntilMs || mHomes.isHome(mPool) || mustKeepGrants;
+    }
+
+    private boolean hasGrants() {
+        return mAccounts.values().stream().anyMatch(a -> a.granted() > 0);
     }
 
     private boolean needsExchange(long nowMs, String organisation, boolean reportDue) {
@@ -398,7 +452,7 @@
         for (String organisation : mKnownBudgets.organisations()) {
             EscrowAccount account = mAccounts.get(organisation);
             account.setLimit(Math.min(account.limit(), mPlan.ownGrant(next, organisation)));
-            account.onWriteSent();
+            account.onWriteSent(mPlan.ownGrant(next, organisation));
         }
         return next;
     }
@@ -406,7 +460,12 @@
     @Override
     public void onWritten(long nowMs) {
         mLastExchangeMs = nowMs;
-        onRecordRead(nowMs, false);
+        for (String organisation : mKnownBudgets.organisations()) {
+            EscrowRecord written = mKnownBudgets.records().inStore();
+            mAccounts.get(organisation).onWritten(mPlan.ownGrant(written, organisation));
+        }
+        boolean unused = applyRecord(nowMs, false);
+        sendNotice();
         mAccounts.values().forEach(EscrowAccount::clearWanted);
         runCallbacks();
     }
@@ -417,19 +476,67 @@
             mDirectUntilMs = nowMs;
             mNextDirectMs = nowMs + DIRECT_RETRY_MS;
         }
+        if (mKnownBudgets.records().hasForgottenGrants()) {
+            sendNotice();
+        }
         runCallbacks();
     }
 
+    /** Tells the other homes which grants this VM knows, if the store may forget them. */
+    private void sendNotice() {
+        KnownRecords records = mKnownBudgets.records();
+        if (records.era() > 0) {
+            String record = Json.encode(records.known());
+            mNoticeListener.accept(new RecordNotice(mPool, records.version(), record));
+        }
+    }
+
     @Override
-    public void onRecordRead(long nowMs, boolean writePending) {
-        mKnownBudgets.organisations().forEach(name -> applyRecord(nowMs, name, writePending));
+    public boolean onRecordRead(long nowMs, boolean writePending) {
+        // A write whose reply was lost may have taken effect.
+        if (applyRecord(nowMs, writePending)) {
+            sendNotice();
+        }
+        if (mayWrite(nowMs)) {
+            return true;
+        }
+        runCallbacks();
+        return false;
+    }
+
+    /**
+     * Returns whether the record may be written. A VM that knows no grants of a former era leaves
+     * it to others for a while to write theirs into a restored copy.
+     */
+    private boolean mayWrite(long nowMs) {
+        KnownRecords records = mKnownBudgets.records();
+        if (!records.isOfFormerEra() || records.hasForgottenGrants()) {
+            return true;
+        }
+        if (!mWaitedForOthers) {
+            mWaitedForOthers = true;
+            suspendGrants(nowMs);
+        }
+        return nowMs >= mSuspendedUntilMs;
+    }
+
+    /** Applies the record in the store; returns whether it shows a larger grant of this VM. */
+    private boolean applyRecord(long nowMs, boolean writePending) {
+        boolean raised = false;
+        for (String organisation : mKnownBudgets.organisations()) {
+            long before = mAccounts.get(organisation).granted();
+            applyGrant(nowMs, organisation, writePending);
+            raised |= mAccounts.get(organisation).granted() > before;
+        }
+        return raised;
     }
 
-    private void applyRecord(long nowMs, String organisation, boolean writePending) {
-        EscrowRecord.Organisation stored = mKnownBudgets.stored(organisation);
+    private void applyGrant(long nowMs, String organisation, boolean writePending) {
+        EscrowRecord.Organisation stored =
+                mKnownBudgets.records().inStore().organisation(organisation);
         EscrowRecord.Holder own = stored.holders().get(mOwner.incarnation());
-        long granted = own == null ? 0 : own.granted();
         EscrowAccount account = mAccounts.get(organisation);
+        long granted = own == null ? 0 : account.ownPart(own.granted());
         long before = account.granted();
         account.onStoredGrant(
                 granted,
--- a/coordination/src/main/java/org/hornbeampass/coordination/escrow/GrantPlan.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/escrow/GrantPlan.java
@@ -1,5 +1,7 @@
 package org.hornbeampass.coordination.escrow;
 
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
 
@@ -24,6 +26,12 @@
      */
     private static final long MIN_TRANSFER_DIVISOR = 1_000;
 
+    /**
+     * How many ended holders of an organisation are kept apart, where the store may be restored:
+     * more than end while a copy becomes outdated.
+     */
+    private static final int MAX_ENDED = 50;
+
     /** Surplus tokens are returned once they exceed the target divided by this number. */
     private static final long RETURN_DIVISOR = 2;
 
@@ -51,7 +59,8 @@
 
     /** Returns the record to write, with this VM's planned grants and reports. */
     EscrowRecord nextRecord(long nowMs, boolean returning) {
-        EscrowRecord next = mKnownBudgets.record().copy();
+        EscrowRecord next =
+                mKnownBudgets.records().known().writtenIn(mKnownBudgets.records().era());
         for (String organisation : mKnownBudgets.organisations()) {
             next.organisations().put(organisation, plannedGrants(nowMs, organisation, returning));
         }
@@ -89,8 +98,8 @@
         long unreported = account.spent() - account.reportedSpent();
         long unspent =
                 mKnownBudgets.prepaid(organisation)
-                        - stored.closed()
-                        - (stored.spent() - stored.closedSpent())
+                        - stored.closedTokens()
+                        - (stored.spent() - stored.closedSpentTokens())
                         - unreported;
         // The difference above counts tokens lent by a VM that is gone twice once they are spent:
         // as
@@ -116,7 +125,7 @@
     private double usageShare(String organisation, EscrowRecord.Organisation stored, int homes) {
         EscrowAccount account = mAccounts.get(organisation);
         double prior = PRIOR_FRACTION * mKnownBudgets.prepaid(organisation);
-        double others = stored.spent() - stored.closedSpent() - account.reportedSpent();
+        double others = stored.spent() - stored.closedSpentTokens() - account.reportedSpent();
         double own = Math.max(0, account.used());
         return (own + prior) / (own + others + prior * homes);
     }
@@ -136,19 +145,25 @@
         EscrowRecord.Organisation stored = mKnownBudgets.stored(organisation);
         EscrowAccount account = mAccounts.get(organisation);
         TreeMap<String, EscrowRecord.Holder> holders = new TreeMap<>(stored.holders());
-        long closed = stored.closed();
-        long closedSpent = stored.closedSpent();
+        List<EscrowRecord.Ended> ended = new ArrayList<>(stored.ended());
         for (var entry : stored.holders().entrySet()) {
             boolean formerIncarnation =
                     entry.getValue().vm().equals(mOwner.vm())
                             && !entry.getKey().equals(mOwner.incarnation());
             if (formerIncarnation) {
-                closed += entry.getValue().granted();
-                closedSpent += entry.getValue().spent();
+                ended.add(EscrowRecord.Ended.of(entry.getKey(), entry.getValue()));
                 holders.remove(entry.getKey());
             }
         }
-        long unallocated = mKnownBudgets.prepaid(organisation) - stored.granted();
+        long closed = stored.closed();
+        long closedSpent = stored.closedSpent();
+        int kept = mKnownBudgets.records().era() > 0 ? MAX_ENDED : 0;
+        while (ended.size() > kept) {
+            EscrowRecord.Ended oldest = ended.remove(0);
+            closed += oldest.granted();
+            closedSpent += oldest.spent();
+        }
+        long unallocated = mKnownBudgets.grantable(organisation);
         long granted = plannedOwnGrant(nowMs, organisation, unallocated, returning);
         if (granted > 0 || account.spent() > 0) {
             holders.put(
@@ -157,20 +172,22 @@
         } else {
             holders.remove(mOwner.incarnation());
         }
-        return new EscrowRecord.Organisation(closed, closedSpent, holders);
+        return new EscrowRecord.Organisation(closed, closedSpent, holders, ended);
     }
 
     private long plannedOwnGrant(
             long nowMs, String organisation, long unallocated, boolean returning) {
         EscrowAccount account = mAccounts.get(organisation);
-        long held = ownGrant(mKnownBudgets.record(), organisation);
+        long held = account.ownPart(ownGrant(mKnownBudgets.records().known(), organisation));
         if (returning) {
-            return Math.max(0, Math.min(held, account.used()));
+            return Math.max(0, account.used());
         }
         long target = target(nowMs, organisation);
         long desired = Math.max(0, account.used() + target);
         if (desired > held) {
-            return held + Math.max(0, Math.min(desired - held, unallocated));
+            // A restored store may have forgotten a grant that is used already.
+            long raised = held + Math.max(0, Math.min(desired - held, unallocated));
+            return Math.max(raised, account.used());
         }
         return isWorthReturning(organisation, target, held - desired) ? desired : held;
     }
--- a/coordination/src/main/java/org/hornbeampass/coordination/escrow/KnownBudgets.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/escrow/KnownBudgets.java
@@ -7,8 +7,7 @@
 import java.util.Set;
 
 /**
- * Holds what a VM knows of the budgets of one store record: their sizes and the record as last
- * read.
+ * Holds what a VM knows of the budgets of one store record: their sizes and the record.
  *
  * <p>Not thread-safe; must be used on one thread.
  */
@@ -28,8 +27,9 @@
 
     private final Map<String, Long> mPrepaid = new HashMap<>();
     private final Map<String, PeerReport> mPeerReports = new HashMap<>();
-    private EscrowRecord mRecord = EscrowRecord.empty();
+    private final KnownRecords mRecords = new KnownRecords();
     private boolean mRecordKnown;
+    private boolean mGrantsSuspended;
     private long mLastReplyMs = Long.MIN_VALUE / 2;
 
     void setPrepaid(String organisation, long tokens) {
@@ -44,12 +44,22 @@
         return mPrepaid.keySet();
     }
 
-    EscrowRecord record() {
-        return mRecord;
+    /** Returns the record in the store and in former eras of it. */
+    KnownRecords records() {
+        return mRecords;
     }
 
+    /** Returns an organisation's grants, including those that a restored store may lack. */
     EscrowRecord.Organisation stored(String organisation) {
-        return mRecord.organisation(organisation);
+        return mRecords.known().organisation(organisation);
+    }
+
+    /**
+     * Sets whether no tokens are to be granted for now, since other VMs may not have written their
+     * grants again after the store was restored.
+     */
+    void setGrantsSuspended(boolean suspended) {
+        mGrantsSuspended = suspended;
     }
 
     /** Records that the store has replied. */
@@ -57,10 +67,6 @@
         mLastReplyMs = nowMs;
     }
 
-    void setRecord(EscrowRecord record) {
-        mRecord = record;
-    }
-
     /** Records that the known record is the one in the store. */
     void markRecordKnown() {
         mRecordKnown = true;
@@ -155,13 +161,18 @@
      */
     long writtenOff(String organisation) {
         EscrowRecord.Organisation stored = stored(organisation);
-        return stored.closed() - stored.closedSpent();
+        return stored.closedTokens() - stored.closedSpentTokens();
     }
 
-    /** Returns the tokens that are not granted to any VM, as far as known. */
+    /**
+     * Returns the tokens that this VM may be granted, as far as known: those not granted to any VM.
+     */
     long unallocated(String organisation) {
-        return mRecordKnown
-                ? prepaid(organisation) - stored(organisation).granted()
-                : UNKNOWN_TOKENS;
+        return mRecordKnown ? grantable(organisation) : UNKNOWN_TOKENS;
+    }
+
+    /** Returns the tokens that a write which is based on the known record may grant. */
+    long grantable(String organisation) {
+        return mGrantsSuspended ? 0 : prepaid(organisation) - stored(organisation).granted();
     }
 }
--- /dev/null
+++ b/coordination/src/main/java/org/hornbeampass/coordination/escrow/KnownRecords.java
@@ -0,0 +1,129 @@
+package org.hornbeampass.coordination.escrow;
+
+import org.hornbeampass.coordination.platform.StoreVersion;
+
+import java.util.Optional;
+
+/**
+ * Holds the record of one pool as last read from the store, and what is known of it beyond that
+ * after the store was restored from an older copy.
+ *
+ * <p>Invariant: {@link #known} shows each token as granted that the record in the store shows, or
+ * that the last known record of a former era showed, until this VM has written it again. Not
+ * thread-safe; must be used on one thread.
+ */
+final class KnownRecords {
+    /**
+     * A record as it was written, or several of them merged.
+     *
+     * @param record the record
+     * @param version the version of the last write, in the era in which it was made
+     * @param merged whether the record has grants on which that write was not based
+     */
+    private record Written(EscrowRecord record, long version, boolean merged) {
+        static Written of(EscrowRecord record, long storeVersion) {
+            long version = StoreVersion.of(record.era(), StoreVersion.revision(storeVersion));
+            return new Written(record, version, false);
+        }
+
+        /**
+         * Returns the grants of both: those of the later one if it is based on the other, as two
+         * writes of one era are; otherwise the largest of each.
+         */
+        Written with(Written other) {
+            if (merged || other.merged || !StoreVersion.isSameEra(version, other.version)) {
+                return new Written(
+                        record.mergedWith(other.record), Math.max(version, other.version), true);
+            }
+            return other.version > version ? other : this;
+        }
+    }
+
+    private static final Written NONE = new Written(EscrowRecord.empty(), 0, false);
+
+    private Written mInStore = NONE;
+    private Optional<Written> mForgotten = Optional.empty();
+    private Optional<Written> mReported = Optional.empty();
+    private EscrowRecord mKnown = EscrowRecord.empty();
+    private long mEra;
+    private boolean mRead;
+
+    /** Returns the store's era; 0 if it states none. */
+    long era() {
+        return mEra;
+    }
+
+    /** Returns the record as last read from the store or written to it. */
+    EscrowRecord inStore() {
+        return mInStore.record();
+    }
+
+    /** Returns the record with all grants that are known, on which the next write is based. */
+    EscrowRecord known() {
+        return mKnown;
+    }
+
+    /** Returns the version of the last write that {@link #known} contains. */
+    long version() {
+        return extended().version();
+    }
+
+    /** Returns whether the store may lack grants that this VM knows. */
+    boolean hasForgottenGrants() {
+        return mForgotten.isPresent();
+    }
+
+    /** Returns whether the record in the store was written before the store was restored. */
+    boolean isOfFormerEra() {
+        return mInStore.record().era() < mEra;
+    }
+
+    /** Sets the record as read from the store. */
+    void onRead(EscrowRecord record, long version) {
+        Written read = Written.of(record, version);
+        // A writer that has not learnt of the era may have replaced a record of that era.
+        if (mRead && record.era() < mInStore.record().era()) {
+            keepKnown();
+        }
+        mRead = true;
+        mInStore = read;
+        mKnown = extended().record();
+    }
+
+    /** Sets the record that this VM has written, based on {@link #known}. */
+    void onWritten(EscrowRecord record, long version) {
+        mRead = true;
+        mForgotten = Optional.empty();
+        mInStore = Written.of(record, version);
+        mReported = mReported.filter(r -> StoreVersion.isSameEra(r.version(), mInStore.version()));
+        mKnown = record;
+    }
+
+    /** Records what another VM has written, or what it knows of a former era. */
+    void onReported(EscrowRecord record, long version) {
+        Written reported = Written.of(record, version);
+        if (record.era() < mEra) {
+            mForgotten = Optional.of(mForgotten.map(f -> f.with(reported)).orElse(reported));
+            mKnown = extended().record();
+            return;
+        }
+        mReported = Optional.of(mReported.map(r -> r.with(reported)).orElse(reported));
+    }
+
+    /** Handles that the store was restored, so that it may lack grants that this VM knows. */
+    void beginEra(long era) {
+        mEra = era;
+        keepKnown();
+        mKnown = extended().record();
+    }
+
+    private void keepKnown() {
+        Optional<Written> known = mRead ? Optional.of(extended()) : Optional.empty();
+        mForgotten = known.map(k -> mReported.map(k::with).orElse(k)).or(() -> mReported);
+    }
+
+    /** Returns the record in the store with the grants that it may lack. */
+    private Written extended() {
+        return mForgotten.map(mInStore::with).orElse(mInStore);
+    }
+}
--- a/coordination/src/main/java/org/hornbeampass/coordination/escrow/RecordExchange.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/escrow/RecordExchange.java
@@ -5,6 +5,7 @@
 import org.hornbeampass.coordination.platform.PlatformReply;
 import org.hornbeampass.coordination.platform.PlatformReply.StoredObject;
 import org.hornbeampass.coordination.platform.RetryPolicy;
+import org.hornbeampass.coordination.platform.StoreVersion;
 import org.hornbeampass.state.Json;
 
 import java.util.SplittableRandom;
@@ -27,8 +28,9 @@
          *
          * @param nowMs the current time in milliseconds
          * @param writePending whether an earlier write may still be applied to this version
+         * @return whether the record may be written now
          */
-        void onRecordRead(long nowMs, boolean writePending);
+        boolean onRecordRead(long nowMs, boolean writePending);
 
         /** Called when the record has been written to the store. */
         void onWritten(long nowMs);
@@ -90,6 +92,13 @@
         return mVersionKnown;
     }
 
+    /** Requires that the record is read again, since the store was restored. */
+    void onRestored() {
+        mVersionKnown = false;
+        mMustCreate = false;
+        mNotBeforeMs = Long.MIN_VALUE;
+    }
+
     /** Returns how long the current call has been open, in milliseconds; 0 if no call is open. */
     long openForMs(long nowMs) {
         return mCallOpen ? nowMs - mCallStartMs : 0;
@@ -164,13 +173,13 @@
         mMustCreate = false;
         mConflicts = 0;
         mVersion = version;
-        setKnownRecord(nowMs, mSentRecord);
+        mKnownBudgets.records().onWritten(mSentRecord, version);
+        onRecordKnown(nowMs);
         mHandler.onWritten(nowMs);
     }
 
-    private void setKnownRecord(long nowMs, EscrowRecord record) {
+    private void onRecordKnown(long nowMs) {
         mKnownBudgets.onStoreReply(nowMs);
-        mKnownBudgets.setRecord(record);
         mKnownBudgets.markRecordKnown();
     }
 
@@ -184,7 +193,7 @@
             adoptAndWrite(nowMs, current);
             return;
         }
-        adoptVersion(nowMs, current);
+        boolean unused = adoptVersion(nowMs, current);
         mNotBeforeMs = nowMs + CONFLICT_BACKOFF.waitMs(mConflicts, mRandom);
     }
 
@@ -203,7 +212,7 @@
         StoredObject object = ((PlatformReply.Found) reply).object();
         mVersion = object.version();
         mMustCreate = false;
-        mKnownBudgets.setRecord(decode(object));
+        mKnownBudgets.records().onRead(decode(object), object.version());
     }
 
     private EscrowRecord decode(StoredObject object) {
@@ -211,16 +220,24 @@
                 .getOrElseThrow(f -> new IllegalStateException(mKey + ": " + f.message()));
     }
 
-    /** Adopts the record as read and writes the next one. */
+    /** Adopts the record as read and writes the next one, if that is allowed now. */
     private void adoptAndWrite(long nowMs, StoredObject object) {
-        adoptVersion(nowMs, object);
-        write(nowMs);
+        if (adoptVersion(nowMs, object)) {
+            write(nowMs);
+        } else {
+            mNotBeforeMs = nowMs + RETRY_MS;
+        }
     }
 
-    private void adoptVersion(long nowMs, StoredObject object) {
+    /** Adopts the record as read; returns whether the next one may be written now. */
+    private boolean adoptVersion(long nowMs, StoredObject object) {
         mVersionKnown = true;
         mVersion = object.version();
-        setKnownRecord(nowMs, decode(object));
-        mHandler.onRecordRead(nowMs, mVersion == mUncertainBaseVersion);
+        mKnownBudgets.records().onRead(decode(object), mVersion);
+        onRecordKnown(nowMs);
+        // A late write compares revisions alone, so that a restored store may still apply it.
+        boolean writePending =
+                StoreVersion.revision(mVersion) == StoreVersion.revision(mUncertainBaseVersion);
+        return mHandler.onRecordRead(nowMs, writePending);
     }
 }
--- a/coordination/src/main/java/org/hornbeampass/coordination/platform/MemoryPlatform.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/platform/MemoryPlatform.java
@@ -37,6 +37,16 @@
     private long mDiscardedUpToRevision;
     private long mEra;
 
+    /** Creates an empty platform that states no era until it is restored. */
+    public MemoryPlatform() {
+        this(0);
+    }
+
+    /** Creates an empty platform in an era. */
+    public MemoryPlatform(long era) {
+        mEra = era;
+    }
+
     /**
      * The objects of a platform at a point in time. Immutable.
      *
@@ -101,7 +111,7 @@
         }
     }
 
-    /** Returns how often the platform was restored from a copy. */
+    /** Returns the era, which increases each time the platform is restored from a copy. */
     public long era() {
         synchronized (mLock) {
             return mEra;
--- a/coordination/src/test/java/org/hornbeampass/coordination/escrow/RestoredBudgetsTest.java
+++ b/coordination/src/test/java/org/hornbeampass/coordination/escrow/RestoredBudgetsTest.java
@@ -14,6 +14,8 @@
 class RestoredBudgetsTest {
     private static final long PREPAID = 10_000;
     private static final long REQUEST = 100;
+    private static final long SEEDS = 200;
+    private static final int STEPS = 600;
 
     /** Sends requests to one VM until {@code tokens} are used or none is admitted any more. */
     private static void use(RandomizedEscrowFleet fleet, int vm, long tokens) {
@@ -29,6 +31,13 @@
         }
     }
 
+    private static void restore(RandomizedEscrowFleet fleet, MemoryPlatform.Copy copy) {
+        fleet.restoreStore(copy);
+        for (int vm = 0; vm < fleet.vms(); vm++) {
+            fleet.learnEra(vm);
+        }
+    }
+
     @ParameterizedTest
     @ValueSource(ints = {1, 2, 4})
     void tokensWhoseGrantWasForgotten_areNotGrantedToAnotherVm(int others) {
@@ -36,7 +45,7 @@
         fleet.runWithoutFaults(2_000);
         MemoryPlatform.Copy copy = fleet.copyStore();
         use(fleet, 0, PREPAID * 6 / 10);
-        fleet.restoreStore(copy);
+        restore(fleet, copy);
         for (int vm = 1; vm <= others; vm++) {
             use(fleet, vm, PREPAID);
         }
@@ -51,10 +60,34 @@
         MemoryPlatform.Copy copy = fleet.copyStore();
         use(fleet, 0, PREPAID * 6 / 10);
         fleet.runWithoutFaults(4_000);
-        fleet.restoreStore(copy);
+        restore(fleet, copy);
         fleet.restart(0);
         use(fleet, 1, PREPAID);
         use(fleet, 0, PREPAID);
         assertThat(fleet.usedOrReserved()).isLessThanOrEqualTo(PREPAID);
     }
+
+    private static void assertNeverOverspends(int vms, long seed) {
+        RandomizedEscrowFleet fleet = new RandomizedEscrowFleet(seed, vms, PREPAID);
+        fleet.enableRestores();
+        for (int i = 0; i < STEPS; i++) {
+            fleet.step();
+            assertThat(fleet.usedOrReserved())
+                    .as("%d VMs, seed %d, step %d", vms, seed, i)
+                    .isLessThanOrEqualTo(fleet.prepaid());
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {1, 2, 3, 5})
+    void restorationsAmongOtherFaults_neverOverspend(int vms) {
+        for (long seed = 0; seed < SEEDS; seed++) {
+            assertNeverOverspends(vms, seed);
+        }
+    }
+
+    @Test
+    void restorationsInARowWhileVmsRestart_neverOverspend() {
+        assertNeverOverspends(2, 1_839);
+    }
 }
--- a/router/src/main/java/org/hornbeampass/router/daemon/RelayDaemon.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/RelayDaemon.java
@@ -12,6 +12,7 @@
 import org.hornbeampass.coordination.escrow.EscrowLoans;
 import org.hornbeampass.coordination.escrow.EscrowOwner;
 import org.hornbeampass.coordination.escrow.LoanRequest;
+import org.hornbeampass.coordination.escrow.RecordNotice;
 import org.hornbeampass.coordination.escrow.TokenTransfer;
 import org.hornbeampass.coordination.membership.Gossip;
 import org.hornbeampass.coordination.membership.IndirectPing;
@@ -312,6 +313,7 @@
     private void registerListeners() {
         mStore.onRegained(mViews::onStoreRegained);
         mPlatform.addListener((nowMs, former, era) -> mViews.onEra(nowMs));
+        mPlatform.addListener((nowMs, former, era) -> mBudgets.onEra(nowMs, era));
         mSettings.load().admission().ifPresent(mContext::enableAdmission);
         registerPeers();
         registerMetrics();
@@ -329,6 +331,7 @@
         mPeers.on(ViewFeed.class, mViews::onFeed);
         mPeers.on(LoanRequest.class, mLoans::onRequest);
         mPeers.on(TokenTransfer.class, mLoans::onTransfer);
+        mPeers.on(RecordNotice.class, mLoans::onNotice);
         mPeers.on(InFlightReport.class, mLoadExchange::onReport);
         mPeers.on(SignalReport.class, mSignalExchange::onReport);
         mPeers.on(ConditionReport.class, mConditionExchange::onReport);
--- a/transport/src/main/java/org/hornbeampass/protocol/peer/PeerMessageType.java
+++ b/transport/src/main/java/org/hornbeampass/protocol/peer/PeerMessageType.java
@@ -17,6 +17,7 @@
 import org.hornbeampass.coordination.drain.DrainOrder;
 import org.hornbeampass.coordination.escrow.LoanReply;
 import org.hornbeampass.coordination.escrow.LoanRequest;
+import org.hornbeampass.coordination.escrow.RecordNotice;
 import org.hornbeampass.coordination.escrow.TokenTransfer;
 import org.hornbeampass.coordination.membership.Ack;
 import org.hornbeampass.coordination.membership.Gossip;
@@ -77,6 +78,7 @@
     LOAN_REQUEST(44, LoanRequest.class, Form.REQUEST),
     LOAN_REPLY(45, LoanReply.class, Form.REPLY),
     TOKEN_TRANSFER(46, TokenTransfer.class, Form.ONE_WAY),
+    RECORD_NOTICE(47, RecordNotice.class, Form.ONE_WAY),
     SUBMIT_ENTRIES(60, SubmitEntries.class, Form.REQUEST),
     ENTRIES_DECIDED(61, EntriesDecided.class, Form.REPLY),
     ENTRIES_REFUSED(62, EntriesRefused.class, Form.REPLY),
