Write VM entries and quarantines again after the store was restored

Cause: a VM that the restored store has forgotten stayed out of the platform's list, and a record of a quarantine that is missing after a restoration was taken for one that operators had deleted, so that the quarantine was lifted. Change: each VM registers again within three seconds; the record owner reads the records at once and writes those that are missing. Lines grants-suspended and grants-written-again name the eras.

--- a/coordination/src/main/java/org/hornbeampass/coordination/escrow/EscrowShard.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/escrow/EscrowShard.java
@@ -159,6 +159,8 @@
     private void suspendGrants(long nowMs) {
         mSuspendedUntilMs = nowMs + RESTORE_SETTLE_MS;
         mKnownBudgets.setGrantsSuspended(true);
+        KnownRecords records = mKnownBudgets.records();
+        mListener.onGrantsSuspended(nowMs, mPool, records.known().era(), records.era());
     }
 
     void setPrepaid(String organisation, long tokens) {
@@ -458,8 +460,11 @@
     }
 
     @Override
-    public void onWritten(long nowMs) {
+    public void onWritten(long nowMs, boolean withForgottenGrants) {
         mLastExchangeMs = nowMs;
+        if (withForgottenGrants) {
+            mListener.onGrantsWrittenAgain(nowMs, mPool, mKnownBudgets.records().era());
+        }
         for (String organisation : mKnownBudgets.organisations()) {
             EscrowRecord written = mKnownBudgets.records().inStore();
             mAccounts.get(organisation).onWritten(mPlan.ownGrant(written, organisation));
--- a/coordination/src/main/java/org/hornbeampass/coordination/escrow/GrantListener.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/escrow/GrantListener.java
@@ -46,6 +46,25 @@
      */
     void onUnsuccessfulSearch(long nowMs, String organisation, Search search);
 
+    /**
+     * Called when no tokens are granted for a while, since the store was restored.
+     *
+     * @param nowMs the current time in milliseconds
+     * @param pool the number of the pool
+     * @param formerEra the era of the last record that is known
+     * @param era the store's present era
+     */
+    default void onGrantsSuspended(long nowMs, int pool, long formerEra, long era) {}
+
+    /**
+     * Called when this VM has written the grants that the restored store may have forgotten.
+     *
+     * @param nowMs the current time in milliseconds
+     * @param pool the number of the pool
+     * @param era the store's present era
+     */
+    default void onGrantsWrittenAgain(long nowMs, int pool, long era) {}
+
     /**
      * A search for tokens at other VMs.
      *
--- a/coordination/src/main/java/org/hornbeampass/coordination/escrow/RecordExchange.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/escrow/RecordExchange.java
@@ -32,8 +32,13 @@
          */
         boolean onRecordRead(long nowMs, boolean writePending);
 
-        /** Called when the record has been written to the store. */
-        void onWritten(long nowMs);
+        /**
+         * Called when the record has been written to the store.
+         *
+         * @param nowMs the current time in milliseconds
+         * @param withForgottenGrants whether the store may have lacked grants in it until now
+         */
+        void onWritten(long nowMs, boolean withForgottenGrants);
 
         /** Called when an exchange has failed. */
         void onFailed(long nowMs);
@@ -173,9 +178,10 @@
         mMustCreate = false;
         mConflicts = 0;
         mVersion = version;
+        boolean forgotten = mKnownBudgets.records().hasForgottenGrants();
         mKnownBudgets.records().onWritten(mSentRecord, version);
         onRecordKnown(nowMs);
-        mHandler.onWritten(nowMs);
+        mHandler.onWritten(nowMs, forgotten);
     }
 
     private void onRecordKnown(long nowMs) {
--- a/coordination/src/main/java/org/hornbeampass/coordination/quarantine/Quarantine.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/quarantine/Quarantine.java
@@ -195,6 +195,11 @@
                 .forEach(c -> learnCrash(nowMs, c));
     }
 
+    /** Handles that the store was restored, which may have lost records of quarantines. */
+    public void onEra(long nowMs) {
+        mStore.onEra(nowMs);
+    }
+
     /** Sends new reports to the other VMs and makes the calls to the store that are due. */
     public void tick(long nowMs) {
         mTable.tick(nowMs);
--- a/coordination/src/main/java/org/hornbeampass/coordination/quarantine/QuarantineStore.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/quarantine/QuarantineStore.java
@@ -6,6 +6,7 @@
 import org.hornbeampass.coordination.platform.PlatformCall;
 import org.hornbeampass.coordination.platform.PlatformReply;
 import org.hornbeampass.coordination.platform.PlatformReply.StoredObject;
+import org.hornbeampass.coordination.platform.StoreVersion;
 import org.hornbeampass.state.Failure;
 import org.hornbeampass.state.Json;
 
@@ -27,8 +28,10 @@
  * writes them. If a quarantine still has no record, because the record owner may be unreachable or
  * about to stop, a VM that saw one of the crashes writes it within a second, and any other VM after
  * some seconds. So the number of calls depends on quarantines and starts of VMs rather than on the
- * number of VMs or on time. Invariants: at most one read is in progress, and at most one write for
- * each request; no write waits for another. Confined to one thread.
+ * number of VMs or on time. A record that is missing after the store was restored was lost with a
+ * former era and is written again; only in one era was it deleted. Invariants: at most one read is
+ * in progress, and at most one write for each request; no write waits for another. Confined to one
+ * thread.
  */
 final class QuarantineStore {
     static final String PREFIX = "quarantines/";
@@ -70,6 +73,8 @@
     private final Set<SuspectDigest> mWritesInProgress = new HashSet<>();
     private boolean mReadInProgress;
     private long mNextReadMs;
+    private long mReadVersion;
+    private long mLastReadVersion;
 
     /**
      * Creates a store client that has not read the records yet.
@@ -97,6 +102,11 @@
         mOnLifted = onLifted;
     }
 
+    /** Handles that the store was restored: the record owner reads the records again. */
+    void onEra(long nowMs) {
+        mNextReadMs = nowMs;
+    }
+
     /** Makes the calls that are due. */
     void tick(long nowMs) {
         List<SuspectReport.Item> quarantined = mTable.quarantinedItems(nowMs);
@@ -111,12 +121,17 @@
                         && nowMs >= mNextReadMs
                         && (!mReadOnce || (anyRecords && mOwnsRecords.getAsBoolean()));
         if (readDue) {
-            mListed.clear();
             mRecordedBeforeRead = recordedDigests(quarantined);
-            read(nowMs, "");
+            startRead(nowMs);
         }
     }
 
+    private void startRead(long nowMs) {
+        mListed.clear();
+        mReadVersion = 0;
+        read(nowMs, "");
+    }
+
     private static Set<SuspectDigest> recordedDigests(List<SuspectReport.Item> items) {
         Set<SuspectDigest> recorded = new HashSet<>();
         items.stream().filter(i -> i.recorded()).forEach(i -> recorded.add(i.digest()));
@@ -199,6 +214,12 @@
             mListener.onRecordFailed(nowMs, PREFIX, reply.toString());
             return;
         }
+        boolean firstPage = mReadVersion == 0;
+        if (!firstPage && !StoreVersion.isSameEra(mReadVersion, listed.storeVersion())) {
+            startRead(nowMs);
+            return;
+        }
+        mReadVersion = listed.storeVersion();
         listed.objects().forEach(o -> onRecord(nowMs, o));
         if (listed.more() && !listed.objects().isEmpty()) {
             read(nowMs, listed.objects().get(listed.objects().size() - 1).key());
@@ -207,9 +228,20 @@
         mReadOnce = true;
         mNextReadMs = nowMs + READ_INTERVAL_MS;
         mHasRecords = !mListed.isEmpty();
+        boolean restored =
+                mLastReadVersion > 0 && !StoreVersion.isSameEra(mLastReadVersion, mReadVersion);
+        mLastReadVersion = mReadVersion;
         mRecordedBeforeRead.stream()
                 .filter(d -> !mListed.contains(d))
-                .forEach(d -> mOnLifted.accept(nowMs, d));
+                .forEach(d -> onMissing(nowMs, d, restored));
+    }
+
+    private void onMissing(long nowMs, SuspectDigest digest, boolean restored) {
+        if (restored) {
+            mTable.item(nowMs, digest).ifPresent(i -> write(nowMs, i));
+        } else {
+            mOnLifted.accept(nowMs, digest);
+        }
     }
 
     /**
--- a/coordination/src/test/java/org/hornbeampass/coordination/quarantine/QuarantineFleet.java
+++ b/coordination/src/test/java/org/hornbeampass/coordination/quarantine/QuarantineFleet.java
@@ -209,6 +209,17 @@
                                 (u, deleted) -> {}));
     }
 
+    /** Returns a copy of the store's objects, for {@link #restoreStore}. */
+    MemoryPlatform.Copy copyStore() {
+        return mStore.copy();
+    }
+
+    /** Restores the store from a copy, which all VMs learn at once. */
+    void restoreStore(MemoryPlatform.Copy copy) {
+        mStore.restore(mNowMs, copy);
+        mByVm.values().forEach(q -> q.onEra(mNowMs));
+    }
+
     /** Returns whether the store holds the record of a quarantine. */
     boolean isRecorded(SuspectDigest request) {
         List<PlatformReply> replies = new ArrayList<>();
--- a/coordination/src/test/java/org/hornbeampass/coordination/quarantine/QuarantineTest.java
+++ b/coordination/src/test/java/org/hornbeampass/coordination/quarantine/QuarantineTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import org.hornbeampass.coordination.platform.MemoryPlatform;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -243,6 +244,23 @@
         assertThat(fleet.quarantinedVmCount(CRASHING)).isZero();
     }
 
+    @ParameterizedTest
+    @ValueSource(ints = {8, 95})
+    void recordLostByARestoredStore_isWrittenAgain(int vms) {
+        QuarantineFleet fleet = new QuarantineFleet(vms);
+        fleet.run(1_000);
+        MemoryPlatform.Copy copy = fleet.copyStore();
+        reportThreeCrashes(fleet);
+        fleet.run(12_000);
+        fleet.restoreStore(copy);
+        fleet.run(12_000);
+        assertThat(fleet.quarantinedVmCount(CRASHING)).isEqualTo(vms);
+        assertThat(fleet.isRecorded(CRASHING)).isTrue();
+        fleet.deleteRecord(CRASHING);
+        fleet.run(12_000);
+        assertThat(fleet.quarantinedVmCount(CRASHING)).isZero();
+    }
+
     @ParameterizedTest
     @ValueSource(ints = {8, 95})
     void quarantine_expiresOnAllVmsAndLeavesNoRecord(int vms) {
--- a/router/src/main/java/org/hornbeampass/router/daemon/FleetView.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/FleetView.java
@@ -12,6 +12,7 @@
 import org.hornbeampass.coordination.platform.Platform;
 import org.hornbeampass.coordination.platform.PlatformCall;
 import org.hornbeampass.coordination.platform.PlatformReply;
+import org.hornbeampass.coordination.platform.PlatformReply.StoredObject;
 import org.hornbeampass.coordination.ratelimit.PermitHomeResolver;
 import org.hornbeampass.coordination.ratelimit.SlowStartIssuers;
 import org.hornbeampass.coordination.service.BroadcastPaths;
@@ -46,6 +47,9 @@
     /** Delay before the registration is retried after a failed call, in milliseconds. */
     private static final long RETRY_MS = 1_000;
 
+    /** Time over which VMs register again after the store was restored, in milliseconds. */
+    private static final long REGISTRATION_SPREAD_MS = 3_000;
+
     /** Time in which a new VM learns of all others, in milliseconds. */
     private static final long DISCOVERY_MS = 4_000;
 
@@ -74,6 +78,7 @@
     private static final int SLOW_START_ISSUERS = 3;
 
     private final Platform mPlatform;
+    private final Random mRandom;
     private final Membership mMembership;
     private final VmListReader mListReader;
     private final ListedVm mSelf;
@@ -103,6 +108,7 @@
             Platform platform,
             Random random) {
         mPlatform = platform;
+        mRandom = random;
         Member self =
                 new Member(
                         vm,
@@ -283,12 +289,25 @@
                 (t, reply) -> onRegistered(t, key, reply));
     }
 
+    /**
+     * Handles that the store was restored, which may have lost this VM's entry. The VMs of a large
+     * fleet write theirs over some seconds.
+     */
+    void onEra(long nowMs) {
+        mRegistered = false;
+        mNextRegistrationMs = nowMs + mRandom.nextLong(REGISTRATION_SPREAD_MS);
+    }
+
     private void onRegistered(long nowMs, String key, PlatformReply reply) {
         if (reply instanceof PlatformReply.Conflict conflict && conflict.current().isPresent()) {
+            StoredObject current = conflict.current().get();
+            if (current.value().equals(Json.encode(mSelf))) {
+                onRegistrationDone(nowMs, new PlatformReply.Written(current.version()));
+                return;
+            }
             mPlatform.submit(
                     nowMs,
-                    new PlatformCall.Update(
-                            key, Json.encode(mSelf), conflict.current().get().version()),
+                    new PlatformCall.Update(key, Json.encode(mSelf), current.version()),
                     (t, second) -> onRegistrationDone(t, second));
             return;
         }
--- a/router/src/main/java/org/hornbeampass/router/daemon/GrantLog.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/GrantLog.java
@@ -38,6 +38,20 @@
                 new LogFields().add("organisation", organisation).add("tokens", tokens));
     }
 
+    @Override
+    public void onGrantsSuspended(long nowMs, int pool, long formerEra, long era) {
+        mLog.logStateChange(
+                nowMs,
+                "grants-suspended",
+                new LogFields().add("pool", pool).add("former_era", formerEra).add("era", era));
+    }
+
+    @Override
+    public void onGrantsWrittenAgain(long nowMs, int pool, long era) {
+        mLog.logStateChange(
+                nowMs, "grants-written-again", new LogFields().add("pool", pool).add("era", era));
+    }
+
     @Override
     public void onUnsuccessfulSearch(long nowMs, String organisation, Search search) {
         mLog.logStateChange(
--- a/router/src/main/java/org/hornbeampass/router/daemon/RelayDaemon.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/RelayDaemon.java
@@ -312,13 +312,21 @@
 
     private void registerListeners() {
         mStore.onRegained(mViews::onStoreRegained);
-        mPlatform.addListener((nowMs, former, era) -> mViews.onEra(nowMs));
-        mPlatform.addListener((nowMs, former, era) -> mBudgets.onEra(nowMs, era));
+        mPlatform.addListener(this::onStoreEra);
         mSettings.load().admission().ifPresent(mContext::enableAdmission);
         registerPeers();
         registerMetrics();
     }
 
+    private void onStoreEra(long nowMs, long formerEra, long era) {
+        mViews.onEra(nowMs);
+        mBudgets.onEra(nowMs, era);
+        if (formerEra > 0) {
+            mFleet.onEra(nowMs);
+            mQuarantine.onEra(nowMs);
+        }
+    }
+
     private void registerPeers() {
         var membership = mFleet.membership();
         membership.addListener(new PeerLog(mLog));
