Pause the intake only in installations whose callers may read slowly

Cause: the deploy template set pause_intake for every installation. Change: the settings list the installation's features, and the template names the one that calls for pauses.

--- a/router/src/main/java/org/hornbeampass/router/daemon/RelaySettingsFile.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/RelaySettingsFile.java
@@ -82,10 +82,18 @@
                         .map(RelaySettingsFile::upstreamLimits)
                         .orElse(UpstreamLimits.DEFAULT),
                 node.optionalBoolean("refuse_by_backlog", false),
-                node.optionalBoolean("pause_intake", false),
+                pausesIntake(node),
                 node.optionalLong("buffer_bytes", 0, MIN_BUFFER_BYTES, MAX_BUFFER_BYTES));
     }
 
+    /** Returns whether the intake pauses: always, or in installations with a certain feature. */
+    private static boolean pausesIntake(SettingsNode node) {
+        List<String> features = node.optionalStrings("features");
+        boolean featured =
+                node.optionalString("pause_intake_feature").filter(features::contains).isPresent();
+        return node.optionalBoolean("pause_intake", false) || featured;
+    }
+
     private static VmCapacity capacity(SettingsNode node) {
         double share = node.optionalDouble("processor_share", 1, 0.01, 1);
         double cores = node.optionalDouble("processor_cores", 1, 0.01, 1_024);
--- a/router/src/test/java/org/hornbeampass/router/daemon/SettingsReloadTest.java
+++ b/router/src/test/java/org/hornbeampass/router/daemon/SettingsReloadTest.java
@@ -64,6 +64,21 @@
         assertThat(mApplied).hasSize(1);
     }
 
+    @Test
+    void intakePauses_onlyWhereTheInstallationHasTheFeature() {
+        assertThat(pausesIntake("")).isFalse();
+        assertThat(pausesIntake("\"pause_intake\": true,")).isTrue();
+        String feature = "\"pause_intake_feature\": \"slow\",";
+        assertThat(pausesIntake(feature)).isFalse();
+        assertThat(pausesIntake(feature + "\"features\": [\"base\", \"slow\"],")).isTrue();
+        assertThat(pausesIntake(feature + "\"features\": [\"base\"],")).isFalse();
+    }
+
+    private static boolean pausesIntake(String fields) {
+        String text = TEXT.replace("\"seeds\"", fields + "\"seeds\"");
+        return RelaySettingsFile.read("router.json", text).get().load().pauseIntake();
+    }
+
     @Test
     void settingsThatNeedARestart_keepTheirValuesAndAreReported() throws IOException {
         SettingsReload reload = reload();
