Give no fencing number again after the platform was restored

Cause: a lease that comes back in an older copy has a lower fencing number, so that the next holder was given one that another holder had after the copy was taken. Change: a number contains the era in which it was first given; a holder of a number of a former era takes a new one. Evidence: LeaseTest.restoredLease_isTakenWithANumberThatWasNeverGiven failed before and passes. A lease that the copy lacks altogether still begins at 1: open.

--- a/coordination/src/main/java/org/hornbeampass/coordination/platform/Lease.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/platform/Lease.java
@@ -24,8 +24,10 @@
  * lease only keeps two VMs from doing the same work.
  *
  * <p>Invariants: {@link #heldFencingNumber} is empty once the duration has passed since the last
- * renewal was sent; a fencing number is never given to two holders of the same lease. Thread-safe:
- * one lock guards the state; calls and callbacks run without it.
+ * renewal was sent; a fencing number is never given to two holders of the same lease, also if the
+ * platform is restored from an older copy that has the lease, since numbers contain the era in
+ * which they were first given. Thread-safe: one lock guards the state; calls and callbacks run
+ * without it.
  */
 public final class Lease {
     private static final String PREFIX = "leases/";
@@ -119,7 +121,9 @@
             done.accept(nowMs, Either.left(Failure.of(ErrorKind.ALREADY_EXISTS, message)));
             return;
         }
-        long fencing = own ? lease.fencing() : lease.fencing() + 1;
+        long firstOfEra = StoreVersion.of(StoreVersion.era(object.version()), 1);
+        boolean keepsNumber = own && lease.fencing() >= firstOfEra;
+        long fencing = keepsNumber ? lease.fencing() : Math.max(lease.fencing() + 1, firstOfEra);
         LeaseRecord next = new LeaseRecord(Optional.of(mVm), fencing, lease.renewal() + 1);
         writeHolder(nowMs, object.version(), next, done);
     }
--- a/coordination/src/test/java/org/hornbeampass/coordination/platform/LeaseTest.java
+++ b/coordination/src/test/java/org/hornbeampass/coordination/platform/LeaseTest.java
@@ -68,6 +68,17 @@
         assertThat(acquire(mSecond, 1_001).get()).isEqualTo(2L);
     }
 
+    @Test
+    void restoredLease_isTakenWithANumberThatWasNeverGiven() {
+        acquire(mFirst, 0);
+        MemoryPlatform.Copy copy = mPlatform.copy();
+        acquire(mSecond, 1_000);
+        long forgotten = acquire(mSecond, 11_001).get();
+        mPlatform.restore(12_000, copy);
+
+        assertThat(acquire(mFirst, 12_001).get()).isGreaterThan(forgotten);
+    }
+
     @Test
     void lostWriteReply_leaseIsAdoptedByNextAttempt() {
         boolean[] losesReplies = {true};
