Expect a late write at the revision on which it was based after a restoration

Cause: a write without an answer counted as not applied once the record was read at another version. After the platform was restored to the same revision it may still be applied there, and the change is then applied twice. Change: the revisions are compared, not the versions. Evidence: ConditionalWriterTest.writeThatARestoredStoreAppliesLate_isAppliedOnce failed before and passes.

--- a/coordination/src/main/java/org/hornbeampass/coordination/platform/RecordChange.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/platform/RecordChange.java
@@ -18,9 +18,10 @@
 /**
  * One change of one record, with its reads, writes and retries.
  *
- * <p>Invariant: at most one write is unconfirmed. Once the record has been read at another version
- * without this change's mark, an earlier write of the change can no longer take effect. Not
- * thread-safe: each step follows the reply to the previous one or a tick of the writer.
+ * <p>Invariant: at most one write is unconfirmed. Once the record has been read at another revision
+ * without this change's mark, an earlier write of the change can no longer take effect; a store
+ * that was restored may still apply it at the revision on which it was based. Not thread-safe: each
+ * step follows the reply to the previous one or a tick of the writer.
  */
 final class RecordChange<T> {
     private final ConditionalWriter mWriter;
@@ -87,7 +88,7 @@
         }
         StoredValue stored = decoded.get();
         if (mWriteUnconfirmed
-                && version != mUnconfirmedBaseVersion
+                && StoreVersion.revision(version) != StoreVersion.revision(mUnconfirmedBaseVersion)
                 && !resolveUnconfirmedWrite(nowMs, stored)) {
             return;
         }
--- a/coordination/src/test/java/org/hornbeampass/coordination/platform/ConditionalWriterTest.java
+++ b/coordination/src/test/java/org/hornbeampass/coordination/platform/ConditionalWriterTest.java
@@ -75,6 +75,40 @@
         assertThat(stored()).isEqualTo(40);
     }
 
+    @Test
+    void writeThatARestoredStoreAppliesLate_isAppliedOnce() {
+        MemoryPlatform store = new MemoryPlatform(1);
+        store.submit(0, new PlatformCall.Create("counters/other", "{}"), (t, reply) -> {});
+        List<PlatformCall> late = new ArrayList<>();
+        boolean[] delays = {false};
+        Platform platform =
+                (nowMs, call, done) -> {
+                    if (call instanceof PlatformCall.Update && delays[0] && late.isEmpty()) {
+                        late.add(call);
+                        done.accept(nowMs, new PlatformReply.Unavailable("late"));
+                        return;
+                    }
+                    if (call instanceof PlatformCall.Update && delays[0]) {
+                        late.forEach(c -> store.submit(nowMs, c, (t, reply) -> {}));
+                    }
+                    store.submit(nowMs, call, done);
+                };
+        ConditionalWriter writer =
+                new ConditionalWriter(platform, A, new RetryPolicy(10, 10, 10), 1);
+        increment(writer);
+        MemoryPlatform.Copy copy = store.copy();
+        delays[0] = true;
+        increment(writer);
+        store.restore(0, copy);
+        mTime.runFor(1_000);
+        for (int i = 0; i < 10; i++) {
+            writer.tick(mTime.nowMs() + 100L * i);
+        }
+
+        assertThat(mResults).hasSize(2).allMatch(Either::isRight);
+        assertThat(mResults.get(1).get().count()).isEqualTo(2);
+    }
+
     @Test
     void exhaustedRetries_outcomeIsUnknownOnlyIfWriteMayHaveApplied() {
         mPlatform.setLatency(1, 900);
