--- a/coordination/src/main/java/org/hornbeampass/coordination/escrow/EscrowShard.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/escrow/EscrowShard.java
@@ -82,12 +82,6 @@
      */
     private static final long SLOW_CALL_MS = 150;
 
-    /**
-     * The time after the store was restored in which no tokens are granted, in milliseconds: VMs
-     * that know of grants which the store has forgotten write them again in it.
-     */
-    private static final long RESTORE_SETTLE_MS = 1_000;
-
     /** Another VM's request for a loan that waits for an exchange since a time in milliseconds. */
     private record WaitingLoan(String organisation, long sinceMs, Runnable answer) {}
 
@@ -105,8 +99,7 @@
     private final RecordExchange mExchange;
     private boolean mReturning;
     private long mLastExchangeMs = Long.MIN_VALUE / 2;
-    private boolean mWaitedForOthers;
-    private long mSuspendedUntilMs = Long.MIN_VALUE;
+    private final GrantSuspension mSuspension;
     private Consumer<RecordNotice> mNoticeListener = notice -> {};
     private long mDirectUntilMs = Long.MIN_VALUE;
     private long mNextDirectMs = Long.MIN_VALUE;
@@ -123,6 +116,7 @@
         mListener = listener;
         mOwner = owner;
         mPlan = new GrantPlan(owner, mKnownBudgets, mAccounts, policy, homes, pool);
+        mSuspension = new GrantSuspension(pool, mKnownBudgets, listener);
         mLending = new ShardLending(mAccounts, mKnownBudgets, mPlan, homes, pool);
         long seed = (long) owner.incarnation().hashCode() + pool;
         mExchange =
@@ -147,22 +141,14 @@
     void onEra(long nowMs, long era) {
         mExchange.onRestored();
         mAccounts.values().forEach(EscrowAccount::onStoreRestored);
-        mWaitedForOthers = false;
         mKnownBudgets.records().beginEra(era);
+        mSuspension.onEra(nowMs);
         if (mKnownBudgets.records().hasForgottenGrants()) {
-            suspendGrants(nowMs);
             sendNotice();
         }
         tick(nowMs);
     }
 
-    private void suspendGrants(long nowMs) {
-        mSuspendedUntilMs = nowMs + RESTORE_SETTLE_MS;
-        mKnownBudgets.setGrantsSuspended(true);
-        KnownRecords records = mKnownBudgets.records();
-        mListener.onGrantsSuspended(nowMs, mPool, records.known().era(), records.era());
-    }
-
     void setPrepaid(String organisation, long tokens) {
         mKnownBudgets.setPrepaid(organisation, tokens);
         mAccounts.computeIfAbsent(organisation, o -> new EscrowAccount());
@@ -363,9 +349,7 @@
     }
 
     void tick(long nowMs) {
-        if (nowMs >= mSuspendedUntilMs) {
-            mKnownBudgets.setGrantsSuspended(false);
-        }
+        mSuspension.tick(nowMs);
         answerLoans(l -> nowMs - l.sinceMs() >= LENDER_WAIT_MS);
         if (!mKnownBudgets.organisations().isEmpty()
                 && mExchange.isReady(nowMs)
@@ -502,29 +486,13 @@
         if (applyRecord(nowMs, writePending)) {
             sendNotice();
         }
-        if (mayWrite(nowMs)) {
+        if (mSuspension.mayWrite(nowMs)) {
             return true;
         }
         runCallbacks();
         return false;
     }
 
-    /**
-     * Returns whether the record may be written. A VM that knows no grants of a former era leaves
-     * it to others for a while to write theirs into a restored copy.
-     */
-    private boolean mayWrite(long nowMs) {
-        KnownRecords records = mKnownBudgets.records();
-        if (!records.isOfFormerEra() || records.hasForgottenGrants()) {
-            return true;
-        }
-        if (!mWaitedForOthers) {
-            mWaitedForOthers = true;
-            suspendGrants(nowMs);
-        }
-        return nowMs >= mSuspendedUntilMs;
-    }
-
     /** Applies the record in the store; returns whether it shows a larger grant of this VM. */
     private boolean applyRecord(long nowMs, boolean writePending) {
         boolean raised = false;
