Merge records of budgets unless one is certainly based on the other

Cause: two records that name the same era were taken for one history. Change: the later record counts alone only where both were seen in the same era of the store and name the same era; otherwise the largest grants of both count.

--- a/coordination/src/main/java/org/hornbeampass/coordination/escrow/KnownRecords.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/escrow/KnownRecords.java
@@ -14,36 +14,39 @@
  */
 final class KnownRecords {
     /**
-     * A record as it was written, or several of them merged.
+     * A record as it was read or written, or several of them merged.
      *
      * @param record the record
-     * @param version the version of the last write, in the era in which it was made
-     * @param merged whether the record has grants on which that write was not based
+     * @param version the version at which the store had it
+     * @param merged whether the store had it only in parts
      */
-    private record Written(EscrowRecord record, long version, boolean merged) {
-        static Written of(EscrowRecord record, long storeVersion) {
-            long version = StoreVersion.of(record.era(), StoreVersion.revision(storeVersion));
-            return new Written(record, version, false);
+    private record Seen(EscrowRecord record, long version, boolean merged) {
+        static Seen of(EscrowRecord record, long version) {
+            return new Seen(record, version, false);
         }
 
-        /**
-         * Returns the grants of both: those of the later one if it is based on the other, as two
-         * writes of one era are; otherwise the largest of each.
-         */
-        Written with(Written other) {
-            if (merged || other.merged || !StoreVersion.isSameEra(version, other.version)) {
-                return new Written(
+        /** Returns the later one if it is based on the other, otherwise the largest grants. */
+        Seen with(Seen other) {
+            if (!isOfSameHistory(other)) {
+                return new Seen(
                         record.mergedWith(other.record), Math.max(version, other.version), true);
             }
             return other.version > version ? other : this;
         }
+
+        private boolean isOfSameHistory(Seen other) {
+            return !merged
+                    && !other.merged
+                    && StoreVersion.isSameEra(version, other.version)
+                    && record.era() == other.record.era();
+        }
     }
 
-    private static final Written NONE = new Written(EscrowRecord.empty(), 0, false);
+    private static final Seen NONE = new Seen(EscrowRecord.empty(), 0, false);
 
-    private Written mInStore = NONE;
-    private Optional<Written> mForgotten = Optional.empty();
-    private Optional<Written> mReported = Optional.empty();
+    private Seen mInStore = NONE;
+    private Optional<Seen> mForgotten = Optional.empty();
+    private Optional<Seen> mReported = Optional.empty();
     private EscrowRecord mKnown = EscrowRecord.empty();
     private long mEra;
     private boolean mRead;
@@ -80,7 +83,7 @@
 
     /** Sets the record as read from the store. */
     void onRead(EscrowRecord record, long version) {
-        Written read = Written.of(record, version);
+        Seen read = Seen.of(record, version);
         // A writer that has not learnt of the era may have replaced a record of that era.
         if (mRead && record.era() < mInStore.record().era()) {
             keepKnown();
@@ -94,14 +97,14 @@
     void onWritten(EscrowRecord record, long version) {
         mRead = true;
         mForgotten = Optional.empty();
-        mInStore = Written.of(record, version);
+        mInStore = Seen.of(record, version);
         mReported = mReported.filter(r -> StoreVersion.isSameEra(r.version(), mInStore.version()));
         mKnown = record;
     }
 
     /** Records what another VM has written, or what it knows of a former era. */
     void onReported(EscrowRecord record, long version) {
-        Written reported = Written.of(record, version);
+        Seen reported = Seen.of(record, version);
         if (record.era() < mEra) {
             mForgotten = Optional.of(mForgotten.map(f -> f.with(reported)).orElse(reported));
             mKnown = extended().record();
@@ -118,12 +121,12 @@
     }
 
     private void keepKnown() {
-        Optional<Written> known = mRead ? Optional.of(extended()) : Optional.empty();
+        Optional<Seen> known = mRead ? Optional.of(extended()) : Optional.empty();
         mForgotten = known.map(k -> mReported.map(k::with).orElse(k)).or(() -> mReported);
     }
 
     /** Returns the record in the store with the grants that it may lack. */
-    private Written extended() {
+    private Seen extended() {
         return mForgotten.map(mInStore::with).orElse(mInStore);
     }
 }
