--- a/coordination/src/main/java/org/hornbeampass/coordination/escrow/EscrowShard.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/escrow/EscrowShard.java
@@ -7,7 +7,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.OptionalLong;
 import java.util.function.Consumer;
 import java.util.function.LongConsumer;
 import java.util.function.Predicate;
@@ -23,12 +22,6 @@
     /** The minimum interval between exchanges made only to report spending, in milliseconds. */
     private static final long REPORT_INTERVAL_MS = 3_000;
 
-    /**
-     * Spending is reported only if it is at least the unspent tokens divided by this number: while
-     * most of a budget is left, the other VMs do not need the exact amount.
-     */
-    private static final long REPORT_DIVISOR = 50;
-
     /**
      * The time for which a VM that is not a home may exchange with the store, in milliseconds,
      * after another VM took it for a home or after no home answered it. It covers the time until
@@ -48,13 +41,6 @@
      */
     private static final long LENDER_WAIT_MS = 120;
 
-    /**
-     * The interval at which the store is checked for an organisation whose requests were refused
-     * without confirmation that its budget is used up. It is short enough that the next refusal can
-     * be confirmed.
-     */
-    private static final long RECHECK_INTERVAL_MS = KnownBudgets.MAX_PROOF_AGE_MS / 2;
-
     /**
      * The time for which the store is checked after the last unconfirmed refusal, in milliseconds.
      * Callers retry within their own time limit, which is at most 12 s.
@@ -90,6 +76,7 @@
     private final Map<String, EscrowAccount> mAccounts = new HashMap<>();
     private final GrantPlan mPlan;
     private final KnownBudgets mKnownBudgets = new KnownBudgets();
+    private final ExchangeNeed mNeed;
     private final ShardLending mLending;
     private final PoolHomes mHomes;
     private final int mPool;
@@ -116,6 +103,7 @@
         mListener = listener;
         mOwner = owner;
         mPlan = new GrantPlan(owner, mKnownBudgets, mAccounts, policy, homes, pool);
+        mNeed = new ExchangeNeed(mAccounts, mKnownBudgets, mPlan);
         mSuspension = new GrantSuspension(pool, mKnownBudgets, listener);
         mLending = new ShardLending(mAccounts, mKnownBudgets, mPlan, homes, pool);
         long seed = (long) owner.incarnation().hashCode() + pool;
@@ -159,7 +147,7 @@
         if (account.reserve(tokens)) {
             return Admission.RESERVED;
         }
-        boolean exceedsUnspent = tokens > unspent(organisation);
+        boolean exceedsUnspent = tokens > mNeed.unspent(organisation);
         if (exceedsUnspent && mKnownBudgets.isFresh(nowMs, organisation)) {
             return Admission.EXHAUSTED;
         }
@@ -167,10 +155,6 @@
         return Admission.INSUFFICIENT_HERE;
     }
 
-    private long unspent(String organisation) {
-        return mKnownBudgets.unspent(organisation, mAccounts.get(organisation));
-    }
-
     /**
      * Returns whether the store is reachable and may have the tokens that a request waits for, or
      * may confirm that there are none.
@@ -181,22 +165,11 @@
                 || !exchangesWithStore(nowMs)) {
             return false;
         }
-        boolean exceedsUnspent = tokens > unspent(organisation);
-        return storeMayHave(organisation, tokens)
+        boolean exceedsUnspent = tokens > mNeed.unspent(organisation);
+        return mNeed.storeMayHave(organisation, tokens)
                 || (exceedsUnspent && !mKnownBudgets.isFresh(nowMs, organisation));
     }
 
-    private boolean storeMayHave(String organisation, long tokens) {
-        return mKnownBudgets.unallocated(organisation) + mAccounts.get(organisation).free()
-                >= tokens;
-    }
-
-    /** Returns whether a request waits for tokens that the store may have. */
-    private boolean mayServeWanted(String organisation) {
-        OptionalLong least = mAccounts.get(organisation).smallestWanted();
-        return least.isPresent() && storeMayHave(organisation, least.getAsLong());
-    }
-
     /** Returns whether calls to the store fail, or have been open for too long. */
     boolean isStoreUnreachable(long nowMs) {
         return mExchange.isFailing() || mExchange.openForMs(nowMs) >= SLOW_CALL_MS;
@@ -336,7 +309,7 @@
         return new EscrowBook.AdmissionState(
                 free(organisation),
                 mKnownBudgets.unallocated(organisation),
-                unspent(organisation),
+                mNeed.unspent(organisation),
                 mKnownBudgets.writtenOff(organisation),
                 mKnownBudgets.storeReplyAgeMs(nowMs),
                 isStoreUnreachableFor(nowMs, organisation));
@@ -372,7 +345,7 @@
             return true;
         }
         boolean canServeWanted =
-                mKnownBudgets.organisations().stream().anyMatch(this::mayServeWanted);
+                mKnownBudgets.organisations().stream().anyMatch(mNeed::mayServeWanted);
         if (canServeWanted) {
             return true;
         }
@@ -384,7 +357,7 @@
         }
         boolean reportDue = nowMs - mLastExchangeMs >= REPORT_INTERVAL_MS;
         return mKnownBudgets.organisations().stream()
-                .anyMatch(o -> needsExchange(nowMs, o, reportDue));
+                .anyMatch(o -> mNeed.isWorthwhile(nowMs, o, reportDue));
     }
 
     /** Returns whether this VM currently exchanges with the store. */
@@ -397,41 +370,6 @@
         return mAccounts.values().stream().anyMatch(a -> a.granted() > 0);
     }
 
-    private boolean needsExchange(long nowMs, String organisation, boolean reportDue) {
-        EscrowAccount account = mAccounts.get(organisation);
-        if (!mKnownBudgets.isRecordKnown()
-                || (account.hasUnconfirmedRefusals(nowMs)
-                        && !mKnownBudgets.repliedWithin(nowMs, RECHECK_INTERVAL_MS))) {
-            return true;
-        }
-        if (reportDue && isWorthReporting(account, organisation)) {
-            return true;
-        }
-        long target = mPlan.target(nowMs, organisation);
-        boolean belowTarget =
-                account.free() < target / 2
-                        && mPlan.isWorthTaking(organisation, target - account.free());
-        return belowTarget
-                || mPlan.isWorthReturning(organisation, target, returnableTokens(account, target));
-    }
-
-    /**
-     * Returns the tokens that this VM can return to the store: at most those that the store granted
-     * to it. Tokens transferred by other VMs are kept for their requests; otherwise a home that
-     * held such tokens would write the same record every 600 ms.
-     */
-    private static long returnableTokens(EscrowAccount account, long target) {
-        return Math.min(account.free() - target, account.granted());
-    }
-
-    /**
-     * Returns whether, without a report, the end of a budget would be detected noticeably later.
-     */
-    private boolean isWorthReporting(EscrowAccount account, String organisation) {
-        long unreported = account.spent() - account.reportedSpent();
-        return unreported > 0 && unreported >= unspent(organisation) / REPORT_DIVISOR;
-    }
-
     @Override
     public EscrowRecord prepareRecord(long nowMs) {
         EscrowRecord next = mPlan.nextRecord(nowMs, mReturning);
--- a/coordination/src/main/java/org/hornbeampass/coordination/quarantine/Quarantine.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/quarantine/Quarantine.java
@@ -2,6 +2,7 @@
 
 import org.hornbeampass.coordination.peer.PeerMessage;
 import org.hornbeampass.coordination.peer.PeerNetwork;
+import org.hornbeampass.coordination.platform.EraListener;
 import org.hornbeampass.coordination.platform.Platform;
 import org.hornbeampass.coordination.service.BroadcastPaths;
 import org.hornbeampass.coordination.service.BroadcastQueue;
@@ -27,7 +28,7 @@
  * them too, and they are kept in the platform's store. While no upstream has crashed, nothing is
  * sent. Confined to one thread.
  */
-public final class Quarantine {
+public final class Quarantine implements EraListener {
     /** The largest number of requests in one message. */
     private static final int MAX_ITEMS = 128;
 
@@ -196,7 +197,8 @@
     }
 
     /** Handles that the store was restored, which may have lost records of quarantines. */
-    public void onEra(long nowMs) {
+    @Override
+    public void onEra(long nowMs, long formerEra, long era) {
         mStore.onEra(nowMs);
     }
 
--- a/coordination/src/test/java/org/hornbeampass/coordination/quarantine/QuarantineFleet.java
+++ b/coordination/src/test/java/org/hornbeampass/coordination/quarantine/QuarantineFleet.java
@@ -217,7 +217,7 @@
     /** Restores the store from a copy, which all VMs learn at once. */
     void restoreStore(MemoryPlatform.Copy copy) {
         mStore.restore(mNowMs, copy);
-        mByVm.values().forEach(q -> q.onEra(mNowMs));
+        mByVm.values().forEach(q -> q.onEra(mNowMs, mStore.era() - 1, mStore.era()));
     }
 
     /** Returns whether the store holds the record of a quarantine. */
--- a/router/src/main/java/org/hornbeampass/router/daemon/FleetView.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/FleetView.java
@@ -9,6 +9,7 @@
 import org.hornbeampass.coordination.membership.Seed;
 import org.hornbeampass.coordination.news.WatchPaths;
 import org.hornbeampass.coordination.peer.PeerNetwork;
+import org.hornbeampass.coordination.platform.EraListener;
 import org.hornbeampass.coordination.platform.Platform;
 import org.hornbeampass.coordination.platform.PlatformCall;
 import org.hornbeampass.coordination.platform.PlatformReply;
@@ -41,7 +42,7 @@
  * <p>VMs use their IP addresses as names among each other, so that a seed's name is known from its
  * address. Confined to one event loop.
  */
-final class FleetView implements PermitHomeResolver, SlowStartIssuers {
+final class FleetView implements PermitHomeResolver, SlowStartIssuers, EraListener {
     private static final String VM_PREFIX = "vms/";
 
     /** Delay before the registration is retried after a failed call, in milliseconds. */
@@ -293,7 +294,11 @@
      * Handles that the store was restored, which may have lost this VM's entry. The VMs of a large
      * fleet write theirs over some seconds.
      */
-    void onEra(long nowMs) {
+    @Override
+    public void onEra(long nowMs, long formerEra, long era) {
+        if (formerEra == 0) {
+            return;
+        }
         mRegistered = false;
         mNextRegistrationMs = nowMs + mRandom.nextLong(REGISTRATION_SPREAD_MS);
     }
--- a/router/src/main/java/org/hornbeampass/router/daemon/RelayDaemon.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/RelayDaemon.java
@@ -312,21 +312,15 @@
 
     private void registerListeners() {
         mStore.onRegained(mViews::onStoreRegained);
-        mPlatform.addListener(this::onStoreEra);
+        mPlatform.addListener(mViews);
+        mPlatform.addListener((nowMs, former, era) -> mBudgets.onEra(nowMs, era));
+        mPlatform.addListener(mFleet);
+        mPlatform.addListener(mQuarantine);
         mSettings.load().admission().ifPresent(mContext::enableAdmission);
         registerPeers();
         registerMetrics();
     }
 
-    private void onStoreEra(long nowMs, long formerEra, long era) {
-        mViews.onEra(nowMs);
-        mBudgets.onEra(nowMs, era);
-        if (formerEra > 0) {
-            mFleet.onEra(nowMs);
-            mQuarantine.onEra(nowMs);
-        }
-    }
-
     private void registerPeers() {
         var membership = mFleet.membership();
         membership.addListener(new PeerLog(mLog));
--- a/router/src/main/java/org/hornbeampass/router/daemon/StoreViews.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/StoreViews.java
@@ -12,6 +12,7 @@
 import org.hornbeampass.coordination.peer.PeerNetwork;
 import org.hornbeampass.coordination.platform.CatchUpMode;
 import org.hornbeampass.coordination.platform.EraGuard;
+import org.hornbeampass.coordination.platform.EraListener;
 import org.hornbeampass.coordination.platform.PlatformReply.Change;
 import org.hornbeampass.coordination.platform.RetryPolicy;
 import org.hornbeampass.coordination.platform.StoreVersion;
@@ -40,7 +41,7 @@
  *
  * <p>Confined to one event loop.
  */
-final class StoreViews implements MembershipListener, ViewStatus {
+final class StoreViews implements MembershipListener, ViewStatus, EraListener {
     /**
      * How long a watch waits, in milliseconds. A watch whose answer was lost misses changes for
      * this long, unless another VM reports them. Each watch is a call that is charged.
@@ -243,7 +244,8 @@
     }
 
     /** Restarts the watches, which wait for revisions of a former era of the store. */
-    void onEra(long nowMs) {
+    @Override
+    public void onEra(long nowMs, long formerEra, long era) {
         mViews.values().forEach(v -> v.restartWatch(nowMs));
     }
 
