Keep grants that are reported while a record is being written

Cause: a write that was answered cleared all that the restored store may have lacked, also what another VM had reported after the write was sent; found by reading. Change: only what the write contained is cleared. Evidence: KnownRecordsTest.grantsReportedDuringAWrite_arePartOfTheNextOne.

--- a/coordination/src/main/java/org/hornbeampass/coordination/escrow/KnownRecords.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/escrow/KnownRecords.java
@@ -46,6 +46,7 @@
 
     private Seen mInStore = NONE;
     private Optional<Seen> mForgotten = Optional.empty();
+    private Optional<Seen> mSentForgotten = Optional.empty();
     private Optional<Seen> mReported = Optional.empty();
     private EscrowRecord mKnown = EscrowRecord.empty();
     private long mEra;
@@ -93,13 +94,20 @@
         mKnown = extended().record();
     }
 
-    /** Sets the record that this VM has written, based on {@link #known}. */
+    /** Records that a write based on {@link #known} is sent. */
+    void onWriteSent() {
+        mSentForgotten = mForgotten;
+    }
+
+    /** Sets the record that this VM has written, based on what was known when it was sent. */
     void onWritten(EscrowRecord record, long version) {
         mRead = true;
-        mForgotten = Optional.empty();
+        if (mForgotten.equals(mSentForgotten)) {
+            mForgotten = Optional.empty();
+        }
         mInStore = Seen.of(record, version);
         mReported = mReported.filter(r -> StoreVersion.isSameEra(r.version(), mInStore.version()));
-        mKnown = record;
+        mKnown = extended().record();
     }
 
     /** Records what another VM has written, or what it knows of a former era. */
--- a/coordination/src/main/java/org/hornbeampass/coordination/escrow/RecordExchange.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/escrow/RecordExchange.java
@@ -121,6 +121,7 @@
 
     private void write(long nowMs) {
         mSentRecord = mHandler.prepareRecord(nowMs);
+        mKnownBudgets.records().onWriteSent();
         mUncertainBaseVersion = mVersion;
         String value = Json.encode(mSentRecord);
         submit(
