Review: streams of two software versions are joined

Cause: an entry with a later start ends requests that were sent after that start, and their streams go on at the former version.

--- a/review/standin/Runner.java
+++ b/review/standin/Runner.java
@@ -35,6 +35,7 @@
     private volatile ServerSocket mListener;
     private volatile Behaviour mBehaviour;
     private volatile boolean mUp;
+    private volatile boolean mCutFromStore;
     private volatile String mVersion = "v1";
     private volatile long mBornMs;
     private volatile long mSeq;
@@ -54,6 +55,10 @@
         mBehaviour = behaviour;
     }
 
+    String version() {
+        return mVersion;
+    }
+
     void setVersion(String version) {
         mVersion = version;
     }
@@ -82,7 +87,16 @@
                 });
     }
 
+    /** Cuts the runner off from the store, or heals the cut. */
+    void setCutFromStore(boolean cut) {
+        mCutFromStore = cut;
+        mWorld.record.line("runner " + id + (cut ? " is cut off from" : " reaches") + " the store");
+    }
+
     void writeEntry() {
+        if (mCutFromStore) {
+            return;
+        }
         mWorld.store.put(
                 "servers",
                 id,
