--- a/review/standin/DeadlyPart.java
+++ b/review/standin/DeadlyPart.java
@@ -138,7 +138,7 @@
         try {
             for (int i = 0; !mOver; i++) {
                 Router router = mWorld.routers.get(i % mWorld.routers.size());
-                    String part = "e" + (1 + i % 5) + "000000";
+                String part = "e" + (1 + i % 5) + "000000";
                 World.thread("sound requester", () -> ask(router, part));
                 World.sleep(125);
             }
