Log answers and bytes of upstreams that no request asked for

A caller's answer that was not its own could not be traced: a second answer was a line unrelated-answer with the upstream alone, and bytes that follow an answer left no line at all. The line now says where the answer was found, the id that it bears, its status and its framing, also for requests forwarded to another VM; unrequested-input names the address whose connection was closed for bytes on it, and the counter unrequested_input tells the places apart.

The id in an answer's head is read through WireFormat, and the connection is told about it with AnswerIds, so that the transport can relate answers to requests itself. Which answers are passed on does not change.

UpstreamConnectionTest passes the new argument; its checks are the same.

--- a/router/src/main/java/org/hornbeampass/router/daemon/UpstreamReachMonitor.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/UpstreamReachMonitor.java
@@ -8,6 +8,7 @@
 import org.hornbeampass.router.relay.LogFields;
 import org.hornbeampass.router.relay.RelayBounds;
 import org.hornbeampass.router.relay.RelayLog;
+import org.hornbeampass.transport.relay.UnrequestedInput;
 import org.hornbeampass.transport.relay.UpstreamPool;
 
 import java.util.List;
@@ -90,6 +91,11 @@
         }
     }
 
+    @Override
+    public void onUnrequestedInput(long nowMs, String address, UnrequestedInput where) {
+        mLog.logUnrequestedInput(nowMs, address, where);
+    }
+
     /** Probes one upstream of each service to which the links are lost. */
     void tick(long nowMs, UpstreamPool pool) {
         if (nowMs < mNextProbeMs) {
--- a/router/src/main/java/org/hornbeampass/router/relay/ForwardedRequest.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/ForwardedRequest.java
@@ -10,6 +10,7 @@
 import org.hornbeampass.state.RunState;
 import org.hornbeampass.state.member.Member;
 import org.hornbeampass.transport.relay.AnswerFraming;
+import org.hornbeampass.transport.relay.AnswerIds;
 import org.hornbeampass.transport.relay.UpstreamConnection;
 import org.hornbeampass.transport.relay.UpstreamListener;
 
@@ -98,7 +99,10 @@
         mMayHaveRun = true;
         mConnection = connection;
         mTransfer.restart();
-        connection.get().start(mPlan.forwardHead(nowMs, mContext.wire()), this);
+        AnswerIds ids =
+                new RequestAnswers(
+                        mContext, mPlan.head().id(), () -> new LogFields().add("to", vm.name()));
+        connection.get().start(mPlan.forwardHead(nowMs, mContext.wire()), ids, this);
         mTransfer.send(connection.get());
     }
 
--- a/router/src/main/java/org/hornbeampass/router/relay/RelayAttempts.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/RelayAttempts.java
@@ -84,7 +84,9 @@
         mSentMs = nowMs;
         mTransfer.restart();
         connection.start(
-                mPlan.upstreamHead(nowMs, mContext.wire(), send, mAnswer.lastEventId()), this);
+                mPlan.upstreamHead(nowMs, mContext.wire(), send, mAnswer.lastEventId()),
+                new RequestAnswers(mContext, mPlan.head().id(), send::fields),
+                this);
         mTransfer.send(connection);
         mSilenceTimeout.startForAnswer();
     }
@@ -105,7 +107,6 @@
         mContext.answerSignals().onAnswer(nowMs, mSentMs, mSend.orElseThrow().instance(), answer);
         AnswerOutcome outcome = answer.outcome();
         if (outcome == AnswerOutcome.UNRELATED) {
-            logDecision(nowMs, "unrelated-answer", mSend.get().fields());
             return false;
         }
         mSilenceTimeout.stop();
@@ -358,9 +359,7 @@
         if (mCounts.mayHaveRun()) {
             fail(nowMs, Failure.of(ErrorKind.DEADLINE_EXCEEDED, "the deadline has passed"));
         } else {
-            fail(
-                    nowMs,
-                    Refusals.noUpstream("the deadline passed before the request could be sent"));
+            fail(nowMs, Refusals.noUpstream("the deadline passed before the request was sent"));
         }
     }
 
--- a/router/src/main/java/org/hornbeampass/router/relay/RelayLog.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/RelayLog.java
@@ -7,6 +7,7 @@
 import org.apache.logging.log4j.Logger;
 import org.hornbeampass.state.service.Route;
 import org.hornbeampass.transport.relay.AnswerFraming;
+import org.hornbeampass.transport.relay.UnrequestedInput;
 
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
@@ -102,6 +103,23 @@
         write(nowMs, allowFailureLine(nowMs), decision, id, inputs);
     }
 
+    /** Counts and logs an answer that the request on its connection did not ask for. */
+    void logUnrelatedAnswer(long nowMs, String id, UnrequestedInput where, LogFields inputs) {
+        countUnrequested(where);
+        logDecision(nowMs, id, "unrelated-answer", inputs);
+    }
+
+    /** Counts and logs bytes of an upstream that belong to no request. */
+    public void logUnrequestedInput(long nowMs, String address, UnrequestedInput where) {
+        countUnrequested(where);
+        LogFields fields = new LogFields().add("address", address).add("found", where.logName());
+        logStateChange(nowMs, "unrequested-input", fields);
+    }
+
+    private void countUnrequested(UnrequestedInput where) {
+        mMetrics.counter("unrequested_input{found=\"" + where.logName() + "\"}").inc();
+    }
+
     /** Counts and logs that a request was refused because of this VM's backlog. */
     void logIntakeRefusal(long nowMs, String id, double backlogMs, double limitMs, int waiting) {
         mMetrics.counter("decisions{kind=\"intake-refused\"}").inc();
--- a/router/src/main/java/org/hornbeampass/router/relay/WireFormat.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/WireFormat.java
@@ -50,6 +50,9 @@
      */
     AnswerHead readAnswer(HttpResponse answer, String requestId);
 
+    /** Returns the id of the request that an upstream's answer bears; empty if it bears none. */
+    Optional<String> answerId(HttpResponse answer);
+
     /**
      * Returns the JSON body that lists addresses of VMs.
      *
--- a/transport/src/main/java/org/hornbeampass/transport/relay/UpstreamConnection.java
+++ b/transport/src/main/java/org/hornbeampass/transport/relay/UpstreamConnection.java
@@ -50,6 +50,7 @@
     private final AnswerInputBound mBound;
     private Channel mChannel;
     private Optional<UpstreamListener> mListener = Optional.empty();
+    private Optional<AnswerIds> mIds = Optional.empty();
     private HttpMethod mMethod = HttpMethod.GET;
     private AnswerFraming mFraming = AnswerFraming.NO_BODY;
     private boolean mHeadAccepted;
@@ -81,9 +82,16 @@
         mChannel = context.channel();
     }
 
-    /** Writes the head of a request, without flushing it; the listener receives the answer. */
-    public void start(HttpRequest head, UpstreamListener listener) {
+    /**
+     * Writes the head of a request, without flushing it.
+     *
+     * @param head the head
+     * @param ids relates answers to the request
+     * @param listener receives the answer
+     */
+    public void start(HttpRequest head, AnswerIds ids, UpstreamListener listener) {
         mListener = Optional.of(listener);
+        mIds = Optional.of(ids);
         mMethod = head.method();
         mHeadAccepted = false;
         mSkippingAnswer = false;
@@ -212,7 +220,7 @@
         HttpObject object = (HttpObject) message;
         if (mListener.isEmpty() || mClosed) {
             ReferenceCountUtil.release(message);
-            close();
+            closeUnrequested(UnrequestedInput.AFTER_ANSWER);
             return;
         }
         if (object.decoderResult().isFailure()) {
@@ -235,6 +243,13 @@
 
     @Override
     public void onUnexpectedInput() {
+        closeUnrequested(UnrequestedInput.IDLE);
+    }
+
+    private void closeUnrequested(UnrequestedInput where) {
+        if (!mClosed) {
+            mPool.onUnrequestedInput(mClock.nowMs(), mAddress, where);
+        }
         close();
     }
 
@@ -246,9 +261,15 @@
     private void handleHead(HttpResponse head) {
         int status = head.status().code();
         boolean informational = status >= 100 && status < 200;
-        mSkippingAnswer = informational || !mListener.orElseThrow().onHead(mClock.nowMs(), head);
+        long nowMs = mClock.nowMs();
+        mSkippingAnswer = informational || !mListener.orElseThrow().onHead(nowMs, head);
         if (mSkippingAnswer) {
             mBound.onSkippedAnswer();
+            if (!informational) {
+                AnswerFraming framing = AnswerFraming.of(mMethod, head);
+                mIds.orElseThrow()
+                        .onUnrequested(nowMs, head, framing, UnrequestedInput.BEFORE_ANSWER);
+            }
             return;
         }
         mBound.onHead();
--- a/transport/src/main/java/org/hornbeampass/transport/relay/UpstreamPool.java
+++ b/transport/src/main/java/org/hornbeampass/transport/relay/UpstreamPool.java
@@ -47,7 +47,7 @@
      */
     private static final int MIN_CONCLUSIVE_MS = 200;
 
-    /** Receives whether connections could be opened. */
+    /** Receives whether connections could be opened, and why idle ones were closed. */
     public interface ConnectListener {
         /** Ignores all connections. */
         ConnectListener NONE =
@@ -57,6 +57,10 @@
 
                     @Override
                     public void onUnreachable(long nowMs, String address) {}
+
+                    @Override
+                    public void onUnrequestedInput(
+                            long nowMs, String address, UnrequestedInput where) {}
                 };
 
         /** Called when a new connection to an address has opened. */
@@ -64,6 +68,9 @@
 
         /** Called when an address refused a connection, or did not accept it in time. */
         void onUnreachable(long nowMs, String address);
+
+        /** Called when a connection is closed, since bytes arrived that belong to no request. */
+        void onUnrequestedInput(long nowMs, String address, UnrequestedInput where);
     }
 
     private final EventLoops mLoops;
@@ -261,6 +268,10 @@
         }
     }
 
+    void onUnrequestedInput(long nowMs, String address, UnrequestedInput where) {
+        mConnectListener.onUnrequestedInput(nowMs, address, where);
+    }
+
     void onFault(Throwable cause) {
         if (cause instanceof IOException) {
             LOG.debug("a connection to an upstream failed: {}", cause.getMessage());
--- a/transport/src/test/java/org/hornbeampass/transport/relay/UpstreamConnectionTest.java
+++ b/transport/src/test/java/org/hornbeampass/transport/relay/UpstreamConnectionTest.java
@@ -23,6 +23,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 
 /** Checks which ends of a connection are taken for the end of an answer. */
 class UpstreamConnectionTest {
@@ -39,7 +40,7 @@
     private final Recorder mRecorder = new Recorder();
 
     /** Records the calls to a listener. */
-    private static final class Recorder implements UpstreamListener {
+    private static final class Recorder implements UpstreamListener, AnswerIds {
         private final List<String> mCalls = new ArrayList<>();
 
         @Override
@@ -48,6 +49,22 @@
             return true;
         }
 
+        @Override
+        public String requestId() {
+            return "q";
+        }
+
+        @Override
+        public Optional<String> idOf(HttpResponse head) {
+            return Optional.ofNullable(head.headers().get("Id"));
+        }
+
+        @Override
+        public void onUnrequested(
+                long nowMs, HttpResponse head, AnswerFraming framing, UnrequestedInput where) {
+            mCalls.add(where.logName());
+        }
+
         @Override
         public void onPart(long nowMs, ByteBuf part) {
             mCalls.add(part.toString(StandardCharsets.US_ASCII));
@@ -77,7 +94,8 @@
     }
 
     private void start(HttpMethod method) {
-        mConnection.start(new DefaultHttpRequest(HttpVersion.HTTP_1_1, method, "/"), mRecorder);
+        mConnection.start(
+                new DefaultHttpRequest(HttpVersion.HTTP_1_1, method, "/"), mRecorder, mRecorder);
         mConnection.sendEnd();
     }
 
