End an answer without framing where another answer follows it

A caller of an upstream that answers twice and marks the end of an answer by closing its connection got a 200 whose body was the answer, then the second answer with its head; a stream got the head as an event, and its events a second time where the route can't resume it. Cause: such an answer ended at the end of the connection alone, whatever came before that.

An upstream writes answers one after another, so the first one ends where the head of another one starts. It holds only what may be such a head, at most head_bytes, and never beyond an empty line, so no event waits for the next one. The connection is closed and the answer then checked as before: an event that the second answer cuts breaks the stream off or resumes it.

--- a/transport/src/main/java/org/hornbeampass/transport/relay/UnrequestedInput.java
+++ b/transport/src/main/java/org/hornbeampass/transport/relay/UnrequestedInput.java
@@ -10,6 +10,8 @@
     BEFORE_ANSWER("before-answer"),
     /** Bytes were read together with the end of an answer. */
     AFTER_ANSWER("after-answer"),
+    /** Another answer came in place of the end of the connection, which ends the one before it. */
+    IN_UNFRAMED_ANSWER("in-unframed-answer"),
     /** Bytes were read while the connection was idle. */
     IDLE("idle");
 
--- a/transport/src/main/java/org/hornbeampass/transport/relay/UpstreamConnection.java
+++ b/transport/src/main/java/org/hornbeampass/transport/relay/UpstreamConnection.java
@@ -30,10 +30,11 @@
  *
  * <p>Invariants: bytes that arrive while no request is in progress close the connection, since they
  * belong to no request. An answer without framing is complete only if the upstream ended its output
- * in order; a connection that fails or is closed by this VM breaks it. A connection is reused only
- * if the last answer was complete, had explicit framing (a content length, chunked encoding or a
- * status without a body) and did not ask to close the connection, and if the whole request had been
- * written. Confined to the channel's event loop.
+ * in order, or went on with another answer to a request that was sent on this connection; a
+ * connection that fails or is closed by this VM breaks it. A connection is reused only if the last
+ * answer was complete, had explicit framing (a content length, chunked encoding or a status without
+ * a body) and did not ask to close the connection, and if the whole request had been written.
+ * Confined to the channel's event loop.
  */
 public final class UpstreamConnection extends ChannelInboundHandlerAdapter
         implements BoundedInput.Connection, WriteBacklog.Owner {
@@ -51,6 +52,8 @@
     private Channel mChannel;
     private Optional<UpstreamListener> mListener = Optional.empty();
     private Optional<AnswerIds> mIds = Optional.empty();
+    private final SentRequests mSent = new SentRequests();
+    private Optional<FollowingAnswerScanner> mFollowing = Optional.empty();
     private HttpMethod mMethod = HttpMethod.GET;
     private AnswerFraming mFraming = AnswerFraming.NO_BODY;
     private boolean mHeadAccepted;
@@ -92,6 +95,7 @@
     public void start(HttpRequest head, AnswerIds ids, UpstreamListener listener) {
         mListener = Optional.of(listener);
         mIds = Optional.of(ids);
+        mSent.add(ids.requestId(), head.method());
         mMethod = head.method();
         mHeadAccepted = false;
         mSkippingAnswer = false;
@@ -212,6 +216,7 @@
 
     void close() {
         mClosed = true;
+        mFollowing.ifPresent(FollowingAnswerScanner::release);
         Channels.close(mChannel);
     }
 
@@ -275,10 +280,18 @@
         mBound.onHead();
         mHeadAccepted = true;
         mFraming = AnswerFraming.of(mMethod, head);
+        mFollowing = mFraming.isExplicit() ? Optional.empty() : Optional.of(newScanner());
         mReusable = mFraming.isExplicit() && HttpUtil.isKeepAlive(head);
         mIdleLimitMs = parseIdleLimitMs(head);
     }
 
+    private FollowingAnswerScanner newScanner() {
+        AnswerIds ids = mIds.orElseThrow();
+        return new FollowingAnswerScanner(
+                mPool.limits().headBytes(),
+                head -> ids.idOf(head).flatMap(mSent::method).isPresent());
+    }
+
     /**
      * Returns four fifths of the idle timeout that the upstream states, in milliseconds, so that no
      * request is sent just as the upstream closes the connection.
@@ -306,24 +319,49 @@
             content.release();
             return;
         }
-        UpstreamListener listener = mListener.get();
-        if (content.content().isReadable()) {
-            mBound.onBody(content.content().readableBytes());
-            listener.onPart(mClock.nowMs(), content.content());
-        } else {
-            content.release();
+        mBound.onBody(content.content().readableBytes());
+        if (mFollowing.isPresent()) {
+            handleUnframed(mFollowing.get(), content.content(), last);
+            return;
+        }
+        passOn(content.content());
+        if (last) {
+            mListener.ifPresent(this::onAnswerEnded);
         }
-        if (!last || mListener.isEmpty()) {
+    }
+
+    private void handleUnframed(FollowingAnswerScanner following, ByteBuf part, boolean last) {
+        passOn(following.append(part));
+        if (mListener.isPresent() && following.found().isPresent()) {
+            onFollowingAnswer(following.found().get());
             return;
         }
-        if (mFraming.isExplicit()) {
-            onAnswerEnded(listener);
-        } else {
+        if (last) {
+            passOn(following.end());
             // The decoder reports this end for each end of the connection, whatever its cause.
             mAwaitingEndOfInput = true;
         }
     }
 
+    private void onFollowingAnswer(HttpResponse head) {
+        AnswerIds ids = mIds.orElseThrow();
+        HttpMethod method = ids.idOf(head).flatMap(mSent::method).orElseThrow();
+        ids.onUnrequested(
+                mClock.nowMs(),
+                head,
+                AnswerFraming.of(method, head),
+                UnrequestedInput.IN_UNFRAMED_ANSWER);
+        mListener.ifPresent(this::onAnswerEnded);
+    }
+
+    private void passOn(ByteBuf part) {
+        if (part.isReadable() && mListener.isPresent()) {
+            mListener.get().onPart(mClock.nowMs(), part);
+        } else {
+            part.release();
+        }
+    }
+
     /** Handles the end of the upstream's output, after the decoder has. */
     @Override
     public void userEventTriggered(ChannelHandlerContext context, Object event) {
--- a/transport/src/test/java/org/hornbeampass/transport/relay/UpstreamConnectionTest.java
+++ b/transport/src/test/java/org/hornbeampass/transport/relay/UpstreamConnectionTest.java
@@ -42,6 +42,7 @@
     /** Records the calls to a listener. */
     private static final class Recorder implements UpstreamListener, AnswerIds {
         private final List<String> mCalls = new ArrayList<>();
+        private String mRequestId = "q";
 
         @Override
         public boolean onHead(long nowMs, HttpResponse head) {
@@ -51,7 +52,7 @@
 
         @Override
         public String requestId() {
-            return "q";
+            return mRequestId;
         }
 
         @Override
@@ -173,4 +174,17 @@
         receive("HTTP/1.1 200 OK\r\n\r\n");
         assertThat(mRecorder.mCalls).containsExactly("head", "body", "end", "head", "end");
     }
+
+    @Test
+    void lateAnswerToTheRequestBefore_endsAnUnframedAnswer() {
+        receive(FRAMED);
+        mRecorder.mRequestId = "r";
+        start(HttpMethod.GET);
+        receive(UNFRAMED);
+        receive("HTTP/1.1 200 OK\r\nId: q\r\nContent-Length: 4\r\n\r\nbody");
+        assertThat(mRecorder.mCalls)
+                .containsExactly(
+                        "head", "body", "end", "head", "body", "in-unframed-answer", "end");
+        assertThat(mChannel.isOpen()).isFalse();
+    }
 }
