Read an extra answer with the method of its own request

Callers that sent HEAD and other methods over kept connections to upstreams that answer twice got 502 or 504. Cause: the HTTP client codec pairs answers with the methods of requests by counting, so a second answer took the method of the next request: that of a POST was read without its body, whose bytes were then no valid answer, and that to a HEAD with a body, which it took from the answer after it.

AnswerDecoder takes the method of the request whose id an answer bears, out of the requests that the connection carried (SentRequests). No answer changes the protocol any more, since no request asks for that.

UpstreamConnectionTest decodes with AnswerDecoder in place of the codec, and its listener tells related answers as the router does; its former checks are unchanged, and pass.

--- /dev/null
+++ b/transport/src/main/java/org/hornbeampass/transport/relay/AnswerDecoder.java
@@ -0,0 +1,50 @@
+package org.hornbeampass.transport.relay;
+
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.HttpStatusClass;
+
+import java.util.function.Function;
+
+/**
+ * Decodes the answers of an upstream. Whether one has a body depends on the request that it
+ * answers, which is not always the next one that was sent, since upstreams may answer twice.
+ *
+ * <p>Confined to the channel's event loop.
+ */
+final class AnswerDecoder extends HttpResponseDecoder {
+    private final Function<HttpResponse, HttpMethod> mMethodOf;
+
+    /**
+     * Creates a decoder.
+     *
+     * @param maxLineBytes the most bytes of the status line
+     * @param maxHeadBytes the most bytes of the headers
+     * @param maxChunkBytes the most bytes of a part that is passed on
+     * @param methodOf returns the method of the request that an answer belongs to
+     */
+    AnswerDecoder(
+            int maxLineBytes,
+            int maxHeadBytes,
+            int maxChunkBytes,
+            Function<HttpResponse, HttpMethod> methodOf) {
+        super(maxLineBytes, maxHeadBytes, maxChunkBytes);
+        mMethodOf = methodOf;
+    }
+
+    @Override
+    protected boolean isContentAlwaysEmpty(HttpMessage message) {
+        HttpResponse head = (HttpResponse) message;
+        return head.status().codeClass() == HttpStatusClass.INFORMATIONAL
+                || mMethodOf.apply(head).equals(HttpMethod.HEAD)
+                || super.isContentAlwaysEmpty(message);
+    }
+
+    /** Requests ask for no other protocol, so an answer can't change it. */
+    @Override
+    protected boolean isSwitchingToNonHttp1Protocol(HttpResponse head) {
+        return false;
+    }
+}
--- a/transport/src/main/java/org/hornbeampass/transport/relay/UpstreamConnection.java
+++ b/transport/src/main/java/org/hornbeampass/transport/relay/UpstreamConnection.java
@@ -80,6 +80,17 @@
         return mBound;
     }
 
+    /**
+     * Returns the method of the request that an answer belongs to. One without an id, or with the
+     * id of a request that this connection did not carry, is taken for the answer that is awaited,
+     * or for one with a body.
+     */
+    HttpMethod methodOf(HttpResponse head) {
+        return mIds.flatMap(ids -> ids.idOf(head))
+                .map(id -> mSent.method(id).orElse(HttpMethod.GET))
+                .orElse(mMethod);
+    }
+
     @Override
     public void handlerAdded(ChannelHandlerContext context) {
         mChannel = context.channel();
@@ -271,7 +282,7 @@
         if (mSkippingAnswer) {
             mBound.onSkippedAnswer();
             if (!informational) {
-                AnswerFraming framing = AnswerFraming.of(mMethod, head);
+                AnswerFraming framing = AnswerFraming.of(methodOf(head), head);
                 mIds.orElseThrow()
                         .onUnrequested(nowMs, head, framing, UnrequestedInput.BEFORE_ANSWER);
             }
@@ -344,13 +355,12 @@
     }
 
     private void onFollowingAnswer(HttpResponse head) {
-        AnswerIds ids = mIds.orElseThrow();
-        HttpMethod method = ids.idOf(head).flatMap(mSent::method).orElseThrow();
-        ids.onUnrequested(
-                mClock.nowMs(),
-                head,
-                AnswerFraming.of(method, head),
-                UnrequestedInput.IN_UNFRAMED_ANSWER);
+        mIds.orElseThrow()
+                .onUnrequested(
+                        mClock.nowMs(),
+                        head,
+                        AnswerFraming.of(methodOf(head), head),
+                        UnrequestedInput.IN_UNFRAMED_ANSWER);
         mListener.ifPresent(this::onAnswerEnded);
     }
 
--- a/transport/src/main/java/org/hornbeampass/transport/relay/UpstreamPool.java
+++ b/transport/src/main/java/org/hornbeampass/transport/relay/UpstreamPool.java
@@ -8,7 +8,7 @@
 import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.util.concurrent.Future;
 
 import org.apache.logging.log4j.LogManager;
@@ -296,7 +296,13 @@
             mBufferLimit.ifPresent(l -> addBufferLimit(channel, l));
             channel.pipeline()
                     .addLast(new BoundedInput(mConnection.bound(), mConnection))
-                    .addLast(new HttpClientCodec(MAX_LINE_BYTES, mMaxHeadBytes, MAX_CHUNK_BYTES))
+                    .addLast(
+                            new AnswerDecoder(
+                                    MAX_LINE_BYTES,
+                                    mMaxHeadBytes,
+                                    MAX_CHUNK_BYTES,
+                                    mConnection::methodOf))
+                    .addLast(new HttpRequestEncoder())
                     .addLast(mConnection);
         }
 
--- a/transport/src/test/java/org/hornbeampass/transport/relay/UpstreamConnectionTest.java
+++ b/transport/src/test/java/org/hornbeampass/transport/relay/UpstreamConnectionTest.java
@@ -7,8 +7,8 @@
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.DefaultHttpRequest;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
 
@@ -18,6 +18,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
@@ -36,7 +38,10 @@
     private final UpstreamConnection mConnection =
             new UpstreamConnection(mPool, "127.0.0.1:1", Clock.monotonic());
     private final EmbeddedChannel mChannel =
-            new EmbeddedChannel(new HttpClientCodec(), mConnection);
+            new EmbeddedChannel(
+                    new AnswerDecoder(4_096, 8_192, 8_192, mConnection::methodOf),
+                    new HttpRequestEncoder(),
+                    mConnection);
     private final Recorder mRecorder = new Recorder();
 
     /** Records the calls to a listener. */
@@ -46,8 +51,11 @@
 
         @Override
         public boolean onHead(long nowMs, HttpResponse head) {
-            mCalls.add("head");
-            return true;
+            boolean related = idOf(head).orElse(mRequestId).equals(mRequestId);
+            if (related) {
+                mCalls.add("head");
+            }
+            return related;
         }
 
         @Override
@@ -187,4 +195,31 @@
                         "head", "body", "end", "head", "body", "in-unframed-answer", "end");
         assertThat(mChannel.isOpen()).isFalse();
     }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"GET", "HEAD"})
+    void lateAnswer_isReadAsItsOwnMethodRequires(String method) {
+        String length = "\r\nContent-Length: 4\r\n\r\n";
+        boolean bodiless = method.equals("HEAD");
+        receive(FRAMED);
+        mRecorder.mCalls.clear();
+        mRecorder.mRequestId = "r";
+        start(HttpMethod.valueOf(method));
+        receive("HTTP/1.1 200 OK" + length + (bodiless ? "" : "body"));
+        mRecorder.mRequestId = "s";
+        start(bodiless ? HttpMethod.GET : HttpMethod.HEAD);
+        receive("HTTP/1.1 200 OK\r\nId: r" + length + (bodiless ? "" : "body"));
+        receive("HTTP/1.1 200 OK\r\nId: s" + length + (bodiless ? "BODY" : ""));
+        List<String> expected = new ArrayList<>(List.of("head", "end", "before-answer", "head"));
+        expected.add(bodiless ? 4 : 1, bodiless ? "BODY" : "body");
+        expected.add("end");
+        assertThat(mRecorder.mCalls).containsExactlyElementsOf(expected);
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"100 Continue", "101 Switching Protocols\r\nUpgrade: x", "103 Hints"})
+    void informationalAnswer_isFollowedByTheAnswer(String status) {
+        receive("HTTP/1.1 " + status + "\r\n\r\n" + FRAMED);
+        assertThat(mRecorder.mCalls).containsExactly("head", "body", "end");
+    }
 }
