Count bodies that wait for their handover in the bound of held bytes

Callers saw nothing; the test upstreamsThatReadNothing_... held 1,833,107, 1,961,080 and 2,255,992 bytes on an arm64 machine where 1,565,536 are allowed, so the router held more than its bound. It is not the kernel's buffers that were counted.

Traced by printing each change of the sum: one body of 3,000,000 bytes went from 0 to 817,932 bytes in the sum within one handover, another to 1,637,132, where a body stops at 256 KiB. What a caller sends while its request waits for the handover was read in up to 16 reads of 64 KiB, and again right before a late handover, and kept in a queue that nothing counted: neither its reads became smaller near the bound nor did they stop, and at the handover all of it counted at once. How much a socket yields in one iteration depends on the kernel and on the load, and so did the test's result.

The queue is now an account of its own. Near the bound it stops the reads of its connection like any other reader that holds up its sender, and reads become smaller; what is handed over is counted by its receiver from then on. Far below the bound, reads go on as before, so that a caller who has left is noticed before its request is sent.

--- a/transport/src/main/java/org/hornbeampass/transport/relay/CallerConnection.java
+++ b/transport/src/main/java/org/hornbeampass/transport/relay/CallerConnection.java
@@ -24,7 +24,6 @@
 import org.hornbeampass.transport.Channels;
 import org.hornbeampass.transport.Clock;
 
-import java.util.ArrayDeque;
 import java.util.Map;
 import java.util.Optional;
 
@@ -40,9 +39,6 @@
  */
 public final class CallerConnection extends ChannelInboundHandlerAdapter
         implements WriteBacklog.Owner {
-    /** Reading stops while more decoded messages than this are queued, as with pipelining. */
-    private static final int MAX_QUEUED = 64;
-
     /**
      * The largest request body of which an unread rest is read and discarded after the answer, so
      * that the connection can be kept.
@@ -63,10 +59,11 @@
 
     private final CallerServer mServer;
     private final Clock mClock;
-    private final ArrayDeque<HttpObject> mQueued = new ArrayDeque<>();
+    private final ReceivedMessages mQueued;
     private Channel mChannel;
     private Optional<HttpRequest> mHead = Optional.empty();
     private boolean mHeldUp;
+    private boolean mReading = true;
     private Optional<CallerListener> mListener = Optional.empty();
     private boolean mBodyComplete = true;
     private boolean mAnswered;
@@ -90,6 +87,7 @@
         mClock = clock;
         mOpenedMs = clock.nowMs();
         mIdleSinceMs = mOpenedMs;
+        mQueued = new ReceivedMessages(server.intake().bufferLimit(), clock, this::updateReading);
     }
 
     @Override
@@ -117,6 +115,7 @@
             setDeliveryPending(true);
         }
         deliver();
+        mQueued.count();
     }
 
     private void setDeliveryPending(boolean pending) {
@@ -186,8 +185,12 @@
             handle(mQueued.poll());
         }
         mDelivering = false;
-        if (mQueued.size() > MAX_QUEUED) {
-            mChannel.config().setAutoRead(false);
+        updateReading();
+    }
+
+    private void updateReading() {
+        if (!mClosed) {
+            mChannel.config().setAutoRead(mReading && !mQueued.isHeldUp() && !mQueued.isFull());
         }
     }
 
@@ -367,7 +370,7 @@
             written.addListener(done -> closeAfterWrite());
             return;
         }
-        mChannel.config().setAutoRead(true);
+        setReading(true);
         deliver();
     }
 
@@ -414,7 +417,8 @@
 
     /** Stops or resumes reading the request's body from the socket. */
     public void setReading(boolean on) {
-        mChannel.config().setAutoRead(on);
+        mReading = on;
+        updateReading();
     }
 
     /** Returns whether a request is in progress, or was read but not yet handed over. */
@@ -473,7 +477,11 @@
         mClosed = true;
         setDeliveryPending(false);
         long startedMs = mHeadStartedMs < 0 ? nowMs : mHeadStartedMs;
-        UnreadRequest.all(mQueued, mHeadStartedMs >= 0, nowMs - startedMs, nowMs - mOpenedMs)
+        UnreadRequest.all(
+                        mQueued.messages(),
+                        mHeadStartedMs >= 0,
+                        nowMs - startedMs,
+                        nowMs - mOpenedMs)
                 .forEach(u -> mServer.intake().onUnread(nowMs, u));
         releaseQueued();
         Optional<CallerListener> listener = mListener;
