--- a/coordination/src/main/java/org/hornbeampass/state/Json.java
+++ b/coordination/src/main/java/org/hornbeampass/state/Json.java
@@ -40,15 +40,16 @@
      */
     public static <T> Either<Failure, T> decode(String text, Class<T> type) {
         try {
-            return Either.right(MAPPER.readValue(text, type));
+            T value = MAPPER.readValue(text, type);
+            return value == null ? Either.left(unreadable(type, "null")) : Either.right(value);
         } catch (JsonProcessingException e) {
-            return Either.left(
-                    Failure.of(
-                            ErrorKind.INTERNAL,
-                            "stored record is not a "
-                                    + type.getSimpleName()
-                                    + ": "
-                                    + e.getOriginalMessage()));
+            return Either.left(unreadable(type, e.getOriginalMessage()));
         }
     }
+
+    private static Failure unreadable(Class<?> type, String reason) {
+        return Failure.of(
+                ErrorKind.INTERNAL,
+                "stored record is not a " + type.getSimpleName() + ": " + reason);
+    }
 }
--- a/router/src/main/java/org/hornbeampass/router/daemon/TickLoop.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/TickLoop.java
@@ -44,10 +44,11 @@
                                 () -> run(tick), 0, intervalMs, TimeUnit.MILLISECONDS));
     }
 
+    /** An error that left this method would end all later ticks of the task. */
     private void run(LongConsumer tick) {
         try {
             tick.accept(mClock.nowMs());
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | Error e) {
             LOG.error("a periodic task failed with an internal error", e);
         }
     }
