Keep framing and system headers whatever Connection lists

A caller that sent "Connection: Content-Length" got a body through without its length, and the upstream read the body as a request of its own: another organisation's, with an id that nobody had sent.

Each header that Connection lists was removed, though the headers that frame or describe a body are for all hops, and so are those by which the system tells an upstream who pays, what runs and for how long. These are kept now whatever is listed; only the wire format knows the names of the latter. The same holds for answers, whose seal could be listed away, and for requests to other VMs. Other headers that are listed are removed as before.

--- a/router/src/main/java/org/hornbeampass/router/relay/EndToEndHeaders.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/EndToEndHeaders.java
@@ -15,7 +15,9 @@
 /**
  * Separates the end-to-end headers of a message from the hop-by-hop headers of a connection.
  *
- * <p>Stateless; safe for use by any thread.
+ * <p>Invariant: the headers that frame or describe the body, and those of the installation, are
+ * kept whatever a {@code Connection} header lists: without them, the next hop would read another
+ * message. Stateless; safe for use by any thread.
  */
 final class EndToEndHeaders {
     private static final Set<String> HOP_BY_HOP =
@@ -31,16 +33,24 @@
                     "upgrade",
                     "expect");
 
+    private static final String HOST = "host";
+    private static final String ABOUT_BODY = "content-";
+
     private EndToEndHeaders() {}
 
-    /** Returns a copy of the headers without those that concern a single connection. */
-    static HttpHeaders of(HttpHeaders headers) {
+    /**
+     * Returns a copy of the headers without those that concern a single connection.
+     *
+     * @param wire knows the headers of the installation
+     */
+    static HttpHeaders of(HttpHeaders headers, WireFormat wire) {
         HttpHeaders copy =
                 DefaultHttpHeadersFactory.headersFactory().withValidation(false).newHeaders();
         List<String> listed = headers.getAll(HttpHeaderNames.CONNECTION);
         for (Map.Entry<String, String> entry : headers) {
             String name = entry.getKey().toLowerCase(Locale.ROOT);
-            if (!HOP_BY_HOP.contains(name) && !isListed(listed, name)) {
+            if (!HOP_BY_HOP.contains(name)
+                    && (isForAllHops(name, wire) || !isListed(listed, name))) {
                 copy.add(entry.getKey(), entry.getValue());
             }
         }
@@ -48,8 +58,13 @@
     }
 
     /** Returns a copy of an answer's head without the headers that concern a single connection. */
-    static HttpResponse copyOf(HttpResponse head) {
-        return new DefaultHttpResponse(HttpVersion.HTTP_1_1, head.status(), of(head.headers()));
+    static HttpResponse copyOf(HttpResponse head, WireFormat wire) {
+        return new DefaultHttpResponse(
+                HttpVersion.HTTP_1_1, head.status(), of(head.headers(), wire));
+    }
+
+    private static boolean isForAllHops(String name, WireFormat wire) {
+        return name.startsWith(ABOUT_BODY) || name.equals(HOST) || wire.isForAllHops(name);
     }
 
     private static boolean isListed(List<String> connection, String name) {
--- a/router/src/main/java/org/hornbeampass/router/relay/ForwardedRequest.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/ForwardedRequest.java
@@ -129,7 +129,7 @@
                 return true;
             }
         }
-        HttpResponse copy = EndToEndHeaders.copyOf(head);
+        HttpResponse copy = EndToEndHeaders.copyOf(head, mContext.wire());
         mFraming = Optional.of(AnswerFraming.of(mPlan.request().method(), head));
         if (mPlan.isStream(head, answer.outcome())) {
             mAnswer.startStream(copy);
--- a/router/src/main/java/org/hornbeampass/router/relay/RelayAttempts.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/RelayAttempts.java
@@ -173,7 +173,7 @@
             mSilenceTimeout.startForEvent();
             return;
         }
-        HttpResponse copy = EndToEndHeaders.copyOf(head);
+        HttpResponse copy = EndToEndHeaders.copyOf(head, mContext.wire());
         copy.headers().remove(ErrorAnswer.RUN_STATE_HEADER);
         if (mPlan.isStream(head, outcome)) {
             mAnswer.startStream(copy);
--- a/router/src/main/java/org/hornbeampass/router/relay/RelayPlan.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/RelayPlan.java
@@ -87,7 +87,7 @@
      * @param lastEventId the id of the last event that the caller has received; -1 for none
      */
     HttpRequest upstreamHead(long nowMs, WireFormat wire, InFlightSend send, long lastEventId) {
-        HttpRequest copy = copyOfRequest();
+        HttpRequest copy = copyOfRequest(wire);
         OptionalLong after = lastEventId >= 0 ? OptionalLong.of(lastEventId) : OptionalLong.empty();
         OptionalInt engineUrgency =
                 service.engine().isPresent()
@@ -117,18 +117,18 @@
      * @param wire the wire format of the installation
      */
     HttpRequest forwardHead(long nowMs, WireFormat wire) {
-        HttpRequest copy = copyOfRequest();
+        HttpRequest copy = copyOfRequest(wire);
         wire.writeForwardHead(copy.headers(), remainingMs(nowMs));
         return copy;
     }
 
-    private HttpRequest copyOfRequest() {
+    private HttpRequest copyOfRequest(WireFormat wire) {
         HttpRequest copy =
                 new DefaultHttpRequest(
                         HttpVersion.HTTP_1_1,
                         request.method(),
                         request.uri(),
-                        EndToEndHeaders.of(request.headers()));
+                        EndToEndHeaders.of(request.headers(), wire));
         if (request.headers().contains(HttpHeaderNames.TRANSFER_ENCODING)) {
             copy.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
         }
--- a/router/src/main/java/org/hornbeampass/router/relay/WireFormat.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/WireFormat.java
@@ -25,6 +25,14 @@
     /** Reads the head of a caller's request. */
     Either<Failure, CallerHead> readHead(HttpRequest head);
 
+    /**
+     * Returns whether a header of the installation is passed on by each hop, also where a message
+     * states that it concerns one connection alone.
+     *
+     * @param name the header's name in lower case
+     */
+    boolean isForAllHops(String name);
+
     /**
      * Changes a caller's headers into those that are sent to an upstream.
      *
