--- a/coordination/src/main/java/org/hornbeampass/coordination/escrow/EscrowAccount.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/escrow/EscrowAccount.java
@@ -6,8 +6,8 @@
  * The tokens that one incarnation of a VM may spend of one organisation's budget.
  *
  * <p>Invariant: the tokens spent and reserved never exceed the limit, and the limit never exceeds
- * the grant that the store is known to hold for this incarnation. Not thread-safe; must be used on
- * one thread.
+ * the grant that the store is known to hold for this incarnation. No amount is negative, since it
+ * would raise what is free. Not thread-safe; must be used on one thread.
  */
 final class EscrowAccount {
     /** The time constant of the moving average of demand, in milliseconds. */
@@ -66,17 +66,20 @@
 
     /** Deducts tokens permanently for another VM. */
     void lend(long tokens) {
+        requireNotNegative(tokens);
         mLent += tokens;
     }
 
     /** Deducts tokens for requests at another VM. They count as demand of this VM as well. */
     void lendToRequests(long nowMs, long tokens) {
+        requireNotNegative(tokens);
         mLent += tokens;
         addDemand(nowMs, tokens);
     }
 
     /** Adds tokens that another VM has deducted from its account; waiting requests ask again. */
     void borrow(long tokens) {
+        requireNotNegative(tokens);
         mBorrowed += tokens;
         if (tokens > 0) {
             clearWanted();
@@ -89,6 +92,7 @@
      * this VM do not change.
      */
     void acceptTransfer(long nowMs, long tokens, long spent) {
+        requireNotNegative(spent);
         borrow(tokens);
         addDemand(nowMs, -tokens);
         mSpent += spent;
@@ -162,6 +166,7 @@
     }
 
     boolean reserve(long tokens) {
+        requireNotNegative(tokens);
         if (tokens > free()) {
             return false;
         }
@@ -174,6 +179,7 @@
      * time.
      */
     void addWanted(long tokens, long recheckUntilMs) {
+        requireNotNegative(tokens);
         mWanted += tokens;
         mSmallestWanted = Math.min(mSmallestWanted, tokens);
         mRecheckUntilMs = Math.max(mRecheckUntilMs, recheckUntilMs);
@@ -188,6 +194,8 @@
     }
 
     void settle(long nowMs, long reserved, long used) {
+        requireNotNegative(reserved);
+        requireNotNegative(used);
         long spent = Math.min(reserved, used);
         mReserved -= reserved;
         mSpent += spent;
@@ -226,6 +234,12 @@
         return Math.max(0, mDemandPerMs) / (1 - Math.exp(-observedMs / DEMAND_DECAY_MS));
     }
 
+    private static void requireNotNegative(long tokens) {
+        if (tokens < 0) {
+            throw new IllegalArgumentException("a negative number of tokens: " + tokens);
+        }
+    }
+
     private void addDemand(long nowMs, long tokens) {
         decayDemand(nowMs);
         mFirstDemandMs = Math.min(mFirstDemandMs, nowMs);
