Log what tells apart why an answer was cut around a change

Lines on cut answers did not say whether the router was shutting down, how old its configuration was, how long the upstream that was left had been silent, nor what a process left unsent at its end, so that the hypotheses on answers cut around changes could not be told apart.

broken-off, the new given-up and each ended that is not answered now state config_version, config_age_ms and stopping_ms; upstream-lost states silent_ms; shutdown-ended counts the connections and bytes that are left unsent.

No behaviour changes.

--- a/router/src/main/java/org/hornbeampass/router/daemon/RelayShutdown.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/RelayShutdown.java
@@ -1,6 +1,7 @@
 package org.hornbeampass.router.daemon;
 
 import org.hornbeampass.coordination.escrow.EscrowBook;
+import org.hornbeampass.router.relay.LogFields;
 import org.hornbeampass.router.relay.RelayContext;
 import org.hornbeampass.transport.relay.CallerServer;
 
@@ -67,6 +68,7 @@
         }
         mBegun = true;
         mBeginMs = nowMs;
+        mContext.log().changes().onStopping(nowMs);
         mFleet.leave(nowMs);
         mCallers.drain();
     }
@@ -84,7 +86,7 @@
             mBudgets.startReturningTokens(nowMs);
         }
         if (sinceMs >= mGraceMs - END_MARGIN_MS) {
-            mDone.complete(null);
+            end(nowMs, "the grace period is over");
             return;
         }
         if (mStoppedAccepting && mCallers.busyConnections() == 0) {
@@ -96,8 +98,25 @@
         if (mIdleSinceMs < 0) {
             mIdleSinceMs = nowMs;
         }
-        if (mBudgets.hasReturnedAllTokens() || nowMs - mIdleSinceMs >= RETURN_TIMEOUT_MS) {
-            mDone.complete(null);
+        if (mBudgets.hasReturnedAllTokens()) {
+            end(nowMs, "all requests have ended and all tokens are returned");
+        } else if (nowMs - mIdleSinceMs >= RETURN_TIMEOUT_MS) {
+            end(nowMs, "all requests have ended, but not all tokens are returned");
         }
     }
+
+    private void end(long nowMs, String reason) {
+        CallerServer.Unsent unsent = mCallers.unsent();
+        mContext.log()
+                .logStateChange(
+                        nowMs,
+                        "shutdown-ended",
+                        new LogFields()
+                                .add("reason", reason)
+                                .add("took_ms", nowMs - mBeginMs)
+                                .add("busy_connections", mCallers.busyConnections())
+                                .add("unsent_connections", unsent.connections())
+                                .add("unsent_bytes", unsent.bytes()));
+        mDone.complete(null);
+    }
 }
--- a/router/src/main/java/org/hornbeampass/router/relay/ForwardedRequest.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/ForwardedRequest.java
@@ -307,7 +307,7 @@
     }
 
     private void abortAnswer(long nowMs, String why) {
-        logDecision(nowMs, "broken-off", new LogFields().add("reason", why));
+        mContext.log().logGivenUp(nowMs, mPlan.head().id(), true, why);
         mAnswer.release();
         mCall.end(nowMs, "broken", 0);
         mCall.caller().abort();
--- a/router/src/main/java/org/hornbeampass/router/relay/InFlightSend.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/InFlightSend.java
@@ -20,6 +20,7 @@
     private boolean mReleased;
     private long mEvents;
     private long mLastEventMs;
+    private long mLastPartMs = Long.MIN_VALUE;
 
     InFlightSend(UpstreamChoice choice, IncarnationListener onInstanceEnd) {
         mChoice = choice;
@@ -40,8 +41,9 @@
         return mSoftwareVersion;
     }
 
-    /** Records the first part of an answer, which shows that the upstream has read the prompt. */
+    /** Records a part of an answer; the first shows that the upstream has read the prompt. */
     void onAnswerPart(long nowMs, long sentMs) {
+        mLastPartMs = nowMs;
         if (!mPromptRead) {
             mPromptRead = true;
             mInstance.onPromptRead(mTokensToRead);
@@ -109,4 +111,9 @@
                 .add("software_version", mSoftwareVersion)
                 .add("in_flight", mInstance.inFlight());
     }
+
+    /** Returns {@link #fields} and for how long a request sent at {@code sentMs} heard nothing. */
+    LogFields fieldsAt(long nowMs, long sentMs) {
+        return fields().add("silent_ms", nowMs - Math.max(sentMs, mLastPartMs));
+    }
 }
--- a/router/src/main/java/org/hornbeampass/router/relay/RelayAttempts.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/RelayAttempts.java
@@ -309,7 +309,7 @@
      * @param before the request's quarantine status before this loss
      */
     private void onAttemptLost(long nowMs, String reason, QuarantineStatus before) {
-        LogFields fields = mSend.map(InFlightSend::fields).orElseGet(LogFields::new);
+        LogFields fields = mSend.map(s -> s.fieldsAt(nowMs, mSentMs)).orElseGet(LogFields::new);
         fields.add("reason", reason).add("events", mAnswer.eventCount());
         mLoss.log(nowMs, mPlan.head().id(), fields);
         releaseSend();
@@ -399,11 +399,6 @@
         }
     }
 
-    @Override
-    public void onTooLate(long nowMs) {
-        onDeadline(nowMs);
-    }
-
     @Override
     public void onNoneAvailable(long nowMs) {
         if (mAnswer.headSent() || mCounts.mayHaveRun()) {
@@ -437,6 +432,7 @@
             fail(nowMs, mSearch.refusal(nowMs, why));
             return;
         }
+        mContext.log().logGivenUp(nowMs, mPlan.head().id(), false, why);
         fail(nowMs, Failure.of(mPlan.route().kind().lossError(), why));
     }
 
@@ -450,7 +446,7 @@
      * caller sees that the answer is incomplete.
      */
     private void abortAnswer(long nowMs, String why) {
-        logDecision(nowMs, "broken-off", new LogFields().add("reason", why));
+        mContext.log().logGivenUp(nowMs, mPlan.head().id(), true, why);
         mAnswer.release();
         mCall.end(nowMs, mLoss.outcome(), usedTokens());
         mCall.caller().abort();
--- a/router/src/main/java/org/hornbeampass/router/relay/RelayContext.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/RelayContext.java
@@ -252,6 +252,7 @@
     /** Sets the configuration for the requests that arrive from now on. */
     public void setRoutes(RouteTable routes) {
         mRoutes = Optional.of(routes);
+        mLog.changes().onConfig(mClock.nowMs(), routes.config().version());
         mAdmission.ifPresent(a -> a.setConfig(routes.config()));
         mBacklogIntake.ifPresent(i -> i.setConfig(routes.config()));
     }
--- a/router/src/main/java/org/hornbeampass/router/relay/RelayLog.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/RelayLog.java
@@ -46,6 +46,7 @@
     private static final long SECOND_MS = 1_000;
 
     private final MetricRegistry mMetrics;
+    private final VmChanges mChanges = new VmChanges();
     private long mSecond;
     private int mSuccessLines;
     private int mFailureLines;
@@ -58,6 +59,11 @@
         mMetrics = metrics;
     }
 
+    /** Returns what changed last at this VM, which the lines on failed requests state. */
+    public VmChanges changes() {
+        return mChanges;
+    }
+
     /** Counts and logs the end of a request. */
     void logEnd(
             long nowMs,
@@ -78,8 +84,11 @@
                         .add("took_ms", tookMs)
                         .addAll(resumption(head))
                         .addAll(inputs);
-        boolean allowed =
-                outcome.equals("answered") ? allowSuccessLine(nowMs) : allowFailureLine(nowMs);
+        boolean answered = outcome.equals("answered");
+        if (!answered) {
+            fields.addAll(mChanges.fields(nowMs));
+        }
+        boolean allowed = answered ? allowSuccessLine(nowMs) : allowFailureLine(nowMs);
         write(nowMs, allowed, "ended", head.id(), fields);
     }
 
@@ -116,6 +125,19 @@
                         .add("waiting", waiting));
     }
 
+    /**
+     * Counts and logs that a request is not sent on, though its answer is not complete.
+     *
+     * @param nowMs the present time in milliseconds
+     * @param id the request's id
+     * @param begun whether the caller received a part of the answer
+     * @param reason why it is not sent on
+     */
+    void logGivenUp(long nowMs, String id, boolean begun, String reason) {
+        LogFields fields = new LogFields().add("reason", reason).addAll(mChanges.fields(nowMs));
+        logDecision(nowMs, id, begun ? "broken-off" : "given-up", fields);
+    }
+
     /** Counts and logs a request whose caller left before the request was handled. */
     void logUnread(long nowMs, String id, LogFields inputs) {
         mMetrics.counter("requests_unread").inc();
--- a/router/src/main/java/org/hornbeampass/router/relay/UpstreamSearch.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/UpstreamSearch.java
@@ -35,7 +35,7 @@
         void onNoneAvailable(long nowMs);
 
         /** Reports that the deadline has passed. */
-        void onTooLate(long nowMs);
+        void onDeadline(long nowMs);
 
         /** Reports that the request got no room at its service. */
         void refuse(long nowMs, Failure failure);
@@ -122,7 +122,7 @@
     private void search(long nowMs) {
         if (mConditions.isOverdue(nowMs)) {
             mPlace.release(nowMs);
-            mListener.onTooLate(nowMs);
+            mListener.onDeadline(nowMs);
             return;
         }
         if (!mCrashes.mayBeSent(nowMs)) {
--- a/transport/src/main/java/org/hornbeampass/transport/relay/CallerConnection.java
+++ b/transport/src/main/java/org/hornbeampass/transport/relay/CallerConnection.java
@@ -4,6 +4,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -422,6 +423,12 @@
         return mListener.isPresent() || mDeliveryPending;
     }
 
+    /** Returns how many written bytes the socket has not taken yet. */
+    long unsentBytes() {
+        ChannelOutboundBuffer buffer = mChannel.unsafe().outboundBuffer();
+        return buffer == null ? 0 : buffer.totalPendingWriteBytes();
+    }
+
     /** Closes the connection if no request is in progress or queued. */
     void closeIfIdle() {
         if (!isBusy() && mQueued.isEmpty()) {
--- a/transport/src/main/java/org/hornbeampass/transport/relay/CallerServer.java
+++ b/transport/src/main/java/org/hornbeampass/transport/relay/CallerServer.java
@@ -25,6 +25,7 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.Arrays;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
@@ -248,6 +249,21 @@
         return (int) mConnections.stream().filter(CallerConnection::isBusy).count();
     }
 
+    /**
+     * What was written to connections and not yet taken by their sockets.
+     *
+     * @param connections how many connections hold such bytes
+     * @param bytes the bytes of all of them
+     */
+    public record Unsent(int connections, long bytes) {}
+
+    /** Returns what would be lost if the process ended now. */
+    public Unsent unsent() {
+        long[] bytes = mConnections.stream().mapToLong(CallerConnection::unsentBytes).toArray();
+        return new Unsent(
+                (int) Arrays.stream(bytes).filter(b -> b > 0).count(), Arrays.stream(bytes).sum());
+    }
+
     /** Returns the number of open connections. */
     public int connections() {
         return mConnections.size();
