Leave a silent upstream only once another one can take over

Callers lost answers of upstreams that fell silent for a second and would have gone on: a stream was broken off 4 gap targets after an event, and a request without an answer got 502 twice its objective after the send. The silence timer asked whether the request might run again, cancelled the upstream, and only then looked for another one: none may be there, or none of the stream's software version, or the fleet's retry limit may be used up.

SilentUpstream now looks for a replacement while the silent upstream goes on. UpstreamSearch gets the choice, the permit, the open connection and the retry in hand; in the same turn of the event loop the silent upstream is cancelled and the request sent. Where anything lacks, the upstream is kept, a line silent-upstream-kept says why, and it is looked for again every 250 ms until the deadline. A search for a replacement counts nothing and takes no retry that isn't used; for all searches the retry is now taken right before the send. A broken connection still leads to a new send at once.

A request that loses its upstream keeps its place at the service until it ends; before, it had to queue for it again behind new requests. The end of a candidate's incarnation no longer ends the send at another upstream.

RequestEnd is split from RelayAttempts: it decides what the caller gets where no upstream completes the answer.

--- a/coordination/src/main/java/org/hornbeampass/coordination/service/RetryWindow.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/service/RetryWindow.java
@@ -32,24 +32,37 @@
     }
 
     /**
-     * Takes one retry out of the budget, if it has one left.
+     * Returns whether the budget has a retry left.
      *
      * @param nowMs the present time in milliseconds
      * @param ratio retries for each first send, from the settings
      * @param extra the retries that the whole fleet has in each window in addition, from the
      *     settings
      * @param vms how many VMs share {@code extra}
-     * @return whether the retry may be sent
      */
-    public boolean tryTake(long nowMs, double ratio, double extra, int vms) {
+    public boolean isAvailable(long nowMs, double ratio, double extra, int vms) {
         dropExpired(mFirstSends, nowMs);
         dropExpired(mRetries, nowMs);
         double allowed = SAFETY_FACTOR * (ratio * mFirstSends.size() + extra / Math.max(1, vms));
-        if (mRetries.size() + 1 > allowed) {
-            return false;
+        return mRetries.size() + 1 <= allowed;
+    }
+
+    /**
+     * Takes one retry out of the budget, if it has one left.
+     *
+     * @param nowMs the present time in milliseconds
+     * @param ratio retries for each first send, from the settings
+     * @param extra the retries that the whole fleet has in each window in addition, from the
+     *     settings
+     * @param vms how many VMs share {@code extra}
+     * @return whether the retry may be sent
+     */
+    public boolean tryTake(long nowMs, double ratio, double extra, int vms) {
+        boolean available = isAvailable(nowMs, ratio, extra, vms);
+        if (available) {
+            mRetries.addLong(nowMs);
         }
-        mRetries.addLong(nowMs);
-        return true;
+        return available;
     }
 
     private void dropExpired(LongArrayList times, long nowMs) {
--- a/router/src/main/java/org/hornbeampass/router/relay/CrashHistory.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/CrashHistory.java
@@ -97,6 +97,11 @@
                 && mContext.quarantine().suspects().wouldQuarantine(digest(), undecided);
     }
 
+    /** Returns whether the request may be sent again while an upstream still works on it. */
+    boolean mayBeRepeated() {
+        return status().mayBeRetried() && !isUndecided();
+    }
+
     /**
      * Returns whether the request may be sent at this moment. Where a quarantined request is sent
      * as a trial, the trial is counted and logged.
--- a/router/src/main/java/org/hornbeampass/router/relay/InFlightSend.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/InFlightSend.java
@@ -11,18 +11,25 @@
  * ends. Confined to one event loop.
  */
 final class InFlightSend implements IncarnationListener {
+    /** Receives that the incarnation of a send's upstream has ended. */
+    @FunctionalInterface
+    interface EndListener {
+        /** Called at most once, before the send is released. */
+        void onInstanceEnded(long nowMs, InFlightSend send);
+    }
+
     private final UpstreamChoice mChoice;
     private final UpstreamInstance mInstance;
     private final String mSoftwareVersion;
     private final long mTokensToRead;
-    private final IncarnationListener mOnInstanceEnd;
+    private final EndListener mOnInstanceEnd;
     private boolean mPromptRead;
     private boolean mReleased;
     private long mEvents;
     private long mLastEventMs;
     private long mLastPartMs = Long.MIN_VALUE;
 
-    InFlightSend(UpstreamChoice choice, IncarnationListener onInstanceEnd) {
+    InFlightSend(UpstreamChoice choice, EndListener onInstanceEnd) {
         mChoice = choice;
         mInstance = choice.instance();
         mSoftwareVersion = mInstance.entry().softwareVersion();
@@ -98,7 +105,7 @@
 
     @Override
     public void onEnded(long nowMs) {
-        mOnInstanceEnd.onEnded(nowMs);
+        mOnInstanceEnd.onInstanceEnded(nowMs, this);
     }
 
     /**
--- a/router/src/main/java/org/hornbeampass/router/relay/RelayAttempts.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/RelayAttempts.java
@@ -7,7 +7,6 @@
 import org.hornbeampass.coordination.quarantine.QuarantineStatus;
 import org.hornbeampass.coordination.service.UpstreamInstance;
 import org.hornbeampass.protocol.http.ErrorAnswer;
-import org.hornbeampass.state.ErrorKind;
 import org.hornbeampass.state.Failure;
 import org.hornbeampass.transport.relay.AnswerFraming;
 import org.hornbeampass.transport.relay.UpstreamConnection;
@@ -26,6 +25,7 @@
         implements RequestExecution,
                 UpstreamListener,
                 UpstreamSearch.Listener,
+                SilentUpstream.Owner,
                 UnframedAnswerCheck.Listener {
     private final RelayContext mContext;
     private final RelayCall mCall;
@@ -36,7 +36,8 @@
     private final LossAttribution mLoss;
     private final CallerAnswer mAnswer;
     private final SendCounts mCounts;
-    private final SilenceTimeout mSilenceTimeout;
+    private final SilentUpstream mSilence;
+    private final RequestEnd mEnd;
     private final UpstreamSearch mSearch;
     private final UnframedAnswerCheck mEndCheck;
     private Optional<InFlightSend> mSend = Optional.empty();
@@ -61,11 +62,12 @@
         mLoss = new LossAttribution(context.log(), crashes);
         mAnswer = new CallerAnswer(context, call, plan, context.pool().limits());
         mCounts = new SendCounts(plan.route());
-        mSilenceTimeout = new SilenceTimeout(call, plan.route(), this::onSilent);
         mEndCheck = new UnframedAnswerCheck(context, call, crashes, this);
         mSearch =
                 new UpstreamSearch(
                         context, call, plan, crashes, mCounts, this, this::onInstanceEnded);
+        mSilence = new SilentUpstream(call, plan, mSearch, this);
+        mEnd = new RequestEnd(context, call, plan, mCounts, mAnswer, crashes, mLoss, mSearch);
     }
 
     /** Sends the request to an upstream to which it was not sent yet. */
@@ -86,7 +88,7 @@
         connection.start(
                 mPlan.upstreamHead(nowMs, mContext.wire(), send, mAnswer.lastEventId()), this);
         mTransfer.send(connection);
-        mSilenceTimeout.startForAnswer();
+        mSilence.awaitAnswer();
     }
 
     @Override
@@ -108,7 +110,7 @@
             logDecision(nowMs, "unrelated-answer", mSend.get().fields());
             return false;
         }
-        mSilenceTimeout.stop();
+        mSilence.stop();
         if (outcome == AnswerOutcome.NOT_RUN || outcome == AnswerOutcome.WRONG_UPSTREAM) {
             onNotRun(nowMs, outcome);
             return true;
@@ -139,7 +141,7 @@
         if (mCounts.mayResend() && mBody.replayable()) {
             start(nowMs);
         } else {
-            giveUp(nowMs, "the upstreams have no free capacity at present");
+            mEnd.giveUp(nowMs, "the upstreams have no free capacity at present");
         }
     }
 
@@ -167,17 +169,17 @@
         if (mAnswer.headSent()) {
             if (!mPlan.isStream(head, outcome)) {
                 abandonSend();
-                abortAnswer(nowMs, "the stream could not be resumed at another upstream");
+                mEnd.breakOff(nowMs, "the stream could not be resumed at another upstream");
                 return;
             }
-            mSilenceTimeout.startForEvent();
+            mSilence.awaitEvent();
             return;
         }
         HttpResponse copy = EndToEndHeaders.copyOf(head);
         copy.headers().remove(ErrorAnswer.RUN_STATE_HEADER);
         if (mPlan.isStream(head, outcome)) {
             mAnswer.startStream(copy);
-            mSilenceTimeout.startForEvent();
+            mSilence.awaitEvent();
         } else {
             mAnswer.startBuffered(copy);
         }
@@ -204,7 +206,7 @@
         }
         if (!continuous) {
             abandonSend();
-            abortAnswer(nowMs, "an upstream omitted events of the stream");
+            mEnd.breakOff(nowMs, "an upstream omitted events of the stream");
             return;
         }
         mAnswer.exceededBound().ifPresent(bound -> dropUpstream(nowMs, bound));
@@ -220,7 +222,7 @@
             mConnection.get().setReading(false);
         }
         if (mAnswer.streaming()) {
-            mSilenceTimeout.onEvents(mAnswer.eventCount());
+            mSilence.onEvents(mAnswer.eventCount());
         }
     }
 
@@ -244,7 +246,7 @@
         mSend.orElseThrow().onAnswerPart(nowMs, mSentMs);
         mConnection = Optional.empty();
         if (!framing.isExplicit()) {
-            mSilenceTimeout.stop();
+            mSilence.stop();
             mEndCheck.start(nowMs, mSend.get(), mAnswer.streaming());
             return;
         }
@@ -266,15 +268,7 @@
     private void onComplete(long nowMs) {
         mSend.ifPresent(s -> s.onComplete(nowMs, mSentMs));
         releaseSend();
-        mSilenceTimeout.stop();
-        if (mCall.callerGone()) {
-            mAnswer.release();
-            mCall.end(nowMs, "caller-gone", usedTokens());
-            return;
-        }
-        mAnswer.end();
-        mCall.end(nowMs, "answered", usedTokens());
-        mCall.caller().sendEnd();
+        mEnd.complete(nowMs);
     }
 
     @Override
@@ -290,8 +284,9 @@
     }
 
     /** Handles the restart of the upstream: what was sent to its former incarnation is lost. */
-    private void onInstanceEnded(long nowMs) {
-        if (mCall.ended() || (mConnection.isEmpty() && !mEndCheck.isPending())) {
+    private void onInstanceEnded(long nowMs, InFlightSend send) {
+        boolean working = mSend.equals(Optional.of(send));
+        if (!working || mCall.ended() || (mConnection.isEmpty() && !mEndCheck.isPending())) {
             return;
         }
         cancelConnection();
@@ -313,9 +308,8 @@
         fields.add("reason", reason).add("events", mAnswer.eventCount());
         mLoss.log(nowMs, mPlan.head().id(), fields);
         releaseSend();
-        mSilenceTimeout.stop();
         if (mCall.callerGone()) {
-            mCall.end(nowMs, "caller-gone", usedTokens());
+            mEnd.withoutCaller(nowMs);
             return;
         }
         if (mayRetry() && before.mayBeRetried() && mAnswer.canRestart()) {
@@ -323,15 +317,34 @@
             start(nowMs);
             return;
         }
-        giveUp(nowMs, mLoss.reason());
+        mEnd.giveUp(nowMs, mLoss.reason());
     }
 
-    /** Handles a silent upstream: the request is sent to another one, where that is allowed. */
-    private void onSilent(long nowMs) {
-        if (mConnection.isEmpty() || !mayRetry() || !mAnswer.canRestart()) {
-            return;
-        }
-        dropUpstream(nowMs, "the upstream was silent for too long");
+    @Override
+    public boolean mayBeReplaced() {
+        return mConnection.isPresent() && mayRetry() && mAnswer.canRestart();
+    }
+
+    @Override
+    public void onSilent(long nowMs) {
+        mSend.orElseThrow().instance().onNoAnswer(nowMs);
+    }
+
+    @Override
+    public void onKept(long nowMs, String reason) {
+        LogFields fields = mSend.orElseThrow().fieldsAt(nowMs, mSentMs).add("reason", reason);
+        logDecision(nowMs, "silent-upstream-kept", fields);
+    }
+
+    @Override
+    public void onReplacement(long nowMs, InFlightSend send, UpstreamConnection connection) {
+        LogFields fields = mSend.orElseThrow().fieldsAt(nowMs, mSentMs);
+        fields.add("reason", "the upstream was silent for too long");
+        mLoss.log(nowMs, mPlan.head().id(), fields.add("events", mAnswer.eventCount()));
+        cancelConnection();
+        releaseSend();
+        mAnswer.discardUnsent();
+        onFound(nowMs, send, connection);
     }
 
     @Override
@@ -351,27 +364,13 @@
             mSend.ifPresent(u -> u.instance().onNoAnswer(nowMs));
         }
         abandonSend();
-        if (mAnswer.headSent()) {
-            abortAnswer(nowMs, "the deadline has passed");
-            return;
-        }
-        if (mCounts.mayHaveRun()) {
-            fail(nowMs, Failure.of(ErrorKind.DEADLINE_EXCEEDED, "the deadline has passed"));
-        } else {
-            fail(
-                    nowMs,
-                    Refusals.noUpstream("the deadline passed before the request could be sent"));
-        }
+        mEnd.atDeadline(nowMs);
     }
 
     @Override
     public void refuse(long nowMs, Failure failure) {
         abandonSend();
-        if (mAnswer.headSent()) {
-            abortAnswer(nowMs, failure.message());
-        } else {
-            fail(nowMs, failure);
-        }
+        mEnd.refuse(nowMs, failure);
     }
 
     /**
@@ -386,76 +385,27 @@
             return;
         }
         abandonSend();
-        mAnswer.release();
-        mCall.end(nowMs, "caller-gone", usedTokens());
+        mEnd.withoutCaller(nowMs);
     }
 
     @Override
     public void onQuarantined(long nowMs) {
-        if (mCounts.mayHaveRun()) {
-            giveUp(nowMs, mCrashes.reasonNotSent(nowMs));
-        } else {
-            fail(nowMs, mCrashes.refuse(nowMs));
-        }
+        mEnd.quarantine(nowMs);
     }
 
     @Override
     public void onNoneAvailable(long nowMs) {
-        if (mAnswer.headSent() || mCounts.mayHaveRun()) {
-            giveUp(nowMs, "no upstream accepts requests at present");
-            return;
-        }
-        if (mCall.forwardIfAdvised(nowMs)) {
-            return;
-        }
-        fail(
-                nowMs,
-                UnavailableService.refusal(
-                        nowMs, mContext.upstreamRegistry(), mPlan, mContext.random()));
+        mEnd.withoutUpstream(nowMs);
     }
 
     @Override
     public void onGivenUp(long nowMs, String why) {
-        boolean mayForward = !mAnswer.headSent() && !mCounts.mayHaveRun();
-        if (mayForward && mCall.forwardIfAdvised(nowMs)) {
-            return;
-        }
-        giveUp(nowMs, why);
-    }
-
-    private void giveUp(long nowMs, String why) {
-        if (mAnswer.headSent()) {
-            abortAnswer(nowMs, why);
-            return;
-        }
-        if (!mCounts.mayHaveRun()) {
-            fail(nowMs, mSearch.refusal(nowMs, why));
-            return;
-        }
-        mContext.log().logGivenUp(nowMs, mPlan.head().id(), false, why);
-        fail(nowMs, Failure.of(mPlan.route().kind().lossError(), why));
-    }
-
-    private void fail(long nowMs, Failure failure) {
-        mAnswer.release();
-        mCall.fail(nowMs, failure, usedTokens());
-    }
-
-    /**
-     * Aborts an answer that can't be completed and closes the caller's connection, so that the
-     * caller sees that the answer is incomplete.
-     */
-    private void abortAnswer(long nowMs, String why) {
-        mContext.log().logGivenUp(nowMs, mPlan.head().id(), true, why);
-        mAnswer.release();
-        mCall.end(nowMs, mLoss.outcome(), usedTokens());
-        mCall.caller().abort();
+        mEnd.unreachable(nowMs, why);
     }
 
     private void abandonSend() {
         cancelConnection();
         releaseSend();
-        mSilenceTimeout.stop();
     }
 
     private void cancelConnection() {
@@ -463,24 +413,14 @@
         mConnection = Optional.empty();
     }
 
+    /** Ends a send; the request keeps its place at the service until it ends. */
     private void releaseSend() {
-        mSearch.cancel();
+        mSilence.stop();
         mSend.ifPresent(InFlightSend::release);
         mSend = Optional.empty();
         mCrashes.onSendEnded(mContext.clock().nowMs());
     }
 
-    /**
-     * Returns the tokens that the request has used: its prompt, counted once, and the tokens
-     * delivered to the caller.
-     */
-    private long usedTokens() {
-        if (!mCounts.mayHaveRun()) {
-            return 0;
-        }
-        return mPlan.head().prompt().promptTokens() + mAnswer.eventCount() * mPlan.tokensPerEvent();
-    }
-
     @Override
     public LogFields summary() {
         return mCounts.fields()
--- a/router/src/main/java/org/hornbeampass/router/relay/RelayBounds.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/RelayBounds.java
@@ -40,6 +40,9 @@
      */
     static final int SILENCE_GAP_FACTOR = 4;
 
+    /** After what time another upstream is sought again while one is silent, in milliseconds. */
+    static final long LOOK_AGAIN_MS = 250;
+
     /** For how long an upstream without free capacity gets no new requests from this VM. */
     static final long FULL_PAUSE_MS = 60;
 
--- a/router/src/main/java/org/hornbeampass/router/relay/RelayContext.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/RelayContext.java
@@ -290,6 +290,13 @@
         retryWindow(service).onFirstSend(nowMs);
     }
 
+    /** Returns whether the fleet's limit allows a retry now, without taking it. */
+    boolean isRetryAvailable(long nowMs, String service) {
+        return retryWindow(service)
+                .isAvailable(
+                        nowMs, mSettings.retryRatio(), mSettings.retryExtra(), mVmCount.getAsInt());
+    }
+
     boolean tryTakeRetry(long nowMs, String service) {
         return retryWindow(service)
                 .tryTake(
--- a/router/src/main/java/org/hornbeampass/router/relay/SilenceTimeout.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/SilenceTimeout.java
@@ -5,8 +5,8 @@
 import java.util.function.LongConsumer;
 
 /**
- * Reports an upstream that sends no answer or no whole event for too long and may be replaced by
- * another.
+ * Reports an upstream that sends no answer or no whole event for so long that another one is to be
+ * sought.
  *
  * <p>Invariant: at most one timer is running; requests that may not run again are not timed.
  * Confined to one event loop.
@@ -48,12 +48,20 @@
      * Starts the timeout anew if events have ended since the last call; other bytes don't count.
      *
      * @param eventCount how many whole events were forwarded so far
+     * @return whether events have ended since the last call
      */
-    void onEvents(long eventCount) {
-        if (eventCount != mEventCount) {
-            mEventCount = eventCount;
-            startForEvent();
+    boolean onEvents(long eventCount) {
+        if (eventCount == mEventCount) {
+            return false;
         }
+        mEventCount = eventCount;
+        startForEvent();
+        return true;
+    }
+
+    /** Starts the timeout anew for an upstream that was silent for too long and is kept. */
+    void startAgain() {
+        schedule(RelayBounds.LOOK_AGAIN_MS);
     }
 
     private void schedule(long ms) {
--- /dev/null
+++ b/router/src/main/java/org/hornbeampass/router/relay/SilentUpstream.java
@@ -0,0 +1,134 @@
+package org.hornbeampass.router.relay;
+
+import org.hornbeampass.state.Failure;
+import org.hornbeampass.transport.relay.UpstreamConnection;
+
+/**
+ * Decides when a request leaves an upstream that is silent: once another one can take it over at
+ * once.
+ *
+ * <p>A sound upstream may be silent for a second and go on, so its silence alone ends nothing.
+ * Invariants: no other upstream is sought before the silence has lasted as long as the route
+ * tolerates, and none once the upstream goes on. Confined to one event loop.
+ */
+final class SilentUpstream implements UpstreamSearch.Listener {
+    /** The request and the upstream that works on it. */
+    interface Owner {
+        /** Returns whether the request may go on at another upstream. */
+        boolean mayBeReplaced();
+
+        /** Records that the upstream is silent; called once for each send and silence. */
+        void onSilent(long nowMs);
+
+        /** Leaves the silent upstream and sends the request on the connection of another one. */
+        void onReplacement(long nowMs, InFlightSend send, UpstreamConnection connection);
+
+        /** Records why the silent upstream is not left; called when the reason has changed. */
+        void onKept(long nowMs, String reason);
+    }
+
+    private final UpstreamSearch mSearch;
+    private final Owner mOwner;
+    private final SilenceTimeout mTimeout;
+    private boolean mSilent;
+    private String mKeptFor = "";
+
+    SilentUpstream(RelayCall call, RelayPlan plan, UpstreamSearch search, Owner owner) {
+        mSearch = search;
+        mOwner = owner;
+        mTimeout = new SilenceTimeout(call, plan.route(), this::onTimeout);
+    }
+
+    /** Waits for the beginning of an answer. */
+    void awaitAnswer() {
+        stop();
+        mTimeout.startForAnswer();
+    }
+
+    /** Waits for the next event of a stream that can be resumed. */
+    void awaitEvent() {
+        stop();
+        mTimeout.startForEvent();
+    }
+
+    /**
+     * Waits for the next event if events have ended since the last call; other bytes don't count.
+     *
+     * @param eventCount how many whole events were forwarded so far
+     */
+    void onEvents(long eventCount) {
+        if (mTimeout.onEvents(eventCount)) {
+            endSilence();
+        }
+    }
+
+    /** Waits for nothing: the upstream has answered, or no longer works on the request. */
+    void stop() {
+        mTimeout.stop();
+        endSilence();
+    }
+
+    private void endSilence() {
+        if (mSilent) {
+            mSilent = false;
+            mKeptFor = "";
+            mSearch.cancelConnecting();
+        }
+    }
+
+    private void onTimeout(long nowMs) {
+        if (!mOwner.mayBeReplaced()) {
+            return;
+        }
+        if (!mSilent) {
+            mSilent = true;
+            mOwner.onSilent(nowMs);
+        }
+        mSearch.startReplacement(nowMs, this);
+    }
+
+    private void keep(long nowMs, String reason) {
+        if (!reason.equals(mKeptFor)) {
+            mKeptFor = reason;
+            mOwner.onKept(nowMs, reason);
+        }
+        mTimeout.startAgain();
+    }
+
+    @Override
+    public void onFound(long nowMs, InFlightSend send, UpstreamConnection connection) {
+        if (!mOwner.mayBeReplaced()) {
+            connection.cancel();
+            send.release();
+            return;
+        }
+        mSilent = false;
+        mKeptFor = "";
+        mOwner.onReplacement(nowMs, send, connection);
+    }
+
+    @Override
+    public void onNoneAvailable(long nowMs) {
+        keep(nowMs, "no other upstream accepts the request at present");
+    }
+
+    @Override
+    public void onDeadline(long nowMs) {
+        keep(nowMs, "the deadline has passed");
+    }
+
+    @Override
+    public void refuse(long nowMs, Failure failure) {
+        keep(nowMs, failure.message());
+    }
+
+    @Override
+    public void onQuarantined(long nowMs) {
+        keep(nowMs, "upstreams may have crashed while they ran the request");
+    }
+
+    @Override
+    public void onGivenUp(long nowMs, String why) {
+        keep(nowMs, why);
+    }
+}
--- a/router/src/main/java/org/hornbeampass/router/relay/UpstreamSearch.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/UpstreamSearch.java
@@ -1,7 +1,6 @@
 package org.hornbeampass.router.relay;
 
 import org.hornbeampass.coordination.ratelimit.SendPermit;
-import org.hornbeampass.coordination.service.IncarnationListener;
 import org.hornbeampass.coordination.service.UpstreamChoice;
 import org.hornbeampass.coordination.service.UpstreamInstance;
 import org.hornbeampass.coordination.stream.StreamOrigin;
@@ -17,13 +16,16 @@
  * rate limit, and opens a connection.
  *
  * <p>Invariants: the request is sent to no upstream twice, except to one that stated that it was
- * full, where all others were tried and admission is on; each send after the first uses up the
- * fleet's retry limit; each send uses up a permit of its upstream; nothing is sent after the
+ * full, where all others were tried and admission is on; each send after the first, and nothing
+ * else, uses up the fleet's retry limit; each send uses up a permit of its upstream; a search for a
+ * replacement leaves the request's place and its counts unchanged; nothing is sent after the
  * request's deadline, to a failure domain that is evacuated, outside the request's home regions, or
  * to another software version than the one that began the stream, all of which is checked last, on
  * an open connection. Confined to one event loop.
  */
 final class UpstreamSearch {
+    private static final String TOO_MANY_RETRIES = "too many requests are being retried at present";
+
     /** Receives the result of a search. */
     interface Listener {
         /** Receives an open connection, on which the request may be sent now. */
@@ -53,12 +55,15 @@
     private final CrashHistory mCrashes;
     private final SendCounts mCounts;
     private final Listener mListener;
-    private final IncarnationListener mOnInstanceEnd;
+    private final InFlightSend.EndListener mOnInstanceEnd;
     private final StreamVersion mVersion;
     private final SendConditions mConditions;
     private final Set<String> mTried = new HashSet<>();
     private final Set<String> mFull = new HashSet<>();
     private final RoomPlace mPlace;
+    private Listener mCurrentListener;
+    private int mNumber;
+    private int mUnreachableReplacements;
     private Optional<InFlightSend> mConnecting = Optional.empty();
 
     /**
@@ -79,13 +84,14 @@
             CrashHistory crashes,
             SendCounts counts,
             Listener listener,
-            IncarnationListener onInstanceEnd) {
+            InFlightSend.EndListener onInstanceEnd) {
         mContext = context;
         mCall = call;
         mPlan = plan;
         mCrashes = crashes;
         mCounts = counts;
         mListener = listener;
+        mCurrentListener = listener;
         mOnInstanceEnd = onInstanceEnd;
         mVersion = new StreamVersion(plan.softwareVersion(), this::onStreamBegun);
         mPlace = new RoomPlace(context, call, plan, crashes, this::onNoRoom);
@@ -96,15 +102,39 @@
 
     /** Starts a search for an upstream to which the request was not sent yet. */
     void start(long nowMs) {
+        cancelConnecting();
+        mCurrentListener = mListener;
+        searchAgain(nowMs);
+    }
+
+    /**
+     * Starts a search for an upstream that can take the request over at once from the one that
+     * works on it, which may go on until then.
+     *
+     * @param nowMs the present time in milliseconds
+     * @param listener receives the result, once, unless the search is cancelled
+     */
+    void startReplacement(long nowMs, Listener listener) {
+        cancelConnecting();
+        mCurrentListener = listener;
+        mUnreachableReplacements = 0;
+        searchAgain(nowMs);
+    }
+
+    private boolean isReplacement() {
+        return mCurrentListener != mListener;
+    }
+
+    private void searchAgain(long nowMs) {
         mPlace.acquire(nowMs, this::search);
     }
 
     private void onNoRoom(Failure failure) {
         long nowMs = mContext.clock().nowMs();
         if (mCounts.mayHaveRun()) {
-            mListener.onGivenUp(nowMs, "the service has no room for a retry at present");
+            mCurrentListener.onGivenUp(nowMs, "the service has no room for a retry at present");
         } else {
-            mListener.refuse(nowMs, failure);
+            mCurrentListener.refuse(nowMs, failure);
         }
     }
 
@@ -121,13 +151,11 @@
 
     private void search(long nowMs) {
         if (mConditions.isOverdue(nowMs)) {
-            mPlace.release(nowMs);
-            mListener.onDeadline(nowMs);
+            mCurrentListener.onDeadline(nowMs);
             return;
         }
-        if (!mCrashes.mayBeSent(nowMs)) {
-            mPlace.release(nowMs);
-            mListener.onQuarantined(nowMs);
+        if (!mayBeSent(nowMs)) {
+            mCurrentListener.onQuarantined(nowMs);
             return;
         }
         Optional<UpstreamChoice> chosen = choose(nowMs);
@@ -135,17 +163,29 @@
             mFull.clear();
             chosen = choose(nowMs);
         }
-        if (chosen.isEmpty()) {
-            mPlace.release(nowMs);
-            mListener.onNoneAvailable(nowMs);
+        if (chosen.isEmpty() || (isReplacement() && chosen.get().instance().isPaused(nowMs))) {
+            mCurrentListener.onNoneAvailable(nowMs);
+            return;
+        }
+        if (!isRetryAvailable(nowMs)) {
+            mCurrentListener.onGivenUp(nowMs, TOO_MANY_RETRIES);
             return;
         }
         UpstreamChoice choice = chosen.get();
+        int number = mNumber;
         mContext.permits()
                 .acquire(
                         nowMs,
                         choice.instance().incarnation(),
-                        (t, permit) -> onPermit(t, choice, permit));
+                        (t, permit) -> onPermit(t, number, choice, permit));
+    }
+
+    private boolean mayBeSent(long nowMs) {
+        return isReplacement() ? mCrashes.mayBeRepeated() : mCrashes.mayBeSent(nowMs);
+    }
+
+    private boolean tryBeginSend(long nowMs) {
+        return isReplacement() ? mCrashes.mayBeRepeated() : mCrashes.tryBeginSend(nowMs);
     }
 
     private Optional<UpstreamChoice> choose(long nowMs) {
@@ -180,7 +220,12 @@
         return choose(nowMs).isPresent();
     }
 
-    private void onPermit(long nowMs, UpstreamChoice choice, Optional<SendPermit> permit) {
+    private void onPermit(
+            long nowMs, int number, UpstreamChoice choice, Optional<SendPermit> permit) {
+        if (number != mNumber) {
+            permit.ifPresent(p -> mContext.permits().returnUnused(nowMs, p));
+            return;
+        }
         if (mCall.ended()) {
             permit.ifPresent(p -> mContext.permits().returnUnused(nowMs, p));
             mPlace.release(nowMs);
@@ -191,19 +236,21 @@
                     nowMs,
                     "permit-denied",
                     new LogFields().add("upstream", choice.instance().id()));
-            if (mCounts.onPermitDenied()) {
-                mTried.addAll(mContext.upstreamRegistry().rateLimited(nowMs));
-            }
-            start(nowMs);
+            onPermitDenied(nowMs);
             return;
         }
-        if (mCounts.sentBefore() && !mContext.tryTakeRetry(nowMs, mPlan.service().name())) {
-            mContext.permits().returnUnused(nowMs, permit.get());
-            mPlace.release(nowMs);
-            mListener.onGivenUp(nowMs, "too many requests are being retried at present");
+        connect(nowMs, choice, permit.get());
+    }
+
+    private void onPermitDenied(long nowMs) {
+        if (isReplacement()) {
+            mCurrentListener.onNoneAvailable(nowMs);
             return;
         }
-        connect(nowMs, choice, permit.get());
+        if (mCounts.onPermitDenied()) {
+            mTried.addAll(mContext.upstreamRegistry().rateLimited(nowMs));
+        }
+        searchAgain(nowMs);
     }
 
     private void connect(long nowMs, UpstreamChoice choice, SendPermit permit) {
@@ -240,11 +287,10 @@
             instance.onNoAnswer(nowMs);
             releaseConnecting();
             logDecision(nowMs, "unreachable", send.fields());
-            if (mCounts.onUnreachable()) {
-                mPlace.release(nowMs);
-                mListener.onGivenUp(nowMs, "the upstreams are unreachable");
+            if (areTooManyUnreachable()) {
+                mCurrentListener.onGivenUp(nowMs, "the upstreams are unreachable");
             } else {
-                start(nowMs);
+                searchAgain(nowMs);
             }
             return;
         }
@@ -255,31 +301,58 @@
             closeAndSearchAgain(nowMs, connection.get());
             return;
         }
+        if (!isRetryAvailable(nowMs)) {
+            mContext.permits().returnUnused(nowMs, permit);
+            connection.get().cancel();
+            cancelConnecting();
+            mCurrentListener.onGivenUp(nowMs, TOO_MANY_RETRIES);
+            return;
+        }
         if (!mContext.permits().redeem(nowMs, permit)) {
             mTried.remove(instance.id());
             closeAndSearchAgain(nowMs, connection.get());
             return;
         }
-        if (!mCrashes.tryBeginSend(nowMs)) {
+        if (!tryBeginSend(nowMs)) {
             closeAndSearchAgain(nowMs, connection.get());
             return;
         }
+        if (mCounts.sentBefore()) {
+            var unused = mContext.tryTakeRetry(nowMs, mPlan.service().name());
+        }
         mConnecting = Optional.empty();
-        mListener.onFound(nowMs, send, connection.get());
+        mCurrentListener.onFound(nowMs, send, connection.get());
+    }
+
+    private boolean isRetryAvailable(long nowMs) {
+        return !mCounts.sentBefore() || mContext.isRetryAvailable(nowMs, mPlan.service().name());
+    }
+
+    private boolean areTooManyUnreachable() {
+        return isReplacement()
+                ? ++mUnreachableReplacements >= RelayBounds.MAX_UNREACHABLE_UPSTREAMS
+                : mCounts.onUnreachable();
     }
 
     private void closeAndSearchAgain(long nowMs, UpstreamConnection unused) {
         unused.cancel();
         releaseConnecting();
-        start(nowMs);
+        searchAgain(nowMs);
     }
 
     /**
-     * Ends the search or the send that it led to: a connection that is still being opened is closed
-     * once it is open, and the place at the service becomes free.
+     * Ends the search, and keeps the place at the service: a connection that is still being opened
+     * is closed once it is open, and its upstream may be chosen again.
      */
-    void cancel() {
+    void cancelConnecting() {
+        mNumber++;
+        mConnecting.ifPresent(s -> mTried.remove(s.instance().id()));
         releaseConnecting();
+    }
+
+    /** Ends the search or the send that it led to, and frees the place at the service. */
+    void cancel() {
+        cancelConnecting();
         mPlace.release(mContext.clock().nowMs());
     }
 
