--- a/router/src/main/java/org/hornbeampass/router/relay/InFlightSend.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/InFlightSend.java
@@ -11,17 +11,25 @@
  * ends. Confined to one event loop.
  */
 final class InFlightSend implements IncarnationListener {
+    /** Receives that the incarnation of a send's upstream has ended. */
+    @FunctionalInterface
+    interface EndListener {
+        /** Called at most once, before the send is released. */
+        void onInstanceEnded(long nowMs, InFlightSend send);
+    }
+
     private final UpstreamChoice mChoice;
     private final UpstreamInstance mInstance;
     private final String mSoftwareVersion;
     private final long mTokensToRead;
-    private final IncarnationListener mOnInstanceEnd;
+    private final EndListener mOnInstanceEnd;
     private boolean mPromptRead;
     private boolean mReleased;
     private long mEvents;
     private long mLastEventMs;
+    private long mLastPartMs = Long.MIN_VALUE;
 
-    InFlightSend(UpstreamChoice choice, IncarnationListener onInstanceEnd) {
+    InFlightSend(UpstreamChoice choice, EndListener onInstanceEnd) {
         mChoice = choice;
         mInstance = choice.instance();
         mSoftwareVersion = mInstance.entry().softwareVersion();
@@ -40,8 +48,9 @@
         return mSoftwareVersion;
     }
 
-    /** Records the first part of an answer, which shows that the upstream has read the prompt. */
+    /** Records a part of an answer; the first shows that the upstream has read the prompt. */
     void onAnswerPart(long nowMs, long sentMs) {
+        mLastPartMs = nowMs;
         if (!mPromptRead) {
             mPromptRead = true;
             mInstance.onPromptRead(mTokensToRead);
@@ -96,7 +105,7 @@
 
     @Override
     public void onEnded(long nowMs) {
-        mOnInstanceEnd.onEnded(nowMs);
+        mOnInstanceEnd.onInstanceEnded(nowMs, this);
     }
 
     /**
@@ -109,4 +118,9 @@
                 .add("software_version", mSoftwareVersion)
                 .add("in_flight", mInstance.inFlight());
     }
+
+    /** Returns {@link #fields} and for how long a request sent at {@code sentMs} heard nothing. */
+    LogFields fieldsAt(long nowMs, long sentMs) {
+        return fields().add("silent_ms", nowMs - Math.max(sentMs, mLastPartMs));
+    }
 }
--- a/router/src/main/java/org/hornbeampass/router/relay/RelayContext.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/RelayContext.java
@@ -252,6 +252,7 @@
     /** Sets the configuration for the requests that arrive from now on. */
     public void setRoutes(RouteTable routes) {
         mRoutes = Optional.of(routes);
+        mLog.changes().onConfig(mClock.nowMs(), routes.config().version());
         mAdmission.ifPresent(a -> a.setConfig(routes.config()));
         mBacklogIntake.ifPresent(i -> i.setConfig(routes.config()));
     }
@@ -289,6 +290,13 @@
         retryWindow(service).onFirstSend(nowMs);
     }
 
+    /** Returns whether the fleet's limit allows a retry now, without taking it. */
+    boolean isRetryAvailable(long nowMs, String service) {
+        return retryWindow(service)
+                .isAvailable(
+                        nowMs, mSettings.retryRatio(), mSettings.retryExtra(), mVmCount.getAsInt());
+    }
+
     boolean tryTakeRetry(long nowMs, String service) {
         return retryWindow(service)
                 .tryTake(
