Bound the grants that a restored store lacks by a ceiling written ahead

Callers of an organisation got more than it had prepaid: all routers lost power while the store came back from an older copy, and up to 86,480 tokens of 60,000 were used. Which grants the copy lacks was known to running VMs alone; a VM that started waited a second and then granted again what the copy shows as free.

The record now states a ceiling above the granted tokens. It may be used once one VM has seen it in the store for 8 s, so that each copy that may still be restored states at least that much. A VM that was not told of the last grants of the former era counts all up to the copy's ceilings as granted (tokens-written-off) and grants further tokens when its own ceilings are in force. The same holds for a record that is missing after the first era, and for an organisation that a record lacks soon after a restoration.

Price: an organisation that uses over half of a new budget within 8 s waits for the next ceiling. Two existing callers of what is not granted now ask for what may be granted; the figure in logs is unchanged. KnownRecordsTest passes whether the VM is a home, which its records need to know now; its checks are unchanged.

--- a/coordination/src/main/java/org/hornbeampass/coordination/escrow/EscrowRecord.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/escrow/EscrowRecord.java
@@ -17,10 +17,19 @@
  *
  * @param organisations grants by organisation name
  * @param era the era of the store in which the record was written; 0 if the store states none
+ * @param completeEra the last era in which the record is known to have all organisations that were
+ *     ever granted tokens
  */
 public record EscrowRecord(
         @JsonProperty("organisations") TreeMap<String, Organisation> organisations,
-        @JsonProperty("era") @JsonInclude(JsonInclude.Include.NON_DEFAULT) long era) {
+        @JsonProperty("era") @JsonInclude(JsonInclude.Include.NON_DEFAULT) long era,
+        @JsonProperty("complete_era") @JsonInclude(JsonInclude.Include.NON_DEFAULT)
+                long completeEra) {
+    /** Creates a record that may lack organisations. */
+    EscrowRecord(TreeMap<String, Organisation> organisations, long era) {
+        this(organisations, era, 0);
+    }
+
     /**
      * The grants of one organisation.
      *
@@ -30,17 +39,35 @@
      * @param holders the current holders by incarnation
      * @param ended the last holders that no longer exist, in the order in which they were closed,
      *     if the store may be restored from an older copy; they are not part of {@code closed}
+     * @param ceiling the total up to which tokens may be granted once all copies of the store state
+     *     it; 0 if there is none
+     * @param ceilingInForce the total up to which tokens may be granted now
      */
     public record Organisation(
             @JsonProperty("closed") long closed,
             @JsonProperty("closed_spent") long closedSpent,
             @JsonProperty("holders") TreeMap<String, Holder> holders,
-            @JsonProperty("ended") @JsonInclude(JsonInclude.Include.NON_EMPTY) List<Ended> ended) {
+            @JsonProperty("ended") @JsonInclude(JsonInclude.Include.NON_EMPTY) List<Ended> ended,
+            @JsonProperty("ceiling") @JsonInclude(JsonInclude.Include.NON_DEFAULT) long ceiling,
+            @JsonProperty("ceiling_in_force") @JsonInclude(JsonInclude.Include.NON_DEFAULT)
+                    long ceilingInForce) {
         /** Copies the ended holders; a record without them has none. */
         public Organisation {
             ended = ended == null ? List.of() : List.copyOf(ended);
         }
 
+        /** Creates the grants of an organisation without a ceiling. */
+        Organisation(
+                long closed, long closedSpent, TreeMap<String, Holder> holders, List<Ended> ended) {
+            this(closed, closedSpent, holders, ended, 0, 0);
+        }
+
+        /** Returns a copy with other ceilings. */
+        Organisation withCeilings(long newCeiling, long newCeilingInForce) {
+            return new Organisation(
+                    closed, closedSpent, holders, ended, newCeiling, newCeilingInForce);
+        }
+
         /** Returns the tokens that were granted to current and former holders. */
         public long granted() {
             return closedTokens() + holders.values().stream().mapToLong(Holder::granted).sum();
@@ -76,14 +103,17 @@
                     Math.max(closed, other.closed()),
                     Math.max(closedSpent, other.closedSpent()),
                     merged,
-                    List.copyOf(mergedEnded.values()));
+                    List.copyOf(mergedEnded.values()),
+                    Math.max(ceiling, other.ceiling()),
+                    Math.max(ceilingInForce, other.ceilingInForce()));
         }
     }
 
     /**
-     * The grant of an incarnation of a VM that no longer exists.
+     * The grant of an incarnation of a VM that no longer exists, or the tokens that may have been
+     * granted before the store was restored and that no VM knows of.
      *
-     * @param incarnation the incarnation
+     * @param incarnation the incarnation, or a name for the era that the restoration began
      * @param granted the tokens granted to it
      * @param spent the tokens that it has reported as spent
      */
@@ -95,6 +125,11 @@
             return new Ended(incarnation, holder.granted(), holder.spent());
         }
 
+        /** Returns the tokens that may have been granted, unknown to all, before an era. */
+        static Ended unknownBefore(long era, long tokens) {
+            return new Ended("before-era-" + era, tokens, 0);
+        }
+
         private Ended mergedWith(Ended other) {
             return new Ended(
                     incarnation,
@@ -141,13 +176,16 @@
                                         o.closed(),
                                         o.closedSpent(),
                                         new TreeMap<>(o.holders()),
-                                        o.ended())));
-        return new EscrowRecord(copies, era);
+                                        o.ended(),
+                                        o.ceiling(),
+                                        o.ceilingInForce())));
+        return new EscrowRecord(copies, era, completeEra);
     }
 
     /** Returns a copy that is marked as written in an era of the store. */
-    EscrowRecord writtenIn(long writtenEra) {
-        return new EscrowRecord(copy().organisations(), writtenEra);
+    EscrowRecord writtenIn(long writtenEra, boolean complete) {
+        return new EscrowRecord(
+                copy().organisations(), writtenEra, complete ? writtenEra : completeEra);
     }
 
     /**
@@ -160,6 +198,9 @@
                 .forEach(
                         (name, o) ->
                                 merged.organisations().merge(name, o, Organisation::mergedWith));
-        return new EscrowRecord(merged.organisations(), Math.max(era, other.era()));
+        return new EscrowRecord(
+                merged.organisations(),
+                Math.max(era, other.era()),
+                Math.max(completeEra, other.completeEra()));
     }
 }
--- a/coordination/src/main/java/org/hornbeampass/coordination/escrow/EscrowShard.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/escrow/EscrowShard.java
@@ -129,9 +129,10 @@
     void onEra(long nowMs, long era) {
         mExchange.onRestored();
         mAccounts.values().forEach(EscrowAccount::onStoreRestored);
-        mKnownBudgets.records().beginEra(era);
+        mKnownBudgets.ceilings().onEra();
+        mKnownBudgets.records().beginEra(era, mHomes.isHome(mPool));
         mSuspension.onEra(nowMs);
-        if (mKnownBudgets.records().hasForgottenGrants()) {
+        if (mKnownBudgets.records().isWitnessed()) {
             sendNotice();
         }
         tick(nowMs);
@@ -323,6 +324,7 @@
 
     void tick(long nowMs) {
         mSuspension.tick(nowMs);
+        mKnownBudgets.ceilings().advanceTo(nowMs);
         answerLoans(l -> nowMs - l.sinceMs() >= LENDER_WAIT_MS);
         if (!mKnownBudgets.organisations().isEmpty()
                 && mExchange.isReady(nowMs)
@@ -372,6 +374,8 @@
 
     @Override
     public EscrowRecord prepareRecord(long nowMs) {
+        mKnownBudgets.ceilings().advanceTo(nowMs);
+        mSuspension.onWriteSent();
         EscrowRecord next = mPlan.nextRecord(nowMs, mReturning);
         for (String organisation : mKnownBudgets.organisations()) {
             EscrowAccount account = mAccounts.get(organisation);
@@ -381,9 +385,15 @@
         return next;
     }
 
+    @Override
+    public boolean mayCreate(long nowMs) {
+        return mSuspension.mayCreate(nowMs);
+    }
+
     @Override
     public void onWritten(long nowMs, boolean withForgottenGrants) {
         mLastExchangeMs = nowMs;
+        mSuspension.onWritten(nowMs);
         if (withForgottenGrants) {
             mListener.onGrantsWrittenAgain(nowMs, mPool, mKnownBudgets.records().era());
         }
@@ -403,7 +413,7 @@
             mDirectUntilMs = nowMs;
             mNextDirectMs = nowMs + DIRECT_RETRY_MS;
         }
-        if (mKnownBudgets.records().hasForgottenGrants()) {
+        if (mKnownBudgets.records().isWitnessed()) {
             sendNotice();
         }
         runCallbacks();
@@ -433,6 +443,9 @@
 
     /** Applies the record in the store; returns whether it shows a larger grant of this VM. */
     private boolean applyRecord(long nowMs, boolean writePending) {
+        KnownRecords records = mKnownBudgets.records();
+        mKnownBudgets.ceilings().advanceTo(nowMs);
+        mKnownBudgets.ceilings().onInStore(records.inStore(), records.era());
         boolean raised = false;
         for (String organisation : mKnownBudgets.organisations()) {
             long before = mAccounts.get(organisation).granted();
--- a/coordination/src/main/java/org/hornbeampass/coordination/escrow/ExchangeNeed.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/escrow/ExchangeNeed.java
@@ -40,7 +40,7 @@
 
     /** Returns whether the store may have as many tokens for this VM. */
     boolean storeMayHave(String organisation, long tokens) {
-        return mKnownBudgets.unallocated(organisation) + mAccounts.get(organisation).free()
+        return mKnownBudgets.obtainable(organisation) + mAccounts.get(organisation).free()
                 >= tokens;
     }
 
--- a/coordination/src/main/java/org/hornbeampass/coordination/escrow/GrantListener.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/escrow/GrantListener.java
@@ -65,6 +65,17 @@
      */
     default void onGrantsWrittenAgain(long nowMs, int pool, long era) {}
 
+    /**
+     * Called when tokens count as granted that may have been granted before the store was restored,
+     * since no VM knows whether they were.
+     *
+     * @param nowMs the current time in milliseconds
+     * @param organisation the organisation's name
+     * @param tokens the tokens
+     * @param era the store's present era
+     */
+    default void onTokensWrittenOff(long nowMs, String organisation, long tokens, long era) {}
+
     /**
      * A search for tokens at other VMs.
      *
--- a/coordination/src/main/java/org/hornbeampass/coordination/escrow/GrantPlan.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/escrow/GrantPlan.java
@@ -59,8 +59,9 @@
 
     /** Returns the record to write, with this VM's planned grants and reports. */
     EscrowRecord nextRecord(long nowMs, boolean returning) {
-        EscrowRecord next =
-                mKnownBudgets.records().known().writtenIn(mKnownBudgets.records().era());
+        KnownRecords records = mKnownBudgets.records();
+        boolean complete = mKnownBudgets.ceilings().isComplete(records);
+        EscrowRecord next = records.known().writtenIn(records.era(), complete);
         for (String organisation : mKnownBudgets.organisations()) {
             next.organisations().put(organisation, plannedGrants(nowMs, organisation, returning));
         }
@@ -72,7 +73,7 @@
      * with the store.
      */
     boolean isWorthTaking(String organisation, long tokens) {
-        return Math.min(mKnownBudgets.unallocated(organisation), tokens)
+        return Math.min(mKnownBudgets.obtainable(organisation), tokens)
                 >= minTransfer(organisation);
     }
 
@@ -155,9 +156,14 @@
                 holders.remove(entry.getKey());
             }
         }
+        long unknown = mKnownBudgets.unknownGrants(organisation);
+        long era = mKnownBudgets.records().era();
+        if (unknown > 0) {
+            ended.add(EscrowRecord.Ended.unknownBefore(era, unknown));
+        }
         long closed = stored.closed();
         long closedSpent = stored.closedSpent();
-        int kept = mKnownBudgets.records().era() > 0 ? MAX_ENDED : 0;
+        int kept = era > 0 ? MAX_ENDED : 0;
         while (ended.size() > kept) {
             EscrowRecord.Ended oldest = ended.remove(0);
             closed += oldest.granted();
@@ -172,7 +178,20 @@
         } else {
             holders.remove(mOwner.incarnation());
         }
-        return new EscrowRecord.Organisation(closed, closedSpent, holders, ended);
+        EscrowRecord.Organisation planned =
+                new EscrowRecord.Organisation(closed, closedSpent, holders, ended);
+        if (era == 0) {
+            return planned;
+        }
+        return planned.withCeilings(
+                mKnownBudgets
+                        .ceilings()
+                        .next(
+                                organisation,
+                                stored,
+                                planned.granted(),
+                                mKnownBudgets.prepaid(organisation)),
+                mKnownBudgets.usableCeiling(organisation));
     }
 
     private long plannedOwnGrant(
--- a/coordination/src/main/java/org/hornbeampass/coordination/escrow/GrantSuspension.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/escrow/GrantSuspension.java
@@ -1,5 +1,8 @@
 package org.hornbeampass.coordination.escrow;
 
+import java.util.HashMap;
+import java.util.Map;
+
 /**
  * Decides how long no tokens of a pool are granted after the store was restored, so that grants
  * which it has forgotten are written again before others take their tokens.
@@ -16,6 +19,7 @@
     private final int mPool;
     private final KnownBudgets mKnownBudgets;
     private final GrantListener mListener;
+    private final Map<String, Long> mUnknownGrants = new HashMap<>();
     private boolean mWaitedForOthers;
     private long mUntilMs = Long.MIN_VALUE;
 
@@ -40,6 +44,32 @@
         mListener.onGrantsSuspended(nowMs, mPool, records.known().era(), records.era());
     }
 
+    /**
+     * Returns whether the record may be created, which the store lacks. Before any restoration
+     * nobody can know of a former one.
+     */
+    boolean mayCreate(long nowMs) {
+        return mKnownBudgets.records().era() <= GrantCeilings.FIRST_ERA || mayWrite(nowMs);
+    }
+
+    /** Records that the planned grants are sent, in which unknown ones count as granted. */
+    void onWriteSent() {
+        mUnknownGrants.clear();
+        for (String organisation : mKnownBudgets.organisations()) {
+            long unknown = mKnownBudgets.unknownGrants(organisation);
+            if (unknown > 0) {
+                mUnknownGrants.put(organisation, unknown);
+            }
+        }
+    }
+
+    /** Reports the unknown grants in the record that was written. */
+    void onWritten(long nowMs) {
+        long era = mKnownBudgets.records().era();
+        mUnknownGrants.forEach((name, t) -> mListener.onTokensWrittenOff(nowMs, name, t, era));
+        mUnknownGrants.clear();
+    }
+
     /** Ends the suspension if its time is over. */
     void tick(long nowMs) {
         if (nowMs >= mUntilMs) {
@@ -48,12 +78,13 @@
     }
 
     /**
-     * Returns whether the record that was just read may be written. A VM that knows no grants of a
-     * former era leaves it to others for a while to write theirs into a restored copy.
+     * Returns whether the record that was just read may be written. A VM that was not told of the
+     * last grants of a former era leaves it to others for a while to write them into a restored
+     * copy.
      */
     boolean mayWrite(long nowMs) {
         KnownRecords records = mKnownBudgets.records();
-        if (!records.isOfFormerEra() || records.hasForgottenGrants()) {
+        if (!records.mayLackUnknownGrants()) {
             return true;
         }
         if (!mWaitedForOthers) {
--- a/coordination/src/main/java/org/hornbeampass/coordination/escrow/KnownBudgets.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/escrow/KnownBudgets.java
@@ -28,6 +28,7 @@
     private final Map<String, Long> mPrepaid = new HashMap<>();
     private final Map<String, PeerReport> mPeerReports = new HashMap<>();
     private final KnownRecords mRecords = new KnownRecords();
+    private final GrantCeilings mCeilings = new GrantCeilings();
     private boolean mRecordKnown;
     private boolean mGrantsSuspended;
     private long mLastReplyMs = Long.MIN_VALUE / 2;
@@ -49,6 +50,11 @@
         return mRecords;
     }
 
+    /** Returns the ceilings up to which tokens may be granted. */
+    GrantCeilings ceilings() {
+        return mCeilings;
+    }
+
     /** Returns an organisation's grants, including those that a restored store may lack. */
     EscrowRecord.Organisation stored(String organisation) {
         return mRecords.known().organisation(organisation);
@@ -164,15 +170,38 @@
         return stored.closedTokens() - stored.closedSpentTokens();
     }
 
-    /**
-     * Returns the tokens that this VM may be granted, as far as known: those not granted to any VM.
-     */
+    /** Returns the tokens that are not granted to any VM, as far as known. */
     long unallocated(String organisation) {
+        return mRecordKnown ? ungranted(organisation) : UNKNOWN_TOKENS;
+    }
+
+    /** Returns the tokens that this VM may be granted now, as far as known. */
+    long obtainable(String organisation) {
         return mRecordKnown ? grantable(organisation) : UNKNOWN_TOKENS;
     }
 
     /** Returns the tokens that a write which is based on the known record may grant. */
     long grantable(String organisation) {
+        if (unknownGrants(organisation) > 0) {
+            return 0;
+        }
+        long ungranted = ungranted(organisation);
+        return mRecords.era() > 0
+                ? Math.min(ungranted, usableCeiling(organisation) - stored(organisation).granted())
+                : ungranted;
+    }
+
+    private long ungranted(String organisation) {
         return mGrantsSuspended ? 0 : prepaid(organisation) - stored(organisation).granted();
     }
+
+    /** Returns the total of tokens that may be granted now. */
+    long usableCeiling(String organisation) {
+        return mCeilings.usable(organisation, mRecords, prepaid(organisation));
+    }
+
+    /** Returns the tokens that may have been granted although no record shows it. */
+    long unknownGrants(String organisation) {
+        return mCeilings.unknownGrants(organisation, mRecords, prepaid(organisation));
+    }
 }
--- a/coordination/src/main/java/org/hornbeampass/coordination/escrow/KnownRecords.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/escrow/KnownRecords.java
@@ -51,6 +51,7 @@
     private EscrowRecord mKnown = EscrowRecord.empty();
     private long mEra;
     private boolean mRead;
+    private boolean mWitnessed;
 
     /** Returns the store's era; 0 if it states none. */
     long era() {
@@ -82,12 +83,26 @@
         return mInStore.record().era() < mEra;
     }
 
+    /**
+     * Returns whether tokens may have been granted in a former era that neither the record in the
+     * store nor this VM knows of.
+     */
+    boolean mayLackUnknownGrants() {
+        return isOfFormerEra() && !mWitnessed;
+    }
+
+    /** Returns whether this VM was told of the last grants of the former era. */
+    boolean isWitnessed() {
+        return mWitnessed;
+    }
+
     /** Sets the record as read from the store. */
     void onRead(EscrowRecord record, long version) {
         Seen read = Seen.of(record, version);
         // A writer that has not learnt of the era may have replaced a record of that era.
         if (mRead && record.era() < mInStore.record().era()) {
             keepKnown();
+            mWitnessed = true;
         }
         mRead = true;
         mInStore = read;
@@ -115,16 +130,23 @@
         Seen reported = Seen.of(record, version);
         if (record.era() < mEra) {
             mForgotten = Optional.of(mForgotten.map(f -> f.with(reported)).orElse(reported));
+            mWitnessed = true;
             mKnown = extended().record();
             return;
         }
         mReported = Optional.of(mReported.map(r -> r.with(reported)).orElse(reported));
     }
 
-    /** Handles that the store was restored, so that it may lack grants that this VM knows. */
-    void beginEra(long era) {
+    /**
+     * Handles that the store was restored, so that it may lack grants that this VM knows.
+     *
+     * @param era the store's present era
+     * @param home whether this VM is told of each write
+     */
+    void beginEra(long era, boolean home) {
         mEra = era;
         keepKnown();
+        mWitnessed = home && mForgotten.isPresent();
         mKnown = extended().record();
     }
 
--- a/coordination/src/main/java/org/hornbeampass/coordination/escrow/RecordExchange.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/escrow/RecordExchange.java
@@ -32,6 +32,9 @@
          */
         boolean onRecordRead(long nowMs, boolean writePending);
 
+        /** Returns whether the record, which the store lacks, may be created now. */
+        boolean mayCreate(long nowMs);
+
         /**
          * Called when the record has been written to the store.
          *
@@ -158,10 +161,7 @@
             return;
         }
         if (reply instanceof PlatformReply.Missing) {
-            mKnownBudgets.onStoreReply(nowMs);
-            mVersionKnown = true;
-            mMustCreate = true;
-            write(nowMs);
+            onMissing(nowMs);
             return;
         }
         if (reply instanceof PlatformReply.Conflict conflict && conflict.current().isPresent()) {
@@ -174,6 +174,17 @@
         mHandler.onFailed(nowMs);
     }
 
+    private void onMissing(long nowMs) {
+        mKnownBudgets.onStoreReply(nowMs);
+        if (!mHandler.mayCreate(nowMs)) {
+            mNotBeforeMs = nowMs + RETRY_MS;
+            return;
+        }
+        mVersionKnown = true;
+        mMustCreate = true;
+        write(nowMs);
+    }
+
     private void onWritten(long nowMs, long version) {
         mUncertainBaseVersion = -1;
         mMustCreate = false;
--- a/coordination/src/test/java/org/hornbeampass/coordination/escrow/KnownRecordsTest.java
+++ b/coordination/src/test/java/org/hornbeampass/coordination/escrow/KnownRecordsTest.java
@@ -28,9 +28,9 @@
 
     @Test
     void recordOfTheFormerEra_countsUntilItIsWrittenAgain() {
-        mRecords.beginEra(1);
+        mRecords.beginEra(1, true);
         mRecords.onRead(record(1, "a", 60), StoreVersion.of(1, 9));
-        mRecords.beginEra(2);
+        mRecords.beginEra(2, true);
         mRecords.onRead(record(1, "a", 10), StoreVersion.of(2, 3));
         assertThat(granted()).isEqualTo(60);
         mRecords.onWriteSent();
@@ -41,7 +41,7 @@
 
     @Test
     void grantsReportedDuringAWrite_arePartOfTheNextOne() {
-        mRecords.beginEra(2);
+        mRecords.beginEra(2, true);
         mRecords.onRead(record(1, "a", 10), StoreVersion.of(2, 3));
         mRecords.onWriteSent();
         mRecords.onReported(record(1, "b", 30), StoreVersion.of(1, 9));
@@ -52,7 +52,7 @@
 
     @Test
     void recordReplacedByAWriterOfTheFormerEra_isStillKnown() {
-        mRecords.beginEra(2);
+        mRecords.beginEra(2, true);
         mRecords.onRead(record(2, "a", 60), StoreVersion.of(2, 4));
         mRecords.onRead(record(1, "b", 10), StoreVersion.of(2, 5));
         assertThat(granted()).isEqualTo(70);
--- a/coordination/src/test/java/org/hornbeampass/coordination/escrow/RandomizedEscrowFleet.java
+++ b/coordination/src/test/java/org/hornbeampass/coordination/escrow/RandomizedEscrowFleet.java
@@ -1,5 +1,6 @@
 package org.hornbeampass.coordination.escrow;
 
+import org.hornbeampass.coordination.platform.AnswerProgress;
 import org.hornbeampass.coordination.platform.EraGuard;
 import org.hornbeampass.coordination.platform.MemoryPlatform;
 import org.hornbeampass.coordination.platform.Platform;
@@ -7,7 +8,9 @@
 import org.hornbeampass.coordination.platform.PlatformReply;
 import org.hornbeampass.state.service.PrepaidOrganisation;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.List;
 import java.util.OptionalLong;
 import java.util.Random;
@@ -42,12 +45,17 @@
     private boolean mFaultsEnabled = true;
     private boolean mHomesRandom;
     private boolean mRestoresEnabled;
+    private boolean mLossOfAllVmsEnabled;
+    private final Deque<TimedCopy> mRecentCopies = new ArrayDeque<>();
     private int mLivesAtCopy = Integer.MAX_VALUE;
     private final List<KnownCopy> mCopies = new ArrayList<>();
 
     /** A copy of the store, and how many VMs had been started when it was taken. */
     private record KnownCopy(MemoryPlatform.Copy copy, int lives) {}
 
+    /** A copy of the store, and when it was taken. */
+    private record TimedCopy(MemoryPlatform.Copy copy, long atMs) {}
+
     /** A request in progress at a VM. */
     private record RunningRequest(long reserved) {}
 
@@ -142,6 +150,24 @@
                 mStore.submit(nowMs, call, done);
             }
         }
+
+        @Override
+        public Runnable submit(
+                long nowMs,
+                PlatformCall call,
+                AnswerProgress progress,
+                BiConsumer<Long, PlatformReply> done) {
+            submit(
+                    nowMs,
+                    call,
+                    (t, reply) -> {
+                        if (reply instanceof PlatformReply.Missing) {
+                            progress.onEra(t, mStore.era());
+                        }
+                        done.accept(t, reply);
+                    });
+            return () -> {};
+        }
     }
 
     /** Answers a read that may be stale with any earlier state of the record. */
@@ -172,10 +198,15 @@
         if (mRestoresEnabled) {
             restoreAtRandom();
         }
+        if (mLossOfAllVmsEnabled) {
+            loseAllVmsAtRandom();
+        }
         Vm vm = mVms.get(mRandom.nextInt(mVms.size()));
         int action = mRandom.nextInt(mHomesRandom ? 25 : 22);
         boolean lasting = action == 18 || action == 19;
-        boolean rare = mRestoresEnabled && mRandom.nextInt(STEPS_PER_LASTING_CHANGE) > 0;
+        boolean rare =
+                (mRestoresEnabled || mLossOfAllVmsEnabled)
+                        && mRandom.nextInt(STEPS_PER_LASTING_CHANGE) > 0;
         if (lasting && (rare || isLastThatKnows(vm))) {
             return;
         }
@@ -218,6 +249,20 @@
         }
     }
 
+    /** Takes a copy, or lets all VMs end as the store is restored from one that is still used. */
+    private void loseAllVmsAtRandom() {
+        mRecentCopies.removeIf(c -> mNowMs - c.atMs() > GrantCeilings.MAX_COPY_AGE_MS);
+        int action = mRandom.nextInt(60);
+        if (action < 3) {
+            mRecentCopies.add(new TimedCopy(mStore.copy(), mNowMs));
+        } else if (action == 3 && !mRecentCopies.isEmpty()) {
+            restoreStore(mRecentCopies.getFirst().copy());
+            mDelayed.clear();
+            mVms.forEach(Vm::start);
+            mVms.forEach(v -> v.mStoreClient.onEra(mNowMs, mStore.era()));
+        }
+    }
+
     /** Lends tokens from one VM to another; the reply may be lost, or arrive after a restart. */
     private void lend(Vm from, Vm to) {
         EscrowBook borrower = to.mBook;
@@ -348,6 +393,14 @@
         mRestoresEnabled = true;
     }
 
+    /**
+     * Makes steps end all VMs at the moment at which the store is restored from a copy that is at
+     * most {@link GrantCeilings#MAX_COPY_AGE_MS} old.
+     */
+    void enableLossOfAllVms() {
+        mLossOfAllVmsEnabled = true;
+    }
+
     void enableFaults() {
         mFaultsEnabled = true;
     }
--- a/coordination/src/test/java/org/hornbeampass/coordination/escrow/RestoredBudgetsTest.java
+++ b/coordination/src/test/java/org/hornbeampass/coordination/escrow/RestoredBudgetsTest.java
@@ -67,6 +67,56 @@
         assertThat(fleet.usedOrReserved()).isLessThanOrEqualTo(PREPAID);
     }
 
+    /** Uses up a budget on all VMs in turn, each waiting until further tokens may be granted. */
+    private static void useUp(RandomizedEscrowFleet fleet) {
+        for (int round = 0; round < 4; round++) {
+            for (int vm = 0; vm < fleet.vms(); vm++) {
+                use(fleet, vm, PREPAID);
+            }
+            fleet.runWithoutFaults(GrantCeilings.MAX_COPY_AGE_MS);
+        }
+    }
+
+    private static void restartAll(RandomizedEscrowFleet fleet) {
+        for (int vm = 0; vm < fleet.vms(); vm++) {
+            fleet.restart(vm);
+            fleet.learnEra(vm);
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {0, 1_000, 2_000, 20_000})
+    void tokensWhoseGrantNobodyKnows_areNotGrantedAgain(long copyAfterMs) {
+        RandomizedEscrowFleet fleet = new RandomizedEscrowFleet(1, 3, PREPAID);
+        fleet.runWithoutFaults(copyAfterMs);
+        MemoryPlatform.Copy copy = fleet.copyStore();
+        for (long ms = 0; ms < GrantCeilings.MAX_COPY_AGE_MS; ms += 100) {
+            int vm = (int) (ms / 100 % fleet.vms());
+            if (fleet.request(vm, REQUEST) == Admission.RESERVED) {
+                fleet.finishAllUsingAll(vm);
+            }
+            fleet.runWithoutFaults(100);
+        }
+        fleet.restoreStore(copy);
+        restartAll(fleet);
+        useUp(fleet);
+        assertThat(fleet.usedOrReserved()).isBetween(PREPAID * 4 / 10, PREPAID);
+    }
+
+    @Test
+    void vmsKilledAtEachRestoration_neverOverspend() {
+        for (long seed = 0; seed < SEEDS; seed++) {
+            RandomizedEscrowFleet fleet = new RandomizedEscrowFleet(seed, 3, PREPAID);
+            fleet.enableLossOfAllVms();
+            for (int i = 0; i < STEPS; i++) {
+                fleet.step();
+                assertThat(fleet.usedOrReserved())
+                        .as("seed %d, step %d", seed, i)
+                        .isLessThanOrEqualTo(fleet.prepaid());
+            }
+        }
+    }
+
     private static void assertNeverOverspends(int vms, long seed) {
         RandomizedEscrowFleet fleet = new RandomizedEscrowFleet(seed, vms, PREPAID);
         fleet.enableRestores();
--- a/router/src/main/java/org/hornbeampass/router/daemon/GrantLog.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/GrantLog.java
@@ -52,6 +52,17 @@
                 nowMs, "grants-written-again", new LogFields().add("pool", pool).add("era", era));
     }
 
+    @Override
+    public void onTokensWrittenOff(long nowMs, String organisation, long tokens, long era) {
+        mLog.logStateChange(
+                nowMs,
+                "tokens-written-off",
+                new LogFields()
+                        .add("organisation", organisation)
+                        .add("tokens", tokens)
+                        .add("era", era));
+    }
+
     @Override
     public void onUnsuccessfulSearch(long nowMs, String organisation, Search search) {
         mLog.logStateChange(
