--- a/coordination/src/test/java/org/hornbeampass/coordination/escrow/EscrowAccountTest.java
+++ b/coordination/src/test/java/org/hornbeampass/coordination/escrow/EscrowAccountTest.java
@@ -8,6 +8,7 @@
 
 import java.util.List;
 
+/** Checks the amounts that an account takes. */
 class EscrowAccountTest {
     private static final long LIMIT = 20_000;
 
--- a/coordination/src/test/java/org/hornbeampass/coordination/platform/ViewChangesTest.java
+++ b/coordination/src/test/java/org/hornbeampass/coordination/platform/ViewChangesTest.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Optional;
 
+/** Checks in which cases the changes of a view are reported. */
 class ViewChangesTest {
     private final List<String> mReported = new ArrayList<>();
 
--- a/router/src/test/java/org/hornbeampass/router/daemon/TickLoopTest.java
+++ b/router/src/test/java/org/hornbeampass/router/daemon/TickLoopTest.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 
+/** Checks that periodic tasks go on. */
 @Timeout(20)
 class TickLoopTest {
     /** Guards against a router that ticks no more after one error, such as too deep a recursion. */
--- a/transport/src/test/java/org/hornbeampass/transport/relay/ReceivedMessagesTest.java
+++ b/transport/src/test/java/org/hornbeampass/transport/relay/ReceivedMessagesTest.java
@@ -40,6 +40,7 @@
                     false,
                     Optional.empty());
 
+    /** States the bound and observes nothing. */
     private final class Intake implements IntakeListener {
         @Override
         public void onHandover(long nowMs, long readMs, int waiting) {}
@@ -58,6 +59,7 @@
         }
     }
 
+    /** Counts the bytes of a body that are handed over. */
     private final class Body implements CallerListener {
         @Override
         public void onBody(long nowMs, ByteBuf part) {
@@ -119,7 +121,7 @@
     @Test
     void callerThatLeavesBeforeTheHandover_leavesNothingHeld() {
         EmbeddedChannel channel = receive(100);
-        channel.close();
+        channel.close().syncUninterruptibly();
         assertThat(mLimit.totalBytes()).isZero();
     }
 }
