Close a connection after an answer if anything unrequested came on it

A caller got a 200 with the body and seal of an answer that its upstream had given as a 500: the start of another answer's head followed the answer before, stayed in the decoder of the connection that went back to the pool, and the next head was read as the rest of it, with the status of the first. Cause: bytes that a request did not ask for closed a connection only if they made a whole message or came later on the idle connection; after a whole unrelated answer the connection was kept too.

An answer now returns its connection to the pool only if no other answer came before it and the decoder holds no byte after it. Where the rest of such a head never comes and the request is already in flight, no close can help: a head inside which a status line stands is invalid, so the request ends as after a broken connection.

--- a/transport/src/main/java/org/hornbeampass/transport/relay/AnswerDecoder.java
+++ b/transport/src/main/java/org/hornbeampass/transport/relay/AnswerDecoder.java
@@ -6,7 +6,9 @@
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpStatusClass;
 
+import java.util.Map;
 import java.util.function.Function;
+import java.util.regex.Pattern;
 
 /**
  * Decodes the answers of an upstream. Whether one has a body depends on the request that it
@@ -15,6 +17,8 @@
  * <p>Confined to the channel's event loop.
  */
 final class AnswerDecoder extends HttpResponseDecoder {
+    private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] \\d\\d\\d");
+
     private final Function<HttpResponse, HttpMethod> mMethodOf;
 
     /**
@@ -42,6 +46,27 @@
                 || super.isContentAlwaysEmpty(message);
     }
 
+    /** Returns whether bytes were read that no message contains which was passed on. */
+    boolean holdsInput() {
+        return actualReadableBytes() > 0;
+    }
+
+    /**
+     * Returns whether a status line stands inside a head. An upstream that breaks off one head and
+     * then writes another makes one of the two, with the status of the first.
+     */
+    static boolean joinsTwoHeads(HttpResponse head) {
+        if (STATUS_LINE.matcher(head.status().reasonPhrase()).find()) {
+            return true;
+        }
+        for (Map.Entry<String, String> header : head.headers()) {
+            if (STATUS_LINE.matcher(header.getValue()).find()) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     /** Requests ask for no other protocol, so an answer can't change it. */
     @Override
     protected boolean isSwitchingToNonHttp1Protocol(HttpResponse head) {
--- a/transport/src/main/java/org/hornbeampass/transport/relay/UpstreamConnection.java
+++ b/transport/src/main/java/org/hornbeampass/transport/relay/UpstreamConnection.java
@@ -33,8 +33,9 @@
  * in order, or went on with another answer to a request that was sent on this connection; a
  * connection that fails or is closed by this VM breaks it. A connection is reused only if the last
  * answer was complete, had explicit framing (a content length, chunked encoding or a status without
- * a body) and did not ask to close the connection, and if the whole request had been written.
- * Confined to the channel's event loop.
+ * a body) and did not ask to close the connection, if nothing came before or after it that its
+ * request did not ask for, and if the whole request had been written. Confined to the channel's
+ * event loop.
  */
 public final class UpstreamConnection extends ChannelInboundHandlerAdapter
         implements BoundedInput.Connection, WriteBacklog.Owner {
@@ -58,6 +59,7 @@
     private AnswerFraming mFraming = AnswerFraming.NO_BODY;
     private boolean mHeadAccepted;
     private boolean mSkippingAnswer;
+    private boolean mUnrequestedAnswers;
     private boolean mReusable;
     private boolean mRequestWritten;
     private boolean mAwaitingEndOfInput;
@@ -110,6 +112,7 @@
         mMethod = head.method();
         mHeadAccepted = false;
         mSkippingAnswer = false;
+        mUnrequestedAnswers = false;
         mAwaitingEndOfInput = false;
         mRequestWritten = false;
         mReusable = false;
@@ -239,7 +242,8 @@
             closeUnrequested(UnrequestedInput.AFTER_ANSWER);
             return;
         }
-        if (object.decoderResult().isFailure()) {
+        boolean joined = object instanceof HttpResponse r && AnswerDecoder.joinsTwoHeads(r);
+        if (joined || object.decoderResult().isFailure()) {
             ReferenceCountUtil.release(message);
             onConnectionBroken("the upstream sent an invalid HTTP response");
             return;
@@ -282,6 +286,7 @@
         if (mSkippingAnswer) {
             mBound.onSkippedAnswer();
             if (!informational) {
+                mUnrequestedAnswers = true;
                 AnswerFraming framing = AnswerFraming.of(methodOf(head), head);
                 mIds.orElseThrow()
                         .onUnrequested(nowMs, head, framing, UnrequestedInput.BEFORE_ANSWER);
@@ -388,10 +393,13 @@
 
     private void onAnswerEnded(UpstreamListener listener) {
         mListener = Optional.empty();
-        if (mReusable && mRequestWritten) {
-            returnToPool();
-        } else {
+        boolean reusable = mReusable && mRequestWritten && !mUnrequestedAnswers;
+        if (!reusable) {
             close();
+        } else if (mChannel.pipeline().get(AnswerDecoder.class).holdsInput()) {
+            closeUnrequested(UnrequestedInput.AFTER_ANSWER);
+        } else {
+            returnToPool();
         }
         listener.onEnd(mClock.nowMs());
     }
--- a/transport/src/test/java/org/hornbeampass/transport/relay/UpstreamConnectionTest.java
+++ b/transport/src/test/java/org/hornbeampass/transport/relay/UpstreamConnectionTest.java
@@ -48,11 +48,13 @@
     private static final class Recorder implements UpstreamListener, AnswerIds {
         private final List<String> mCalls = new ArrayList<>();
         private String mRequestId = "q";
+        private int mStatus;
 
         @Override
         public boolean onHead(long nowMs, HttpResponse head) {
             boolean related = idOf(head).orElse(mRequestId).equals(mRequestId);
             if (related) {
+                mStatus = head.status().code();
                 mCalls.add("head");
             }
             return related;
@@ -222,4 +224,40 @@
         receive("HTTP/1.1 " + status + "\r\n\r\n" + FRAMED);
         assertThat(mRecorder.mCalls).containsExactly("head", "body", "end");
     }
+
+    @Test
+    void partOfAHeadThatFollowsAnAnswer_closesTheConnection() {
+        receive(FRAMED + "HTTP/1.1 200 OK\r\nServer: ");
+        assertThat(mRecorder.mCalls).containsExactly("head", "body", "end");
+        assertThat(mChannel.isOpen()).isFalse();
+    }
+
+    @Test
+    void connectionOnWhichAnUnrelatedAnswerCame_isClosedAfterTheAnswer() {
+        receive("HTTP/1.1 200 OK\r\nId: p\r\nContent-Length: 0\r\n\r\n");
+        assertThat(mChannel.isOpen()).isTrue();
+        receive(FRAMED);
+        assertThat(mRecorder.mCalls).containsExactly("before-answer", "head", "body", "end");
+        assertThat(mChannel.isOpen()).isFalse();
+    }
+
+    @Test
+    void lateAnswerThatIsCutShort_doesNotChangeTheStatusOfTheNext() {
+        String late = "HTTP/1.1 200 OK\r\nServer: s\r\nId: q\r\nContent-Length: 4\r\n\r\nbody";
+        List<String> wrong = new ArrayList<>();
+        for (int i = 1; i < late.length(); i++) {
+            UpstreamConnectionTest each = new UpstreamConnectionTest();
+            each.send();
+            each.receive(FRAMED);
+            each.mRecorder.mRequestId = "r";
+            each.start(HttpMethod.GET);
+            each.receive(late.substring(0, i));
+            each.receive("HTTP/1.1 500 Failed\r\nId: r\r\nContent-Length: 4\r\n\r\nbody");
+            if (each.mRecorder.mCalls.lastIndexOf("head") > 0 && each.mRecorder.mStatus == 200) {
+                wrong.add(late.substring(0, i));
+            }
+            each.close();
+        }
+        assertThat(wrong).isEmpty();
+    }
 }
