Keep connections until their answers are sent

Callers that read slowly lost the rest of their answers when their router shut down: an answer counted as ended once it was handed to the connection's buffer, so that the router closed the connection as idle 2.8 s after SIGTERM, or ended the process while a connection was still to be closed after its answer. The idle timeout did the same at any time, and sooner after a configuration that shortens it.

A connection is now busy until its socket has taken the answer, or, where it closes after the answer, until it is closed. The idle timeout counts from when the socket last took bytes, so that a caller that reads nothing is still closed.

--- a/transport/src/main/java/org/hornbeampass/transport/relay/CallerConnection.java
+++ b/transport/src/main/java/org/hornbeampass/transport/relay/CallerConnection.java
@@ -4,7 +4,6 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -66,6 +65,7 @@
     private final Clock mClock;
     private final ArrayDeque<HttpObject> mQueued = new ArrayDeque<>();
     private Channel mChannel;
+    private UnsentAnswers mUnsent;
     private Optional<HttpRequest> mHead = Optional.empty();
     private boolean mHeldUp;
     private Optional<CallerListener> mListener = Optional.empty();
@@ -78,7 +78,6 @@
     private boolean mDelivering;
     private boolean mDeliveryPending;
     private long mLastReadMs;
-    private long mIdleSinceMs;
     private long mHeadStartedMs = -1;
     private long mHeadReadMs;
     private boolean mReadingAgain;
@@ -90,12 +89,12 @@
         mServer = server;
         mClock = clock;
         mOpenedMs = clock.nowMs();
-        mIdleSinceMs = mOpenedMs;
     }
 
     @Override
     public void handlerAdded(ChannelHandlerContext context) {
         mChannel = context.channel();
+        mUnsent = new UnsentAnswers(mChannel, mOpenedMs);
     }
 
     /** Records when the first bytes of a head arrived. Called before bytes are decoded. */
@@ -357,7 +356,7 @@
         boolean close = !keepsAlive();
         mAnswered = true;
         mListener = mBodyComplete ? Optional.empty() : Optional.of(CallerListener.IGNORING);
-        mIdleSinceMs = mClock.nowMs();
+        mUnsent.onEnding();
         var written = mChannel.writeAndFlush(last);
         if (close) {
             Channels.setLinger(mChannel, LINGER_OFF);
@@ -368,6 +367,7 @@
             written.addListener(done -> closeAfterWrite());
             return;
         }
+        written.addListener(done -> mUnsent.onSent(mClock.nowMs()));
         mChannel.config().setAutoRead(true);
         deliver();
     }
@@ -418,18 +418,17 @@
         mChannel.config().setAutoRead(on);
     }
 
-    /** Returns whether a request is in progress, or was read but not yet handed over. */
+    /** Returns whether a request was read whose answer the socket has not taken in whole. */
     boolean isBusy() {
-        return mListener.isPresent() || mDeliveryPending;
+        return mListener.isPresent() || mDeliveryPending || !mUnsent.isEmpty();
     }
 
     /** Returns how many written bytes the socket has not taken yet. */
     long unsentBytes() {
-        ChannelOutboundBuffer buffer = mChannel.unsafe().outboundBuffer();
-        return buffer == null ? 0 : buffer.totalPendingWriteBytes();
+        return mUnsent.bytes();
     }
 
-    /** Closes the connection if no request is in progress or queued. */
+    /** Closes the connection if it is not busy and no request is queued. */
     void closeIfIdle() {
         if (!isBusy() && mQueued.isEmpty()) {
             abort();
@@ -438,7 +437,7 @@
 
     /** Closes the connection if it was idle, or a head incomplete, for longer than the limits. */
     void closeIfSlow(long nowMs) {
-        if (mRest.isActive(nowMs, mChannel) || isBusy()) {
+        if (mRest.isActive(nowMs, mChannel) || mListener.isPresent() || mDeliveryPending) {
             return;
         }
         if (mHeadStartedMs >= 0 && nowMs - mHeadStartedMs > mServer.limits().headTimeoutMs()) {
@@ -447,7 +446,7 @@
             fail(HeadValidator.slowHead());
             return;
         }
-        if (mHeadStartedMs < 0 && nowMs - mIdleSinceMs > mServer.limits().idleTimeoutMs()) {
+        if (mHeadStartedMs < 0 && mUnsent.idleMs(nowMs) > mServer.limits().idleTimeoutMs()) {
             abort();
         }
     }
