Hold a request to the body limit under which it began

A caller whose body was under way got 413 when a new configuration lowered max-body-bytes below what had arrived, or its answer was broken off where it had begun: the limit was looked up again for each part of the body. It is now chosen once, with the route, like the deadline and the service.

ChangedConfigTest puts seven changes of the configuration (routes removed or moved, a shorter route, idle or header timeout, a lower body limit, keys removed) beside a stream that is resumed after the change, and beside a body that is under way. The other changes end no request under way.

--- a/router/src/main/java/org/hornbeampass/router/relay/RelayCall.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/RelayCall.java
@@ -54,6 +54,7 @@
     private Optional<CrashHistory> mCrashes = Optional.empty();
     private Optional<RequestExecution> mExecution = Optional.empty();
     private long mDeadlineMs;
+    private long mMaxBodyBytes = Long.MAX_VALUE;
     private long mReserved;
     private LogFields mShortageFields = new LogFields();
     private boolean mAdmissionStarted;
@@ -105,6 +106,7 @@
             return Optional.of(Refusals.shuttingDown());
         }
         RouteTable routes = mContext.routes().get();
+        mMaxBodyBytes = routes.config().limits().maxBodyBytes();
         int query = mRequest.uri().indexOf('?');
         String path = query < 0 ? mRequest.uri() : mRequest.uri().substring(0, query);
         mRoute = routes.route(mHead.host(), path);
@@ -163,7 +165,7 @@
             return;
         }
         mBody.add(part);
-        if (mBody.bytes() > maxBodyBytes()) {
+        if (mBody.bytes() > mMaxBodyBytes) {
             onTooLarge(nowMs);
             return;
         }
@@ -184,10 +186,6 @@
         }
     }
 
-    private long maxBodyBytes() {
-        return mContext.routes().orElseThrow().config().limits().maxBodyBytes();
-    }
-
     @Override
     public void onBodyEnd(long nowMs) {
         if (mEnded) {
