Send a stream on whose second upstream fails, and keep the last failure

A stream that was resumed at a second upstream was cut when that upstream answered with a failure, though attempts, upstreams and the fleet's retry limit allowed a third: a failure was sent on only before the answer had begun. And where the retry limit was used up, the failure that an upstream had answered was thrown away before the next send was refused, so that the caller got a 502 of the router instead of the upstream's answer.

Both now follow one rule: a failure is left for another upstream where one may be tried and a retry is available; a stream that has begun has nothing to lose by trying.

--- a/router/src/main/java/org/hornbeampass/router/relay/RelayAttempts.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/RelayAttempts.java
@@ -152,10 +152,10 @@
         mSucceeded = head.status().codeClass() == HttpStatusClass.SUCCESS;
         if (outcome == AnswerOutcome.FAILED) {
             instance.onErrorAnswer(nowMs);
-            if (mayRetry() && !mAnswer.headSent()) {
+            if (mayRetry()) {
                 LogFields fields = mSend.get().fields().add("status", head.status().code());
                 logDecision(nowMs, "upstream-failed", fields);
-                if (mSearch.hasUntriedUpstream(nowMs)) {
+                if (mAnswer.headSent() || mSearch.mayFindAnother(nowMs)) {
                     abandonSend();
                     start(nowMs);
                     return;
--- a/router/src/main/java/org/hornbeampass/router/relay/UpstreamSearch.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/UpstreamSearch.java
@@ -215,9 +215,12 @@
         }
     }
 
-    /** Returns whether there is an upstream to which the request was not sent yet. */
-    boolean hasUntriedUpstream(long nowMs) {
-        return choose(nowMs).isPresent();
+    /**
+     * Returns whether there is an upstream to which the request was not sent yet, and the fleet's
+     * limit allows a retry.
+     */
+    boolean mayFindAnother(long nowMs) {
+        return isRetryAvailable(nowMs) && choose(nowMs).isPresent();
     }
 
     private void onPermit(
