Decide resumptions by records in the store, not by what one VM has seen

Cause: the origin of a stream was in the memory of VMs only. Where none knew it, a VM compared the time that it had itself observed with twice the route's present timeout, and took its own list for that of the fleet.

Now the store has a record for each service of the versions that may have streams. A VM ensures that a version is recorded before it prefers the version's upstreams for new resumable streams; the record owner removes a version that it has observed to be absent, without a gap, for longer than the longest time recorded for the service's streams. A resumption whose origin no VM knows reads the record after the request has arrived: the result depends neither on this VM's list nor on a pause or a clock. While a service has several versions, each VM records the digests of its recent streams in batches, a write a second at most. What is not known is refused as before; stream-taken-up tells the reason.

SoftwareVersionsTest: onlyVersion is gone, since it was the fault. Its three cases are replaced by five on what it was made of (time observed, versions seen within a time), two of them stricter (gaps end the observation), and by StreamHistoryTest, which asserts the decision.

--- a/coordination/src/main/java/org/hornbeampass/coordination/service/UpstreamInstance.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/service/UpstreamInstance.java
@@ -80,11 +80,6 @@
         return mEntry.id();
     }
 
-    /** Returns whether it runs a version of its software; true where none is asked for. */
-    public boolean runsVersion(Optional<String> softwareVersion) {
-        return softwareVersion.isEmpty() || softwareVersion.get().equals(mEntry.softwareVersion());
-    }
-
     void update(UpstreamEntry entry) {
         mEntry = entry;
         mIncarnation = UpstreamIncarnation.of(entry);
--- a/coordination/src/main/java/org/hornbeampass/coordination/service/UpstreamRegistry.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/service/UpstreamRegistry.java
@@ -14,6 +14,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.IntSupplier;
+import java.util.function.Predicate;
 import java.util.function.ToLongFunction;
 import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
@@ -166,7 +167,7 @@
         if (!result.isAccepted()) {
             return result;
         }
-        onSeen(nowMs, entry);
+        mVersions.onSeen(nowMs, entry);
         UpstreamInstance instance = mById.get(entry.id());
         mSlowStarts.onStated(nowMs, instance, entry.coldLeftMs());
         boolean addedLater =
@@ -307,17 +308,13 @@
         mSlowStarts.tick(nowMs);
         mVersions.tick(nowMs);
         mModels.tick(nowMs);
-        mById.values().forEach(i -> onSeen(nowMs, i.entry()));
+        mById.values().forEach(i -> mVersions.onSeen(nowMs, i.entry()));
         mById.values().removeIf(i -> forgetIfGone(nowMs, i));
         for (List<UpstreamInstance> instances : mByService.values()) {
             instances.removeIf(i -> i.isGone(nowMs) && i.inFlight() == 0);
         }
     }
 
-    private void onSeen(long nowMs, UpstreamEntry entry) {
-        mVersions.onSeen(nowMs, entry.service(), entry.softwareVersion());
-    }
-
     private boolean forgetIfGone(long nowMs, UpstreamInstance instance) {
         boolean removable = instance.isGone(nowMs) && instance.inFlight() == 0;
         if (removable) {
@@ -415,7 +412,7 @@
     /** Chooses the upstream of a request that may run in any region and at any version. */
     public Optional<UpstreamChoice> choose(
             long nowMs, ServiceSpec service, Prompt prompt, Set<String> tried) {
-        return choose(nowMs, service, prompt, HomeRegions.ANY, Optional.empty(), tried);
+        return choose(nowMs, service, prompt, HomeRegions.ANY, version -> true, tried);
     }
 
     /**
@@ -425,7 +422,7 @@
      * @param service the service
      * @param prompt the request's prompt
      * @param homes the regions in which the request may run
-     * @param version the software version at which the request must run; empty for any
+     * @param versions the software versions at which the request may run
      * @param tried upstreams to which the request was sent before, which are not chosen again
      */
     public Optional<UpstreamChoice> choose(
@@ -433,10 +430,10 @@
             ServiceSpec service,
             Prompt prompt,
             HomeRegions homes,
-            Optional<String> version,
+            Predicate<String> versions,
             Set<String> tried) {
         List<UpstreamInstance> selectable = selectable(nowMs, service.name(), homes);
-        selectable.removeIf(i -> !i.runsVersion(version));
+        selectable.removeIf(i -> !versions.test(i.entry().softwareVersion()));
         return mSelector.choose(nowMs, service, prompt, tried, selectable);
     }
 
--- a/coordination/src/main/java/org/hornbeampass/coordination/stream/FoundOrigin.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/stream/FoundOrigin.java
@@ -20,7 +20,9 @@
         THIS_VM("this-vm"),
         /** Another VM has stored the stream's origin. */
         ANOTHER_VM("another-vm"),
-        /** No other version of the service has been in use for as long as a stream may last. */
+        /** A VM that may have ended has recorded the stream's origin in the store. */
+        STORE("store"),
+        /** By the store's record, no other version of the service can have begun the stream. */
         ONLY_VERSION("only-version"),
         /** The origin is not known. */
         UNKNOWN("unknown");
@@ -42,10 +44,8 @@
         return new FoundOrigin(Optional.empty(), Source.UNKNOWN, askedVms, repliedVms);
     }
 
-    /** Returns this result, or where it is unknown the only origin that is possible. */
-    public FoundOrigin orOnlyVersion(Optional<StreamOrigin> only) {
-        return origin.isPresent() || only.isEmpty()
-                ? this
-                : new FoundOrigin(only, Source.ONLY_VERSION, askedVms, repliedVms);
+    /** Returns this result with what the records in the store say instead. */
+    public FoundOrigin orStored(StoredOrigin stored) {
+        return new FoundOrigin(stored.origin(), stored.source(), askedVms, repliedVms);
     }
 }
--- a/coordination/src/test/java/org/hornbeampass/coordination/service/SoftwareVersionsTest.java
+++ b/coordination/src/test/java/org/hornbeampass/coordination/service/SoftwareVersionsTest.java
@@ -4,7 +4,7 @@
 
 import org.junit.jupiter.api.Test;
 
-/** Checks when a service is known to have had one software version only. */
+/** Checks which software versions a VM has observed, and for how long. */
 class SoftwareVersionsTest {
     private static final long PERIOD_MS = 24_000;
 
@@ -18,24 +18,41 @@
     }
 
     @Test
-    void onlyVersion_isKnownAfterAPeriodOfObservation() {
-        observe(0, PERIOD_MS, "v1");
-        assertThat(mVersions.onlyVersion(PERIOD_MS - 1, "s", PERIOD_MS)).isEmpty();
-        assertThat(mVersions.onlyVersion(PERIOD_MS, "s", PERIOD_MS)).contains("v1");
-        assertThat(mVersions.onlyVersion(PERIOD_MS, "other", PERIOD_MS)).isEmpty();
+    void observation_lastsSinceTheFirstUpstream() {
+        assertThat(mVersions.observedForMs(0)).isZero();
+        observe(1_000, PERIOD_MS, "v1");
+        assertThat(mVersions.observedForMs(PERIOD_MS)).isEqualTo(PERIOD_MS - 1_000);
+        assertThat(mVersions.seenWithin(PERIOD_MS, "s", PERIOD_MS)).containsExactly("v1");
+        assertThat(mVersions.seenWithin(PERIOD_MS, "other", PERIOD_MS)).isEmpty();
     }
 
     @Test
-    void formerVersion_countsUntilItsStreamsCanNotBeTakenUp() {
+    void formerVersion_countsUntilItsStreamsCanNotBeResumed() {
         observe(0, 50_000, "v1");
         observe(40_000, 200_000, "v2");
-        assertThat(mVersions.onlyVersion(60_000, "s", PERIOD_MS)).isEmpty();
-        assertThat(mVersions.onlyVersion(50_000 + PERIOD_MS, "s", PERIOD_MS)).isEmpty();
-        assertThat(mVersions.onlyVersion(50_001 + PERIOD_MS, "s", PERIOD_MS)).contains("v2");
+        assertThat(mVersions.seenWithin(60_000, "s", PERIOD_MS)).containsOnly("v1", "v2");
+        assertThat(mVersions.seenWithin(50_000 + PERIOD_MS, "s", PERIOD_MS))
+                .containsOnly("v1", "v2");
+        assertThat(mVersions.seenWithin(50_001 + PERIOD_MS, "s", PERIOD_MS)).containsOnly("v2");
+    }
+
+    @Test
+    void timeWithoutTicks_endsTheObservation() {
+        observe(0, 10_000, "v1");
+        observe(12_001, 15_000, "v1");
+        assertThat(mVersions.observedForMs(15_000)).isEqualTo(2_999);
+    }
+
+    @Test
+    void outdatedList_endsTheObservation() {
+        observe(0, 10_000, "v1");
+        mVersions.onInterrupted(9_000);
+        assertThat(mVersions.observedForMs(10_000)).isEqualTo(1_000);
     }
 
     @Test
     void nothingObserved_givesNoVersion() {
-        assertThat(mVersions.onlyVersion(PERIOD_MS, "s", PERIOD_MS)).isEmpty();
+        assertThat(mVersions.observedForMs(PERIOD_MS)).isZero();
+        assertThat(mVersions.seenWithin(PERIOD_MS, "s", PERIOD_MS)).isEmpty();
     }
 }
--- a/router/src/main/java/org/hornbeampass/router/daemon/FleetView.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/FleetView.java
@@ -270,11 +270,16 @@
      */
     boolean isRecordOwner(String kind) {
         List<String> names = new ArrayList<>(otherLiveNames());
-        String self = mSelf.vm().name();
+        String self = ownName();
         names.add(self);
         return RendezvousHash.choose(kind, names).filter(self::equals).isPresent();
     }
 
+    /** Returns the name of this VM. */
+    String ownName() {
+        return mSelf.vm().name();
+    }
+
     /** Returns the homes of the pools of prepaid tokens. */
     PoolHomes homes() {
         return mHomes;
--- a/router/src/main/java/org/hornbeampass/router/daemon/RelayDaemon.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/RelayDaemon.java
@@ -35,9 +35,6 @@
 import org.hornbeampass.coordination.service.SignalTable;
 import org.hornbeampass.coordination.service.SlowStarts;
 import org.hornbeampass.coordination.service.UpstreamRegistry;
-import org.hornbeampass.coordination.stream.OriginRequest;
-import org.hornbeampass.coordination.stream.StreamBegun;
-import org.hornbeampass.coordination.stream.StreamOrigins;
 import org.hornbeampass.router.relay.Forwarding;
 import org.hornbeampass.router.relay.RelayContext;
 import org.hornbeampass.router.relay.RelayLog;
@@ -98,7 +95,7 @@
     private final EscrowBook mBudgets;
     private final BudgetMetrics mBudgetMetrics;
     private final EscrowLoans mLoans;
-    private final StreamOrigins mOrigins;
+    private final StreamServices mStreams;
     private final LoadExchange mLoadExchange;
     private final SignalExchange mSignalExchange;
     private final UpstreamReachMonitor mReachMonitor;
@@ -159,7 +156,7 @@
                         .capacity()
                         .map(c -> CapacityMonitor.create(c, vm, mPeers, mFleet, mOverloads, mLog));
         mLoans = new EscrowLoans(mBudgets, mPeers, mFleet.homes(), mRandom);
-        mOrigins = new StreamOrigins(mPeers, mFleet::otherLiveMembers, mFleet::otherMembers);
+        mStreams = newStreams();
         mReachMonitor = new UpstreamReachMonitor(mUpstreamRegistry, mLog, mRandom);
         mPool = newPool(mReachMonitor);
         mVmPool = newPool(UpstreamPool.ConnectListener.NONE);
@@ -175,7 +172,6 @@
         mAddressMembers = newAddressMembers();
         mDirectory = newDirectory();
         settings.listen().metrics().ifPresent(this::serveMetrics);
-        mTicks.every(TICK_MS, this::tick);
     }
 
     /**
@@ -185,7 +181,9 @@
      */
     public static RelayDaemon start(
             RelayDaemonSettings settings, WireFormat wire, PlatformFactory platforms) {
-        return new RelayDaemon(settings, wire, platforms);
+        RelayDaemon daemon = new RelayDaemon(settings, wire, platforms);
+        daemon.mTicks.every(TICK_MS, daemon::tick);
+        return daemon;
     }
 
     private CallerIntake startCallers() {
@@ -246,7 +244,8 @@
                 mPermits.permits(),
                 mBudgets,
                 mLoans,
-                mOrigins,
+                mStreams.origins(),
+                mStreams.history(),
                 mLog,
                 mRandom,
                 mFleet::sharingVmCount,
@@ -310,6 +309,11 @@
                 new QuarantineLog(mLog));
     }
 
+    private StreamServices newStreams() {
+        return new StreamServices(
+                mPeers, mFleet, mPlatform, mUpstreamRegistry, mViews, mMetrics, mRandom, mLog);
+    }
+
     private void registerListeners() {
         mStore.onRegained(mViews::onStoreRegained);
         mPlatform.addListener(mViews);
@@ -340,8 +344,6 @@
         mPeers.on(PermitRequest.class, mPermits.announcedLimits()::onRequest);
         mPeers.on(SlowStartRequest.class, mPermits.slowStartLimits()::onRequest);
         mPeers.on(SuspectReport.class, mQuarantine::onReport);
-        mPeers.on(StreamBegun.class, mOrigins::onReport);
-        mPeers.on(OriginRequest.class, mOrigins::onRequest);
         new LearntRouting(mUpstreamRegistry, mPeers, mFleet::broadcastPaths, mLog, mMetrics)
                 .start(mTicks, TICK_MS);
     }
@@ -358,7 +360,6 @@
         mMetrics.register(
                 "rate_limited_upstreams",
                 (Gauge<Integer>) () -> mUpstreamRegistry.rateLimited(mClock.nowMs()).size());
-        mMetrics.register("stream_origins", (Gauge<Integer>) mOrigins::size);
         mOverloads.registerMetrics(mMetrics);
         mCapacity.ifPresent(c -> c.registerMetrics(mMetrics));
         mMetrics.register("cold_upstreams", (Gauge<Integer>) mSlowStarts::size);
@@ -427,8 +428,8 @@
         mSignalExchange.tick(nowMs);
         mPermits.permits().tick(nowMs);
         mQuarantine.tick(nowMs);
-        mOrigins.tick(nowMs);
         mUpstreamRegistry.tick(nowMs);
+        mStreams.tick(nowMs);
         mPool.tick(nowMs);
         mVmPool.tick(nowMs);
         mShutdown.tick(nowMs);
--- a/router/src/main/java/org/hornbeampass/router/daemon/StoreChanges.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/StoreChanges.java
@@ -70,6 +70,7 @@
             return;
         }
         mContext.setRoutes(new RouteTable(config));
+        mContext.streamHistory().setRoutes(config.routes());
         mContext.upstreamRegistry().slowStarts().setServices(config.services());
         mContext.budgets().onOrganisations(config.organisations());
         mContext.budgets().tick(nowMs);
--- a/router/src/main/java/org/hornbeampass/router/relay/RelayContext.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/RelayContext.java
@@ -13,6 +13,7 @@
 import org.hornbeampass.coordination.service.RouteTable;
 import org.hornbeampass.coordination.service.SignalExchange;
 import org.hornbeampass.coordination.service.UpstreamRegistry;
+import org.hornbeampass.coordination.stream.StreamHistory;
 import org.hornbeampass.coordination.stream.StreamOrigins;
 import org.hornbeampass.transport.Clock;
 import org.hornbeampass.transport.relay.UpstreamPool;
@@ -48,6 +49,7 @@
     private final EscrowBook mBudgets;
     private final EscrowLoans mLoans;
     private final StreamOrigins mOrigins;
+    private final StreamHistory mStreamHistory;
     private final RelayLog mLog;
     private final RandomGenerator mRandom;
     private final IntSupplier mVmCount;
@@ -80,6 +82,7 @@
             EscrowBook budgets,
             EscrowLoans loans,
             StreamOrigins origins,
+            StreamHistory streamHistory,
             RelayLog log,
             RandomGenerator random,
             IntSupplier vmCount,
@@ -100,6 +103,7 @@
         mBudgets = budgets;
         mLoans = loans;
         mOrigins = origins;
+        mStreamHistory = streamHistory;
         mLog = log;
         mRandom = random;
         mVmCount = vmCount;
@@ -179,6 +183,11 @@
         return mOrigins;
     }
 
+    /** Returns where streams began by the records in the store. */
+    public StreamHistory streamHistory() {
+        return mStreamHistory;
+    }
+
     /** Returns whether there may be upstreams at a time in milliseconds that this VM misses. */
     boolean upstreamsMayBeStale(long nowMs) {
         return mViews.upstreamsMayBeStale(nowMs);
--- a/router/src/main/java/org/hornbeampass/router/relay/StreamResumption.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/StreamResumption.java
@@ -1,10 +1,12 @@
 package org.hornbeampass.router.relay;
 
 import org.hornbeampass.coordination.stream.FoundOrigin;
+import org.hornbeampass.coordination.stream.StoredOrigin;
 import org.hornbeampass.coordination.stream.StreamKey;
 import org.hornbeampass.coordination.stream.StreamOrigin;
 import org.hornbeampass.state.service.Route;
 
+import java.util.List;
 import java.util.Optional;
 import java.util.function.BiConsumer;
 
@@ -15,9 +17,6 @@
  * loop.
  */
 final class StreamResumption {
-    /** How many times a route's timeout a caller may wait for a stream, in all its attempts. */
-    private static final long ATTEMPTS_TIMEOUTS = 2;
-
     private final RelayContext mContext;
     private final CallerHead mHead;
     private final Route mRoute;
@@ -52,15 +51,40 @@
      */
     void findOrigin(long nowMs, BiConsumer<Long, Optional<StreamOrigin>> done) {
         StreamKey key = new StreamKey(mOrganisation, mHead.resumes().orElse(""));
-        mContext.origins().find(nowMs, key, (t, found) -> onFound(t, t - nowMs, found, done));
+        mContext.origins().find(nowMs, key, (t, found) -> onFound(t, nowMs, key, found, done));
     }
 
     private void onFound(
             long nowMs,
-            long tookMs,
+            long startedMs,
+            StreamKey key,
             FoundOrigin found,
             BiConsumer<Long, Optional<StreamOrigin>> done) {
-        FoundOrigin result = found.orOnlyVersion(onlyOrigin(nowMs));
+        if (found.origin().isPresent()) {
+            report(nowMs, startedMs, found, StoredOrigin.Reason.NONE, done);
+            return;
+        }
+        List<String> services = mRoute.targets().stream().map(Route.Target::service).toList();
+        mContext.streamHistory()
+                .find(
+                        nowMs,
+                        key,
+                        services,
+                        (t, stored) ->
+                                report(
+                                        t,
+                                        startedMs,
+                                        found.orStored(stored),
+                                        stored.reason(),
+                                        done));
+    }
+
+    private void report(
+            long nowMs,
+            long startedMs,
+            FoundOrigin result,
+            StoredOrigin.Reason reason,
+            BiConsumer<Long, Optional<StreamOrigin>> done) {
         Optional<StreamOrigin> origin = result.origin().filter(o -> leadsTo(o.service()));
         mContext.log()
                 .logDecision(
@@ -74,25 +98,14 @@
                                         "software_version",
                                         origin.map(o -> o.softwareVersion()).orElse(""))
                                 .add("source", result.source().logName())
+                                .add("reason", reason.logName())
                                 .add("asked_vms", result.askedVms())
                                 .add("replied_vms", result.repliedVms())
-                                .add("took_ms", tookMs));
+                                .add("took_ms", nowMs - startedMs));
         done.accept(nowMs, origin);
     }
 
     private boolean leadsTo(String service) {
         return mRoute.targets().stream().anyMatch(t -> t.service().equals(service));
     }
-
-    private Optional<StreamOrigin> onlyOrigin(long nowMs) {
-        if (mContext.upstreamsMayBeStale(nowMs) || mRoute.targets().size() != 1) {
-            return Optional.empty();
-        }
-        long periodMs = ATTEMPTS_TIMEOUTS * mRoute.timeoutMs();
-        String service = mRoute.targets().get(0).service();
-        return mContext.upstreamRegistry()
-                .versions()
-                .onlyVersion(nowMs, service, periodMs)
-                .map(version -> new StreamOrigin(service, version));
-    }
 }
--- a/router/src/main/java/org/hornbeampass/router/relay/StreamVersion.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/StreamVersion.java
@@ -42,6 +42,11 @@
 
     /** Returns whether the stream may go on at an upstream. */
     boolean allows(UpstreamInstance instance) {
-        return instance.runsVersion(mVersion);
+        return allows(instance.entry().softwareVersion());
+    }
+
+    /** Returns whether the stream may go on at a software version. */
+    boolean allows(String softwareVersion) {
+        return mVersion.isEmpty() || mVersion.get().equals(softwareVersion);
     }
 }
--- a/router/src/main/java/org/hornbeampass/router/relay/UpstreamSearch.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/UpstreamSearch.java
@@ -11,6 +11,7 @@
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 
 /**
  * Finds the upstream for each send of one request: chooses it, acquires a permit where it has a
@@ -149,13 +150,29 @@
     }
 
     private Optional<UpstreamChoice> choose(long nowMs) {
+        if (!beginsResumableStream()) {
+            return choose(nowMs, mVersion::allows);
+        }
+        String service = mPlan.service().name();
+        Optional<UpstreamChoice> recorded =
+                choose(nowMs, v -> mContext.streamHistory().mayBegin(nowMs, service, v));
+        return recorded.isPresent() || mContext.streamHistory().awaitsFirstRecord(nowMs, service)
+                ? recorded
+                : choose(nowMs, mVersion::allows);
+    }
+
+    private boolean beginsResumableStream() {
+        return mPlan.route().resumable() && mVersion.get().isEmpty();
+    }
+
+    private Optional<UpstreamChoice> choose(long nowMs, Predicate<String> versions) {
         return mContext.upstreamRegistry()
                 .choose(
                         nowMs,
                         mPlan.service(),
                         mPlan.head().prompt(),
                         mPlan.homes(),
-                        mVersion.get(),
+                        versions,
                         mTried);
     }
 
@@ -172,6 +189,7 @@
             long nowMs = mContext.clock().nowMs();
             StreamOrigin origin = new StreamOrigin(mPlan.service().name(), softwareVersion);
             mContext.origins().onBegun(nowMs, mPlan.streamKey(), origin);
+            mContext.streamHistory().onBegun(nowMs, mPlan.streamKey(), origin);
         }
     }
 
