Keep the crashes before a quarantine in the store

Callers with a prompt part that crashes upstreams got five requests through after the fifth crash where three are allowed, when all routers had lost power after the fourth. Only verdicts were written to the store; the crashes that lead to one were in the memory of the VMs.

The record owner now writes suspects with two crashes or more into one record beside the quarantines, which VMs read in the same listing when they start. It is written within a second after another crash, within ten after crashes were cleared, and again after the store was restored. Lists and calls without crashes are as many as before.

Evidence: QuarantineTest failed before: the part was quarantined on 0 of 4, 8 and 95 VMs after the fifth crash where all are expected, also when the store had been restored before the VMs ended.

--- a/coordination/src/main/java/org/hornbeampass/coordination/quarantine/QuarantineStore.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/quarantine/QuarantineStore.java
@@ -65,6 +65,8 @@
     private final BooleanSupplier mOwnsRecords;
     private final RandomGenerator mRandom;
     private final BiConsumer<Long, SuspectDigest> mOnLifted;
+    private final KnownCrashesStore mKnownCrashes;
+    private boolean mListedKnownCrashes;
     private final Map<SuspectDigest, Long> mWriteAtMs = new HashMap<>();
     private final Set<SuspectDigest> mListed = new HashSet<>();
     private Set<SuspectDigest> mRecordedBeforeRead = Set.of();
@@ -100,11 +102,13 @@
         mOwnsRecords = ownsRecords;
         mRandom = random;
         mOnLifted = onLifted;
+        mKnownCrashes = new KnownCrashesStore(platform, table, listener);
     }
 
     /** Handles that the store was restored: the record owner reads the records again. */
     void onEra(long nowMs) {
         mNextReadMs = nowMs;
+        mKnownCrashes.onMissing();
     }
 
     /** Makes the calls that are due. */
@@ -115,6 +119,9 @@
                 .filter(i -> !i.recorded() && !mWritesInProgress.contains(i.digest()))
                 .filter(i -> nowMs >= writeAtMs(nowMs, i.digest()))
                 .forEach(i -> write(nowMs, i));
+        if (mReadOnce && mOwnsRecords.getAsBoolean()) {
+            mKnownCrashes.tick(nowMs);
+        }
         boolean anyRecords = mHasRecords || !quarantined.isEmpty();
         boolean readDue =
                 !mReadInProgress
@@ -128,6 +135,7 @@
 
     private void startRead(long nowMs) {
         mListed.clear();
+        mListedKnownCrashes = false;
         mReadVersion = 0;
         read(nowMs, "");
     }
@@ -226,6 +234,9 @@
             return;
         }
         mReadOnce = true;
+        if (!mListedKnownCrashes) {
+            mKnownCrashes.onMissing();
+        }
         mNextReadMs = nowMs + READ_INTERVAL_MS;
         mHasRecords = !mListed.isEmpty();
         boolean restored =
@@ -258,6 +269,11 @@
 
     /** Merges a record that was read; the record owner deletes it if its quarantine is over. */
     private void onRecord(long nowMs, StoredObject object) {
+        if (object.key().equals(KnownCrashesStore.KEY)) {
+            mListedKnownCrashes = true;
+            mKnownCrashes.onRead(nowMs, object);
+            return;
+        }
         Optional<SuspectDigest> digest =
                 SuspectDigest.parse(object.key().substring(PREFIX.length()));
         Either<Failure, QuarantineRecord> decoded =
--- a/coordination/src/main/java/org/hornbeampass/coordination/quarantine/SuspectTable.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/quarantine/SuspectTable.java
@@ -254,6 +254,13 @@
                 .toList();
     }
 
+    /** Returns the suspects that may have caused at least so many crashes. */
+    List<Suspect> withUnclearedCrashes(int crashes) {
+        return mByDigest.values().stream()
+                .filter(s -> s.unclearedCrashes().size() >= crashes)
+                .toList();
+    }
+
     /** Returns the state of a request for a report; empty if it is not in the table. */
     Optional<SuspectReport.Item> item(long nowMs, SuspectDigest digest) {
         return Optional.ofNullable(mByDigest.get(digest)).map(s -> s.item(nowMs));
--- a/coordination/src/test/java/org/hornbeampass/coordination/quarantine/QuarantineTest.java
+++ b/coordination/src/test/java/org/hornbeampass/coordination/quarantine/QuarantineTest.java
@@ -58,6 +58,54 @@
         assertThat(fleet.quarantinedVmCount(part)).isEqualTo(vms);
     }
 
+    private static QuarantineFleet fleetWithFourCrashes(int vms, SuspectDigest part) {
+        QuarantineFleet fleet = new QuarantineFleet(vms);
+        fleet.run(1_000);
+        for (int i = 0; i < 4; i++) {
+            fleet.crash("vm-" + i, "i-" + i, part, SuspectDigest.ofRequest(9, i));
+            fleet.run(4_000);
+        }
+        return fleet;
+    }
+
+    private static long quarantinedAfterFifthCrash(QuarantineFleet fleet, SuspectDigest part) {
+        fleet.run(1_000);
+        fleet.crash("vm-1", "i-5", part, SuspectDigest.ofRequest(9, 5));
+        fleet.run(1_000);
+        return fleet.quarantinedVmCount(part);
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {4, 8, 95})
+    void crashesBeforeAllVmsWereKilled_leadToAQuarantineAfterwards(int vms) {
+        SuspectDigest part = SuspectDigest.ofPart(7);
+        QuarantineFleet fleet = fleetWithFourCrashes(vms, part);
+        fleet.restartAll();
+        assertThat(quarantinedAfterFifthCrash(fleet, part)).isEqualTo(vms);
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {4, 95})
+    void crashesThatARestoredStoreLost_leadToAQuarantineAfterAllVmsWereKilled(int vms) {
+        SuspectDigest part = SuspectDigest.ofPart(7);
+        MemoryPlatform.Copy empty = new QuarantineFleet(vms).copyStore();
+        QuarantineFleet fleet = fleetWithFourCrashes(vms, part);
+        fleet.restoreStore(empty);
+        fleet.run(PROPAGATION_MS);
+        fleet.restartAll();
+        assertThat(quarantinedAfterFifthCrash(fleet, part)).isEqualTo(vms);
+    }
+
+    @Test
+    void crashesClearedBeforeAllVmsWereKilled_doNotCountAfterwards() {
+        SuspectDigest part = SuspectDigest.ofPart(7);
+        QuarantineFleet fleet = fleetWithFourCrashes(8, part);
+        fleet.answerPart("vm-1", part);
+        fleet.run(12_000);
+        fleet.restartAll();
+        assertThat(quarantinedAfterFifthCrash(fleet, part)).isZero();
+    }
+
     @ParameterizedTest
     @ValueSource(ints = {8, 95})
     void quarantinedPartThatTheRecordOwnerExplains_isNotLifted(int vms) {
