Keep an upstream's pauses when its entry goes and comes back

An upstream that had asked for a pause with 503 and Retry-After got requests during it (36 where two are allowed) when its entry was removed and written again. The registry drops an instance with its entry, and of what the upstream had said only its leaving was kept.

FormerUpstreams now keeps the pauses of an incarnation: the one it asked for, the one after failures or for lack of capacity, and the failures in a row. The next instance of the same incarnation goes on with them; a later start has none.

--- a/coordination/src/main/java/org/hornbeampass/coordination/service/FormerUpstreams.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/service/FormerUpstreams.java
@@ -6,11 +6,13 @@
 import java.util.Map;
 
 /**
- * The last entries of upstreams that were removed from the registry, so that a late entry does not
- * add them again.
+ * The last entries and pauses of upstreams that were removed from the registry, so that a late
+ * entry does not add them again, and one that is written again does not end their pauses.
  *
- * <p>Guards against two faults: the platform carries out a delayed write of an ended incarnation's
- * entry, and an upstream that was leaving is listed as ready again. Confined to one thread.
+ * <p>Guards against three faults: the platform carries out a delayed write of an ended
+ * incarnation's entry, an upstream that was leaving is listed as ready again, and one that asked
+ * for a pause gets requests during it because its entry was missing meanwhile. Confined to one
+ * thread.
  */
 final class FormerUpstreams {
     /**
@@ -24,15 +26,31 @@
      *
      * @param entry its last entry
      * @param wasLeaving whether this incarnation was ever known to be leaving
+     * @param pauses its pauses
      * @param forgottenAtMs when it was removed from the registry, in milliseconds
      */
-    private record Former(UpstreamEntry entry, boolean wasLeaving, long forgottenAtMs) {}
+    private record Former(
+            UpstreamEntry entry,
+            boolean wasLeaving,
+            UpstreamInstance.Pauses pauses,
+            long forgottenAtMs) {}
 
     private final Map<String, Former> mById = new HashMap<>();
 
     /** Adds an upstream that was removed from the registry. */
-    void add(long nowMs, UpstreamEntry entry, boolean leaving) {
-        mById.put(entry.id(), new Former(entry, leaving, nowMs));
+    void add(long nowMs, UpstreamInstance instance) {
+        mById.put(
+                instance.id(),
+                new Former(instance.entry(), instance.isLeaving(), instance.pauses(), nowMs));
+    }
+
+    /** Returns the instance of an entry, with the pauses of the same incarnation. */
+    UpstreamInstance instanceOf(UpstreamEntry entry) {
+        UpstreamInstance instance = new UpstreamInstance(entry);
+        if (contains(entry)) {
+            instance.resume(mById.get(entry.id()).pauses());
+        }
+        return instance;
     }
 
     /** Returns whether an entry belongs to the incarnation that was last removed. */
--- a/coordination/src/main/java/org/hornbeampass/coordination/service/UpstreamInstance.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/service/UpstreamInstance.java
@@ -150,6 +150,26 @@
         return Math.max(0, mRequestedPauseUntilMs - nowMs);
     }
 
+    /**
+     * The pauses of an incarnation, which outlast its entry.
+     *
+     * @param requestedUntilMs when the pause ends that it requested, in milliseconds
+     * @param untilMs when its pause after failures or for lack of capacity ends, in milliseconds
+     * @param failuresInRow its last failures without an answer between them
+     */
+    record Pauses(long requestedUntilMs, long untilMs, int failuresInRow) {}
+
+    Pauses pauses() {
+        return new Pauses(mRequestedPauseUntilMs, mPausedUntilMs, mFailuresInRow);
+    }
+
+    /** Goes on with the pauses that this incarnation had before its entry was removed. */
+    void resume(Pauses pauses) {
+        mRequestedPauseUntilMs = pauses.requestedUntilMs();
+        mPausedUntilMs = pauses.untilMs();
+        mFailuresInRow = pauses.failuresInRow();
+    }
+
     /** Returns whether it is paused after failures or for lack of capacity. */
     public boolean isPaused(long nowMs) {
         return nowMs < mPausedUntilMs;
--- a/coordination/src/main/java/org/hornbeampass/coordination/service/UpstreamRegistry.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/service/UpstreamRegistry.java
@@ -214,7 +214,7 @@
     }
 
     private void add(UpstreamEntry entry) {
-        UpstreamInstance added = new UpstreamInstance(entry);
+        UpstreamInstance added = mFormer.instanceOf(entry);
         if (mSignals.get(added.incarnation()).leaving()) {
             added.markLeaving();
         }
@@ -322,7 +322,7 @@
         boolean removable = instance.isGone(nowMs) && instance.inFlight() == 0;
         if (removable) {
             mByAddress.remove(instance.entry().address(), instance);
-            mFormer.add(nowMs, instance.entry(), instance.isLeaving());
+            mFormer.add(nowMs, instance);
             mModels.remove(instance.incarnation());
             instance.end(nowMs);
         }
--- a/coordination/src/test/java/org/hornbeampass/coordination/service/UpstreamRegistryTest.java
+++ b/coordination/src/test/java/org/hornbeampass/coordination/service/UpstreamRegistryTest.java
@@ -93,6 +93,51 @@
         assertThat(choose(100 + UpstreamRegistry.MISSING_GRACE_MS, PLAIN, Prompt.NONE)).isEmpty();
     }
 
+    /** Removes an upstream's entry, and lets it be forgotten. */
+    private void forget(String id) {
+        mRegistry.onRemoved(100, id, false);
+        mRegistry.tick(100);
+    }
+
+    @Test
+    void requestedPause_holdsWhenTheEntryIsWrittenAgain() {
+        mRegistry.onEntry(0, entryOf("a", 7, false));
+        mRegistry
+                .choose(0, PLAIN, Prompt.NONE, Set.of())
+                .orElseThrow()
+                .instance()
+                .onPauseRequested(0, 20_000);
+        forget("a");
+        mRegistry.onEntry(5_000, entryOf("a", 7, false));
+        assertThat(choose(19_999, PLAIN, Prompt.NONE)).isEmpty();
+        assertThat(mRegistry.requestedPauseLeftMs(5_000, "s")).hasValue(15_000);
+        assertThat(choose(20_000, PLAIN, Prompt.NONE)).contains("a");
+    }
+
+    @Test
+    void requestedPause_endsWithTheIncarnation() {
+        mRegistry.onEntry(0, entryOf("a", 7, false));
+        mRegistry
+                .choose(0, PLAIN, Prompt.NONE, Set.of())
+                .orElseThrow()
+                .instance()
+                .onPauseRequested(0, 20_000);
+        forget("a");
+        mRegistry.onEntry(5_000, entryOf("a", 8, false));
+        assertThat(choose(5_000, PLAIN, Prompt.NONE)).contains("a");
+    }
+
+    @Test
+    void pauseForLackOfCapacity_holdsWhenTheEntryIsWrittenAgain() {
+        only("a").onOverloaded(0, 3_000);
+        forget("a");
+        mRegistry.onEntry(1_000, entry("a", false));
+        mRegistry.onEntry(1_000, entry("b", false));
+        for (int i = 0; i < 50; i++) {
+            assertThat(choose(2_000, PLAIN, Prompt.NONE)).contains("b");
+        }
+    }
+
     @Test
     void entryRestoredAfterAnOutage_staysInUse() {
         mRegistry.onEntry(0, entry("a", false));
