--- a/transport/src/main/java/org/hornbeampass/transport/relay/CallerConnection.java
+++ b/transport/src/main/java/org/hornbeampass/transport/relay/CallerConnection.java
@@ -1,11 +1,9 @@
 package org.hornbeampass.transport.relay;
 
-import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.nio.AbstractNioChannel;
-import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -13,7 +11,6 @@
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -225,10 +222,7 @@
             return;
         }
         if (HttpUtil.is100ContinueExpected(head)) {
-            var unused =
-                    mChannel.writeAndFlush(
-                            new DefaultFullHttpResponse(
-                                    HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
+            var unused = mChannel.writeAndFlush(OwnResponses.continueRequest());
         }
         mListener = Optional.of(CallerListener.IGNORING);
         CallerListener listener = mServer.handler().onRequest(nowMs, this, head);
@@ -341,13 +335,7 @@
         if (mClosed) {
             return;
         }
-        FullHttpResponse response =
-                new DefaultFullHttpResponse(
-                        HttpVersion.HTTP_1_1,
-                        HttpResponseStatus.valueOf(status),
-                        Unpooled.wrappedBuffer(body));
-        headers.forEach(response.headers()::set);
-        HttpUtil.setContentLength(response, body.length);
+        FullHttpResponse response = OwnResponses.of(status, headers, body);
         closeIfAsked();
         if (!keepsAlive()) {
             response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
