Close a client's connection if part of a head follows an answer

A call to the store or an engine was given the status 200 for a 500: the start of another answer's head followed the answer before and stayed in the decoder of the connection that went back to the pool, as it did on connections to upstreams. The client noticed only whole messages after an answer.

The client decodes with AnswerDecoder too, closes the connection if the decoder holds bytes after an answer, and fails a call whose answer's head holds another status line.

NettyHttpClientTest.partOfAHeadAfterAnAnswer_doesNotReplaceTheStatusOfTheNext gets 200 before, 500 after; its other 15 tests and all of transport pass.

--- a/transport/src/main/java/org/hornbeampass/transport/relay/AnswerDecoder.java
+++ b/transport/src/main/java/org/hornbeampass/transport/AnswerDecoder.java
@@ -1,5 +1,6 @@
-package org.hornbeampass.transport.relay;
+package org.hornbeampass.transport;
 
+import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
@@ -16,7 +17,7 @@
  *
  * <p>Confined to the channel's event loop.
  */
-final class AnswerDecoder extends HttpResponseDecoder {
+public final class AnswerDecoder extends HttpResponseDecoder {
     private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] \\d\\d\\d");
 
     private final Function<HttpResponse, HttpMethod> mMethodOf;
@@ -24,17 +25,11 @@
     /**
      * Creates a decoder.
      *
-     * @param maxLineBytes the most bytes of the status line
-     * @param maxHeadBytes the most bytes of the headers
-     * @param maxChunkBytes the most bytes of a part that is passed on
+     * @param bounds bound the parts of an answer
      * @param methodOf returns the method of the request that an answer belongs to
      */
-    AnswerDecoder(
-            int maxLineBytes,
-            int maxHeadBytes,
-            int maxChunkBytes,
-            Function<HttpResponse, HttpMethod> methodOf) {
-        super(maxLineBytes, maxHeadBytes, maxChunkBytes);
+    public AnswerDecoder(HttpDecoderConfig bounds, Function<HttpResponse, HttpMethod> methodOf) {
+        super(bounds);
         mMethodOf = methodOf;
     }
 
@@ -47,7 +42,7 @@
     }
 
     /** Returns whether bytes were read that no message contains which was passed on. */
-    boolean holdsInput() {
+    public boolean holdsInput() {
         return actualReadableBytes() > 0;
     }
 
@@ -55,7 +50,7 @@
      * Returns whether a status line stands inside a head. An upstream that breaks off one head and
      * then writes another makes one of the two, with the status of the first.
      */
-    static boolean joinsTwoHeads(HttpResponse head) {
+    public static boolean joinsTwoHeads(HttpResponse head) {
         if (STATUS_LINE.matcher(head.status().reasonPhrase()).find()) {
             return true;
         }
--- a/transport/src/main/java/org/hornbeampass/transport/http/ClientConnection.java
+++ b/transport/src/main/java/org/hornbeampass/transport/http/ClientConnection.java
@@ -23,6 +23,7 @@
 
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.hornbeampass.transport.AnswerDecoder;
 import org.hornbeampass.transport.AnswerInputBound;
 import org.hornbeampass.transport.BoundedInput;
 import org.hornbeampass.transport.Channels;
@@ -76,6 +77,13 @@
         return mBound;
     }
 
+    /**
+     * Returns the method of the call on this connection, to which each answer is taken to belong.
+     */
+    HttpMethod method() {
+        return mCall.map(c -> HttpMethod.valueOf(c.request().method())).orElse(HttpMethod.GET);
+    }
+
     @Override
     public boolean isAnswerExpected() {
         return mCall.isPresent();
@@ -143,8 +151,13 @@
     /** Gives the connection back, but only if nothing follows the answer's end. */
     @Override
     public void channelReadComplete(ChannelHandlerContext context) {
-        if (mReleasable) {
-            mReleasable = false;
+        if (!mReleasable) {
+            return;
+        }
+        mReleasable = false;
+        if (mChannel.pipeline().get(AnswerDecoder.class).holdsInput()) {
+            Channels.close(mChannel);
+        } else {
             mPool.release(this);
         }
     }
@@ -198,6 +211,10 @@
 
     private void take(ClientCall call, HttpObject part) {
         mLastUseMs = mClock.nowMs();
+        if (part instanceof HttpResponse head && AnswerDecoder.joinsTwoHeads(head)) {
+            fail("the answer is not HTTP/1.1: its head holds another one");
+            return;
+        }
         if (part.decoderResult().isFailure()) {
             fail("the answer is not HTTP/1.1: " + part.decoderResult().cause());
             return;
--- a/transport/src/main/java/org/hornbeampass/transport/http/ConnectionPool.java
+++ b/transport/src/main/java/org/hornbeampass/transport/http/ConnectionPool.java
@@ -8,12 +8,13 @@
 import io.netty.channel.ChannelPipeline;
 import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.ssl.SslContext;
 import io.netty.handler.ssl.SslHandler;
 import io.netty.util.concurrent.Future;
 
+import org.hornbeampass.transport.AnswerDecoder;
 import org.hornbeampass.transport.BoundedInput;
 import org.hornbeampass.transport.Channels;
 import org.hornbeampass.transport.Clock;
@@ -284,7 +285,8 @@
                     new ClientConnection(
                             ConnectionPool.this, channel, mClock, mSettings.maxIdleMs());
             pipeline.addLast(new BoundedInput(connection.bound(), connection));
-            pipeline.addLast(new HttpClientCodec(config, false, false));
+            pipeline.addLast(new AnswerDecoder(config, head -> connection.method()));
+            pipeline.addLast(new HttpRequestEncoder());
             pipeline.addLast(connection);
         }
     }
--- a/transport/src/main/java/org/hornbeampass/transport/relay/UpstreamConnection.java
+++ b/transport/src/main/java/org/hornbeampass/transport/relay/UpstreamConnection.java
@@ -16,6 +16,7 @@
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.ScheduledFuture;
 
+import org.hornbeampass.transport.AnswerDecoder;
 import org.hornbeampass.transport.AnswerInputBound;
 import org.hornbeampass.transport.BoundedInput;
 import org.hornbeampass.transport.Channels;
--- a/transport/src/main/java/org/hornbeampass/transport/relay/UpstreamPool.java
+++ b/transport/src/main/java/org/hornbeampass/transport/relay/UpstreamPool.java
@@ -8,12 +8,14 @@
 import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.util.concurrent.Future;
 
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.hornbeampass.coordination.buffer.BufferLimit;
+import org.hornbeampass.transport.AnswerDecoder;
 import org.hornbeampass.transport.BoundedInput;
 import org.hornbeampass.transport.Clock;
 import org.hornbeampass.transport.EventLoops;
@@ -298,9 +300,10 @@
                     .addLast(new BoundedInput(mConnection.bound(), mConnection))
                     .addLast(
                             new AnswerDecoder(
-                                    MAX_LINE_BYTES,
-                                    mMaxHeadBytes,
-                                    MAX_CHUNK_BYTES,
+                                    new HttpDecoderConfig()
+                                            .setMaxInitialLineLength(MAX_LINE_BYTES)
+                                            .setMaxHeaderSize(mMaxHeadBytes)
+                                            .setMaxChunkSize(MAX_CHUNK_BYTES),
                                     mConnection::methodOf))
                     .addLast(new HttpRequestEncoder())
                     .addLast(mConnection);
--- a/transport/src/test/java/org/hornbeampass/transport/http/NettyHttpClientTest.java
+++ b/transport/src/test/java/org/hornbeampass/transport/http/NettyHttpClientTest.java
@@ -16,8 +16,10 @@
 import java.net.Socket;
 import java.net.URI;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
 import java.util.List;
 import java.util.Map;
+import java.util.Queue;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -179,6 +181,46 @@
         }
     }
 
+    @Test
+    void partOfAHeadAfterAnAnswer_doesNotReplaceTheStatusOfTheNext() throws Exception {
+        String first = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n1!HTTP/1.1 200 OK\r\nserver: ";
+        String second = "HTTP/1.1 500 Failed\r\ncontent-length: 2\r\n\r\n2!";
+        try (ServerSocket server = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
+            InetSocketAddress address = (InetSocketAddress) server.getLocalSocketAddress();
+            serveKept(server, new ArrayDeque<>(List.of(first, second)));
+            AnswerCollector one = new AnswerCollector();
+            mClient.send(AnswerCollector.request(address, "GET", "/1", ""), one);
+            assertThat(body(one.answer())).isEqualTo("1!");
+            AnswerCollector two = new AnswerCollector();
+            mClient.send(AnswerCollector.request(address, "GET", "/2", ""), two);
+            assertThat(two.answer().get(WAIT_S, TimeUnit.SECONDS).status()).isEqualTo(500);
+        }
+    }
+
+    /** Gives each request one of the answers, on connections that stay open. */
+    private static void serveKept(ServerSocket server, Queue<String> answers) {
+        Thread thread =
+                new Thread(
+                        () -> {
+                            while (!answers.isEmpty()) {
+                                answerWhileOpen(server, answers);
+                            }
+                        });
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    private static void answerWhileOpen(ServerSocket server, Queue<String> answers) {
+        try (Socket socket = server.accept()) {
+            while (socket.getInputStream().read(new byte[4096]) > 0) {
+                socket.getOutputStream()
+                        .write(answers.remove().getBytes(StandardCharsets.US_ASCII));
+            }
+        } catch (IOException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
     @Test
     void refusedCaller_readsItsAnswer_thoughItsBodyIsUnread() throws Exception {
         try (Socket socket =
--- a/transport/src/test/java/org/hornbeampass/transport/relay/UpstreamConnectionTest.java
+++ b/transport/src/test/java/org/hornbeampass/transport/relay/UpstreamConnectionTest.java
@@ -7,11 +7,13 @@
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.DefaultHttpRequest;
+import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
 
+import org.hornbeampass.transport.AnswerDecoder;
 import org.hornbeampass.transport.Channels;
 import org.hornbeampass.transport.Clock;
 import org.hornbeampass.transport.EventLoops;
@@ -39,7 +41,7 @@
             new UpstreamConnection(mPool, "127.0.0.1:1", Clock.monotonic());
     private final EmbeddedChannel mChannel =
             new EmbeddedChannel(
-                    new AnswerDecoder(4_096, 8_192, 8_192, mConnection::methodOf),
+                    new AnswerDecoder(new HttpDecoderConfig(), mConnection::methodOf),
                     new HttpRequestEncoder(),
                     mConnection);
     private final Recorder mRecorder = new Recorder();
