Take no full upstream as a replacement for a silent one

A search for a replacement could turn to an upstream that had stated that it was full, as a search without a working upstream does at the end, so that the silent upstream was left for one that probably refuses. Found by reading; no test shows it. All tests of transport, router and platform pass with it.

--- a/router/src/main/java/org/hornbeampass/router/relay/UpstreamSearch.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/UpstreamSearch.java
@@ -159,7 +159,7 @@
             return;
         }
         Optional<UpstreamChoice> chosen = choose(nowMs);
-        if (chosen.isEmpty() && mContext.roomAdmission().isPresent() && mTried.removeAll(mFull)) {
+        if (chosen.isEmpty() && mayTryFullOnes() && mTried.removeAll(mFull)) {
             mFull.clear();
             chosen = choose(nowMs);
         }
@@ -180,6 +180,10 @@
                         (t, permit) -> onPermit(t, number, choice, permit));
     }
 
+    private boolean mayTryFullOnes() {
+        return !isReplacement() && mContext.roomAdmission().isPresent();
+    }
+
     private boolean mayBeSent(long nowMs) {
         return isReplacement() ? mCrashes.mayBeRepeated() : mCrashes.mayBeSent(nowMs);
     }
