Keep brittle upstreams from rejecting too many requests

Upstreams that state that they crash when they must reject more than some requests in a second fell over 3 to 7 times in a burst where 2.3 are allowed. Nothing read what they state; a rejection left them out for 60 ms, and not even that where all of them were full.

Answers are read for it now. A rejection by a brittle upstream holds it like a requested pause, for longer after each one, so that all VMs together cause at most half of what it survives. One whose places are known to be taken, by this VM's requests and those that the others report, is not chosen; a VM has its share of the places and of half of the rejections until it hears of the others.

AnswerSignalsTest states the new field of an answer's head; its checks are unchanged.

--- a/coordination/src/main/java/org/hornbeampass/coordination/service/FleetLoad.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/service/FleetLoad.java
@@ -107,6 +107,11 @@
         }
     }
 
+    /** Returns the number of VMs whose load is known, this one included. */
+    public int knownVms() {
+        return 1 + reportingVms();
+    }
+
     /** Returns how many VMs the current reports cover. */
     int reportingVms() {
         return mReportsByVm.values().stream().mapToInt(t -> t.report().vms()).sum();
--- a/coordination/src/main/java/org/hornbeampass/coordination/service/UpstreamInstance.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/service/UpstreamInstance.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
 
 /**
@@ -58,6 +59,7 @@
     private int mFailuresInRow;
     private long mPausedUntilMs = Long.MIN_VALUE;
     private long mRequestedPauseUntilMs;
+    private Optional<Brittleness> mBrittleness = Optional.empty();
     private double mSuccesses;
     private double mFailures;
     private long mDecayedAtMs;
@@ -156,11 +158,16 @@
      * @param requestedUntilMs when the pause ends that it requested, in milliseconds
      * @param untilMs when its pause after failures or for lack of capacity ends, in milliseconds
      * @param failuresInRow its last failures without an answer between them
+     * @param brittleness what it stated about rejections
      */
-    record Pauses(long requestedUntilMs, long untilMs, int failuresInRow) {}
+    record Pauses(
+            long requestedUntilMs,
+            long untilMs,
+            int failuresInRow,
+            Optional<Brittleness> brittleness) {}
 
     Pauses pauses() {
-        return new Pauses(mRequestedPauseUntilMs, mPausedUntilMs, mFailuresInRow);
+        return new Pauses(mRequestedPauseUntilMs, mPausedUntilMs, mFailuresInRow, mBrittleness);
     }
 
     /** Goes on with the pauses that this incarnation had before its entry was removed. */
@@ -168,6 +175,45 @@
         mRequestedPauseUntilMs = pauses.requestedUntilMs();
         mPausedUntilMs = pauses.untilMs();
         mFailuresInRow = pauses.failuresInRow();
+        mBrittleness = pauses.brittleness();
+    }
+
+    /**
+     * Sets how many rejections in a second it survives, as its last answer states; empty where it
+     * is not brittle. Returns whether that changed.
+     */
+    public boolean onBrittleness(OptionalDouble maxRejectionsPerS) {
+        Optional<Brittleness> before = mBrittleness;
+        mBrittleness =
+                maxRejectionsPerS.isPresent()
+                        ? Optional.of(new Brittleness(maxRejectionsPerS.getAsDouble()))
+                        : Optional.empty();
+        return !mBrittleness.equals(before);
+    }
+
+    /**
+     * Stops new requests to a brittle upstream that has rejected one, for longer after each
+     * rejection, so that the VMs together do not make it crash.
+     *
+     * @param nowMs the present time in milliseconds
+     * @param vms the number of VMs that send requests to it
+     */
+    public void onRejected(long nowMs, int vms) {
+        mBrittleness.ifPresent(
+                b -> onPauseRequested(nowMs, requestedPauseLeftMs(nowMs) + b.holdMs(vms)));
+    }
+
+    /** Returns whether it may be sent one more request without making it reject too many. */
+    boolean hasPlace(FleetLoad load) {
+        return mBrittleness
+                .map(
+                        b ->
+                                b.maySend(
+                                        mEntry.slots(),
+                                        inFlight(),
+                                        load.at(id()).requests(),
+                                        load.knownVms()))
+                .orElse(true);
     }
 
     /** Returns whether it is paused after failures or for lack of capacity. */
--- a/coordination/src/main/java/org/hornbeampass/coordination/service/UpstreamRegistry.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/service/UpstreamRegistry.java
@@ -117,7 +117,7 @@
     }
 
     /** Returns the load that the other VMs reported. */
-    FleetLoad fleetLoad() {
+    public FleetLoad fleetLoad() {
         return mFleetLoad;
     }
 
@@ -132,8 +132,7 @@
     /** Returns the requests in progress at this VM and on average. */
     public Requests requests() {
         int own = mById.values().stream().mapToInt(UpstreamInstance::inFlight).sum();
-        int vms = 1 + mFleetLoad.reportingVms();
-        return new Requests(own, (own + mFleetLoad.requests()) / (double) vms);
+        return new Requests(own, (own + mFleetLoad.requests()) / (double) mFleetLoad.knownVms());
     }
 
     /** Returns this VM's own load, for the other VMs. */
@@ -345,7 +344,8 @@
         for (UpstreamInstance each : all) {
             boolean eligible =
                     mayReceive(nowMs, each, homes)
-                            && (!requireIncarnation || each.hasIncarnation());
+                            && (!requireIncarnation || each.hasIncarnation())
+                            && each.hasPlace(mFleetLoad);
             if (eligible && mGate.waitMs(nowMs, each.incarnation()) == 0) {
                 selectable.add(each);
             }
--- a/coordination/src/test/java/org/hornbeampass/coordination/service/UpstreamRegistryTest.java
+++ b/coordination/src/test/java/org/hornbeampass/coordination/service/UpstreamRegistryTest.java
@@ -11,6 +11,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.Random;
 import java.util.Set;
@@ -138,6 +139,67 @@
         }
     }
 
+    private UpstreamInstance brittle(double maxRejectionsPerS) {
+        UpstreamInstance instance = only("a");
+        assertThat(instance.onBrittleness(OptionalDouble.of(maxRejectionsPerS))).isTrue();
+        return instance;
+    }
+
+    private void reportRequestsOfAnotherVm(int requests) {
+        InFlightReport.Item item = new InFlightReport.Item("a", 0, requests, 0);
+        mRegistry.fleetLoad().onReport(0, "vm-2", new InFlightReport(List.of(item), 1));
+    }
+
+    @Test
+    void brittleUpstreamWithoutAFreePlace_getsNoRequests() {
+        UpstreamInstance instance = brittle(2);
+        reportRequestsOfAnotherVm(6);
+        assertThat(choose(0, PLAIN, Prompt.NONE)).contains("a");
+        instance.onSent(0, t -> {});
+        assertThat(choose(0, PLAIN, Prompt.NONE)).isEmpty();
+        assertThat(instance.onBrittleness(OptionalDouble.empty())).isTrue();
+        assertThat(choose(0, PLAIN, Prompt.NONE)).contains("a");
+    }
+
+    @Test
+    void vmsThatDoNotKnowOfEachOthersRequests_shareThePlacesOfABrittleUpstream() {
+        UpstreamInstance instance = brittle(4);
+        reportRequestsOfAnotherVm(0);
+        for (int i = 0; i < 4; i++) {
+            assertThat(choose(0, PLAIN, Prompt.NONE)).contains("a");
+            instance.onSent(
+                    0,
+                    new IncarnationListener() {
+                        @Override
+                        public void onEnded(long nowMs) {}
+                    });
+        }
+        assertThat(choose(0, PLAIN, Prompt.NONE)).isEmpty();
+    }
+
+    @Test
+    void rejectionsOfABrittleUpstream_stayBelowHalfOfWhatItSurvives() {
+        UpstreamInstance instance = brittle(20);
+        reportRequestsOfAnotherVm(0);
+        int rejections = 0;
+        for (long nowMs = 0; nowMs < 10_000; nowMs++) {
+            if (choose(nowMs, PLAIN, Prompt.NONE).isPresent()) {
+                instance.onRejected(nowMs, 2);
+                rejections++;
+            }
+        }
+        assertThat(rejections).isBetween(40, 50);
+    }
+
+    @Test
+    void concurrentRejections_holdABrittleUpstreamLonger() {
+        UpstreamInstance instance = brittle(10);
+        instance.onRejected(0, 1);
+        instance.onRejected(0, 1);
+        assertThat(choose(399, PLAIN, Prompt.NONE)).isEmpty();
+        assertThat(choose(400, PLAIN, Prompt.NONE)).contains("a");
+    }
+
     @Test
     void entryRestoredAfterAnOutage_staysInUse() {
         mRegistry.onEntry(0, entry("a", false));
--- a/router/src/main/java/org/hornbeampass/router/relay/AnswerHead.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/AnswerHead.java
@@ -16,6 +16,8 @@
  *     where it does not ask
  * @param limitPerSecond how many requests per second the upstream accepts from all VMs together;
  *     empty where it states no limit
+ * @param maxRejectionsPerS how many rejections in a second the upstream survives; empty where it
+ *     does not state that it is brittle
  * @param coldLeftMs how much longer the upstream is in its slow start, in milliseconds; empty where
  *     the answer does not state it
  */
@@ -25,4 +27,5 @@
         boolean leaving,
         OptionalLong pauseMs,
         OptionalDouble limitPerSecond,
+        OptionalDouble maxRejectionsPerS,
         OptionalLong coldLeftMs) {}
--- a/router/src/main/java/org/hornbeampass/router/relay/AnswerSignals.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/AnswerSignals.java
@@ -6,6 +6,8 @@
 import org.hornbeampass.coordination.service.UpstreamInstance;
 import org.hornbeampass.coordination.service.UpstreamSignals;
 
+import java.util.OptionalDouble;
+
 /**
  * Applies the signals that upstreams send about themselves in the heads of their answers, whatever
  * the outcome of the request.
@@ -49,10 +51,29 @@
         if (current && answer.coldLeftMs().isPresent()) {
             mSlowStarts.onStated(nowMs, upstream, answer.coldLeftMs().getAsLong());
         }
+        if (current) {
+            onBrittleness(nowMs, upstream, answer);
+        }
         RateLimit limit = current ? rateLimit(nowMs, askedMs, answer) : RateLimit.UNKNOWN;
         mExchange.onAnswer(nowMs, upstream, new UpstreamSignals(answer.leaving(), limit));
     }
 
+    /** Applies whether an upstream is brittle; only an answer with a seal shows that it is not. */
+    private void onBrittleness(long nowMs, UpstreamInstance upstream, AnswerHead answer) {
+        OptionalDouble most = answer.maxRejectionsPerS();
+        if (most.isEmpty() && !answer.hasSeal()) {
+            return;
+        }
+        if (upstream.onBrittleness(most)) {
+            mLog.logStateChange(
+                    nowMs,
+                    most.isPresent() ? "upstream-brittle" : "upstream-not-brittle",
+                    new LogFields()
+                            .add("upstream", upstream.id())
+                            .add("max_rejections_per_s", Double.toString(most.orElse(0))));
+        }
+    }
+
     /**
      * Returns the rate limit that an answer states. Only an answer with a seal can state that there
      * is no limit, since refusals and errors may leave a limit out.
--- a/router/src/main/java/org/hornbeampass/router/relay/UpstreamSearch.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/UpstreamSearch.java
@@ -110,6 +110,7 @@
 
     /** Handles the answer of an upstream that it had no capacity for the request. */
     void onFull(long nowMs, UpstreamInstance instance) {
+        instance.onRejected(nowMs, mContext.upstreamRegistry().fleetLoad().knownVms());
         mFull.add(instance.id());
         mPlace.onUpstreamFull(nowMs);
     }
--- a/router/src/test/java/org/hornbeampass/router/relay/AnswerSignalsTest.java
+++ b/router/src/test/java/org/hornbeampass/router/relay/AnswerSignalsTest.java
@@ -87,7 +87,13 @@
                 askedMs,
                 mUpstream,
                 new AnswerHead(
-                        outcome, proven, false, OptionalLong.empty(), limit, OptionalLong.empty()));
+                        outcome,
+                        proven,
+                        false,
+                        OptionalLong.empty(),
+                        limit,
+                        OptionalDouble.empty(),
+                        OptionalLong.empty()));
     }
 
     private void answerWithLimit() {
@@ -138,6 +144,7 @@
                         false,
                         OptionalLong.of(60_000),
                         OptionalDouble.empty(),
+                        OptionalDouble.empty(),
                         OptionalLong.empty()));
     }
 
@@ -165,6 +172,7 @@
                         true,
                         OptionalLong.empty(),
                         OptionalDouble.empty(),
+                        OptionalDouble.empty(),
                         OptionalLong.empty()));
         assertThat(mUpstream.isLeaving()).isTrue();
     }
