--- a/coordination/src/main/java/org/hornbeampass/coordination/service/UpstreamRegistry.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/service/UpstreamRegistry.java
@@ -118,7 +118,7 @@
     }
 
     /** Returns the load that the other VMs reported. */
-    FleetLoad fleetLoad() {
+    public FleetLoad fleetLoad() {
         return mFleetLoad;
     }
 
@@ -133,8 +133,7 @@
     /** Returns the requests in progress at this VM and on average. */
     public Requests requests() {
         int own = mById.values().stream().mapToInt(UpstreamInstance::inFlight).sum();
-        int vms = 1 + mFleetLoad.reportingVms();
-        return new Requests(own, (own + mFleetLoad.requests()) / (double) vms);
+        return new Requests(own, (own + mFleetLoad.requests()) / (double) mFleetLoad.knownVms());
     }
 
     /** Returns this VM's own load, for the other VMs. */
@@ -342,7 +341,8 @@
         for (UpstreamInstance each : all) {
             boolean eligible =
                     mayReceive(nowMs, each, homes)
-                            && (!requireIncarnation || each.hasIncarnation());
+                            && (!requireIncarnation || each.hasIncarnation())
+                            && each.hasPlace(mFleetLoad);
             if (eligible && mGate.waitMs(nowMs, each.incarnation()) == 0) {
                 selectable.add(each);
             }
