Go on reading a connection whose answer ended while it was not read

Before: after an answer whose end had been decoded from the same read in which its reader asked not to be given more, the connection was back in the pool and automatic reading was off (the new test found it off).

Cause: with buffer_bytes set, a caller that takes no more stops the reading while a part is passed on, and the rest of what was read is still decoded. If that holds the end of the answer, the request is over when the caller takes data again, and nothing turns the reading on. The next request on the connection gets no answer until its deadline or until it is sent to another upstream, and the close of the idle connection goes unnoticed.

Reading is now turned on before the connection is returned to the pool, as the client of the chat path does. This also ends the pause that would have counted as the next request's.

--- a/transport/src/main/java/org/hornbeampass/transport/relay/UpstreamConnection.java
+++ b/transport/src/main/java/org/hornbeampass/transport/relay/UpstreamConnection.java
@@ -399,6 +399,8 @@
         } else if (mChannel.pipeline().get(AnswerDecoder.class).holdsInput()) {
             closeUnrequested(UnrequestedInput.AFTER_ANSWER);
         } else {
+            // Its end may have been decoded after the reading was stopped.
+            setReading(true);
             returnToPool();
         }
         listener.onEnd(mClock.nowMs());
--- a/transport/src/test/java/org/hornbeampass/transport/relay/UpstreamConnectionTest.java
+++ b/transport/src/test/java/org/hornbeampass/transport/relay/UpstreamConnectionTest.java
@@ -49,6 +49,7 @@
         private final List<String> mCalls = new ArrayList<>();
         private String mRequestId = "q";
         private int mStatus;
+        private Runnable mOnPart = () -> {};
 
         @Override
         public boolean onHead(long nowMs, HttpResponse head) {
@@ -80,6 +81,7 @@
         public void onPart(long nowMs, ByteBuf part) {
             mCalls.add(part.toString(StandardCharsets.US_ASCII));
             part.release();
+            mOnPart.run();
         }
 
         @Override
@@ -232,6 +234,15 @@
         assertThat(mChannel.isOpen()).isFalse();
     }
 
+    @Test
+    void answerThatEndsWhileItIsNotToBeRead_leavesItsConnectionReading() {
+        mRecorder.mOnPart = () -> mConnection.setReading(false);
+        receive(FRAMED);
+        assertThat(mRecorder.mCalls).containsExactly("head", "body", "end");
+        assertThat(mChannel.isOpen()).isTrue();
+        assertThat(mChannel.config().isAutoRead()).isTrue();
+    }
+
     @Test
     void connectionOnWhichAnUnrelatedAnswerCame_isClosedAfterTheAnswer() {
         receive("HTTP/1.1 200 OK\r\nId: p\r\nContent-Length: 0\r\n\r\n");
