Try again upstreams that a search for a replacement could not reach

Before: with one upstream silent, a second one that was unreachable when it was first tried as a replacement was not tried again once it accepted connections; the stream was cut at its deadline (the new test got an answer without its rest after five seconds).

Cause: a search for a replacement marked the upstreams that it could not reach as tried for the rest of the request, though such a search is repeated while the upstream is silent, and is to leave the request's counts unchanged. A link that was cut for a moment used up all other upstreams, also for the retry after the silent upstream was lost.

Upstreams that a replacement search can't reach are now set aside for that search only.

--- a/router/src/main/java/org/hornbeampass/router/relay/UpstreamSearch.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/UpstreamSearch.java
@@ -61,10 +61,13 @@
     private final SendConditions mConditions;
     private final Set<String> mTried = new HashSet<>();
     private final Set<String> mFull = new HashSet<>();
+
+    /** Those that the present search for a replacement could not reach, as part of the tried. */
+    private final Set<String> mUnreachable = new HashSet<>();
+
     private final RoomPlace mPlace;
     private Listener mCurrentListener;
     private int mNumber;
-    private int mUnreachableReplacements;
     private Optional<InFlightSend> mConnecting = Optional.empty();
 
     /**
@@ -104,10 +107,17 @@
     /** Starts a search for an upstream to which the request was not sent yet. */
     void start(long nowMs) {
         cancelConnecting();
+        forgetUnreachable();
         mCurrentListener = mListener;
         searchAgain(nowMs);
     }
 
+    /** Lets upstreams be chosen again that were unreachable while another one worked. */
+    private void forgetUnreachable() {
+        mTried.removeAll(mUnreachable);
+        mUnreachable.clear();
+    }
+
     /**
      * Starts a search for an upstream that can take the request over at once from the one that
      * works on it, which may go on until then.
@@ -117,8 +127,8 @@
      */
     void startReplacement(long nowMs, Listener listener) {
         cancelConnecting();
+        forgetUnreachable();
         mCurrentListener = listener;
-        mUnreachableReplacements = 0;
         searchAgain(nowMs);
     }
 
@@ -308,7 +318,7 @@
             instance.onNoAnswer(nowMs);
             releaseConnecting();
             logDecision(nowMs, "unreachable", send.fields());
-            if (areTooManyUnreachable()) {
+            if (areTooManyUnreachable(instance)) {
                 mCurrentListener.onGivenUp(nowMs, "the upstreams are unreachable");
             } else {
                 searchAgain(nowMs);
@@ -349,10 +359,12 @@
         return !mCounts.sentBefore() || mContext.isRetryAvailable(nowMs, mPlan.service().name());
     }
 
-    private boolean areTooManyUnreachable() {
-        return isReplacement()
-                ? ++mUnreachableReplacements >= RelayBounds.MAX_UNREACHABLE_UPSTREAMS
-                : mCounts.onUnreachable();
+    private boolean areTooManyUnreachable(UpstreamInstance instance) {
+        if (!isReplacement()) {
+            return mCounts.onUnreachable();
+        }
+        mUnreachable.add(instance.id());
+        return mUnreachable.size() >= RelayBounds.MAX_UNREACHABLE_UPSTREAMS;
     }
 
     private void closeAndSearchAgain(long nowMs, UpstreamConnection unused) {
