Close a kept connection whose next head never arrives

Cause: the refusal of a slow head took from the request before it whether the connection may be kept, and then ignored the rest of a body that no one sends. Where the refusal did close the connection, but an earlier answer was still unsent, the next check began the refusal again, so that the limit on idle connections was never applied.

The refusal now always closes the connection, and a connection that closes after its answer is held to the limit on idle ones alone.

The test's requests state an empty body now: their answers were given before the end of the request and closed the connection, so that no test had an unsent answer on a kept one.

--- a/transport/src/main/java/org/hornbeampass/transport/relay/CallerConnection.java
+++ b/transport/src/main/java/org/hornbeampass/transport/relay/CallerConnection.java
@@ -432,13 +432,15 @@
         if (mRest.isActive(nowMs, mChannel) || mListener.isPresent() || mDeliveryPending) {
             return;
         }
-        if (mHeadStartedMs >= 0 && nowMs - mHeadStartedMs > mServer.limits().headTimeoutMs()) {
+        boolean inHead = mHeadStartedMs >= 0 && !mClosed;
+        if (inHead && nowMs - mHeadStartedMs > mServer.limits().headTimeoutMs()) {
             mListener = Optional.of(CallerListener.IGNORING);
             mBodyComplete = false;
+            mKeepAlive = false;
             fail(HeadValidator.slowHead());
             return;
         }
-        if (mHeadStartedMs < 0 && mUnsent.idleMs(nowMs) > mServer.limits().idleTimeoutMs()) {
+        if (!inHead && mUnsent.idleMs(nowMs) > mServer.limits().idleTimeoutMs()) {
             abort();
         }
     }
--- a/transport/src/test/java/org/hornbeampass/transport/relay/UnsentAnswerTest.java
+++ b/transport/src/test/java/org/hornbeampass/transport/relay/UnsentAnswerTest.java
@@ -22,6 +22,7 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.Optional;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CountDownLatch;
 
@@ -38,6 +39,7 @@
     private static final long LATER_MS = 3_600_000;
 
     private final EventLoops mLoops = EventLoops.create(1, "test");
+    private final LinkBytes mBytes = new LinkBytes();
     private final CountDownLatch mAnswered = new CountDownLatch(1);
     private final CallerServer mServer =
             CallerServer.start(
@@ -45,7 +47,10 @@
                     new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
                     Clock.monotonic(),
                     (nowMs, caller, head) -> answer(caller),
-                    () -> CallerLimits.DEFAULT);
+                    () -> CallerLimits.DEFAULT,
+                    IntakeListener.NONE,
+                    false,
+                    Optional.of(mBytes));
     private Socket mCaller;
 
     private CallerListener answer(CallerConnection caller) {
@@ -71,11 +76,15 @@
     }
 
     private void request(String headers) throws Exception {
-        String request = "GET / HTTP/1.1\r\nHost: h\r\n" + headers + "\r\n";
-        mCaller.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
+        // The length lets the connection be kept, though the answer comes before the body's end.
+        write("GET / HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n" + headers + "\r\n");
         mAnswered.await();
     }
 
+    private void write(String text) throws IOException {
+        mCaller.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
+    }
+
     private <T> T onLoop(Callable<T> call) throws Exception {
         return mLoops.group().next().submit(call).get();
     }
@@ -162,4 +171,24 @@
         awaitNoBusyConnection();
         assertThat(onLoop(mServer::connections)).isZero();
     }
+
+    @Test
+    void connectionWhoseCallerReadsNothingAndBeginsAHead_isClosed() throws Exception {
+        request("");
+        long before = mBytes.read();
+        write("G");
+        while (onLoop(mBytes::read) == before) {
+            Thread.onSpinWait();
+        }
+        long nowMs = Clock.monotonic().nowMs();
+        onLoop(
+                () -> {
+                    for (int i = 1; i <= 4; i++) {
+                        mServer.tick(nowMs + i * LATER_MS);
+                    }
+                    return null;
+                });
+        awaitNoBusyConnection();
+        assertThat(onLoop(mServer::connections)).isZero();
+    }
 }
