Take a second answer's head that the end cuts for no part of the answer

A caller of an upstream that began a second answer and ended its connection within that answer's head got the answer with the beginning of the head after it. The scanner of answers without framing took a head for one only with its empty line, and passed on what it held at the end. A beginning that has the whole line with the id of a request that was sent on the connection counts as a head now; whether the answer is complete is decided by the end as before.

--- a/transport/src/main/java/org/hornbeampass/transport/relay/FollowingAnswerScanner.java
+++ b/transport/src/main/java/org/hornbeampass/transport/relay/FollowingAnswerScanner.java
@@ -97,8 +97,17 @@
         return all.writerIndex(at);
     }
 
-    /** Returns what was held, once the input has ended. */
+    /**
+     * Returns what was held and is part of the answer, once the input has ended. A head that the
+     * end cuts after its id is found, too.
+     */
     ByteBuf end() {
+        int start = mHeld.readerIndex();
+        Candidate held = new Candidate(mHeld, start, start + mHeldLine);
+        mFound = mFound.or(held::cutAnswer);
+        if (mFound.isPresent()) {
+            release();
+        }
         ByteBuf rest = mHeld;
         mHeld = Unpooled.EMPTY_BUFFER;
         return rest;
@@ -165,6 +174,13 @@
             return Verdict.INCOMPLETE;
         }
 
+        /** Returns the head as far as its lines are complete, if it is that of an answer. */
+        Optional<HttpResponse> cutAnswer() {
+            return mLine == mStart
+                    ? Optional.empty()
+                    : Optional.of(head(mLine - 1)).filter(mIsAnswer);
+        }
+
         private int lineEnd(int from) {
             return mAll.indexOf(from, mAll.writerIndex(), (byte) '\n');
         }
--- a/transport/src/main/java/org/hornbeampass/transport/relay/UpstreamConnection.java
+++ b/transport/src/main/java/org/hornbeampass/transport/relay/UpstreamConnection.java
@@ -350,24 +350,25 @@
     private void handleUnframed(FollowingAnswerScanner following, ByteBuf part, boolean last) {
         passOn(following.append(part));
         if (mListener.isPresent() && following.found().isPresent()) {
-            onFollowingAnswer(following.found().get());
+            logFollowingAnswer(following.found().get());
+            mListener.ifPresent(this::onAnswerEnded);
             return;
         }
         if (last) {
             passOn(following.end());
+            following.found().ifPresent(this::logFollowingAnswer);
             // The decoder reports this end for each end of the connection, whatever its cause.
             mAwaitingEndOfInput = true;
         }
     }
 
-    private void onFollowingAnswer(HttpResponse head) {
+    private void logFollowingAnswer(HttpResponse head) {
         mIds.orElseThrow()
                 .onUnrequested(
                         mClock.nowMs(),
                         head,
                         AnswerFraming.of(methodOf(head), head),
                         UnrequestedInput.IN_UNFRAMED_ANSWER);
-        mListener.ifPresent(this::onAnswerEnded);
     }
 
     private void passOn(ByteBuf part) {
