Let a stream wait for the first record of its service's versions

Callers of streams were refused with 503 in the first milliseconds of a router's life: no resumable stream begins before the record of its service's software versions is known, and a request that arrived sooner found no upstream. The record is there milliseconds later, and after a second at most streams begin without it.

Such a request now waits while an upstream is there and the record is not, and is refused at once where there is no upstream. SlowReaderTest failed before: in two of two runs of the whole class a stream that was sent 6 ms after the configuration ended as no_upstream with no send, so that the test waited for its upstream in vain (two and one of five cases failed). Now 5 of 5 pass, in 15 instead of 227 s, with the test as it was.

--- a/router/src/main/java/org/hornbeampass/router/relay/UpstreamSearch.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/UpstreamSearch.java
@@ -25,6 +25,9 @@
  * an open connection. Confined to one event loop.
  */
 final class UpstreamSearch {
+    /** How often it is checked whether the first record of a service is there, in milliseconds. */
+    private static final long RECORD_POLL_MS = 20;
+
     private static final String TOO_MANY_RETRIES = "too many requests are being retried at present";
 
     /** Receives the result of a search. */
@@ -175,6 +178,10 @@
             mFull.clear();
             chosen = choose(nowMs);
         }
+        if (chosen.isEmpty() && awaitsStreamRecord(nowMs)) {
+            searchWhenRecorded();
+            return;
+        }
         if (chosen.isEmpty() || (isReplacement() && chosen.get().instance().isPaused(nowMs))) {
             mCurrentListener.onNoneAvailable(nowMs);
             return;
@@ -216,6 +223,25 @@
                 : choose(nowMs, mVersion::allows);
     }
 
+    /** Returns whether an upstream is there that gets streams once their versions are recorded. */
+    private boolean awaitsStreamRecord(long nowMs) {
+        return beginsResumableStream()
+                && mContext.streamHistory().awaitsFirstRecord(nowMs, mPlan.service().name())
+                && choose(nowMs, mVersion::allows).isPresent();
+    }
+
+    private void searchWhenRecorded() {
+        int number = mNumber;
+        var unused =
+                mCall.timer(
+                        RECORD_POLL_MS,
+                        nowMs -> {
+                            if (number == mNumber) {
+                                search(nowMs);
+                            }
+                        });
+    }
+
     private boolean beginsResumableStream() {
         return mPlan.route().resumable() && mVersion.get().isEmpty();
     }
