--- a/coordination/src/main/java/org/hornbeampass/coordination/budget/LedgerSync.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/budget/LedgerSync.java
@@ -92,9 +92,7 @@
         mInFlight = true;
         mWrites++;
         String value = Json.encode(next);
-        return mVersion == 0
-                ? new PlatformCall.Create(objectKey(mOrganisation), value)
-                : new PlatformCall.Update(objectKey(mOrganisation), value, mVersion);
+        return PlatformCall.write(objectKey(mOrganisation), value, mVersion);
     }
 
     /** Ends a read. Returns whether the record was received. */
--- a/coordination/src/main/java/org/hornbeampass/coordination/config/ConfigHistory.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/config/ConfigHistory.java
@@ -4,11 +4,9 @@
 
 import org.hornbeampass.state.Failure;
 import org.hornbeampass.state.Json;
+import org.hornbeampass.state.Sha256;
 import org.hornbeampass.state.config.ConfigSnapshot;
 
-import java.nio.charset.StandardCharsets;
-import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
 import java.util.ArrayList;
 import java.util.HexFormat;
 import java.util.List;
@@ -144,13 +142,6 @@
 
     /** Returns the hash of a history with one more entry. */
     static String hash(String before, String text) {
-        try {
-            MessageDigest digest = MessageDigest.getInstance("SHA-256");
-            digest.update(before.getBytes(StandardCharsets.UTF_8));
-            byte[] hash = digest.digest(text.getBytes(StandardCharsets.UTF_8));
-            return HexFormat.of().formatHex(hash).substring(0, HASH_CHARS);
-        } catch (NoSuchAlgorithmException e) {
-            throw new IllegalStateException("this Java runtime does not provide SHA-256", e);
-        }
+        return HexFormat.of().formatHex(Sha256.hash(before + text)).substring(0, HASH_CHARS);
     }
 }
--- a/coordination/src/main/java/org/hornbeampass/coordination/platform/Lease.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/platform/Lease.java
@@ -161,9 +161,7 @@
 
     private PlatformCall toWriteCall(long version, LeaseRecord next) {
         String value = Json.encode(next);
-        return version == 0
-                ? new PlatformCall.Create(mKey, value)
-                : new PlatformCall.Update(mKey, value, version);
+        return PlatformCall.write(mKey, value, version);
     }
 
     private void onTaken(long sentMs, long fencing) {
--- a/coordination/src/main/java/org/hornbeampass/coordination/platform/PlatformCall.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/platform/PlatformCall.java
@@ -27,6 +27,17 @@
         return OptionalLong.empty();
     }
 
+    /**
+     * Returns the call that writes an object at the version at which it is known.
+     *
+     * @param key the object's key
+     * @param value its new value
+     * @param version its version; 0 if it does not exist
+     */
+    static PlatformCall write(String key, String value, long version) {
+        return version == 0 ? new Create(key, value) : new Update(key, value, version);
+    }
+
     /** The kinds by which calls are counted and limited. */
     enum Kind {
         READ,
--- a/coordination/src/main/java/org/hornbeampass/coordination/platform/RecordChange.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/platform/RecordChange.java
@@ -145,10 +145,7 @@
     }
 
     private void write(long nowMs, long version, String value) {
-        PlatformCall call =
-                version == 0
-                        ? new PlatformCall.Create(mKey, value)
-                        : new PlatformCall.Update(mKey, value, version);
+        PlatformCall call = PlatformCall.write(mKey, value, version);
         mPlatform.submit(nowMs, call, (atMs, reply) -> onWriteReply(atMs, version, reply));
     }
 
--- a/coordination/src/main/java/org/hornbeampass/coordination/quarantine/KnownCrashesStore.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/quarantine/KnownCrashesStore.java
@@ -93,10 +93,7 @@
         mWriteInProgress = true;
         mLastWriteMs = nowMs;
         String value = Json.encode(known);
-        PlatformCall call =
-                mVersion == 0
-                        ? new PlatformCall.Create(KEY, value)
-                        : new PlatformCall.Update(KEY, value, mVersion);
+        PlatformCall call = PlatformCall.write(KEY, value, mVersion);
         mPlatform.submit(nowMs, call, (t, reply) -> onWritten(t, known, reply));
     }
 
--- a/coordination/src/main/java/org/hornbeampass/coordination/requests/RequestFingerprint.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/requests/RequestFingerprint.java
@@ -2,13 +2,11 @@
 
 import org.hornbeampass.state.OrganisationId;
 import org.hornbeampass.state.RequestId;
+import org.hornbeampass.state.Sha256;
 import org.hornbeampass.state.requests.AttemptId;
 import org.hornbeampass.state.requests.RequestKey;
 
 import java.nio.ByteBuffer;
-import java.nio.charset.StandardCharsets;
-import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
 
 /**
  * A 128-bit fingerprint of a request, the first half of its SHA-256, used where the whole key would
@@ -64,13 +62,7 @@
     }
 
     private static RequestFingerprint hash(String text) {
-        try {
-            MessageDigest digest = MessageDigest.getInstance("SHA-256");
-            byte[] hash = digest.digest(text.getBytes(StandardCharsets.UTF_8));
-            ByteBuffer buffer = ByteBuffer.wrap(hash);
-            return new RequestFingerprint(buffer.getLong(), buffer.getLong());
-        } catch (NoSuchAlgorithmException e) {
-            throw new IllegalStateException("every Java platform has SHA-256", e);
-        }
+        ByteBuffer buffer = ByteBuffer.wrap(Sha256.hash(text));
+        return new RequestFingerprint(buffer.getLong(), buffer.getLong());
     }
 }
--- a/coordination/src/main/java/org/hornbeampass/coordination/stream/OriginArchive.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/stream/OriginArchive.java
@@ -5,10 +5,8 @@
 import org.hornbeampass.coordination.platform.PlatformReply;
 import org.hornbeampass.coordination.platform.PlatformReply.StoredObject;
 import org.hornbeampass.state.Json;
+import org.hornbeampass.state.Sha256;
 
-import java.nio.charset.StandardCharsets;
-import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
 import java.util.Arrays;
 import java.util.Base64;
 import java.util.HashMap;
@@ -95,16 +93,8 @@
     }
 
     private static String digest(StreamKey key) {
-        try {
-            byte[] hash =
-                    MessageDigest.getInstance("SHA-256")
-                            .digest(key.hashText().getBytes(StandardCharsets.UTF_8));
-            return Base64.getUrlEncoder()
-                    .withoutPadding()
-                    .encodeToString(Arrays.copyOf(hash, DIGEST_BYTES));
-        } catch (NoSuchAlgorithmException e) {
-            throw new IllegalStateException("every JDK has SHA-256", e);
-        }
+        byte[] hash = Arrays.copyOf(Sha256.hash(key.hashText()), DIGEST_BYTES);
+        return Base64.getUrlEncoder().withoutPadding().encodeToString(hash);
     }
 
     /**
@@ -125,12 +115,7 @@
         mOwn.forEach((digest, own) -> origins.put(digest, own.origin()));
         String value = Json.encode(ArchivedStreams.of(origins));
         mWriteInProgress = true;
-        mStore.submit(
-                nowMs,
-                mVersion == 0
-                        ? new PlatformCall.Create(mKey, value)
-                        : new PlatformCall.Update(mKey, value, mVersion),
-                this::onWritten);
+        mStore.submit(nowMs, PlatformCall.write(mKey, value, mVersion), this::onWritten);
     }
 
     private void onWritten(long nowMs, PlatformReply reply) {
--- a/router/src/main/java/org/hornbeampass/router/admin/KeyGenerator.java
+++ b/router/src/main/java/org/hornbeampass/router/admin/KeyGenerator.java
@@ -1,8 +1,7 @@
 package org.hornbeampass.router.admin;
 
-import java.nio.charset.StandardCharsets;
-import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
+import org.hornbeampass.state.Sha256;
+
 import java.security.SecureRandom;
 import java.util.Base64;
 import java.util.HexFormat;
@@ -33,11 +32,6 @@
 
     /** Returns the SHA-256 of a key in lower-case hex. */
     public static String hash(String key) {
-        try {
-            MessageDigest digest = MessageDigest.getInstance("SHA-256");
-            return HexFormat.of().formatHex(digest.digest(key.getBytes(StandardCharsets.UTF_8)));
-        } catch (NoSuchAlgorithmException e) {
-            throw new IllegalStateException("every Java runtime has SHA-256", e);
-        }
+        return HexFormat.of().formatHex(Sha256.hash(key));
     }
 }
--- a/router/src/main/java/org/hornbeampass/router/front/CallerKeys.java
+++ b/router/src/main/java/org/hornbeampass/router/front/CallerKeys.java
@@ -1,13 +1,12 @@
 package org.hornbeampass.router.front;
 
 import org.hornbeampass.state.OrganisationId;
+import org.hornbeampass.state.Sha256;
 import org.hornbeampass.state.config.ConfigSnapshot;
 import org.hornbeampass.state.config.OrganisationSpec;
 
 import java.nio.ByteBuffer;
-import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HexFormat;
@@ -61,7 +60,7 @@
                 || !authorization.get().regionMatches(true, 0, SCHEME, 0, SCHEME.length())) {
             return Optional.empty();
         }
-        byte[] hash = sha256(authorization.get().substring(SCHEME.length()).strip());
+        byte[] hash = Sha256.hash(authorization.get().substring(SCHEME.length()).strip());
         Optional<OrganisationId> found = Optional.empty();
         for (Entry entry : mByHashPrefix.getOrDefault(hashPrefix(hash), List.of())) {
             if (MessageDigest.isEqual(hash, entry.hash())) {
@@ -83,17 +82,4 @@
     private static int hashPrefix(byte[] hash) {
         return ByteBuffer.wrap(hash).getInt();
     }
-
-    private static byte[] sha256(String key) {
-        return sha256(key.getBytes(StandardCharsets.UTF_8));
-    }
-
-    /** Returns the SHA-256 of some bytes. */
-    static byte[] sha256(byte[] bytes) {
-        try {
-            return MessageDigest.getInstance("SHA-256").digest(bytes);
-        } catch (NoSuchAlgorithmException e) {
-            throw new IllegalStateException("every Java runtime must support SHA-256", e);
-        }
-    }
 }
--- a/router/src/main/java/org/hornbeampass/router/front/RequestIds.java
+++ b/router/src/main/java/org/hornbeampass/router/front/RequestIds.java
@@ -2,6 +2,7 @@
 
 import org.hornbeampass.state.OrganisationId;
 import org.hornbeampass.state.RequestId;
+import org.hornbeampass.state.Sha256;
 import org.hornbeampass.state.VmId;
 import org.hornbeampass.state.requests.RequestKey;
 
@@ -49,7 +50,7 @@
     }
 
     private static String digest(byte[] content) {
-        return HexFormat.of().formatHex(CallerKeys.sha256(content), 0, DIGEST_BYTES);
+        return HexFormat.of().formatHex(Sha256.hash(content), 0, DIGEST_BYTES);
     }
 
     private RequestId newId(long nowMs) {
--- a/router/src/test/java/org/hornbeampass/router/front/RequestAdmissionTest.java
+++ b/router/src/test/java/org/hornbeampass/router/front/RequestAdmissionTest.java
@@ -11,6 +11,7 @@
 import org.hornbeampass.state.ModelId;
 import org.hornbeampass.state.OrganisationId;
 import org.hornbeampass.state.Region;
+import org.hornbeampass.state.Sha256;
 import org.hornbeampass.state.UpstreamId;
 import org.hornbeampass.state.VmId;
 import org.hornbeampass.state.config.ConfigSnapshot;
@@ -23,7 +24,6 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
-import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.HexFormat;
 import java.util.Map;
@@ -58,7 +58,7 @@
                         Optional.empty(),
                         Optional.empty(),
                         Optional.empty());
-        byte[] hash = CallerKeys.sha256(KEY.getBytes(StandardCharsets.UTF_8));
+        byte[] hash = Sha256.hash(KEY);
         OrganisationSpec organisation =
                 new OrganisationSpec(
                         ORGANISATION,
