Refuse two Host headers from callers of HTTP/1.0 too

The router selects the route by the first one and passed on both, as HTTP/1.1, where a caller stated HTTP/1.0; only HTTP/1.1 was checked. A missing Host stays allowed in HTTP/1.0.

RepeatedHeaderTest with two Host headers failed before (HTTP/1.0 was answered 200), and passes now.

--- a/transport/src/main/java/org/hornbeampass/transport/relay/HeadValidator.java
+++ b/transport/src/main/java/org/hornbeampass/transport/relay/HeadValidator.java
@@ -28,8 +28,8 @@
         if (head.method().equals(HttpMethod.CONNECT) || !head.uri().startsWith("/")) {
             return malformed("the request target must be a path that begins with a slash");
         }
-        if (head.protocolVersion().equals(HttpVersion.HTTP_1_1)
-                && head.headers().getAll(HttpHeaderNames.HOST).size() != 1) {
+        int hosts = head.headers().getAll(HttpHeaderNames.HOST).size();
+        if (hosts > 1 || (hosts == 0 && head.protocolVersion().equals(HttpVersion.HTTP_1_1))) {
             return malformed("send exactly one Host header");
         }
         List<String> lengths = head.headers().getAll(HttpHeaderNames.CONTENT_LENGTH);
