Answer a request whose body has a malformed chunk

A caller that sent a chunk size or delimiter that can't be read got no answer: the router took the connection for one whose caller had left. It can't tell why from a closed connection, and a request that had not been sent on looked like one whose outcome is unknown.

The request is refused like one whose body is too large: 400, stated as not run, and what is still being sent is read for a bounded time, so that the answer is not lost with the connection. An answer that has begun is broken off as before.

--- a/router/src/main/java/org/hornbeampass/router/relay/RelayCall.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/RelayCall.java
@@ -166,7 +166,7 @@
         }
         mBody.add(part);
         if (mBody.bytes() > mMaxBodyBytes) {
-            onTooLarge(nowMs);
+            onBodyInvalid(nowMs, Failure.of(ErrorKind.REQUEST_TOO_LARGE, "the body is too large"));
             return;
         }
         if (mExecution.isPresent()) {
@@ -177,8 +177,11 @@
         }
     }
 
-    private void onTooLarge(long nowMs) {
-        Failure failure = Failure.of(ErrorKind.REQUEST_TOO_LARGE, "the body is too large");
+    @Override
+    public void onBodyInvalid(long nowMs, Failure failure) {
+        if (mEnded) {
+            return;
+        }
         if (mExecution.isPresent()) {
             mExecution.get().refuse(nowMs, failure);
         } else {
--- a/transport/src/main/java/org/hornbeampass/transport/relay/CallerConnection.java
+++ b/transport/src/main/java/org/hornbeampass/transport/relay/CallerConnection.java
@@ -253,15 +253,17 @@
     }
 
     private void onUndecodable(long nowMs, Throwable cause) {
-        mKeepAlive = false;
-        if (mListener.isPresent()) {
-            onCallerLeft(nowMs);
-            Channels.close(mChannel);
-            return;
+        closeAfterAnswer();
+        Failure failure = HeadValidator.undecodable(cause);
+        if (mListener.isEmpty()) {
+            mListener = Optional.of(CallerListener.IGNORING);
+            mBodyComplete = false;
+            fail(failure);
+        } else if (mAnswered) {
+            abort();
+        } else {
+            mListener.get().onBodyInvalid(nowMs, failure);
         }
-        mListener = Optional.of(CallerListener.IGNORING);
-        mBodyComplete = false;
-        fail(HeadValidator.undecodable(cause));
     }
 
     /** Writes the head of an answer whose body follows, without flushing it. */
--- a/transport/src/main/java/org/hornbeampass/transport/relay/CallerListener.java
+++ b/transport/src/main/java/org/hornbeampass/transport/relay/CallerListener.java
@@ -2,6 +2,8 @@
 
 import io.netty.buffer.ByteBuf;
 
+import org.hornbeampass.state.Failure;
+
 /**
  * Receives the body of one request and events of its caller's connection.
  *
@@ -19,6 +21,9 @@
                 @Override
                 public void onBodyEnd(long nowMs) {}
 
+                @Override
+                public void onBodyInvalid(long nowMs, Failure failure) {}
+
                 @Override
                 public void onCallerGone(long nowMs) {}
 
@@ -37,7 +42,15 @@
     /** The body has been received completely. */
     void onBodyEnd(long nowMs);
 
-    /** The caller has closed its connection or sent bytes that are not a valid HTTP request. */
+    /**
+     * What follows of the body can't be read; the listener answers, unless it has begun to.
+     *
+     * @param nowMs the present time in milliseconds
+     * @param failure why the body is invalid
+     */
+    void onBodyInvalid(long nowMs, Failure failure);
+
+    /** The caller has closed its connection. */
     void onCallerGone(long nowMs);
 
     /** The caller's connection takes data again, or must not be given more for the present. */
--- a/transport/src/test/java/org/hornbeampass/transport/relay/ReceivedMessagesTest.java
+++ b/transport/src/test/java/org/hornbeampass/transport/relay/ReceivedMessagesTest.java
@@ -11,6 +11,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 
 import org.hornbeampass.coordination.buffer.BufferLimit;
+import org.hornbeampass.state.Failure;
 import org.hornbeampass.state.service.CallerLimits;
 import org.hornbeampass.transport.Clock;
 import org.hornbeampass.transport.EventLoops;
@@ -70,6 +71,9 @@
         @Override
         public void onBodyEnd(long nowMs) {}
 
+        @Override
+        public void onBodyInvalid(long nowMs, Failure failure) {}
+
         @Override
         public void onCallerGone(long nowMs) {}
 
