Send nothing in a shutdown that can't be answered before the process exits

A router that shuts down took a request from its head on and sent it when its body ended, however little of the grace period was left. At its end the process exited and cut such requests without an answer, also those that may run only once: their callers could not know whether to repeat them. Retries, resumptions and forwarded requests did not ask either, and the time in which requests are accepted did not follow a grace period of less than 3.2 s, so that the process exited while it accepted.

What a route takes is known by its recent answers now, and each send asks whether an answer can end before the process exits; what no upstream has worked on is refused as not run at once, so that its caller goes elsewhere. What is left shortly before the exit is answered as lost, or broken off where a part of the answer was sent. The phases follow the grace period.

--- a/router/src/main/java/org/hornbeampass/router/daemon/RelayShutdown.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/RelayShutdown.java
@@ -3,8 +3,10 @@
 import org.hornbeampass.coordination.escrow.EscrowBook;
 import org.hornbeampass.router.relay.LogFields;
 import org.hornbeampass.router.relay.RelayContext;
+import org.hornbeampass.router.relay.ShutdownSchedule;
 import org.hornbeampass.transport.relay.CallerServer;
 
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 
 /**
@@ -12,21 +14,11 @@
  *
  * <p>Callers cache addresses for some seconds, so requests are still accepted while callers move to
  * other VMs. Then requests in progress are finished, unused tokens are returned, and the process
- * may exit. Confined to one event loop, except for the future.
+ * may exit. Requests that are not answered when the grace period ends are answered as lost, or
+ * broken off where a part of the answer was sent. Confined to one event loop, except for the
+ * future.
  */
 final class RelayShutdown {
-    /**
-     * Time in which requests are still accepted, in milliseconds: callers learn within about two
-     * seconds that this VM is leaving, and a request that arrives later may not end within the
-     * grace period.
-     */
-    private static final long ACCEPT_MS = 2_800;
-
-    /**
-     * Part of the grace period that is reserved for returning tokens and exiting, in milliseconds.
-     */
-    private static final long END_MARGIN_MS = 400;
-
     /** Maximum time to wait for the return of tokens, in milliseconds. */
     private static final long RETURN_TIMEOUT_MS = 1_000;
 
@@ -36,8 +28,9 @@
     private final FleetView mFleet;
     private final RelayContext mContext;
     private final CompletableFuture<Void> mDone = new CompletableFuture<>();
-    private boolean mBegun;
+    private Optional<ShutdownSchedule> mSchedule = Optional.empty();
     private boolean mStoppedAccepting;
+    private boolean mBrokenOff;
     private long mBeginMs;
     private long mIdleSinceMs = -1;
 
@@ -55,7 +48,7 @@
     }
 
     boolean hasBegun() {
-        return mBegun;
+        return mSchedule.isPresent();
     }
 
     CompletableFuture<Void> done() {
@@ -63,10 +56,12 @@
     }
 
     void begin(long nowMs) {
-        if (mBegun) {
+        if (hasBegun()) {
             return;
         }
-        mBegun = true;
+        ShutdownSchedule schedule = ShutdownSchedule.of(nowMs, mGraceMs);
+        mSchedule = Optional.of(schedule);
+        mContext.shutdown().begin(schedule);
         mBeginMs = nowMs;
         mContext.log().changes().onStopping(nowMs);
         mFleet.leave(nowMs);
@@ -74,18 +69,22 @@
     }
 
     void tick(long nowMs) {
-        if (!mBegun || mDone.isDone()) {
+        if (mSchedule.isEmpty() || mDone.isDone()) {
             return;
         }
-        long sinceMs = nowMs - mBeginMs;
-        if (sinceMs >= ACCEPT_MS && !mStoppedAccepting) {
+        ShutdownSchedule schedule = mSchedule.get();
+        if (!schedule.accepts(nowMs) && !mStoppedAccepting) {
             mStoppedAccepting = true;
             mCallers.stopAccepting();
-            mContext.refuseNewRequests();
             mCallers.closeIdle();
             mBudgets.startReturningTokens(nowMs);
         }
-        if (sinceMs >= mGraceMs - END_MARGIN_MS) {
+        if (schedule.breaksOff(nowMs) && !mBrokenOff) {
+            mBrokenOff = true;
+            logBrokenOff(nowMs);
+            mCallers.endRequests(nowMs);
+        }
+        if (schedule.exits(nowMs)) {
             end(nowMs, "the grace period is over");
             return;
         }
@@ -94,6 +93,16 @@
         }
     }
 
+    private void logBrokenOff(long nowMs) {
+        mContext.log()
+                .logStateChange(
+                        nowMs,
+                        "shutdown-breaks-off",
+                        new LogFields()
+                                .add("since_ms", nowMs - mBeginMs)
+                                .add("busy_connections", mCallers.busyConnections()));
+    }
+
     private void returnTokens(long nowMs) {
         if (mIdleSinceMs < 0) {
             mIdleSinceMs = nowMs;
--- a/router/src/main/java/org/hornbeampass/router/relay/ForwardedRequest.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/ForwardedRequest.java
@@ -65,6 +65,10 @@
             onDeadline(nowMs);
             return;
         }
+        if (!mContext.shutdown().mayStart(nowMs, mPlan.route(), mPlan.deadlineMs())) {
+            fail(nowMs, Refusals.shuttingDown());
+            return;
+        }
         Optional<Member> target = nextTarget();
         if (target.isEmpty()) {
             fail(nowMs, Refusals.noUpstream("no router that was asked reaches an upstream"));
@@ -289,6 +293,16 @@
         }
     }
 
+    @Override
+    public void onExit(long nowMs) {
+        cancelConnection();
+        if (mMayHaveRun) {
+            onLost(nowMs, "the router shuts down before the answer is complete");
+        } else {
+            fail(nowMs, Refusals.shuttingDown());
+        }
+    }
+
     /** Closes the connection, so that the other VM handles the loss of the caller in its turn. */
     @Override
     public void onCallerGone(long nowMs) {
--- a/router/src/main/java/org/hornbeampass/router/relay/RelayAttempts.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/RelayAttempts.java
@@ -80,7 +80,7 @@
     public void onFound(long nowMs, InFlightSend send, UpstreamConnection connection) {
         mSend = Optional.of(send);
         mConnection = Optional.of(connection);
-        if (mCounts.onSent()) {
+        if (mCounts.onSent(nowMs)) {
             mContext.countFirstSend(nowMs, mPlan.service().name());
         }
         mSentMs = nowMs;
@@ -268,6 +268,11 @@
 
     private void onComplete(long nowMs) {
         mSend.ifPresent(s -> s.onComplete(nowMs, mSentMs));
+        if (mSucceeded) {
+            mContext.shutdown()
+                    .answerTimes()
+                    .onAnswered(mPlan.route().name(), mCounts.workedMs(nowMs));
+        }
         releaseSend();
         mEnd.complete(nowMs);
     }
@@ -368,6 +373,12 @@
         mEnd.atDeadline(nowMs);
     }
 
+    @Override
+    public void onExit(long nowMs) {
+        abandonSend();
+        mEnd.atExit(nowMs);
+    }
+
     @Override
     public void refuse(long nowMs, Failure failure) {
         abandonSend();
--- a/router/src/main/java/org/hornbeampass/router/relay/RelayCall.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/RelayCall.java
@@ -102,7 +102,7 @@
         if (!mContext.isConfigured()) {
             return Optional.of(Refusals.noConfiguration());
         }
-        if (mContext.refusingNewRequests()) {
+        if (!mContext.shutdown().acceptsNewRequests(nowMs)) {
             return Optional.of(Refusals.shuttingDown());
         }
         RouteTable routes = mContext.routes().get();
@@ -119,7 +119,14 @@
         return intake.refuse(nowMs, mCaller, mHead.id(), mRoute.get())
                 .or(() -> authorise(nowMs, routes))
                 .or(() -> intake.refuse(nowMs, mCaller, mHead.id(), mRoute.get(), mOrganisation))
-                .or(() -> selectService(nowMs, routes));
+                .or(() -> selectService(nowMs, routes))
+                .or(() -> refuseBeforeExit(nowMs));
+    }
+
+    private Optional<Failure> refuseBeforeExit(long nowMs) {
+        return mContext.shutdown().mayStart(nowMs, mRoute.orElseThrow(), mDeadlineMs)
+                ? Optional.empty()
+                : Optional.of(Refusals.shuttingDown());
     }
 
     /**
@@ -416,6 +423,18 @@
         mExecution.get().onCallerGone(nowMs);
     }
 
+    @Override
+    public void onExit(long nowMs) {
+        if (mEnded) {
+            return;
+        }
+        if (mExecution.isPresent()) {
+            mExecution.get().onExit(nowMs);
+        } else {
+            fail(nowMs, Refusals.shuttingDown());
+        }
+    }
+
     @Override
     public void onCallerWritable(long nowMs) {
         mExecution.ifPresent(RequestExecution::onCallerWritable);
--- a/router/src/main/java/org/hornbeampass/router/relay/RelayContext.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/RelayContext.java
@@ -61,7 +61,7 @@
     private Optional<RouteTable> mRoutes = Optional.empty();
     private Optional<RelayAdmission> mAdmission = Optional.empty();
     private Optional<BufferLimit> mBufferLimit = Optional.empty();
-    private boolean mRefusingNewRequests;
+    private final ShutdownPolicy mShutdown = new ShutdownPolicy();
 
     /**
      * Creates the context. {@code vmCount} returns how many VMs share the fleet's budgets, and
@@ -261,6 +261,7 @@
     /** Sets the configuration for the requests that arrive from now on. */
     public void setRoutes(RouteTable routes) {
         mRoutes = Optional.of(routes);
+        mShutdown.answerTimes().retain(routes.config().routes());
         mLog.changes().onConfig(mClock.nowMs(), routes.config().version());
         mAdmission.ifPresent(a -> a.setConfig(routes.config()));
         mBacklogIntake.ifPresent(i -> i.setConfig(routes.config()));
@@ -286,13 +287,9 @@
         mSettings = settings;
     }
 
-    /** Refuses all requests that arrive from now on. */
-    public void refuseNewRequests() {
-        mRefusingNewRequests = true;
-    }
-
-    boolean refusingNewRequests() {
-        return mRefusingNewRequests;
+    /** Returns what may be sent while this process shuts down. */
+    public ShutdownPolicy shutdown() {
+        return mShutdown;
     }
 
     void countFirstSend(long nowMs, String service) {
--- a/router/src/main/java/org/hornbeampass/router/relay/RequestEnd.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/RequestEnd.java
@@ -73,6 +73,15 @@
         }
     }
 
+    /** Ends a request, since the process exits. */
+    void atExit(long nowMs) {
+        if (isUnsent()) {
+            fail(nowMs, Refusals.shuttingDown());
+        } else {
+            giveUp(nowMs, "the router shuts down before the answer is complete");
+        }
+    }
+
     /** Ends a request that is refused. */
     void refuse(long nowMs, Failure failure) {
         if (mAnswer.headSent()) {
--- a/router/src/main/java/org/hornbeampass/router/relay/RequestExecution.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/RequestExecution.java
@@ -20,6 +20,9 @@
     /** Refuses the request while its body is still incomplete, so that nothing can have run it. */
     void refuse(long nowMs, Failure failure);
 
+    /** Ends the request, since the process exits. */
+    void onExit(long nowMs);
+
     /** Handles the loss of the caller. */
     void onCallerGone(long nowMs);
 
--- a/router/src/main/java/org/hornbeampass/router/relay/SendCounts.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/SendCounts.java
@@ -12,6 +12,7 @@
 final class SendCounts {
     private final Route mRoute;
     private int mSends;
+    private long mWorkBeganMs;
     private int mRuns;
     private int mUnreachable;
     private int mMismatches;
@@ -22,7 +23,10 @@
     }
 
     /** Counts a send; returns whether it is the request's first. */
-    boolean onSent() {
+    boolean onSent(long nowMs) {
+        if (mRuns == 0) {
+            mWorkBeganMs = nowMs;
+        }
         mRuns++;
         return mSends++ == 0;
     }
@@ -60,6 +64,11 @@
         return mRuns > 0;
     }
 
+    /** Returns for how long upstreams have worked on the request, in milliseconds. */
+    long workedMs(long nowMs) {
+        return mayHaveRun() ? nowMs - mWorkBeganMs : 0;
+    }
+
     /** Returns whether the route allows another attempt. */
     boolean hasAttemptsLeft() {
         return mSends - mMismatches < mRoute.maxAttempts();
--- a/router/src/main/java/org/hornbeampass/router/relay/UpstreamSearch.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/UpstreamSearch.java
@@ -29,6 +29,8 @@
     private static final long RECORD_POLL_MS = 20;
 
     private static final String TOO_MANY_RETRIES = "too many requests are being retried at present";
+    private static final String SHUTTING_DOWN =
+            "the router shuts down before another answer can be complete";
 
     /** Receives the result of a search. */
     interface Listener {
@@ -144,14 +146,33 @@
     }
 
     private void onNoRoom(Failure failure) {
-        long nowMs = mContext.clock().nowMs();
+        refuse(mContext.clock().nowMs(), failure, "the service has no room for a retry at present");
+    }
+
+    private void refuse(long nowMs, Failure failure, String whyNoRetry) {
         if (mCounts.mayHaveRun()) {
-            mCurrentListener.onGivenUp(nowMs, "the service has no room for a retry at present");
+            mCurrentListener.onGivenUp(nowMs, whyNoRetry);
         } else {
             mCurrentListener.refuse(nowMs, failure);
         }
     }
 
+    /** Returns whether an answer to a request that is sent now can be complete. */
+    private boolean canAnswer(long nowMs) {
+        ShutdownPolicy shutdown = mContext.shutdown();
+        if (!mCounts.mayHaveRun()) {
+            return shutdown.mayStart(nowMs, mPlan.route(), mPlan.deadlineMs());
+        }
+        long doneMs = mVersion.get().isPresent() ? mCounts.workedMs(nowMs) : 0;
+        return shutdown.mayGoOn(nowMs, mPlan.route(), doneMs, mPlan.deadlineMs());
+    }
+
+    private Optional<String> obstacle(long nowMs, UpstreamInstance instance) {
+        return mConditions
+                .obstacle(nowMs, instance)
+                .or(() -> canAnswer(nowMs) ? Optional.empty() : Optional.of(SHUTTING_DOWN));
+    }
+
     /** Handles the answer of an upstream that it had no capacity for the request. */
     void onFull(long nowMs, UpstreamInstance instance) {
         instance.onRejected(nowMs, mContext.upstreamRegistry().fleetLoad().knownVms());
@@ -169,6 +190,10 @@
             mCurrentListener.onDeadline(nowMs);
             return;
         }
+        if (!canAnswer(nowMs)) {
+            refuse(nowMs, Refusals.shuttingDown(), SHUTTING_DOWN);
+            return;
+        }
         if (!mayBeSent(nowMs)) {
             mCurrentListener.onQuarantined(nowMs);
             return;
@@ -356,7 +381,7 @@
             }
             return;
         }
-        Optional<String> obstacle = mConditions.obstacle(nowMs, instance);
+        Optional<String> obstacle = obstacle(nowMs, instance);
         if (obstacle.isPresent()) {
             logDecision(nowMs, "not-sent", send.fields().add("reason", obstacle.get()));
             mContext.permits().returnUnused(nowMs, permit);
--- a/transport/src/main/java/org/hornbeampass/transport/relay/CallerConnection.java
+++ b/transport/src/main/java/org/hornbeampass/transport/relay/CallerConnection.java
@@ -429,6 +429,11 @@
         }
     }
 
+    /** Has a request in progress answered at once, since the process exits. */
+    void endRequest(long nowMs) {
+        mListener.ifPresent(l -> l.onExit(nowMs));
+    }
+
     /** Closes the connection if it was idle, or a head incomplete, for longer than the limits. */
     void closeIfSlow(long nowMs) {
         if (mRest.isActive(nowMs, mChannel) || mListener.isPresent() || mDeliveryPending) {
--- a/transport/src/main/java/org/hornbeampass/transport/relay/CallerListener.java
+++ b/transport/src/main/java/org/hornbeampass/transport/relay/CallerListener.java
@@ -29,6 +29,9 @@
 
                 @Override
                 public void onCallerWritable(long nowMs) {}
+
+                @Override
+                public void onExit(long nowMs) {}
             };
 
     /**
@@ -55,4 +58,7 @@
 
     /** The caller's connection takes data again, or must not be given more for the present. */
     void onCallerWritable(long nowMs);
+
+    /** The process is about to exit: an answer that is given now can still be sent. */
+    void onExit(long nowMs);
 }
--- a/transport/src/main/java/org/hornbeampass/transport/relay/CallerServer.java
+++ b/transport/src/main/java/org/hornbeampass/transport/relay/CallerServer.java
@@ -244,6 +244,11 @@
         List.copyOf(mConnections).forEach(CallerConnection::closeIfIdle);
     }
 
+    /** Has each request in progress answered at once, before the process exits. */
+    public void endRequests(long nowMs) {
+        List.copyOf(mConnections).forEach(c -> c.endRequest(nowMs));
+    }
+
     /** Returns the number of connections on which a request is in progress. */
     public int busyConnections() {
         return (int) mConnections.stream().filter(CallerConnection::isBusy).count();
--- a/transport/src/test/java/org/hornbeampass/transport/relay/ReceivedMessagesTest.java
+++ b/transport/src/test/java/org/hornbeampass/transport/relay/ReceivedMessagesTest.java
@@ -79,6 +79,9 @@
 
         @Override
         public void onCallerWritable(long nowMs) {}
+
+        @Override
+        public void onExit(long nowMs) {}
     }
 
     @AfterEach
