Read on for a moment where a refused caller is still sending its body

A connection that is closed with data unread is reset, and a caller that is still sending may then lose the answer that says why: its write fails first. That was avoided only where the VM's own bounds ended a request, and up to 128 KiB; an answer to a body that is too large or malformed, or a head that is too slow, could be lost.

Each connection that closes before a body is complete signals the end of its answer and reads what follows, for a second and up to 1 MiB.

--- a/router/src/main/java/org/hornbeampass/router/relay/CallerHead.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/CallerHead.java
@@ -1,6 +1,7 @@
 package org.hornbeampass.router.relay;
 
 import org.hornbeampass.state.service.Prompt;
+import org.hornbeampass.state.service.Route;
 
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -30,6 +31,17 @@
         OptionalLong lastEventId,
         Optional<String> resumes,
         boolean forwarded) {
+    /**
+     * How long a request may take that sets no timeout, in milliseconds; the route's timeout
+     * applies too.
+     */
+    private static final long DEFAULT_TIMEOUT_MS = 30_000;
+
+    /**
+     * How much earlier than the caller's timeout the answer is given, so that it arrives in time.
+     */
+    private static final long ANSWER_MARGIN_MS = 20;
+
     /** Stands for a head that was not read. */
     static final CallerHead NONE =
             new CallerHead(
@@ -41,4 +53,15 @@
                     OptionalLong.empty(),
                     Optional.empty(),
                     false);
+
+    /**
+     * Returns the time by which a request must be answered, in milliseconds.
+     *
+     * @param arrivedMs when its head arrived, in milliseconds
+     * @param route its route
+     */
+    long deadlineMs(long arrivedMs, Route route) {
+        long waitMs = timeoutMs.orElse(DEFAULT_TIMEOUT_MS) - ANSWER_MARGIN_MS;
+        return arrivedMs + Math.max(1, Math.min(waitMs, route.timeoutMs()));
+    }
 }
--- a/router/src/main/java/org/hornbeampass/router/relay/RelayCall.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/RelayCall.java
@@ -29,18 +29,7 @@
  * that states that the request did not run is answered only where that is certain; the caller gets
  * at most one answer. Confined to one event loop.
  */
-final class RelayCall implements CallerListener {
-    /**
-     * How long a request may take that sets no timeout, in milliseconds; the route's timeout
-     * applies too.
-     */
-    private static final long DEFAULT_TIMEOUT_MS = 30_000;
-
-    /**
-     * How much earlier than the caller's timeout the answer is given, so that it arrives in time.
-     */
-    private static final long ANSWER_MARGIN_MS = 20;
-
+final class RelayCall implements CallerListener, TokenWaiter {
     private final RelayContext mContext;
     private final CallerConnection mCaller;
     private final HttpRequest mRequest;
@@ -62,18 +51,6 @@
     private boolean mCallerGone;
     private Runnable mDeadlineTimer = () -> {};
     private Runnable mGrantTimer = () -> {};
-    private final TokenWaiter mTokenWaiter =
-            new TokenWaiter() {
-                @Override
-                public void retry() {
-                    retryAdmission();
-                }
-
-                @Override
-                public boolean isWaiting() {
-                    return isWaitingForTokens();
-                }
-            };
 
     RelayCall(RelayContext context, CallerConnection caller, HttpRequest request, long nowMs) {
         mContext = context;
@@ -160,8 +137,7 @@
         if (mService.isEmpty()) {
             return Optional.of(Refusals.noUpstream("the route has no service"));
         }
-        long waitMs = mHead.timeoutMs().orElse(DEFAULT_TIMEOUT_MS) - ANSWER_MARGIN_MS;
-        mDeadlineMs = nowMs + Math.max(1, Math.min(waitMs, route.timeoutMs()));
+        mDeadlineMs = mHead.deadlineMs(nowMs, route);
         return Optional.empty();
     }
 
@@ -264,12 +240,13 @@
 
     /** Refuses the request unless its tokens have become free by now. */
     private void onGrantTimeout(long nowMs) {
-        if (isWaitingForTokens()) {
+        if (isWaiting()) {
             onAdmission(nowMs, reserve(nowMs));
         }
     }
 
-    private boolean isWaitingForTokens() {
+    @Override
+    public boolean isWaiting() {
         return !mEnded && mExecution.isEmpty();
     }
 
@@ -286,17 +263,18 @@
     private void waitForTokens(long nowMs) {
         long tokens = mHead.prompt().maxTokens();
         if (mContext.budgets().mayObtainTokens(nowMs, organisation(), tokens)) {
-            mContext.budgets().afterNextExchange(nowMs, organisation(), this::retryAdmission);
+            mContext.budgets().afterNextExchange(nowMs, organisation(), this::retry);
             return;
         }
-        boolean searching = mContext.loans().search(nowMs, organisation(), tokens, mTokenWaiter);
+        boolean searching = mContext.loans().search(nowMs, organisation(), tokens, this);
         if (!searching) {
             onAdmission(nowMs, Admission.INSUFFICIENT_HERE);
         }
     }
 
-    private void retryAdmission() {
-        if (!isWaitingForTokens()) {
+    @Override
+    public void retry() {
+        if (!isWaiting()) {
             return;
         }
         long nowMs = mContext.clock().nowMs();
@@ -331,7 +309,7 @@
     }
 
     private void onAdmission(long nowMs, Admission admission) {
-        if (!isWaitingForTokens()) {
+        if (!isWaiting()) {
             return;
         }
         mGrantTimer.run();
@@ -458,7 +436,7 @@
     }
 
     private boolean refuseUnsent(long nowMs) {
-        if (!isWaitingForTokens()) {
+        if (!isWaiting()) {
             return false;
         }
         mCaller.closeAfterAnswer();
--- a/transport/src/main/java/org/hornbeampass/transport/relay/CallerConnection.java
+++ b/transport/src/main/java/org/hornbeampass/transport/relay/CallerConnection.java
@@ -76,8 +76,7 @@
     private long mHeadReadMs;
     private boolean mReadingAgain;
     private final long mOpenedMs;
-    private boolean mCloseRequested;
-    private final DiscardedRest mRest = new DiscardedRest(MAX_DISCARDED_BYTES);
+    private final DiscardedRest mRest = new DiscardedRest();
 
     CallerConnection(CallerServer server, Clock clock) {
         mServer = server;
@@ -216,9 +215,7 @@
         mBodyDiscardable = HttpUtil.getContentLength(head, Long.MAX_VALUE) <= MAX_DISCARDED_BYTES;
         Optional<Failure> fault = HeadValidator.validate(head, mServer.limits());
         if (fault.isPresent()) {
-            mKeepAlive = false;
-            mListener = Optional.of(CallerListener.IGNORING);
-            fail(fault.get());
+            refuseHead(fault.get());
             return;
         }
         if (HttpUtil.is100ContinueExpected(head)) {
@@ -253,19 +250,24 @@
     }
 
     private void onUndecodable(long nowMs, Throwable cause) {
-        closeAfterAnswer();
         Failure failure = HeadValidator.undecodable(cause);
         if (mListener.isEmpty()) {
-            mListener = Optional.of(CallerListener.IGNORING);
-            mBodyComplete = false;
-            fail(failure);
+            refuseHead(failure);
         } else if (mAnswered) {
             abort();
         } else {
+            closeAfterAnswer();
             mListener.get().onBodyInvalid(nowMs, failure);
         }
     }
 
+    private void refuseHead(Failure failure) {
+        mListener = Optional.of(CallerListener.IGNORING);
+        mBodyComplete = false;
+        closeAfterAnswer();
+        fail(failure);
+    }
+
     /** Writes the head of an answer whose body follows, without flushing it. */
     public void sendHead(HttpResponse head) {
         if (mClosed) {
@@ -291,7 +293,6 @@
     /** Closes the connection after the present answer; only before its head is sent. */
     public void closeAfterAnswer() {
         mKeepAlive = false;
-        mCloseRequested = true;
     }
 
     private void closeIfAsked() {
@@ -366,10 +367,10 @@
     }
 
     private void closeAfterWrite() {
-        if (mCloseRequested && !mBodyComplete) {
-            mRest.begin(mClock.nowMs(), mChannel);
-        } else {
+        if (mBodyComplete) {
             Channels.close(mChannel);
+        } else {
+            mRest.begin(mClock.nowMs(), mChannel);
         }
     }
 
@@ -441,10 +442,7 @@
         }
         boolean inHead = mHeadStartedMs >= 0 && !mClosed;
         if (inHead && nowMs - mHeadStartedMs > mServer.limits().headTimeoutMs()) {
-            mListener = Optional.of(CallerListener.IGNORING);
-            mBodyComplete = false;
-            mKeepAlive = false;
-            fail(HeadValidator.slowHead());
+            refuseHead(HeadValidator.slowHead());
             return;
         }
         if (!inHead && mUnsent.idleMs(nowMs) > mServer.limits().idleTimeoutMs()) {
--- a/transport/src/main/java/org/hornbeampass/transport/relay/DiscardedRest.java
+++ b/transport/src/main/java/org/hornbeampass/transport/relay/DiscardedRest.java
@@ -18,17 +18,14 @@
 final class DiscardedRest {
     private static final long MAX_MS = 1_000;
 
-    private final long mMaxBytes;
+    /** As much as the buffers of a connection hold that is still being sent to. */
+    private static final long MAX_BYTES = 1 << 20;
+
     private boolean mActive;
     private boolean mComplete;
     private long mUntilMs;
     private long mBytes;
 
-    /** Creates the rest of a request, of which at most a number of bytes is read. */
-    DiscardedRest(long maxBytes) {
-        mMaxBytes = maxBytes;
-    }
-
     /** Begins to discard, after the answer was written; closes at once if nothing is missing. */
     void begin(long nowMs, Channel channel) {
         if (mComplete || !(channel instanceof DuplexChannel duplex)) {
@@ -47,7 +44,7 @@
         if (message instanceof HttpContent content) {
             mBytes += content.content().readableBytes();
         }
-        if (mActive && (mComplete || mBytes > mMaxBytes)) {
+        if (mActive && (mComplete || mBytes > MAX_BYTES)) {
             Channels.close(channel);
         }
     }
