Keep a live stream when its upstream's restart becomes known late

An upstream that was cut off from the store starts again under its id, with another software version, and serves for seconds before its entry says so. Streams that it begins until then carry the version of its former entry. When the new entry came, the router broke them off, on connections that brought events, and resumed them at the former version: callers got events of two versions in one answer.

A stream that brings events is kept until it is silent for longer than the route tolerates. Where the version has changed, nobody knows which one brought its events, so that it goes on nowhere else; a silent one is ended then.

--- a/coordination/src/main/java/org/hornbeampass/coordination/service/UpstreamInstance.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/service/UpstreamInstance.java
@@ -49,6 +49,7 @@
 
     private final Set<IncarnationListener> mListeners = new LinkedHashSet<>();
     private final Set<IncarnationListener> mEndListeners = new LinkedHashSet<>();
+    private Optional<UpstreamEntry> mSuccessor = Optional.empty();
     private UpstreamEntry mEntry;
     private UpstreamIncarnation mIncarnation;
     private boolean mLeaving;
@@ -278,6 +279,17 @@
         mEndListeners.remove(listener);
     }
 
+    /** Ends this incarnation, after which another one has started. */
+    void end(long nowMs, UpstreamEntry successor) {
+        mSuccessor = Optional.of(successor);
+        end(nowMs);
+    }
+
+    /** Returns the entry of the incarnation that has started after this one; empty if none has. */
+    public Optional<UpstreamEntry> successor() {
+        return mSuccessor;
+    }
+
     /** Ends this incarnation: it gets no more requests, and those in progress are lost. */
     void end(long nowMs) {
         mGoneAtMs = nowMs;
--- a/coordination/src/main/java/org/hornbeampass/coordination/service/UpstreamRegistry.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/service/UpstreamRegistry.java
@@ -198,7 +198,7 @@
         mByService.get(current.entry().service()).remove(current);
         mModels.remove(current.incarnation());
         add(entry);
-        current.end(nowMs);
+        current.end(nowMs, entry);
         return EntryResult.STARTED_AGAIN;
     }
 
--- a/router/src/main/java/org/hornbeampass/router/relay/InFlightSend.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/InFlightSend.java
@@ -86,6 +86,19 @@
         mInstance.learnCompletion((double) (nowMs - sentMs));
     }
 
+    /** Returns whether a part of the answer has arrived. */
+    boolean hasBegun() {
+        return mPromptRead;
+    }
+
+    /** Returns whether the upstream has started again at another software version. */
+    boolean hasChangedVersion() {
+        return mInstance
+                .successor()
+                .filter(e -> !e.softwareVersion().equals(mSoftwareVersion))
+                .isPresent();
+    }
+
     /** Returns the number of prompt tokens that the upstream has to read. */
     long tokensToRead() {
         return mTokensToRead;
--- a/router/src/main/java/org/hornbeampass/router/relay/RelayAttempts.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/RelayAttempts.java
@@ -289,12 +289,32 @@
         onAttemptLost(nowMs, reason, before);
     }
 
-    /** Handles the restart of the upstream: what was sent to its former incarnation is lost. */
+    /**
+     * Handles the restart of the upstream: what was sent to its former incarnation is lost. A
+     * connection that brings events may be one to the new incarnation, whose entry has arrived
+     * late; it is kept until it is silent.
+     */
     private void onInstanceEnded(long nowMs, InFlightSend send) {
         boolean working = mSend.equals(Optional.of(send));
         if (!working || mCall.ended() || (mConnection.isEmpty() && !mEndCheck.isPending())) {
             return;
         }
+        boolean bringsEvents = send.hasBegun() && mAnswer.eventCount() > 0 && mSilence.isHeard();
+        if (bringsEvents && mayBeReplaced()) {
+            keepThroughRestart(nowMs, send);
+        } else {
+            onRestarted(nowMs);
+        }
+    }
+
+    private void keepThroughRestart(long nowMs, InFlightSend send) {
+        if (send.hasChangedVersion()) {
+            mSearch.version().markUncertain();
+        }
+        logDecision(nowMs, "restarted-upstream-kept", send.fieldsAt(nowMs, mSentMs));
+    }
+
+    private void onRestarted(long nowMs) {
         cancelConnection();
         mEndCheck.cancel();
         QuarantineStatus before =
@@ -340,6 +360,9 @@
     public void onKept(long nowMs, String reason) {
         LogFields fields = mSend.orElseThrow().fieldsAt(nowMs, mSentMs).add("reason", reason);
         logDecision(nowMs, "silent-upstream-kept", fields);
+        if (mSearch.version().isUncertain()) {
+            onRestarted(nowMs);
+        }
     }
 
     @Override
--- a/router/src/main/java/org/hornbeampass/router/relay/SilenceTimeout.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/SilenceTimeout.java
@@ -16,6 +16,7 @@
     private final Route mRoute;
     private final LongConsumer mOnSilent;
     private Runnable mTimer = () -> {};
+    private boolean mRunning;
     private long mEventCount;
 
     /**
@@ -67,6 +68,7 @@
     private void schedule(long ms) {
         stop();
         if (mRoute.mayRunAgain()) {
+            mRunning = true;
             mTimer = mCall.timer(ms, nowMs -> onTimeout(nowMs, ms));
         }
     }
@@ -74,14 +76,21 @@
     /** Waits again while the answer is not read because the caller reads too slowly. */
     private void onTimeout(long nowMs, long ms) {
         if (mCall.caller().isWritable()) {
+            mRunning = false;
             mOnSilent.accept(nowMs);
         } else {
             schedule(ms);
         }
     }
 
+    /** Returns whether an answer or an event is awaited. */
+    boolean isRunning() {
+        return mRunning;
+    }
+
     /** Stops the timeout. */
     void stop() {
+        mRunning = false;
         mTimer.run();
     }
 }
--- a/router/src/main/java/org/hornbeampass/router/relay/SilentUpstream.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/SilentUpstream.java
@@ -62,6 +62,11 @@
         }
     }
 
+    /** Returns whether the upstream has not been silent for longer than the route tolerates. */
+    boolean isHeard() {
+        return mTimeout.isRunning() && !mSilent;
+    }
+
     /** Waits for nothing: the upstream has answered, or no longer works on the request. */
     void stop() {
         mTimeout.stop();
--- a/router/src/main/java/org/hornbeampass/router/relay/StreamVersion.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/StreamVersion.java
@@ -9,11 +9,13 @@
  * The software version at which a stream must go on: that of the upstream which brought the first
  * event that the caller received.
  *
- * <p>Invariant: once known, the version does not change. Confined to one event loop.
+ * <p>Invariants: once known, the version does not change; a stream whose version has become
+ * uncertain goes on at no upstream but the one that is working on it. Confined to one event loop.
  */
 final class StreamVersion {
     private final Consumer<String> mOnBegun;
     private Optional<String> mVersion;
+    private boolean mUncertain;
 
     /**
      * Creates the version of one answer's stream.
@@ -40,6 +42,17 @@
         return mVersion;
     }
 
+    /**
+     * Records that the upstream may have brought events at another version than its entry stated.
+     */
+    void markUncertain() {
+        mUncertain = true;
+    }
+
+    boolean isUncertain() {
+        return mUncertain;
+    }
+
     /** Returns whether the stream may go on at an upstream. */
     boolean allows(UpstreamInstance instance) {
         return allows(instance.entry().softwareVersion());
@@ -47,6 +60,6 @@
 
     /** Returns whether the stream may go on at a software version. */
     boolean allows(String softwareVersion) {
-        return mVersion.isEmpty() || mVersion.get().equals(softwareVersion);
+        return mVersion.isEmpty() || (!mUncertain && mVersion.get().equals(softwareVersion));
     }
 }
--- a/router/src/main/java/org/hornbeampass/router/relay/UpstreamSearch.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/UpstreamSearch.java
@@ -290,6 +290,11 @@
         mVersion.onEvents(send);
     }
 
+    /** Returns the version at which the stream must go on. */
+    StreamVersion version() {
+        return mVersion;
+    }
+
     private void onStreamBegun(String softwareVersion) {
         if (mPlan.route().resumable()) {
             long nowMs = mContext.clock().nowMs();
