Refuse repeatable requests in a shutdown only if most would be cut

The slowest answers of a route decided for all of its requests: a route whose streams take one second, and six for a few of them, refused all from 1.6 s after the beginning of a shutdown of 8 s. A request that may run again loses as much by a refusal as by a cut, so it is sent while the median answer of its route can end; what may run only once goes by the 95th percentile as before.

ShutdownPolicyTest has a case for each; no other figure was measured.

--- a/coordination/src/main/java/org/hornbeampass/coordination/service/AnswerTimes.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/service/AnswerTimes.java
@@ -21,9 +21,6 @@
 public final class AnswerTimes {
     private static final int KEPT_ANSWERS = 64;
 
-    /** The share of the recent answers that took at most the estimate. */
-    private static final double QUANTILE = 0.95;
-
     private final Map<String, SlidingWindowReservoir> mTimes = new HashMap<>();
 
     /**
@@ -36,10 +33,15 @@
         mTimes.computeIfAbsent(route, r -> new SlidingWindowReservoir(KEPT_ANSWERS)).update(tookMs);
     }
 
-    /** Returns how long a request of a route takes, in milliseconds; empty where none ended. */
-    public OptionalLong expectedMs(String route) {
+    /**
+     * Returns how long a request takes, in milliseconds; empty where none has ended.
+     *
+     * @param route the name of its route
+     * @param quantile the share of the recent answers that took at most the estimate, 0 to 1
+     */
+    public OptionalLong expectedMs(String route, double quantile) {
         return Optional.ofNullable(mTimes.get(route))
-                .map(t -> OptionalLong.of((long) Math.ceil(t.getSnapshot().getValue(QUANTILE))))
+                .map(t -> OptionalLong.of((long) Math.ceil(t.getSnapshot().getValue(quantile))))
                 .orElse(OptionalLong.empty());
     }
 
--- a/coordination/src/test/java/org/hornbeampass/coordination/service/AnswerTimesTest.java
+++ b/coordination/src/test/java/org/hornbeampass/coordination/service/AnswerTimesTest.java
@@ -13,25 +13,26 @@
     @Test
     void routeWithoutAnswers_hasNoEstimate() {
         mTimes.onAnswered("r-1", 10);
-        assertThat(mTimes.expectedMs("r-2")).isEmpty();
+        assertThat(mTimes.expectedMs("r-2", 0.95)).isEmpty();
     }
 
     @Test
-    void estimate_isThatOfTheSlowRecentAnswers() {
+    void estimate_isThatOfTheRecentAnswers() {
         for (int i = 1; i <= 60; i++) {
             mTimes.onAnswered("r-1", i < 6 ? 2_500 : 100);
         }
-        assertThat(mTimes.expectedMs("r-1")).hasValue(2_500);
+        assertThat(mTimes.expectedMs("r-1", 0.95)).hasValue(2_500);
+        assertThat(mTimes.expectedMs("r-1", 0.5)).hasValue(100);
         for (int i = 0; i < 60; i++) {
             mTimes.onAnswered("r-1", 100);
         }
-        assertThat(mTimes.expectedMs("r-1")).hasValue(100);
+        assertThat(mTimes.expectedMs("r-1", 0.95)).hasValue(100);
     }
 
     @Test
     void routeThatIsNoLongerConfigured_isForgotten() {
         mTimes.onAnswered("r-1", 10);
         mTimes.retain(List.of());
-        assertThat(mTimes.expectedMs("r-1")).isEmpty();
+        assertThat(mTimes.expectedMs("r-1", 0.95)).isEmpty();
     }
 }
--- a/router/src/main/java/org/hornbeampass/router/relay/ShutdownPolicy.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/ShutdownPolicy.java
@@ -13,6 +13,12 @@
  * <p>Everything may be sent before the shutdown begins. Confined to one event loop.
  */
 public final class ShutdownPolicy {
+    /** A request that may run once must end: if it is cut, its caller can't repeat it. */
+    private static final double ONCE_QUANTILE = 0.95;
+
+    /** A request that may run again is sent if it is more likely to end than to be cut. */
+    private static final double REPEATABLE_QUANTILE = 0.5;
+
     private final AnswerTimes mAnswerTimes = new AnswerTimes();
     private Optional<ShutdownSchedule> mSchedule = Optional.empty();
 
@@ -26,6 +32,11 @@
         return mAnswerTimes;
     }
 
+    private OptionalLong expectedMs(Route route) {
+        double quantile = route.mayRunAgain() ? REPEATABLE_QUANTILE : ONCE_QUANTILE;
+        return mAnswerTimes.expectedMs(route.name(), quantile);
+    }
+
     /** Returns whether requests that arrive now are accepted. */
     boolean acceptsNewRequests(long nowMs) {
         return mSchedule.map(s -> s.accepts(nowMs)).orElse(true);
@@ -41,9 +52,7 @@
      */
     boolean mayStart(long nowMs, Route route, long deadlineMs) {
         return mSchedule.isEmpty()
-                || mSchedule
-                        .get()
-                        .canAnswer(nowMs, mAnswerTimes.expectedMs(route.name()), deadlineMs);
+                || mSchedule.get().canAnswer(nowMs, expectedMs(route), deadlineMs);
     }
 
     /**
@@ -61,7 +70,7 @@
         if (mSchedule.isEmpty()) {
             return true;
         }
-        long takesMs = mAnswerTimes.expectedMs(route.name()).orElse(route.objectiveMs());
+        long takesMs = expectedMs(route).orElse(route.objectiveMs());
         OptionalLong leftMs = OptionalLong.of(Math.max(0, takesMs - doneMs));
         return mSchedule.get().canAnswer(nowMs, leftMs, deadlineMs);
     }
--- a/router/src/test/java/org/hornbeampass/router/relay/ShutdownPolicyTest.java
+++ b/router/src/test/java/org/hornbeampass/router/relay/ShutdownPolicyTest.java
@@ -13,20 +13,23 @@
 /** Checks which requests may be sent while a router shuts down. */
 class ShutdownPolicyTest {
     private static final long NO_DEADLINE = Long.MAX_VALUE;
-    private static final Route ROUTE =
-            new Route(
-                    "r-1",
-                    "flights.example",
-                    "/a/",
-                    RouteKind.NON_IDEMPOTENT,
-                    12_000,
-                    300,
-                    1,
-                    List.of(new Route.Target("desk", 1)),
-                    1,
-                    true,
-                    false,
-                    0);
+    private static final Route ROUTE = route(RouteKind.NON_IDEMPOTENT);
+
+    private static Route route(RouteKind kind) {
+        return new Route(
+                "r-1",
+                "flights.example",
+                "/a/",
+                kind,
+                12_000,
+                300,
+                1,
+                List.of(new Route.Target("desk", 1)),
+                1,
+                true,
+                false,
+                0);
+    }
 
     private final ShutdownPolicy mPolicy = new ShutdownPolicy();
 
@@ -51,6 +54,18 @@
         assertThat(mPolicy.mayStart(nowMs, ROUTE, NO_DEADLINE)).isEqualTo(may);
     }
 
+    @Test
+    void requestThatMayRunAgain_mayStartWhileMostAnswersCanEnd() {
+        for (long tookMs : List.of(1_000L, 1_000L, 6_000L)) {
+            mPolicy.answerTimes().onAnswered("r-1", tookMs);
+        }
+        beginShutdown(0);
+        Route repeatable = route(RouteKind.IDEMPOTENT);
+        assertThat(mPolicy.mayStart(6_600, repeatable, NO_DEADLINE)).isTrue();
+        assertThat(mPolicy.mayStart(6_601, repeatable, NO_DEADLINE)).isFalse();
+        assertThat(mPolicy.mayStart(1_601, ROUTE, NO_DEADLINE)).isFalse();
+    }
+
     @Test
     void requestWithAnEarlyDeadline_mayStart() {
         mPolicy.answerTimes().onAnswered("r-1", 6_000);
