Don't let callers resume a stream whose software version is uncertain

A stream that was kept through the restart of its upstream at another version goes on nowhere else, but its recorded origin still named the former version: a caller that resumed it after a break got events of two versions over its tries.

The origin becomes uncertain when the stream is kept, here, at the VMs that were told of it and in this VM's record in the store; a resumption of such a stream is refused.

--- a/coordination/src/main/java/org/hornbeampass/coordination/stream/OriginArchive.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/stream/OriginArchive.java
@@ -22,8 +22,9 @@
  * Records the origins of this VM's recent streams in the store, in batches, while streams of
  * several versions may be resumed; finds those that VMs recorded before they ended.
  *
- * <p>Invariants: an origin never changes once it is recorded; what is written keeps the streams of
- * this VM's former incarnation that may still be resumed. Confined to one thread.
+ * <p>Invariants: an origin never changes once it is recorded, unless it becomes uncertain; what is
+ * written keeps the streams of this VM's former incarnation that may still be resumed. Confined to
+ * one thread.
  */
 final class OriginArchive {
     static final String PREFIX = "stream-origins/";
@@ -84,7 +85,10 @@
     }
 
     private void put(long nowMs, String digest, StreamOrigin origin, long keepMs) {
-        mOwn.putIfAbsent(digest, new Own(origin, nowMs + keepMs));
+        mOwn.merge(
+                digest,
+                new Own(origin, nowMs + keepMs),
+                (former, newer) -> newer.origin().hasCertainVersion() ? former : newer);
         if (mOwn.size() > MAX_STREAMS) {
             Iterator<String> oldest = mOwn.keySet().iterator();
             oldest.next();
--- a/coordination/src/main/java/org/hornbeampass/coordination/stream/StreamOrigin.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/stream/StreamOrigin.java
@@ -11,4 +11,17 @@
  * @param softwareVersion the software version of the upstream
  */
 @JsonFormat(shape = JsonFormat.Shape.ARRAY)
-public record StreamOrigin(String service, String softwareVersion) {}
+public record StreamOrigin(String service, String softwareVersion) {
+    /** Streams of upstreams that state it as their version are not resumed by callers either. */
+    private static final String UNCERTAIN = "?";
+
+    /** Returns the origin of a stream whose upstream may have run another version than stated. */
+    public static StreamOrigin uncertain(String service) {
+        return new StreamOrigin(service, UNCERTAIN);
+    }
+
+    /** Returns whether the version is known; if not, the stream can't be resumed. */
+    public boolean hasCertainVersion() {
+        return !softwareVersion.equals(UNCERTAIN);
+    }
+}
--- a/coordination/src/main/java/org/hornbeampass/coordination/stream/StreamOrigins.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/stream/StreamOrigins.java
@@ -21,8 +21,8 @@
  * Knows where the recent streams began, and shares it with other VMs.
  *
  * <p>A caller most often takes its stream up because the VM that served it has died, so that VM
- * tells others as soon as the stream begins. Invariants: an origin never changes once it is stored;
- * one that is returned is where the stream began. Confined to one thread.
+ * tells others as soon as the stream begins. Invariants: an origin never changes once it is stored,
+ * unless it becomes uncertain, which it then stays. Confined to one thread.
  */
 public final class StreamOrigins {
     /** Longer than a caller waits for a stream, all its attempts included. */
@@ -87,7 +87,13 @@
     }
 
     private void store(long nowMs, StreamKey key, StreamOrigin origin) {
-        mOrigins.putIfAbsent(key, new Stored(origin, nowMs));
+        mOrigins.merge(
+                key,
+                new Stored(origin, nowMs),
+                (former, newer) ->
+                        newer.origin().hasCertainVersion()
+                                ? former
+                                : new Stored(newer.origin(), former.storedMs()));
         if (mOrigins.size() > MAX_ORIGINS) {
             Iterator<StreamKey> oldest = mOrigins.keySet().iterator();
             oldest.next();
--- a/coordination/src/test/java/org/hornbeampass/coordination/stream/StreamOriginsTest.java
+++ b/coordination/src/test/java/org/hornbeampass/coordination/stream/StreamOriginsTest.java
@@ -9,6 +9,7 @@
 import org.hornbeampass.state.ErrorKind;
 import org.hornbeampass.state.Failure;
 import org.hornbeampass.state.FailureDomain;
+import org.hornbeampass.state.Json;
 import org.hornbeampass.state.Region;
 import org.hornbeampass.state.VmId;
 import org.hornbeampass.state.member.Member;
@@ -88,6 +89,20 @@
         assertThat(find(1).origin()).contains(ONE);
     }
 
+    /** Guards against a stream that is resumed at a version that may not have begun it. */
+    @Test
+    void originThatBecomesUncertain_staysSoAndIsTold() {
+        StreamOrigin uncertain = StreamOrigin.uncertain("s");
+        mOrigins.onBegun(0, KEY, ONE);
+        mOrigins.onBegun(1, KEY, uncertain);
+        mOrigins.onReport(2, OTHER, new StreamBegun(KEY, ONE), reply -> {});
+        assertThat(find(2).origin()).contains(uncertain);
+        assertThat(find(2).origin().orElseThrow().hasCertainVersion()).isFalse();
+        assertThat(mNetwork.mSent).contains(new StreamBegun(KEY, uncertain));
+        assertThat(Json.decode(Json.encode(uncertain), StreamOrigin.class).get())
+                .isEqualTo(uncertain);
+    }
+
     @Test
     void originThatNoVmKnows_isUnknown() {
         assertThat(find(0)).isEqualTo(FoundOrigin.unknown(1, 0));
--- a/router/src/main/java/org/hornbeampass/router/relay/RelayAttempts.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/RelayAttempts.java
@@ -309,7 +309,7 @@
 
     private void keepThroughRestart(long nowMs, InFlightSend send) {
         if (send.hasChangedVersion()) {
-            mSearch.version().markUncertain();
+            mSearch.onVersionUncertain();
         }
         logDecision(nowMs, "restarted-upstream-kept", send.fieldsAt(nowMs, mSentMs));
     }
@@ -360,7 +360,7 @@
     public void onKept(long nowMs, String reason) {
         LogFields fields = mSend.orElseThrow().fieldsAt(nowMs, mSentMs).add("reason", reason);
         logDecision(nowMs, "silent-upstream-kept", fields);
-        if (mSearch.version().isUncertain()) {
+        if (mSearch.isVersionUncertain()) {
             onRestarted(nowMs);
         }
     }
--- a/router/src/main/java/org/hornbeampass/router/relay/StreamResumption.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/StreamResumption.java
@@ -85,7 +85,8 @@
             FoundOrigin result,
             StoredOrigin.Reason reason,
             BiConsumer<Long, Optional<StreamOrigin>> done) {
-        Optional<StreamOrigin> origin = result.origin().filter(o -> leadsTo(o.service()));
+        Optional<StreamOrigin> origin =
+                result.origin().filter(o -> o.hasCertainVersion() && leadsTo(o.service()));
         mContext.log()
                 .logDecision(
                         nowMs,
--- a/router/src/main/java/org/hornbeampass/router/relay/UpstreamSearch.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/UpstreamSearch.java
@@ -290,15 +290,27 @@
         mVersion.onEvents(send);
     }
 
-    /** Returns the version at which the stream must go on. */
-    StreamVersion version() {
-        return mVersion;
+    /**
+     * Records that the upstream may have run another software version than its entry stated: the
+     * stream goes on nowhere else, nor does one by which the caller resumes it.
+     */
+    void onVersionUncertain() {
+        mVersion.markUncertain();
+        recordOrigin(StreamOrigin.uncertain(mPlan.service().name()));
+    }
+
+    /** Returns whether it is uncertain at which software version the stream began. */
+    boolean isVersionUncertain() {
+        return mVersion.isUncertain();
     }
 
     private void onStreamBegun(String softwareVersion) {
+        recordOrigin(new StreamOrigin(mPlan.service().name(), softwareVersion));
+    }
+
+    private void recordOrigin(StreamOrigin origin) {
         if (mPlan.route().resumable()) {
             long nowMs = mContext.clock().nowMs();
-            StreamOrigin origin = new StreamOrigin(mPlan.service().name(), softwareVersion);
             mContext.origins().onBegun(nowMs, mPlan.streamKey(), origin);
             mContext.streamHistory().onBegun(nowMs, mPlan.streamKey(), origin);
         }
