--- a/router/src/main/java/org/hornbeampass/router/relay/SilenceTimeout.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/SilenceTimeout.java
@@ -2,6 +2,7 @@
 
 import org.hornbeampass.state.service.Route;
 
+import java.util.Optional;
 import java.util.function.LongConsumer;
 
 /**
@@ -15,8 +16,7 @@
     private final RelayCall mCall;
     private final Route mRoute;
     private final LongConsumer mOnSilent;
-    private Runnable mTimer = () -> {};
-    private boolean mRunning;
+    private Optional<Runnable> mCancel = Optional.empty();
     private long mEventCount;
 
     /**
@@ -68,15 +68,14 @@
     private void schedule(long ms) {
         stop();
         if (mRoute.mayRunAgain()) {
-            mRunning = true;
-            mTimer = mCall.timer(ms, nowMs -> onTimeout(nowMs, ms));
+            mCancel = Optional.of(mCall.timer(ms, nowMs -> onTimeout(nowMs, ms)));
         }
     }
 
     /** Waits again while the answer is not read because the caller reads too slowly. */
     private void onTimeout(long nowMs, long ms) {
         if (mCall.caller().isWritable()) {
-            mRunning = false;
+            mCancel = Optional.empty();
             mOnSilent.accept(nowMs);
         } else {
             schedule(ms);
@@ -85,12 +84,12 @@
 
     /** Returns whether an answer or an event is awaited. */
     boolean isRunning() {
-        return mRunning;
+        return mCancel.isPresent();
     }
 
     /** Stops the timeout. */
     void stop() {
-        mRunning = false;
-        mTimer.run();
+        mCancel.ifPresent(Runnable::run);
+        mCancel = Optional.empty();
     }
 }
