State the event loop's delay and the search for an upstream where a request ends

A request that was answered late stated only its whole time, so that a VM whose event loop is late could not be told from one whose requests cost too much. ended now has loop_delay_ms, and search_ms from the first search for an upstream to the first send: several times the delay where a request waits for several turns of the loop.

--- a/router/src/main/java/org/hornbeampass/router/relay/RelayAttempts.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/RelayAttempts.java
@@ -80,6 +80,7 @@
     /** Sends the request to an upstream to which it was not sent yet. */
     @Override
     public void start(long nowMs) {
+        mCounts.onSearch(nowMs);
         mSearch.start(nowMs);
     }
 
--- a/router/src/main/java/org/hornbeampass/router/relay/RelayCall.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/RelayCall.java
@@ -473,6 +473,7 @@
                                 .add("organisation", organisation())
                                 .add("reserved", mReserved)
                                 .add("used", usedTokens)
+                                .add("loop_delay_ms", mContext.loopDelayMs())
                                 .addAll(mShortageFields)
                                 .addAll(
                                         mExecution
--- a/router/src/main/java/org/hornbeampass/router/relay/SendCounts.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/SendCounts.java
@@ -12,6 +12,8 @@
 final class SendCounts {
     private final Route mRoute;
     private int mSends;
+    private long mFirstSearchMs = -1;
+    private long mFirstSendMs = -1;
     private long mWorkBeganMs;
     private int mRuns;
     private int mUnreachable;
@@ -22,8 +24,18 @@
         mRoute = route;
     }
 
+    /** Records the start of a search for an upstream. */
+    void onSearch(long nowMs) {
+        if (mFirstSearchMs < 0) {
+            mFirstSearchMs = nowMs;
+        }
+    }
+
     /** Counts a send; returns whether it is the request's first. */
     boolean onSent(long nowMs) {
+        if (mFirstSendMs < 0) {
+            mFirstSendMs = nowMs;
+        }
         if (mRuns == 0) {
             mWorkBeganMs = nowMs;
         }
@@ -83,6 +95,7 @@
     LogFields fields() {
         return new LogFields()
                 .add("sends", mSends)
+                .add("search_ms", mFirstSendMs < 0 ? -1 : mFirstSendMs - mFirstSearchMs)
                 .add("unreachable", mUnreachable)
                 .add("denied", mDenied);
     }
