Pause the intake by the turns that a request still needs

What callers saw: a VM that some callers keep to answered in one to two seconds what it took in, and later nothing in time; many callers had left before their request was read.

Cause: the pause of the intake began at 150 ms of one turn of the event loop, measured every 100 ms. A request needs about five turns (accepted, read and sent, connected, answered), so that it took 0.75 s and more for an objective of 0.3 s. In 100 ms of open intake a VM that is asked for 2.5 times its rate takes in a quarter of a second of work.

Change: the event loop times its turns (TimedIoHandler), and after each turn the pause is decided by the time for all turns of a request.

--- a/coordination/src/main/java/org/hornbeampass/coordination/capacity/IntakePause.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/capacity/IntakePause.java
@@ -1,62 +1,78 @@
 package org.hornbeampass.coordination.capacity;
 
 /**
- * Decides when a VM refuses new connections of callers, for callers that keep to one VM and send it
- * several times what it can do.
+ * Decides when a VM refuses new connections of callers, so that it answers in time what it takes in
+ * although its callers ask for more than it can do.
  *
- * <p>A connection that is refused costs the VM neither processor time nor bytes. A request that is
- * read costs both, even if it is refused, and its caller sends it to the same VM again. Requests
- * whose connection was refused are mostly lost, so a pause is short.
+ * <p>A connection that is refused costs the VM neither processor time nor bytes, and its caller
+ * knows at once that it has to go elsewhere. A request that is read costs both, even if it is
+ * refused, and its caller sends it to the same VM again. What a request still needs decides: some
+ * {@value #TURNS} turns of the event loop, each of which takes the longer the more requests are in
+ * progress.
  *
- * <p>Invariants: a pause begins only while most of the other VMs are not overloaded; it lasts
- * {@link #MAX_PAUSE_MS} at most, and between two pauses the VM takes connections for {@link
- * #MIN_INTAKE_MS} at least. All times are in milliseconds. Confined to one thread.
+ * <p>Invariants: a pause begins only while there are {@link #MIN_OTHER_VMS} other VMs; it lasts
+ * {@link #MAX_PAUSE_MS} at most. All times are in milliseconds. Confined to one event loop.
  */
 public final class IntakePause {
     /**
-     * The delay of the event loop from which new connections are refused. Below it, a VM with a
-     * part of a core is only waiting for its next slice of processor time.
+     * The turns of the event loop for which a request waits until its answer begins: accepted, read
+     * and sent, connected to its upstream, answered.
      */
-    static final long BEGIN_DELAY_MS = 150;
+    static final int TURNS = 5;
 
-    /** The delay of the event loop below which connections are taken again. */
-    static final long END_DELAY_MS = 40;
+    /** The time for all turns of a request from which new connections are refused. */
+    static final double BEGIN_MS = 300;
 
-    /** The longest pause. */
-    static final long MAX_PAUSE_MS = 500;
+    /** The time for all turns of a request below which connections are taken again. */
+    static final double END_MS = 150;
+
+    /** The shortest pause; to listen again costs as much as a request. */
+    static final double MIN_PAUSE_MS = 20;
 
-    /** The shortest time between two pauses. */
-    static final long MIN_INTAKE_MS = 100;
+    /** The longest pause. */
+    static final double MAX_PAUSE_MS = 500;
 
-    /** The fewest other VMs that are not overloaded. */
+    /** The fewest other live VMs. */
     static final int MIN_OTHER_VMS = 2;
 
+    private final TurnTime mTurnTime = new TurnTime();
+    private boolean mOthers;
     private boolean mPaused;
-    private long mChangedMs = Long.MIN_VALUE / 2;
+    private double mBegunMs;
+
+    /** Sets the number of other live VMs. */
+    public void setOtherVms(int vms) {
+        mOthers = vms >= MIN_OTHER_VMS;
+    }
 
     /**
-     * Decides again.
+     * Decides again after a turn of the event loop.
      *
-     * @param loopDelayMs how late the event loop is
-     * @param otherVms the number of other live VMs
-     * @param overloadedVms how many of them are overloaded
+     * @param nowMs the time at the end of the turn
+     * @param workedMs how long the turn took, without the time in which the loop waited
      * @return whether the VM refuses new connections
      */
-    public boolean update(long nowMs, long loopDelayMs, int otherVms, int overloadedVms) {
-        long sinceMs = nowMs - mChangedMs;
+    public boolean onTurn(double nowMs, double workedMs) {
+        mTurnTime.onTurn(nowMs, workedMs);
         if (mPaused) {
-            if (loopDelayMs < END_DELAY_MS || sinceMs >= MAX_PAUSE_MS) {
-                mPaused = false;
-                mChangedMs = nowMs;
-            }
-            return mPaused;
-        }
-        int usable = otherVms - overloadedVms;
-        boolean othersHaveRoom = usable >= MIN_OTHER_VMS && 2 * usable > otherVms;
-        if (loopDelayMs >= BEGIN_DELAY_MS && othersHaveRoom && sinceMs >= MIN_INTAKE_MS) {
+            mPaused = continues(nowMs);
+        } else if (mOthers && requestMs() >= BEGIN_MS) {
             mPaused = true;
-            mChangedMs = nowMs;
+            mBegunMs = nowMs;
         }
         return mPaused;
     }
+
+    private boolean continues(double nowMs) {
+        double pausedMs = nowMs - mBegunMs;
+        if (pausedMs < MIN_PAUSE_MS) {
+            return true;
+        }
+        return requestMs() >= END_MS && pausedMs < MAX_PAUSE_MS;
+    }
+
+    /** Returns how long a request waits for its turns of the event loop, as of the last turns. */
+    public double requestMs() {
+        return TURNS * mTurnTime.meanMs();
+    }
 }
--- a/router/src/main/java/org/hornbeampass/router/daemon/CallerIntake.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/CallerIntake.java
@@ -74,8 +74,14 @@
                 settings.load().pauseIntake()
                         ? Optional.of(
                                 IntakePauseControl.create(
-                                        server, overloads, otherVms, context.log(), metrics))
+                                        server,
+                                        context.clock(),
+                                        overloads,
+                                        otherVms,
+                                        context.log(),
+                                        metrics))
                         : Optional.empty();
+        pauses.ifPresent(loops::observeTurns);
         return new CallerIntake(observer, server, otherVms, pauses);
     }
 
@@ -84,7 +90,7 @@
     }
 
     void tick(long nowMs) {
-        mPauses.ifPresent(c -> c.tick(nowMs));
+        mPauses.ifPresent(IntakePauseControl::tick);
         mObserver.tick(nowMs, () -> mOtherVms.get().size());
         mServer.tick(nowMs);
     }
--- a/router/src/main/java/org/hornbeampass/router/daemon/IntakePauseControl.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/IntakePauseControl.java
@@ -7,20 +7,25 @@
 import org.hornbeampass.router.relay.LogFields;
 import org.hornbeampass.router.relay.RelayLog;
 import org.hornbeampass.state.member.Member;
+import org.hornbeampass.transport.Clock;
+import org.hornbeampass.transport.TurnListener;
 import org.hornbeampass.transport.relay.CallerServer;
 
 import java.util.List;
-import java.util.Set;
 import java.util.function.Supplier;
 
 /**
- * Refuses new connections of callers while this VM is too late and the others are not.
+ * Refuses new connections of callers while a request would wait too long for its turns of the event
+ * loop.
  *
  * <p>Confined to one event loop.
  */
-final class IntakePauseControl {
+final class IntakePauseControl implements TurnListener {
+    private static final double NS_PER_MS = 1e6;
+
     private final IntakePause mPause = new IntakePause();
     private final CallerServer mCallers;
+    private final Clock mClock;
     private final OverloadMonitor mOverloads;
     private final Supplier<List<Member>> mOthers;
     private final RelayLog mLog;
@@ -29,10 +34,12 @@
 
     private IntakePauseControl(
             CallerServer callers,
+            Clock clock,
             OverloadMonitor overloads,
             Supplier<List<Member>> others,
             RelayLog log) {
         mCallers = callers;
+        mClock = clock;
         mOverloads = overloads;
         mOthers = others;
         mLog = log;
@@ -42,6 +49,7 @@
      * Creates the control of one VM.
      *
      * @param callers the server to which callers connect
+     * @param clock the source of the present time
      * @param overloads measures how late the event loop is, and knows the overloaded VMs
      * @param others returns the other live VMs
      * @param log receives a line when a pause begins or ends
@@ -49,32 +57,47 @@
      */
     static IntakePauseControl create(
             CallerServer callers,
+            Clock clock,
             OverloadMonitor overloads,
             Supplier<List<Member>> others,
             RelayLog log,
             MetricRegistry metrics) {
-        IntakePauseControl control = new IntakePauseControl(callers, overloads, others, log);
+        IntakePauseControl control = new IntakePauseControl(callers, clock, overloads, others, log);
         metrics.register("intake_pauses", (Gauge<Long>) () -> control.mPauses);
         metrics.register("intake_paused", (Gauge<Integer>) () -> callers.isPaused() ? 1 : 0);
+        metrics.register("intake_request_ms", (Gauge<Long>) control::requestMs);
         return control;
     }
 
-    /** Decides again, and begins or ends a pause. */
-    void tick(long nowMs) {
-        List<Member> others = mOthers.get();
-        Set<String> names = mOverloads.overloaded();
-        int overloaded = (int) others.stream().filter(m -> names.contains(m.name())).count();
-        long delayMs = mOverloads.loopDelayMs();
-        boolean pause = mPause.update(nowMs, delayMs, others.size(), overloaded);
-        if (pause == mCallers.isPaused()) {
-            return;
+    private long requestMs() {
+        return Math.round(mPause.requestMs());
+    }
+
+    /** Updates the number of other VMs. */
+    void tick() {
+        mPause.setOtherVms(mOthers.get().size());
+    }
+
+    @Override
+    public void onTurn(long workedNs) {
+        long nowMs = mClock.nowMs();
+        boolean pause = mPause.onTurn((double) nowMs, workedNs / NS_PER_MS);
+        if (pause != mCallers.isPaused()) {
+            change(nowMs, pause);
         }
-        LogFields fields = new LogFields().add("loop_delay_ms", delayMs);
+    }
+
+    private void change(long nowMs, boolean pause) {
+        LogFields fields =
+                new LogFields()
+                        .add("request_ms", requestMs())
+                        .add("loop_delay_ms", mOverloads.loopDelayMs());
         if (pause) {
             mPauses++;
             mBegunMs = nowMs;
             mCallers.pause();
-            fields.add("other_vms", others.size()).add("overloaded_vms", overloaded);
+            fields.add("other_vms", mOthers.get().size())
+                    .add("overloaded_vms", mOverloads.overloaded().size());
         } else {
             mCallers.resume();
             fields.add("paused_ms", nowMs - mBegunMs);
--- a/transport/src/main/java/org/hornbeampass/transport/EventLoops.java
+++ b/transport/src/main/java/org/hornbeampass/transport/EventLoops.java
@@ -23,7 +23,7 @@
     private static final int MIN_THREADS = 2;
     private static final int MAX_THREADS = 8;
 
-    private final EventLoopGroup mGroup;
+    private final Group mGroup;
 
     /** Holds the process-wide loops, which are created when first used. */
     private static final class Shared {
@@ -37,8 +37,14 @@
 
     /** Creates loops that close their channels before they end. */
     private static final class Group extends MultiThreadIoEventLoopGroup {
-        Group(int threads, ThreadFactory threadFactory) {
-            super(threads, threadFactory, NioIoHandler.newFactory());
+        private final Turns mTurns;
+
+        Group(int threads, ThreadFactory threadFactory, Turns turns) {
+            super(
+                    threads,
+                    threadFactory,
+                    TimedIoHandler.factory(NioIoHandler.newFactory(), turns::listener));
+            mTurns = turns;
         }
 
         @Override
@@ -48,7 +54,16 @@
         }
     }
 
-    private EventLoops(EventLoopGroup group) {
+    /** Holds the listener, which may change while the loops run. Thread-safe. */
+    private static final class Turns {
+        private volatile TurnListener mListener = TurnListener.NONE;
+
+        TurnListener listener() {
+            return mListener;
+        }
+    }
+
+    private EventLoops(Group group) {
         mGroup = group;
     }
 
@@ -59,7 +74,8 @@
      * @param name the prefix of the threads' names
      */
     public static EventLoops create(int threads, String name) {
-        return new EventLoops(new Group(threads, new DefaultThreadFactory(name, true)));
+        return new EventLoops(
+                new Group(threads, new DefaultThreadFactory(name, true), new Turns()));
     }
 
     /** Returns the process-wide loops; closing them has no effect. */
@@ -67,6 +83,11 @@
         return Shared.LOOPS;
     }
 
+    /** Sets the listener that is notified after each turn, by the thread of each loop. */
+    public void observeTurns(TurnListener listener) {
+        mGroup.mTurns.mListener = listener;
+    }
+
     /** Returns the Netty event loop group. */
     public EventLoopGroup group() {
         return mGroup;
