Keep the event loop running when a listener of its turns fails

An error of the listener that is called before each turn would end the event loop, and with it all connections of the VM. The context of a turn is also no longer allocated each time. TimedIoHandlerTest.errorOfAListener covers it.

--- a/transport/src/main/java/org/hornbeampass/transport/TimedIoHandler.java
+++ b/transport/src/main/java/org/hornbeampass/transport/TimedIoHandler.java
@@ -6,6 +6,9 @@
 import io.netty.channel.IoHandlerFactory;
 import io.netty.channel.IoRegistration;
 
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+
 import java.util.function.Supplier;
 
 /**
@@ -15,8 +18,11 @@
  * loop, except for {@link #wakeup}.
  */
 final class TimedIoHandler implements IoHandler {
+    private static final Logger LOG = LogManager.getLogger(TimedIoHandler.class);
+
     private final IoHandler mHandler;
     private final Supplier<TurnListener> mListener;
+    private final TimedContext mContext = new TimedContext();
     private long mIoNs;
     private long mTasksFromNs = -1;
 
@@ -38,14 +44,24 @@
     @Override
     public int run(IoHandlerContext context) {
         if (mTasksFromNs >= 0) {
-            mListener.get().onTurn(mIoNs + System.nanoTime() - mTasksFromNs);
+            report(mIoNs + System.nanoTime() - mTasksFromNs);
         }
         mIoNs = 0;
-        int handled = mHandler.run(new TimedContext(context));
+        mContext.mLoop = context;
+        int handled = mHandler.run(mContext);
         mTasksFromNs = System.nanoTime();
         return handled;
     }
 
+    /** An error that left this method would end the loop. */
+    private void report(long workedNs) {
+        try {
+            mListener.get().onTurn(workedNs);
+        } catch (RuntimeException e) {
+            LOG.error("a listener of an event loop's turns failed with an internal error", e);
+        }
+    }
+
     @Override
     public void prepareToDestroy() {
         mHandler.prepareToDestroy();
@@ -73,25 +89,21 @@
 
     /** Receives the time for input and output, which the handler measures without its waits. */
     private final class TimedContext implements IoHandlerContext {
-        private final IoHandlerContext mContext;
-
-        TimedContext(IoHandlerContext context) {
-            mContext = context;
-        }
+        private IoHandlerContext mLoop;
 
         @Override
         public boolean canBlock() {
-            return mContext.canBlock();
+            return mLoop.canBlock();
         }
 
         @Override
         public long delayNanos(long currentTimeNanos) {
-            return mContext.delayNanos(currentTimeNanos);
+            return mLoop.delayNanos(currentTimeNanos);
         }
 
         @Override
         public long deadlineNanos() {
-            return mContext.deadlineNanos();
+            return mLoop.deadlineNanos();
         }
 
         @Override
@@ -102,8 +114,8 @@
         @Override
         public void reportActiveIoTime(long ioNs) {
             mIoNs += ioNs;
-            if (mContext.shouldReportActiveIoTime()) {
-                mContext.reportActiveIoTime(ioNs);
+            if (mLoop.shouldReportActiveIoTime()) {
+                mLoop.reportActiveIoTime(ioNs);
             }
         }
     }
--- a/transport/src/test/java/org/hornbeampass/transport/TimedIoHandlerTest.java
+++ b/transport/src/test/java/org/hornbeampass/transport/TimedIoHandlerTest.java
@@ -56,4 +56,17 @@
         finishTurn(WAIT_MS);
         assertThat(mTurns).isNotEmpty().allMatch(ns -> ns < TimeUnit.MILLISECONDS.toNanos(WAIT_MS));
     }
+
+    /** Guards against an event loop that ends with all connections for an error in a listener. */
+    @Test
+    void errorOfAListener_leavesTheLoopRunning() throws InterruptedException {
+        mLoops.observeTurns(
+                ns -> {
+                    mTurns.add(ns);
+                    throw new IllegalStateException("an error of the test");
+                });
+        finishTurn(2);
+        finishTurn(2);
+        assertThat(mTurns).hasSizeGreaterThan(1);
+    }
 }
