Take connections for a time after the longest pause of the intake

Cause: a pause that had ended at its longest could begin again after one turn, before anything was accepted, so that a VM whose turns stay long, as one of a twentieth of a core, could take no connection for seconds.

The comment on the turns names the five that the test plays.

--- a/coordination/src/main/java/org/hornbeampass/coordination/capacity/IntakePause.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/capacity/IntakePause.java
@@ -11,12 +11,13 @@
  * progress.
  *
  * <p>Invariants: a pause begins only while there are {@link #MIN_OTHER_VMS} other VMs; it lasts
- * {@link #MAX_PAUSE_MS} at most. All times are in milliseconds. Confined to one event loop.
+ * {@link #MAX_PAUSE_MS} at most, and after one that long the VM takes connections for {@link
+ * #MIN_INTAKE_MS} at least. All times are in milliseconds. Confined to one event loop.
  */
 public final class IntakePause {
     /**
-     * The turns of the event loop for which a request waits until its answer begins: accepted, read
-     * and sent, connected to its upstream, answered.
+     * The turns of the event loop for which a request waits: accepted, read, connected to its
+     * upstream and sent, the first part of its answer, and the end.
      */
     static final int TURNS = 5;
 
@@ -32,17 +33,21 @@
     /** The longest pause. */
     static final double MAX_PAUSE_MS = 500;
 
+    /** The shortest time between a pause that did not shorten the turns and the next one. */
+    static final double MIN_INTAKE_MS = 100;
+
     /** The fewest other live VMs. */
     static final int MIN_OTHER_VMS = 2;
 
     private final TurnTime mTurnTime = new TurnTime();
-    private boolean mOthers;
+    private boolean mHasOthers;
     private boolean mPaused;
     private double mBegunMs;
+    private double mIntakeUntilMs = Double.NEGATIVE_INFINITY;
 
     /** Sets the number of other live VMs. */
     public void setOtherVms(int vms) {
-        mOthers = vms >= MIN_OTHER_VMS;
+        mHasOthers = vms >= MIN_OTHER_VMS;
     }
 
     /**
@@ -56,7 +61,7 @@
         mTurnTime.onTurn(nowMs, workedMs);
         if (mPaused) {
             mPaused = continues(nowMs);
-        } else if (mOthers && requestMs() >= BEGIN_MS) {
+        } else if (mHasOthers && requestMs() >= BEGIN_MS && nowMs >= mIntakeUntilMs) {
             mPaused = true;
             mBegunMs = nowMs;
         }
@@ -68,7 +73,11 @@
         if (pausedMs < MIN_PAUSE_MS) {
             return true;
         }
-        return requestMs() >= END_MS && pausedMs < MAX_PAUSE_MS;
+        if (pausedMs >= MAX_PAUSE_MS) {
+            mIntakeUntilMs = nowMs + MIN_INTAKE_MS;
+            return false;
+        }
+        return requestMs() >= END_MS;
     }
 
     /** Returns how long a request waits for its turns of the event loop, as of the last turns. */
--- a/coordination/src/test/java/org/hornbeampass/coordination/capacity/IntakePauseTest.java
+++ b/coordination/src/test/java/org/hornbeampass/coordination/capacity/IntakePauseTest.java
@@ -103,12 +103,14 @@
 
     /** Guards against a VM that takes no connection for seconds, however late it is. */
     @Test
-    void pause_endsAfterItsLongestTime() {
+    void pause_endsAfterItsLongestTimeAndBeginsAgainLater() {
         double longMs = 100;
-        assertThat(turns(0, longMs, 2)).isTrue();
-        assertThat(mPause.onTurn(longMs + IntakePause.MAX_PAUSE_MS - 1, longMs)).isTrue();
-        assertThat(mPause.onTurn(longMs + IntakePause.MAX_PAUSE_MS, longMs)).isFalse();
-        assertThat(mPause.onTurn(longMs + IntakePause.MAX_PAUSE_MS + longMs, longMs)).isTrue();
+        assertThat(turns(0, longMs, 1)).isTrue();
+        double endMs = longMs + IntakePause.MAX_PAUSE_MS;
+        assertThat(mPause.onTurn(endMs - 1, longMs)).isTrue();
+        assertThat(mPause.onTurn(endMs, longMs)).isFalse();
+        assertThat(mPause.onTurn(endMs + IntakePause.MIN_INTAKE_MS - 1, longMs)).isFalse();
+        assertThat(mPause.onTurn(endMs + IntakePause.MIN_INTAKE_MS, longMs)).isTrue();
     }
 
     /** Guards against a VM that stops and starts listening for each request. */
