--- a/coordination/src/main/java/org/hornbeampass/coordination/capacity/IntakePause.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/capacity/IntakePause.java
@@ -10,10 +10,9 @@
  * {@value #TURNS} turns of the event loop, each of which takes the longer the more requests are in
  * progress.
  *
- * <p>Invariants: a pause begins only while there are {@link #MIN_OTHER_VMS} other VMs, and not
- * within {@link #STARTUP_MS} of the start; it lasts {@link #MAX_PAUSE_MS} at most, and after one
- * that long the VM takes connections for {@link #MIN_INTAKE_MS} at least. All times are in
- * milliseconds. Confined to one event loop.
+ * <p>Invariants: a pause begins only while there are {@link #MIN_OTHER_VMS} other VMs; it lasts
+ * {@link #MAX_PAUSE_MS} at most, and after one that long the VM takes connections for {@link
+ * #MIN_INTAKE_MS} at least. All times are in milliseconds. Confined to one event loop.
  */
 public final class IntakePause {
     /**
@@ -37,12 +36,6 @@
     /** The shortest time between a pause that did not shorten the turns and the next one. */
     static final double MIN_INTAKE_MS = 100;
 
-    /**
-     * The time in which a VM of a tenth of a core loads and compiles its code. Its turns are long
-     * then without load, and most others may have started with it.
-     */
-    static final double STARTUP_MS = 20_000;
-
     /** The fewest other live VMs. */
     static final int MIN_OTHER_VMS = 2;
 
@@ -50,12 +43,7 @@
     private boolean mHasOthers;
     private boolean mPaused;
     private double mBegunMs;
-    private double mIntakeUntilMs;
-
-    /** Creates the decision of a VM that starts at a time. */
-    public IntakePause(double startMs) {
-        mIntakeUntilMs = startMs + STARTUP_MS;
-    }
+    private double mIntakeUntilMs = Double.NEGATIVE_INFINITY;
 
     /** Sets the number of other live VMs. */
     public void setOtherVms(int vms) {
--- a/router/src/main/java/org/hornbeampass/router/daemon/IntakePauseControl.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/IntakePauseControl.java
@@ -23,7 +23,7 @@
 final class IntakePauseControl implements TurnListener {
     private static final double NS_PER_MS = 1e6;
 
-    private final IntakePause mPause;
+    private final IntakePause mPause = new IntakePause();
     private final CallerServer mCallers;
     private final Clock mClock;
     private final OverloadMonitor mOverloads;
@@ -38,7 +38,6 @@
             OverloadMonitor overloads,
             Supplier<List<Member>> others,
             RelayLog log) {
-        mPause = new IntakePause((double) clock.nowMs());
         mCallers = callers;
         mClock = clock;
         mOverloads = overloads;
