--- a/coordination/src/main/java/org/hornbeampass/coordination/capacity/IntakePause.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/capacity/IntakePause.java
@@ -27,7 +27,7 @@
     /** The time for all turns of a request below which connections are taken again. */
     static final double END_MS = 150;
 
-    /** The shortest pause; to listen again costs as much as a request. */
+    /** The shortest pause; each one closes the listening socket and opens it again. */
     static final double MIN_PAUSE_MS = 20;
 
     /** The longest pause. */
