Read the caller's socket again before a late VM sends its request on

A request could reach an upstream more than half a second after its caller had disconnected. The VM knows of a disconnect only once it reads the caller's socket. It read again before the handover of a request if the last read was over 100 ms old, but not before a send: between the handover and a send the event loop may be blocked, or late by several turns, and a retry on an idle connection is sent in the very turn in which the loop goes on.

Before each send to an upstream or another VM the socket is now read again if its last read is over 100 ms old. A caller that has disconnected ends its request there, as if it had been noticed in time: the permit is returned and the connection closed. On a VM that is in time nothing is read, unless the request has waited for more than 100 ms.

--- a/router/src/main/java/org/hornbeampass/router/relay/ForwardedRequest.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/ForwardedRequest.java
@@ -90,6 +90,7 @@
 
     private void onConnected(Member vm, Optional<UpstreamConnection> connection) {
         long nowMs = mContext.clock().nowMs();
+        mCall.caller().detectDisconnect(nowMs);
         if (mCall.ended()) {
             connection.ifPresent(UpstreamConnection::cancel);
             return;
--- a/router/src/main/java/org/hornbeampass/router/relay/UpstreamSearch.java
+++ b/router/src/main/java/org/hornbeampass/router/relay/UpstreamSearch.java
@@ -396,6 +396,7 @@
             InFlightSend send, SendPermit permit, Optional<UpstreamConnection> connection) {
         long nowMs = mContext.clock().nowMs();
         UpstreamInstance instance = send.instance();
+        mCall.caller().detectDisconnect(nowMs);
         boolean current = mConnecting.equals(Optional.of(send)) && !mCall.ended();
         if (!current) {
             mContext.permits().returnUnused(nowMs, permit);
--- a/transport/src/main/java/org/hornbeampass/transport/relay/CallerConnection.java
+++ b/transport/src/main/java/org/hornbeampass/transport/relay/CallerConnection.java
@@ -3,7 +3,6 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -35,20 +34,12 @@
  */
 public final class CallerConnection extends ChannelInboundHandlerAdapter
         implements WriteBacklog.Owner {
-    /**
-     * How long ago the connection may have been read when a request is handed over, in
-     * milliseconds. If more requests were read at once than can be handled in that time, as on a VM
-     * that has just started, the connection is read again right before the handover: its caller may
-     * have disconnected, and no request may reach an upstream half a second after its caller
-     * disconnected.
-     */
-    private static final long MAX_READ_AGE_MS = 100;
-
     private final CallerServer mServer;
     private final Clock mClock;
     private final ReceivedMessages mQueued;
     private Channel mChannel;
     private UnsentAnswers mUnsent;
+    private RepeatedRead mRepeatedRead;
     private Optional<HttpRequest> mHead = Optional.empty();
     private boolean mHeldUp;
     private boolean mReading = true;
@@ -58,10 +49,8 @@
     private boolean mClosed;
     private boolean mDelivering;
     private boolean mDeliveryPending;
-    private long mLastReadMs;
     private long mHeadStartedMs = -1;
     private long mHeadReadMs;
-    private boolean mReadingAgain;
     private final long mOpenedMs;
     private final DiscardedRest mRest = new DiscardedRest();
 
@@ -76,6 +65,7 @@
     public void handlerAdded(ChannelHandlerContext context) {
         mChannel = context.channel();
         mUnsent = new UnsentAnswers(mChannel, mOpenedMs);
+        mRepeatedRead = new RepeatedRead(mChannel);
     }
 
     /** Records when the first bytes of a head arrived. Called before bytes are decoded. */
@@ -115,13 +105,13 @@
      */
     @Override
     public void channelReadComplete(ChannelHandlerContext context) {
-        if (!mDeliveryPending) {
-            return;
-        }
-        mLastReadMs = mClock.nowMs();
-        if (mReadingAgain) {
-            return;
+        mRepeatedRead.onRead(mClock.nowMs());
+        if (mDeliveryPending && !mRepeatedRead.isReading()) {
+            scheduleDelivery();
         }
+    }
+
+    private void scheduleDelivery() {
         mServer.schedule(mChannel.eventLoop(), this::deliverIfRecent);
     }
 
@@ -129,9 +119,7 @@
         if (!mChannel.isActive() || !mDeliveryPending) {
             return;
         }
-        if (mClock.nowMs() - mLastReadMs > MAX_READ_AGE_MS) {
-            readNow();
-        }
+        mRepeatedRead.readIfOld(mClock.nowMs());
         if (!mChannel.isActive()) {
             return;
         }
@@ -143,15 +131,18 @@
     }
 
     /**
-     * Reads the socket at once, which closes the channel if the caller has closed the connection.
-     * Reading it in a later iteration of the event loop would postpone a request indefinitely where
-     * each iteration takes longer than {@link #MAX_READ_AGE_MS}.
+     * Tells the listener that the caller has disconnected if the event loop is too late to have
+     * noticed it. Called before a request is sent on.
      */
-    private void readNow() {
-        if (mChannel.unsafe() instanceof AbstractNioChannel.NioUnsafe socket) {
-            mReadingAgain = true;
-            socket.read();
-            mReadingAgain = false;
+    public void detectDisconnect(long nowMs) {
+        if (mDelivering || !mChannel.config().isAutoRead()) {
+            return;
+        }
+        mRepeatedRead.readIfOld(nowMs);
+        if (!mChannel.isActive()) {
+            onCallerLeft(nowMs);
+        } else if (mDeliveryPending) {
+            scheduleDelivery();
         }
     }
 
@@ -433,17 +424,17 @@
             return;
         }
         boolean idle = !inHead && mUnsent.isIdle(nowMs, mServer.limits().idleTimeoutMs());
-        if (idle && (mClosed || !hasUnreadRequest())) {
+        if (idle && (mClosed || !hasUnreadRequest(nowMs))) {
             stopHandling();
             Channels.close(mChannel);
         }
     }
 
     /** Reads the socket, since a blocked event loop may have left a request unread. */
-    private boolean hasUnreadRequest() {
-        readNow();
+    private boolean hasUnreadRequest(long nowMs) {
+        mRepeatedRead.readNow(nowMs);
         if (mDeliveryPending) {
-            mServer.schedule(mChannel.eventLoop(), this::deliverIfRecent);
+            scheduleDelivery();
         }
         return mDeliveryPending || mHeadStartedMs >= 0;
     }
