Complete the close of an HTTP server once its address refuses connections

The JDK releases the address of a closed listener only with the next select of its event loop, and the kernel accepts connections until then; the future of the close was completed before. It is now completed in the next turn of the loop.

--- a/transport/src/main/java/org/hornbeampass/transport/Channels.java
+++ b/transport/src/main/java/org/hornbeampass/transport/Channels.java
@@ -4,6 +4,9 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.socket.DuplexChannel;
 
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
 /**
  * Channel operations whose futures are ignored, as the channel's events report the outcome.
  *
@@ -20,6 +23,23 @@
         var unused = channel.close();
     }
 
+    /**
+     * Closes a listening channel; the future is completed once its address refuses connections. The
+     * JDK releases the address in the next turn of the event loop, and accepts connections until
+     * then, which it resets.
+     */
+    public static CompletableFuture<Void> closeListener(Channel listener) {
+        CompletableFuture<Void> released = new CompletableFuture<>();
+        var unused =
+                listener.close()
+                        .addListener(
+                                closed ->
+                                        listener.eventLoop()
+                                                .schedule(() -> {}, 1, TimeUnit.MILLISECONDS)
+                                                .addListener(done -> released.complete(null)));
+        return released;
+    }
+
     /** Writes and flushes a message; closes the channel if that fails. */
     public static void send(Channel channel, Object message) {
         var unused =
--- a/transport/src/main/java/org/hornbeampass/transport/http/NettyHttpServer.java
+++ b/transport/src/main/java/org/hornbeampass/transport/http/NettyHttpServer.java
@@ -91,10 +91,13 @@
     public CompletableFuture<Void> close() {
         mStatus.startDraining();
         CompletableFuture<Void> closed = new CompletableFuture<>();
-        mListener
-                .close()
-                .addListener(
-                        unbound -> mConnections.close().addListener(done -> closed.complete(null)));
+        var unused =
+                Channels.closeListener(mListener)
+                        .thenRun(
+                                () ->
+                                        mConnections
+                                                .close()
+                                                .addListener(done -> closed.complete(null)));
         return closed;
     }
 
