--- a/transport/src/main/java/org/hornbeampass/transport/http/HttpServer.java
+++ b/transport/src/main/java/org/hornbeampass/transport/http/HttpServer.java
@@ -18,6 +18,9 @@
     /** Closes the listening socket; open connections go on, each closed after its next answer. */
     void stopAccepting();
 
-    /** Closes the listening socket and all connections. */
+    /**
+     * Closes the listening socket and all connections; the future is completed once the address
+     * refuses connections.
+     */
     CompletableFuture<Void> close();
 }
--- a/transport/src/main/java/org/hornbeampass/transport/relay/CallerConnection.java
+++ b/transport/src/main/java/org/hornbeampass/transport/relay/CallerConnection.java
@@ -136,7 +136,7 @@
      */
     public void detectDisconnect(long nowMs) {
         if (mDelivering || !mChannel.config().isAutoRead()) {
-            return;
+            return; // The socket was read just before, or must not be read now.
         }
         mRepeatedRead.readIfOld(nowMs);
         if (!mChannel.isActive()) {
