--- a/router/src/main/java/org/hornbeampass/router/daemon/ObservedStore.java
+++ b/router/src/main/java/org/hornbeampass/router/daemon/ObservedStore.java
@@ -37,6 +37,9 @@
      */
     private static final int LARGE_ANSWER_BYTES = 128 << 10;
 
+    /** Names of other writers may have any length. */
+    private static final int MAX_LOGGED_KEY_CHARS = 200;
+
     /** The interval between lines about the number of calls, in milliseconds. */
     private static final long CALLS_LINE_INTERVAL_MS = 5_000;
 
@@ -158,6 +161,10 @@
         String result = reply.getClass().getSimpleName().toLowerCase(Locale.ROOT);
         String kind = call.kind().name().toLowerCase(Locale.ROOT);
         recordSize(nowMs, open, kind);
+        if (call instanceof PlatformCall.ListObjects list
+                && reply instanceof PlatformReply.Listed page) {
+            logPage(nowMs, list, page);
+        }
         mMetrics.counter("store_calls{kind=\"" + kind + "\",result=\"" + result + "\"}").inc();
         if (reply instanceof PlatformReply.Unavailable unavailable) {
             onLost(nowMs, call, unavailable.reason());
@@ -207,6 +214,29 @@
                         .add("took_ms", nowMs - open.mStartMs));
     }
 
+    /** Logs a page of a list that has several, by where it begins and how it ends. */
+    private void logPage(long nowMs, PlatformCall.ListObjects list, PlatformReply.Listed page) {
+        if (list.afterKey().isEmpty() && !page.more()) {
+            return;
+        }
+        int size = page.objects().size();
+        mLog.logStateChange(
+                nowMs,
+                "store-list-page",
+                new LogFields()
+                        .add("prefix", list.prefix())
+                        .add("after", shortened(list.afterKey()))
+                        .add("objects", size)
+                        .add("last", size == 0 ? "" : shortened(page.objects().get(size - 1).key()))
+                        .add("more", page.more()));
+    }
+
+    private static String shortened(String key) {
+        return key.length() <= MAX_LOGGED_KEY_CHARS
+                ? key
+                : key.substring(0, MAX_LOGGED_KEY_CHARS) + "...";
+    }
+
     private void onLost(long nowMs, PlatformCall call, String reason) {
         if (mLost) {
             return;
--- a/router/src/test/java/org/hornbeampass/router/daemon/ObservedStoreTest.java
+++ b/router/src/test/java/org/hornbeampass/router/daemon/ObservedStoreTest.java
@@ -8,6 +8,7 @@
 import org.hornbeampass.coordination.platform.Platform;
 import org.hornbeampass.coordination.platform.PlatformCall;
 import org.hornbeampass.coordination.platform.PlatformReply;
+import org.hornbeampass.coordination.platform.PlatformReply.StoredObject;
 import org.hornbeampass.router.relay.RelayLog;
 import org.junit.jupiter.api.Test;
 
@@ -96,6 +97,18 @@
         assertThat(logLines("store-revision-lower")).isEqualTo(1);
     }
 
+    @Test
+    void eachPageOfAListOfSeveral_isLogged() {
+        List<StoredObject> page = List.of(new StoredObject("servers/a%", "{}", 1));
+        call(new PlatformCall.ListObjects("servers/", "", 500), 0);
+        reply(1, new PlatformReply.Listed(page, true, 60));
+        call(new PlatformCall.ListObjects("servers/", "servers/a%", 500), 2);
+        reply(3, new PlatformReply.Listed(List.of(), false, 60));
+        call(new PlatformCall.ListObjects("config/", "", 500), 4);
+        reply(5, new PlatformReply.Listed(page, false, 60));
+        assertThat(logLines("store-list-page")).isEqualTo(2);
+    }
+
     @Test
     void answerThatWasOvertaken_isNotLoggedAsLowerRevision() {
         call(GET, 0);
