Percent-encode names in the targets of calls to the store

Callers saw almost no request served after a restart of all routers while an entry of another writer stood in the list of upstreams, under a name with characters such as &, +, #, % or a blank, at the end of a page.

One class encodes text for targets now, for both object APIs and the command line; a segment of dots is encoded too, since resolving it dropped the one before.

--- a/cli/src/main/java/org/hornbeampass/cli/command/PageOptions.java
+++ b/cli/src/main/java/org/hornbeampass/cli/command/PageOptions.java
@@ -4,6 +4,7 @@
 
 import org.hornbeampass.cli.client.AdminCall;
 import org.hornbeampass.protocol.admin.AdminPaths;
+import org.hornbeampass.protocol.http.PercentEncoding;
 import org.hornbeampass.state.Failure;
 
 import picocli.CommandLine.Option;
@@ -57,7 +58,7 @@
         for (int pages = 1; all.size() < mLimit; pages++) {
             int size = Math.min(AdminPaths.MAX_PAGE, mLimit - all.size());
             String query = "?limit=" + size;
-            String from = after.map(a -> "&after=" + Session.encoded(a)).orElse("");
+            String from = after.map(a -> "&after=" + PercentEncoding.queryValue(a)).orElse("");
             Either<Failure, P> read =
                     session.call(AdminCall.get(path + query + from), page).map(a -> a.value());
             if (read.isLeft()) {
--- a/cli/src/main/java/org/hornbeampass/cli/command/Session.java
+++ b/cli/src/main/java/org/hornbeampass/cli/command/Session.java
@@ -8,12 +8,11 @@
 import org.hornbeampass.cli.client.AdminAnswer;
 import org.hornbeampass.cli.client.AdminCall;
 import org.hornbeampass.cli.client.AdminCaller;
+import org.hornbeampass.protocol.http.PercentEncoding;
 import org.hornbeampass.state.Failure;
 
 import picocli.CommandLine;
 
-import java.net.URLEncoder;
-import java.nio.charset.StandardCharsets;
 import java.util.function.Function;
 
 /**
@@ -46,16 +45,11 @@
     static String path(String root, String... segments) {
         StringBuilder path = new StringBuilder(root);
         for (String segment : segments) {
-            path.append('/').append(encoded(segment));
+            path.append('/').append(PercentEncoding.pathSegment(segment));
         }
         return path.toString();
     }
 
-    /** Returns a text for use in a path or a query. */
-    static String encoded(String text) {
-        return URLEncoder.encode(text, StandardCharsets.UTF_8).replace("+", "%20");
-    }
-
     /** Makes a call, and says on standard error where the answer is not fresh. */
     <T> Either<Failure, AdminAnswer<T>> call(AdminCall call, Class<T> type) {
         Either<Failure, AdminAnswer<T>> answer = mCaller.call(call, type);
--- a/transport/src/main/java/org/hornbeampass/protocol/platform/PlatformPaths.java
+++ b/transport/src/main/java/org/hornbeampass/protocol/platform/PlatformPaths.java
@@ -1,8 +1,10 @@
 package org.hornbeampass.protocol.platform;
 
-import java.net.URLEncoder;
-import java.nio.charset.StandardCharsets;
+import org.hornbeampass.protocol.http.PercentEncoding;
+
+import java.util.Arrays;
 import java.util.Optional;
+import java.util.stream.Collectors;
 
 /**
  * The paths, query parameters and statuses of the platform's object API.
@@ -54,9 +56,11 @@
 
     private PlatformPaths() {}
 
-    /** Returns the path of an object, with its key URL-encoded except for slashes. */
+    /** Returns the path of an object, with each part of its key between slashes encoded. */
     public static String object(String key) {
-        return OBJECTS + "/" + escape(key).replace("%2F", "/");
+        return Arrays.stream(key.split("/", -1))
+                .map(PercentEncoding::pathSegment)
+                .collect(Collectors.joining("/", OBJECTS + "/", ""));
     }
 
     /** Returns the path of a write to an object that must be at a version. */
@@ -85,10 +89,13 @@
     }
 
     private static String query(String name, String value, String otherName, String otherValue) {
-        return "?" + name + "=" + escape(value) + "&" + otherName + "=" + escape(otherValue);
-    }
-
-    private static String escape(String text) {
-        return URLEncoder.encode(text, StandardCharsets.UTF_8).replace("+", "%20");
+        return "?"
+                + name
+                + "="
+                + PercentEncoding.queryValue(value)
+                + "&"
+                + otherName
+                + "="
+                + PercentEncoding.queryValue(otherValue);
     }
 }
