Answer a call to the store that can't be made as failed

A call whose name or value can't be encoded threw its exception through whoever started it, often the reply to another call: no reply came, and a view that waits for one made no further call.

--- a/coordination/src/main/java/org/hornbeampass/coordination/platform/Platform.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/platform/Platform.java
@@ -7,7 +7,9 @@
  * each call.
  *
  * <p>Implementations are thread-safe. A write that is answered {@link PlatformReply.Unavailable}
- * may or may not have taken effect; with any other reply this is known.
+ * may or may not have taken effect; with any other reply this is known. A call that can't be made,
+ * such as one with a name that can't be encoded, is answered so, too: calls are often started
+ * inside the reply to another, whose caller can't handle an exception.
  */
 public interface Platform {
     /**
--- a/transport/src/main/java/org/hornbeampass/transport/platform/HttpPlatform.java
+++ b/transport/src/main/java/org/hornbeampass/transport/platform/HttpPlatform.java
@@ -44,21 +44,31 @@
 
     @Override
     public void submit(long nowMs, PlatformCall call, BiConsumer<Long, PlatformReply> done) {
-        attempt(call, mSettings.addresses().size(), done);
+        String path;
+        try {
+            path = PlatformCodec.path(call);
+        } catch (IllegalArgumentException e) {
+            String reason = "the call can't be made: " + e.getMessage();
+            done.accept(nowMs, new PlatformReply.Unavailable(reason));
+            return;
+        }
+        attempt(call, path, mSettings.addresses().size(), done);
     }
 
-    private void attempt(PlatformCall call, int triesLeft, BiConsumer<Long, PlatformReply> done) {
+    private void attempt(
+            PlatformCall call, String path, int triesLeft, BiConsumer<Long, PlatformReply> done) {
         int addressIndex = mAddressIndex.get();
         URI address = mSettings.addresses().get(addressIndex);
         mClient.send(
-                request(call, address), new ReplyCollector(call, addressIndex, triesLeft, done));
+                request(call, address.resolve(path)),
+                new ReplyCollector(call, path, addressIndex, triesLeft, done));
     }
 
-    private HttpClient.Request request(PlatformCall call, URI address) {
+    private HttpClient.Request request(PlatformCall call, URI target) {
         long waitMs = call instanceof PlatformCall.Watch watch ? watch.maxWait().toMillis() : 0;
         return new HttpClient.Request(
                 PlatformCodec.method(call),
-                address.resolve(PlatformCodec.path(call)),
+                target,
                 mHeaders,
                 PlatformCodec.body(call),
                 mSettings.connectTimeoutMs(),
@@ -73,6 +83,7 @@
     private final class ReplyCollector implements HttpClient.Listener {
         private final ByteArrayOutputStream mBody = new ByteArrayOutputStream();
         private final PlatformCall mCall;
+        private final String mPath;
         private final int mUsedIndex;
         private final int mTriesLeft;
         private final BiConsumer<Long, PlatformReply> mDone;
@@ -81,10 +92,12 @@
 
         ReplyCollector(
                 PlatformCall call,
+                String path,
                 int usedIndex,
                 int triesLeft,
                 BiConsumer<Long, PlatformReply> done) {
             mCall = call;
+            mPath = path;
             mUsedIndex = usedIndex;
             mTriesLeft = triesLeft;
             mDone = done;
@@ -120,7 +133,7 @@
         public void onFailure(boolean sent, String reason) {
             switchAddress(mUsedIndex);
             if (!sent && mTriesLeft > 1) {
-                attempt(mCall, mTriesLeft - 1, mDone);
+                attempt(mCall, mPath, mTriesLeft - 1, mDone);
                 return;
             }
             mDone.accept(mClock.nowMs(), new PlatformReply.Unavailable(reason));
--- a/transport/src/test/java/org/hornbeampass/transport/platform/HttpPlatformTest.java
+++ b/transport/src/test/java/org/hornbeampass/transport/platform/HttpPlatformTest.java
@@ -72,6 +72,14 @@
                                 List.of(new PlatformReply.Change(key, Optional.empty(), 3)), 3));
     }
 
+    /** Guards against a caller that waits for the answer to a call that was not made. */
+    @Test
+    void callWithANameThatCantBeEncoded_isUnavailable() throws Exception {
+        HttpPlatform platform = platform(serve(new PlatformEndpoint()));
+        assertThat(submit(platform, new PlatformCall.Get("vms/a\ud800")))
+                .isInstanceOf(PlatformReply.Unavailable.class);
+    }
+
     @Test
     void status429_isThrottled() throws Exception {
         assertThat(replyToStatus(429, "")).isEqualTo(new PlatformReply.Throttled());
