Reject answers whose status line is not that of HTTP/1

Callers got an answer with the status 000 as one, with the upstream's body. The codec takes any number for a status and any text of that shape for a version; no reader of answers asked more than whether a status is below 500.

The decoder that all readers of upstreams', routers' and the store's answers share rejects such a head: one check before anybody classifies an answer. The request is handled as after a broken answer.

--- a/transport/src/main/java/org/hornbeampass/transport/AnswerDecoder.java
+++ b/transport/src/main/java/org/hornbeampass/transport/AnswerDecoder.java
@@ -15,9 +15,12 @@
  * Decodes the answers of an upstream. Whether one has a body depends on the request that it
  * answers, which is not always the next one that was sent, since upstreams may answer twice.
  *
- * <p>Confined to the channel's event loop.
+ * <p>Invariant: a head that is decoded without failure is of HTTP/1 and has a status from 100 to 599
+ * in three digits; any other head is a failure. Confined to the channel's event loop.
  */
 public final class AnswerDecoder extends HttpResponseDecoder {
+    private static final Pattern VERSION = Pattern.compile("HTTP/1\\.[0-9]");
+    private static final Pattern STATUS = Pattern.compile("[1-5][0-9]{2}");
     private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] \\d\\d\\d");
 
     private final Function<HttpResponse, HttpMethod> mMethodOf;
@@ -33,6 +36,18 @@
         mMethodOf = methodOf;
     }
 
+    /** Rejects a status line which the codec would read as another one. */
+    @Override
+    protected HttpMessage createMessage(String[] statusLine) {
+        if (!VERSION.matcher(statusLine[0]).matches()) {
+            throw new IllegalArgumentException("the answer's version is not that of HTTP/1");
+        }
+        if (!STATUS.matcher(statusLine[1]).matches()) {
+            throw new IllegalArgumentException("the answer's status is not one from 100 to 599");
+        }
+        return super.createMessage(statusLine);
+    }
+
     @Override
     protected boolean isContentAlwaysEmpty(HttpMessage message) {
         HttpResponse head = (HttpResponse) message;
