Reject answers with a blank in or behind the name of a field

The codec ends the name of a field of an answer at a blank, so that a line like "X Y: 1" was passed on as X: 1, and a framing field could be read otherwise than the upstream meant it. A blank before the colon could be removed (RFC 9112, section 5.1); one inside the name has no meaning, and an upstream that writes either is in trouble: both are rejected, in trailers, too.

--- a/transport/src/main/java/org/hornbeampass/transport/AnswerDecoder.java
+++ b/transport/src/main/java/org/hornbeampass/transport/AnswerDecoder.java
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.util.AsciiString;
 
 import java.util.Map;
 import java.util.function.Function;
@@ -15,8 +16,9 @@
  * Decodes the answers of an upstream. Whether one has a body depends on the request that it
  * answers, which is not always the next one that was sent, since upstreams may answer twice.
  *
- * <p>Invariant: a head that is decoded without failure is of HTTP/1 and has a status from 100 to 599
- * in three digits; any other head is a failure. Confined to the channel's event loop.
+ * <p>Invariants: a head that is decoded without failure is of HTTP/1, has a status from 100 to 599
+ * in three digits, and each of its fields, and of a trailer, has a name that ends at its colon; any
+ * other head is a failure. Confined to the channel's event loop.
  */
 public final class AnswerDecoder extends HttpResponseDecoder {
     private static final Pattern VERSION = Pattern.compile("HTTP/1\\.[0-9]");
@@ -48,6 +50,15 @@
         return super.createMessage(statusLine);
     }
 
+    /** Rejects a name with a blank in or after it, which the codec would cut there. */
+    @Override
+    protected AsciiString splitHeaderName(byte[] line, int start, int length) {
+        if (line[start + length] != ':') {
+            throw new IllegalArgumentException("a field's name does not end at its colon");
+        }
+        return super.splitHeaderName(line, start, length);
+    }
+
     @Override
     protected boolean isContentAlwaysEmpty(HttpMessage message) {
         HttpResponse head = (HttpResponse) message;
