End an unframed answer only once its request is written

Callers got a part of an answer as a complete 200: an upstream answered a long upload at once, without length, and reset the connection while the upload was still being written. An end of the upstream's output was taken for the answer's end, whatever was left of the request.

The answer is kept until the request is written now; a connection that fails before breaks it. An upstream that answers early and reads on is served whole.

--- a/transport/src/main/java/org/hornbeampass/transport/relay/UpstreamConnection.java
+++ b/transport/src/main/java/org/hornbeampass/transport/relay/UpstreamConnection.java
@@ -30,12 +30,12 @@
  *
  * <p>Invariants: bytes that arrive while no request is in progress close the connection, since they
  * belong to no request. An answer without framing is complete only if the upstream ended its output
- * in order, or went on with another answer to a request that was sent on this connection; a
- * connection that fails or is closed by this VM breaks it. A connection is reused only if the last
- * answer was complete, had explicit framing (a content length, chunked encoding or a status without
- * a body) and did not ask to close the connection, if nothing came before or after it that its
- * request did not ask for, and if the whole request had been written. Confined to the channel's
- * event loop.
+ * in order and its request was written, or if it went on with another answer to a request that was
+ * sent on this connection; a connection that fails or is closed by this VM breaks it. A connection
+ * is reused only if the last answer was complete, had explicit framing (a content length, chunked
+ * encoding or a status without a body) and did not ask to close the connection, if nothing came
+ * before or after it that its request did not ask for, and if the whole request had been written.
+ * Confined to the channel's event loop.
  */
 public final class UpstreamConnection extends ChannelInboundHandlerAdapter
         implements BoundedInput.Connection, WriteBacklog.Owner {
@@ -63,6 +63,7 @@
     private boolean mReusable;
     private boolean mRequestWritten;
     private boolean mAwaitingEndOfInput;
+    private boolean mEndedUnframed;
     private boolean mClosed;
     private boolean mHeldUp;
     private long mPausedSinceMs = NOT_PAUSED;
@@ -114,6 +115,7 @@
         mSkippingAnswer = false;
         mUnrequestedAnswers = false;
         mAwaitingEndOfInput = false;
+        mEndedUnframed = false;
         mRequestWritten = false;
         mReusable = false;
         mLongestPauseMs = 0;
@@ -130,7 +132,11 @@
     public void sendEnd() {
         var unused =
                 mChannel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)
-                        .addListener(written -> mRequestWritten = written.isSuccess());
+                        .addListener(
+                                written -> {
+                                    mRequestWritten = written.isSuccess();
+                                    endUnframedIfWritten();
+                                });
     }
 
     /** Flushes everything that was written to the socket. */
@@ -386,10 +392,21 @@
             context.fireUserEventTriggered(event);
             return;
         }
-        if (mAwaitingEndOfInput && mListener.isPresent()) {
-            onAnswerEnded(mListener.get());
-        } else {
+        if (!mAwaitingEndOfInput || mListener.isEmpty()) {
             onConnectionBroken("the upstream closed the connection");
+            return;
+        }
+        mEndedUnframed = true;
+        endUnframedIfWritten();
+    }
+
+    /**
+     * Ends an answer without framing once its request is written: an upstream may answer early and
+     * read on, but one that closes its connection meanwhile can't be told from one that was cut.
+     */
+    private void endUnframedIfWritten() {
+        if (mEndedUnframed && mRequestWritten) {
+            mListener.ifPresent(this::onAnswerEnded);
         }
     }
 
