Bound what the system holds of a long upload

An upload of 600 KB counted as written as soon as the system had taken it, with none of it read: an answer without framing that ended then was complete, and the reset behind it went unseen. What the system holds for an upstream is bounded to 128 KiB once an upload is longer than 256 KiB, so that a reset during it breaks the connection while the request is still being written. Shorter uploads may be held whole by the systems of both sides.

--- a/transport/src/main/java/org/hornbeampass/transport/relay/UpstreamConnection.java
+++ b/transport/src/main/java/org/hornbeampass/transport/relay/UpstreamConnection.java
@@ -4,6 +4,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.HttpContent;
@@ -42,6 +43,15 @@
     /** How long an idle connection may be reused if the upstream states no timeout. */
     private static final long DEFAULT_IDLE_LIMIT_MS = 400;
 
+    /** The size from which an upload counts as long. */
+    private static final long LONG_UPLOAD_BYTES = 256 << 10;
+
+    /**
+     * The most bytes of a long upload that the system holds for an upstream that takes nothing.
+     * What the system holds counts as written; without a bound it may be the rest of any upload.
+     */
+    private static final int LONG_UPLOAD_SEND_BUFFER_BYTES = 128 << 10;
+
     private static final long NOT_PAUSED = -1;
     private static final String KEEP_ALIVE = "keep-alive";
     private static final String TIMEOUT = "timeout=";
@@ -64,6 +74,7 @@
     private boolean mRequestWritten;
     private boolean mAwaitingEndOfInput;
     private boolean mEndedUnframed;
+    private long mUploadBytes;
     private boolean mClosed;
     private boolean mHeldUp;
     private long mPausedSinceMs = NOT_PAUSED;
@@ -116,6 +127,7 @@
         mUnrequestedAnswers = false;
         mAwaitingEndOfInput = false;
         mEndedUnframed = false;
+        mUploadBytes = 0;
         mRequestWritten = false;
         mReusable = false;
         mLongestPauseMs = 0;
@@ -125,6 +137,11 @@
 
     /** Writes a part of the request's body and releases it. */
     public void sendPart(ByteBuf part) {
+        boolean wasLong = mUploadBytes > LONG_UPLOAD_BYTES;
+        mUploadBytes += part.readableBytes();
+        if (!wasLong && mUploadBytes > LONG_UPLOAD_BYTES) {
+            mChannel.config().setOption(ChannelOption.SO_SNDBUF, LONG_UPLOAD_SEND_BUFFER_BYTES);
+        }
         var unused = mChannel.write(new DefaultHttpContent(part), mChannel.voidPromise());
     }
 
