--- a/coordination/src/main/java/org/hornbeampass/coordination/platform/WatchedView.java
+++ b/coordination/src/main/java/org/hornbeampass/coordination/platform/WatchedView.java
@@ -7,7 +7,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
-import java.util.SplittableRandom;
 import java.util.function.BiConsumer;
 import java.util.function.LongConsumer;
 import java.util.stream.Collectors;
@@ -48,11 +47,10 @@
     private final String mPrefix;
     private final Duration mWatchTime;
     private final BiConsumer<Long, Change> mListener;
-    private final RetryPolicy mBackoff;
     private final CatchUpMode mCatchUpMode;
     private final long mGatherMs;
     private final Object mLock = new Object();
-    private final SplittableRandom mRandom;
+    private final ViewRetries mRetries;
     private final VersionedObjects mObjects = new VersionedObjects();
     private final PagedListing mListing;
 
@@ -67,10 +65,6 @@
     private boolean mStopped;
     private boolean mListNext = true;
     private long mUpToVersion;
-    private long mRetryAtMs = Long.MIN_VALUE;
-    private int mFailures;
-    private long mFailingSinceMs = NEVER;
-    private long mLastFailureMs = NEVER;
 
     /**
      * Creates a view that starts with the first {@link #tick}.
@@ -117,9 +111,8 @@
         mListing = new PagedListing(prefix, PAGE_SIZE);
         mWatchTime = watchTime;
         mGatherMs = gatherMs;
-        mBackoff = backoff;
         mCatchUpMode = catchUpMode;
-        mRandom = new SplittableRandom(seed);
+        mRetries = new ViewRetries(backoff, seed);
         mListener = listener;
     }
 
@@ -171,14 +164,14 @@
     /** Returns how long all calls have failed, in milliseconds; 0 if the last one succeeded. */
     public long failingForMs(long nowMs) {
         synchronized (mLock) {
-            return mFailingSinceMs == NEVER ? 0 : nowMs - mFailingSinceMs;
+            return mRetries.failingForMs(nowMs);
         }
     }
 
     /** Returns whether a call failed within the last {@code ms} milliseconds. */
     public boolean failedWithin(long nowMs, long ms) {
         synchronized (mLock) {
-            return mLastFailureMs != NEVER && nowMs - mLastFailureMs < ms;
+            return mRetries.failedWithin(nowMs, ms);
         }
     }
 
@@ -204,10 +197,9 @@
                 return;
             }
             mSuspended = !watching;
-            mRetryAtMs = Long.MIN_VALUE;
+            mRetries.allow();
             if (mSuspended && mReady) {
-                mFailingSinceMs = NEVER;
-                mFailures = 0;
+                mRetries.onSuccess();
                 boolean waiting = mCallInProgress && !mListNext && !isReceiving(nowMs);
                 if (waiting) {
                     mCallInProgress = false;
@@ -349,7 +341,7 @@
         synchronized (mLock) {
             boolean complete = mReady && !mListNext;
             boolean suspended = mSuspended && complete;
-            if (mStopped || mCallInProgress || suspended || nowMs < mRetryAtMs) {
+            if (mStopped || mCallInProgress || suspended || !mRetries.mayCall(nowMs)) {
                 return;
             }
             mCallInProgress = true;
@@ -380,7 +372,7 @@
 
     private PlatformCall nextCall() {
         if (!mListNext) {
-            boolean mayBeRestored = mFailures > 0 && StoreVersion.era(mUpToVersion) > 0;
+            boolean mayBeRestored = mRetries.isFailing() && StoreVersion.era(mUpToVersion) > 0;
             Duration wait = mayBeRestored ? ERA_CHECK_TIME : mWatchTime;
             return new PlatformCall.Watch(mPrefix, mUpToVersion, wait);
         }
@@ -421,34 +413,20 @@
             return onListed(nowMs, listed, reported);
         }
         if (reply instanceof PlatformReply.Changed changed) {
-            onSuccess();
+            mRetries.onSuccess();
             return onChanged(nowMs, changed, reported);
         }
         if (reply instanceof PlatformReply.WatchGap) {
             restartListing();
             return Next.CALL;
         }
-        onFailure(nowMs);
+        mRetries.onFailure(nowMs);
         if (mCatchUpMode.relistsAfterFailure()) {
             restartListing();
         }
         return Next.WAIT;
     }
 
-    private void onSuccess() {
-        mFailures = 0;
-        mFailingSinceMs = NEVER;
-    }
-
-    private void onFailure(long nowMs) {
-        mFailures++;
-        mLastFailureMs = nowMs;
-        if (mFailingSinceMs == NEVER) {
-            mFailingSinceMs = nowMs;
-        }
-        mRetryAtMs = nowMs + mBackoff.waitMs(mFailures, mRandom);
-    }
-
     private Next onChanged(long nowMs, PlatformReply.Changed changed, ViewChanges reported) {
         if (!StoreVersion.isSameEra(changed.upToVersion(), mUpToVersion)) {
             mListNext |= changed.upToVersion() > mUpToVersion;
@@ -464,27 +442,27 @@
         mObjects.dropTombstones(mUpToVersion);
         boolean gather = !changed.changes().isEmpty() && mGatherMs > 0;
         if (gather) {
-            mRetryAtMs = nowMs + mGatherMs;
+            mRetries.pause(nowMs, mGatherMs);
         }
         return gather ? Next.WAIT : Next.CALL;
     }
 
     private Next onListed(long nowMs, PlatformReply.Listed page, ViewChanges reported) {
         if (page.storeVersion() < mUpToVersion) {
-            onSuccess();
+            mRetries.onSuccess();
             restartListing();
-            mRetryAtMs = nowMs + mBackoff.waitMs(1, mRandom);
+            mRetries.onOutdatedAnswer(nowMs);
             return Next.WAIT;
         }
         return switch (mListing.add(page)) {
             case MORE, RESTORED -> Next.CALL;
             case COMPLETE -> {
-                onSuccess();
+                mRetries.onSuccess();
                 completeListing(nowMs, reported);
                 yield Next.CALL;
             }
             case NOT_ADVANCING -> {
-                onFailure(nowMs);
+                mRetries.onFailure(nowMs);
                 yield Next.REPORT_STUCK_LISTING;
             }
         };
