Bound the system's part of an upload only while the connection is open

The option can't be set on a socket that is closed already, and its failure would have ended the handling of the request. Found by reading; a connection that closes between two parts of an upload was not tested.

--- a/transport/src/main/java/org/hornbeampass/transport/relay/UpstreamConnection.java
+++ b/transport/src/main/java/org/hornbeampass/transport/relay/UpstreamConnection.java
@@ -137,12 +137,18 @@
 
     /** Writes a part of the request's body and releases it. */
     public void sendPart(ByteBuf part) {
+        countUpload(part.readableBytes());
+        var unused = mChannel.write(new DefaultHttpContent(part), mChannel.voidPromise());
+    }
+
+    /** Counts bytes of an upload, and bounds what the system holds of it once it is long. */
+    private void countUpload(int bytes) {
         boolean wasLong = mUploadBytes > LONG_UPLOAD_BYTES;
-        mUploadBytes += part.readableBytes();
-        if (!wasLong && mUploadBytes > LONG_UPLOAD_BYTES) {
+        mUploadBytes += bytes;
+        boolean becomesLong = !wasLong && mUploadBytes > LONG_UPLOAD_BYTES;
+        if (becomesLong && mChannel.isOpen()) {
             mChannel.config().setOption(ChannelOption.SO_SNDBUF, LONG_UPLOAD_SEND_BUFFER_BYTES);
         }
-        var unused = mChannel.write(new DefaultHttpContent(part), mChannel.voidPromise());
     }
 
     /** Ends the request's body and flushes it. */
